Draw the two servers from all that are ready, not from the own zone

The pick took both servers from the copy's own zone and looked elsewhere only when nothing there was usable. The design draws from all ready servers; the own zone now decides only between two equally busy ones.

Ruled out: a repeating random source (all servers are drawn once the near one is ejected), leaked calls in flight (every send in the trace ends), answers held back by the node (0.3 ms from the last byte to the client).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -89,8 +89,6 @@
 const SUBSET_SPREAD: f64 = 2.0;
 /// Never fewer upstreams in the subset than this, so that a few that fail leave enough to choose from.
 const SUBSET_LEAST: usize = 8;
-/// A crossing priced below this part of a request's worth costs less than unevenness: zones are ignored.
-const CROSSING_CHEAP: f64 = 0.008;
 /// Further attempts allowed per request on average: a failing tier is not sent a multiple.
 const RETRY_RATIO: f64 = 0.2;
 const RETRY_SAVED: f64 = 10.0;
@@ -326,9 +324,7 @@
 struct Pool {
     runs_in: Option<Vec<u16>>,
     kinds_only: Option<Vec<u8>>,
-    /// Own zone first, then the others.
-    near: Vec<usize>,
-    far: Vec<usize>,
+    members: Vec<usize>,
 }
 
 impl Pool {
@@ -445,17 +441,12 @@
             (ring_place(UpstreamId(m.group.into())), ring_place(m.id), m.id)
         });
         self.ready = (ring.len(), self.ready.1.max(ring.len()));
-        let zoned = s.cross_zone_price >= CROSSING_CHEAP;
-        let aperture = |ring: Vec<usize>| {
-            let n = ring.len();
-            let start = n * (s.index % s.balancers) as usize / s.balancers as usize;
-            (0..n.min(self.subset)).map(|k| ring[(start + k) % n]).collect::<Vec<_>>()
-        };
         for pool in &mut self.pools {
-            let allowed = ring.iter().copied().filter(|&i| pool.admits(&self.slots[i].member));
-            let (near, far): (Vec<_>, Vec<_>) =
-                allowed.partition(|&i| !zoned || self.slots[i].member.zone == s.zone);
-            (pool.near, pool.far) = (aperture(near), aperture(far));
+            let allowed: Vec<usize> =
+                ring.iter().copied().filter(|&i| pool.admits(&self.slots[i].member)).collect();
+            let n = allowed.len();
+            let start = n * (s.index % s.balancers) as usize / s.balancers as usize;
+            pool.members = (0..n.min(self.subset)).map(|k| allowed[(start + k) % n]).collect();
         }
     }
 
@@ -600,24 +591,27 @@
     }
 
     /// By own calls in flight. A copy that carries little mostly compares zeros: then the one whose answers
-    /// took clearly less of late, so that slow kinds and crowded ones take less here too; else the one used
-    /// longest ago, to spread the calls. Favouring open connections would send them all to the same few.
-    fn less_busy(&self, a: usize, b: usize, now: Millis) -> bool {
+    /// took clearly less of late, so that slow kinds and crowded ones take less here too; else the one in the
+    /// own zone, for that saves a crossing; else the one used longest ago, to spread the calls. Favouring open
+    /// connections would send them all to the same few, and keeping to the own zone crowds one that is weak.
+    fn less_busy(&self, a: usize, b: usize, ask: &PickRequest) -> bool {
+        let (s, now) = (ask.settings, ask.now);
         let (a, b) = (&self.slots[a], &self.slots[b]);
+        let near = |u: &Upstream| s.cross_zone_price > 0.0 && u.member.zone == s.zone;
         // What was learned fades, so that one that was slow is tried again.
         let slow = |u: &Upstream| 1.0 + (u.slowness - 1.0) * (-(now - u.last_used) / ANSWER_KEPT).exp();
         match a.inflight.cmp(&b.inflight) {
             Ordering::Equal if slow(a) > ANSWER_RATIO * slow(b) => false,
             Ordering::Equal if slow(b) > ANSWER_RATIO * slow(a) => true,
+            Ordering::Equal if near(a) != near(b) => near(a),
             Ordering::Equal => a.last_used < b.last_used,
             order => order == Ordering::Less,
         }
     }
 
     /// The less busy of two random usable upstreams.
-    fn pick(&mut self, far: bool, ask: &PickRequest, rng: &mut Pcg64Mcg) -> Option<usize> {
-        let pool = &self.pools[ask.pool];
-        let n = if far { pool.far.len() } else { pool.near.len() };
+    fn pick(&mut self, ask: &PickRequest, rng: &mut Pcg64Mcg) -> Option<usize> {
+        let n = self.pools[ask.pool].members.len();
         if n == 0 {
             return None;
         }
@@ -629,13 +623,13 @@
                 break;
             }
             let k = if draw < DRAWS { below(rng, n) } else { (start + draw) % n };
-            let i = if far { self.pools[ask.pool].far[k] } else { self.pools[ask.pool].near[k] };
+            let i = self.pools[ask.pool].members[k];
             let out = (best == Some(i) && n > 1) || ask.avoid == Some(i);
             if out || !ask.allows(&self.slots[i].member) || !self.usable(i, ask) {
                 continue;
             }
             match best {
-                Some(b) => return Some(if self.less_busy(i, b, ask.now) { i } else { b }),
+                Some(b) => return Some(if self.less_busy(i, b, ask) { i } else { b }),
                 None => best = Some(i),
             }
         }
@@ -745,13 +739,12 @@
             (Some((.., zone, group)), Effect::Guarded { scope, .. }) => Some((scope, zone, group)),
         };
         let pool = self.fleet.pool_of[p.class];
-        let ready = self.fleet.pools.iter().map(|p| p.near.len() + p.far.len()).fold(1, usize::max) as f64;
+        let ready = self.fleet.pools.iter().map(|p| p.members.len()).fold(1, usize::max) as f64;
         let cold_rate = self.admission.recent / CYCLE / ready * COLD_MARGIN * s.tip_multiple;
         let ask = PickRequest { settings: s, now, pool, cold_rate, avoid: p.last, desperate: false, scope };
         let last_resort = PickRequest { avoid: None, desperate: true, ..ask };
-        let picked = [(false, &ask), (true, &ask), (false, &last_resort), (true, &last_resort)]
-            .into_iter()
-            .find_map(|(far, ask)| self.fleet.pick(far, ask, &mut self.rng));
+        let picked = self.fleet.pick(&ask, &mut self.rng);
+        let picked = picked.or_else(|| self.fleet.pick(&last_resort, &mut self.rng));
         let Some(i) = picked else { return false };
         let (mut rest, close) = self.fleet.rest(i, s, now, &mut self.rng);
         if close {
