--- a/src/policy.rs
+++ b/src/policy.rs
@@ -592,8 +592,8 @@
 
     /// By own calls in flight. A copy that carries little mostly compares zeros: then the one whose answers
     /// took clearly less of late, so that slow kinds and crowded ones take less here too; else the one in the
-    /// own zone, for that saves a crossing; else the one used longest ago, to spread the calls. Favouring open
-    /// connections would send them all to the same few, and keeping to the own zone crowds one that is weak.
+    /// own zone, which saves a crossing; else the one used longest ago, to spread the calls. Favouring open
+    /// connections would send them all to the same few, and keeping to the own zone crowds a weak one.
     fn less_busy(&self, a: usize, b: usize, ask: &PickRequest) -> bool {
         let (s, now) = (ask.settings, ask.now);
         let (a, b) = (&self.slots[a], &self.slots[b]);
