Reload the configuration on SIGHUP and follow discovery to its new address

It now reads the file again, moves the watch to discovery's new address at once, from the version it has, and keeps running on what it knows when the file cannot be read.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
@@ -146,7 +147,8 @@
 
 /// Keeps the list fresh: answers each of the module's subscriptions and keeps a watch that stands.
 pub struct Discovery {
-    addr: SocketAddr,
+    /// Where discovery is now; a reload may name another address.
+    addr: watch::Receiver<SocketAddr>,
     names: Names,
     link: Option<Link>,
     version: Option<u64>,
@@ -154,19 +156,28 @@
 
 impl Discovery {
     /// Begins with the version of the list that the balancer already has, if any.
-    pub fn new(addr: SocketAddr, names: Names, version: Option<u64>) -> Discovery {
+    pub fn new(addr: watch::Receiver<SocketAddr>, names: Names, version: Option<u64>) -> Discovery {
         Discovery { addr, names, link: None, version }
     }
 
     /// Serves subscriptions for ever. With `pushed` the list needs no asking and the watch always stands.
     pub async fn run(mut self, driver: Handle, pushed: bool) {
+        let mut moves = self.addr.clone();
         loop {
             if !pushed {
                 driver.subscribed().await;
             }
             let mut answered = false;
             let error = loop {
-                match self.call().await {
+                let called = tokio::select! {
+                    called = self.call() => called,
+                    // The watch goes on at the new address at once: the old one tells nothing more.
+                    Ok(()) = moves.changed() => {
+                        self.link = None;
+                        continue;
+                    }
+                };
+                match called {
                     Ok(listing) => {
                         // One event answers the subscription; after that only changes are news.
                         if !answered || listing.full || !listing.entries.is_empty() {
@@ -181,7 +192,8 @@
             eprintln!("discovery: {error}");
             driver.list_failed();
             if pushed {
-                tokio::time::sleep(PUSHED_PAUSE).await;
+                // A move ends the pause: the new address has not failed yet.
+                let _ = timeout(PUSHED_PAUSE, moves.changed()).await;
             }
         }
     }
@@ -206,15 +218,16 @@
             Some(link) => link.sender.ready().await.is_ok(),
             None => false,
         };
+        let addr = *self.addr.borrow();
         if !up {
-            self.link = Some(Link::open(self.addr).await?);
+            self.link = Some(Link::open(addr).await?);
         }
         let Some(link) = self.link.as_mut() else { return Err("not connected".into()) };
         let path = match self.version {
             Some(v) => format!("/api/targets?since={v}&timeout_ms={}", WAIT.as_millis()),
             None => "/api/targets".to_string(),
         };
-        let request = Request::get(path).header(header::HOST, self.addr.to_string()).body(Empty::new());
+        let request = Request::get(path).header(header::HOST, addr.to_string()).body(Empty::new());
         let request = request.map_err(|e| e.to_string())?;
         let answer = link.sender.send_request(request).await.map_err(|e| e.to_string())?;
         if answer.status() != StatusCode::OK {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -14,6 +14,7 @@
 use oakflow::Balancer;
 use server::{Phase, Server};
 use sockets::Sockets;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -46,11 +47,24 @@
     }
 }
 
+/// Reads the configuration again. Only discovery's address may change while the program runs; what cannot be
+/// read changes nothing.
+fn reload(name: &str, discovery: &watch::Sender<SocketAddr>) {
+    match load() {
+        Ok(config) => {
+            eprintln!("{name}: reloaded, discovery at {}", config.discovery);
+            discovery.send_replace(config.discovery);
+        }
+        Err(message) => eprintln!("{name}: not reloaded: {}", message.replace('\n', " ")),
+    }
+}
+
 async fn run(config: Config) -> Result<(), String> {
     let (start, start_ms) = (Instant::now(), driver::unix_ms());
     let Config { name, listen, discovery, seed, sockets, known, deployment } = config;
     let mut term = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
     let mut int = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
+    let mut hup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
     let balancer = Balancer::new(deployment.policy.clone(), seed, start_ms).map_err(|e| e.to_string())?;
     let span = |ms: f64| Duration::from_secs_f64(ms / 1000.0);
     let budget = Sockets::new(sockets);
@@ -72,6 +86,7 @@
     let timers = handle.clone();
     let timers = tokio::task::spawn_local(async move { timers.run().await });
     handle.cached(known.as_ref());
+    let (moved, discovery) = watch::channel(discovery);
     let watcher = Discovery::new(discovery, Names::of(&deployment), known.as_ref().map(|k| k.version));
     tokio::task::spawn_local(watcher.run(handle.clone(), !deployment.policy.ask_for_list));
     let (phase, phases) = watch::channel(Phase::Up);
@@ -79,11 +94,17 @@
         tokio::task::spawn_local(Server::new(handle.clone(), deployment, budget, phases).run(listener));
     eprintln!("{name}: serving on {address}");
 
+    let reloads = async {
+        while hup.recv().await.is_some() {
+            reload(&name, &moved);
+        }
+    };
     tokio::select! {
         _ = term.recv() => {}
         _ = int.recv() => {}
         // Without timers no request would end: better to stop at once, seen by all.
         end = timers => return Err(format!("the timers stopped: {end:?}")),
+        () = reloads => return Err("no signals any more".into()),
     }
     eprintln!("{name}: told to end");
     phase.send_replace(Phase::Leaving);
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -290,6 +291,7 @@
     pub addr: SocketAddr,
     /// Kept, so that it is silent and not gone.
     pub discovery: Discovery,
+    config: PathBuf,
     log: Arc<Mutex<Vec<String>>>,
     reader: Option<thread::JoinHandle<()>>,
 }
@@ -325,6 +327,8 @@
     }
 
     pub fn run(mut command: Command, discovery: Discovery) -> Node {
+        let config = command.get_envs().find(|(name, _)| *name == "NODE_CONFIG").and_then(|(_, path)| path);
+        let config = PathBuf::from(config.expect("a configuration"));
         let mut child = command.spawn().expect("starts");
         let mut log = BufReader::new(child.stderr.take().expect("its log"));
         let addr = loop {
@@ -341,7 +345,7 @@
                 kept.lock().expect("no panic").push(line);
             }
         });
-        Node { child, addr, discovery, log: lines, reader: Some(reader) }
+        Node { child, addr, discovery, config, log: lines, reader: Some(reader) }
     }
 
     /// A balancer that knows these upstreams, and whose discovery is silent.
@@ -371,10 +375,29 @@
     }
 
     pub fn terminate(&self) {
-        let kill = format!("kill -TERM {}", self.child.id());
+        self.signal("TERM");
+    }
+
+    /// Replaces its configuration and tells it so.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.config, config).expect("writes the configuration");
+        self.signal("HUP");
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
         assert!(Command::new("sh").args(["-c", &kill]).status().expect("runs sh").success());
     }
 
+    /// Waits until it has logged a line with this text.
+    pub fn logs(&self, text: &str) {
+        let started = Instant::now();
+        while !self.log().iter().any(|l| l.contains(text)) {
+            assert!(started.elapsed() < PATIENCE, "{text:?} is not in {:?}", self.log());
+            thread::yield_now();
+        }
+    }
+
     /// Waits until it has ended and its log is read.
     pub fn wait(&mut self) -> ExitStatus {
         let status = self.child.wait().expect("it ends");
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -302,6 +302,27 @@
     assert_eq!(node.log(), Vec::<String>::new(), "no call counted as failed");
 }
 
+#[test]
+fn a_reload_follows_discovery_to_its_new_address_and_a_bad_one_changes_nothing() {
+    let (old, new) = (Upstream::start(|_| ok("old")), Upstream::start(|_| ok("new")));
+    let mut node = Node::start(1024, &listing(5, true, &[(0, old.addr, "active")]));
+    let mut client = node.client();
+    assert!(node.discovery.called().contains("since=5&"));
+    node.reload("{\"name\":");
+    node.logs("not reloaded");
+    assert_eq!(client.call(&get("r1", "5000m")).body, b"old");
+    let moved = Discovery::start();
+    node.reload(&config(moved.addr, 1024, "null"));
+    // The call that waits at the old address is left; the next one goes on from the version that is known.
+    assert!(moved.called().contains("since=5&"));
+    let before = std::mem::replace(&mut node.discovery, moved);
+    node.discovery.answer(&listing(6, true, &[(1, new.addr, "active")]));
+    assert!(node.discovery.called().contains("since=6&"));
+    assert_eq!(client.call(&get("r2", "5000m")).body, b"new");
+    assert!(before.calls.try_recv().is_err(), "the old address is asked no more");
+    assert!(!node.log().iter().any(|l| l.starts_with("discovery:")), "a move is no failed call");
+}
+
 #[test]
 fn told_to_end_it_answers_what_it_has_and_what_still_comes() {
     let (word, hold) = channel();
