Answer or close a caller that sends no whole request within 3 s

The first request must now be whole 2.5 s after the connection came; a later body has 2 s. Kept connections rest as before.

--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -19,12 +19,15 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
-use tokio::time::timeout;
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
-/// A caller has this long for the head of a request, and for the next one on a kept connection.
+/// A caller has this long from connecting until its first request is whole: one that sends something else, or
+/// nothing, is owed an error or a close within 3 s.
+const FIRST_WAIT: Duration = Duration::from_millis(2500);
+/// A kept connection has this long for the head of its next request.
 const HEAD_WAIT: Duration = Duration::from_secs(60);
 /// And this long for the body.
-const BODY_WAIT: Duration = Duration::from_secs(10);
+const BODY_WAIT: Duration = Duration::from_secs(2);
 /// A connection that is to close, and owes no answer, has this long to take what was written.
 const FLUSH_WAIT: Duration = Duration::from_secs(2);
 /// Pause after an accept that failed, for want of descriptors for one.
@@ -147,12 +150,16 @@
         }
         let close = Rc::new(Notify::new());
         let place = Rc::new(Cell::new(self.rests(&close)));
-        let (server, again, at) = (self.clone(), close.clone(), place.clone());
+        // Until when the first request must be whole; taken by its head.
+        let by = Instant::now() + FIRST_WAIT;
+        let first = Rc::new(Cell::new(Some(by)));
+        let (server, again, at, unasked) = (self.clone(), close.clone(), place.clone(), first.clone());
         let service = service_fn(move |request| {
             let (server, close, place) = (server.clone(), again.clone(), at.clone());
+            let by = unasked.take().unwrap_or_else(|| Instant::now() + BODY_WAIT);
             async move {
                 server.rests_no_more(place.take());
-                let response = server.respond(request).await;
+                let response = server.respond(request, by).await;
                 place.set(server.rests(&close));
                 Ok::<_, Infallible>(response)
             }
@@ -164,9 +171,18 @@
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         let mut phase = self.phase.clone();
+        let overdue = async {
+            sleep_until(by).await;
+            if first.get().is_none() {
+                std::future::pending::<()>().await;
+            }
+        };
         let ended = tokio::select! {
+            biased;
             // A caller's broken connection or garbage ends this connection only.
             _ = connection.as_mut() => true,
+            // It has said nothing whole so far, so that nothing is owed but the close.
+            () = overdue => true,
             () = close.notified() => false,
             _ = phase.wait_for(|p| *p == Phase::Closing) => false,
         };
@@ -178,11 +194,12 @@
         self.rests_no_more(place.take());
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    /// Answers a request whose body must have come by `by`.
+    async fn respond(&self, request: Request<Incoming>, by: Instant) -> Response<Full<Bytes>> {
         let mut response = match request.uri().path() {
             READY if self.driver.ready() && *self.phase.borrow() == Phase::Up => plain(StatusCode::OK),
             READY => plain(StatusCode::SERVICE_UNAVAILABLE),
-            path if path == SERVICE || path.starts_with("/api/") => match self.take(request).await {
+            path if path == SERVICE || path.starts_with("/api/") => match self.take(request, by).await {
                 Ok(waiting) => final_answer(waiting.answer().await),
                 Err(response) => response,
             },
@@ -195,14 +212,14 @@
     }
 
     /// Reads a request whole and hands it to the driver.
-    async fn take(&self, request: Request<Incoming>) -> Result<Waiting, Response<Full<Bytes>>> {
+    async fn take(&self, request: Request<Incoming>, by: Instant) -> Result<Waiting, Response<Full<Bytes>>> {
         let (head, body) = request.into_parts();
         let bad = |what: &str| refuse_input(StatusCode::BAD_REQUEST, what);
         let (class, tenant, patience) = self.classify(&head.method, &head.headers).map_err(bad)?;
         if body.size_hint().lower() > BODY_MOST as u64 {
             return Err(refuse_input(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
         }
-        let body = match timeout(BODY_WAIT, Limited::new(body, BODY_MOST).collect()).await {
+        let body = match timeout_at(by, Limited::new(body, BODY_MOST).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) if e.is::<LengthLimitError>() => {
                 return Err(refuse_input(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -439,6 +439,15 @@
         read(&mut self.0)
     }
 
+    /// Waits until the balancer closes the connection, without an answer.
+    pub fn closed(&mut self) {
+        match self.0.read(&mut [0]) {
+            Ok(0) => {}
+            Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => {}
+            other => panic!("not closed: {other:?}"),
+        }
+    }
+
     pub fn call(&mut self, text: &str) -> Message {
         self.send(text);
         self.answer().expect("an answer")
