Eject no more than a third of the servers for failures

A server that hangs is ejected as before.

Ruled out: a slow second tier (50 ms throughout), calls booked wrong (spread evenly until the ejections), calls to the lost server (ejected at once).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -56,6 +56,9 @@
 /// An upstream is ejected when its failures exceed this and this multiple of the whole list's.
 const EJECT_AT: f64 = 0.4;
 const EJECT_RATIO: f64 = 2.0;
+/// Failures that others answer for too, as those of a tier behind, eject no more than this part of the list,
+/// yet one: the rest would have to carry all, and crowd.
+const EJECT_PART: f64 = 1.0 / 3.0;
 /// First ejection lasts this long, each further one as much longer, up to the most.
 const EJECT_BASE: Millis = 2000.0;
 const EJECT_MOST: Millis = 16_000.0;
@@ -528,6 +531,8 @@
         if !cut && ending != Ending::Moot {
             self.heard(rest, lost);
         }
+        let ejected = self.by_id.values().filter(|&&k| now < self.slots[k].ejected_until).count();
+        let room = hung || ejected < ((self.ready.0 as f64 * EJECT_PART) as usize).max(1);
         let u = &mut self.slots[i];
         u.rested_from = if u.inflight >= u.connections { now } else { u.rested_from };
         // A connection whose call got no answer does not come back for another.
@@ -560,7 +565,7 @@
         if !failed && now >= u.ejected_until && u.fails < EJECT_AT / 2.0 {
             u.ejections = 0;
         }
-        if failed && own && (hung || u.outcomes >= 3) && now >= u.ejected_until {
+        if failed && own && room && (hung || u.outcomes >= 3) && now >= u.ejected_until {
             // A server that fails fast holds few calls and would win every comparison: take it out.
             let length = (EJECT_BASE * f64::from(u.ejections + 1)).min(EJECT_MOST);
             u.ejected_until = now + length * (0.75 + 0.5 * unit(rng));
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -85,6 +85,25 @@
     assert!(sent > 900, "the others carry on: {sent} of 960");
 }
 
+/// Met in an incident: a zone of the tier behind was lost, and the few errors that came of it ejected all servers
+/// here but one, which then took every call.
+#[test]
+fn errors_that_come_from_behind_do_not_leave_all_calls_to_one() {
+    let mut w = world(shared(&[1.0]), 4);
+    w.traffic(4000.0, 60.0, &[0], &fast);
+    let failures = std::cell::RefCell::new(BTreeMap::new());
+    w.traffic(1000.0, 60.0, &[0], &|id| {
+        let mut failures = failures.borrow_mut();
+        let n = failures.entry(id).or_insert(0);
+        *n += 1;
+        Some(if id.0 != 4 && *n <= 3 { (Ending::Error, 50.0) } else { (Ending::Ok, 50.0) })
+    });
+    let from = w.now;
+    w.traffic(1000.0, 60.0, &[0], &fast);
+    let (sent, to) = w.sent_since(from);
+    assert!(to.len() >= 3 && to.values().all(|&n| n * 2 < sent), "{sent} calls went to {to:?}");
+}
+
 /// Met in an incident: a whole zone answered nothing, too much to eject server by server.
 #[test]
 fn a_zone_that_is_cut_off_is_left_alone() {
