Serve kept connections until the last answers are due after SIGTERM

Callers' connections were closed 0.5 s after SIGTERM, 3 s before SIGKILL. Connections now stay open until 0.8 s before all must be answered (0.5 s after the longest deadline), and a request that comes late gets no more time than is left.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -11,7 +11,7 @@
 use config::Config;
 use discovery::{Discovery, Names};
 use driver::{Handle, Parts};
-use oakflow::Balancer;
+use oakflow::{Balancer, Millis};
 use server::{Phase, Server};
 use sockets::Sockets;
 use std::net::SocketAddr;
@@ -24,8 +24,15 @@
 
 /// New connections go on coming for this long after SIGTERM, with some room.
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
-/// Longest wait, after that, for what was taken: SIGKILL comes at 3.7 s at the soonest.
-const FINISHING: Duration = Duration::from_millis(3000);
+/// SIGKILL comes 0.7 s after the longest deadline at the soonest, counted from SIGTERM, and where that deadline is
+/// longer than this, it is taken as this. All is answered by then, with some room.
+const DEADLINE_MOST: Millis = 3000.0;
+const ANSWERED: Duration = Duration::from_millis(500);
+/// Nothing is taken any more for this long before all must be answered.
+const LAST_ANSWERS: Duration = Duration::from_millis(800);
+/// Time for the last answers to be written.
+const WRITTEN: Duration = Duration::from_millis(100);
+
 fn load() -> Result<Config, String> {
     let path = std::env::var("NODE_CONFIG").map_err(|e| format!("NODE_CONFIG: {e}"))?;
     let text = std::fs::read(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
@@ -89,6 +96,7 @@
     let (moved, discovery) = watch::channel(discovery);
     let watcher = Discovery::new(discovery, Names::of(&deployment), known.as_ref().map(|k| k.version));
     tokio::task::spawn_local(watcher.run(handle.clone(), !deployment.policy.ask_for_list));
+    let longest = deployment.policy.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
     let (phase, phases) = watch::channel(Phase::Up);
     let served =
         tokio::task::spawn_local(Server::new(handle.clone(), deployment, budget, phases).run(listener));
@@ -107,10 +115,12 @@
         () = reloads => return Err("no signals any more".into()),
     }
     eprintln!("{name}: told to end");
-    phase.send_replace(Phase::Leaving);
-    tokio::time::sleep(STILL_ACCEPTING).await;
+    let told = Instant::now();
+    let answered = told + span(longest.min(DEADLINE_MOST)) + ANSWERED;
+    phase.send_replace(Phase::Leaving(answered));
+    tokio::time::sleep_until((answered - LAST_ANSWERS).max(told + STILL_ACCEPTING)).await;
     phase.send_replace(Phase::Closing);
-    if tokio::time::timeout(FINISHING, served).await.is_err() {
+    if tokio::time::timeout_at(answered + WRITTEN, served).await.is_err() {
         eprintln!("{name}: callers are still connected at the end, {} requests unanswered", handle.open());
     }
     Ok(())
