Answer a GET that has a body here, and send it to no upstream

A request that may be repeated is a GET without a body. One with a body is no proper request, yet it was passed on as though a client had sent it so, which upstreams count as a request that nobody made.

Test: bad_input_is_answered_here_and_hurts_nobody_else; without the change the request is served with 200 instead of 400.

--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -218,6 +218,9 @@
         let (head, body) = request.into_parts();
         let bad = |what: &str| refuse_input(StatusCode::BAD_REQUEST, what);
         let (class, tenant, patience) = self.classify(&head.method, &head.headers).map_err(bad)?;
+        if head.method == Method::GET && !body.is_end_stream() {
+            return Err(bad("a GET has no body"));
+        }
         if body.size_hint().lower() > BODY_MOST as u64 {
             return Err(refuse_input(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
         }
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -61,6 +61,9 @@
     ] {
         assert_eq!(client.call(&good.replace(from, to)).status(), status, "{to:?} for {from:?}");
     }
+    // What may be repeated has no body; one that is sent all the same must not reach an upstream.
+    let bodied = good.replace("\r\n\r\n", "\r\nContent-Length: 4\r\n\r\nbody");
+    assert_eq!(node.client().call(&bodied).status(), 400);
     let mut large = node.client();
     let head = pay("r2", "5000m").replace("Content-Length: 4\r\n\r\nbody", "Content-Length: 65537\r\n\r\n");
     assert_eq!(large.call(&head).status(), 413);
