Say in every refusal when to return, whatever the settings pass on

The longest advice that clients heed now stands alone.

Test: a_refusal_comes_at_once_and_says_when_to_return, now under settings that pass no advice on; without the change the header is missing.

--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -279,7 +279,7 @@
               "repeat_window":20000,"late_worth":0.5}},
             {{"name":"pay","objective":1000,"deadline":20000,"effect":"single_shot","late_worth":0.5}}],
           "tenants":[{{"name":"club","share":1.0,"quota_per_s":5000}}],
-          "permissions":{{"attempts_cap":5,"cancel":true,"retry_after":true,"max_retry_after":2000,
+          "permissions":{{"attempts_cap":5,"cancel":true,"retry_after":false,"max_retry_after":2000,
             "idle_close":60000}},
           "invariants":{{"cold_from":0.3,"ramp_time":9000,"tip_multiple":4,"drain_grace":1000}}}}}}"#
     )
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -4,10 +4,11 @@
 //! `tiers`), `blend`, `clients`, `domain_type`, `family_info`, `stats`, `tick`, `weights`, `worth_by`,
 //! `over_share_worth`; of `classes[]` `aim_stretch`, `importance` and `streaming`; of `charges` all but crossings;
 //! of `invariants` `drain_grace`, `fall` and `grace_to_answer` (the module stops, spreads and answers well within
-//! them); of `permissions` those to probe, to tell peers and to send second copies, and the limits of CPU, open
-//! requests, connections and dialling; [`Deployment`] keeps what of these a balancer on sockets needs. Of the events the codec drops probe results, peer messages and load
-//! reports; of a request its key, its cost hint and its marks; of a list entry its scale. Never asked for: single
-//! fetches of the list, and unsubscribing.
+//! them); of `permissions` those to probe, to tell peers, to send second copies and to give advice (a refusal
+//! always says when to return), and the limits of CPU, open requests, connections and dialling; [`Deployment`]
+//! keeps what of these a balancer on sockets needs. Of the events the codec drops probe results, peer messages and
+//! load reports; of a request its key, its cost hint and its marks; of a list entry its scale. Never asked for:
+//! single fetches of the list, and unsubscribing.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 use oakflow::{Class, DedupScope, Effect, Settings, Tenant};
@@ -89,8 +90,6 @@
     #[serde(default)]
     cancel: bool,
     #[serde(default)]
-    retry_after: bool,
-    #[serde(default)]
     max_retry_after: f64,
     #[serde(default = "idle")]
     idle_close: f64,
@@ -169,7 +168,7 @@
         ask_for_list,
         ask_within: s.invariants.ask_within,
         idle_close: s.permissions.idle_close,
-        max_retry_after: if s.permissions.retry_after { s.permissions.max_retry_after } else { 0.0 },
+        max_retry_after: s.permissions.max_retry_after,
         cold_from: s.invariants.cold_from,
         ramp_time: s.invariants.ramp_time,
         tip_multiple: s.invariants.tip_multiple,
