Ask discovery anew within 6 s when the watch falls silent

A connection that is cut off stays open and silent, and the watch waited 22 s on it: news was missed for that long, and a drain counted as told at the very moment at which the next call could begin, 0.5 s before it was made. A call now waits 5 s for news and 1 s more for its answer, so that the next one is through before its news counts as told. The agent answers at no cost.

Test: a_watch_that_falls_silent_is_asked_anew_within_seconds; without the change no second call is made within 20 s.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -17,10 +17,12 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
-/// How long one call of a watch may wait for news.
-const WAIT: Duration = Duration::from_secs(20);
-/// Beyond its wait a call gets this long to answer, before it counts as failed.
-const ANSWER: Duration = Duration::from_secs(2);
+/// How long one call of a watch may wait for news. A connection can fall silent unseen: this bounds for how long
+/// news is missed then.
+const WAIT: Duration = Duration::from_secs(5);
+/// Beyond its wait a call gets this long to answer, before it counts as failed. News counts as told 2 s after the
+/// wait: another call must have brought it by then.
+const ANSWER: Duration = Duration::from_secs(1);
 /// A call for the whole list, which does not wait for news, gets this long: discovery works in turn.
 const WHOLE: Duration = Duration::from_secs(6);
 /// Pause before a pushed list is asked for again: the agent is on this machine and answers at no cost.
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -327,6 +327,20 @@
     assert_eq!(node.log(), Vec::<String>::new(), "no call counted as failed");
 }
 
+#[test]
+fn a_watch_that_falls_silent_is_asked_anew_within_seconds() {
+    let (old, new) = (Upstream::start(|_| ok("old")), Upstream::start(|_| ok("new")));
+    let node = Node::start(1024, &listing(5, true, &[(0, old.addr, "active")]));
+    assert!(node.discovery.called().contains("since=5&"));
+    node.logs("discovery: no answer in time");
+    // Too late: nobody hears this one any more.
+    node.discovery.answer(&listing(6, true, &[(1, new.addr, "active")]));
+    assert!(node.discovery.called().contains("since=5&"));
+    node.discovery.answer(&listing(6, true, &[(1, new.addr, "active")]));
+    assert!(node.discovery.called().contains("since=6&"));
+    assert_eq!(node.client().call(&get("r1", "5000m")).body, b"new");
+}
+
 #[test]
 fn a_reload_follows_discovery_to_its_new_address_and_a_bad_one_changes_nothing() {
     let (old, new) = (Upstream::start(|_| ok("old")), Upstream::start(|_| ok("new")));
