Give cold upstreams their part by the quotas where little is admitted just now

Two thirds of the requests are refused.

Cause: Balancer::send reckons the cold budget from what the copy admits at that time (Admission::recent / ready). After an overload that is least, so that the new servers get a part of that little, and nothing relieves the crowded ones. The budget now starts from the stated quotas where these are more.

Ruled out: ejected new servers (they end no call badly); too small a subset (all ready ones are in it); the rule on cold servers as the bound (2.5 times the present capacity is far above 5 a second).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -283,6 +283,13 @@
         self.quota * self.ready * (self.success / SUCCESS_WANTED).clamp(FLOOR_LEAST, self.uncrowded)
     }
 
+    /// What the ready upstreams carry per cycle for this copy when all is well. What is admitted just now tells
+    /// too little of that after an overload, when cold upstreams are needed most: they would be kept out for as
+    /// long as the warm ones stay crowded.
+    fn carried(&self) -> f64 {
+        self.recent.max(self.quota * self.ready)
+    }
+
     /// Takes note of how late an answer was.
     fn learn(&mut self, lateness: f64) {
         self.in_time += f64::from(u8::from(lateness < 1.0));
@@ -756,7 +763,7 @@
         };
         let pool = self.fleet.pool_of[p.class];
         let ready = self.fleet.pools.iter().map(|p| p.members.len()).fold(1, usize::max) as f64;
-        let cold_rate = self.admission.recent / CYCLE / ready * COLD_MARGIN * s.tip_multiple;
+        let cold_rate = self.admission.carried() / CYCLE / ready * COLD_MARGIN * s.tip_multiple;
         let ask = PickRequest { settings: s, now, pool, cold_rate, avoid: p.last, desperate: false, scope };
         let last_resort = PickRequest { avoid: None, desperate: true, ..ask };
         let picked = self.fleet.pick(&ask, &mut self.rng);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -352,3 +352,52 @@
     }
     assert!(!cold_sends.is_empty(), "it is warmed up, not shut out");
 }
+
+/// Met on a day of replacements: after an overload little was admitted, a cold upstream was given its part of that
+/// little, and the warm ones stayed crowded for as long as it was kept out.
+#[test]
+fn a_cold_upstream_gets_its_part_though_little_is_admitted() {
+    const COPIES: u32 = 40;
+    let settings = |index| Settings {
+        index,
+        balancers: COPIES,
+        tenants: tenants(&[1.0], 400.0),
+        cold_from: 0.15,
+        ramp_time: 20_000.0,
+        tip_multiple: 2.5,
+        ..Settings::default()
+    };
+    let members = || (1..=10).map(member).collect::<Vec<_>>();
+    let mut worlds: Vec<World> =
+        (0..COPIES).map(|i| World::new(settings(i), u64::from(i), members())).collect();
+    let (mut id, mut cold_sends) = (0, Vec::new());
+    for step in 0..200 {
+        // One call a second and copy, a tenth of the quotas; the upstream restarts after ten seconds.
+        for (i, w) in worlds.iter_mut().enumerate() {
+            if step == 100 {
+                w.list(Membership::Delta(vec![Member { since: w.now, ..member(1) }]));
+            }
+            if (step + i).is_multiple_of(10) {
+                id += 1;
+                w.request(id, 0, 0);
+                let (to, at) = w.seen[&RequestId(id)].sends[0];
+                if to == UpstreamId(1) && step >= 100 {
+                    cold_sends.push(at);
+                }
+                w.pass(50.0);
+                w.outcome(id, 0, Ending::Ok);
+                w.pass(50.0);
+                continue;
+            }
+            w.pass(100.0);
+        }
+    }
+    // 40 calls a second over 10 upstreams, each of which carries 40 a second when the quotas are used.
+    assert!(cold_sends.len() > 30, "{} calls of 400 in ten seconds", cold_sends.len());
+    for window in 0..10 {
+        let from = 10_000.0 + f64::from(window) * 1000.0;
+        let calls = cold_sends.iter().filter(|&&t| t >= from && t < from + 1000.0).count() as f64;
+        let warmth = 0.15 + 0.85 * f64::from(window) / 20.0;
+        assert!(calls <= 2.5 * 40.0 * warmth, "{calls} calls in second {window} at warmth {warmth}");
+    }
+}
