--- a/src/policy.rs
+++ b/src/policy.rs
@@ -284,8 +284,8 @@
     }
 
     /// What the ready upstreams carry per cycle for this copy when all is well. What is admitted just now tells
-    /// too little of that after an overload, when cold upstreams are needed most: they would be kept out for as
-    /// long as the warm ones stay crowded.
+    /// too little of that after an overload, when cold upstreams are needed most: they would be kept out for
+    /// as long as the warm ones stay crowded.
     fn carried(&self) -> f64 {
         self.recent.max(self.quota * self.ready)
     }
