--- a/src/policy.rs
+++ b/src/policy.rs
@@ -283,9 +283,9 @@
         self.quota * self.ready * (self.success / SUCCESS_WANTED).clamp(FLOOR_LEAST, self.uncrowded)
     }
 
-    /// What the ready upstreams carry per cycle for this copy when all is well. What is admitted just now tells
-    /// too little of that after an overload, when cold upstreams are needed most: they would be kept out for
-    /// as long as the warm ones stay crowded.
+    /// What the ready upstreams carry per cycle for this copy when all is well. What is admitted just now
+    /// tells too little of that after an overload, when cold upstreams are needed most: they would be kept out
+    /// for as long as the warm ones stay crowded.
     fn carried(&self) -> f64 {
         self.recent.max(self.quota * self.ready)
     }
