Count in the capacity's floor only the upstreams that can be used, as far as warm

The zone is lost at 6.5 s. The list names its servers as ready until the end of the loss. The summed floor of the copies stays at 524 calls a second for 12 servers that are left of 16, though each copy has three to five ejected; with 21 calls in flight at each, they crowd, and by 11 s they serve 177 a second of 388 admitted.

Cause: Admission::floor scales the quotas by the ready entries of the list, which is late and knows only whether a process runs. It now sums the warmth of those that are neither ejected nor silent at this copy. The cold budget goes on by what is listed.

Ruled out: the second tier (80 ms throughout); the capacity learned as too high (it has fallen to the floor by 9 s).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -143,10 +143,12 @@
     tenants: Vec<TenantState>,
     /// Calls per cycle. Learned: see [`Admission::learn`].
     capacity: f64,
-    /// The stated quotas per cycle; the part of answers in time; ready upstreams as a part of the most seen.
+    /// The stated quotas per cycle; the part of answers in time; and as parts of the most seen, the upstreams
+    /// that are listed as ready, and those that can be used.
     quota: f64,
     success: f64,
-    ready: f64,
+    listed: f64,
+    usable: f64,
     in_time: f64,
     admitted: f64,
     cycle_start: Millis,
@@ -190,7 +192,8 @@
             capacity,
             quota: (quota * CYCLE / 1000.0).max(0.1),
             success: 1.0,
-            ready: 1.0,
+            listed: 1.0,
+            usable: 1.0,
             cycle_start: now,
             recent: stated,
             peak: stated,
@@ -278,16 +281,17 @@
 
     /// Least capacity: the stated quotas, since lateness that is not of the load's making (heavy work, silent
     /// servers) would cut it to nothing. Less where most answers are too late to count, for crowded servers
-    /// lose all that is admitted, and where upstreams went away.
+    /// lose all that is admitted, and where upstreams went away, fail or are cold, which the list tells too
+    /// late or not at all.
     fn floor(&self) -> f64 {
-        self.quota * self.ready * (self.success / SUCCESS_WANTED).clamp(FLOOR_LEAST, self.uncrowded)
+        self.quota * self.usable * (self.success / SUCCESS_WANTED).clamp(FLOOR_LEAST, self.uncrowded)
     }
 
     /// What the ready upstreams carry per cycle for this copy when all is well. What is admitted just now
-    /// tells too little of that after an overload, when cold upstreams are needed most: they would be kept out
-    /// for as long as the warm ones stay crowded.
+    /// tells too little of that after an overload, when cold upstreams are needed most: they would be kept
+    /// out for as long as the warm ones stay crowded.
     fn carried(&self) -> f64 {
-        self.recent.max(self.quota * self.ready)
+        self.recent.max(self.quota * self.listed)
     }
 
     /// Takes note of how late an answer was.
@@ -613,6 +617,15 @@
         u.tokens >= 1.0
     }
 
+    /// How many ready upstreams could be sent calls now, each counted as far as it is warm.
+    fn able(&self, s: &Settings, now: Millis) -> f64 {
+        let able = |&&i: &&usize| {
+            let u = &self.slots[i];
+            u.member.availability == Availability::Ready && now >= u.ejected_until && !self.silent(i, now)
+        };
+        self.by_id.values().filter(able).map(|&i| self.warmth(i, s, now)).sum()
+    }
+
     /// By own calls in flight. A copy that carries little mostly compares zeros: then the one whose answers
     /// took clearly less of late, so that slow kinds and crowded ones take less here too; else the one in the
     /// own zone, which saves a crossing; else the one used longest ago, to spread the calls. Favouring open
@@ -964,7 +977,9 @@
                 self.judge_unanswered(now);
                 self.admission.note_latency(self.fleet.latency);
                 let (ready, most) = self.fleet.ready;
-                self.admission.ready = ready as f64 / most.max(1) as f64;
+                let most = most.max(1) as f64;
+                self.admission.listed = ready as f64 / most;
+                self.admission.usable = self.fleet.able(&self.settings, now) / most;
                 self.admission.end_cycle(now);
                 let late = self.admission.success < SUCCESS_WANTED;
                 if std::mem::replace(&mut self.late, late) != late {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -454,3 +454,28 @@
     };
     assert!(sent(0) > 2 * sent(1), "{} of the large tenant pass, {} of the small one", sent(0), sent(1));
 }
+
+/// Met on days that lose a zone: the list names lost upstreams as ready for many seconds, and cold ones at once; the
+/// floor took them for whole ones, and what it let pass crowded those that were left.
+#[test]
+fn the_floor_counts_only_upstreams_that_can_be_used() {
+    let unhurried = |_| Some((Ending::Ok, 260.0));
+    let rate = |w: &mut World, server: &dyn Fn(UpstreamId) -> Option<(Ending, f64)>| {
+        w.traffic(6000.0, 60.0, &[0], server);
+        let from = w.now;
+        w.traffic(3000.0, 60.0, &[0], server);
+        w.sent_since(from).0
+    };
+    // Answers a little late hold the capacity at its floor: the quotas, 60 a second.
+    let mut w = world(shared(&[1.0]), 4);
+    assert!(rate(&mut w, &unhurried) > 170, "all pass");
+    let lost = |id| if id > UpstreamId(2) { Some((Ending::ConnectFailed, 100.0)) } else { unhurried(id) };
+    let sent = rate(&mut w, &lost);
+    assert!((60..140).contains(&sent), "{sent} of 180 pass with half of the upstreams lost");
+    let mut w = world(shared(&[1.0]), 4);
+    rate(&mut w, &unhurried);
+    let since = w.now;
+    w.list(Membership::Delta((3..=4).map(|id| Member { since, ..member(id) }).collect()));
+    let sent = rate(&mut w, &unhurried);
+    assert!((60..140).contains(&sent), "{sent} of 180 pass with half of the upstreams cold");
+}
