Let learned capacity follow the upstreams there are, at once

Cause: Admission::adapt unlearns capacity by late answers only, some seconds later in a copy that has 25 answers a second. The number of upstreams that can be used is known at once. Capacity now moves in proportion to it, down and up, with the list and each cycle; the most there were is counted by warmth, since new servers stand beside the old ones for a while and would count as lost once the old ones are gone.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -368,8 +368,9 @@
     pools: Vec<Pool>,
     /// The pool of each class.
     pool_of: Vec<usize>,
-    /// Ready upstreams, and the most there were.
-    ready: (usize, usize),
+    /// Ready upstreams, and the most that there were, each as far as it was warm.
+    ready: usize,
+    most: f64,
     subset: usize,
     fails: f64,
     /// Mean answer time, and the mean deviation from it.
@@ -465,7 +466,7 @@
             let m = &self.slots[i].member;
             (ring_place(UpstreamId(m.group.into())), ring_place(m.id), m.id)
         });
-        self.ready = (ring.len(), self.ready.1.max(ring.len()));
+        self.ready = ring.len();
         for pool in &mut self.pools {
             let allowed: Vec<usize> =
                 ring.iter().copied().filter(|&i| pool.admits(&self.slots[i].member)).collect();
@@ -554,7 +555,7 @@
             self.heard(rest, lost);
         }
         let ejected = self.by_id.values().filter(|&&k| now < self.slots[k].ejected_until).count();
-        let room = hung || ejected < ((self.ready.0 as f64 * EJECT_PART) as usize).max(1);
+        let room = hung || ejected < ((self.ready as f64 * EJECT_PART) as usize).max(1);
         let u = &mut self.slots[i];
         u.rested_from = if u.inflight >= u.connections { now } else { u.rested_from };
         // A connection whose call got no answer does not come back for another.
@@ -617,13 +618,20 @@
         u.tokens >= 1.0
     }
 
-    /// How many ready upstreams could be sent calls now, each counted as far as it is warm.
-    fn able(&self, s: &Settings, now: Millis) -> f64 {
-        let able = |&&i: &&usize| {
+    /// As parts of the most there were: the upstreams that are listed as ready, and those of them that could
+    /// be sent calls now, each as far as it is warm.
+    fn count(&mut self, s: &Settings, now: Millis) -> (f64, f64) {
+        let (mut warm, mut usable) = (0.0, 0.0);
+        for &i in self.by_id.values() {
             let u = &self.slots[i];
-            u.member.availability == Availability::Ready && now >= u.ejected_until && !self.silent(i, now)
-        };
-        self.by_id.values().filter(able).map(|&i| self.warmth(i, s, now)).sum()
+            if u.member.availability == Availability::Ready {
+                let warmth = self.warmth(i, s, now);
+                warm += warmth;
+                usable += if now < u.ejected_until || self.silent(i, now) { 0.0 } else { warmth };
+            }
+        }
+        self.most = self.most.max(warm);
+        ((self.ready as f64 / self.most.max(0.1)).min(1.0), usable / self.most.max(0.1))
     }
 
     /// By own calls in flight. A copy that carries little mostly compares zeros: then the one whose answers
@@ -928,6 +936,17 @@
         }
     }
 
+    /// Keeps capacity in step with the upstreams there are: to unlearn what was learned with more of them
+    /// would take seconds of late answers.
+    fn recount(&mut self, now: Millis) {
+        let (listed, usable) = self.fleet.count(&self.settings, now);
+        let before = std::mem::replace(&mut self.admission.usable, usable);
+        self.admission.listed = listed;
+        if usable > 0.0 && before > 0.0 {
+            self.admission.capacity *= usable / before;
+        }
+    }
+
     // --- The event handler ------------------------------------------------------------------------
 
     /// Takes one event and appends what is to be done. `now` must not go back.
@@ -957,6 +976,7 @@
                     self.ask_failures = 0;
                 }
                 self.fleet.apply(news, &self.settings, now, &mut self.rng);
+                self.recount(now);
             }
             Event::Request(r) => self.request(now, r, actions),
             Event::Outcome { request, attempt, ending, duration, closed } => {
@@ -976,10 +996,7 @@
             Event::Timer(TIMER_CYCLE) => {
                 self.judge_unanswered(now);
                 self.admission.note_latency(self.fleet.latency);
-                let (ready, most) = self.fleet.ready;
-                let most = most.max(1) as f64;
-                self.admission.listed = ready as f64 / most;
-                self.admission.usable = self.fleet.able(&self.settings, now) / most;
+                self.recount(now);
                 self.admission.end_cycle(now);
                 let late = self.admission.success < SUCCESS_WANTED;
                 if std::mem::replace(&mut self.late, late) != late {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -479,3 +479,24 @@
     let sent = rate(&mut w, &unhurried);
     assert!((60..140).contains(&sent), "{sent} of 180 pass with half of the upstreams cold");
 }
+
+/// Met on days that replace servers: five of sixteen drained at once, and what had been learned with sixteen crowded
+/// the eleven that were left.
+#[test]
+fn learned_capacity_follows_the_upstreams_there_are() {
+    let mut w = world(shared(&[1.0]), 8);
+    w.traffic(6000.0, 100.0, &[0], &fast);
+    let out = |w: &World| w.seen.values().filter(|s| s.ended.contains(&None)).count();
+    let hold = |w: &mut World| {
+        // Nothing answers for a moment: what passes shows the capacity.
+        w.traffic(400.0, 300.0, &[0], &|_| None);
+        out(w)
+    };
+    let all = hold(&mut w);
+    let mut w = world(shared(&[1.0]), 8);
+    w.traffic(6000.0, 100.0, &[0], &fast);
+    let draining = |id| Member { availability: Availability::Draining, ..member(id) };
+    w.list(Membership::Delta((1..=4).map(draining).collect()));
+    let half = hold(&mut w);
+    assert!(all > 20 && half * 10 < all * 7, "{half} calls pass with half of the upstreams, {all} with all");
+}
