Eject an upstream that refuses connections whatever the others do

Cause: Fleet::ended ejects for failures only those that fail twice as much as all, and a third of the list at most. With crowded servers that turn calls away the figure for all reaches 0.48, so that one must fail 0.96 of its calls. That rule is for errors that come from a tier behind. A connection that does not come up is the upstream's own.

Ruled out: hung calls as the bulk (91 in all); ejections that end too soon (their length grows as before).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -549,13 +549,15 @@
         rng: &mut Pcg64Mcg,
     ) -> bool {
         let hung = ending == Ending::Timeout && self.silent(i, now);
+        // Neither is the doing of a tier behind, nor does it matter how many others fail.
+        let alone = hung || ending == Ending::ConnectFailed;
         let lost = matches!(ending, Ending::Timeout | Ending::Reset);
         let cut = matches!(ending, Ending::Cancelled | Ending::ConnectFailed);
         if !cut && ending != Ending::Moot {
             self.heard(rest, lost);
         }
         let ejected = self.by_id.values().filter(|&&k| now < self.slots[k].ejected_until).count();
-        let room = hung || ejected < ((self.ready as f64 * EJECT_PART) as usize).max(1);
+        let room = alone || ejected < ((self.ready as f64 * EJECT_PART) as usize).max(1);
         let u = &mut self.slots[i];
         u.rested_from = if u.inflight >= u.connections { now } else { u.rested_from };
         // A connection whose call got no answer does not come back for another.
@@ -584,11 +586,11 @@
         }
         // The fleet's figure counts all: where most fail, it is no fault of each one's own.
         self.fails += 0.02 * (bad - self.fails);
-        let own = u.fails > EJECT_AT && u.fails > EJECT_RATIO * self.fails;
+        let own = u.fails > EJECT_AT && (alone || u.fails > EJECT_RATIO * self.fails);
         if !failed && now >= u.ejected_until && u.fails < EJECT_AT / 2.0 {
             u.ejections = 0;
         }
-        if failed && own && room && (hung || u.outcomes >= 3) && now >= u.ejected_until {
+        if failed && own && room && (alone || u.outcomes >= 3) && now >= u.ejected_until {
             // A server that fails fast holds few calls and would win every comparison: take it out.
             let length = (EJECT_BASE * f64::from(u.ejections + 1)).min(EJECT_MOST);
             u.ejected_until = now + length * (0.75 + 0.5 * unit(rng));
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -480,6 +480,30 @@
     assert!((60..140).contains(&sent), "{sent} of 180 pass with half of the upstreams cold");
 }
 
+/// Met on days that lose a zone: while many calls failed everywhere, servers that could not be reached were ejected no
+/// more, and every copy kept trying them.
+#[test]
+fn refused_connections_eject_their_upstream_though_calls_fail_everywhere() {
+    let mut w = world(shared(&[1.0]), 9);
+    w.traffic(4000.0, 60.0, &[0], &fast);
+    let turn = std::cell::Cell::new(0);
+    let failing = |id: UpstreamId| {
+        turn.set(turn.get() + 1);
+        Some(match id.0 {
+            1..=4 => (Ending::ConnectFailed, 20.0),
+            _ if turn.get() % 2 == 0 => (Ending::Error, 50.0),
+            _ => (Ending::Ok, 50.0),
+        })
+    };
+    w.traffic(3000.0, 60.0, &[0], &failing);
+    let from = w.now;
+    w.traffic(5000.0, 60.0, &[0], &failing);
+    let (_, to) = w.sent_since(from);
+    let refused: usize = (1..=4).filter_map(|id| to.get(&UpstreamId(id))).sum();
+    let all: usize = to.values().sum();
+    assert!(refused * 20 < all, "{refused} of {all} attempts went where no connection comes up");
+}
+
 /// Met on days that replace servers: five of sixteen drained at once, and what had been learned with sixteen crowded
 /// the eleven that were left.
 #[test]
