Pass over upstreams that say they hold far more than others

Cause: Fleet::less_busy compares this copy's own calls. One call is the least a copy can have, and it is little to each copy; summed over many it crowds a slow server and keeps it from the idle seconds in which it would recover. With 4 copies the same costs 4 calls. Answers carry the server's own count, and the node and the adapter dropped it.

Now a server that says, within 2 s, that it holds more than 1.5 times what others say and 2 more, is not ready: the two are drawn from the others, and the floor of the capacity does not count it. Among ready ones own calls decide as before. A report that cannot be read is none; with no reports nothing changes.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -1,7 +1,7 @@
 //! The one owner of the decision module: feeds it events in order, carries out its actions, keeps its clock,
 //! its timers and the ids of requests and attempts. Nothing is decided here.
 use crate::discovery::Listing;
-use crate::upstream::{Transport, Upstream};
+use crate::upstream::{Ended, Transport, Upstream};
 use bytes::Bytes;
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
@@ -367,7 +367,10 @@
             d.free_socket();
         }
         let task = tokio::task::spawn_local(async move {
-            let (ending, answer) = transport.attempt(target, out, until).await;
+            let Ended { ending, answer, held } = transport.attempt(target, out, until).await;
+            if let Some(held) = held {
+                handle.feed(Event::Load { upstream: to, held });
+            }
             handle.ended(id, number, ending, answer);
         });
         let due = d.set_timer(until, Due::Attempt(id, number));
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -28,6 +28,9 @@
 /// Tells how long an attempt will be waited for.
 pub const DEADLINE: HeaderName = HeaderName::from_static("req-deadline");
 const DECLINED: HeaderName = HeaderName::from_static("srv-declined");
+const LOAD: HeaderName = HeaderName::from_static("srv-load");
+/// What a load report calls the requests that the upstream holds.
+const HELD: &str = "inflight";
 
 /// Headers that belong to one connection and are not passed on.
 const HOP: [HeaderName; 8] = [
@@ -128,6 +131,16 @@
     }
 }
 
+/// How an attempt ended.
+pub struct Ended {
+    /// What the module is told.
+    pub ending: Ending,
+    /// The answer, if the request was served.
+    pub answer: Option<Answer>,
+    /// The requests that the upstream says it holds.
+    pub held: Option<f64>,
+}
+
 /// What all attempts share.
 #[derive(Clone)]
 pub struct Transport {
@@ -161,29 +174,25 @@
     }
 
     /// Carries one attempt out: its request is written once at most. Dropping the future closes the connection.
-    pub async fn attempt(
-        &self,
-        to: Rc<Upstream>,
-        out: Rc<Outgoing>,
-        until: Instant,
-    ) -> (Ending, Option<Answer>) {
+    pub async fn attempt(&self, to: Rc<Upstream>, out: Rc<Outgoing>, until: Instant) -> Ended {
+        let failed = |ending| Ended { ending, answer: None, held: None };
         let mut request = match out.request() {
             Ok(request) => request,
-            Err(_) => return (Ending::Moot, None),
+            Err(_) => return failed(Ending::Moot),
         };
         let (mut conn, answer) = loop {
             let (mut conn, reused) = match to.take(self.idle) {
                 Some(conn) => (conn, true),
                 None => match self.dial(to.addr.get(), until).await {
                     Some(conn) => (conn, false),
-                    None => return (Ending::ConnectFailed, None),
+                    None => return failed(Ending::ConnectFailed),
                 },
             };
             let now = Instant::now();
             // Guards against what was decided before dialling and must not be written after it: the upstream's
             // grace, the attempt's time or the request itself may be over by now.
             if to.closed(now) || now >= until || out.over.get() {
-                return (Ending::Moot, None);
+                return failed(Ending::Moot);
             }
             let left = (until - now).as_micros();
             if let Ok(left) = HeaderValue::try_from(format!("{left}u")) {
@@ -195,14 +204,14 @@
                 // says nothing about the upstream, so the next one is tried; each is tried once.
                 Err(mut e) => match e.take_message() {
                     Some(back) if reused => request = back,
-                    Some(_) => return (Ending::ConnectFailed, None),
-                    None => return (Ending::Reset, None),
+                    Some(_) => return failed(Ending::ConnectFailed),
+                    None => return failed(Ending::Reset),
                 },
             }
         };
-        let ending = ending(&answer);
+        let (ending, held) = (ending(&answer), held(answer.headers()));
         let (head, body) = answer.into_parts();
-        let Ok(body) = Limited::new(body, BODY_MOST).collect().await else { return (Ending::Reset, None) };
+        let Ok(body) = Limited::new(body, BODY_MOST).collect().await else { return failed(Ending::Reset) };
         // Back before the outcome is told: what the module sends next may go on this connection.
         if let Ok(Ok(())) = timeout(SETTLE, conn.sender.ready()).await {
             if !to.closed(Instant::now()) {
@@ -214,10 +223,18 @@
             end_to_end(&mut headers);
             Answer::Served { headers, body: body.to_bytes() }
         });
-        (ending, answer)
+        Ended { ending, answer, held }
     }
 }
 
+/// The requests that an upstream holds by the load report of its answer. What cannot be read is no report.
+fn held(headers: &HeaderMap) -> Option<f64> {
+    let report = headers.get(LOAD)?.to_str().ok()?.trim();
+    let fields = report.strip_prefix("TEXT ")?.split(',').filter_map(|field| field.split_once('='));
+    let (_, held) = fields.into_iter().find(|(name, _)| name.trim() == HELD)?;
+    held.trim().parse().ok().filter(|held| (0.0..1e9).contains(held))
+}
+
 /// What an answer says. Only a mark that the request was turned away proves that it never ran.
 fn ending<B>(answer: &Response<B>) -> Ending {
     let declined = answer.headers().get(DECLINED).is_some_and(|v| v == "1");
@@ -238,3 +255,27 @@
         Ok(request)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_requests_held_are_read_and_what_cannot_be_read_is_no_report() {
+        let held =
+            |report: &'static str| held(&HeaderMap::from_iter([(LOAD, HeaderValue::from_static(report))]));
+        assert_eq!(held("TEXT latency_ms=31.5, qps=40, inflight=7"), Some(7.0));
+        assert_eq!(held(" TEXT inflight = 2.5"), Some(2.5));
+        for bad in [
+            "",
+            "TEXT",
+            "inflight=7",
+            "TEXT queue=2",
+            "TEXT inflight=",
+            "TEXT inflight=-1",
+            "TEXT inflight=NaN",
+        ] {
+            assert_eq!(held(bad), None, "{bad}");
+        }
+    }
+}
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 /// The first request is met with `first`, all later ones with an answer, whichever upstream they reach.
 fn first_then_ok(first: fn() -> Then) -> impl Fn(&Message) -> Then + Clone + Send + Sync {
@@ -454,3 +455,37 @@
         assert!(log.lines().count() == 1 && log.contains(field), "{field}: {log}");
     }
 }
+
+#[test]
+fn an_upstream_that_says_it_is_crowded_gets_no_more_calls_for_a_while() {
+    let says = |held: u32| {
+        move |_: &Message| {
+            Then::Answer(format!(
+                "HTTP/1.1 200 OK\r\nSrv-Load: TEXT inflight={held}\r\nContent-Length: 0\r\n\r\n"
+            ))
+        }
+    };
+    let (crowded, idle) = (Upstream::start(says(500)), Upstream::start(says(1)));
+    let node = Node::with(&[crowded.addr, idle.addr]);
+    let mut client = node.client();
+    // What it says counts for 2 s: calls that took longer, on a slow machine, show nothing and are made again.
+    let began = Instant::now();
+    loop {
+        assert!(
+            began.elapsed() < PATIENCE,
+            "no four calls within a second, the first of them to the crowded one"
+        );
+        let first = Instant::now();
+        let mut call = || assert_eq!(client.call(&get("r", "5000m")).status(), 200);
+        call();
+        if crowded.further() == 0 {
+            continue;
+        }
+        (0..3).for_each(|_| call());
+        if first.elapsed() < Duration::from_secs(1) {
+            assert_eq!(crowded.further(), 0, "the crowded one gets more calls");
+            break;
+        }
+    }
+    assert!(idle.further() >= 3, "the other one serves");
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -1,13 +1,13 @@
 //! The start-up settings as JSON. Unknown keys are skipped; a missing required key is named.
 //!
 //! Known to the wire, but read by no decision and so dropped here: names and the lists of names (`dcs`, `kinds`,
-//! `tiers`), `blend`, `clients`, `domain_type`, `family_info`, `stats`, `tick`, `weights`, `worth_by`,
+//! `tiers`), `blend`, `clients`, `domain_type`, `family_info`, `tick`, `weights`, `worth_by`,
 //! `over_share_worth`; of `classes[]` `aim_stretch`, `importance` and `streaming`; of `charges` all but crossings;
 //! of `invariants` `drain_grace`, `fall` and `grace_to_answer` (the module stops, spreads and answers well within
 //! them); of `permissions` those to probe, to tell peers, to send second copies and to give advice (a refusal
 //! always says when to return), and the limits of CPU, open requests, connections and dialling; [`Deployment`]
-//! keeps what of these a balancer on sockets needs. Of the events the codec drops probe results, peer messages and
-//! load reports; of a request its key, its cost hint and its marks; of a list entry its scale. Never asked for:
+//! keeps what of these a host of the module needs. Of the events the codec drops probe results and peer messages, and
+//! of load reports all but the requests held; of a request its key, its cost hint and its marks; of a list entry its scale. Never asked for:
 //! single fetches of the list, and unsubscribing.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -34,6 +34,8 @@
     pub drain_grace: f64,
     /// Most requests that an instance may have open.
     pub max_open: u64,
+    /// Where the simulator's load reports hold the requests that an upstream holds, if they do.
+    pub held_column: Option<usize>,
 }
 
 #[derive(Deserialize)]
@@ -56,6 +58,14 @@
     dcs: Vec<String>,
     #[serde(default)]
     kinds: Vec<String>,
+    #[serde(default)]
+    stats: Stats,
+}
+
+#[derive(Deserialize, Default)]
+struct Stats {
+    #[serde(default)]
+    columns: Vec<String>,
 }
 
 #[derive(Deserialize)]
@@ -137,11 +147,6 @@
     20_000
 }
 
-/// Reads what the decision module is told; the message names the key at fault.
-pub fn parse(json: &[u8]) -> Result<Settings, String> {
-    deployment(json).map(|d| d.policy)
-}
-
 /// Reads settings; the message names the key at fault.
 pub fn deployment(json: &[u8]) -> Result<Deployment, String> {
     let mut json = serde_json::Deserializer::from_slice(json);
@@ -193,6 +198,7 @@
         dial_timeout: s.permissions.dial_timeout,
         drain_grace: s.invariants.drain_grace,
         max_open: s.permissions.max_open,
+        held_column: s.stats.columns.iter().position(|c| c == "inflight"),
     })
 }
 
@@ -220,6 +226,10 @@
 mod tests {
     use super::*;
 
+    fn parse(json: &[u8]) -> Result<Settings, String> {
+        deployment(json).map(|d| d.policy)
+    }
+
     const MINIMAL: &str = r#"{"balancers": 2, "index": 1, "membership_mode": "pushed", "novel": [1],
         "classes": [{"objective": 100, "deadline": 400, "effect": "guarded", "dedup_scope": "cell",
                      "repeat_window": 900}],
@@ -233,6 +243,17 @@
         assert_eq!((s.idle_close, s.ask_within, s.stage, s.ask_for_list), (5000.0, 10_000.0, 0, false));
     }
 
+    #[test]
+    fn the_requests_held_are_found_among_the_columns_of_load_reports() {
+        let column = |stats: &str| {
+            deployment(MINIMAL.replace("\"novel\": [1]", stats).as_bytes()).map(|d| d.held_column)
+        };
+        let named = r#""stats": {"columns": ["latency_ms", "inflight"], "via": "answers"}"#;
+        assert_eq!(column(named), Ok(Some(1)));
+        assert_eq!(column(r#""stats": {"via": "none"}"#), Ok(None));
+        assert_eq!(column("\"novel\": [1]"), Ok(None));
+    }
+
     #[test]
     fn a_missing_required_key_and_a_bad_value_are_named() {
         let error = |from: &str, to: &str| parse(MINIMAL.replace(from, to).as_bytes()).unwrap_err();
--- a/simhost/src/main.rs
+++ b/simhost/src/main.rs
@@ -10,7 +10,8 @@
 
 #[derive(Default)]
 struct Host {
-    balancers: BTreeMap<u16, Balancer>,
+    /// Each with the place of the requests held among the values of load reports.
+    balancers: BTreeMap<u16, (Balancer, Option<usize>)>,
     tables: BTreeMap<u32, Table>,
     actions: Vec<Action>,
     reply: Reply,
@@ -38,10 +39,10 @@
             }
             Record::Configure { seed, setup } => {
                 let id = instance()?;
-                let settings = oakflow_settings::parse(&batch.tail[setup.clone()])
+                let deployment = oakflow_settings::deployment(&batch.tail[setup.clone()])
                     .map_err(|e| format!("settings of instance {id}: {e}"))?;
-                let balancer = Balancer::new(settings, *seed, now).map_err(|e| e.to_string())?;
-                self.balancers.insert(id, balancer);
+                let balancer = Balancer::new(deployment.policy, *seed, now).map_err(|e| e.to_string())?;
+                self.balancers.insert(id, (balancer, deployment.held_column));
             }
             Record::Destroy => {
                 self.balancers.remove(&instance()?);
@@ -51,6 +52,15 @@
                     .map_err(|e| format!("table {table}: {e}"))?;
                 self.event(instance()?, now, Event::Membership(news));
             }
+            Record::Outcome { event, upstream, report } => {
+                let id = instance()?;
+                let column = self.balancers.get(&id).and_then(|&(_, column)| column);
+                let held = column.and_then(|column| report.get(column)).map(|&held| f64::from(held));
+                if let Some(held) = held {
+                    self.event(id, now, Event::Load { upstream: *upstream, held });
+                }
+                self.event(id, now, event.clone());
+            }
             Record::Event(event) => self.event(instance()?, now, event.clone()),
             Record::Skip => {}
         }
@@ -58,7 +68,7 @@
     }
 
     fn event(&mut self, id: u16, now: f64, event: Event) {
-        let Some(balancer) = self.balancers.get_mut(&id) else { return };
+        let Some((balancer, _)) = self.balancers.get_mut(&id) else { return };
         balancer.handle(now, event, &mut self.actions);
         if self.actions.is_empty() {
             return;
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -62,6 +62,8 @@
     Sync { kind: u8, table: u32 },
     /// Anything else the module handles.
     Event(Event),
+    /// An attempt ended; the upstream and the values of its load report, as many as there are.
+    Outcome { event: Event, upstream: UpstreamId, report: Vec<f32> },
     /// A legal record that the module has no use for.
     Skip,
 }
@@ -200,13 +202,17 @@
             let members = tail[range].chunks_exact(ENTRY).map(decode_entry).collect::<Result<_, _>>()?;
             Record::Table { number: u32_at(r, 1), members }
         }
-        8 => Record::Event(Event::Outcome {
-            request: RequestId(u32_at(r, 1)),
-            attempt: u32::from(u16_at(r, 5)),
-            ending: ending(u16_at(r, 13)),
-            duration: finite(f64_at(r, 15), "duration")?,
-            closed: r[23] != 0,
-        }),
+        8 => Record::Outcome {
+            event: Event::Outcome {
+                request: RequestId(u32_at(r, 1)),
+                attempt: u32::from(u16_at(r, 5)),
+                ending: ending(u16_at(r, 13)),
+                duration: finite(f64_at(r, 15), "duration")?,
+                closed: r[23] != 0,
+            },
+            upstream: upstream_at(r, 7),
+            report: (0..usize::from(r[24]).min(4)).map(|k| f32::from_bits(u32_at(r, 25 + 4 * k))).collect(),
+        },
         9 => Record::Event(Event::ClientGone(RequestId(u32_at(r, 1)))),
         10 => Record::Target(u16_at(r, 1)),
         11 => Record::Event(Event::Streaming {
@@ -425,6 +431,27 @@
         }
     }
 
+    #[test]
+    fn an_outcome_carries_the_load_report_that_came_with_it() {
+        let mut frame = bytes("00000000 00000002 40c06e2000000000 0000000c");
+        // The documented outcome, then one without a report.
+        let outcome = "08 5d3a91c4 0000 0a124a07 2bc3 00c8 4032800000000000 01";
+        frame.extend(padded(&format!("{outcome} 03 41680000 430c0000 40e00000 00000000"), 48));
+        frame.extend(padded(outcome, 48));
+        let size = frame.len() as u32;
+        frame[..4].copy_from_slice(&size.to_be_bytes());
+        let reports: Vec<_> = decode(&frame, 0)
+            .unwrap()
+            .records
+            .into_iter()
+            .map(|r| match r {
+                Record::Outcome { upstream: UpstreamId(0x0a12_4a07_2bc3), report, .. } => report,
+                other => panic!("{other:?}"),
+            })
+            .collect();
+        assert_eq!(reports, [vec![14.5, 140.0, 7.0], vec![]]);
+    }
+
     #[test]
     fn unknown_endings_may_have_run() {
         assert_eq!(ending(777), Ending::Unknown);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -298,6 +298,13 @@
         /// The request has ended, by this outcome or earlier.
         closed: bool,
     },
+    /// What an upstream said of its load; comes just before the outcome that it was attached to.
+    Load {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Requests that it held, from all balancers together, a little while ago; finite.
+        held: f64,
+    },
     /// The client left, or its time ran out: nothing is owed any more.
     ClientGone(RequestId),
     /// A timer asked for with [`Action::SetTimer`] is due.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -85,6 +85,12 @@
 const ANSWER_GAIN: f64 = 0.2;
 const ANSWER_RATIO: f64 = 1.25;
 const ANSWER_KEPT: Millis = 5000.0;
+/// An upstream is crowded that says it holds more than this multiple of what others say, and this many more;
+/// how long what it said counts; and smoothing of what all say.
+const CROWDED_AT: f64 = 1.5;
+const CROWDED_SPARE: f64 = 2.0;
+const SAID_KEPT: Millis = 2000.0;
+const SAID_GAIN: f64 = 0.05;
 /// Calls an upstream of the subset should get per idle period, so that its connections stay warm.
 const CALLS_PER_IDLE: f64 = 4.0;
 /// Upstreams in the subset for each call in flight: two choices then find one that holds none. More would be
@@ -338,6 +344,9 @@
     outcomes: u32,
     ejected_until: Millis,
     ejections: u32,
+    /// Requests it said it holds, from all copies together, and when it said so.
+    held: f64,
+    held_at: Millis,
     /// Cold budget: calls that may be sent now, and when that was reckoned.
     tokens: f64,
     tokens_at: Millis,
@@ -373,6 +382,8 @@
     most: f64,
     subset: usize,
     fails: f64,
+    /// Mean of what upstreams say they hold.
+    held: f64,
     /// Mean answer time, and the mean deviation from it.
     latency: Millis,
     deviation: Millis,
@@ -603,12 +614,12 @@
 
     // --- Pick -------------------------------------------------------------------------------------
 
-    /// Whether a listed upstream may be sent a call now: not ejected, not silent, within its cold budget.
+    /// Whether a listed upstream may be sent a call now: it is not out, and within its cold budget.
     fn usable(&mut self, i: usize, ask: &PickRequest) -> bool {
         let PickRequest { settings: s, now, cold_rate, desperate, .. } = *ask;
-        let (warmth, silent) = (self.warmth(i, s, now), self.silent(i, now));
+        let (warmth, out) = (self.warmth(i, s, now), self.out(i, now));
         let u = &mut self.slots[i];
-        if !desperate && (now < u.ejected_until || silent) {
+        if !desperate && out {
             return false;
         }
         if warmth >= 1.0 {
@@ -629,13 +640,33 @@
             if u.member.availability == Availability::Ready {
                 let warmth = self.warmth(i, s, now);
                 warm += warmth;
-                usable += if now < u.ejected_until || self.silent(i, now) { 0.0 } else { warmth };
+                usable += if self.out(i, now) { 0.0 } else { warmth };
             }
         }
         self.most = self.most.max(warm);
         ((self.ready as f64 / self.most.max(0.1)).min(1.0), usable / self.most.max(0.1))
     }
 
+    /// Whether it is ejected, silent or crowded.
+    fn out(&self, i: usize, now: Millis) -> bool {
+        now < self.slots[i].ejected_until || self.silent(i, now) || self.crowded(i, now)
+    }
+
+    /// Takes note of what an upstream says it holds.
+    fn said(&mut self, id: UpstreamId, held: f64, now: Millis) {
+        if let Some(&i) = self.by_id.get(&id).filter(|_| held.is_finite()) {
+            (self.slots[i].held, self.slots[i].held_at) = (held, now);
+            self.held += SAID_GAIN * (held - self.held);
+        }
+    }
+
+    /// Whether it said of late that it holds far more than others do. One call in flight seems little to each
+    /// of many copies, but all together they would crowd a slow upstream and keep it so.
+    fn crowded(&self, i: usize, now: Millis) -> bool {
+        let u = &self.slots[i];
+        now - u.held_at < SAID_KEPT && u.held > CROWDED_AT * self.held + CROWDED_SPARE
+    }
+
     /// By own calls in flight. A copy that carries little mostly compares zeros: then the one whose answers
     /// took clearly less of late, so that slow kinds and crowded ones take less here too; else the one in the
     /// own zone, which saves a crossing; else the one used longest ago, to spread the calls. Favouring open
@@ -690,7 +721,7 @@
     /// Calls per millisecond that a warm upstream's worth of cold ones may be sent by this copy.
     cold_rate: f64,
     avoid: Option<usize>,
-    /// Nothing better is left: ejected and silent upstreams will do.
+    /// Nothing better is left: ejected, silent and crowded upstreams will do.
     desperate: bool,
     /// A repeat of a guarded request: only these may discard it.
     scope: Option<(DedupScope, u16, u16)>,
@@ -984,6 +1015,7 @@
             Event::Outcome { request, attempt, ending, duration, closed } => {
                 self.outcome(now, request, attempt, (ending, duration, closed), actions);
             }
+            Event::Load { upstream, held } => self.fleet.said(upstream, held, now),
             Event::ClientGone(id) => {
                 if let Some(p) = self.pending.get_mut(&id) {
                     p.over = true;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -524,3 +524,56 @@
     let half = hold(&mut w);
     assert!(all > 20 && half * 10 < all * 7, "{half} calls pass with half of the upstreams, {all} with all");
 }
+
+/// Met on days of a large fleet: each of many copies had one call at most at a slow upstream, which seemed as little
+/// as elsewhere, and all together they crowded it.
+#[test]
+fn many_copies_with_a_call_each_do_not_crowd_a_slow_upstream() {
+    const COPIES: u32 = 40;
+    let slow = UpstreamId(1);
+    let settings = |index| Settings { index, balancers: COPIES, ..shared(&[1.0]) };
+    let mut worlds: Vec<World> = (0..COPIES).map(|i| world(settings(i), 8)).collect();
+    let mut held = BTreeMap::new();
+    let (mut due, mut most): (Vec<(f64, usize, u32, UpstreamId)>, _) = (Vec::new(), 0.0);
+    for step in 0..1500 {
+        for (i, w) in worlds.iter_mut().enumerate() {
+            w.pass(10.0);
+            while let Some(k) = due.iter().position(|&(at, copy, ..)| copy == i && at <= w.now) {
+                // What the upstream holds for all comes with its answer.
+                let (_, _, id, upstream) = due.swap_remove(k);
+                *held.entry(upstream).or_insert(0.0) -= 1.0;
+                w.event(Event::Load { upstream, held: held[&upstream] });
+                w.outcome(id, 0, Ending::Ok);
+            }
+            // Five calls a second and copy. Seven upstreams take 100 ms; the slow one works on one at a time.
+            if (step + i).is_multiple_of(20) {
+                w.request(step as u32, 0, 0);
+                let Some(&(upstream, at)) = w.seen[&RequestId(step as u32)].sends.first() else { continue };
+                let held = held.entry(upstream).or_insert(0.0);
+                *held += 1.0;
+                due.push((
+                    at + if upstream == slow { 100.0 * *held } else { 100.0 },
+                    i,
+                    step as u32,
+                    upstream,
+                ));
+            }
+        }
+        if step >= 500 {
+            most = held.get(&slow).copied().unwrap_or(0.0).max(most);
+        }
+    }
+    assert!(most < 10.0, "{COPIES} copies have up to {most} calls at the slow upstream");
+}
+
+#[test]
+fn crowded_upstreams_are_used_where_there_are_no_others_and_odd_reports_do_no_harm() {
+    let mut w = world(shared(&[1.0]), 3);
+    for odd in [f64::NAN, f64::INFINITY, -1e300] {
+        w.event(Event::Load { upstream: UpstreamId(1), held: odd });
+    }
+    w.event(Event::Load { upstream: UpstreamId(77), held: 5.0 });
+    (1..=3).for_each(|id| _ = w.event(Event::Load { upstream: UpstreamId(id), held: 1e9 }));
+    w.traffic(1000.0, 20.0, &[0], &fast);
+    assert_eq!(w.sent_since(0.0).0, 20, "all pass");
+}
