Keep upstreams that are ejected for errors in the floor of the capacity

Cause: Fleet::count took every ejected upstream for lost. With four servers in a tier one ejection takes a quarter of floor and capacity, for errors that may come from a tier behind, while the server is as able as before.

--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -577,3 +577,16 @@
     w.traffic(1000.0, 20.0, &[0], &fast);
     assert_eq!(w.sent_since(0.0).0, 20, "all pass");
 }
+
+/// Met on the earlier days: with four servers, one ejected for errors took a quarter off the floor each time, though the
+/// errors came from the tier behind.
+#[test]
+fn an_upstream_ejected_for_errors_still_counts_in_the_floor() {
+    let mut w = world(shared(&[1.0]), 4);
+    let server = |id| Some(if id == UpstreamId(4) { (Ending::Error, 50.0) } else { (Ending::Ok, 260.0) });
+    w.traffic(8000.0, 60.0, &[0], &server);
+    let from = w.now;
+    w.traffic(4000.0, 60.0, &[0], &server);
+    let sent = w.sent_since(from).0;
+    assert!(sent > 225, "{sent} of 240 pass");
+}
