--- a/src/policy.rs
+++ b/src/policy.rs
@@ -344,7 +344,7 @@
     outcomes: u32,
     ejected_until: Millis,
     ejections: u32,
-    /// Until when it is ejected since it does not answer, which is no doing of a tier behind.
+    /// Until when it is ejected for more than errors, which a tier behind may have made.
     lost_until: Millis,
     /// Requests it said it holds, from all copies together, and when it said so.
     held: f64,
@@ -608,7 +608,7 @@
             let length = (EJECT_BASE * f64::from(u.ejections + 1)).min(EJECT_MOST);
             u.ejected_until = now + length * (0.75 + 0.5 * unit(rng));
             u.ejections += 1;
-            u.lost_until = if alone { u.ejected_until } else { u.lost_until };
+            u.lost_until = if ending == Ending::Error { u.lost_until } else { u.ejected_until };
             // One more failure after its return ejects it again.
             u.fails = EJECT_AT;
         }
@@ -643,7 +643,7 @@
             if u.member.availability == Availability::Ready {
                 let warmth = self.warmth(i, s, now);
                 warm += warmth;
-                // Errors eject too, but may come from behind: they do not show that it could carry nothing.
+                // Errors eject too, but may come from behind and do not show that it can carry nothing.
                 let lost = now < u.lost_until || self.silent(i, now) || self.crowded(i, now);
                 usable += if lost { 0.0 } else { warmth };
             }
