Answer what was taken before SIGTERM before the program ends, however long its deadline

The balancers' logs: 'n29: told to end' at 7.06 s, 'n29: callers are still connected at the end, 2 requests unanswered' at 10.66 s.

Ruled out: requests that came after SIGTERM (their patience was cut already); attempts that hung past their own time (all had time left); connections that were never read (all had been sent on).

At fault: main.rs ends at min(longest, 3 s) + 0.5 s, but only server.rs, for requests that come later, kept to that time. Now the driver cuts the deadlines and attempts of all that is open, and the module is told (Event::EndBy), so that it gives the final answer itself and sends nothing new.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -280,6 +280,20 @@
         Some(Waiting { handle: self.clone(), id, answer, done: false })
     }
 
+    /// Every request that is open gets its final answer by `end`, however long its client would wait.
+    pub fn end_by(&self, end: Instant) {
+        let at = end - Duration::from_secs_f64(ANSWER_MARGIN / 1000.0);
+        let by = {
+            let mut d = self.0.driver.borrow_mut();
+            let by = d.start_ms + at.saturating_duration_since(d.start).as_secs_f64() * 1000.0;
+            d.open.values_mut().for_each(|o| o.deadline = o.deadline.min(by));
+            d.cut_attempts(at);
+            by
+        };
+        self.feed(Event::EndBy(by));
+        self.0.timers.notify_one();
+    }
+
     fn client_gone(&self, id: RequestId) {
         {
             let mut d = self.0.driver.borrow_mut();
@@ -391,6 +405,17 @@
         (at, self.timer_seq)
     }
 
+    /// Attempts that would be waited for past this time are given up then.
+    fn cut_attempts(&mut self, at: Instant) {
+        let late = self.attempts.iter().filter(|(_, a)| a.due.0 > at).map(|(&key, _)| key);
+        for (id, number) in late.collect::<Vec<_>>() {
+            let due = self.set_timer(at, Due::Attempt(id, number));
+            if let Some(attempt) = self.attempts.get_mut(&(id, number)) {
+                self.timers.remove(&std::mem::replace(&mut attempt.due, due));
+            }
+        }
+    }
+
     /// Books the end of an attempt; only the first one counts. What still runs for it stops, and its connection
     /// is closed. The event is the module's one outcome for its send.
     fn end(&mut self, id: RequestId, number: u32, ending: Ending, answer: Option<Answer>) -> Option<Event> {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -118,6 +118,7 @@
     let told = Instant::now();
     let answered = told + span(longest.min(DEADLINE_MOST)) + ANSWERED;
     phase.send_replace(Phase::Leaving(answered));
+    handle.end_by(answered);
     tokio::time::sleep_until((answered - LAST_ANSWERS).max(told + STILL_ACCEPTING)).await;
     phase.send_replace(Phase::Closing);
     if tokio::time::timeout_at(answered + WRITTEN, served).await.is_err() {
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -424,6 +424,24 @@
     assert!(!node.log().iter().any(|l| l.contains("at the end")), "it was held up: {:?}", node.log());
 }
 
+#[test]
+fn a_request_taken_before_the_word_to_end_is_answered_before_the_end() {
+    let upstream = Upstream::start(|_| Then::Wait);
+    let mut node = Node::with(&[upstream.addr]);
+    let (mut once, mut again) = (node.client(), node.client());
+    // Their own deadlines lie beyond the end of the program; the upstream says nothing.
+    once.send(&pay("once", "20000m"));
+    upstream.request();
+    again.send(&get("again", "20000m"));
+    upstream.request();
+    node.terminate();
+    assert_eq!(once.answer().expect("an answer, not a close").status(), 502);
+    assert_eq!(again.answer().expect("an answer, not a close").status(), 503);
+    assert_eq!(node.wait().code(), Some(0));
+    assert_eq!(upstream.further(), 0, "nothing new was sent at the end");
+    assert!(!node.log().iter().any(|l| l.contains("at the end")), "it was held up: {:?}", node.log());
+}
+
 #[test]
 fn callers_that_say_nothing_do_not_hold_up_the_end() {
     let upstream = Upstream::start(|_| ok("x"));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -307,6 +307,8 @@
     },
     /// The client left, or its time ran out: nothing is owed any more.
     ClientGone(RequestId),
+    /// The program is to end: every request that is open needs its final answer by this time.
+    EndBy(Millis),
     /// A timer asked for with [`Action::SetTimer`] is due.
     Timer(u32),
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1046,6 +1046,7 @@
                 actions.push(Action::SetTimer { after: CYCLE, token: TIMER_CYCLE });
             }
             Event::Timer(TIMER_ASK) => actions.push(Action::Subscribe),
+            Event::EndBy(at) => self.pending.values_mut().for_each(|p| p.ends = p.ends.min(at)),
             Event::Streaming { .. } | Event::Timer(_) => {}
         }
     }
