Learn what answers take by kind of upstream, so that few calls tell slow kinds

Slow servers were tipped in two seconds and stayed so for ten; callers in front waited for them.

Cause: each of 220 copies sends 9 calls a second to 28 to 39 upstreams and judges each by its own answers alone (Upstream::slowness began at 1 for every one, less_busy), so that it knows the slow ones seconds after all copies together have crowded them. Ruled out: capacity at the second tier (no copy refused there, and fast servers were at ease); errors and ejections (one server in 100 at any time); uneven subsets (the three kinds got equal numbers of calls a server).

Now a mean of each kind, over classes as parts of their objectives, is where an upstream's own figure starts and what it fades to. The pick is as before: own calls in flight decide first.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,7 +3,7 @@
 //! Ordinary path of a request: count it as its tenant's demand; admit it when its tenant is within its
 //! limit or the cycle's capacity is not used up, refuse it otherwise; send it to the less busy of two
 //! random ready upstreams by our own calls in flight. Everything else here is an exception to that, and
-//! says which failure it guards against. `docs/design.md` compares it with the published design.
+//! says which failure it guards against.
 use crate::interface::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -80,9 +80,10 @@
 const REST_TRIALS: f64 = 0.02;
 /// Random draws before the pick walks the list or settles for one.
 const DRAWS: usize = 6;
-/// Smoothing of an upstream's own answer time; the ratio that decides between two that hold as many calls;
-/// and how long it is remembered when nothing is sent there.
+/// Smoothing of an upstream's own answer time, and of its kind's once that has many answers; the ratio that
+/// decides between two that hold as many calls; and how long the own one is remembered when nothing is sent.
 const ANSWER_GAIN: f64 = 0.2;
+const KIND_GAIN: f64 = 0.02;
 const ANSWER_RATIO: f64 = 1.25;
 const ANSWER_KEPT: Millis = 5000.0;
 /// An upstream is crowded that says it holds more than this multiple of what others say, and this many more;
@@ -338,7 +339,7 @@
     rested_from: Millis,
     /// Since when it owes an answer and has given none.
     silent_since: Millis,
-    /// Own answer time, as a multiple of the whole list's.
+    /// Own answer time, as a multiple of its kind's.
     slowness: f64,
     fails: f64,
     outcomes: u32,
@@ -386,6 +387,9 @@
     fails: f64,
     /// Mean of what upstreams say they hold.
     held: f64,
+    /// Mean answer time of each kind, as a part of the class's objective, and how many answers: a copy that sees
+    /// little has heard of a kind long before it has heard of each upstream.
+    kinds: BTreeMap<u8, (f64, f64)>,
     /// Mean answer time, and the mean deviation from it.
     latency: Millis,
     deviation: Millis,
@@ -557,7 +561,7 @@
         &mut self,
         (i, rest): (usize, usize),
         ending: Ending,
-        duration: Millis,
+        (duration, objective): (Millis, Millis),
         now: Millis,
         rng: &mut Pcg64Mcg,
     ) -> bool {
@@ -584,12 +588,16 @@
         if ending != Ending::Timeout {
             u.silent_since = now;
         }
-        let took = if failed { duration.max(2.0 * self.latency) } else { duration };
-        u.slowness += ANSWER_GAIN * (took / self.latency.max(1.0) - u.slowness);
+        let (part, (usual, answers)) =
+            (duration.max(1.0) / objective, self.kinds.entry(u.member.kind).or_default());
         if ending == Ending::Ok {
+            *answers += 1.0;
+            *usual += KIND_GAIN.max(1.0 / *answers) * (part - *usual);
             self.deviation += 0.05 * ((duration - self.latency).abs() - self.deviation);
             self.latency += 0.05 * (duration - self.latency);
         }
+        let took = if *usual > 0.0 { part / *usual } else { 1.0 };
+        u.slowness += ANSWER_GAIN * (if failed { took.max(2.0) } else { took } - u.slowness);
         let bad = f64::from(u8::from(failed));
         u.fails += FAIL_GAIN * (bad - u.fails);
         u.outcomes += 1;
@@ -672,6 +680,13 @@
         now - u.held_at < SAID_KEPT && u.held > CROWDED_AT * self.held + CROWDED_SPARE
     }
 
+    /// What answers of an upstream take, as a part of the objective, once its kind has answered. What was
+    /// learned of itself fades to what its kind takes, so that one that was slow is tried again.
+    fn usual(&self, u: &Upstream, now: Millis) -> Option<f64> {
+        let (kind, _) = self.kinds.get(&u.member.kind).filter(|(kind, _)| *kind > 0.0)?;
+        Some(kind * (1.0 + (u.slowness - 1.0) * (-(now - u.last_used) / ANSWER_KEPT).exp()))
+    }
+
     /// By own calls in flight. A copy that carries little mostly compares zeros: then the one whose answers
     /// took clearly less of late, so that slow kinds and crowded ones take less here too; else the one in the
     /// own zone, which saves a crossing; else the one used longest ago, to spread the calls. Favouring open
@@ -680,11 +695,11 @@
         let (s, now) = (ask.settings, ask.now);
         let (a, b) = (&self.slots[a], &self.slots[b]);
         let near = |u: &Upstream| s.cross_zone_price > 0.0 && u.member.zone == s.zone;
-        // What was learned fades, so that one that was slow is tried again.
-        let slow = |u: &Upstream| 1.0 + (u.slowness - 1.0) * (-(now - u.last_used) / ANSWER_KEPT).exp();
+        let usual = |u| self.usual(u, now);
+        let slow = |a, b| usual(a).zip(usual(b)).is_some_and(|(a, b)| a > ANSWER_RATIO * b);
         match a.inflight.cmp(&b.inflight) {
-            Ordering::Equal if slow(a) > ANSWER_RATIO * slow(b) => false,
-            Ordering::Equal if slow(b) > ANSWER_RATIO * slow(a) => true,
+            Ordering::Equal if slow(a, b) => false,
+            Ordering::Equal if slow(b, a) => true,
             Ordering::Equal if near(a) != near(b) => near(a),
             Ordering::Equal => a.last_used < b.last_used,
             order => order == Ordering::Less,
@@ -855,7 +870,8 @@
         let suspect = u.fails > SUSPECT_AT || f.rest_lost[rest] > SUSPECT_AT / 4.0;
         let again = p.sends + 1 < self.settings.attempts_cap && self.retries >= 1.0;
         let repeats = again && self.settings.classes[p.class].effect != Effect::SingleShot;
-        let usual = f.latency * u.slowness.clamp(1.0, 3.0);
+        let usual = f.usual(u, now).map_or(f.latency, |part| part * self.settings.classes[p.class].objective);
+        let usual = usual.clamp(f.latency, 3.0 * f.latency);
         let patience = usual + (TIMEOUT_DEVIATIONS * f.deviation).max(f.latency);
         let timely = now + patience + f.latency < p.ends;
         if suspect && repeats && timely {
@@ -946,14 +962,14 @@
         if proof && p.out.is_empty() && p.ran.is_some_and(|(n, ..)| n == number) {
             p.ran = None;
         }
-        let class = p.class;
+        let objective = self.settings.classes[p.class].objective;
         p.over |= closed;
         let (over, waiting) = (p.over, !p.out.is_empty());
         self.admission.inflight -= 1.0;
-        let own = self.fleet.ended((i, rest), ending, duration, now, &mut self.rng);
+        let own = self.fleet.ended((i, rest), ending, (duration, objective), now, &mut self.rng);
         self.fleet.forget_if_gone(i);
         let lateness = match ending {
-            Ending::Ok => Some(lateness(duration / self.settings.classes[class].objective)),
+            Ending::Ok => Some(lateness(duration / objective)),
             Ending::Cancelled | Ending::Moot => None,
             // Blame the server or the connection, not the fleet, for failures that are its own.
             _ if own || self.fleet.dropped(rest) => None,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -590,3 +590,29 @@
     let sent = w.sent_since(from).0;
     assert!(sent > 225, "{sent} of 240 pass");
 }
+
+/// A copy with few calls hears of each upstream late. Until then it sent slow kinds as much as fast ones, and all
+/// copies together crowded them in the first seconds.
+#[test]
+fn copies_keep_off_a_slow_kind_that_they_have_only_heard_of_elsewhere() {
+    const COPIES: u32 = 200;
+    let slow = |id: UpstreamId| id.0 % 2 == 1;
+    let tenants = vec![Tenant { share: 1.0, quota_per_s: 100.0 * f64::from(COPIES) }];
+    let answer = |id| Some((Ending::Ok, if slow(id) { 300.0 } else { 100.0 }));
+    let members = || (1..=40).map(|id| Member { kind: (id % 2) as u8, ..member(id) }).collect();
+    let (mut all, mut to_slow) = (0, 0);
+    for index in 0..COPIES {
+        let settings = Settings { index, balancers: COPIES, tenants: tenants.clone(), ..shared(&[1.0]) };
+        let mut w = World::new(settings, u64::from(index), members());
+        // Ten of 40 upstreams at most have answered this copy.
+        w.traffic(100.0, 100.0, &[0], &answer);
+        w.traffic(350.0, 2.0, &[0], &answer);
+        let from = w.now;
+        w.traffic(50.0, 100.0, &[0], &|_| None);
+        let (requests, to) = w.sent_since(from);
+        all += requests;
+        to_slow += to.iter().filter(|(&id, _)| slow(id)).map(|(_, n)| n).sum::<usize>();
+    }
+    assert!(all >= 4 * COPIES as usize, "only {all} sent");
+    assert!(to_slow * 5 < all * 2, "{to_slow} of {all} go to the slow half");
+}
