--- a/src/policy.rs
+++ b/src/policy.rs
@@ -387,8 +387,8 @@
     fails: f64,
     /// Mean of what upstreams say they hold.
     held: f64,
-    /// Mean answer time of each kind, as a part of the class's objective, and how many answers: a copy that sees
-    /// little has heard of a kind long before it has heard of each upstream.
+    /// Mean answer time of each kind, as a part of the class's objective, and how many answers: a copy that
+    /// sees little has heard of a kind long before it has heard of each upstream.
     kinds: BTreeMap<u8, (f64, f64)>,
     /// Mean answer time, and the mean deviation from it.
     latency: Millis,
