Refuse requests with less time left than answers take, while others are out

At fault: Balancer::request sends whatever is admitted, however little time it has. Ruled out: bad upstreams (the time-outs are spread over 288 upstreams, 50 to 100 each, in step with calls); the second tier (145 ms throughout); cold upstreams that were tipped (new ones answer in 600 ms).

Refused at once, with the time to come back as for any refusal. It needs no constant: the limit is what answers of the fastest kind take in the mean. A copy that has nothing out sends all the same, so that a slow time is unlearned.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -556,6 +556,12 @@
         u.inflight > 0 && now - u.silent_since > (SILENT_FACTOR * self.latency).max(SILENT_LEAST)
     }
 
+    /// What answers of the fastest kind take, as a part of the objective; zero before the first.
+    fn soonest(&self) -> f64 {
+        let parts = self.kinds.values().map(|&(usual, _)| usual).filter(|&usual| usual > 0.0);
+        parts.min_by(f64::total_cmp).unwrap_or(0.0)
+    }
+
     /// Books how an attempt ended. Tells whether the failure is this upstream's own.
     fn ended(
         &mut self,
@@ -906,7 +912,12 @@
             return;
         }
         self.retries = (self.retries + RETRY_RATIO).min(RETRY_SAVED);
-        if r.class >= self.settings.classes.len() || !self.admission.admit(r.tenant, now) {
+        // Hardly any upstream answers in so little time: the call would only keep others waiting. Where there
+        // are none it is sent, or what was learned in a slow time would hold for ever.
+        let classes = &self.settings.classes;
+        let short = |c: &Class| r.deadline - now < self.fleet.soonest() * c.objective;
+        let hopeless = |c: &Class| self.admission.inflight > 0.0 && short(c);
+        if classes.get(r.class).is_none_or(hopeless) || !self.admission.admit(r.tenant, now) {
             let refusal = self.refusal(r.id);
             return actions.push(refusal);
         }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -616,3 +616,23 @@
     assert!(all >= 4 * COPIES as usize, "only {all} sent");
     assert!(to_slow * 5 < all * 2, "{to_slow} of {all} go to the slow half");
 }
+
+/// Clients with little time left came again and again. Their calls were sent and given up soon after, and kept
+/// those waiting who had time.
+#[test]
+fn requests_with_less_time_than_answers_take_are_refused_while_others_are_out() {
+    let short = Class { deadline: 80.0, ..class(Effect::Free) };
+    let mut w = world(Settings { classes: vec![class(Effect::Free), short], ..shared(&[1.0]) }, 8);
+    let sent = |w: &World, id: u32| !w.seen[&RequestId(id)].sends.is_empty();
+    // Nothing is known yet: it is tried.
+    w.request(10_000, 1, 0);
+    assert!(sent(&w, 10_000), "refused before anything was heard");
+    w.traffic(3000.0, 40.0, &[0], &|_| Some((Ending::Ok, 120.0)));
+    w.request(10_001, 0, 0);
+    w.request(10_002, 1, 0);
+    assert!(sent(&w, 10_001) && !sent(&w, 10_002), "one has the time and the other has not");
+    // Nobody waits for an answer: to try it costs nothing, and shows whether answers take less by now.
+    w.pass(3000.0);
+    w.request(10_003, 1, 0);
+    assert!(sent(&w, 10_003), "what was learned once holds for ever");
+}
