Let a busy copy use what others leave of the quotas, by what upstreams serve

Every copy's admission was logged each cycle and summed: hardly any copy refuses for calls in flight, nearly all for the cycle's capacity, which rests on its floor of 36 a copy (Admission::floor). Copies of one zone are asked for 43 a second, those of the others for 18 to 25. What each copy does is harmless where traffic is even; here the busy ones refuse what the quiet ones leave.

Ruled out: learned capacity (at the floor, as the tail of answers is late in every copy alike); second tier (refuses nobody); tenants past their share (demand is below the quotas in sum).

At fault: the floor is quotas / copies, whatever part of the traffic a copy has. Load reports say how many requests a second an upstream serves for all copies (qps), so a copy knows what all get served, and its own part of that; its floor is this part of the quotas, or the even part if that is more. In sum that comes back to the quotas as they get used up. Without reports, and in tiers below, where quotas do not count calls, all is as before. The node and the simulator's host pass the figure on.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -381,10 +381,13 @@
             d.free_socket();
         }
         let task = tokio::task::spawn_local(async move {
-            let Ended { ending, answer, held } = transport.attempt(target, out, until).await;
+            let Ended { ending, answer, held, served } = transport.attempt(target, out, until).await;
             if let Some(held) = held {
                 handle.feed(Event::Load { upstream: to, held });
             }
+            if let Some(per_s) = served {
+                handle.feed(Event::Served { upstream: to, per_s });
+            }
             handle.ended(id, number, ending, answer);
         });
         let due = d.set_timer(until, Due::Attempt(id, number));
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -29,8 +29,9 @@
 pub const DEADLINE: HeaderName = HeaderName::from_static("req-deadline");
 const DECLINED: HeaderName = HeaderName::from_static("srv-declined");
 const LOAD: HeaderName = HeaderName::from_static("srv-load");
-/// What a load report calls the requests that the upstream holds.
+/// What a load report calls the requests that the upstream holds, and those a second that it serves.
 const HELD: &str = "inflight";
+const SERVED: &str = "qps";
 
 /// Headers that belong to one connection and are not passed on.
 const HOP: [HeaderName; 8] = [
@@ -139,6 +140,8 @@
     pub answer: Option<Answer>,
     /// The requests that the upstream says it holds.
     pub held: Option<f64>,
+    /// The requests a second that it says it serves.
+    pub served: Option<f64>,
 }
 
 /// What all attempts share.
@@ -175,7 +178,7 @@
 
     /// Carries one attempt out: its request is written once at most. Dropping the future closes the connection.
     pub async fn attempt(&self, to: Rc<Upstream>, out: Rc<Outgoing>, until: Instant) -> Ended {
-        let failed = |ending| Ended { ending, answer: None, held: None };
+        let failed = |ending| Ended { ending, answer: None, held: None, served: None };
         let mut request = match out.request() {
             Ok(request) => request,
             Err(_) => return failed(Ending::Moot),
@@ -209,7 +212,8 @@
                 },
             }
         };
-        let (ending, held) = (ending(&answer), held(answer.headers()));
+        let (ending, headers) = (ending(&answer), answer.headers());
+        let (held, served) = (reported(headers, HELD), reported(headers, SERVED));
         let (head, body) = answer.into_parts();
         let Ok(body) = Limited::new(body, BODY_MOST).collect().await else { return failed(Ending::Reset) };
         // Back before the outcome is told: what the module sends next may go on this connection.
@@ -223,16 +227,16 @@
             end_to_end(&mut headers);
             Answer::Served { headers, body: body.to_bytes() }
         });
-        Ended { ending, answer, held }
+        Ended { ending, answer, held, served }
     }
 }
 
-/// The requests that an upstream holds by the load report of its answer. What cannot be read is no report.
-fn held(headers: &HeaderMap) -> Option<f64> {
+/// A figure of an answer's load report. What cannot be read is no report.
+fn reported(headers: &HeaderMap, name: &str) -> Option<f64> {
     let report = headers.get(LOAD)?.to_str().ok()?.trim();
     let fields = report.strip_prefix("TEXT ")?.split(',').filter_map(|field| field.split_once('='));
-    let (_, held) = fields.into_iter().find(|(name, _)| name.trim() == HELD)?;
-    held.trim().parse().ok().filter(|held| (0.0..1e9).contains(held))
+    let (_, figure) = fields.into_iter().find(|(field, _)| field.trim() == name)?;
+    figure.trim().parse().ok().filter(|figure| (0.0..1e9).contains(figure))
 }
 
 /// What an answer says. Only a mark that the request was turned away proves that it never ran.
@@ -261,11 +265,12 @@
     use super::*;
 
     #[test]
-    fn the_requests_held_are_read_and_what_cannot_be_read_is_no_report() {
-        let held =
-            |report: &'static str| held(&HeaderMap::from_iter([(LOAD, HeaderValue::from_static(report))]));
+    fn load_reports_are_read_and_what_cannot_be_read_is_no_report() {
+        let report = |report: &'static str| HeaderMap::from_iter([(LOAD, HeaderValue::from_static(report))]);
+        let held = |text| reported(&report(text), HELD);
         assert_eq!(held("TEXT latency_ms=31.5, qps=40, inflight=7"), Some(7.0));
         assert_eq!(held(" TEXT inflight = 2.5"), Some(2.5));
+        assert_eq!(reported(&report("TEXT latency_ms=31.5, qps=40, inflight=7"), SERVED), Some(40.0));
         for bad in [
             "",
             "TEXT",
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -7,7 +7,7 @@
 //! them); of `permissions` those to probe, to tell peers, to send second copies and to give advice (a refusal
 //! always says when to return), and the limits of CPU, open requests, connections and dialling; [`Deployment`]
 //! keeps what of these a host of the module needs. Of the events the codec drops probe results and peer messages, and
-//! of load reports all but the requests held; of a request its key, its cost hint and its marks; of a list entry its scale. Never asked for:
+//! of load reports all but the requests held and served; of a request its key, its cost hint and its marks; of a list entry its scale. Never asked for:
 //! single fetches of the list, and unsubscribing.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -36,6 +36,8 @@
     pub max_open: u64,
     /// Where the simulator's load reports hold the requests that an upstream holds, if they do.
     pub held_column: Option<usize>,
+    /// The same for the requests a second that it serves.
+    pub served_column: Option<usize>,
 }
 
 #[derive(Deserialize)]
@@ -199,6 +201,7 @@
         drain_grace: s.invariants.drain_grace,
         max_open: s.permissions.max_open,
         held_column: s.stats.columns.iter().position(|c| c == "inflight"),
+        served_column: s.stats.columns.iter().position(|c| c == "qps"),
     })
 }
 
@@ -244,14 +247,15 @@
     }
 
     #[test]
-    fn the_requests_held_are_found_among_the_columns_of_load_reports() {
+    fn the_requests_held_and_served_are_found_among_the_columns_of_load_reports() {
         let column = |stats: &str| {
-            deployment(MINIMAL.replace("\"novel\": [1]", stats).as_bytes()).map(|d| d.held_column)
+            deployment(MINIMAL.replace("\"novel\": [1]", stats).as_bytes())
+                .map(|d| (d.held_column, d.served_column))
         };
-        let named = r#""stats": {"columns": ["latency_ms", "inflight"], "via": "answers"}"#;
-        assert_eq!(column(named), Ok(Some(1)));
-        assert_eq!(column(r#""stats": {"via": "none"}"#), Ok(None));
-        assert_eq!(column("\"novel\": [1]"), Ok(None));
+        let named = r#""stats": {"columns": ["latency_ms", "inflight", "qps"], "via": "answers"}"#;
+        assert_eq!(column(named), Ok((Some(1), Some(2))));
+        assert_eq!(column(r#""stats": {"via": "none"}"#), Ok((None, None)));
+        assert_eq!(column("\"novel\": [1]"), Ok((None, None)));
     }
 
     #[test]
--- a/simhost/src/main.rs
+++ b/simhost/src/main.rs
@@ -10,8 +10,8 @@
 
 #[derive(Default)]
 struct Host {
-    /// Each with the place of the requests held among the values of load reports.
-    balancers: BTreeMap<u16, (Balancer, Option<usize>)>,
+    /// Each with the places of the requests held and of those served among the values of load reports.
+    balancers: BTreeMap<u16, (Balancer, [Option<usize>; 2])>,
     tables: BTreeMap<u32, Table>,
     actions: Vec<Action>,
     reply: Reply,
@@ -42,7 +42,8 @@
                 let deployment = oakflow_settings::deployment(&batch.tail[setup.clone()])
                     .map_err(|e| format!("settings of instance {id}: {e}"))?;
                 let balancer = Balancer::new(deployment.policy, *seed, now).map_err(|e| e.to_string())?;
-                self.balancers.insert(id, (balancer, deployment.held_column));
+                let columns = [deployment.held_column, deployment.served_column];
+                self.balancers.insert(id, (balancer, columns));
             }
             Record::Destroy => {
                 self.balancers.remove(&instance()?);
@@ -54,11 +55,14 @@
             }
             Record::Outcome { event, upstream, report } => {
                 let id = instance()?;
-                let column = self.balancers.get(&id).and_then(|&(_, column)| column);
-                let held = column.and_then(|column| report.get(column)).map(|&held| f64::from(held));
+                let columns = self.balancers.get(&id).map_or([None; 2], |&(_, columns)| columns);
+                let [held, served] = columns.map(|column| report.get(column?).map(|&v| f64::from(v)));
                 if let Some(held) = held {
                     self.event(id, now, Event::Load { upstream: *upstream, held });
                 }
+                if let Some(per_s) = served {
+                    self.event(id, now, Event::Served { upstream: *upstream, per_s });
+                }
                 self.event(id, now, event.clone());
             }
             Record::Event(event) => self.event(instance()?, now, event.clone()),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -305,6 +305,14 @@
         /// Requests that it held, from all balancers together, a little while ago; finite.
         held: f64,
     },
+    /// How many requests a second an upstream says it serves, for all balancers together; finite. Like
+    /// [`Event::Load`].
+    Served {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Requests a second.
+        per_s: f64,
+    },
     /// The client left, or its time ran out: nothing is owed any more.
     ClientGone(RequestId),
     /// The program is to end: every request that is open needs its final answer by this time.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -153,6 +153,9 @@
     /// The stated quotas per cycle; the part of answers in time; and as parts of the most seen, the upstreams
     /// that are listed as ready, and those that can be used.
     quota: f64,
+    /// The same of all copies together, and what they get served by what upstreams say (zero: not known).
+    quotas: f64,
+    served: f64,
     success: f64,
     listed: f64,
     usable: f64,
@@ -191,6 +194,8 @@
         // room: the first tier sheds first, since a refusal below wastes the work done above.
         let start = if s.stage == 0 { 1.0 } else { START_BELOW };
         let stated = start * quota * CYCLE / 1000.0;
+        // Quotas count clients' requests: tiers below get several calls for one.
+        let quotas = if s.stage == 0 { stated * f64::from(s.balancers) } else { 0.0 };
         // Without stated quotas nothing is known: the first cycle refuses no one and shows what is carried.
         let capacity = if stated > 0.0 { stated } else { 1000.0 };
         let objective = mean_objective(s);
@@ -198,6 +203,7 @@
             tenants,
             capacity,
             quota: (quota * CYCLE / 1000.0).max(0.1),
+            quotas,
             success: 1.0,
             listed: 1.0,
             usable: 1.0,
@@ -291,7 +297,19 @@
     /// lose all that is admitted, and where upstreams went away, fail or are cold, which the list tells too
     /// late or not at all.
     fn floor(&self) -> f64 {
-        self.quota * self.usable * (self.success / SUCCESS_WANTED).clamp(FLOOR_LEAST, self.uncrowded)
+        self.share() * self.usable * (self.success / SUCCESS_WANTED).clamp(FLOOR_LEAST, self.uncrowded)
+    }
+
+    /// This copy's part of the quotas: an even one, or more where callers ask more of it than of others, as
+    /// long as all together do not use the quotas up.
+    fn share(&self) -> f64 {
+        let part = if self.served > 0.0 { (self.recent / self.served).min(1.0) } else { 0.0 };
+        self.quota.max(self.quotas * part)
+    }
+
+    fn note_served(&mut self, served: Option<f64>) {
+        let before = if self.served > 0.0 { self.served } else { self.quotas };
+        self.served = served.map_or(0.0, |served| before + DEMAND_GAIN * (served - before));
     }
 
     /// What the ready upstreams carry per cycle for this copy when all is well. What is admitted just now
@@ -350,6 +368,9 @@
     /// Requests it said it holds, from all copies together, and when it said so.
     held: f64,
     held_at: Millis,
+    /// Requests a second it said it serves, for all copies together, and when it said so.
+    served: f64,
+    served_at: Millis,
     /// Cold budget: calls that may be sent now, and when that was reckoned.
     tokens: f64,
     tokens_at: Millis,
@@ -679,6 +700,25 @@
         }
     }
 
+    /// Takes note of how many requests a second an upstream says it serves.
+    fn serves(&mut self, id: UpstreamId, per_s: f64, now: Millis) {
+        if let Some(&i) = self.by_id.get(&id).filter(|_| per_s.is_finite()) {
+            (self.slots[i].served, self.slots[i].served_at) = (per_s, now);
+        }
+    }
+
+    /// Calls per cycle that all copies together get served, by what upstreams have said of late.
+    fn served_by_all(&self, now: Millis) -> Option<f64> {
+        let up = |&&i: &&usize| {
+            self.slots[i].member.availability == Availability::Ready && now >= self.slots[i].lost_until
+        };
+        let up: Vec<&Upstream> = self.by_id.values().filter(up).map(|&i| &self.slots[i]).collect();
+        let heard = |u: &&&Upstream| u.served > 0.0 && now - u.served_at < SAID_KEPT;
+        let heard: Vec<f64> = up.iter().filter(heard).map(|u| u.served).collect();
+        let mean = heard.iter().sum::<f64>() / heard.len() as f64;
+        (heard.len() >= SUBSET_LEAST / 2).then_some(mean * up.len() as f64 * CYCLE / 1000.0)
+    }
+
     /// Whether it said of late that it holds far more than others do. One call in flight seems little to each
     /// of many copies, but all together they would crowd a slow upstream and keep it so.
     fn crowded(&self, i: usize, now: Millis) -> bool {
@@ -1047,6 +1087,7 @@
             Event::Outcome { request, attempt, ending, duration, closed } => {
                 self.outcome(now, request, attempt, (ending, duration, closed), actions);
             }
+            Event::Served { upstream, per_s } => self.fleet.serves(upstream, per_s, now),
             Event::Load { upstream, held } => self.fleet.said(upstream, held, now),
             Event::ClientGone(id) => {
                 if let Some(p) = self.pending.get_mut(&id) {
@@ -1063,6 +1104,8 @@
                 self.judge_unanswered(now);
                 self.admission.note_latency(self.fleet.latency);
                 self.recount(now);
+                let served = self.fleet.served_by_all(now);
+                self.admission.note_served(served);
                 self.admission.end_cycle(now);
                 let late = self.admission.success < SUCCESS_WANTED;
                 if std::mem::replace(&mut self.late, late) != late {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -636,3 +636,32 @@
     w.request(10_003, 1, 0);
     assert!(sent(&w, 10_003), "what was learned once holds for ever");
 }
+
+/// Traffic is uneven over the copies. With an even part of the quotas each, the busy ones refused while all together
+/// used three quarters of them.
+#[test]
+fn a_busy_copy_may_use_what_others_leave_of_the_quotas() {
+    const COPIES: u32 = 40;
+    let tenants = vec![Tenant { share: 1.0, quota_per_s: 10.0 * f64::from(COPIES) }];
+    let settings = |index| Settings { index, balancers: COPIES, tenants: tenants.clone(), ..shared(&[1.0]) };
+    let mut worlds: Vec<World> = (0..COPIES).map(|i| world(settings(i), 8)).collect();
+    // Ten copies ask for twice their even part, the others for less than half of it. Answers are a little late, so
+    // that nothing more is learned.
+    let asked = |i: usize| if i < 10 { 20.0 } else { 4.0 };
+    let answer = |_| Some((Ending::Ok, 240.0));
+    let mut served = 0;
+    for _ in 0..30 {
+        let from = worlds[0].now;
+        for (i, w) in worlds.iter_mut().enumerate() {
+            for id in (1..=8).map(UpstreamId).filter(|_| served > 0) {
+                w.event(Event::Served { upstream: id, per_s: f64::from(served) / 8.0 });
+            }
+            w.traffic(1000.0, asked(i), &[0], &answer);
+        }
+        served = worlds.iter().map(|w| w.sent_since(from).0 as u32).sum();
+    }
+    let from = worlds[0].now - 10_000.0;
+    let busy: usize = worlds[..10].iter().map(|w| w.sent_since(from).0).sum();
+    assert!(busy > 1800, "ten busy copies get {busy} of 2000 through");
+    assert!(served < 400, "{served} a second are more than the quotas");
+}
