Make the imports inside the balancer run one way

Need: discovery, driver and upstream imported each other in a circle, so that none could be read or moved alone.

Change: what both sides speak stands in modules of its own: `listing` (the list in discovery's form, and the trait `ListUser` by which discovery tells whoever uses it) and `message` (a request and its answer, and the headers that are not passed on). discovery -> listing; upstream -> message, sockets; driver -> listing, message, upstream; server -> driver, message, sockets; config -> listing. Moves only, no line of behaviour.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,5 +1,5 @@
 //! The configuration file as typed values. Whatever is wrong with it is named with the field at fault.
-use crate::discovery::{Listing, Names};
+use crate::listing::{Listing, Names};
 use oakflow_settings::Deployment;
 use serde::Deserialize;
 use serde_json::value::RawValue;
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -1,15 +1,12 @@
-//! The list of upstreams: its form, and the watch that keeps it fresh.
+//! The watch that keeps the list of upstreams fresh.
 //!
 //! When to ask is the module's choice ([`oakflow::Action::Subscribe`]); a watch that stands is kept up here.
-use crate::driver::Handle;
+use crate::listing::{ListUser, Listing, Names};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper::{header, Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use oakflow::{Availability, Member, UpstreamId};
-use oakflow_settings::Deployment;
-use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -30,99 +27,6 @@
 /// Largest list accepted.
 const LIST_MOST: usize = 4 << 20;
 
-/// Names of zones and kinds, by the position that the module knows them by.
-pub struct Names {
-    zones: Vec<String>,
-    kinds: Vec<String>,
-}
-
-impl Names {
-    /// The names that the settings list.
-    pub fn of(d: &Deployment) -> Names {
-        Names { zones: d.zones.clone(), kinds: d.kinds.clone() }
-    }
-}
-
-#[derive(Deserialize)]
-struct RawListing {
-    version: u64,
-    full: bool,
-    servers: Vec<RawEntry>,
-}
-
-#[derive(Deserialize)]
-struct RawEntry {
-    id: String,
-    addr: SocketAddr,
-    #[serde(default)]
-    zone: String,
-    #[serde(default)]
-    kind: String,
-    #[serde(default)]
-    cell: u16,
-    state: String,
-    #[serde(default)]
-    started_ms: f64,
-}
-
-/// One upstream of an answer: its line for the module and its address.
-#[derive(Clone, Debug)]
-pub struct Entry {
-    /// What the module is told.
-    pub member: Member,
-    /// Where it listens, as this balancer sees it.
-    pub addr: SocketAddr,
-}
-
-/// An answer of discovery.
-#[derive(Clone, Debug)]
-pub struct Listing {
-    /// Grows with each change.
-    pub version: u64,
-    /// Whether this is the whole list, or only what changed.
-    pub full: bool,
-    /// The upstreams.
-    pub entries: Vec<Entry>,
-}
-
-impl Listing {
-    /// Reads an answer. One bad entry spoils it whole, so that a garbled list never replaces a good one.
-    pub fn parse(json: &[u8], names: &Names) -> Result<Listing, String> {
-        let raw: RawListing = serde_json::from_slice(json).map_err(|e| e.to_string())?;
-        let entries = raw.servers.into_iter().map(|e| entry(e, names)).collect::<Result<_, _>>()?;
-        Ok(Listing { version: raw.version, full: raw.full, entries })
-    }
-
-    /// The lines for the module.
-    pub fn members(&self) -> impl Iterator<Item = Member> + '_ {
-        self.entries.iter().map(|e| e.member.clone())
-    }
-}
-
-fn entry(e: RawEntry, names: &Names) -> Result<Entry, String> {
-    let availability = match e.state.as_str() {
-        "active" => Availability::Ready,
-        "leaving" => Availability::Draining,
-        "left" => Availability::Gone,
-        other => return Err(format!("upstream {:?}: unknown state {other:?}", e.id)),
-    };
-    if e.id.is_empty() || !(0.0..1e15).contains(&e.started_ms) {
-        return Err(format!("upstream {:?}: started_ms reads {}", e.id, e.started_ms));
-    }
-    // A name that the settings do not list gets a position that no class is bound to.
-    let zone = names.zones.iter().position(|z| *z == e.zone).map_or(u16::MAX, |i| i as u16);
-    let kind = names.kinds.iter().position(|k| *k == e.kind).map_or(u8::MAX, |i| i as u8);
-    let (id, group, since) = (upstream_id(&e.id), e.cell, e.started_ms);
-    Ok(Entry { member: Member { id, zone, kind, group, availability, since }, addr: e.addr })
-}
-
-/// A stable id for an upstream's name, the same at every balancer (FNV-1a): the module spreads the balancers
-/// over the upstreams by a ring of these ids, so numbers given in order of arrival would crowd some of them.
-fn upstream_id(name: &str) -> UpstreamId {
-    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3);
-    UpstreamId(name.bytes().fold(0xcbf2_9ce4_8422_2325, step))
-}
-
 /// One connection to discovery; closed when dropped.
 struct Link {
     sender: http1::SendRequest<Empty<Bytes>>,
@@ -163,11 +67,11 @@
     }
 
     /// Serves subscriptions for ever. With `pushed` the list needs no asking and the watch always stands.
-    pub async fn run(mut self, driver: Handle, pushed: bool) {
+    pub async fn run(mut self, user: impl ListUser, pushed: bool) {
         let mut moves = self.addr.clone();
         loop {
             if !pushed {
-                driver.subscribed().await;
+                user.subscribed().await;
             }
             let mut answered = false;
             let error = loop {
@@ -183,7 +87,7 @@
                     Ok(listing) => {
                         // One event answers the subscription; after that only changes are news.
                         if !answered || listing.full || !listing.entries.is_empty() {
-                            driver.listed(&listing);
+                            user.listed(&listing);
                         }
                         answered = true;
                     }
@@ -192,7 +96,7 @@
             };
             self.link = None;
             eprintln!("discovery: {error}");
-            driver.list_failed();
+            user.list_failed();
             if pushed {
                 // A move ends the pause: the new address has not failed yet.
                 let _ = timeout(PUSHED_PAUSE, moves.changed()).await;
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -1,14 +1,12 @@
 //! The one owner of the decision module: feeds it events in order, carries out its actions, keeps its clock,
 //! its timers and the ids of requests and attempts. Nothing is decided here.
-use crate::discovery::Listing;
+use crate::listing::{ListUser, Listing};
+use crate::message::{Answer, Outgoing};
 use crate::upstream::{Ended, Transport, Upstream};
-use bytes::Bytes;
-use hyper::header::HeaderMap;
-use hyper::{Method, Uri};
 use oakflow::{
     Action, Availability, Balancer, Ending, Event, Membership, Millis, Request, RequestId, UpstreamId,
 };
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -23,39 +21,6 @@
 /// Longest timer that the module may ask for.
 const TIMER_MOST: Millis = 71.0 * 60_000.0;
 
-/// A request as it goes on to upstreams.
-pub struct Outgoing {
-    /// Its method.
-    pub method: Method,
-    /// Path and query.
-    pub target: Uri,
-    /// End-to-end headers.
-    pub headers: HeaderMap,
-    /// The whole body.
-    pub body: Bytes,
-    /// Set when the request has ended: what has not been written for it by then must not be.
-    pub over: Cell<bool>,
-}
-
-/// The one final answer to a request.
-#[derive(Debug)]
-pub enum Answer {
-    /// An upstream's answer.
-    Served {
-        /// Its end-to-end headers.
-        headers: HeaderMap,
-        /// Its whole body.
-        body: Bytes,
-    },
-    /// Refused: another try does no harm.
-    Refused {
-        /// How long the client should stay away; zero: no advice.
-        retry_after: Millis,
-    },
-    /// Failed, with no promise about its effect.
-    Failed,
-}
-
 struct Open {
     /// Taken when the final answer is given or the client is gone.
     reply: Option<oneshot::Sender<Answer>>,
@@ -231,11 +196,6 @@
         self.0.driver.borrow_mut().free_socket();
     }
 
-    /// Waits until the module subscribes to the list.
-    pub async fn subscribed(&self) {
-        self.0.subscribe.notified().await;
-    }
-
     /// Takes the saved list.
     pub fn cached(&self, listing: Option<&Listing>) {
         let members = listing.iter().flat_map(|l| l.members()).collect();
@@ -245,19 +205,6 @@
         self.feed(Event::Membership(Membership::Cached(members)));
     }
 
-    /// Takes an answer of discovery.
-    pub fn listed(&self, listing: &Listing) {
-        self.0.driver.borrow_mut().note_list(listing, listing.full);
-        let members = listing.members().collect();
-        let news = if listing.full { Membership::Full(members) } else { Membership::Delta(members) };
-        self.feed(Event::Membership(news));
-    }
-
-    /// A call for the list failed or the watch broke.
-    pub fn list_failed(&self) {
-        self.feed(Event::Membership(Membership::Failed));
-    }
-
     /// Takes a request: from now on one final answer is owed. `None`: more are open than may be.
     pub fn take(&self, class: usize, tenant: usize, patience: Millis, out: Outgoing) -> Option<Waiting> {
         let (reply, answer) = oneshot::channel();
@@ -397,6 +344,23 @@
     }
 }
 
+impl ListUser for Handle {
+    async fn subscribed(&self) {
+        self.0.subscribe.notified().await;
+    }
+
+    fn listed(&self, listing: &Listing) {
+        self.0.driver.borrow_mut().note_list(listing, listing.full);
+        let members = listing.members().collect();
+        let news = if listing.full { Membership::Full(members) } else { Membership::Delta(members) };
+        self.feed(Event::Membership(news));
+    }
+
+    fn list_failed(&self) {
+        self.feed(Event::Membership(Membership::Failed));
+    }
+}
+
 impl Driver {
     fn now(&self) -> Millis {
         self.start_ms + self.start.elapsed().as_secs_f64() * 1000.0
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -4,13 +4,16 @@
 mod config;
 mod discovery;
 mod driver;
+mod listing;
+mod message;
 mod server;
 mod sockets;
 mod upstream;
 
 use config::Config;
-use discovery::{Discovery, Names};
+use discovery::Discovery;
 use driver::{Handle, Parts};
+use listing::Names;
 use oakflow::{Balancer, Millis};
 use server::{Phase, Server};
 use sockets::Sockets;
--- /dev/null
+++ b/node/src/message.rs
@@ -0,0 +1,83 @@
+//! A request and its answer as they go through the balancer, and the headers that do not.
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{self, HeaderMap, HeaderName};
+use hyper::{Method, Request, Uri};
+use oakflow::Millis;
+use std::cell::Cell;
+
+/// Bodies hold at most this much, both ways.
+pub const BODY_MOST: usize = 64 << 10;
+/// Tells how long an attempt will be waited for.
+pub const DEADLINE: HeaderName = HeaderName::from_static("req-deadline");
+
+/// Headers that belong to one connection and are not passed on.
+const HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Takes out the headers that belong to one connection; the length of a body is framed anew.
+pub fn end_to_end(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|v| v.trim().parse().ok())
+        .collect();
+    for name in HOP.iter().chain(&named).chain(&[header::CONTENT_LENGTH, header::EXPECT]) {
+        headers.remove(name);
+    }
+}
+
+/// A request as it goes on to upstreams.
+pub struct Outgoing {
+    /// Its method.
+    pub method: Method,
+    /// Path and query.
+    pub target: Uri,
+    /// End-to-end headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// Set when the request has ended: what has not been written for it by then must not be.
+    pub over: Cell<bool>,
+}
+
+/// The one final answer to a request.
+#[derive(Debug)]
+pub enum Answer {
+    /// An upstream's answer.
+    Served {
+        /// Its end-to-end headers.
+        headers: HeaderMap,
+        /// Its whole body.
+        body: Bytes,
+    },
+    /// Refused: another try does no harm.
+    Refused {
+        /// How long the client should stay away; zero: no advice.
+        retry_after: Millis,
+    },
+    /// Failed, with no promise about its effect.
+    Failed,
+}
+
+impl Outgoing {
+    /// The request, for one attempt.
+    pub fn request(&self) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(self.target.clone())
+            .body(Full::new(self.body.clone()))?;
+        *request.headers_mut() = self.headers.clone();
+        Ok(request)
+    }
+}
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -1,7 +1,7 @@
 //! The callers' side: takes requests whole, hands them to the driver and writes the one final answer.
-use crate::driver::{Answer, Handle, Outgoing, Waiting};
+use crate::driver::{Handle, Waiting};
+use crate::message::{end_to_end, Answer, Outgoing, BODY_MOST, DEADLINE};
 use crate::sockets::{Places, Sockets};
-use crate::upstream::{end_to_end, BODY_MOST, DEADLINE};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -1,11 +1,11 @@
 //! Attempts: one request to one upstream, once; and the connections that are kept for the next.
-use crate::driver::{Answer, Outgoing};
+use crate::message::{end_to_end, Answer, Outgoing, BODY_MOST, DEADLINE};
 use crate::sockets::Sockets;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::{Request, Response, StatusCode};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::{Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use oakflow::Ending;
 use std::cell::{Cell, RefCell};
@@ -17,48 +17,18 @@
 use tokio::task::AbortHandle;
 use tokio::time::{timeout, timeout_at, Instant};
 
-/// Bodies hold at most this much, both ways.
-pub const BODY_MOST: usize = 64 << 10;
 /// How long the time-out of an idle connection is undercut: what is sent on one that the upstream is about to
 /// close ends as a reset, and the upstream counts from its last byte, not from when we read it.
 const IDLE_MARGIN: Duration = Duration::from_millis(250);
 /// How long a connection may take to be ready for its next request once an answer has been read whole.
 const SETTLE: Duration = Duration::from_millis(5);
 
-/// Tells how long an attempt will be waited for.
-pub const DEADLINE: HeaderName = HeaderName::from_static("req-deadline");
 const DECLINED: HeaderName = HeaderName::from_static("srv-declined");
 const LOAD: HeaderName = HeaderName::from_static("srv-load");
 /// What a load report calls the requests that the upstream holds, and those a second that it serves.
 const HELD: &str = "inflight";
 const SERVED: &str = "qps";
 
-/// Headers that belong to one connection and are not passed on.
-const HOP: [HeaderName; 8] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-
-/// Takes out the headers that belong to one connection; the length of a body is framed anew.
-pub fn end_to_end(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .filter_map(|v| v.trim().parse().ok())
-        .collect();
-    for name in HOP.iter().chain(&named).chain(&[header::CONTENT_LENGTH, header::EXPECT]) {
-        headers.remove(name);
-    }
-}
-
 /// One open connection; closed when dropped.
 struct Conn {
     sender: http1::SendRequest<Full<Bytes>>,
@@ -249,17 +219,6 @@
     }
 }
 
-impl Outgoing {
-    fn request(&self) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
-        let mut request = Request::builder()
-            .method(self.method.clone())
-            .uri(self.target.clone())
-            .body(Full::new(self.body.clone()))?;
-        *request.headers_mut() = self.headers.clone();
-        Ok(request)
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
