Measure in the lab what a balancer adds to what upstreams take, and judge nothing of a stopped run

Change: each request notes the time its attempts spent at upstreams; what is left of its time is what the balancer added.

--- a/lab/src/caller.rs
+++ b/lab/src/caller.rs
@@ -41,8 +41,8 @@
 /// What came of a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Got {
-    /// Served.
-    Served,
+    /// Served; the balancer added this time to what upstreams took.
+    Served(Millis),
     /// Refused, with advice when to return, in milliseconds.
     Refused(Option<Millis>),
     /// Answered as failed, or with what is not whole.
@@ -110,8 +110,8 @@
                 }
             };
             let Some(request) = self.request(world, id) else { return Got::Unreached };
-            let deadline = self.sent + self.patience;
-            lock(&world.oracle).taken(world.now(), id, self.asked.class, self.balancer, deadline);
+            let (deadline, written) = (self.sent + self.patience, world.now());
+            lock(&world.oracle).taken(written, id, self.asked.class, self.balancer, deadline);
             owed.told = false;
             let latest = world.clock.instant(deadline + ANSWER_GRACE);
             let answer = match timeout_at(latest, conn.sender.try_send_request(request)).await {
@@ -131,10 +131,13 @@
                     return Got::Silence;
                 }
             };
-            let (how, got) = match timeout_at(latest, read(answer)).await {
+            let (how, mut got) = match timeout_at(latest, read(answer)).await {
                 Ok(read) => read,
                 Err(_) => (Final::Silence, Got::Silence),
             };
+            if let Got::Served(added) = &mut got {
+                *added = world.now() - written - world.asked(id).map_or(0.0, |a| a.at_upstreams);
+            }
             pause(self.delay).await;
             owed.ends(how);
             let whole = !matches!(how, Final::Partial | Final::Silence);
@@ -200,7 +203,7 @@
         return (Final::Partial, Got::Failed);
     };
     match status {
-        StatusCode::OK => (Final::Served(mark(&body.to_bytes())), Got::Served),
+        StatusCode::OK => (Final::Served(mark(&body.to_bytes())), Got::Served(0.0)),
         StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
             (Final::Refused, Got::Refused(after.map(|s| s * 1000.0)))
         }
--- a/lab/src/oracle.rs
+++ b/lab/src/oracle.rs
@@ -216,6 +216,8 @@
     effects_twice: u64,
     checked: u64,
     turned: u64,
+    /// The run is over: what its processes' ends bring about is nobody's fault.
+    closed: bool,
     suspects: Vec<Suspect>,
     /// When the lab was late, and by how much.
     late: VecDeque<(Millis, Millis)>,
@@ -258,6 +260,7 @@
             effects_twice: 0,
             checked: 0,
             turned: 0,
+            closed: false,
             suspects: Vec::new(),
             late: VecDeque::new(),
             broken: Vec::new(),
@@ -267,6 +270,9 @@
 
     /// Writes a broken rule down.
     pub fn breaks(&mut self, at: Millis, rule: Rule, case: String) {
+        if self.closed {
+            return;
+        }
         let count = self.counts.entry(rule).or_default();
         *count += 1;
         if *count as usize <= CASES_MOST {
@@ -490,6 +496,11 @@
         false
     }
 
+    /// Nothing is judged any more.
+    pub fn close(&mut self) {
+        self.closed = true;
+    }
+
     /// Everything is over: what has no end by now never gets one.
     pub fn finish(&mut self, now: Millis) {
         let open: Vec<u64> = self.tries.iter().filter(|(_, t)| t.over.is_none()).map(|(&id, _)| id).collect();
--- a/lab/src/tally.rs
+++ b/lab/src/tally.rs
@@ -37,6 +37,8 @@
     pub took: Millis,
     /// Tries.
     pub tries: u32,
+    /// Time that the balancer added to what upstreams took, if it was served.
+    pub added: Option<Millis>,
 }
 
 /// What passed in one second.
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -29,6 +29,8 @@
     pub seed: u64,
     /// Its key; all tries of a request share it.
     pub key: u64,
+    /// Time that its attempts have spent at upstreams so far, the ways there and back included.
+    pub at_upstreams: Millis,
 }
 
 /// One run.
@@ -130,6 +132,13 @@
         lock(&self.asked).get(&id).copied()
     }
 
+    /// An attempt of a request has spent this time at an upstream.
+    pub fn spent(&self, id: u64, time: Millis) {
+        if let Some(asked) = lock(&self.asked).get_mut(&id) {
+            asked.at_upstreams += time;
+        }
+    }
+
     /// Nothing more is wanted of a request.
     pub fn forget(&self, id: u64) {
         lock(&self.asked).remove(&id);
