Use the lab's silent ports in the balancer's own tests, and test a child that ignores SIGTERM

Need: the tests of the balancer had a hand-made address at which connections never come up, which the lab has too; and nothing showed that a balancer that does not heed SIGTERM is ended by the lab and starts again.

Change: node/tests/common takes `Port` of the lab. The other fakes there play a script each, which the lab's models do not, and stay. A test plays a pass-through that ignores SIGTERM: its log has two starts, and every rule was kept.

--- a/lab/src/stand_in.rs
+++ b/lab/src/stand_in.rs
@@ -118,6 +118,7 @@
     let config: Config = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|e| format!("{path}: seed: {e}"))?;
     let listener = TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
+    eprintln!("stand-in serving on {}", config.listen);
     let own = Arc::new(StandIn {
         choice,
         wrong,
--- a/lab/tests/fleet/fleets.rs
+++ b/lab/tests/fleet/fleets.rs
@@ -49,6 +49,26 @@
     }
 }
 
+/// One that ignores SIGTERM is killed when its time is over, and starts again.
+#[test]
+fn a_balancer_that_does_not_heed_its_end_is_ended() {
+    let fault = r#"
+[clients]
+rate = 30
+[[fault]]
+kind = "terminate"
+at = "500ms"
+for = "1s"
+on = { names = ["front-1"] }
+"#;
+    let program = format!("deaf=trap '' TERM; exec '{LAB}' stand-in random");
+    let short = fleet(2, 1, "6s", fault).replace("8s", "1s").replace("5s", "1s");
+    let played = Played::new(&short, &["--program", &program]);
+    assert_eq!(played.output.status.code(), Some(0), "{}", played.said());
+    let log = std::fs::read_to_string(played.out().join("deaf-1/logs/front-1.log")).expect("its log");
+    assert_eq!(log.matches("serving on").count(), 2, "{log}");
+}
+
 /// Whatever ends the lab, nothing that it started outlives it.
 #[test]
 fn no_balancer_outlives_the_lab_however_that_ends() {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! A balancer under test between small fakes: callers, upstreams and discovery, on ephemeral loopback ports.
 //! Everything waits for what it needs to have happened; [`PATIENCE`] only ends a test that has failed.
 #![allow(dead_code)]
+use oakflow_lab::net::{Manner, Port};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -10,6 +11,8 @@
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
+use tokio::runtime::Runtime;
+use tokio::sync::watch;
 
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -158,50 +161,31 @@
     TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("an address")
 }
 
-/// An address where connections never come up: its one place for a waiting connection is taken.
+/// An address where connections never come up, until they may.
 pub struct Unreachable {
     pub addr: SocketAddr,
-    listener: socket2::Socket,
-    waiting: Vec<socket2::Socket>,
+    runtime: Runtime,
+    port: Port,
+    manner: watch::Sender<Manner>,
 }
 
 impl Unreachable {
     pub fn start() -> Unreachable {
-        let tcp =
-            || socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-        let listener = tcp();
-        listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("binds");
-        listener.listen(0).expect("listens");
-        let at = listener.local_addr().expect("an address");
-        let mut waiting = Vec::new();
-        // Connections come up until the queue is full; the first that does not shows that it is.
-        loop {
-            let next = tcp();
-            let up = next.connect_timeout(&at, Duration::from_millis(300)).is_ok();
-            waiting.push(next);
-            if !up {
-                break;
-            }
-            assert!(waiting.len() < 64, "the queue has no end");
-        }
-        let addr = at.as_socket().expect("an address");
-        Unreachable { addr, listener, waiting }
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        let addr = refusing();
+        let (manner, watched) = watch::channel(Manner::Silent);
+        let port = runtime.block_on(async { Port::bind(addr, watched) }).expect("binds");
+        Unreachable { addr, runtime, port, manner }
     }
-}
 
-impl Unreachable {
     /// Lets connections come up after all, and returns the first that another made.
-    pub fn reach(self) -> BufReader<TcpStream> {
-        let port = |a: socket2::SockAddr| a.as_socket().expect("an address").port();
-        let own: Vec<u16> = self.waiting.iter().filter_map(|s| s.local_addr().ok()).map(port).collect();
-        loop {
-            let (stream, from) = self.listener.accept().expect("accepts");
-            if !own.contains(&port(from)) {
-                let stream = TcpStream::from(stream);
-                stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-                return BufReader::new(stream);
-            }
-        }
+    pub fn reach(mut self) -> BufReader<TcpStream> {
+        self.manner.send_replace(Manner::Open);
+        let accepted = self.runtime.block_on(self.port.accept()).expect("accepts").expect("a connection");
+        let stream = accepted.into_std().expect("a stream");
+        stream.set_nonblocking(false).expect("blocks");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        BufReader::new(stream)
     }
 }
 
