--- a/lab/src/draw.rs
+++ b/lab/src/draw.rs
@@ -218,7 +218,11 @@
     let mut cross_zone = vec![vec![same_zone; e.fleet.zones.len()]; e.fleet.zones.len()];
     let pairs = (0..e.fleet.zones.len()).flat_map(|a| (0..a).map(move |b| (a, b)));
     for (a, b) in pairs {
-        let span = draw_span(net, e.net.cross_zone);
+        let apart = match (e.fleet.region(a), e.fleet.region(b)) {
+            (Some(a), Some(b)) => a != b,
+            _ => false,
+        };
+        let span = draw_span(net, if apart { e.net.cross_region } else { e.net.cross_zone });
         (cross_zone[a][b], cross_zone[b][a]) = (span, span);
     }
 
@@ -485,6 +489,7 @@
         };
         target.role.is_none_or(|r| r == role)
             && target.zone.as_ref().is_none_or(|z| *z == e.fleet.zones[zone])
+            && target.region.as_ref().is_none_or(|r| e.fleet.region(zone) == Some(r))
             && target.tier.as_ref().is_none_or(|t| tier.is_some_and(|i| e.tiers[i].name == *t))
             && target.names.as_ref().is_none_or(|names| names.contains(name))
     };
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -1,6 +1,7 @@
 //! An experiment as its file states it: TOML, every key checked, every error on one line with file, line and key.
 use serde::de::{self, Deserializer, SeqAccess, Visitor};
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::fmt;
 use std::path::Path;
 
@@ -32,6 +33,14 @@
     }
 }
 
+impl Fleet {
+    /// The region of a zone, if it is in one.
+    pub fn region(&self, zone: usize) -> Option<&str> {
+        let name = self.zones.get(zone)?;
+        self.regions.iter().find(|(_, zones)| zones.contains(name)).map(|(region, _)| region.as_str())
+    }
+}
+
 impl Span {
     /// A span between two numbers of milliseconds.
     pub const fn ms(least: f64, most: f64) -> Span {
@@ -178,6 +187,9 @@
 pub struct Fleet {
     /// Names of the zones.
     pub zones: Vec<String>,
+    /// Regions: their names and the zones in each. A zone that is in none is near to all.
+    #[serde(default)]
+    pub regions: BTreeMap<String, Vec<String>>,
     /// Balancers that clients reach, dealt out over the zones in turn.
     pub front: usize,
     /// How far the zones' shares of the clients may lie from even: 0.2 gives 0.8 to 1.2 times the even share.
@@ -492,8 +504,10 @@
 pub struct Net {
     /// Within a zone.
     pub same_zone: Span,
-    /// Between zones.
+    /// Between zones of a region.
     pub cross_zone: Span,
+    /// Between zones of different regions.
+    pub cross_region: Span,
     /// Between balancers, for datagrams.
     pub datagrams: Span,
     /// The part of them that is lost.
@@ -507,6 +521,7 @@
         Net {
             same_zone: Span::ms(0.1, 0.4),
             cross_zone: Span::ms(5.0, 10.0),
+            cross_region: Span::ms(20.0, 40.0),
             datagrams: Span::ms(1.0, 18.0),
             datagram_loss: 0.005,
             datagram_repeat: 0.001,
@@ -676,6 +691,8 @@
     pub role: Option<Role>,
     /// In this zone.
     pub zone: Option<String>,
+    /// In a zone of this region.
+    pub region: Option<String>,
     /// In this tier, or in front of it.
     pub tier: Option<String>,
     /// With these names.
@@ -780,6 +797,16 @@
     if !(1..=300).contains(&e.fleet.front) {
         return wrong("fleet.front", "must be from 1 to 300 balancers");
     }
+    let mut placed = std::collections::BTreeSet::new();
+    for (region, zones) in &e.fleet.regions {
+        let key = format!("fleet.regions.{region}");
+        if let Some(zone) = zones.iter().find(|z| !e.fleet.zones.contains(z)) {
+            return wrong(&key, &format!("{zone:?} is not among fleet.zones"));
+        }
+        if let Some(zone) = zones.iter().find(|z| !placed.insert(z.as_str())) {
+            return wrong(&key, &format!("{zone:?} is in two regions"));
+        }
+    }
     if !(0.0..1.0).contains(&e.fleet.skew) {
         return wrong("fleet.skew", "must be at least 0 and under 1");
     }
@@ -962,6 +989,9 @@
         if let Some(zone) = target.zone.as_ref().filter(|z| !e.fleet.zones.contains(z)) {
             return wrong(&format!("{part}.zone"), format!("{zone:?} is not among fleet.zones"));
         }
+        if let Some(region) = target.region.as_ref().filter(|r| !e.fleet.regions.contains_key(*r)) {
+            return wrong(&format!("{part}.region"), format!("there is no region {region:?}"));
+        }
         if let Some(tier) = target.tier.as_ref().filter(|t| !e.tiers.iter().any(|x| x.name == **t)) {
             return wrong(&format!("{part}.tier"), format!("there is no tier {tier:?}"));
         }
--- a/lab/tests/fleet/experiments.rs
+++ b/lab/tests/fleet/experiments.rs
@@ -28,6 +28,12 @@
         ("deadline = \"8s\"", "deadline = \"1s\"", "deadline = \"1s\"", "class[0].deadline"),
         ("rate = 100", "rate = [200, 100]", "rate = [200, 100]", "clients.rate"),
         ("calls = 1.0", "calls = 0.5", "calls = 0.5", "tier[0].calls"),
+        (
+            "front = 2\n",
+            "front = 2\nregions = { west = [\"a\", \"z\"] }\n",
+            "regions =",
+            "fleet.regions.west",
+        ),
         (
             "rate = 100\n",
             "rate = 100\n[[fault]]\nkind = \"kill\"\nat = \"1s\"\n",
