Give the balancer a command line, an options file, a structured log and figures

Need: the parts to come must be switched on somewhere, and an operator must see them. The program took no argument, read the platform's JSON only and wrote free text to standard error, blocking where nobody read it.

Change: `herondock run` and `check` (clap); options from a file, the environment and `--set`, each with its source; unknown keys refused with the nearest known one; SIGHUP takes over what may change, whole or not at all. Events have stable names and fields (tracing), as text or JSON, from a thread of their own (tracing-appender), held to a rate per cause; what is left out or dropped is counted. Counters and percentiles go to figures.json where asked for.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -14,7 +14,7 @@
 
 /// Plays fleets of balancers between emulated upstreams, discovery and clients, with faults between them.
 #[derive(Parser)]
-#[command(version, about, max_term_width = 100)]
+#[command(version, max_term_width = 100)]
 struct Cli {
     #[command(subcommand)]
     verb: Verb,
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -95,7 +95,7 @@
                 }
             };
             self.link = None;
-            eprintln!("discovery: {error}");
+            tracing::info!(target: "discovery", event = "discovery_failed", error, "discovery: {error}");
             user.list_failed();
             if pushed {
                 // A move ends the pause: the new address has not failed yet.
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -1,5 +1,6 @@
 //! The one owner of the decision module: feeds it events in order, carries out its actions, keeps its clock,
 //! its timers and the ids of requests and attempts. Nothing is decided here.
+use crate::figures::{name_of, Ended as How, Figures, Now};
 use crate::listing::{ListUser, Listing};
 use crate::message::{Answer, Outgoing};
 use crate::upstream::{Ended, Transport, Upstream};
@@ -25,6 +26,8 @@
     /// Taken when the final answer is given or the client is gone.
     reply: Option<oneshot::Sender<Answer>>,
     out: Rc<Outgoing>,
+    /// When it was taken, if anybody wants to know how long it takes.
+    taken: Option<Instant>,
     deadline: Millis,
     sends: u32,
     running: u32,
@@ -67,6 +70,7 @@
     timer_seq: u64,
     events: VecDeque<Event>,
     listed: bool,
+    figures: Option<Figures>,
 }
 
 struct Shared {
@@ -98,6 +102,8 @@
     pub drain_grace: Duration,
     /// Most requests open at once.
     pub max_open: usize,
+    /// Where it is counted what becomes of requests and attempts, if anywhere.
+    pub figures: Option<Figures>,
 }
 
 /// A request that waits for its final answer. Dropping it tells the module that the client is gone.
@@ -128,7 +134,7 @@
 impl Handle {
     /// Sets the driver up; [`Handle::run`] must run for its timers to fire.
     pub fn new(parts: Parts) -> Handle {
-        let Parts { balancer, start, start_ms, transport, drain_grace, max_open } = parts;
+        let Parts { balancer, start, start_ms, transport, drain_grace, max_open, figures } = parts;
         let driver = Driver {
             balancer,
             start,
@@ -144,6 +150,7 @@
             timer_seq: 0,
             events: VecDeque::new(),
             listed: false,
+            figures,
         };
         let shared = Shared { driver: RefCell::new(driver), timers: Notify::new(), subscribe: Notify::new() };
         Handle(Rc::new(shared))
@@ -186,6 +193,16 @@
         self.0.driver.borrow().listed
     }
 
+    /// The figures with what holds now, if anything is counted.
+    pub fn figures<T>(&self, of: impl FnOnce(&Figures, Now) -> T) -> Option<T> {
+        let d = self.0.driver.borrow();
+        let ready = d.upstreams.values().filter(|(_, a, _)| *a == Availability::Ready).count() as u64;
+        let listed = d.upstreams.values().filter(|(_, a, _)| *a != Availability::Gone).count() as u64;
+        let open = d.open.values().filter(|o| o.reply.is_some()).count() as u64;
+        let now = Now { at_ms: d.now(), up_ms: d.now() - d.start_ms, open, listed, ready };
+        d.figures.as_ref().map(|f| of(f, now))
+    }
+
     /// Requests that have no final answer yet.
     pub fn open(&self) -> usize {
         self.0.driver.borrow().open.values().filter(|o| o.reply.is_some()).count()
@@ -210,7 +227,13 @@
         let (reply, answer) = oneshot::channel();
         let (id, deadline) = {
             let mut d = self.0.driver.borrow_mut();
+            if let Some(f) = &mut d.figures {
+                f.taken();
+            }
             if d.open.len() >= d.max_open {
+                if let Some(f) = &mut d.figures {
+                    f.ended(How::Full, 0.0);
+                }
                 return None;
             }
             while d.open.contains_key(&RequestId(d.next_id)) {
@@ -219,7 +242,9 @@
             let id = RequestId(d.next_id);
             d.next_id = d.next_id.wrapping_add(1);
             let deadline = d.now() + (patience - ANSWER_MARGIN).max(0.0);
-            let open = Open { reply: Some(reply), out: Rc::new(out), deadline, sends: 0, running: 0 };
+            tracing::debug!(target: "requests", event = "request_taken", request = out.id(), class, tenant);
+            let (taken, out) = (d.watched().then(Instant::now), Rc::new(out));
+            let open = Open { reply: Some(reply), out, taken, deadline, sends: 0, running: 0 };
             d.open.insert(id, open);
             (id, deadline)
         };
@@ -248,6 +273,7 @@
             if d.open.get_mut(&id).and_then(Open::end).is_none() {
                 return;
             }
+            d.note_ended(id, How::Left);
             d.forget(id);
         }
         self.feed(Event::ClientGone(id));
@@ -283,8 +309,10 @@
                     d.events.push_back(event);
                 }
             }
-            Action::Refuse { request, retry_after } => d.answer(request, Answer::Refused { retry_after }),
-            Action::Fail { request } => d.answer(request, Answer::Failed),
+            Action::Refuse { request, retry_after, reason } => {
+                d.answer(request, Answer::Refused { retry_after }, How::Refused(reason));
+            }
+            Action::Fail { request } => d.answer(request, Answer::Failed, How::Failed),
             Action::CloseIdle(id) => {
                 if let Some((upstream, ..)) = d.upstreams.get(&id) {
                     upstream.close_idle();
@@ -296,7 +324,7 @@
                 d.set_timer(Instant::now() + after, Due::Module(token));
                 self.0.timers.notify_one();
             }
-            Action::Log(line) => eprintln!("{line}"),
+            Action::Log(line) => tracing::info!(target: "module", event = "module", "{line}"),
         }
     }
 
@@ -338,6 +366,7 @@
             handle.ended(id, number, ending, answer);
         });
         let due = d.set_timer(until, Due::Attempt(id, number));
+        d.note_attempt(id, number, to);
         let attempt = Attempt { upstream: to, sent: now, task: task.abort_handle(), due };
         d.attempts.insert((id, number), attempt);
         self.0.timers.notify_one();
@@ -350,13 +379,22 @@
     }
 
     fn listed(&self, listing: &Listing) {
-        self.0.driver.borrow_mut().note_list(listing, listing.full);
+        {
+            let mut d = self.0.driver.borrow_mut();
+            d.note_list(listing, listing.full);
+            if let Some(f) = &mut d.figures {
+                f.list(true);
+            }
+        }
         let members = listing.members().collect();
         let news = if listing.full { Membership::Full(members) } else { Membership::Delta(members) };
         self.feed(Event::Membership(news));
     }
 
     fn list_failed(&self) {
+        if let Some(f) = &mut self.0.driver.borrow_mut().figures {
+            f.list(false);
+        }
         self.feed(Event::Membership(Membership::Failed));
     }
 }
@@ -391,27 +429,77 @@
         self.timers.remove(&attempt.due);
         self.forget_upstream(attempt.upstream);
         let duration = attempt.sent.elapsed().as_secs_f64() * 1000.0;
+        if let Some(f) = &mut self.figures {
+            f.attempt_ended(ending, duration);
+        }
+        if self.watched() {
+            let request = self.open.get(&id).map_or("", |open| open.out.id());
+            let reason = name_of(ending);
+            tracing::debug!(target: "attempts", event = "attempt_ended", request, attempt = number, reason, ms = duration);
+        }
+        let mut served = false;
         let mut closed = true;
         if let Some(open) = self.open.get_mut(&id) {
             open.running -= 1;
             if let Some((reply, answer)) = answer.and_then(|a| Some((open.end()?, a))) {
+                served = true;
                 // A client that left in the same instant gets nothing; it is no longer owed anything.
                 let _ = reply.send(answer);
             }
             closed = open.reply.is_none();
         }
+        if served {
+            self.note_ended(id, How::Served);
+        }
         self.forget(id);
         Some(Event::Outcome { request: id, attempt: number, ending, duration, closed })
     }
 
-    fn answer(&mut self, id: RequestId, answer: Answer) {
+    fn answer(&mut self, id: RequestId, answer: Answer, how: How) {
         if let Some(reply) = self.open.get_mut(&id).and_then(Open::end) {
             // A client that left in the same instant gets nothing; it is no longer owed anything.
             let _ = reply.send(answer);
+            self.note_ended(id, how);
         }
         self.forget(id);
     }
 
+    /// Whether anybody wants to know of single requests. Nothing is looked up or timed for it otherwise.
+    fn watched(&self) -> bool {
+        self.figures.is_some()
+            || tracing::enabled!(target: "requests", tracing::Level::DEBUG)
+            || tracing::enabled!(target: "attempts", tracing::Level::DEBUG)
+    }
+
+    /// Counts and logs the end of a request.
+    fn note_ended(&mut self, id: RequestId, how: How) {
+        if !self.watched() {
+            return;
+        }
+        let Some(open) = self.open.get(&id) else { return };
+        let ms = open.taken.map_or(0.0, |at| at.elapsed().as_secs_f64() * 1000.0);
+        tracing::debug!(target: "requests", event = "request_ended", request = open.out.id(), reason = how.name(), ms);
+        if let Some(f) = &mut self.figures {
+            f.ended(how, ms);
+        }
+    }
+
+    /// Counts and logs the start of an attempt.
+    fn note_attempt(&mut self, id: RequestId, number: u32, to: UpstreamId) {
+        if !self.watched() {
+            return;
+        }
+        let (Some(open), Some((upstream, ..))) = (self.open.get(&id), self.upstreams.get(&to)) else {
+            return;
+        };
+        let (request, zone) = (open.out.id(), upstream.zone);
+        let upstream = upstream.name.as_str();
+        tracing::debug!(target: "attempts", event = "attempt_began", request, attempt = number, upstream, zone);
+        if let Some(f) = &mut self.figures {
+            f.attempt(zone);
+        }
+    }
+
     /// Forgets a request that is answered and has nothing out.
     fn forget(&mut self, id: RequestId) {
         if self.open.get(&id).is_some_and(|o| o.reply.is_none() && o.running == 0) {
@@ -453,7 +541,7 @@
         }
         for entry in &listing.entries {
             let m = &entry.member;
-            let fresh = || (Upstream::new(entry.addr), m.availability, m.since);
+            let fresh = || (Upstream::new(entry.name.clone(), m.zone, entry.addr), m.availability, m.since);
             let (upstream, availability, since) = self.upstreams.entry(m.id).or_insert_with(fresh);
             // Another address or another start: the old connections lead nowhere.
             if upstream.addr.replace(entry.addr) != entry.addr || *since != m.since {
--- a/node/src/listing.rs
+++ b/node/src/listing.rs
@@ -42,6 +42,8 @@
 /// One upstream of an answer: its line for the module and its address.
 #[derive(Clone, Debug)]
 pub struct Entry {
+    /// Its name in discovery.
+    pub name: String,
     /// What the module is told.
     pub member: Member,
     /// Where it listens, as this balancer sees it.
@@ -87,7 +89,7 @@
     let zone = names.zones.iter().position(|z| *z == e.zone).map_or(u16::MAX, |i| i as u16);
     let kind = names.kinds.iter().position(|k| *k == e.kind).map_or(u8::MAX, |i| i as u8);
     let (id, group, since) = (upstream_id(&e.id), e.cell, e.started_ms);
-    Ok(Entry { member: Member { id, zone, kind, group, availability, since }, addr: e.addr })
+    Ok(Entry { name: e.id, member: Member { id, zone, kind, group, availability, since }, addr: e.addr })
 }
 
 /// A stable id for an upstream's name, the same at every balancer (FNV-1a): the module spreads the balancers
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -4,20 +4,28 @@
 mod config;
 mod discovery;
 mod driver;
+mod figures;
 mod listing;
+mod log;
 mod message;
+mod options;
 mod server;
 mod sockets;
 mod upstream;
 
+use clap::{Parser, Subcommand};
 use config::Config;
 use discovery::Discovery;
 use driver::{Handle, Parts};
+use figures::Figures;
 use listing::Names;
+use log::Logging;
 use oakflow::{Balancer, Millis};
+use options::{Loaded, Options, Sources};
 use server::{Phase, Server};
 use sockets::Sockets;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -42,34 +50,190 @@
     Config::parse(&text)
 }
 
+/// A load balancer for services that call services. Without a verb it runs.
+#[derive(Parser)]
+#[command(version, max_term_width = 100)]
+struct Cli {
+    #[command(subcommand)]
+    verb: Option<Verb>,
+}
+
+#[derive(Subcommand)]
+enum Verb {
+    /// Serve, as the JSON file that NODE_CONFIG names says.
+    Run(OptionArguments),
+    /// Read the configuration and the options, print what they come to and where each option came from, and end:
+    /// 0 if the balancer could start with them, 2 if not. Nothing listens.
+    Check(OptionArguments),
+}
+
+#[derive(clap::Args, Default)]
+struct OptionArguments {
+    /// The options file [default: what HERONDOCK_OPTIONS names, or none]
+    #[arg(long, value_name = "FILE")]
+    options: Option<PathBuf>,
+    /// Set one option, whatever file and environment say.
+    #[arg(long, value_name = "KEY=VALUE")]
+    set: Vec<String>,
+}
+
+impl OptionArguments {
+    fn sources(self) -> Sources {
+        let named = || std::env::var_os(options::FILE).filter(|path| !path.is_empty()).map(PathBuf::from);
+        Sources { file: self.options.or_else(named), set: self.set }
+    }
+}
+
+/// Unusable options, or a configuration that `check` finds unusable.
+const UNUSABLE: u8 = 2;
+
 fn main() -> ExitCode {
+    // The platform starts it with no word at all: what that needs of memory is what the balancer itself needs.
+    let verb = if std::env::args_os().len() > 1 { Cli::parse().verb } else { None };
+    let (check, arguments) = match verb {
+        None => (false, OptionArguments::default()),
+        Some(Verb::Run(arguments)) => (false, arguments),
+        Some(Verb::Check(arguments)) => (true, arguments),
+    };
+    let sources = arguments.sources();
+    let failed = |message: String, code: u8| {
+        eprintln!("herondock: {}", message.replace('\n', " "));
+        ExitCode::from(code)
+    };
+    let loaded = match sources.load().and_then(|loaded| loaded.usable().map(|()| loaded)) {
+        Ok(loaded) => loaded,
+        Err(message) => return failed(message, UNUSABLE),
+    };
+    if check {
+        return match load() {
+            Ok(config) => {
+                print!("{}", told(&config, &loaded));
+                ExitCode::SUCCESS
+            }
+            Err(message) => failed(message, UNUSABLE),
+        };
+    }
+    let logging = match Logging::start(&loaded.options.log) {
+        Ok(logging) => logging,
+        Err(message) => return failed(message, 1),
+    };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let done = load().and_then(|config| {
         let runtime = runtime.map_err(|e| e.to_string())?;
-        tokio::task::LocalSet::new().block_on(&runtime, run(config))
+        tokio::task::LocalSet::new().block_on(&runtime, run(config, sources, loaded.options, &logging))
     });
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("herondock: {}", message.replace('\n', " "));
-            ExitCode::FAILURE
+            // What waits in the log goes first.
+            drop(logging);
+            failed(message, 1)
         }
     }
 }
 
-/// Reads the configuration again. Only discovery's address may change while the program runs; what cannot be
-/// read changes nothing.
-fn reload(name: &str, discovery: &watch::Sender<SocketAddr>) {
-    match load() {
-        Ok(config) => {
-            eprintln!("{name}: reloaded, discovery at {}", config.discovery);
-            discovery.send_replace(config.discovery);
+/// What a balancer would start with, a line each.
+fn told(config: &Config, loaded: &Loaded) -> String {
+    let d = &config.deployment;
+    let known = config.known.as_ref().map_or(0, |k| k.entries.len());
+    let mut text = format!(
+        "{}: listens at {}, discovery at {}\n{} classes, {} tenants, {} zones, {known} upstreams known, {} descriptors\n",
+        config.name,
+        config.listen,
+        config.discovery,
+        d.classes.len(),
+        d.tenants.len(),
+        d.zones.len(),
+        config.sockets
+    );
+    for (key, value) in loaded.shown() {
+        let source = loaded.source(&key);
+        text.push_str(&format!("{key:<24} {value:<24} {source}\n"));
+    }
+    text
+}
+
+/// Reads configuration and options again. Each is taken over whole or not at all, and by itself: what cannot be read,
+/// and what cannot change while the program runs, changes nothing.
+struct Reload<'a> {
+    name: &'a str,
+    discovery: watch::Sender<SocketAddr>,
+    sources: Sources,
+    options: watch::Sender<Options>,
+    logging: &'a Logging,
+}
+
+impl Reload<'_> {
+    fn again(&self) {
+        let name = self.name;
+        match load() {
+            Ok(config) => {
+                let at = config.discovery;
+                tracing::info!(target: "run", event = "reloaded", discovery = %at, "{name}: reloaded, discovery at {at}");
+                self.discovery.send_replace(at);
+            }
+            Err(error) => {
+                let error = error.replace('\n', " ");
+                tracing::warn!(target: "run", event = "not_reloaded", error, "{name}: not reloaded: {error}");
+            }
+        }
+        let before = self.options.borrow().clone();
+        let loaded = self.sources.load().and_then(|loaded| {
+            loaded.usable()?;
+            loaded.follows(&before).map(|()| loaded.options)
+        });
+        match loaded {
+            Ok(options) if options == before => {}
+            Ok(options) => {
+                self.logging.change(&options.log);
+                self.options.send_replace(options);
+                tracing::info!(target: "run", event = "options_reloaded", "{name}: options reloaded");
+            }
+            Err(error) => {
+                let error = error.replace('\n', " ");
+                tracing::warn!(target: "run", event = "options_not_reloaded", error, "{name}: options not reloaded: {error}");
+            }
+        }
+    }
+}
+
+/// Makes a snapshot of the figures now and then, and one when it is told to end.
+async fn tell_figures(
+    handle: Handle,
+    mut options: watch::Receiver<Options>,
+    logging: &Logging,
+    mut file: Option<figures::File>,
+    mut end: watch::Receiver<bool>,
+) {
+    loop {
+        let now = options.borrow_and_update().figures.clone();
+        let last = tokio::select! {
+            () = tokio::time::sleep(now.every) => false,
+            changed = options.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                continue;
+            }
+            _ = end.wait_for(|end| *end) => true,
+        };
+        let skipped = file.as_ref().map_or(0, figures::File::skipped);
+        let snapshot = handle.figures(|f, now| f.snapshot(now, logging.lines(), skipped));
+        // Names and numbers only: there is nothing in it that JSON can't hold.
+        let text = snapshot.and_then(|s| serde_json::to_string(&s).ok()).unwrap_or_default();
+        if now.log {
+            tracing::info!(target: "figures", event = "figures", figures = text.as_str());
+        }
+        if let Some(file) = &mut file {
+            file.write(text);
+        }
+        if last {
+            return;
         }
-        Err(message) => eprintln!("{name}: not reloaded: {}", message.replace('\n', " ")),
     }
 }
 
-async fn run(config: Config) -> Result<(), String> {
+async fn run(config: Config, sources: Sources, options: Options, logging: &Logging) -> Result<(), String> {
     let (start, start_ms) = (Instant::now(), driver::unix_ms());
     let Config { name, listen, discovery, seed, sockets, known, deployment } = config;
     let mut term = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
@@ -83,6 +247,11 @@
         span(deployment.policy.idle_close.min(86_400_000.0)),
         budget.clone(),
     );
+    let on = options.figures.on();
+    let file = match options.figures.dir.as_path() {
+        dir if dir.as_os_str().is_empty() => None,
+        dir => Some(figures::File::start(dir)?),
+    };
     let handle = Handle::new(Parts {
         balancer,
         start,
@@ -90,11 +259,12 @@
         transport,
         drain_grace: span(deployment.drain_grace),
         max_open: usize::try_from(deployment.max_open).unwrap_or(usize::MAX),
+        figures: on.then(|| Figures::new(&name, &deployment.zones, deployment.policy.zone)),
     });
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("listen: {listen}: {e}"))?;
     let address = listener.local_addr().map_err(|e| format!("listen: {listen}: {e}"))?;
     let timers = handle.clone();
-    let timers = tokio::task::spawn_local(async move { timers.run().await });
+    let mut timers = tokio::task::spawn_local(async move { timers.run().await });
     handle.cached(known.as_ref());
     let (moved, discovery) = watch::channel(discovery);
     let watcher = Discovery::new(discovery, Names::of(&deployment), known.as_ref().map(|k| k.version));
@@ -103,21 +273,35 @@
     let (phase, phases) = watch::channel(Phase::Up);
     let served =
         tokio::task::spawn_local(Server::new(handle.clone(), deployment, budget, phases).run(listener));
-    eprintln!("{name}: serving on {address}");
+    tracing::info!(target: "run", event = "serving", address = %address, "{name}: serving on {address}");
+    let (options, changed) = watch::channel(options);
+    let (ending, end) = watch::channel(false);
+    let counted = async {
+        if on {
+            tell_figures(handle.clone(), changed, logging, file, end).await;
+        }
+    };
+    let mut counted = std::pin::pin!(counted);
+    let mut counting = on;
+    let again = Reload { name: &name, discovery: moved, sources, options, logging };
 
     let reloads = async {
         while hup.recv().await.is_some() {
-            reload(&name, &moved);
+            again.again();
         }
     };
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-        // Without timers no request would end: better to stop at once, seen by all.
-        end = timers => return Err(format!("the timers stopped: {end:?}")),
-        () = reloads => return Err("no signals any more".into()),
+    let mut reloads = std::pin::pin!(reloads);
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            // Without timers no request would end: better to stop at once, seen by all.
+            end = &mut timers => return Err(format!("the timers stopped: {end:?}")),
+            () = &mut reloads => return Err("no signals any more".into()),
+            () = &mut counted, if counting => counting = false,
+        }
     }
-    eprintln!("{name}: told to end");
+    tracing::info!(target: "run", event = "told_to_end", "{name}: told to end");
     let told = Instant::now();
     let answered = told + span(longest.min(DEADLINE_MOST)) + ANSWERED;
     phase.send_replace(Phase::Leaving(answered));
@@ -125,7 +309,13 @@
     tokio::time::sleep_until((answered - LAST_ANSWERS).max(told + STILL_ACCEPTING)).await;
     phase.send_replace(Phase::Closing);
     if tokio::time::timeout_at(answered + WRITTEN, served).await.is_err() {
-        eprintln!("{name}: callers are still connected at the end, {} requests unanswered", handle.open());
+        let open = handle.open();
+        let said = "callers are still connected at the end";
+        tracing::warn!(target: "run", event = "ended_unanswered", open, "{name}: {said}, {open} requests unanswered");
+    }
+    ending.send_replace(true);
+    if counting {
+        counted.await;
     }
     Ok(())
 }
--- a/node/src/message.rs
+++ b/node/src/message.rs
@@ -71,6 +71,11 @@
 }
 
 impl Outgoing {
+    /// Its id, for the log.
+    pub fn id(&self) -> &str {
+        self.headers.get("req-id").and_then(|id| id.to_str().ok()).unwrap_or_default()
+    }
+
     /// The request, for one attempt.
     pub fn request(&self) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
         let mut request = Request::builder()
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -134,7 +134,7 @@
                 // Out of descriptors, or a caller that left at once: no reason to end, nor to spin.
                 Err(e) => {
                     if !std::mem::replace(&mut failing, true) {
-                        eprintln!("accept: {e}");
+                        tracing::warn!(target: "callers", event = "accept_failed", error = %e, "accept: {e}");
                     }
                     self.close_one();
                     tokio::time::sleep(ACCEPT_PAUSE).await;
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -49,6 +49,10 @@
 
 /// One upstream: where it is, and the connections to it that carry nothing now.
 pub struct Upstream {
+    /// Its name in discovery.
+    pub name: String,
+    /// Its zone, by position.
+    pub zone: u16,
     /// Where it listens.
     pub addr: Cell<SocketAddr>,
     /// After this nothing may be written to it: it drains or is gone, and the grace is over.
@@ -58,8 +62,9 @@
 
 impl Upstream {
     /// An upstream that nothing is connected to yet.
-    pub fn new(addr: SocketAddr) -> Rc<Upstream> {
-        Rc::new(Upstream { addr: Cell::new(addr), closes: Cell::new(None), idle: RefCell::default() })
+    pub fn new(name: String, zone: u16, addr: SocketAddr) -> Rc<Upstream> {
+        let (addr, closes, idle) = (Cell::new(addr), Cell::new(None), RefCell::default());
+        Rc::new(Upstream { name, zone, addr, closes, idle })
     }
 
     /// Closes the connections that carry no call now.
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -365,6 +365,11 @@
     /// Replaces its configuration and tells it so.
     pub fn reload(&self, config: &str) {
         std::fs::write(&self.config, config).expect("writes the configuration");
+        self.hang_up();
+    }
+
+    /// Tells it to read everything again.
+    pub fn hang_up(&self) {
         self.signal("HUP");
     }
 
@@ -375,8 +380,13 @@
 
     /// Waits until it has logged a line with this text.
     pub fn logs(&self, text: &str) {
+        self.logs_times(text, 1);
+    }
+
+    /// The same until it has logged so many.
+    pub fn logs_times(&self, text: &str, times: usize) {
         let started = Instant::now();
-        while !self.log().iter().any(|l| l.contains(text)) {
+        while self.log().iter().filter(|l| l.contains(text)).count() < times {
             assert!(started.elapsed() < PATIENCE, "{text:?} is not in {:?}", self.log());
             thread::yield_now();
         }
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -297,7 +297,7 @@
                 r[1..5].copy_from_slice(&request.0.to_be_bytes());
                 r[5..7].copy_from_slice(&(*attempt as u16).to_be_bytes());
             }
-            Action::Refuse { request, retry_after } => {
+            Action::Refuse { request, retry_after, .. } => {
                 let r = self.record(3);
                 r[1..5].copy_from_slice(&request.0.to_be_bytes());
                 r[5..13].copy_from_slice(&retry_after.to_be_bytes());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -258,6 +258,19 @@
     }
 }
 
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// Its tenant is over its limit, and what is learned to be there is used up.
+    OverLimit,
+    /// Less time is left than answers take.
+    TooLittleTime,
+    /// No upstream can be sent to.
+    NoUpstream,
+    /// An attempt failed, and no other may or can be made.
+    GivenUp,
+}
+
 /// A client's request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Request {
@@ -346,6 +359,8 @@
         request: RequestId,
         /// How long the client should stay away; zero: no advice.
         retry_after: Millis,
+        /// Why, for the operator.
+        reason: Refusal,
     },
     /// Final answer: failed, with no promise about its effect.
     Fail {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -939,16 +939,17 @@
             _ => p.ran.is_none(),
         };
         p.over = true;
+        let reason = if p.sends > 0 { Refusal::GivenUp } else { Refusal::NoUpstream };
         if p.out.is_empty() {
             self.pending.remove(&id);
         }
-        actions.push(if harmless { self.refusal(id) } else { Action::Fail { request: id } });
+        actions.push(if harmless { self.refusal(id, reason) } else { Action::Fail { request: id } });
     }
 
-    fn refusal(&mut self, request: RequestId) -> Action {
+    fn refusal(&mut self, request: RequestId, reason: Refusal) -> Action {
         // Until the next cycle has begun, with jitter, so that those who heed it do not return together.
         let retry_after = (CYCLE * (0.5 + unit(&mut self.rng))).min(self.settings.max_retry_after);
-        Action::Refuse { request, retry_after }
+        Action::Refuse { request, retry_after, reason }
     }
 
     fn request(&mut self, now: Millis, r: Request, actions: &mut Vec<Action>) {
@@ -961,8 +962,13 @@
         let classes = &self.settings.classes;
         let short = |c: &Class| r.deadline - now < self.fleet.soonest() * c.objective;
         let hopeless = |c: &Class| self.admission.inflight > 0.0 && short(c);
-        if classes.get(r.class).is_none_or(hopeless) || !self.admission.admit(r.tenant, now) {
-            let refusal = self.refusal(r.id);
+        let refused = if classes.get(r.class).is_none_or(hopeless) {
+            Some(Refusal::TooLittleTime)
+        } else {
+            (!self.admission.admit(r.tenant, now)).then_some(Refusal::OverLimit)
+        };
+        if let Some(reason) = refused {
+            let refusal = self.refusal(r.id, reason);
             return actions.push(refusal);
         }
         let class = r.class;
