Set what balancers count against what the lab saw, and spoil their state folders between starts

Need: a figure that differs from what others saw is a bug, and nobody looked; a restart with an emptied, old, truncated or bit-flipped folder is to be playable before there is a state to lose.

Change: `[options]` in experiments, written for each balancer with a folder of its own; after a run the lab reads figures.json of each balancer that ran through and compares requests, their ends and attempts (`audit`), where only ends that the two sides may rightly see differently may differ. A new rule, broken in a test by a pass-through that writes twice what it took. `state` on kills and planned restarts (`state`); the test with six processes flips bits in a folder.

--- /dev/null
+++ b/lab/src/audit.rs
@@ -0,0 +1,68 @@
+//! Sets what balancers count of themselves against what the lab's stand-ins saw.
+use crate::oracle::Seen;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+
+/// The part of a balancer's figures that the lab can check.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Counted {
+    /// When they were taken: Unix time, in milliseconds.
+    pub at_ms: f64,
+    requests: u64,
+    #[serde(default)]
+    ended: BTreeMap<String, u64>,
+    attempts: u64,
+    #[serde(default)]
+    attempts_ended: BTreeMap<String, u64>,
+}
+
+/// What differs, in one line; nothing if all can be so.
+///
+/// Where a caller left, or a connection broke, the two sides may rightly see another end of the same request: so many
+/// may differ, and no more.
+pub fn differs(counted: &Counted, seen: &Seen) -> Option<String> {
+    let sum = |of: &BTreeMap<String, u64>, of_name: &dyn Fn(&str) -> bool| -> u64 {
+        of.iter().filter(|(name, _)| of_name(name)).map(|(_, n)| n).sum()
+    };
+    let ended = |name: &str| sum(&counted.ended, &|n| n == name);
+    let refused = sum(&counted.ended, &|n| n.starts_with("refused"));
+    let open = seen.unclear;
+    let mut wrong = Vec::new();
+    let mut set = |what: &str, counted: u64, seen: u64, may: u64| {
+        if counted.abs_diff(seen) > may {
+            wrong.push(format!("{what}: counted {counted}, seen {seen}"));
+        }
+    };
+    set("requests", counted.requests, seen.taken, open);
+    set("served", ended("served"), seen.served, open);
+    set("refused", refused, seen.refused, open);
+    set("failed", ended("failed"), seen.failed, open);
+    // What never reached an upstream was seen by nobody; what was given up may or may not have reached one.
+    let never = sum(&counted.attempts_ended, &|n| matches!(n, "not_connected" | "not_sent"));
+    let perhaps = sum(&counted.attempts_ended, &|n| matches!(n, "timed_out" | "cancelled" | "reset"));
+    let whole = counted.attempts.saturating_sub(never);
+    let nearest = seen.attempts.clamp(whole.saturating_sub(perhaps), whole);
+    set("attempts", nearest, seen.attempts, open);
+    (!wrong.is_empty()).then(|| wrong.join("; "))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_figure_that_differs_is_named_and_what_may_differ_is_not() {
+        let seen = Seen { taken: 10, served: 6, refused: 2, failed: 1, unclear: 1, attempts: 8 };
+        let text = r#"{"at_ms": 1, "requests": 10, "ended": {"served": 7, "refused_over_limit": 2, "failed": 1},
+            "attempts": 10, "attempts_ended": {"served": 7, "not_connected": 1, "error": 1, "timed_out": 1}}"#;
+        let counted: Counted = serde_json::from_str(text).expect("figures");
+        assert_eq!(differs(&counted, &seen), None);
+        let off = Counted { requests: 12, ..counted.clone() };
+        assert_eq!(differs(&off, &seen).as_deref(), Some("requests: counted 12, seen 10"));
+        let off = Counted { attempts: 13, ..counted.clone() };
+        assert!(differs(&off, &seen).is_some_and(|d| d.starts_with("attempts")));
+        let ended = BTreeMap::from([("served".to_string(), 4)]);
+        assert!(differs(&Counted { ended, ..counted }, &seen)
+            .is_some_and(|d| d.contains("served: counted 4, seen 6")));
+    }
+}
--- a/lab/src/draw.rs
+++ b/lab/src/draw.rs
@@ -2,7 +2,7 @@
 //! at the machine it runs on, so that one seed gives the same draw anywhere.
 //!
 //! Each part draws from a stream of its own: another fault, or one more upstream, leaves the requests as they were.
-use crate::experiment::{Experiment, Fault, FaultKind, Kind, Millis, Range, Role, Span, Target};
+use crate::experiment::{Damage, Experiment, Fault, FaultKind, Kind, Millis, Range, Role, Span, Target};
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp, LogNormal};
 use rand_pcg::Pcg64Mcg;
@@ -149,6 +149,8 @@
     pub size: f64,
     /// The time that datagrams take.
     pub delay: Option<(Millis, Millis)>,
+    /// What happens to state folders.
+    pub state: Option<Damage>,
 }
 
 /// All of a run that is known before it starts.
@@ -511,7 +513,17 @@
         let to = fault.to.as_ref().map(|t| members(t, fault.kind, rng)).unwrap_or_default();
         let delay = fault.delay.map(|s| (s.0.least, s.0.most));
         let until = (at + lasts).min(length + 60_000.0);
-        PlannedFault { kind: fault.kind, at, until, on, to, one_way: fault.one_way, size, delay }
+        PlannedFault {
+            kind: fault.kind,
+            at,
+            until,
+            on,
+            to,
+            one_way: fault.one_way,
+            size,
+            delay,
+            state: fault.state,
+        }
     };
     e.faults.iter().map(draw_one).collect()
 }
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -163,6 +163,10 @@
     /// What balancers are given and held to.
     #[serde(default)]
     pub balancer: Balancer,
+    /// Options of the balancers, as their options file has them. `{state}` in a text stands for the balancer's own
+    /// folder, which outlives it.
+    #[serde(default)]
+    pub options: toml::Table,
     /// What goes wrong, and when.
     #[serde(default, rename = "fault")]
     pub faults: Vec<Fault>,
@@ -639,6 +643,20 @@
     DiscoveryMove,
 }
 
+/// What happens to a state folder between two starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Damage {
+    /// Everything in it is lost.
+    Emptied,
+    /// It is put back as it was half way from the start to the fault.
+    Old,
+    /// Each file ends in its middle.
+    Truncated,
+    /// One bit of each file is another.
+    Flipped,
+}
+
 /// One thing that goes wrong.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -665,6 +683,9 @@
     /// For `datagram-delay`: the time under way.
     #[serde(default)]
     pub delay: Option<Span>,
+    /// For `kill` and `terminate`: what happens to the balancer's state folder before it starts again.
+    #[serde(default)]
+    pub state: Option<Damage>,
 }
 
 /// A role in the fleet.
@@ -978,6 +999,9 @@
     if (fault.to.is_some() || fault.one_way) && fault.kind != Cut {
         return wrong("to", "only a cut has another side".into());
     }
+    if fault.state.is_some() && !matches!(fault.kind, Kill | Terminate) {
+        return wrong("state", "goes with kill and terminate only".into());
+    }
     if fault.kind == Cut && fault.to.is_none() {
         return wrong("to", "missing: a cut is between two groups".into());
     }
--- a/lab/src/faults.rs
+++ b/lab/src/faults.rs
@@ -1,13 +1,15 @@
 //! Carries the planned faults out, each at its time.
 use crate::agent::{Entry, Mood, State};
 use crate::draw::{Calls, Party, PlannedFault};
-use crate::experiment::{FaultKind, Millis, Span};
+use crate::experiment::{Damage, FaultKind, Millis, Span};
 use crate::fleet::Fleet;
 use crate::guard::Guard;
 use crate::net::{lock, Direction, Way};
+use crate::state::{copy, damage};
 use crate::world::World;
 use nix::sys::signal::Signal;
 use std::collections::HashMap;
+use std::path::PathBuf;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 
@@ -74,6 +76,15 @@
     for fault in fleet.world.plan.faults.clone() {
         let (fleet, guard, news) = (fleet.clone(), guard.clone(), news.clone());
         tokio::spawn(async move {
+            if fault.state == Some(Damage::Old) {
+                fleet.world.clock.until(fault.at / 2.0).await;
+                for party in &fault.on {
+                    let Party::Balancer(b) = *party else { continue };
+                    if let Err(e) = copy(&fleet.balancers[b].state, &old_state(&fleet, b)) {
+                        tracing::warn!("a copy of a state folder: {e}");
+                    }
+                }
+            }
             fleet.world.clock.until(fault.at).await;
             tracing::info!(kind = ?fault.kind, on = fault.on.len(), "fault begins");
             if let Err(e) = carry_out(&fleet, &fault, &guard, &news).await {
@@ -108,8 +119,12 @@
         })
         .collect();
     match fault.kind {
-        Kill => each(balancers, |b| kill_for(fleet.clone(), guard.clone(), b, fault.until)).await?,
-        Terminate => each(balancers, |b| terminate(fleet.clone(), guard.clone(), b, fault.until)).await?,
+        Kill => {
+            each(balancers, |b| kill_for(fleet.clone(), guard.clone(), b, fault.until, fault.state)).await?
+        }
+        Terminate => {
+            each(balancers, |b| terminate(fleet.clone(), guard.clone(), b, fault.until, fault.state)).await?
+        }
         Pause => {
             for &b in &balancers {
                 lock(&world.oracle).excuse(b, world.now(), fault.until + CATCH_UP);
@@ -194,7 +209,13 @@
     Ok(())
 }
 
-async fn kill_for(fleet: Arc<Fleet>, guard: Guard, b: usize, until: Millis) -> Result<(), String> {
+async fn kill_for(
+    fleet: Arc<Fleet>,
+    guard: Guard,
+    b: usize,
+    until: Millis,
+    state: Option<Damage>,
+) -> Result<(), String> {
     let world = &fleet.world;
     kill(&fleet, b);
     let notice = front_notice(world, b);
@@ -208,6 +229,7 @@
     });
     world.clock.until(until).await;
     fleet.balancers[b].ended().await;
+    spoil(&fleet, b, state)?;
     restart(&fleet, &guard, b).await
 }
 
@@ -217,6 +239,19 @@
     fleet.balancers[b].signal(Signal::SIGKILL, true);
 }
 
+/// Where the copy of a state folder is kept that an `old` one is put back from.
+fn old_state(fleet: &Fleet, b: usize) -> PathBuf {
+    fleet.world.folder.join("old-state").join(&fleet.world.plan.balancers[b].name)
+}
+
+fn spoil(fleet: &Fleet, b: usize, how: Option<Damage>) -> Result<(), String> {
+    let Some(how) = how else { return Ok(()) };
+    let state = &fleet.balancers[b].state;
+    let mut drawn = Calls::new(fleet.world.plan.seed ^ 0xda_3a9e ^ b as u64);
+    let done = damage(state, how, &old_state(fleet, b), |bits| drawn.seed() % bits.max(1));
+    done.map_err(|e| format!("{}: {e}", state.display()))
+}
+
 async fn restart(fleet: &Arc<Fleet>, guard: &Guard, b: usize) -> Result<(), String> {
     if *fleet.world.over.borrow() {
         return Ok(());
@@ -230,7 +265,13 @@
     span.least + unit * (span.most - span.least)
 }
 
-async fn terminate(fleet: Arc<Fleet>, guard: Guard, b: usize, until: Millis) -> Result<(), String> {
+async fn terminate(
+    fleet: Arc<Fleet>,
+    guard: Guard,
+    b: usize,
+    until: Millis,
+    state: Option<Damage>,
+) -> Result<(), String> {
     let world = &fleet.world;
     let process = &fleet.balancers[b];
     let longest = world.plan.spans.iter().map(|s| s.1).fold(0.0, f64::max).min(DEADLINE_MOST);
@@ -247,6 +288,7 @@
         }
     }
     world.clock.until(until).await;
+    spoil(&fleet, b, state)?;
     restart(&fleet, &guard, b).await
 }
 
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 pub mod agent;
+pub mod audit;
 pub mod caller;
 pub mod clients;
 pub mod clock;
@@ -25,6 +26,7 @@
 pub mod results;
 pub mod run;
 pub mod stand_in;
+pub mod state;
 pub mod tally;
 pub mod upstream;
 pub mod world;
--- a/lab/src/oracle.rs
+++ b/lab/src/oracle.rs
@@ -55,11 +55,13 @@
     NotReady,
     /// Datagrams between balancers hold 256 bytes at most.
     Datagram,
+    /// What a balancer counts of itself is what others saw of it.
+    Figures,
 }
 
 impl Rule {
     /// All of them.
-    pub const ALL: [Rule; 15] = [
+    pub const ALL: [Rule; 16] = [
         Rule::Lost,
         Rule::Invented,
         Rule::Repeated,
@@ -75,6 +77,7 @@
         Rule::Crashed,
         Rule::NotReady,
         Rule::Datagram,
+        Rule::Figures,
     ];
 
     /// What it asks, in a few words.
@@ -95,6 +98,7 @@
             Rule::Crashed => "no balancer ends unless told to",
             Rule::NotReady => "every balancer ready in time",
             Rule::Datagram => "datagrams of 256 bytes at most",
+            Rule::Figures => "what a balancer counts is what others saw",
         }
     }
 }
@@ -195,6 +199,23 @@
     served: Vec<u64>,
 }
 
+/// What was seen of one balancer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Seen {
+    /// Requests written to it whole.
+    pub taken: u64,
+    /// Of these, answered 200.
+    pub served: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Answered as failed.
+    pub failed: u64,
+    /// Ended in a way that the balancer may see otherwise: the caller left, the connection broke, nothing came.
+    pub unclear: u64,
+    /// Attempts that reached an upstream.
+    pub attempts: u64,
+}
+
 /// The checks and what they found.
 pub struct Oracle {
     classes: Vec<ClassRules>,
@@ -214,6 +235,7 @@
     /// Which keys have run where, and when.
     ran: HashMap<u64, Vec<(u64, Millis)>>,
     effects_twice: u64,
+    seen: Vec<Seen>,
     checked: u64,
     turned: u64,
     /// The run is over: what its processes' ends bring about is nobody's fault.
@@ -244,6 +266,7 @@
 impl Oracle {
     /// Nothing seen yet.
     pub fn new(parts: Parts) -> Oracle {
+        let seen = vec![Seen::default(); parts.balancers.len()];
         Oracle {
             classes: parts.classes,
             places: parts.places,
@@ -258,6 +281,7 @@
             excused: HashMap::new(),
             ran: HashMap::new(),
             effects_twice: 0,
+            seen,
             checked: 0,
             turned: 0,
             closed: false,
@@ -314,6 +338,11 @@
         (&self.broken, &self.counts)
     }
 
+    /// What was seen of a balancer.
+    pub fn seen(&self, balancer: usize) -> Seen {
+        self.seen[balancer]
+    }
+
     /// Requests that were checked to their end.
     pub fn checked(&self) -> u64 {
         self.checked
@@ -328,7 +357,10 @@
     pub fn taken(&mut self, now: Millis, id: u64, class: usize, balancer: usize, deadline: Millis) {
         let fresh = Try { class, balancer, deadline, attempts: Vec::new(), over: None, served: Vec::new() };
         // An attempt may have been seen a moment before the client's own note of its last byte.
-        let known = self.tries.entry(id).or_insert(fresh);
+        let known = self.tries.entry(id).or_insert_with(|| {
+            self.seen[balancer].taken += 1;
+            fresh
+        });
         known.deadline = deadline;
         while self.old.front().is_some_and(|&(at, _)| at < now - REMEMBERED) {
             if let Some((_, id)) = self.old.pop_front() {
@@ -384,6 +416,13 @@
         let (balancer, deadline, class) = (t.balancer, t.deadline, self.classes[t.class]);
         let ran = t.attempts.iter().any(Attempt::may_have_run);
         let sent_on = !t.attempts.is_empty();
+        let seen = &mut self.seen[balancer];
+        match how {
+            Final::Served(_) => seen.served += 1,
+            Final::Refused => seen.refused += 1,
+            Final::Failed => seen.failed += 1,
+            Final::Partial | Final::Ended | Final::Turned | Final::Silence | Final::Left => seen.unclear += 1,
+        }
         let known = match how {
             Final::Served(Some(mark)) => t.served.contains(&mark),
             Final::Served(None) => false,
@@ -455,6 +494,7 @@
                 break;
             }
         }
+        self.seen[balancer].attempts += 1;
         t.attempts.push(Attempt { upstream, began: now, end: None });
         for (rule, case) in found {
             self.breaks(now, rule, case);
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -1,5 +1,6 @@
 //! A balancer as a process: its configuration, its start, its signals, what it holds, its end.
 use crate::agent::Agent;
+use crate::audit::Counted;
 use crate::draw::Calls;
 use crate::experiment::{Effect, Group, Millis};
 use crate::guard::Guard;
@@ -35,6 +36,9 @@
     command: String,
     root: PathBuf,
     config: PathBuf,
+    options: PathBuf,
+    /// Its own folder, which outlives it.
+    pub state: PathBuf,
     log: PathBuf,
     seed: u64,
     starts: AtomicUsize,
@@ -66,6 +70,8 @@
             command: program.to_string(),
             root: root.to_path_buf(),
             config: folder.join("config").join(format!("{name}.json")),
+            options: folder.join("config").join(format!("{name}.toml")),
+            state: folder.join("state").join(&name),
             log: folder.join("logs").join(format!("{name}.log")),
             seed: world.plan.seed ^ 0x5eed << 32 ^ index as u64,
             starts: AtomicUsize::new(0),
@@ -92,10 +98,30 @@
             .map_err(|e| format!("{}: {e}", self.config.display()))
     }
 
+    /// Writes its options, if the experiment has any; its own folder is there from then on.
+    fn write_options(&self, world: &World) -> Result<(), String> {
+        let told = |path: &Path, e: std::io::Error| format!("{}: {e}", path.display());
+        std::fs::create_dir_all(&self.state).map_err(|e| told(&self.state, e))?;
+        let text = world.experiment.options.to_string().replace("{state}", &self.state.display().to_string());
+        std::fs::write(&self.options, text).map_err(|e| told(&self.options, e))
+    }
+
+    /// How often it was started.
+    pub fn starts(&self) -> usize {
+        self.starts.load(Ordering::Relaxed)
+    }
+
+    /// What it has written of its figures, if it writes any.
+    pub fn figures(&self) -> Option<Counted> {
+        let text = std::fs::read(self.state.join("figures.json")).ok()?;
+        serde_json::from_slice(&text).ok()
+    }
+
     /// Starts it, and returns once it is ready. What goes wrong is the oracle's to judge.
     pub async fn start(self: &Arc<Self>, world: &Arc<World>, guard: &Guard) -> Result<(), String> {
         self.starts.fetch_add(1, Ordering::Relaxed);
         self.configure(world)?;
+        self.write_options(world)?;
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log);
         let log = log.map_err(|e| format!("{}: {e}", self.log.display()))?;
         let errors = log.try_clone().map_err(|e| format!("{}: {e}", self.log.display()))?;
@@ -108,12 +134,16 @@
             .env("NODE_LISTEN", self.listen.to_string())
             .env("NODE_DISCOVERY", world.block.agent(self.index, self.agent.moves()).to_string())
             .env("NODE_CONFIG", &self.config)
+            .env("LAB_STATE", &self.state)
             .stdin(Stdio::null())
             .stdout(Stdio::from(log))
             .stderr(Stdio::from(errors))
             // A group of its own: what the terminal sends the lab is the lab's to pass on.
             .process_group(0)
             .kill_on_drop(true);
+        if !world.experiment.options.is_empty() {
+            command.env("HERONDOCK_OPTIONS", &self.options);
+        }
         let child = command.spawn().map_err(|e| format!("{}: {}: {e}", self.name, self.command))?;
         let pid = child.id().and_then(|id| i32::try_from(id).ok()).unwrap_or(0);
         guard.watch(pid);
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -1,4 +1,5 @@
 //! Plays an experiment: one or several programs in turn on the same draw.
+use crate::audit::differs;
 use crate::clients::{ends_within, send_all, Open};
 use crate::draw::Plan;
 use crate::experiment::{Experiment, FaultKind};
@@ -7,6 +8,7 @@
 use crate::fleet::Fleet;
 use crate::guard::Guard;
 use crate::net::lock;
+use crate::oracle::Rule;
 use indicatif::{ProgressBar, ProgressStyle};
 use nix::sys::signal::Signal;
 use std::collections::BTreeMap;
@@ -19,6 +21,9 @@
 
 /// From the last balancer's being ready to the first request.
 const BREATH: Duration = Duration::from_millis(300);
+/// Figures of after the run must be written within this, and are asked for this often.
+const FIGURES_WITHIN: Duration = Duration::from_secs(10);
+const FIGURES_ASK: Duration = Duration::from_millis(50);
 /// How often processes are looked at.
 const LOOK: Duration = Duration::from_millis(1000);
 /// Clock ticks that this platform books to a process in a second.
@@ -121,11 +126,45 @@
         () = all => false,
         _ = stop.wait_for(|s| *s) => true,
     };
+    if !stopped {
+        audit(fleet).await;
+    }
     watched.abort();
     bar.finish_and_clear();
     Ok(stopped)
 }
 
+/// Sets the figures of every balancer that has run through, and writes some, against what was seen of it.
+async fn audit(fleet: &Fleet) {
+    let world = &fleet.world;
+    let over = world.clock.unix(world.now());
+    let through = fleet.balancers.iter().enumerate().filter(|(_, p)| p.starts() == 1 && p.runs());
+    for (b, process) in through {
+        let fresh = async {
+            loop {
+                match process.figures() {
+                    Some(counted) if counted.at_ms > over => return Some(counted),
+                    Some(_) => tokio::time::sleep(FIGURES_ASK).await,
+                    None => return None,
+                }
+            }
+        };
+        let name = &world.plan.balancers[b].name;
+        let counted = match timeout(FIGURES_WITHIN, fresh).await {
+            Ok(Some(counted)) => counted,
+            Ok(None) => continue,
+            Err(_) => {
+                world.breaks(Rule::Figures, format!("{name} has written no figures for {FIGURES_WITHIN:?}"));
+                continue;
+            }
+        };
+        let seen = lock(&world.oracle).seen(b);
+        if let Some(what) = differs(&counted, &seen) {
+            world.breaks(Rule::Figures, format!("{name}: {what}"));
+        }
+    }
+}
+
 /// Looks at the processes once a second and shows how it goes.
 async fn watch_over(fleet: Arc<Fleet>, open: Arc<Open>, bar: ProgressBar) {
     let world = &fleet.world;
--- a/lab/src/stand_in.rs
+++ b/lab/src/stand_in.rs
@@ -68,6 +68,8 @@
     Idles,
     /// Sends its peers more than a datagram may hold.
     Shouts,
+    /// Writes figures of twice what it took.
+    Boasts,
 }
 
 #[derive(Deserialize)]
@@ -132,6 +134,10 @@
         listen: config.listen,
         peers_all: config.peers_all,
     });
+    if wrong == Some(Wrong::Boasts) {
+        let boaster = own.clone();
+        tokio::spawn(async move { boaster.boast().await });
+    }
     let watcher = own.clone();
     tokio::spawn(async move { watcher.watch(config.discovery, config.known.version).await });
     loop {
@@ -151,6 +157,20 @@
 }
 
 impl StandIn {
+    /// Writes figures that are not so.
+    async fn boast(&self) {
+        let Some(folder) = std::env::var_os("LAB_STATE").map(std::path::PathBuf::from) else { return };
+        loop {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+            let (at, taken) = (now.map_or(0, |n| n.as_millis()), self.taken.load(Ordering::Relaxed) * 2);
+            let text = format!(r#"{{"at_ms":{at},"requests":{taken},"attempts":{taken}}}"#);
+            let (fresh, path) = (folder.join("figures.new"), folder.join("figures.json"));
+            // The lab sees whether it is there.
+            let _ = std::fs::write(&fresh, text).and_then(|()| std::fs::rename(&fresh, &path));
+        }
+    }
+
     /// Follows discovery.
     async fn watch(&self, at: SocketAddr, mut version: u64) {
         loop {
--- /dev/null
+++ b/lab/src/state.rs
@@ -0,0 +1,102 @@
+//! The folder that a balancer keeps its state in, and what may happen to it while the balancer is down.
+use crate::experiment::Damage;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+
+/// Every file below a folder, in order of their names.
+fn files(folder: &Path) -> io::Result<Vec<PathBuf>> {
+    let mut all = Vec::new();
+    for entry in fs::read_dir(folder)? {
+        let path = entry?.path();
+        if path.is_dir() {
+            all.extend(files(&path)?);
+        } else {
+            all.push(path);
+        }
+    }
+    all.sort();
+    Ok(all)
+}
+
+/// Copies a folder with all that is in it; what was at the other place is gone.
+pub fn copy(from: &Path, to: &Path) -> io::Result<()> {
+    if to.exists() {
+        fs::remove_dir_all(to)?;
+    }
+    fs::create_dir_all(to)?;
+    for file in files(from)? {
+        let Ok(below) = file.strip_prefix(from) else { continue };
+        let target = to.join(below);
+        if let Some(parent) = target.parent() {
+            fs::create_dir_all(parent)?;
+        }
+        match fs::copy(&file, &target) {
+            Ok(_) => {}
+            // It was replaced or removed this moment: its owner is at work.
+            Err(e) if e.kind() == io::ErrorKind::NotFound => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
+/// Does to a folder what a fault says; `old` is the copy that was made before. `draw` picks a bit of so many.
+pub fn damage(folder: &Path, how: Damage, old: &Path, mut draw: impl FnMut(u64) -> u64) -> io::Result<()> {
+    match how {
+        Damage::Emptied => {
+            fs::remove_dir_all(folder)?;
+            fs::create_dir_all(folder)
+        }
+        Damage::Old => copy(old, folder),
+        Damage::Truncated => {
+            for file in files(folder)? {
+                let length = fs::metadata(&file)?.len();
+                fs::OpenOptions::new().write(true).open(&file)?.set_len(length / 2)?;
+            }
+            Ok(())
+        }
+        Damage::Flipped => {
+            for file in files(folder)? {
+                let mut bytes = fs::read(&file)?;
+                if bytes.is_empty() {
+                    continue;
+                }
+                let bit = draw(bytes.len() as u64 * 8);
+                bytes[(bit / 8) as usize] ^= 1 << (bit % 8);
+                fs::write(&file, bytes)?;
+            }
+            Ok(())
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_folder_is_emptied_put_back_cut_and_flipped() {
+        let place = tempfile::TempDir::new().expect("a folder");
+        let (own, old) = (place.path().join("own"), place.path().join("old"));
+        fs::create_dir_all(own.join("inner")).expect("makes");
+        let (a, b) = (own.join("a"), own.join("inner/b"));
+        fs::write(&a, b"12345678").expect("writes");
+        fs::write(&b, b"x").expect("writes");
+        copy(&own, &old).expect("copies");
+        damage(&own, Damage::Flipped, &old, |bits| bits - 1).expect("flips");
+        assert_eq!(
+            (fs::read(&a).expect("reads"), fs::read(&b).expect("reads")),
+            (b"1234567\xb8".to_vec(), vec![0xf8])
+        );
+        damage(&own, Damage::Truncated, &old, |_| 0).expect("cuts");
+        assert_eq!((fs::read(&a).expect("reads"), fs::read(&b).expect("reads")), (b"1234".to_vec(), vec![]));
+        damage(&own, Damage::Old, &old, |_| 0).expect("puts back");
+        assert_eq!(
+            (fs::read(&a).expect("reads"), fs::read(&b).expect("reads")),
+            (b"12345678".to_vec(), b"x".to_vec())
+        );
+        damage(&own, Damage::Emptied, &old, |_| 0).expect("empties");
+        assert_eq!(files(&own).expect("reads"), Vec::<PathBuf>::new());
+    }
+}
--- a/lab/tests/fleet/fleets.rs
+++ b/lab/tests/fleet/fleets.rs
@@ -12,6 +12,9 @@
 #[test]
 fn a_fleet_keeps_every_rule_through_a_kill_a_cut_and_a_pause() {
     let faults = r#"
+[options.figures]
+dir = "{state}"
+every = "200ms"
 [clients]
 rate = 40
 front_notice = "200ms"
@@ -20,6 +23,7 @@
 at = "500ms"
 for = "500ms"
 on = { names = ["front-1"] }
+state = "flipped"
 [[fault]]
 kind = "cut"
 at = "1500ms"
@@ -35,7 +39,9 @@
     let real = format!("real=exec '{}'", herondock().display());
     let played = Played::new(&fleet(2, 2, "4s", faults), &["--program", &real, "--program", "round-robin"]);
     let play = played.play("real");
+    // Its own figures are among the rules: they are set against what the stand-ins saw.
     assert_eq!(play["counts"], serde_json::json!({}), "{}", played.said());
+    assert!(played.out().join("real-1/state/front-2/figures.json").is_file());
     assert_eq!(play["held"].as_array().map(Vec::len), Some(6));
     // The pass-through meets the same draw; what it does with it is its own.
     assert_eq!(play["figures"]["due"], played.play("round-robin")["figures"]["due"]);
@@ -179,6 +185,7 @@
     memory_over_its_limit_is_seen: "swells" breaks "memory" in small("[balancer]\nmemory_mb = 48\n");
     descriptors_over_their_limit_are_seen: "hoards" breaks "descriptors" in small("[balancer]\nsockets = 64\n");
     a_balancer_that_ends_is_seen: "dies" breaks "crashed" in small("");
+    figures_that_are_not_so_are_seen: "boasts" breaks "figures" in small("");
     a_datagram_that_is_too_long_is_seen: "shouts" breaks "datagram" in small("");
     a_balancer_that_never_gets_ready_is_seen: "idles" breaks "not-ready" in small("[balancer]\nready_within = \"1s\"\n");
 }
