Keep the start count and the last good list on disk, and serve from it while discovery is silent

Change: the crate `store/`: one checked record of each kind in a redb file, written by a thread of its own that keeps only the newest of each kind waiting; `herondock state show` and `state check`. The balancer gets the number of its start, on the disk before it is used, and its last list, if it is whole, of this deployment and not too old. What is broken is set aside, what is held or does not answer is done without, each told in one line.

The store's storage puts growth on the disk first and never shrinks; readers' panics are caught, also on closing. The test fails without that.

--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -539,6 +539,8 @@
 pub struct Discovery {
     /// Whether changes come by themselves or must be asked for.
     pub pushed: bool,
+    /// Whether a balancer that starts is given the list as it last had it.
+    pub known: bool,
     /// A new upstream is listed after this time.
     pub add: Span,
     /// One that drains or died is listed as such after this time.
@@ -553,6 +555,7 @@
     fn default() -> Self {
         Discovery {
             pushed: true,
+            known: true,
             add: Span::ms(300.0, 1700.0),
             notice: Span::ms(560.0, 3300.0),
             silent_notice: Span::ms(4500.0, 14_000.0),
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -308,7 +308,8 @@
     let ramp: Millis = tier.kinds.iter().map(|k| k.cold_for.0.most).fold(0.0, f64::max);
     let rules = &e.balancer;
     let agent = &of.agent;
-    let known: Value = serde_json::from_str(&agent.whole(world)).unwrap_or(Value::Null);
+    let list = || serde_json::from_str(&agent.whole(world)).unwrap_or(Value::Null);
+    let known: Value = if e.discovery.known { list() } else { Value::Null };
     let permissions = json!({
         "attempts_cap": rules.attempts, "cancel": true, "second_copies": false, "retry_after": true,
         "max_retry_after": 1500.0, "max_open": 20000, "multiplex": 1, "peers": rules.peers,
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -3,6 +3,7 @@
 use crate::figures::{name_of, Ended as How, Figures, Now};
 use crate::listing::{ListUser, Listing};
 use crate::message::{Answer, Outgoing};
+use crate::recovery::Recovery;
 use crate::upstream::{Ended, Transport, Upstream};
 use oakflow::{
     Action, Availability, Balancer, Ending, Event, Membership, Millis, Request, RequestId, UpstreamId,
@@ -71,6 +72,7 @@
     events: VecDeque<Event>,
     listed: bool,
     figures: Option<Figures>,
+    recovery: Option<Recovery>,
 }
 
 struct Shared {
@@ -104,6 +106,8 @@
     pub max_open: usize,
     /// Where it is counted what becomes of requests and attempts, if anywhere.
     pub figures: Option<Figures>,
+    /// Where what outlives the program is kept, if anywhere.
+    pub recovery: Option<Recovery>,
 }
 
 /// A request that waits for its final answer. Dropping it tells the module that the client is gone.
@@ -134,7 +138,7 @@
 impl Handle {
     /// Sets the driver up; [`Handle::run`] must run for its timers to fire.
     pub fn new(parts: Parts) -> Handle {
-        let Parts { balancer, start, start_ms, transport, drain_grace, max_open, figures } = parts;
+        let Parts { balancer, start, start_ms, transport, drain_grace, max_open, figures, recovery } = parts;
         let driver = Driver {
             balancer,
             start,
@@ -151,6 +155,7 @@
             events: VecDeque::new(),
             listed: false,
             figures,
+            recovery,
         };
         let shared = Shared { driver: RefCell::new(driver), timers: Notify::new(), subscribe: Notify::new() };
         Handle(Rc::new(shared))
@@ -208,6 +213,14 @@
         self.0.driver.borrow().open.values().filter(|o| o.reply.is_some()).count()
     }
 
+    /// Waits a little until what outlives the program is on the disk.
+    pub fn flush(&self) {
+        if let Some(recovery) = &self.0.driver.borrow().recovery {
+            // Where it is not, the next start has the one before.
+            recovery.flush();
+        }
+    }
+
     /// Closes an idle connection to an upstream, if there is one: its socket is needed elsewhere.
     pub fn free_socket(&self) {
         self.0.driver.borrow_mut().free_socket();
@@ -385,6 +398,12 @@
             if let Some(f) = &mut d.figures {
                 f.list(true);
             }
+            // An answer without news leaves what is kept as it is.
+            if let Some(recovery) =
+                d.recovery.as_mut().filter(|_| listing.full || !listing.entries.is_empty())
+            {
+                recovery.listed(listing);
+            }
         }
         let members = listing.members().collect();
         let news = if listing.full { Membership::Full(members) } else { Membership::Delta(members) };
--- a/node/src/figures.rs
+++ b/node/src/figures.rs
@@ -84,6 +84,8 @@
     pub at_ms: f64,
     /// Time since the start, in milliseconds.
     pub up_ms: f64,
+    /// How often the balancer has started, where that is kept.
+    pub starts: Option<u64>,
     /// Requests taken whole.
     pub requests: u64,
     /// Requests without their final answer.
@@ -131,9 +133,9 @@
 }
 
 impl Figures {
-    /// Nothing counted yet, for a balancer of this name and zone.
-    pub fn new(name: &str, zones: &[String], own_zone: u16) -> Figures {
-        let counts = Snapshot { name: name.into(), ..Snapshot::default() };
+    /// Nothing counted yet, for a balancer of this name and zone, at this start of it.
+    pub fn new(name: &str, zones: &[String], own_zone: u16, starts: Option<u64>) -> Figures {
+        let counts = Snapshot { name: name.into(), starts, ..Snapshot::default() };
         Figures { counts, to_answer: histogram(), to_end: histogram(), zones: zones.to_vec(), own_zone }
     }
 
--- a/node/src/listing.rs
+++ b/node/src/listing.rs
@@ -1,7 +1,8 @@
 //! The list of upstreams in discovery's form, and what whoever keeps the list fresh tells of it.
 use oakflow::{Availability, Member, UpstreamId};
 use oakflow_settings::Deployment;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// Names of zones and kinds, by the position that the module knows them by.
@@ -17,14 +18,15 @@
     }
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, Serialize)]
 struct RawListing {
     version: u64,
     full: bool,
     servers: Vec<RawEntry>,
 }
 
-#[derive(Deserialize)]
+/// An entry as discovery words it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
 struct RawEntry {
     id: String,
     addr: SocketAddr,
@@ -59,14 +61,16 @@
     pub full: bool,
     /// The upstreams.
     pub entries: Vec<Entry>,
+    /// The same as they came.
+    raw: Vec<RawEntry>,
 }
 
 impl Listing {
     /// Reads an answer. One bad entry spoils it whole, so that a garbled list never replaces a good one.
     pub fn parse(json: &[u8], names: &Names) -> Result<Listing, String> {
         let raw: RawListing = serde_json::from_slice(json).map_err(|e| e.to_string())?;
-        let entries = raw.servers.into_iter().map(|e| entry(e, names)).collect::<Result<_, _>>()?;
-        Ok(Listing { version: raw.version, full: raw.full, entries })
+        let entries = raw.servers.iter().cloned().map(|e| entry(e, names)).collect::<Result<_, _>>()?;
+        Ok(Listing { version: raw.version, full: raw.full, entries, raw: raw.servers })
     }
 
     /// The lines for the module.
@@ -99,6 +103,36 @@
     UpstreamId(name.bytes().fold(0xcbf2_9ce4_8422_2325, step))
 }
 
+/// The whole list as it stands, in discovery's form, to be kept.
+#[derive(Default)]
+pub struct Roster {
+    version: u64,
+    entries: BTreeMap<String, RawEntry>,
+}
+
+impl Roster {
+    /// Takes an answer of discovery. What is gone is not kept.
+    pub fn apply(&mut self, listing: &Listing) {
+        self.version = listing.version;
+        if listing.full {
+            self.entries.clear();
+        }
+        for raw in &listing.raw {
+            match raw.state.as_str() {
+                "left" => self.entries.remove(&raw.id),
+                _ => self.entries.insert(raw.id.clone(), raw.clone()),
+            };
+        }
+    }
+
+    /// It as text, as discovery would write it.
+    pub fn text(&self) -> String {
+        let servers = self.entries.values().cloned().collect();
+        // Names and finite numbers only: there is nothing in it that JSON can't hold.
+        serde_json::to_string(&RawListing { version: self.version, full: true, servers }).unwrap_or_default()
+    }
+}
+
 /// Who uses the list: asks for it, and is told what came of that.
 pub trait ListUser {
     /// Waits until a subscription is wanted.
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -9,6 +9,7 @@
 mod log;
 mod message;
 mod options;
+mod recovery;
 mod server;
 mod sockets;
 mod upstream;
@@ -65,6 +66,25 @@
     /// Read the configuration and the options, print what they come to and where each option came from, and end:
     /// 0 if the balancer could start with them, 2 if not. Nothing listens.
     Check(OptionArguments),
+    /// Look at a folder that state is kept in. Nothing in it is changed.
+    State {
+        #[command(subcommand)]
+        verb: StateVerb,
+    },
+}
+
+#[derive(Subcommand)]
+enum StateVerb {
+    /// Print what it holds.
+    Show {
+        /// The folder.
+        dir: PathBuf,
+    },
+    /// Print what it holds, and end 0 if all of it can be used, 2 if not.
+    Check {
+        /// The folder.
+        dir: PathBuf,
+    },
 }
 
 #[derive(clap::Args, Default)]
@@ -94,6 +114,7 @@
         None => (false, OptionArguments::default()),
         Some(Verb::Run(arguments)) => (false, arguments),
         Some(Verb::Check(arguments)) => (true, arguments),
+        Some(Verb::State { verb }) => return state(&verb),
     };
     let sources = arguments.sources();
     let failed = |message: String, code: u8| {
@@ -117,6 +138,9 @@
         Ok(logging) => logging,
         Err(message) => return failed(message, 1),
     };
+    if !loaded.options.recovery.dir.as_os_str().is_empty() {
+        quiet_panics();
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let done = load().and_then(|config| {
         let runtime = runtime.map_err(|e| e.to_string())?;
@@ -132,6 +156,41 @@
     }
 }
 
+fn state(verb: &StateVerb) -> ExitCode {
+    quiet_panics();
+    let (dir, checks) = match verb {
+        StateVerb::Show { dir } => (dir, false),
+        StateVerb::Check { dir } => (dir, true),
+    };
+    match recovery::shown(dir) {
+        Ok((text, sound)) => {
+            print!("{text}");
+            if sound || !checks {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::from(UNUSABLE)
+            }
+        }
+        Err(message) => {
+            eprintln!("herondock: {}", message.replace('\n', " "));
+            ExitCode::from(UNUSABLE)
+        }
+    }
+}
+
+/// A database whose bytes make no sense ends in a panic of its reader, which is caught and told of in one line where it
+/// matters. The panic itself is told at debug.
+fn quiet_panics() {
+    std::panic::set_hook(Box::new(|panic| {
+        let what = panic.to_string().replace('\n', " ");
+        if std::thread::current().name() == Some("main") {
+            tracing::error!(target: "run", event = "panic", what, "panic: {what}");
+        } else {
+            tracing::debug!(target: "recovery", event = "panic", what);
+        }
+    }));
+}
+
 /// What a balancer would start with, a line each.
 fn told(config: &Config, loaded: &Loaded) -> String {
     let d = &config.deployment;
@@ -252,6 +311,20 @@
         dir if dir.as_os_str().is_empty() => None,
         dir => Some(figures::File::start(dir)?),
     };
+    let names = Names::of(&deployment);
+    let kept = match options.recovery.dir.as_path() {
+        dir if dir.as_os_str().is_empty() => None,
+        dir => {
+            Some(recovery::open(dir, recovery::owner(&name, &deployment), &names, options.recovery.list_age))
+        }
+    };
+    let (recovery, kept, starts) = kept.map_or((None, None, None), |k| (k.recovery, k.list, k.starts));
+    // The platform's word goes first, unless this balancer has heard a later one.
+    let known = match (known, kept) {
+        (Some(known), Some(kept)) if kept.version > known.version => Some(kept),
+        (None, kept) => kept,
+        (known, _) => known,
+    };
     let handle = Handle::new(Parts {
         balancer,
         start,
@@ -259,7 +332,8 @@
         transport,
         drain_grace: span(deployment.drain_grace),
         max_open: usize::try_from(deployment.max_open).unwrap_or(usize::MAX),
-        figures: on.then(|| Figures::new(&name, &deployment.zones, deployment.policy.zone)),
+        figures: on.then(|| Figures::new(&name, &deployment.zones, deployment.policy.zone, starts)),
+        recovery,
     });
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("listen: {listen}: {e}"))?;
     let address = listener.local_addr().map_err(|e| format!("listen: {listen}: {e}"))?;
@@ -267,7 +341,7 @@
     let mut timers = tokio::task::spawn_local(async move { timers.run().await });
     handle.cached(known.as_ref());
     let (moved, discovery) = watch::channel(discovery);
-    let watcher = Discovery::new(discovery, Names::of(&deployment), known.as_ref().map(|k| k.version));
+    let watcher = Discovery::new(discovery, names, known.as_ref().map(|k| k.version));
     tokio::task::spawn_local(watcher.run(handle.clone(), !deployment.policy.ask_for_list));
     let longest = deployment.policy.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
     let (phase, phases) = watch::channel(Phase::Up);
@@ -317,5 +391,6 @@
     if counting {
         counted.await;
     }
+    handle.flush();
     Ok(())
 }
--- a/node/src/options.rs
+++ b/node/src/options.rs
@@ -15,9 +15,10 @@
 pub const FILE: &str = "HERONDOCK_OPTIONS";
 /// Parts of the program that are on the way: their tables have names already, so that a file for a later version is
 /// not taken for a slip of the pen.
-const LATER: [&str; 5] = ["recovery", "zones", "peers", "shared", "duties"];
+const LATER: [&str; 4] = ["zones", "peers", "shared", "duties"];
 /// Parts of the program whose events can be told apart.
-pub const PARTS: [&str; 7] = ["run", "discovery", "callers", "requests", "attempts", "module", "figures"];
+pub const PARTS: [&str; 8] =
+    ["run", "discovery", "callers", "requests", "attempts", "module", "figures", "recovery"];
 /// The shortest time between two snapshots of the figures.
 const EVERY_LEAST: Duration = Duration::from_millis(100);
 
@@ -81,6 +82,17 @@
     }
 }
 
+/// `[recovery]`
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Recovery {
+    /// Where state is kept; empty: nowhere. Fixed for as long as the program runs.
+    pub dir: PathBuf,
+    /// A kept list of upstreams is used until it is this old. Read at the start only.
+    #[serde(with = "humantime_serde")]
+    pub list_age: Duration,
+}
+
 /// All options.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -89,6 +101,8 @@
     pub log: Log,
     /// The figures.
     pub figures: Figures,
+    /// What outlives the program.
+    pub recovery: Recovery,
 }
 
 impl Default for Options {
@@ -96,6 +110,7 @@
         Options {
             log: Log { level: Level::Info, format: Format::Text, rate: 20, parts: BTreeMap::new() },
             figures: Figures { dir: PathBuf::new(), log: false, every: Duration::from_secs(1) },
+            recovery: Recovery { dir: PathBuf::new(), list_age: Duration::from_secs(3600) },
         }
     }
 }
@@ -328,16 +343,15 @@
     }
     /// Whether what the options name can be used; looks at the disk.
     pub fn usable(&self) -> Result<(), String> {
-        let dir = &self.options.figures.dir;
-        if dir.as_os_str().is_empty() {
-            return Ok(());
+        let folders =
+            [("figures.dir", &self.options.figures.dir), ("recovery.dir", &self.options.recovery.dir)];
+        for (key, dir) in folders.into_iter().filter(|(_, dir)| !dir.as_os_str().is_empty()) {
+            let made = tempfile::Builder::new().prefix(".writable").tempfile_in(dir);
+            made.map_err(|e| {
+                format!("{}: {key}: {}: can't be written to: {e}", self.source(key), dir.display())
+            })?;
         }
-        let source = self.source("figures.dir");
-        tempfile::Builder::new()
-            .prefix(".writable")
-            .tempfile_in(dir)
-            .map(drop)
-            .map_err(|e| format!("{source}: figures.dir: {}: can't be written to: {e}", dir.display()))
+        Ok(())
     }
 
     /// Whether a running program can take these over from `before`; names the first key that it can't.
@@ -350,6 +364,9 @@
         if self.options.figures.dir != before.figures.dir {
             return fixed("figures.dir");
         }
+        if self.options.recovery != before.recovery {
+            return fixed("recovery.dir");
+        }
         if self.options.figures.on() != before.figures.on() {
             return fixed("figures.log");
         }
@@ -403,7 +420,7 @@
             ("[figures]\nevery = \"5 parsecs\"\n", "o.toml:2: figures.every"),
             ("[figures]\nevery = 5\n", "o.toml:2: figures.every: 5"),
             ("[figures]\nevery = \"1ms\"\n", "must be at least 100ms"),
-            ("[recovery]\ndir = \"/x\"\n", "o.toml:2: recovery.dir: this version has no part \"recovery\""),
+            ("[peers]\nport = 1\n", "o.toml:2: peers.port: this version has no part \"peers\""),
             ("version = 2\n", "o.toml:1: version: 2 is not known; this program reads 1 to 1"),
             ("[log\n", "o.toml:1: "),
         ] {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -315,14 +315,16 @@
         let config = PathBuf::from(config.expect("a configuration"));
         let mut child = command.spawn().expect("starts");
         let mut log = BufReader::new(child.stderr.take().expect("its log"));
+        let mut before = Vec::new();
         let addr = loop {
             let mut line = String::new();
             assert_ne!(log.read_line(&mut line).expect("a log line"), 0, "it ended at once");
             if let Some((_, addr)) = line.trim_end().split_once("serving on ") {
                 break addr.parse().expect("an address");
             }
+            before.push(line.trim_end().to_string());
         };
-        let lines = Arc::new(Mutex::new(Vec::new()));
+        let lines = Arc::new(Mutex::new(before));
         let kept = lines.clone();
         let reader = thread::spawn(move || {
             for line in log.lines().map_while(Result::ok) {
@@ -338,7 +340,7 @@
         Node::start(1024, &listing(1, true, &servers))
     }
 
-    /// What it has logged since it began to serve.
+    /// What it has logged, but for the line that it serves.
     pub fn log(&self) -> Vec<String> {
         self.log.lock().expect("no panic").clone()
     }
--- /dev/null
+++ b/store/src/lib.rs
@@ -0,0 +1,20 @@
+//! What a balancer keeps on disk, for deployments that have one.
+//!
+//! A [`Store`] holds one [`record::Record`] of each [`record::Kind`] in a redb database: whole, checked, of this owner
+//! and this deployment, or not at all. A [`keeper::Keeper`] writes on a thread of its own and keeps only the newest of
+//! each kind waiting, so that a disk that stalls costs nobody else anything. What the records mean is not known here.
+//!
+//! redb was weighed against sled (no stable format, unmaintained), fjall and rocksdb (log-structured: many files and
+//! background threads for a few records), heed/LMDB (C code, a map that must be sized ahead) and a file replaced by
+//! rename for each kind (no atomic change of several, and a log format of our own in the end). redb is one file of pure
+//! Rust with checksums on its pages, a lock against a second process, and its storage behind a trait: the seam at which
+//! faults are injected.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+pub mod keeper;
+pub mod record;
+pub mod store;
+
+pub use keeper::Keeper;
+pub use record::{Kind, Owner, Record};
+pub use store::{Found, Store};
--- /dev/null
+++ b/store/tests/power.rs
@@ -0,0 +1,309 @@
+//! Power lost at every write and between any two syncs: each image of the disk that could be left is opened.
+use oakflow_store::store::{look, NoStore, FILE};
+use oakflow_store::{Found, Keeper, Kind, Owner, Store};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use redb::StorageBackend;
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tempfile::TempDir;
+
+/// What a disk was told.
+#[derive(Clone, Debug)]
+enum Op {
+    Write(u64, Vec<u8>),
+    Length(u64),
+    Sync,
+}
+
+fn apply(image: &mut Vec<u8>, op: &Op) {
+    match op {
+        Op::Write(at, bytes) => {
+            let (at, end) = (*at as usize, *at as usize + bytes.len());
+            image.resize(image.len().max(end), 0);
+            image[at..end].copy_from_slice(bytes);
+        }
+        Op::Length(length) => image.resize(*length as usize, 0),
+        Op::Sync => {}
+    }
+}
+
+/// A disk in memory that remembers all it was told, and fails once it is told to.
+#[derive(Clone, Debug, Default)]
+struct Disk(Arc<Mutex<Told>>);
+
+#[derive(Debug, Default)]
+struct Told {
+    image: Vec<u8>,
+    ops: Vec<Op>,
+    /// Writes and syncs fail from here on.
+    full: bool,
+}
+
+impl Disk {
+    fn of(image: Vec<u8>) -> Disk {
+        Disk(Arc::new(Mutex::new(Told { image, ..Told::default() })))
+    }
+
+    fn told(&self, op: Op) -> io::Result<()> {
+        let mut told = self.0.lock().expect("no panic");
+        if told.full {
+            return Err(io::Error::new(io::ErrorKind::StorageFull, "no space is left"));
+        }
+        apply(&mut told.image, &op);
+        told.ops.push(op);
+        Ok(())
+    }
+
+    fn position(&self) -> usize {
+        self.0.lock().expect("no panic").ops.len()
+    }
+}
+
+impl StorageBackend for Disk {
+    fn len(&self) -> io::Result<u64> {
+        Ok(self.0.lock().expect("no panic").image.len() as u64)
+    }
+    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+        let told = self.0.lock().expect("no panic");
+        let from = told.image.get(offset as usize..offset as usize + out.len());
+        out.copy_from_slice(from.ok_or(io::ErrorKind::UnexpectedEof)?);
+        Ok(())
+    }
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        self.told(Op::Length(len))
+    }
+    fn sync_data(&self) -> io::Result<()> {
+        self.told(Op::Sync)
+    }
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.told(Op::Write(offset, data.to_vec()))
+    }
+}
+
+fn owner() -> Owner {
+    Owner { name: "n1".into(), settings: 7 }
+}
+
+/// What a put of this number keeps: every kind names the number, and is of its own length.
+fn payloads(number: usize) -> Vec<(Kind, String)> {
+    let of =
+        |kind: Kind| (kind, format!("{{\"put\":{number},\"fill\":\"{}\"}}", "x".repeat(number * 37 % 5000)));
+    Kind::ALL.into_iter().map(of).collect()
+}
+
+/// The number that all kinds name, if they name one.
+fn number(store: &Store) -> Option<usize> {
+    let one = |kind| match store.get(kind).expect("reads") {
+        Found::Nothing => None,
+        Found::Record(record) => {
+            let number =
+                record.payload.strip_prefix("{\"put\":").and_then(|t| t.split(',').next()?.parse().ok());
+            let number = number.unwrap_or_else(|| panic!("{record:?}"));
+            assert_eq!(record.payload, payloads(number)[0].1);
+            Some(number)
+        }
+        Found::Unfit(unfit) => panic!("{kind:?}: {unfit}"),
+    };
+    let all: Vec<Option<usize>> = Kind::ALL.into_iter().map(one).collect();
+    assert!(all.iter().all(|n| *n == all[0]), "half a put: {all:?}");
+    all[0]
+}
+
+/// What may be left of what was not synced: each write lost, kept, or torn at a sector, in any order.
+fn left(rng: &mut Pcg64Mcg, durable: &[u8], unsynced: &[Op], variant: usize) -> Vec<u8> {
+    let mut image = durable.to_vec();
+    let mut ops: Vec<Op> = unsynced.to_vec();
+    match variant {
+        // All of it lost; all of it kept.
+        0 => ops.clear(),
+        1 => {}
+        _ => {
+            ops.retain(|_| rng.gen_bool(0.6));
+            for n in (1..ops.len()).rev() {
+                ops.swap(n, rng.gen_range(0..=n));
+            }
+            for op in &mut ops {
+                let torn = rng.gen_bool(0.3);
+                let Op::Write(_, bytes) = op else { continue };
+                if torn && bytes.len() > 512 {
+                    bytes.truncate(rng.gen_range(1..=bytes.len() / 512) * 512);
+                }
+            }
+        }
+    }
+    ops.iter().for_each(|op| apply(&mut image, op));
+    image
+}
+
+#[test]
+fn whatever_a_power_loss_leaves_is_the_last_put_that_was_done_or_the_one_under_way() {
+    let disk = Disk::default();
+    let store = Store::on(disk.clone(), owner()).expect("a store");
+    // When each put was done, as a position in what the disk was told.
+    let mut done = vec![(disk.position(), None)];
+    for put in 0..200 {
+        store.put(&payloads(put), 1000.0).expect("puts");
+        done.push((disk.position(), Some(put)));
+    }
+    let ops = disk.0.lock().expect("no panic").ops.clone();
+    let begun = done[0].0;
+    let rng = &mut Pcg64Mcg::seed_from_u64(1);
+    let (mut durable, mut unsynced, mut opened) = (Vec::new(), Vec::new(), 0);
+    for (at, op) in ops.iter().enumerate() {
+        unsynced.push(op.clone());
+        if matches!(op, Op::Sync) {
+            unsynced.drain(..).for_each(|op| apply(&mut durable, &op));
+        }
+        let at = at + 1;
+        let last = done.iter().rev().find(|(position, _)| *position <= at).and_then(|(_, put)| *put);
+        for variant in 0..VARIANTS {
+            let image = left(rng, &durable, &unsynced, variant);
+            match Store::on(Disk::of(image), owner()) {
+                Ok(store) => {
+                    let found = number(&store);
+                    let next = last.map_or(0, |put| put + 1);
+                    assert!(found == last || found == Some(next), "at {at}: {found:?} after {last:?}");
+                }
+                // A database that was not yet made whole for the first time has nothing to lose.
+                Err(NoStore::Broken(_)) if at < begun => {}
+                Err(e) => panic!("at {at}, variant {variant}: {e}"),
+            }
+            opened += 1;
+        }
+    }
+    assert!(opened > 10_000, "{opened}");
+    let size = disk.0.lock().expect("no panic").image.len();
+    assert!(size < 4 << 20, "200 puts of a few kilobytes have made {size} bytes");
+    println!("{opened} images opened, of {} writes and syncs", ops.len());
+}
+
+const VARIANTS: usize = 16;
+
+#[test]
+fn a_crash_in_the_middle_of_recovery_is_recovered_from_again_and_again() {
+    let disk = Disk::default();
+    let store = Store::on(disk.clone(), owner()).expect("a store");
+    (0..5).for_each(|put| store.put(&payloads(put), 1000.0).expect("puts"));
+    // Not closed: what is on the disk must be repaired at the next opening.
+    let mut image = disk.0.lock().expect("no panic").image.clone();
+    std::mem::forget(store);
+    let rng = &mut Pcg64Mcg::seed_from_u64(2);
+    for round in 0..40 {
+        let disk = Disk::of(image.clone());
+        let store = Store::on(disk.clone(), owner()).expect("recovers");
+        assert_eq!(number(&store), Some(4), "round {round}");
+        std::mem::forget(store);
+        // The power goes at a random point of what the recovery wrote.
+        let ops = disk.0.lock().expect("no panic").ops.clone();
+        let cut = rng.gen_range(0..=ops.len());
+        let synced = ops[..cut].iter().rposition(|op| matches!(op, Op::Sync)).map_or(0, |at| at + 1);
+        let mut durable = image.clone();
+        ops[..synced].iter().for_each(|op| apply(&mut durable, op));
+        image = left(rng, &durable, &ops[synced..cut], 2);
+    }
+}
+
+#[test]
+fn a_disk_that_fills_keeps_what_it_had_and_goes_on_when_there_is_room() {
+    let disk = Disk::default();
+    let store = Store::on(disk.clone(), owner()).expect("a store");
+    store.put(&payloads(1), 1000.0).expect("puts");
+    disk.0.lock().expect("no panic").full = true;
+    assert!(matches!(store.put(&payloads(2), 1000.0), Err(NoStore::Disk(_))));
+    drop(store);
+    disk.0.lock().expect("no panic").full = false;
+    let image = disk.0.lock().expect("no panic").image.clone();
+    let store = Store::on(Disk::of(image), owner()).expect("opens again");
+    let found = number(&store);
+    assert!(found == Some(1) || found == Some(2), "{found:?}");
+    store.put(&payloads(3), 1000.0).expect("puts");
+    assert_eq!(number(&store), Some(3));
+}
+
+#[test]
+fn what_can_not_be_read_is_set_aside_and_only_a_few_such_are_kept() {
+    let folder = TempDir::new().expect("a folder");
+    for round in 0..6 {
+        std::fs::write(folder.path().join(FILE), format!("no database, round {round}").repeat(1000))
+            .expect("writes");
+        assert!(look(folder.path()).is_err());
+        let opened = Store::open(folder.path(), owner()).expect("begins anew");
+        let (aside, _) = opened.aside.expect("set aside");
+        assert!(std::fs::read_to_string(aside).expect("reads").contains(&format!("round {round}")));
+        assert_eq!(number(&opened.store), None);
+        opened.store.put(&payloads(round), 1000.0).expect("puts");
+    }
+    let files = std::fs::read_dir(folder.path()).expect("reads").count();
+    assert_eq!(files, 4, "the database and three that were set aside");
+}
+
+#[test]
+fn any_flipped_bit_and_any_cut_is_seen_or_does_no_harm() {
+    let folder = TempDir::new().expect("a folder");
+    let store = Store::open(folder.path(), owner()).expect("opens").store;
+    (0..4).for_each(|put| store.put(&payloads(put), 1000.0).expect("puts"));
+    drop(store);
+    let whole = std::fs::read(folder.path().join(FILE)).expect("reads");
+    let rng = &mut Pcg64Mcg::seed_from_u64(3);
+    let (mut used, mut unusable) = (0, 0);
+    for round in 0..400 {
+        let mut bytes = whole.clone();
+        match round % 4 {
+            0 => bytes.truncate(rng.gen_range(0..whole.len())),
+            _ => (0..round % 4).for_each(|_| {
+                // Most of the file is room that nobody reads: the head is where it hurts.
+                let most = if rng.gen_bool(0.7) { 16_384.min(bytes.len()) } else { bytes.len() };
+                let bit = rng.gen_range(0..most * 8);
+                bytes[bit / 8] ^= 1 << (bit % 8);
+            }),
+        }
+        match Store::on(Disk::of(bytes), owner()) {
+            Ok(store) => Kind::ALL.into_iter().for_each(|kind| match store.get(kind) {
+                Ok(Found::Record(record)) => {
+                    assert!((0..4).any(|put| payloads(put)[0].1 == record.payload), "{record:?}");
+                    used += 1;
+                }
+                Ok(Found::Nothing | Found::Unfit(_)) | Err(_) => unusable += 1,
+            }),
+            Err(_) => unusable += 1,
+        }
+    }
+    assert!(used > 0 && unusable > 0, "{used} used, {unusable} unusable");
+}
+
+#[test]
+fn another_process_a_foreign_owner_and_a_look_from_outside() {
+    let folder = TempDir::new().expect("a folder");
+    let store = Store::open(folder.path(), owner()).expect("opens").store;
+    store.put(&payloads(1), 1000.0).expect("puts");
+    let second = Store::open(folder.path(), owner()).err();
+    assert_eq!(second, Some(NoStore::Held));
+    drop(store);
+    let before = std::fs::read(folder.path().join(FILE)).expect("reads");
+    let lines = look(folder.path()).expect("looks");
+    assert_eq!(lines.len(), Kind::ALL.len());
+    assert!(lines.iter().all(|l| matches!(&l.found, Some(Ok((_, name))) if name == "n1")));
+    assert_eq!(std::fs::read(folder.path().join(FILE)).expect("reads"), before, "a look changes nothing");
+    let foreign = Owner { name: "n2".into(), settings: 7 };
+    let store = Store::open(folder.path(), foreign).expect("opens").store;
+    assert!(matches!(store.get(Kind::Starts), Ok(Found::Unfit(_))));
+}
+
+#[test]
+fn a_keeper_writes_the_newest_of_each_kind_and_never_makes_anyone_wait() {
+    let disk = Disk::default();
+    let keeper = Keeper::start(Store::on(disk.clone(), owner()).expect("a store")).expect("starts");
+    for put in 0..1000 {
+        payloads(put % 7).into_iter().for_each(|(kind, payload)| keeper.keep(kind, payload));
+    }
+    assert!(keeper.flush(Duration::from_secs(20)));
+    let written = keeper.written();
+    assert!(written.commits >= 1 && written.failed == 0, "{written:?}");
+    // A disk that fails is told of once, and what waits is written when it works again.
+    disk.0.lock().expect("no panic").full = true;
+    payloads(3).into_iter().for_each(|(kind, payload)| keeper.keep(kind, payload));
+    assert!(!keeper.flush(Duration::from_secs(20)));
+    assert!(keeper.failure().is_some() && keeper.failure().is_none());
+}
