Ask no disk on a reload, and count writes of kept state

Need: on SIGHUP the event loop tried whether the options' folders can be written to, and would have waited for a disk that stalls; folders can't change while the program runs, so there is nothing to try. Writes of kept state were not among the figures.

Change: the trial is made at the start and by `check` only; `recovery` in the figures (commits, replaced, failed, bytes).

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -8,6 +8,7 @@
 use oakflow::{
     Action, Availability, Balancer, Ending, Event, Membership, Millis, Request, RequestId, UpstreamId,
 };
+use oakflow_store::keeper::Written;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
@@ -213,6 +214,11 @@
         self.0.driver.borrow().open.values().filter(|o| o.reply.is_some()).count()
     }
 
+    /// What became of writes of what outlives the program, if anything does.
+    pub fn kept(&self) -> Option<Written> {
+        self.0.driver.borrow().recovery.as_ref().map(Recovery::written)
+    }
+
     /// Waits a little until what outlives the program is on the disk.
     pub fn flush(&self) {
         if let Some(recovery) = &self.0.driver.borrow().recovery {
--- a/node/src/figures.rs
+++ b/node/src/figures.rs
@@ -2,6 +2,7 @@
 use crate::log::Lines;
 use hdrhistogram::Histogram;
 use oakflow::{Ending, Refusal};
+use oakflow_store::keeper::Written;
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::io::Write;
@@ -114,6 +115,8 @@
     pub to_end: Times,
     /// The log's lines.
     pub log: Lines,
+    /// What became of writes of state, where it is kept.
+    pub recovery: Option<Written>,
     /// Snapshots that were not written because the one before was still under way.
     pub skipped: u64,
 }
@@ -179,7 +182,7 @@
     }
 
     /// All counts, with what only others know.
-    pub fn snapshot(&self, now: Now, log: Lines, skipped: u64) -> Snapshot {
+    pub fn snapshot(&self, now: Now, log: Lines, recovery: Option<Written>, skipped: u64) -> Snapshot {
         Snapshot {
             at_ms: now.at_ms,
             up_ms: now.up_ms,
@@ -189,6 +192,7 @@
             to_answer: Times::of(&self.to_answer),
             to_end: Times::of(&self.to_end),
             log,
+            recovery,
             skipped,
             ..self.counts.clone()
         }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -237,10 +237,8 @@
             }
         }
         let before = self.options.borrow().clone();
-        let loaded = self.sources.load().and_then(|loaded| {
-            loaded.usable()?;
-            loaded.follows(&before).map(|()| loaded.options)
-        });
+        // Folders can't change, so that no disk is asked for them here, where requests would wait for it.
+        let loaded = self.sources.load().and_then(|loaded| loaded.follows(&before).map(|()| loaded.options));
         match loaded {
             Ok(options) if options == before => {}
             Ok(options) => {
@@ -277,7 +275,8 @@
             _ = end.wait_for(|end| *end) => true,
         };
         let skipped = file.as_ref().map_or(0, figures::File::skipped);
-        let snapshot = handle.figures(|f, now| f.snapshot(now, logging.lines(), skipped));
+        let kept = handle.kept();
+        let snapshot = handle.figures(|f, now| f.snapshot(now, logging.lines(), kept, skipped));
         // Names and numbers only: there is nothing in it that JSON can't hold.
         let text = snapshot.and_then(|s| serde_json::to_string(&s).ok()).unwrap_or_default();
         if now.log {
--- a/node/src/recovery.rs
+++ b/node/src/recovery.rs
@@ -1,6 +1,7 @@
 //! What of this balancer outlives it: how often it has started, and the last good list of upstreams.
 use crate::listing::{Listing, Names, Roster};
 use oakflow_settings::Deployment;
+use oakflow_store::keeper::Written;
 use oakflow_store::store::{look, NoStore, Opened};
 use oakflow_store::{Found, Keeper, Kind, Owner, Store};
 use std::path::Path;
@@ -145,6 +146,11 @@
         }
     }
 
+    /// What became of writes so far.
+    pub fn written(&self) -> Written {
+        self.keeper.written()
+    }
+
     /// Waits a little for what is on its way to the disk.
     pub fn flush(&self) -> bool {
         self.keeper.flush(LAST_WRITE)
--- a/node/tests/recovery.rs
+++ b/node/tests/recovery.rs
@@ -10,6 +10,7 @@
     let discovery = Discovery::start();
     let mut command = command(&config(discovery.addr, 1024, "null"));
     command.args(["run", "--set", &format!("recovery.dir={}", dir.display())]);
+    command.args(["--set", &format!("figures.dir={}", dir.display()), "--set", "figures.every=100ms"]);
     Node::run(command, discovery)
 }
 
@@ -39,6 +40,14 @@
     while !shown().contains("\"version\":5") {
         assert!(started_at.elapsed() < PATIENCE, "{}", shown());
     }
+    let figures = || std::fs::read_to_string(dir.path().join("figures.json")).unwrap_or_default();
+    // One write or two: a newer list takes the place of one that the disk has not got to.
+    let written =
+        |text: String| text.contains("\"recovery\":{\"commits\":") && !text.contains("\"commits\":0");
+    while !written(figures()) {
+        assert!(started_at.elapsed() < PATIENCE, "{}", figures());
+    }
+    assert!(figures().contains("\"starts\":1"), "{}", figures());
     drop(node);
     let node = started(dir.path());
     node.logs("recovery: start 2, a list of 1 upstreams");
