Look up the front's balancers and those beside upstreams once, not for each request

Need: read once more, the lab searched all balancers for each request it sent and for each call of an upstream, and spelt the longest deadline out in three places; the options' reader held an assertion that could not fail.

Change: both lists are made with the world; `Plan::longest`; the assertion is gone. No behaviour changes.

--- a/lab/src/clients.rs
+++ b/lab/src/clients.rs
@@ -125,11 +125,8 @@
 
 /// The front: one of the balancers that it deals out to, of the client's zone if that has any.
 fn pick(world: &World, zone: usize, drawn: &mut Calls) -> Option<usize> {
-    let front = |b: &usize| world.plan.balancers[*b].owner.is_none();
-    let all: Vec<usize> = (0..world.plan.balancers.len()).filter(front).collect();
-    let near: Vec<usize> = all.iter().copied().filter(|&b| world.plan.balancers[b].zone == zone).collect();
-    let of = if near.is_empty() { all } else { near };
-    let up: Vec<usize> = of.into_iter().filter(|&b| world.dealt[b].load(Ordering::Relaxed)).collect();
+    let of = world.fronts[zone].iter().copied();
+    let up: Vec<usize> = of.filter(|&b| world.dealt[b].load(Ordering::Relaxed)).collect();
     match up.len() {
         0 => None,
         n => Some(up[(drawn.seed() % n as u64) as usize]),
@@ -138,6 +135,5 @@
 
 /// Milliseconds after the last request within which all must have ended: deadlines, tries and pauses together.
 pub fn ends_within(world: &World) -> Millis {
-    let longest = world.plan.spans.iter().map(|s| s.1).fold(0.0, f64::max);
-    longest + crate::oracle::ANSWER_GRACE + 1000.0
+    world.plan.longest() + crate::oracle::ANSWER_GRACE + 1000.0
 }
--- a/lab/src/draw.rs
+++ b/lab/src/draw.rs
@@ -182,6 +182,13 @@
     pub spans: Vec<(Millis, Millis)>,
 }
 
+impl Plan {
+    /// The longest deadline of any class.
+    pub fn longest(&self) -> Millis {
+        self.spans.iter().map(|s| s.1).fold(0.0, f64::max)
+    }
+}
+
 /// The streams of random numbers.
 #[derive(Clone, Copy)]
 enum Stream {
--- a/lab/src/faults.rs
+++ b/lab/src/faults.rs
@@ -274,7 +274,7 @@
 ) -> Result<(), String> {
     let world = &fleet.world;
     let process = &fleet.balancers[b];
-    let longest = world.plan.spans.iter().map(|s| s.1).fold(0.0, f64::max).min(DEADLINE_MOST);
+    let longest = world.plan.longest().min(DEADLINE_MOST);
     let told = world.now();
     process.signal(Signal::SIGTERM, true);
     world.clock.until(told + STILL_DEALT).await;
@@ -366,7 +366,7 @@
     match kind {
         FaultKind::Replace => {
             news.tell(&fleet, u, State::Leaving, discovery.notice);
-            let longest = world.plan.spans.iter().map(|s| s.1).fold(0.0, f64::max);
+            let longest = world.plan.longest();
             let drained = discovery.notice.0.most + discovery.spread.0.most + longest;
             world.clock.until(world.now() + drained).await;
             upstream.end();
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -51,6 +51,10 @@
     pub tally: Mutex<Tally>,
     /// Whether the front deals connections out to each balancer.
     pub dealt: Vec<AtomicBool>,
+    /// The balancers that the front has for the clients of each zone: those of the zone, or all if it has none.
+    pub fronts: Vec<Vec<usize>>,
+    /// The balancer beside each upstream.
+    beside: Vec<Option<usize>>,
     /// Connections that clients keep to each balancer.
     pub pools: Vec<Pool>,
     /// The way from the clients of each zone, or the upstream beside, to each balancer.
@@ -96,7 +100,19 @@
             Weather { delay: net.datagrams.0, loss: net.datagram_loss, repeat: net.datagram_repeat };
         let tiers: Vec<usize> = plan.balancers.iter().map(|b| b.tier).collect();
         let datagrams = Arc::new(Datagrams::open(&tiers, &block, weather, plan.seed)?);
+        let front = || (0..plan.balancers.len()).filter(|&b| plan.balancers[b].owner.is_none());
+        let of_zone = |zone: usize| {
+            let near: Vec<usize> = front().filter(|&b| plan.balancers[b].zone == zone).collect();
+            if near.is_empty() {
+                front().collect()
+            } else {
+                near
+            }
+        };
+        let beside = |u: usize| plan.balancers.iter().position(|b| b.owner == Some(u));
         Ok(Arc::new(World {
+            fronts: (0..zones).map(of_zone).collect(),
+            beside: (0..plan.upstreams.len()).map(beside).collect(),
             datagrams,
             oracle: Mutex::new(oracle),
             tally: Mutex::new(Tally::new(zones)),
@@ -163,7 +179,7 @@
 
     /// The balancer beside an upstream, which carries its calls on.
     pub fn beside(&self, upstream: usize) -> Option<usize> {
-        self.plan.balancers.iter().position(|b| b.owner == Some(upstream))
+        self.beside[upstream]
     }
 
     /// Waits until a point of the run, and notes how late the lab got to it.
--- a/node/src/options.rs
+++ b/node/src/options.rs
@@ -262,8 +262,7 @@
             self.set(&key, value, Source::File(path.into(), line))?;
         }
         // A table without a key says nothing, but its name may be a slip.
-        for (name, value) in table.iter().filter(|(_, v)| v.as_table().is_some_and(Table::is_empty)) {
-            debug_assert!(value.is_table());
+        for (name, _) in table.iter().filter(|(_, v)| v.as_table().is_some_and(Table::is_empty)) {
             if !self.known.iter().any(|k| k.split('.').next() == Some(name)) {
                 return Err(format!("{shown}:{}: {}", line_of(name), self.unknown(name)));
             }
