--- a/lab/src/audit.rs
+++ b/lab/src/audit.rs
@@ -8,6 +8,12 @@
 pub struct Counted {
     /// When they were taken: Unix time, in milliseconds.
     pub at_ms: f64,
+    /// Time since the balancer's start, in milliseconds.
+    #[serde(default)]
+    pub up_ms: f64,
+    /// The number that only this start of it has, where it has one.
+    #[serde(default)]
+    pub incarnation: Option<u64>,
     requests: u64,
     #[serde(default)]
     ended: BTreeMap<String, u64>,
--- a/lab/src/caller.rs
+++ b/lab/src/caller.rs
@@ -136,7 +136,9 @@
                 Err(_) => (Final::Silence, Got::Silence),
             };
             if let Got::Served(added) = &mut got {
-                *added = world.now() - written - world.asked(id).map_or(0.0, |a| a.at_upstreams);
+                let now = world.now();
+                *added = now - written - world.asked(id).map_or(0.0, |a| a.at_upstreams);
+                lock(&world.tally).served(self.balancer, now);
             }
             pause(self.delay).await;
             owed.ends(how);
--- a/lab/src/draw.rs
+++ b/lab/src/draw.rs
@@ -2,7 +2,7 @@
 //! at the machine it runs on, so that one seed gives the same draw anywhere.
 //!
 //! Each part draws from a stream of its own: another fault, or one more upstream, leaves the requests as they were.
-use crate::experiment::{Damage, Experiment, Fault, FaultKind, Kind, Millis, Range, Role, Span, Target};
+use crate::experiment::{Damage, Experiment, FaultKind, Kind, Millis, Range, Role, Span, Target};
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp, LogNormal};
 use rand_pcg::Pcg64Mcg;
@@ -147,7 +147,7 @@
     pub one_way: bool,
     /// How much.
     pub size: f64,
-    /// The time that datagrams take.
+    /// The time that datagrams take, or an access to a disk longer.
     pub delay: Option<(Millis, Millis)>,
     /// What happens to state folders.
     pub state: Option<Damage>,
@@ -512,34 +512,38 @@
         met.sort();
         met
     };
-    let draw_one = |fault: &Fault| {
-        let at = draw_span(rng, fault.at);
-        let lasts = fault.lasts.map_or(0.0, |s| draw_span(rng, s));
-        let size = fault.size.map_or(1.0, |s| draw(rng, s));
-        let on = members(&fault.on, fault.kind, rng);
-        let to = fault.to.as_ref().map(|t| members(t, fault.kind, rng)).unwrap_or_default();
-        let delay = fault.delay.map(|s| (s.0.least, s.0.most));
-        let until = (at + lasts).min(length + 60_000.0);
-        PlannedFault {
-            kind: fault.kind,
-            at,
-            until,
-            on,
-            to,
-            one_way: fault.one_way,
-            size,
-            delay,
-            state: fault.state,
+    let mut planned = Vec::new();
+    for fault in &e.faults {
+        let mut at = draw_span(rng, fault.at);
+        for _ in 0..fault.times {
+            let lasts = fault.lasts.map_or(0.0, |s| draw_span(rng, s));
+            let size = fault.size.map_or(1.0, |s| draw(rng, s));
+            let on = members(&fault.on, fault.kind, rng);
+            let to = fault.to.as_ref().map(|t| members(t, fault.kind, rng)).unwrap_or_default();
+            planned.push(PlannedFault {
+                kind: fault.kind,
+                at,
+                until: (at + lasts).min(length + 60_000.0),
+                on,
+                to,
+                one_way: fault.one_way,
+                size,
+                delay: fault.delay.map(|s| (s.0.least, s.0.most)),
+                state: fault.state,
+            });
+            at += fault.every.map_or(0.0, |s| draw_span(rng, s));
         }
-    };
-    e.faults.iter().map(draw_one).collect()
+    }
+    planned
 }
 
 /// Whether this kind of fault means anything to this party.
 fn can_meet(kind: FaultKind, party: Party) -> bool {
     use FaultKind::*;
     match kind {
-        Kill | Terminate | Pause => matches!(party, Party::Balancer(_)),
+        Kill | PowerLoss | Terminate | Pause | DiskFull | DiskFailing | DiskSlow => {
+            matches!(party, Party::Balancer(_))
+        }
         Cut => true,
         Slow | Errors | Die | Lose | Replace | Reset => matches!(party, Party::Upstream(_)),
         Burst | DatagramLoss | DatagramRepeat | DatagramDelay => false,
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -164,7 +164,7 @@
     #[serde(default)]
     pub balancer: Balancer,
     /// Options of the balancers, as their options file has them. `{state}` in a text stands for the balancer's own
-    /// folder, which outlives it.
+    /// folder, which outlives it, and `{drill}` for the file in which the lab says what its disk does wrong.
     #[serde(default)]
     pub options: toml::Table,
     /// What goes wrong, and when.
@@ -185,6 +185,14 @@
     Span::ms(20.0, 20.0)
 }
 
+impl Experiment {
+    /// Whether balancers are told to have the faults of their disks from the lab.
+    fn drills(&self) -> bool {
+        let drill = self.options.get("recovery").and_then(|r| r.get("drill"));
+        drill.and_then(toml::Value::as_str).is_some_and(|d| d.contains("{drill}"))
+    }
+}
+
 /// Zones and the front.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -610,6 +618,9 @@
 pub enum FaultKind {
     /// Balancers get SIGKILL and start again after `for`.
     Kill,
+    /// The machines of balancers lose power: SIGKILL, and of what their disks were not told to sync some is lost, some
+    /// is kept and some is torn. They start again after `for`.
+    PowerLoss,
     /// Balancers get SIGTERM, SIGKILL when their time is over, and start again after `for`.
     Terminate,
     /// Balancers get SIGSTOP, and SIGCONT after `for`.
@@ -636,6 +647,12 @@
     DatagramRepeat,
     /// Datagrams take up to `delay`, each its own time, so that they overtake each other.
     DatagramDelay,
+    /// The disks of balancers take nothing more.
+    DiskFull,
+    /// Every read, write and sync of the disks of balancers fails.
+    DiskFailing,
+    /// Every access to the disks of balancers takes `delay` longer.
+    DiskSlow,
     /// Discovery says nothing to balancers.
     DiscoverySilent,
     /// Discovery answers with what is no list.
@@ -683,9 +700,15 @@
     /// How much; see [`FaultKind`].
     #[serde(default)]
     pub size: Option<Range>,
-    /// For `datagram-delay`: the time under way.
+    /// For `datagram-delay`: the time under way; for `disk-slow`: the time that an access takes longer.
     #[serde(default)]
     pub delay: Option<Span>,
+    /// It comes so often, each time at whom is drawn anew.
+    #[serde(default = "one_try")]
+    pub times: u32,
+    /// The time from one to the next, if it comes several times.
+    #[serde(default)]
+    pub every: Option<Span>,
     /// For `kill` and `terminate`: what happens to the balancer's state folder before it starts again.
     #[serde(default)]
     pub state: Option<Damage>,
@@ -987,8 +1010,16 @@
         return wrong("at", "must be within the length of the experiment".into());
     }
     let sized = matches!(fault.kind, Slow | Errors | Burst | DatagramLoss | DatagramRepeat);
-    if fault.delay.is_some() != (fault.kind == DatagramDelay) {
-        return wrong("delay", "goes with datagram-delay, and only with that".into());
+    if fault.delay.is_some() != matches!(fault.kind, DatagramDelay | DiskSlow) {
+        return wrong("delay", "goes with datagram-delay and disk-slow, and only with these".into());
+    }
+    if (fault.times > 1) != fault.every.is_some() || !(1..=10_000).contains(&fault.times) {
+        return wrong("times", "1 to 10000; more than one goes with `every`".into());
+    }
+    if matches!(fault.kind, PowerLoss | DiskFull | DiskFailing | DiskSlow) && !e.drills() {
+        let what =
+            "needs balancers that take part: [options.recovery] dir = \"{state}\", drill = \"{drill}\"";
+        return wrong("kind", what.into());
     }
     if fault.size.is_some() != sized {
         let what = if sized { "missing: how much?" } else { "does not go with this kind" };
--- a/lab/src/faults.rs
+++ b/lab/src/faults.rs
@@ -119,9 +119,19 @@
         })
         .collect();
     match fault.kind {
-        Kill => {
+        Kill | PowerLoss => {
             each(balancers, |b| kill_for(fleet.clone(), guard.clone(), b, fault.until, fault.state)).await?
         }
+        DiskFull | DiskFailing | DiskSlow => {
+            let does = match (fault.kind, fault.delay) {
+                (DiskSlow, Some((least, _))) => format!("slow {least:.0}ms"),
+                (DiskFull, _) => "full".into(),
+                _ => "failing".into(),
+            };
+            balancers.iter().try_for_each(|&b| fleet.balancers[b].disk(Some(&does)))?;
+            world.clock.until(fault.until).await;
+            balancers.iter().try_for_each(|&b| fleet.balancers[b].disk(None))?;
+        }
         Terminate => {
             each(balancers, |b| terminate(fleet.clone(), guard.clone(), b, fault.until, fault.state)).await?
         }
@@ -217,6 +227,9 @@
     state: Option<Damage>,
 ) -> Result<(), String> {
     let world = &fleet.world;
+    if !fleet.balancers[b].take_down() {
+        return Ok(());
+    }
     kill(&fleet, b);
     let notice = front_notice(world, b);
     let front = fleet.clone();
@@ -274,6 +287,9 @@
 ) -> Result<(), String> {
     let world = &fleet.world;
     let process = &fleet.balancers[b];
+    if !process.take_down() {
+        return Ok(());
+    }
     let longest = world.plan.longest().min(DEADLINE_MOST);
     let told = world.now();
     process.signal(Signal::SIGTERM, true);
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -78,6 +78,9 @@
     /// Play each program so many times.
     #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u16).range(1..=100))]
     plays: u16,
+    /// Draw anew for each play of the programs: the first with the seed, the next with the one after it, and so on.
+    #[arg(long)]
+    new_draws: bool,
     /// Do not build first.
     #[arg(long)]
     no_build: bool,
@@ -197,7 +200,12 @@
         build(&root, &deploy.build)?;
     }
     let plays = usize::from(run.plays);
-    let asked = Asked { seed, programs: programs.iter().map(|p| p.name.clone()).collect(), plays };
+    let asked = Asked {
+        seed,
+        programs: programs.iter().map(|p| p.name.clone()).collect(),
+        plays,
+        new_draws: run.new_draws,
+    };
     let results = Results::create(&root, run.out.as_deref(), &run.file, &asked)?;
     println!("{}", e.title);
     println!(
@@ -226,6 +234,11 @@
             }
         });
         for number in 0..plays {
+            let drawn = match run.new_draws && number > 0 {
+                true => Some(draw::plan(&e, seed.wrapping_add(number as u64))?),
+                false => None,
+            };
+            let plan = drawn.as_ref().unwrap_or(&plan);
             for program in &programs {
                 if *stopped.borrow() {
                     return Ok::<bool, String>(true);
@@ -238,7 +251,7 @@
                     stop: stopped.clone(),
                     progress: true,
                 };
-                let played = play(&e, &plan, program, number, &stage).await?;
+                let played = play(&e, plan, program, number, &stage).await?;
                 results.keep(&played)?;
             }
         }
--- a/lab/src/oracle.rs
+++ b/lab/src/oracle.rs
@@ -57,11 +57,13 @@
     Datagram,
     /// What a balancer counts of itself is what others saw of it.
     Figures,
+    /// The number of a balancer's start grows with each, whatever becomes of its folder.
+    Numbered,
 }
 
 impl Rule {
     /// All of them.
-    pub const ALL: [Rule; 16] = [
+    pub const ALL: [Rule; 17] = [
         Rule::Lost,
         Rule::Invented,
         Rule::Repeated,
@@ -78,6 +80,7 @@
         Rule::NotReady,
         Rule::Datagram,
         Rule::Figures,
+        Rule::Numbered,
     ];
 
     /// What it asks, in a few words.
@@ -99,6 +102,7 @@
             Rule::NotReady => "every balancer ready in time",
             Rule::Datagram => "datagrams of 256 bytes at most",
             Rule::Figures => "what a balancer counts is what others saw",
+            Rule::Numbered => "the number of a start grows with each",
         }
     }
 }
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -1,8 +1,8 @@
 //! A balancer as a process: its configuration, its start, its signals, what it holds, its end.
 use crate::agent::Agent;
 use crate::audit::Counted;
-use crate::draw::Calls;
-use crate::experiment::{Effect, Group, Millis};
+use crate::draw::{Calls, Party, PlannedFault};
+use crate::experiment::{Effect, FaultKind, Group, Millis};
 use crate::guard::Guard;
 use crate::net::lock;
 use crate::oracle::Rule;
@@ -23,7 +23,7 @@
 use tokio::time::timeout;
 
 /// How often one that starts is asked whether it is ready.
-const ASK: Duration = Duration::from_millis(20);
+const ASK: Duration = Duration::from_millis(5);
 /// An answer to that is waited for this long.
 const ANSWER: Duration = Duration::from_millis(500);
 
@@ -39,10 +39,17 @@
     options: PathBuf,
     /// Its own folder, which outlives it.
     pub state: PathBuf,
+    /// Where it is told what its disk does wrong, and what that is when nothing special is on.
+    drill: PathBuf,
+    usually: &'static str,
     log: PathBuf,
     seed: u64,
     starts: AtomicUsize,
     pid: AtomicI32,
+    /// When it was begun last: Unix time, in milliseconds; and the highest number that a start of it had.
+    numbered: Mutex<(f64, u64)>,
+    /// A fault has ended it, or is about to, and will start it again.
+    down: AtomicBool,
     /// Its end is the lab's doing.
     told_to_end: AtomicBool,
     /// Ready to be used.
@@ -63,6 +70,10 @@
     pub fn new(index: usize, world: &World, agent: &Arc<Agent>, program: &str, root: &Path) -> Process {
         let name = world.plan.balancers[index].name.clone();
         let folder = &world.folder;
+        let meets =
+            |f: &PlannedFault| f.kind == FaultKind::PowerLoss && f.on.contains(&Party::Balancer(index));
+        // Whoever is to lose power has a disk that keeps for itself what was not synced.
+        let usually = if world.plan.faults.iter().any(meets) { "unsynced" } else { "" };
         Process {
             index,
             listen: world.block.balancer(index),
@@ -72,10 +83,14 @@
             config: folder.join("config").join(format!("{name}.json")),
             options: folder.join("config").join(format!("{name}.toml")),
             state: folder.join("state").join(&name),
+            drill: folder.join("config").join(format!("{name}.drill")),
+            usually,
             log: folder.join("logs").join(format!("{name}.log")),
             seed: world.plan.seed ^ 0x5eed << 32 ^ index as u64,
             starts: AtomicUsize::new(0),
             pid: AtomicI32::new(0),
+            numbered: Mutex::default(),
+            down: AtomicBool::new(false),
             told_to_end: AtomicBool::new(false),
             ready: watch::channel(false).0,
 
@@ -102,10 +117,20 @@
     fn write_options(&self, world: &World) -> Result<(), String> {
         let told = |path: &Path, e: std::io::Error| format!("{}: {e}", path.display());
         std::fs::create_dir_all(&self.state).map_err(|e| told(&self.state, e))?;
-        let text = world.experiment.options.to_string().replace("{state}", &self.state.display().to_string());
+        let text = world.experiment.options.to_string();
+        let text = text.replace("{state}", &self.state.display().to_string());
+        let text = text.replace("{drill}", &self.drill.display().to_string());
         std::fs::write(&self.options, text).map_err(|e| told(&self.options, e))
     }
 
+    /// Its disk does wrong from now on as these words say, or as it usually does.
+    pub fn disk(&self, does: Option<&str>) -> Result<(), String> {
+        let fresh = self.drill.with_extension("new");
+        std::fs::write(&fresh, does.unwrap_or(self.usually))
+            .and_then(|()| std::fs::rename(&fresh, &self.drill))
+            .map_err(|e| format!("{}: {e}", self.drill.display()))
+    }
+
     /// How often it was started.
     pub fn starts(&self) -> usize {
         self.starts.load(Ordering::Relaxed)
@@ -117,9 +142,29 @@
         serde_json::from_slice(&text).ok()
     }
 
+    /// Has the oracle judge the number of its last start, if that has written it.
+    pub fn check_number(&self, world: &World) {
+        let Some(counted) = self.figures() else { return };
+        let mut numbered = lock(&self.numbered);
+        let (begun, highest) = *numbered;
+        // The figures may be those of a start before.
+        let Some(number) = counted.incarnation.filter(|_| counted.at_ms - counted.up_ms >= begun) else {
+            return;
+        };
+        if number <= highest {
+            let what = format!("{} has number {number} after one that had {highest}", self.name);
+            world.breaks(Rule::Numbered, what);
+        }
+        // Once for each start.
+        *numbered = (f64::INFINITY, highest.max(number));
+    }
+
     /// Starts it, and returns once it is ready. What goes wrong is the oracle's to judge.
     pub async fn start(self: &Arc<Self>, world: &Arc<World>, guard: &Guard) -> Result<(), String> {
-        self.starts.fetch_add(1, Ordering::Relaxed);
+        if self.starts.fetch_add(1, Ordering::Relaxed) == 0 {
+            self.disk(None)?;
+        }
+        self.check_number(world);
         self.configure(world)?;
         self.write_options(world)?;
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log);
@@ -144,11 +189,14 @@
         if !world.experiment.options.is_empty() {
             command.env("HERONDOCK_OPTIONS", &self.options);
         }
+        lock(&self.numbered).0 = world.clock.unix(world.now());
         let child = command.spawn().map_err(|e| format!("{}: {}: {e}", self.name, self.command))?;
+        lock(&world.tally).started(self.index, world.now());
         let pid = child.id().and_then(|id| i32::try_from(id).ok()).unwrap_or(0);
         guard.watch(pid);
         self.pid.store(pid, Ordering::SeqCst);
         self.told_to_end.store(false, Ordering::SeqCst);
+        self.down.store(false, Ordering::SeqCst);
         self.gone.send_replace(false);
         *lock(&self.child) = Some(child);
         self.look_after(world, guard);
@@ -211,6 +259,11 @@
         timeout(ANSWER, ask).await.is_ok_and(|a| a.is_some())
     }
 
+    /// Takes it for a fault that ends it and starts it again. Not if another one has it.
+    pub fn take_down(&self) -> bool {
+        !self.down.swap(true, Ordering::SeqCst)
+    }
+
     /// Whether it runs.
     pub fn runs(&self) -> bool {
         self.pid.load(Ordering::SeqCst) != 0
--- a/lab/src/results.rs
+++ b/lab/src/results.rs
@@ -1,7 +1,7 @@
 //! The folder that a run leaves: its experiment, every play, the report; and the tables made of them.
 use crate::draw::Plan;
 use crate::experiment::{self, Experiment};
-use crate::figures::{mean_and_spread, Played};
+use crate::figures::{mean_and_spread, Comeback, Played};
 use crate::report;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -17,6 +17,9 @@
     pub programs: Vec<String>,
     /// Plays of each.
     pub plays: usize,
+    /// Whether each play has a draw of its own, from the seed on.
+    #[serde(default)]
+    pub new_draws: bool,
 }
 
 /// A folder of results.
@@ -167,7 +170,7 @@
 /// Figures set side by side: a name, and where it stands.
 type Column = (&'static str, fn(&Played) -> f64);
 
-const COMPARED: [Column; 13] = [
+const COMPARED: [Column; 17] = [
     ("worth", |p| p.figures.worth),
     ("in time", |p| p.figures.in_time),
     ("late", |p| p.figures.late),
@@ -181,8 +184,17 @@
     ("crossings", |p| p.traffic.crossings),
     ("connections", |p| p.traffic.connections),
     ("work wasted", |p| p.traffic.wasted),
+    ("exec to served", |p| of_comeback(p, |c| c.served_ms)),
+    ("  longest, ms", |p| of_comeback(p, |c| c.served_most_ms)),
+    ("worth, 15 s on", |p| of_comeback(p, |c| Some(c.worth_after))),
+    ("back after ms", |p| of_comeback(p, |c| c.back_ms)),
 ];
 
+/// A figure of how the fleet came back; no number where nothing stopped balancers, or it never did.
+fn of_comeback(p: &Played, of: fn(&Comeback) -> Option<f64>) -> f64 {
+    p.comeback.as_ref().and_then(of).unwrap_or(f64::NAN)
+}
+
 /// Each program against the first: the mean of the differences, play by play, and half their range.
 pub fn compare(plays: &[Played]) -> String {
     // Part of a run compares with nothing.
@@ -202,14 +214,18 @@
     }
     text.push('\n');
     for (figure, value) in COMPARED {
-        let all = |of: &[&Played]| mean_and_spread(&of.iter().map(|p| value(p)).collect::<Vec<_>>());
+        if plays.iter().all(|p| value(p).is_nan()) {
+            continue;
+        }
+        let known = |values: Vec<f64>| values.into_iter().filter(|v| v.is_finite()).collect::<Vec<_>>();
+        let all = |of: &[&Played]| mean_and_spread(&known(of.iter().map(|p| value(p)).collect()));
         let show = |(mean, spread): (f64, f64)| format!("{mean:.3} +- {spread:.3}");
         let _ = write!(text, "{figure:<14} {:>22}", show(all(&base)));
         for name in others {
             let other = of(name);
             let pairs = base.iter().filter_map(|b| Some((b, other.iter().find(|o| o.play == b.play)?)));
             let differences: Vec<f64> = pairs.map(|(b, o)| value(o) - value(b)).collect();
-            let (mean, spread) = mean_and_spread(&differences);
+            let (mean, spread) = mean_and_spread(&known(differences));
             let _ = write!(text, " {:>22} {:>22}", show(all(&other)), format!("{mean:+.3} +- {spread:.3}"));
         }
         text.push('\n');
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -4,7 +4,7 @@
 use crate::draw::Plan;
 use crate::experiment::{Experiment, FaultKind};
 use crate::faults;
-use crate::figures::{figures, missed, name_of, traffic, Case, Held, Lateness, Played};
+use crate::figures::{comeback, figures, missed, name_of, traffic, Case, Held, Lateness, Played};
 use crate::fleet::Fleet;
 use crate::guard::Guard;
 use crate::net::lock;
@@ -138,6 +138,7 @@
 async fn audit(fleet: &Fleet) {
     let world = &fleet.world;
     let over = world.clock.unix(world.now());
+    fleet.balancers.iter().for_each(|process| process.check_number(world));
     let through = fleet.balancers.iter().enumerate().filter(|(_, p)| p.starts() == 1 && p.runs());
     for (b, process) in through {
         let fresh = async {
@@ -242,6 +243,7 @@
         figures: figures(e, plan, &tally.done, |_| true),
         by,
         traffic: traffic(&tally),
+        comeback: comeback(e, plan, &tally),
         lateness,
         broken: broken.iter().map(Case::from).collect(),
         counts: counts.iter().map(|(rule, n)| (name_of(*rule), *n)).collect(),
--- a/lab/src/stand_in.rs
+++ b/lab/src/stand_in.rs
@@ -70,6 +70,8 @@
     Shouts,
     /// Writes figures of twice what it took.
     Boasts,
+    /// Writes the same number of its start each time.
+    Stutters,
 }
 
 #[derive(Deserialize)]
@@ -134,7 +136,7 @@
         listen: config.listen,
         peers_all: config.peers_all,
     });
-    if wrong == Some(Wrong::Boasts) {
+    if matches!(wrong, Some(Wrong::Boasts | Wrong::Stutters)) {
         let boaster = own.clone();
         tokio::spawn(async move { boaster.boast().await });
     }
@@ -163,8 +165,9 @@
         loop {
             tokio::time::sleep(Duration::from_millis(100)).await;
             let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-            let (at, taken) = (now.map_or(0, |n| n.as_millis()), self.taken.load(Ordering::Relaxed) * 2);
-            let text = format!(r#"{{"at_ms":{at},"requests":{taken},"attempts":{taken}}}"#);
+            let times = if self.wrong == Some(Wrong::Boasts) { 2 } else { 1 };
+            let (at, taken) = (now.map_or(0, |n| n.as_millis()), self.taken.load(Ordering::Relaxed) * times);
+            let text = format!(r#"{{"at_ms":{at},"incarnation":7,"requests":{taken},"attempts":{taken}}}"#);
             let (fresh, path) = (folder.join("figures.new"), folder.join("figures.json"));
             // The lab sees whether it is there.
             let _ = std::fs::write(&fresh, text).and_then(|()| std::fs::rename(&fresh, &path));
--- a/lab/src/tally.rs
+++ b/lab/src/tally.rs
@@ -1,6 +1,7 @@
 //! What a run counts: every request's end, and what passed between whom in each second.
 use crate::experiment::Millis;
 use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
 
 /// How a request ended for its client, over all its tries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -41,6 +42,17 @@
     pub added: Option<Millis>,
 }
 
+/// One start of a balancer.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Start {
+    /// Which balancer.
+    pub balancer: usize,
+    /// When its process was begun.
+    pub at: Millis,
+    /// When its first answer came that was served.
+    pub served: Option<Millis>,
+}
+
 /// What passed in one second.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Second {
@@ -70,12 +82,30 @@
     /// Every second of the run.
     pub seconds: Vec<Second>,
     zones: usize,
+    /// Every start of a balancer.
+    pub starts: Vec<Start>,
+    /// The starts of balancers that have not served yet, by balancer.
+    #[serde(skip)]
+    waiting: HashMap<usize, usize>,
 }
 
 impl Tally {
     /// Nothing counted, for so many zones.
     pub fn new(zones: usize) -> Tally {
-        Tally { done: Vec::new(), seconds: Vec::new(), zones }
+        Tally { done: Vec::new(), seconds: Vec::new(), zones, starts: Vec::new(), waiting: HashMap::new() }
+    }
+
+    /// The process of a balancer was begun.
+    pub fn started(&mut self, balancer: usize, now: Millis) {
+        self.waiting.insert(balancer, self.starts.len());
+        self.starts.push(Start { balancer, at: now, served: None });
+    }
+
+    /// A balancer's answer came that was served.
+    pub fn served(&mut self, balancer: usize, now: Millis) {
+        if let Some(start) = self.waiting.remove(&balancer) {
+            self.starts[start].served = Some(now);
+        }
     }
 
     /// The counts of the second that `now` lies in.
--- a/lab/tests/fleet/fleets.rs
+++ b/lab/tests/fleet/fleets.rs
@@ -169,6 +169,14 @@
 on = { names = ["desk-1"] }
 "#;
 
+/// The one balancer is killed, and starts again.
+const KILLED: &str = r#"
+[[fault]]
+kind = "kill"
+at = "700ms"
+for = "50ms"
+"#;
+
 each_rule_is_broken_by! {
     a_request_that_is_dropped_is_seen: "loses" breaks "lost" in small("");
     a_request_that_is_held_is_seen: "holds" breaks "lost" in small("").replace("8s", "1s").replace("5s", "1s");
@@ -186,6 +194,67 @@
     descriptors_over_their_limit_are_seen: "hoards" breaks "descriptors" in small("[balancer]\nsockets = 64\n");
     a_balancer_that_ends_is_seen: "dies" breaks "crashed" in small("");
     figures_that_are_not_so_are_seen: "boasts" breaks "figures" in small("");
+    a_number_that_comes_again_is_seen: "stutters" breaks "numbered" in small(KILLED);
     a_datagram_that_is_too_long_is_seen: "shouts" breaks "datagram" in small("");
     a_balancer_that_never_gets_ready_is_seen: "idles" breaks "not-ready" in small("[balancer]\nready_within = \"1s\"\n");
 }
+
+/// Six balancers with a disk: power is lost, disks fill and fail, folders are spoiled, and one is killed over and over.
+#[test]
+fn a_fleet_with_disks_keeps_every_rule_through_crashes_power_losses_and_disks_that_do_wrong() {
+    let faults = r#"
+[options.recovery]
+dir = "{state}"
+drill = "{drill}"
+every = "100ms"
+[options.figures]
+dir = "{state}"
+every = "100ms"
+[discovery]
+known = false
+[clients]
+rate = 40
+front_notice = "200ms"
+[[fault]]
+kind = "power-loss"
+at = "1s"
+for = "100ms"
+on = { role = "inner" }
+[[fault]]
+kind = "kill"
+at = "1s"
+for = ["50ms", "150ms"]
+times = 10
+every = "400ms"
+on = { names = ["front-1"] }
+[[fault]]
+kind = "kill"
+at = "2s"
+for = "100ms"
+on = { names = ["front-2"] }
+state = "truncated"
+[[fault]]
+kind = "disk-full"
+at = "2800ms"
+for = "800ms"
+on = { role = "front" }
+[[fault]]
+kind = "disk-failing"
+at = "3600ms"
+for = "800ms"
+on = { role = "front" }
+"#;
+    let real = format!("real=exec '{}'", herondock().display());
+    let played = Played::new(&fleet(2, 2, "5s", faults), &["--program", &real]);
+    let play = played.play("real");
+    assert_eq!(play["counts"], serde_json::json!({}), "{}", played.said());
+    let log = |name: &str| {
+        std::fs::read_to_string(played.out().join(format!("real-1/logs/{name}.log"))).expect("its log")
+    };
+    // Four had lost power and came back with what was on their disks.
+    assert!(log("beside-desk-1").contains("recovery: start 2, a list of"), "{}", log("beside-desk-1"));
+    // However often one is killed it serves again, whether or not its disk lets it keep anything.
+    let begun = log("front-1").matches("serving on").count();
+    assert!(begun > 5, "{begun} starts: {}", log("front-1"));
+    assert!(play["comeback"]["served_ms"].is_number(), "{}", play["comeback"]);
+}
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -6,7 +6,8 @@
 use crate::recovery::Recovery;
 use crate::upstream::{Ended, Transport, Upstream};
 use oakflow::{
-    Action, Availability, Balancer, Ending, Event, Membership, Millis, Request, RequestId, UpstreamId,
+    Action, Availability, Balancer, Ending, Event, Learned, Membership, Millis, Request, RequestId,
+    UpstreamId,
 };
 use oakflow_store::keeper::Written;
 use std::cell::RefCell;
@@ -54,6 +55,7 @@
     Module(u32),
     Attempt(RequestId, u32),
     Sweep,
+    Keep,
 }
 
 struct Driver {
@@ -74,6 +76,7 @@
     listed: bool,
     figures: Option<Figures>,
     recovery: Option<Recovery>,
+    leaving: bool,
 }
 
 struct Shared {
@@ -157,6 +160,7 @@
             listed: false,
             figures,
             recovery,
+            leaving: false,
         };
         let shared = Shared { driver: RefCell::new(driver), timers: Notify::new(), subscribe: Notify::new() };
         Handle(Rc::new(shared))
@@ -164,7 +168,11 @@
 
     /// Fires timers for ever.
     pub async fn run(&self) {
-        self.0.driver.borrow_mut().set_timer(Instant::now() + SWEEP, Due::Sweep);
+        {
+            let mut d = self.0.driver.borrow_mut();
+            d.set_timer(Instant::now() + SWEEP, Due::Sweep);
+            d.keep_later();
+        }
         loop {
             let next = self.0.driver.borrow().timers.first_key_value().map(|(&(at, _), _)| at);
             match next {
@@ -191,6 +199,14 @@
                 }
                 d.set_timer(now + SWEEP, Due::Sweep);
             }
+            Due::Keep => {
+                let mut d = self.0.driver.borrow_mut();
+                // What comes in while it ends says little of what it will meet when it starts again.
+                if !d.leaving {
+                    d.keep_learned();
+                    d.keep_later();
+                }
+            }
         }
     }
 
@@ -241,6 +257,11 @@
         self.feed(Event::Membership(Membership::Cached(members)));
     }
 
+    /// Hands back what an earlier run of this balancer had learned.
+    pub fn restored(&self, learned: Learned, age: Millis) {
+        self.feed(Event::Restored { learned: Box::new(learned), age });
+    }
+
     /// Takes a request: from now on one final answer is owed. `None`: more are open than may be.
     pub fn take(&self, class: usize, tenant: usize, patience: Millis, out: Outgoing) -> Option<Waiting> {
         let (reply, answer) = oneshot::channel();
@@ -279,6 +300,8 @@
             let by = d.start_ms + at.saturating_duration_since(d.start).as_secs_f64() * 1000.0;
             d.open.values_mut().for_each(|o| o.deadline = o.deadline.min(by));
             d.cut_attempts(at);
+            d.leaving = true;
+            d.keep_learned();
             by
         };
         self.feed(Event::EndBy(by));
@@ -435,6 +458,20 @@
         (at, self.timer_seq)
     }
 
+    fn keep_later(&mut self) {
+        if let Some(every) = self.recovery.as_ref().map(Recovery::every) {
+            self.set_timer(Instant::now() + every, Due::Keep);
+        }
+    }
+
+    /// Keeps what the decisions have learned. Before the first list they have not learned anything.
+    fn keep_learned(&mut self) {
+        let now = self.now();
+        if let Some(recovery) = self.recovery.as_ref().filter(|_| self.listed) {
+            recovery.learned(self.balancer.learned(now));
+        }
+    }
+
     /// Attempts that would be waited for past this time are given up then.
     fn cut_attempts(&mut self, at: Instant) {
         let late = self.attempts.iter().filter(|(_, a)| a.due.0 > at).map(|(&key, _)| key);
--- a/node/src/figures.rs
+++ b/node/src/figures.rs
@@ -1,5 +1,6 @@
 //! What the balancer counts of itself, and the file in which others read it.
 use crate::log::Lines;
+use crate::recovery::Start;
 use hdrhistogram::Histogram;
 use oakflow::{Ending, Refusal};
 use oakflow_store::keeper::Written;
@@ -85,8 +86,10 @@
     pub at_ms: f64,
     /// Time since the start, in milliseconds.
     pub up_ms: f64,
-    /// How often the balancer has started, where that is kept.
+    /// How often the balancer has started, where that is kept; and the number that only this start has.
     pub starts: Option<u64>,
+    /// See there.
+    pub incarnation: Option<u64>,
     /// Requests taken whole.
     pub requests: u64,
     /// Requests without their final answer.
@@ -137,8 +140,9 @@
 
 impl Figures {
     /// Nothing counted yet, for a balancer of this name and zone, at this start of it.
-    pub fn new(name: &str, zones: &[String], own_zone: u16, starts: Option<u64>) -> Figures {
-        let counts = Snapshot { name: name.into(), starts, ..Snapshot::default() };
+    pub fn new(name: &str, zones: &[String], own_zone: u16, start: Option<Start>) -> Figures {
+        let (starts, incarnation) = (start.map(|s| s.count), start.map(|s| s.incarnation));
+        let counts = Snapshot { name: name.into(), starts, incarnation, ..Snapshot::default() };
         Figures { counts, to_answer: histogram(), to_end: histogram(), zones: zones.to_vec(), own_zone }
     }
 
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -313,11 +313,13 @@
     let names = Names::of(&deployment);
     let kept = match options.recovery.dir.as_path() {
         dir if dir.as_os_str().is_empty() => None,
-        dir => {
-            Some(recovery::open(dir, recovery::owner(&name, &deployment), &names, options.recovery.list_age))
+        _ => {
+            let owner = recovery::owner(&name, &deployment);
+            Some(recovery::open(&options.recovery, owner, &names, &deployment.policy))
         }
     };
-    let (recovery, kept, starts) = kept.map_or((None, None, None), |k| (k.recovery, k.list, k.starts));
+    let (recovery, kept, start_number, learned) =
+        kept.map_or((None, None, None, None), |k| (k.recovery, k.list, k.start, k.learned));
     // The platform's word goes first, unless this balancer has heard a later one.
     let known = match (known, kept) {
         (Some(known), Some(kept)) if kept.version > known.version => Some(kept),
@@ -331,7 +333,7 @@
         transport,
         drain_grace: span(deployment.drain_grace),
         max_open: usize::try_from(deployment.max_open).unwrap_or(usize::MAX),
-        figures: on.then(|| Figures::new(&name, &deployment.zones, deployment.policy.zone, starts)),
+        figures: on.then(|| Figures::new(&name, &deployment.zones, deployment.policy.zone, start_number)),
         recovery,
     });
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("listen: {listen}: {e}"))?;
@@ -339,6 +341,9 @@
     let timers = handle.clone();
     let mut timers = tokio::task::spawn_local(async move { timers.run().await });
     handle.cached(known.as_ref());
+    if let Some((learned, age)) = learned {
+        handle.restored(learned, age);
+    }
     let (moved, discovery) = watch::channel(discovery);
     let watcher = Discovery::new(discovery, names, known.as_ref().map(|k| k.version));
     tokio::task::spawn_local(watcher.run(handle.clone(), !deployment.policy.ask_for_list));
--- a/node/src/options.rs
+++ b/node/src/options.rs
@@ -19,7 +19,7 @@
 /// Parts of the program whose events can be told apart.
 pub const PARTS: [&str; 8] =
     ["run", "discovery", "callers", "requests", "attempts", "module", "figures", "recovery"];
-/// The shortest time between two snapshots of the figures.
+/// The shortest time between two snapshots of the figures, or of what was learned.
 const EVERY_LEAST: Duration = Duration::from_millis(100);
 
 /// How much is logged.
@@ -91,6 +91,13 @@
     /// A kept list of upstreams is used until it is this old. Read at the start only.
     #[serde(with = "humantime_serde")]
     pub list_age: Duration,
+    /// Whether what the decisions have learned is taken back. Read at the start only.
+    pub learned: bool,
+    /// How often what they have learned is kept.
+    #[serde(with = "humantime_serde")]
+    pub every: Duration,
+    /// For drills: a file that says what the disk does wrong; empty: nothing.
+    pub drill: PathBuf,
 }
 
 /// All options.
@@ -110,7 +117,13 @@
         Options {
             log: Log { level: Level::Info, format: Format::Text, rate: 20, parts: BTreeMap::new() },
             figures: Figures { dir: PathBuf::new(), log: false, every: Duration::from_secs(1) },
-            recovery: Recovery { dir: PathBuf::new(), list_age: Duration::from_secs(3600) },
+            recovery: Recovery {
+                dir: PathBuf::new(),
+                list_age: Duration::from_secs(3600),
+                learned: true,
+                every: Duration::from_secs(1),
+                drill: PathBuf::new(),
+            },
         }
     }
 }
@@ -322,7 +335,7 @@
     if options.log.rate == 0 {
         return Err("must be at least 1");
     }
-    if options.figures.every < EVERY_LEAST {
+    if options.figures.every < EVERY_LEAST || options.recovery.every < EVERY_LEAST {
         return Err("must be at least 100ms");
     }
     Ok(())
@@ -363,8 +376,17 @@
         if self.options.figures.dir != before.figures.dir {
             return fixed("figures.dir");
         }
-        if self.options.recovery != before.recovery {
-            return fixed("recovery.dir");
+        let (now, then) = (&self.options.recovery, &before.recovery);
+        for (key, same) in [
+            ("recovery.dir", now.dir == then.dir),
+            ("recovery.list_age", now.list_age == then.list_age),
+            ("recovery.learned", now.learned == then.learned),
+            ("recovery.every", now.every == then.every),
+            ("recovery.drill", now.drill == then.drill),
+        ] {
+            if !same {
+                return fixed(key);
+            }
         }
         if self.options.figures.on() != before.figures.on() {
             return fixed("figures.log");
--- a/node/src/recovery.rs
+++ b/node/src/recovery.rs
@@ -1,9 +1,14 @@
-//! What of this balancer outlives it: how often it has started, and the last good list of upstreams.
+//! What of this balancer outlives it: the number of its start, the last good list of upstreams, and what its decisions
+//! have learned.
 use crate::listing::{Listing, Names, Roster};
+use crate::options;
+use oakflow::{Learned, Millis, Settings};
 use oakflow_settings::Deployment;
 use oakflow_store::keeper::Written;
 use oakflow_store::store::{look, NoStore, Opened};
-use oakflow_store::{Found, Keeper, Kind, Owner, Store};
+use oakflow_store::{Drill, Found, Keeper, Kind, Owner, Record, Store};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
 use std::path::Path;
 use std::sync::mpsc::{channel, RecvTimeoutError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -15,20 +20,62 @@
 /// Time for what is on its way to the disk when the program ends.
 pub const LAST_WRITE: Duration = Duration::from_millis(200);
 
+/// Random bits below the time in the number of a start: two starts in one millisecond, on a clock that went back and with
+/// a folder that was lost, still get different ones.
+const RANDOM_BITS: u32 = 20;
+
 /// What is kept from now on.
 pub struct Recovery {
     keeper: Keeper,
     roster: Roster,
+    /// A fingerprint of all settings of the decisions: what they learned under others says nothing.
+    policy: u32,
+    /// How often what was learned is kept.
+    every: Duration,
+}
+
+/// Which start of the balancer this is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Start {
+    /// How many there were, this one included; begins anew with a folder that was lost.
+    pub count: u64,
+    /// A number that no other start of this balancer has: more than all that its folder knows of, and, where that was
+    /// lost, made of the time and of chance.
+    pub incarnation: u64,
+}
+
+impl Start {
+    /// The start after what a folder has kept, if it has, at this time by the clock.
+    fn after(kept: Option<&str>, now_ms: f64, chance: u64) -> Start {
+        // Version 0.1 kept the count alone.
+        let count = |text: &str| text.parse().ok().map(|count| Start { count, incarnation: 0 });
+        let before = kept.and_then(|text| serde_json::from_str(text).ok().or_else(|| count(text)));
+        let Start { count, incarnation } = before.unwrap_or(Start { count: 0, incarnation: 0 });
+        let timed = ((now_ms.clamp(0.0, 1e13) as u64) << RANDOM_BITS) | (chance % (1 << RANDOM_BITS));
+        Start { count: count.saturating_add(1), incarnation: incarnation.saturating_add(1).max(timed) }
+    }
+}
+
+/// How what was learned lies in its record.
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Lesson {
+    /// See [`Recovery::policy`].
+    policy: u32,
+    learned: Learned,
 }
 
 /// What was found.
 pub struct Recovered {
     /// Where to keep things; nowhere if the disk does not let us.
     pub recovery: Option<Recovery>,
-    /// How often this balancer has started, this time included. It is on the disk.
-    pub starts: Option<u64>,
+    /// Which start this is. It is on the disk.
+    pub start: Option<Start>,
     /// The last good list, if it is good still.
     pub list: Option<Listing>,
+    /// What the decisions had learned, and its age.
+    pub learned: Option<(Learned, Millis)>,
 }
 
 /// Whose state it is: its name, and what the positions in its state mean.
@@ -52,32 +99,48 @@
 
 /// What the disk gives back, before anybody looks at what it means.
 struct Read {
-    opened: Opened,
-    starts: u64,
+    /// Where to keep things, and where a broken store was set aside; or why nothing can be kept.
+    store: Result<Opened, NoStore>,
+    /// Which start this is, and why that is not known if it could not be written.
+    start: Result<Start, NoStore>,
     list: Found,
+    learned: Found,
 }
 
-fn read(dir: &Path, owner: Owner) -> Result<Read, NoStore> {
-    let opened = Store::open(dir, owner)?;
-    let before = match opened.store.get(Kind::Starts)? {
-        Found::Record(record) => record.payload.parse::<u64>().unwrap_or(0),
-        Found::Nothing | Found::Unfit(_) => 0,
+fn read(dir: &Path, owner: Owner, drill: Option<Drill>) -> Result<Read, NoStore> {
+    let mut opened = match Store::open(dir, owner.clone(), drill) {
+        Ok(opened) => opened,
+        Err(NoStore::Disk(e)) => {
+            // What can't be written may still be read.
+            let e = NoStore::Disk(e);
+            let Ok(copy) = Store::copy(dir, owner) else { return Err(e) };
+            let (list, learned) = (copy.get(Kind::Upstreams)?, copy.get(Kind::Learned)?);
+            return Ok(Read { store: Err(e.clone()), start: Err(e), list, learned });
+        }
+        Err(e) => return Err(e),
+    };
+    let kept = match opened.store.get(Kind::Starts)? {
+        Found::Record(record) => Some(record.payload),
+        Found::Nothing | Found::Unfit(_) => None,
     };
-    let starts = before.saturating_add(1);
-    let list = opened.store.get(Kind::Upstreams)?;
-    // On the disk before anybody hears of it: a number that was given out must not come again.
-    opened.store.put(&[(Kind::Starts, starts.to_string())], unix_ms())?;
-    Ok(Read { opened, starts, list })
+    let start = Start::after(kept.as_deref(), unix_ms(), rand::thread_rng().gen());
+    let (list, learned) = (opened.store.get(Kind::Upstreams)?, opened.store.get(Kind::Learned)?);
+    // On the disk before anybody hears of it: a number that was given out must not come again. Numbers only: there is
+    // nothing in it that JSON can't hold.
+    let text = serde_json::to_string(&start).unwrap_or_default();
+    let start = opened.store.put(&[(Kind::Starts, text)], unix_ms()).map(|()| start);
+    Ok(Read { store: Ok(opened), start, list, learned })
 }
 
-/// Opens the folder. Whatever is wrong is told in one line, and the balancer goes on without.
-pub fn open(dir: &Path, owner: Owner, names: &Names, list_age: Duration) -> Recovered {
+/// Opens the folder that the options name. Whatever is wrong is told in one line, and the balancer goes on without.
+pub fn open(options: &options::Recovery, owner: Owner, names: &Names, policy: &Settings) -> Recovered {
     let settings = owner.settings;
     let (tell, told) = channel();
-    let folder = dir.to_path_buf();
+    let folder = options.dir.clone();
+    let drill = (!options.drill.as_os_str().is_empty()).then(|| Drill::told_by(&options.drill));
     let opening = std::thread::Builder::new().name("recovery".into()).spawn(move || {
         // Nobody may wait for it any more.
-        let _ = tell.send(read(&folder, owner));
+        let _ = tell.send(read(&folder, owner, drill));
     });
     let found = match opening.map(|_| told.recv_timeout(START_WAIT)) {
         Ok(Ok(found)) => found.map_err(|e| e.to_string()),
@@ -85,39 +148,61 @@
         Ok(Err(RecvTimeoutError::Disconnected)) => Err("it could not be read".into()),
         Err(e) => Err(e.to_string()),
     };
-    let found = found.and_then(|read| {
-        let list = kept_list(&read.list, settings, names, list_age);
-        Keeper::start(read.opened.store).map(|keeper| (keeper, read.opened.aside, read.starts, list))
-    });
-    match found {
-        Ok((keeper, aside, starts, list)) => {
-            if let Some((to, error)) = aside {
-                let to = to.display();
-                tracing::warn!(target: "recovery", event = "state_set_aside", error, "recovery: {error}: set aside as {to}");
-            }
-            let (list, said) = match list {
-                Ok((list, age)) => {
-                    let said =
-                        format!("a list of {} upstreams, {:.1} s old", list.entries.len(), age / 1000.0);
-                    (Some(list), said)
-                }
-                Err(why) => (None, format!("no list: {why}")),
-            };
-            tracing::info!(target: "recovery", event = "recovered", starts, list = list.is_some(), "recovery: start {starts}, {said}");
-            let mut roster = Roster::default();
-            list.iter().for_each(|list| roster.apply(list));
-            Recovered { recovery: Some(Recovery { keeper, roster }), starts: Some(starts), list }
+    let dir = options.dir.display();
+    let off = |error: &str| {
+        tracing::warn!(target: "recovery", event = "recovery_off", error, "recovery: {dir}: {error}; going on without");
+    };
+    let Read { store, start, list, learned } = match found {
+        Ok(read) => read,
+        Err(error) => {
+            off(&error);
+            return Recovered { recovery: None, start: None, list: None, learned: None };
         }
+    };
+    let keeper = store.map_err(|e| e.to_string()).and_then(|Opened { store, aside }| {
+        if let Some((to, error)) = aside {
+            let to = to.display();
+            tracing::warn!(target: "recovery", event = "state_set_aside", error, "recovery: {error}: set aside as {to}");
+        }
+        Keeper::start(store)
+    });
+    let fingerprint = crc32fast::hash(format!("{policy:?}").as_bytes());
+    let list = kept_list(&list, settings, names, options.list_age);
+    let learned = match options.learned {
+        true => kept_lesson(&learned, settings, fingerprint, policy),
+        false => Err("not asked for".into()),
+    };
+    let said_list = match &list {
+        Ok((list, age)) => format!("a list of {} upstreams, {:.1} s old", list.entries.len(), age / 1000.0),
+        Err(why) => format!("no list: {why}"),
+    };
+    let said_learned = match &learned {
+        Ok((_, age)) => format!("what was learned until {:.1} s ago", age / 1000.0),
+        Err(why) => format!("nothing learned: {why}"),
+    };
+    let (list, learned) = (list.ok().map(|(list, _)| list), learned.ok());
+    let (starts, said_start) = match &start {
+        Ok(start) => (Some(start.count), format!("start {}", start.count)),
+        Err(error) => (None, format!("a start without a number ({error})")),
+    };
+    tracing::info!(
+        target: "recovery", event = "recovered", starts, list = list.is_some(), learned = learned.is_some(),
+        "recovery: {said_start}, {said_list}, {said_learned}"
+    );
+    let mut roster = Roster::default();
+    list.iter().for_each(|list| roster.apply(list));
+    let recovery = match keeper {
+        Ok(keeper) => Some(Recovery { keeper, roster, policy: fingerprint, every: options.every }),
         Err(error) => {
-            let dir = dir.display();
-            tracing::warn!(target: "recovery", event = "recovery_off", error, "recovery: {dir}: {error}; going on without");
-            Recovered { recovery: None, starts: None, list: None }
+            off(&format!("nothing is kept: {error}"));
+            None
         }
-    }
+    };
+    Recovered { recovery, start: start.ok(), list, learned }
 }
 
-/// The kept list and its age in milliseconds, or why it is not used.
-fn kept_list(found: &Found, settings: u32, names: &Names, most: Duration) -> Result<(Listing, f64), String> {
+/// The record under a kind and its age in milliseconds, or why it is not used.
+fn usable(found: &Found, settings: u32) -> Result<(&Record, Millis), String> {
     let record = match found {
         Found::Record(record) => record,
         Found::Nothing => return Err("none was kept".into()),
@@ -130,10 +215,32 @@
     if age < -(CLOCK_BACK.as_secs_f64() * 1000.0) {
         return Err(format!("it is from {:.0} s in the future", -age / 1000.0));
     }
+    Ok((record, age.max(0.0)))
+}
+
+/// What was learned and its age, or why it is not used.
+fn kept_lesson(
+    found: &Found,
+    settings: u32,
+    policy: u32,
+    now: &Settings,
+) -> Result<(Learned, Millis), String> {
+    let (record, age) = usable(found, settings)?;
+    let lesson: Lesson = serde_json::from_str(&record.payload).map_err(|e| e.to_string())?;
+    if lesson.policy != policy {
+        return Err("the settings are others now".into());
+    }
+    lesson.learned.validate(now).map_err(|e| e.to_string())?;
+    Ok((lesson.learned, age))
+}
+
+/// The kept list and its age in milliseconds, or why it is not used.
+fn kept_list(found: &Found, settings: u32, names: &Names, most: Duration) -> Result<(Listing, f64), String> {
+    let (record, age) = usable(found, settings)?;
     if age > most.as_secs_f64() * 1000.0 {
         return Err(format!("it is {:.0} s old", age / 1000.0));
     }
-    Ok((Listing::parse(record.payload.as_bytes(), names)?, age.max(0.0)))
+    Ok((Listing::parse(record.payload.as_bytes(), names)?, age))
 }
 
 impl Recovery {
@@ -141,6 +248,23 @@
     pub fn listed(&mut self, listing: &Listing) {
         self.roster.apply(listing);
         self.keeper.keep(Kind::Upstreams, self.roster.text());
+        self.tell_failure();
+    }
+
+    /// Keeps what the decisions have learned.
+    pub fn learned(&self, learned: Learned) {
+        let lesson = Lesson { policy: self.policy, learned };
+        // Finite numbers only: there is nothing in it that JSON can't hold.
+        self.keeper.keep(Kind::Learned, serde_json::to_string(&lesson).unwrap_or_default());
+        self.tell_failure();
+    }
+
+    /// How often what was learned is to be kept.
+    pub fn every(&self) -> Duration {
+        self.every
+    }
+
+    fn tell_failure(&self) {
         if let Some(error) = self.keeper.failure() {
             tracing::warn!(target: "recovery", event = "state_not_written", error, "recovery: not written: {error}");
         }
--- a/node/tests/recovery.rs
+++ b/node/tests/recovery.rs
@@ -93,3 +93,132 @@
     assert!(log.iter().all(|l| !l.contains("panicked")), "{log:?}");
     assert!(dir.path().join("state.redb.bad-1").is_file());
 }
+
+/// What a run of a balancer logged of what it found.
+fn recovered(node: &Node) -> String {
+    node.logs("recovery: ");
+    node.log().into_iter().find(|l| l.contains("recovery: ")).expect("was logged")
+}
+
+/// What is kept under a kind, as `state show` prints it.
+fn kept(kind: &str, dir: &Path) -> Option<String> {
+    state("show", dir).1.lines().find(|l| l.starts_with(kind)).map(str::to_string)
+}
+
+fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let started = std::time::Instant::now();
+    while !holds() {
+        assert!(started.elapsed() < PATIENCE, "{what}");
+        std::thread::sleep(std::time::Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn what_was_learned_outlives_a_kill_and_is_dropped_when_the_settings_are_others() {
+    let dir = TempDir::new().expect("a folder");
+    let upstream = Upstream::start(|_| ok("served"));
+    let with = |config: &dyn Fn(&str) -> String, more: &[&str]| {
+        let discovery = Discovery::start();
+        let mut command = command(&config(&discovery.addr.to_string()));
+        command.args(["run", "--set", &format!("recovery.dir={}", dir.path().display())]);
+        for option in more {
+            command.args(["--set", option]);
+        }
+        Node::run(command, discovery)
+    };
+    let plain = |at: &str| config(at.parse().expect("an address"), 1024, "null");
+    let node = with(&plain, &["recovery.every=100ms"]);
+    assert!(recovered(&node).contains("nothing learned: none was kept"));
+    node.discovery.answer(&listing(1, true, &[(0, upstream.addr, "active")]));
+    wait_until("ready", || node.client().call("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 200);
+    let mut client = node.client();
+    for n in 0..20 {
+        assert_eq!(client.call(&get(&format!("r{n}"), "5000m")).body, b"served");
+    }
+    wait_until("learned is kept", || kept("learned", dir.path()).is_some_and(|l| l.contains("capacity")));
+    drop(node);
+    let node = with(&plain, &[]);
+    assert!(recovered(&node).contains("what was learned until"), "{:?}", node.log());
+    assert_eq!(node.client().call(&get("again", "5000m")).body, b"served");
+    drop(node);
+    let node = with(&plain, &["recovery.learned=false"]);
+    assert!(recovered(&node).contains("nothing learned: not asked for"), "{:?}", node.log());
+    drop(node);
+    let other = |at: &str| plain(at).replace("\"quota_per_s\":5000", "\"quota_per_s\":4000");
+    let node = with(&other, &[]);
+    assert!(recovered(&node).contains("nothing learned: the settings are others now"), "{:?}", node.log());
+}
+
+/// The number of a start, as its figures have it.
+fn incarnation(dir: &Path) -> Option<u64> {
+    let text = std::fs::read_to_string(dir.join("figures.json")).ok()?;
+    let (_, rest) = text.split_once("\"incarnation\":")?;
+    rest.split(',').next()?.parse().ok()
+}
+
+#[test]
+fn the_number_of_a_start_never_comes_again_though_the_folder_is_lost() {
+    let dir = TempDir::new().expect("a folder");
+    let mut numbers = Vec::new();
+    for round in 0..4 {
+        if round == 2 {
+            std::fs::remove_file(dir.path().join("state.redb")).expect("is lost");
+        }
+        let _ = std::fs::remove_file(dir.path().join("figures.json"));
+        let node = started(dir.path());
+        wait_until("figures", || incarnation(dir.path()).is_some());
+        numbers.extend(incarnation(dir.path()));
+        drop(node);
+    }
+    assert!(numbers.windows(2).all(|pair| pair[0] < pair[1]), "{numbers:?}");
+}
+
+/// The disk is full, then fails, then is well again: requests are served throughout, and what waits is written.
+#[test]
+fn a_disk_that_does_wrong_costs_no_request() {
+    let dir = TempDir::new().expect("a folder");
+    let drill = dir.path().join("drill");
+    let upstream = Upstream::start(|_| ok("served"));
+    let run = || {
+        let discovery = Discovery::start();
+        let mut command = command(&config(discovery.addr, 1024, "null"));
+        for option in [
+            format!("recovery.dir={}", dir.path().display()),
+            format!("recovery.drill={}", drill.display()),
+            "recovery.every=100ms".into(),
+        ] {
+            command.args(if option.starts_with("recovery.dir") {
+                vec!["run", "--set"]
+            } else {
+                vec!["--set"]
+            });
+            command.arg(option);
+        }
+        Node::run(command, discovery)
+    };
+    let node = run();
+    node.logs("recovery: start 1");
+    node.discovery.answer(&listing(1, true, &[(0, upstream.addr, "active")]));
+    wait_until("the list is kept", || kept("upstreams", dir.path()).is_some_and(|l| l.contains("s-0")));
+    for fault in ["full", "failing", "slow 20s"] {
+        std::fs::write(&drill, fault).expect("writes");
+        if fault != "slow 20s" {
+            node.logs(if fault == "full" { "no space left (drill)" } else { "input/output error (drill)" });
+        }
+        for n in 0..5 {
+            assert_eq!(node.client().call(&get(&format!("{}{n}", &fault[..4]), "5000m")).body, b"served");
+        }
+    }
+    drop(node);
+    // A disk that takes nothing may still be read: it serves from the list, and says that nothing is kept.
+    std::fs::write(&drill, "full").expect("writes");
+    let node = run();
+    node.logs("a start without a number");
+    assert_eq!(node.client().call(&get("still", "5000m")).body, b"served");
+    drop(node);
+    std::fs::remove_file(&drill).expect("is well again");
+    let node = run();
+    node.logs("recovery: start 2, a list of 1 upstreams");
+    assert_eq!(state("check", dir.path()).0, Some(0));
+    drop(node);
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,6 +1,7 @@
 //! What a [`Balancer`](crate::Balancer) is told and what it asks for: settings, ids, events, actions.
 //!
 //! Every time is in milliseconds on one clock that only increases; the balancer reads no clock itself.
+use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// Milliseconds: a point on the caller's clock, or a span of it.
@@ -9,7 +10,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u32);
 /// Names one upstream server. Carries no meaning; the same value at every balancer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct UpstreamId(pub u64);
 
 /// What repeating a request of a class may do.
@@ -228,6 +229,107 @@
     Failed,
 }
 
+/// What an instance has learned, as [`Balancer::learned`](crate::Balancer::learned) hands it out and
+/// [`Event::Restored`] hands it back to a later one. Holds no time by any clock: only spans, as of when it was handed out.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Learned {
+    /// Calls per second that the next tier carries for this instance.
+    pub capacity: f64,
+    /// Calls admitted per second: the mean of late, and the peak.
+    pub admitted: f64,
+    /// See there.
+    pub peak: f64,
+    /// Calls per second that all instances together get served; zero: not known.
+    pub served: f64,
+    /// The part of answers that are in time.
+    pub in_time: f64,
+    /// The part of the least capacity that holds while upstreams are crowded.
+    pub uncrowded: f64,
+    /// The most ready upstreams that there were, each as far as it was warm; and the part of them that could be sent
+    /// to.
+    pub upstreams_most: f64,
+    /// See there.
+    pub upstreams_usable: f64,
+    /// Mean answer time; its mean deviation; and the least mean of late.
+    pub answer: Millis,
+    /// See there.
+    pub deviation: Millis,
+    /// See there.
+    pub unloaded: Millis,
+    /// Calls per second that each tenant asked for, by position in [`Settings::tenants`], with one further place for
+    /// all that are not listed; absent: none was seen.
+    pub demands: Vec<Option<f64>>,
+    /// Answer times of machine kinds.
+    pub kinds: Vec<LearnedKind>,
+    /// The part of calls that got no answer, in steps by how long their connection may have rested.
+    pub rest_lost: Vec<f64>,
+    /// Upstreams that were called.
+    pub upstreams: Vec<LearnedUpstream>,
+}
+
+/// What was learned of a machine kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LearnedKind {
+    /// The kind.
+    pub kind: u8,
+    /// Mean answer time, as a part of the class's objective.
+    pub usual: f64,
+    /// Answers that this rests on.
+    pub answers: f64,
+}
+
+/// What was learned of an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LearnedUpstream {
+    /// Which.
+    pub id: UpstreamId,
+    /// When its process had started: nothing of this holds for another start.
+    pub since: Millis,
+    /// Answer time as a multiple of its kind's.
+    pub slowness: f64,
+    /// Part of attempts of late that failed.
+    pub fails: f64,
+    /// Time since it was last used.
+    pub unused_for: Millis,
+    /// What is left of its ejection; and of one for more than errors; zero: nothing.
+    pub ejected_for: Millis,
+    /// See there.
+    pub lost_for: Millis,
+    /// Ejections in a row.
+    pub ejections: u32,
+}
+
+impl Learned {
+    /// Checks every figure; the first one at fault is named. What passes can be taken back whole, however old it is.
+    pub fn validate(&self, s: &Settings) -> Result<(), SettingsError> {
+        let need = |ok: bool, field, must| if ok { Ok(()) } else { Err(SettingsError { field, must }) };
+        let span = |v: f64| (0.0..=1e15).contains(&v);
+        let part = |v: f64| (0.0..=1.0).contains(&v);
+        let rates = [self.capacity, self.admitted, self.peak, self.served, self.upstreams_most];
+        need(rates.into_iter().all(span), "learned rates", "numbers of at least 0")?;
+        let parts = [self.in_time, self.uncrowded, self.upstreams_usable];
+        need(parts.into_iter().all(part), "learned parts", "between 0 and 1")?;
+        // Grown from by a part of itself, so that it must not be nothing.
+        let time = |v: f64| (1e-3..=1e15).contains(&v);
+        need(time(self.answer) && time(self.unloaded), "learned.answer", "a time above 0")?;
+        need(span(self.deviation), "learned.deviation", "a time of at least 0")?;
+        let demands = self.demands.iter().flatten().all(|&d| span(d));
+        let places = self.demands.len() == s.tenants.len().max(1) + 1;
+        need(demands && places, "learned.demands", "a rate of at least 0 for each tenant")?;
+        need(self.rest_lost.iter().all(|&p| part(p)), "learned.rest_lost", "between 0 and 1")?;
+        let kind = |k: &LearnedKind| span(k.usual) && span(k.answers);
+        need(self.kinds.iter().all(kind), "learned.kinds", "numbers of at least 0")?;
+        let upstream = |u: &LearnedUpstream| {
+            let spans = [u.since, u.slowness, u.unused_for, u.ejected_for, u.lost_for];
+            spans.into_iter().all(span) && part(u.fails)
+        };
+        need(self.upstreams.iter().all(upstream), "learned.upstreams", "numbers of at least 0")
+    }
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -326,6 +428,14 @@
         /// Requests a second.
         per_s: f64,
     },
+    /// What an earlier instance with these settings had learned; see [`Learned::validate`], what fails it is passed
+    /// over. Counts from the first list that names a ready upstream on.
+    Restored {
+        /// The state.
+        learned: Box<Learned>,
+        /// Time since it was handed out.
+        age: Millis,
+    },
     /// The client left, or its time ran out: nothing is owed any more.
     ClientGone(RequestId),
     /// The program is to end: every request that is open needs its final answer by this time.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -107,6 +107,11 @@
 /// Part of the cold budget that is used; the rest absorbs chance and calls heavier than average.
 const COLD_MARGIN: f64 = 0.5;
 
+/// What was learned of the load, and of paths and answer times, before a restart is worth less the older it is:
+/// at this age 0.37 of it is left, beside what a start knows. Load turns over in a minute or so, machines do not.
+const LOAD_KEPT: Millis = 30_000.0;
+const TIMES_KEPT: Millis = 600_000.0;
+
 const TIMER_CYCLE: u32 = 0;
 const TIMER_ASK: u32 = 1;
 
@@ -824,6 +829,102 @@
     ((u128::from(rng.next_u64()) * n as u128) >> 64) as usize
 }
 
+// --- State that outlives an instance ----------------------------------------------------------------
+
+impl Balancer {
+    /// What was learned so far, to be kept for a later instance. Limits follow from it by the published rule.
+    pub fn learned(&mut self, now: Millis) -> Learned {
+        let (_, usable) = self.fleet.count(&self.settings, now);
+        let (a, f, per_s) = (&self.admission, &self.fleet, 1000.0 / CYCLE);
+        let left = |until: Millis| (until - now).max(0.0);
+        let called = f.by_id.values().map(|&i| &f.slots[i]).filter(|u| u.outcomes > 0);
+        let upstreams = called.map(|u| LearnedUpstream {
+            id: u.member.id,
+            since: u.member.since,
+            slowness: u.slowness,
+            fails: u.fails,
+            unused_for: now - u.last_used,
+            ejected_for: left(u.ejected_until),
+            lost_for: left(u.lost_until),
+            ejections: u.ejections,
+        });
+        let kind = |(&kind, &(usual, answers)): (&u8, &(f64, f64))| LearnedKind { kind, usual, answers };
+        Learned {
+            capacity: a.capacity * per_s,
+            admitted: a.recent * per_s,
+            peak: a.peak * per_s,
+            served: a.served * per_s,
+            in_time: a.success,
+            uncrowded: a.uncrowded,
+            upstreams_most: f.most,
+            upstreams_usable: usable,
+            answer: f.latency,
+            deviation: f.deviation,
+            unloaded: a.unloaded,
+            demands: a.tenants.iter().map(|t| t.seen.then_some(t.demand * per_s)).collect(),
+            kinds: f.kinds.iter().map(kind).collect(),
+            rest_lost: f.rest_lost.to_vec(),
+            upstreams: upstreams.collect(),
+        }
+    }
+
+    /// Takes back what was kept, once there is a list.
+    fn take_back(&mut self, now: Millis) {
+        if let Some((kept, at)) = self.kept.take_if(|_| self.fleet.ready > 0) {
+            self.restore(now, &kept, now - at);
+        }
+    }
+
+    /// Takes back what an earlier instance had learned `age` ago: faded towards what this one starts with, and
+    /// scaled to the upstreams that there are now, or copies that all come back would tip the cold ones.
+    fn restore(&mut self, now: Millis, kept: &Learned, age: Millis) {
+        let (load, times) = ((-age / LOAD_KEPT).exp(), (-age / TIMES_KEPT).exp());
+        let mix = |to: &mut f64, kept: f64, worth: f64| *to += worth * (kept - *to);
+        let (a, f, per_cycle) = (&mut self.admission, &mut self.fleet, CYCLE / 1000.0);
+        for kept in &kept.upstreams {
+            let Some(&i) = f.by_id.get(&kept.id) else { continue };
+            let u = &mut f.slots[i];
+            if u.member.since == kept.since {
+                (u.slowness, u.last_used) = (kept.slowness, now - age - kept.unused_for);
+                (u.fails, u.ejections) = (load * kept.fails, kept.ejections);
+                u.ejected_until = now + kept.ejected_for.min(EJECT_MOST) - age;
+                u.lost_until = now + kept.lost_for.min(EJECT_MOST) - age;
+            }
+        }
+        for k in &kept.kinds {
+            // Fewer answers to rest on, so that new ones count for more.
+            let answers = k.answers * times;
+            if answers >= 1.0 && k.usual > 0.0 {
+                f.kinds.entry(k.kind).or_insert((k.usual, answers));
+            }
+        }
+        f.rest_lost.iter_mut().zip(&kept.rest_lost).for_each(|(to, &kept)| mix(to, kept, times));
+        mix(&mut f.latency, kept.answer, times);
+        mix(&mut f.deviation, kept.deviation, times);
+        mix(&mut a.unloaded, kept.unloaded, times);
+        // What is listed now may be the few that are left of what was shared out among many.
+        f.most = f.most.max(load * kept.upstreams_most);
+        (a.listed, a.usable) = f.count(&self.settings, now);
+        let size = per_cycle * (a.usable / kept.upstreams_usable.max(0.01)).min(1.0);
+        mix(&mut a.capacity, kept.capacity * size, load);
+        mix(&mut a.recent, kept.admitted * size, load);
+        mix(&mut a.peak, kept.peak * size, load);
+        mix(&mut a.success, kept.in_time, load);
+        mix(&mut a.uncrowded, kept.uncrowded, load);
+        if kept.served > 0.0 && a.quotas > 0.0 {
+            a.served = a.quotas + load * (kept.served * per_cycle - a.quotas);
+        }
+        for (t, kept) in a.tenants.iter_mut().zip(&kept.demands) {
+            if let Some(demand) = kept {
+                t.seen = true;
+                mix(&mut t.demand, demand * per_cycle, load);
+            }
+        }
+        f.resize_subset(&self.settings, a.recent);
+        a.end_cycle(now);
+    }
+}
+
 // --- Attempts -------------------------------------------------------------------------------------
 
 struct Pending {
@@ -850,6 +951,8 @@
     started: bool,
     ask_failures: u32,
     late: bool,
+    /// What an earlier instance learned and when, until there is a list to hold it against.
+    kept: Option<(Box<Learned>, Millis)>,
 }
 
 impl Balancer {
@@ -868,6 +971,7 @@
             started: false,
             ask_failures: 0,
             late: false,
+            kept: None,
             settings,
         })
     }
@@ -1092,6 +1196,11 @@
                 }
                 self.fleet.apply(news, &self.settings, now, &mut self.rng);
                 self.recount(now);
+                self.take_back(now);
+            }
+            Event::Restored { learned, age } => {
+                self.kept = learned.validate(&self.settings).ok().map(|()| (learned, now - age.max(0.0)));
+                self.take_back(now);
             }
             Event::Request(r) => self.request(now, r, actions),
             Event::Outcome { request, attempt, ending, duration, closed } => {
--- a/store/src/keeper.rs
+++ b/store/src/keeper.rs
@@ -54,7 +54,7 @@
     pub fn start(store: Store) -> Result<Keeper, String> {
         let shared = Arc::new(Shared { waiting: Mutex::default(), changed: Condvar::new() });
         let own = shared.clone();
-        let thread = std::thread::Builder::new().name("store".into()).spawn(move || work(&own, &store));
+        let thread = std::thread::Builder::new().name("store".into()).spawn(move || work(&own, store));
         thread.map_err(|e| format!("a thread for the store: {e}"))?;
         Ok(Keeper { shared })
     }
@@ -102,7 +102,7 @@
     }
 }
 
-fn work(shared: &Shared, store: &Store) {
+fn work(shared: &Shared, mut store: Store) {
     let mut pause = Duration::ZERO;
     loop {
         let batch = {
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -11,10 +11,12 @@
 //! faults are injected.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+pub mod drill;
 pub mod keeper;
 pub mod record;
 pub mod store;
 
+pub use drill::Drill;
 pub use keeper::Keeper;
 pub use record::{Kind, Owner, Record};
 pub use store::{Found, Store};
--- a/store/src/store.rs
+++ b/store/src/store.rs
@@ -1,10 +1,11 @@
 //! The database in its folder: opened, or set aside and begun anew; never a reason not to start.
+use crate::drill::{Drill, Drilled};
 use crate::record::{Kind, Owner, Record, Unfit};
 use redb::backends::FileBackend;
 use redb::{
     Database, DatabaseError, ReadableDatabase, StorageBackend, StorageError, TableDefinition, TableError,
 };
-use std::fs::{File, OpenOptions};
+use std::fs::OpenOptions;
 use std::io;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::{Path, PathBuf};
@@ -82,18 +83,19 @@
     }
 }
 
+type Opener = Box<dyn Fn() -> Result<Database, NoStore> + Send>;
+
 /// Records on a disk.
 pub struct Store {
-    /// Taken only when the store is dropped.
+    /// Nothing after a failure, until it could be opened again: redb goes on with nothing after one.
     database: Option<Database>,
+    opener: Option<Opener>,
     owner: Owner,
 }
 
 impl Drop for Store {
     fn drop(&mut self) {
-        let database = self.database.take();
-        // Closing writes; what can't be written then is repaired at the next opening.
-        let _ = catch_unwind(AssertUnwindSafe(|| drop(database)));
+        self.close();
     }
 }
 
@@ -121,44 +123,70 @@
         .unwrap_or_else(|_| Err(NoStore::Broken("its pages make no sense".into())))
 }
 
+fn database(backend: impl StorageBackend) -> Result<Database, NoStore> {
+    let builder = || Database::builder().set_cache_size(CACHE).create_with_backend(Steady(backend));
+    guarded(|| builder().map_err(no_store))
+}
+
 impl Store {
     /// Opens the store in a folder, or begins one. What can't be read is set aside first.
-    pub fn open(folder: &Path, owner: Owner) -> Result<Opened, NoStore> {
+    pub fn open(folder: &Path, owner: Owner, drill: Option<Drill>) -> Result<Opened, NoStore> {
         let path = folder.join(FILE);
         let disk = |e: std::io::Error| NoStore::Disk(format!("{}: {e}", path.display()));
-        let open = || {
-            OpenOptions::new().read(true).write(true).create(true).truncate(false).open(&path).map_err(disk)
+        let file = {
+            let path = path.clone();
+            move || {
+                let options =
+                    OpenOptions::new().read(true).write(true).create(true).truncate(false).open(&path);
+                let file = options.map_err(|e| NoStore::Disk(format!("{}: {e}", path.display())))?;
+                Ok(Drilled::new(FileBackend::new(file).map_err(no_store)?, drill.clone()))
+            }
         };
-        match Store::on_file(open()?, owner.clone()) {
+        match Store::through(file.clone(), owner.clone()) {
             Ok(store) => Ok(Opened { store, aside: None }),
             Err(NoStore::Broken(what)) => {
                 let aside = set_aside(folder).map_err(disk)?;
-                let store = Store::on_file(open()?, owner)?;
-                Ok(Opened { store, aside: Some((aside, what)) })
+                Ok(Opened { store: Store::through(file, owner)?, aside: Some((aside, what)) })
             }
             Err(e) => Err(e),
         }
     }
 
-    fn on_file(file: File, owner: Owner) -> Result<Store, NoStore> {
-        let backend = FileBackend::new(file).map_err(no_store)?;
-        Store::on(backend, owner)
+    /// On storage that is made anew after each failure: redb wants to be opened again then.
+    pub fn through<B: StorageBackend>(
+        make: impl Fn() -> Result<B, NoStore> + Send + 'static,
+        owner: Owner,
+    ) -> Result<Store, NoStore> {
+        let opener = Box::new(move || database(make()?));
+        Store::checked(Store { database: Some(opener()?), opener: Some(opener), owner })
     }
 
-    /// The same on any storage: the seam at which tests put faults between.
+    /// On any storage: the seam at which tests put faults between.
     pub fn on(backend: impl StorageBackend, owner: Owner) -> Result<Store, NoStore> {
-        guarded(|| {
-            let database = Database::builder()
-                .set_cache_size(CACHE)
-                .create_with_backend(Steady(backend))
-                .map_err(no_store)?;
-            let store = Store { database: Some(database), owner };
-            // Reading everything once shows whether it can be read.
-            for kind in Kind::ALL {
-                store.bytes(kind)?;
-            }
-            Ok(store)
-        })
+        Store::checked(Store { database: Some(database(backend)?), opener: None, owner })
+    }
+
+    /// A copy in memory of what a folder holds: nothing in the folder changes, whatever is done to the copy.
+    pub fn copy(folder: &Path, owner: Owner) -> Result<Store, NoStore> {
+        let path = folder.join(FILE);
+        let disk = |e: std::io::Error| NoStore::Disk(format!("{}: {e}", path.display()));
+        let bytes = std::fs::read(&path).map_err(disk)?;
+        let memory = redb::backends::InMemoryBackend::new();
+        let filled = memory.set_len(bytes.len() as u64).and_then(|()| memory.write(0, &bytes));
+        filled.map_err(disk)?;
+        Store::on(memory, owner)
+    }
+
+    /// Reading everything once shows whether it can be read.
+    fn checked(store: Store) -> Result<Store, NoStore> {
+        guarded(|| Kind::ALL.into_iter().try_for_each(|kind| store.bytes(kind).map(drop)))?;
+        Ok(store)
+    }
+
+    fn close(&mut self) {
+        let database = self.database.take();
+        // Closing writes; what can't be written then is repaired at the next opening.
+        let _ = catch_unwind(AssertUnwindSafe(|| drop(database)));
     }
 
     fn database(&self) -> Result<&Database, NoStore> {
@@ -188,7 +216,18 @@
     }
 
     /// Keeps payloads, all of them or none, and returns once they are on the disk.
-    pub fn put(&self, payloads: &[(Kind, String)], now_ms: f64) -> Result<(), NoStore> {
+    pub fn put(&mut self, payloads: &[(Kind, String)], now_ms: f64) -> Result<(), NoStore> {
+        if let (None, Some(open)) = (&self.database, &self.opener) {
+            self.database = Some(open()?);
+        }
+        let done = self.write(payloads, now_ms);
+        if done.is_err() && self.opener.is_some() {
+            self.close();
+        }
+        done
+    }
+
+    fn write(&self, payloads: &[(Kind, String)], now_ms: f64) -> Result<(), NoStore> {
         guarded(|| {
             let disk = |e: &dyn std::fmt::Display| NoStore::Disk(e.to_string());
             let write = self.database()?.begin_write().map_err(|e| disk(&e))?;
@@ -243,13 +282,7 @@
 
 /// What a folder holds, without changing anything in it: it is read from a copy in memory.
 pub fn look(folder: &Path) -> Result<Vec<Line>, NoStore> {
-    let path = folder.join(FILE);
-    let disk = |e: std::io::Error| NoStore::Disk(format!("{}: {e}", path.display()));
-    let bytes = std::fs::read(&path).map_err(disk)?;
-    let memory = redb::backends::InMemoryBackend::new();
-    let filled = memory.set_len(bytes.len() as u64).and_then(|()| memory.write(0, &bytes));
-    filled.map_err(disk)?;
-    let store = Store::on(memory, Owner { name: String::new(), settings: 0 })?;
+    let store = Store::copy(folder, Owner { name: String::new(), settings: 0 })?;
     let line = |kind| {
         let bytes = store.bytes(kind)?;
         Ok(Line { kind, found: bytes.map(|b| Record::decode(&b, kind, None)) })
--- a/store/tests/power.rs
+++ b/store/tests/power.rs
@@ -1,14 +1,17 @@
 //! Power lost at every write and between any two syncs: each image of the disk that could be left is opened.
 use oakflow_store::store::{look, NoStore, FILE};
-use oakflow_store::{Found, Keeper, Kind, Owner, Store};
+use oakflow_store::{Found, Keeper, Kind, Owner, Record, Store};
+use proptest::prelude::{any, prop, prop_assert, prop_assert_eq, proptest, ProptestConfig};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use redb::StorageBackend;
 use std::io;
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::{Duration, Instant};
 use tempfile::TempDir;
 
+const PATIENCE: Duration = Duration::from_secs(30);
+
 /// What a disk was told.
 #[derive(Clone, Debug)]
 enum Op {
@@ -140,7 +143,7 @@
 #[test]
 fn whatever_a_power_loss_leaves_is_the_last_put_that_was_done_or_the_one_under_way() {
     let disk = Disk::default();
-    let store = Store::on(disk.clone(), owner()).expect("a store");
+    let mut store = Store::on(disk.clone(), owner()).expect("a store");
     // When each put was done, as a position in what the disk was told.
     let mut done = vec![(disk.position(), None)];
     for put in 0..200 {
@@ -184,7 +187,7 @@
 #[test]
 fn a_crash_in_the_middle_of_recovery_is_recovered_from_again_and_again() {
     let disk = Disk::default();
-    let store = Store::on(disk.clone(), owner()).expect("a store");
+    let mut store = Store::on(disk.clone(), owner()).expect("a store");
     (0..5).for_each(|put| store.put(&payloads(put), 1000.0).expect("puts"));
     // Not closed: what is on the disk must be repaired at the next opening.
     let mut image = disk.0.lock().expect("no panic").image.clone();
@@ -208,14 +211,14 @@
 #[test]
 fn a_disk_that_fills_keeps_what_it_had_and_goes_on_when_there_is_room() {
     let disk = Disk::default();
-    let store = Store::on(disk.clone(), owner()).expect("a store");
+    let mut store = Store::on(disk.clone(), owner()).expect("a store");
     store.put(&payloads(1), 1000.0).expect("puts");
     disk.0.lock().expect("no panic").full = true;
     assert!(matches!(store.put(&payloads(2), 1000.0), Err(NoStore::Disk(_))));
     drop(store);
     disk.0.lock().expect("no panic").full = false;
     let image = disk.0.lock().expect("no panic").image.clone();
-    let store = Store::on(Disk::of(image), owner()).expect("opens again");
+    let mut store = Store::on(Disk::of(image), owner()).expect("opens again");
     let found = number(&store);
     assert!(found == Some(1) || found == Some(2), "{found:?}");
     store.put(&payloads(3), 1000.0).expect("puts");
@@ -229,8 +232,8 @@
         std::fs::write(folder.path().join(FILE), format!("no database, round {round}").repeat(1000))
             .expect("writes");
         assert!(look(folder.path()).is_err());
-        let opened = Store::open(folder.path(), owner()).expect("begins anew");
-        let (aside, _) = opened.aside.expect("set aside");
+        let mut opened = Store::open(folder.path(), owner(), None).expect("begins anew");
+        let (aside, _) = opened.aside.take().expect("set aside");
         assert!(std::fs::read_to_string(aside).expect("reads").contains(&format!("round {round}")));
         assert_eq!(number(&opened.store), None);
         opened.store.put(&payloads(round), 1000.0).expect("puts");
@@ -242,7 +245,7 @@
 #[test]
 fn any_flipped_bit_and_any_cut_is_seen_or_does_no_harm() {
     let folder = TempDir::new().expect("a folder");
-    let store = Store::open(folder.path(), owner()).expect("opens").store;
+    let mut store = Store::open(folder.path(), owner(), None).expect("opens").store;
     (0..4).for_each(|put| store.put(&payloads(put), 1000.0).expect("puts"));
     drop(store);
     let whole = std::fs::read(folder.path().join(FILE)).expect("reads");
@@ -276,9 +279,9 @@
 #[test]
 fn another_process_a_foreign_owner_and_a_look_from_outside() {
     let folder = TempDir::new().expect("a folder");
-    let store = Store::open(folder.path(), owner()).expect("opens").store;
+    let mut store = Store::open(folder.path(), owner(), None).expect("opens").store;
     store.put(&payloads(1), 1000.0).expect("puts");
-    let second = Store::open(folder.path(), owner()).err();
+    let second = Store::open(folder.path(), owner(), None).err();
     assert_eq!(second, Some(NoStore::Held));
     drop(store);
     let before = std::fs::read(folder.path().join(FILE)).expect("reads");
@@ -287,23 +290,108 @@
     assert!(lines.iter().all(|l| matches!(&l.found, Some(Ok((_, name))) if name == "n1")));
     assert_eq!(std::fs::read(folder.path().join(FILE)).expect("reads"), before, "a look changes nothing");
     let foreign = Owner { name: "n2".into(), settings: 7 };
-    let store = Store::open(folder.path(), foreign).expect("opens").store;
+    let store = Store::open(folder.path(), foreign, None).expect("opens").store;
     assert!(matches!(store.get(Kind::Starts), Ok(Found::Unfit(_))));
 }
 
 #[test]
-fn a_keeper_writes_the_newest_of_each_kind_and_never_makes_anyone_wait() {
+fn a_keeper_writes_the_newest_of_each_kind_and_what_waits_once_the_disk_works_again() {
     let disk = Disk::default();
-    let keeper = Keeper::start(Store::on(disk.clone(), owner()).expect("a store")).expect("starts");
+    let make = {
+        let disk = disk.clone();
+        move || Ok(disk.clone())
+    };
+    let keeper = Keeper::start(Store::through(make, owner()).expect("a store")).expect("starts");
     for put in 0..1000 {
         payloads(put % 7).into_iter().for_each(|(kind, payload)| keeper.keep(kind, payload));
     }
-    assert!(keeper.flush(Duration::from_secs(20)));
+    assert!(keeper.flush(PATIENCE));
     let written = keeper.written();
     assert!(written.commits >= 1 && written.failed == 0, "{written:?}");
-    // A disk that fails is told of once, and what waits is written when it works again.
+    // A disk that fails is told of once.
     disk.0.lock().expect("no panic").full = true;
     payloads(3).into_iter().for_each(|(kind, payload)| keeper.keep(kind, payload));
-    assert!(!keeper.flush(Duration::from_secs(20)));
-    assert!(keeper.failure().is_some() && keeper.failure().is_none());
+    assert!(!keeper.flush(PATIENCE));
+    assert!(keeper.failure().is_some());
+    // redb takes nothing any more after a failure: the store must have been opened again for this.
+    disk.0.lock().expect("no panic").full = false;
+    let commits = keeper.written().commits;
+    let begun = Instant::now();
+    while keeper.written().commits == commits {
+        assert!(begun.elapsed() < PATIENCE, "{:?}", keeper.written());
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    drop(keeper);
+    let image = disk.0.lock().expect("no panic").image.clone();
+    assert_eq!(number(&Store::on(Disk::of(image), owner()).expect("opens")), Some(3));
+}
+
+#[test]
+fn the_file_stays_small_however_long_it_is_written() {
+    let folder = TempDir::new().expect("a folder");
+    let mut store = Store::open(folder.path(), owner(), None).expect("opens").store;
+    // A quarter of an hour of one write a second, of what three hundred upstreams come to.
+    for second in 0..900 {
+        let learned = format!("{{\"put\":{second},\"fill\":\"{}\"}}", "x".repeat(60_000 + second % 7 * 100));
+        store.put(&[(Kind::Learned, learned)], 1000.0).expect("puts");
+    }
+    let size = std::fs::metadata(folder.path().join(FILE)).expect("a file").len();
+    println!("{size} bytes after 900 writes of 60 kB");
+    assert!(size < 4 << 20, "{size} bytes");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn a_record_of_anything_comes_back(payload: String, written_ms in -1e15..1e15f64, settings: u32, name: String) {
+        let record = Record { payload, written_ms, settings };
+        let bytes = record.encode(Kind::Learned, &name);
+        prop_assert_eq!(Record::decode(&bytes, Kind::Learned, Some(&name)), Ok((record, name)));
+    }
+
+    /// Bytes that are no record, with a checksum that fits or not, are seen for what they are.
+    #[test]
+    fn any_bytes_are_a_record_or_none(mut bytes: Vec<u8>, fits: bool, form in "\\{\"format\":[01],[a-z0-9\":,]{0,80}\\}") {
+        if fits {
+            bytes = crc32fast::hash(form.as_bytes()).to_be_bytes().to_vec();
+            bytes.extend(form.as_bytes());
+        }
+        prop_assert!(Record::decode(&bytes, Kind::Starts, None).is_err());
+    }
+
+    /// A database that is any bytes, or one with any bytes in its place somewhere, is opened or refused, and what it
+    /// gives back is what was put.
+    #[test]
+    fn any_file_is_a_store_or_none(start in 0usize..20_000, bytes in prop::collection::vec(any::<u8>(), 1..600), whole: bool) {
+        let image = match whole {
+            true => bytes,
+            false => {
+                let mut image = written().clone();
+                let start = start.min(image.len() - bytes.len());
+                image[start..start + bytes.len()].copy_from_slice(&bytes);
+                image
+            }
+        };
+        if let Ok(store) = Store::on(Disk::of(image), owner()) {
+            for kind in Kind::ALL {
+                if let Ok(Found::Record(record)) = store.get(kind) {
+                    prop_assert!((0..4).any(|put| payloads(put)[0].1 == record.payload));
+                }
+            }
+        }
+    }
+}
+
+/// A store after a few puts.
+fn written() -> &'static Vec<u8> {
+    static IMAGE: OnceLock<Vec<u8>> = OnceLock::new();
+    IMAGE.get_or_init(|| {
+        let disk = Disk::default();
+        let mut store = Store::on(disk.clone(), owner()).expect("a store");
+        (0..4).for_each(|put| store.put(&payloads(put), 1000.0).expect("puts"));
+        drop(store);
+        let told = disk.0.lock().expect("no panic");
+        told.image.clone()
+    })
 }
--- /dev/null
+++ b/tests/restored.rs
@@ -0,0 +1,225 @@
+//! What an earlier instance has learned, taken back by a later one.
+mod common;
+
+use common::*;
+use oakflow::*;
+use proptest::prelude::*;
+
+fn settings() -> Settings {
+    Settings {
+        classes: vec![class(Effect::Free)],
+        tenants: tenants(&[0.6, 0.4], 60.0),
+        ..Settings::default()
+    }
+}
+
+/// A world that has lived for a while with an upstream that fails and one that is slow, and more than its quotas. The
+/// one that fails has just been ejected.
+fn taught() -> World {
+    let mut w = World::new(settings(), 4, (1..=8).map(member).collect());
+    let mut live = |span| {
+        w.traffic(span, 120.0, &[0, 0, 0, 1], &|id| match id.0 {
+            1 => Some((Ending::ConnectFailed, 1.0)),
+            2 => Some((Ending::Ok, 190.0)),
+            _ => Some((Ending::Ok, 50.0)),
+        });
+        let kept = w.balancer.learned(w.now);
+        kept.upstreams.iter().any(|u| u.id == UpstreamId(1) && u.ejected_for > 3000.0)
+    };
+    live(20_000.0);
+    while !live(100.0) {}
+    w
+}
+
+/// One that has just started, with a list of `upstreams`, and is given what was learned.
+fn restarted(learned: &Learned, age: f64, upstreams: Vec<Member>) -> World {
+    let mut w = World::new(settings(), 5, upstreams);
+    w.event(Event::Restored { learned: Box::new(learned.clone()), age });
+    w
+}
+
+fn listed() -> Vec<Member> {
+    (1..=8).map(member).collect()
+}
+
+#[test]
+fn what_was_learned_comes_back_whole_and_fades_to_what_a_start_knows_without_a_cliff() {
+    let mut w = taught();
+    let kept = w.balancer.learned(w.now);
+    assert_eq!(kept.validate(&settings()), Ok(()));
+    assert!(kept.capacity > 100.0 && kept.demands[0] > Some(80.0), "{kept:?}");
+    assert!(kept.upstreams.iter().any(|u| u.id == UpstreamId(1) && u.ejected_for > 0.0), "{kept:?}");
+    let mut back = restarted(&kept, 0.0, listed());
+    let again = back.balancer.learned(0.0);
+    let near = |a: f64, b: f64| (a - b).abs() <= 0.03 * a.abs().max(b.abs()) + 1e-6;
+    assert!(near(again.capacity, kept.capacity), "{} is {}", again.capacity, kept.capacity);
+    assert!(near(again.answer, kept.answer) && near(again.unloaded, kept.unloaded));
+    assert_eq!((again.demands, &again.kinds), (kept.demands.clone(), &kept.kinds));
+    let fresh = World::new(settings(), 5, listed()).balancer.learned(0.0);
+    let mut last = kept.capacity;
+    for age in [1.0, 5.0, 10.0, 20.0, 40.0, 80.0, 160.0, 1e6, 1e12] {
+        let now = restarted(&kept, age * 1000.0, listed()).balancer.learned(0.0);
+        let (low, high) = (fresh.capacity.min(last) - 1e-6, last + 1e-6);
+        assert!((low..=high).contains(&now.capacity), "{} at {age} s after {last}", now.capacity);
+        last = now.capacity;
+    }
+    assert!(near(last, fresh.capacity), "{last} in the end, a start has {}", fresh.capacity);
+}
+
+#[test]
+fn an_ejection_goes_on_for_what_is_left_of_it_unless_the_upstream_has_restarted_since() {
+    let mut w = taught();
+    let kept = w.balancer.learned(w.now);
+    let left = kept.upstreams.iter().find(|u| u.id == UpstreamId(1)).expect("was called").ejected_for;
+    let calls_to_it = |w: &mut World| {
+        w.traffic(left * 0.8, 100.0, &[0], &|_| Some((Ending::Ok, 50.0)));
+        w.sent_since(0.0).1.get(&UpstreamId(1)).copied().unwrap_or(0)
+    };
+    assert_eq!(calls_to_it(&mut restarted(&kept, 0.0, listed())), 0);
+    // Its time has run out meanwhile.
+    assert!(calls_to_it(&mut restarted(&kept, left, listed())) > 0);
+    let mut since = listed();
+    since[0].since = 1.0;
+    assert!(calls_to_it(&mut restarted(&kept, 0.0, since)) > 0);
+}
+
+#[test]
+fn what_is_restored_waits_for_a_list_and_counts_only_the_upstreams_that_are_left() {
+    let mut w = taught();
+    let kept = w.balancer.learned(w.now);
+    let mut late = restarted(&kept, 0.0, Vec::new());
+    let before = late.balancer.learned(0.0).capacity;
+    assert_eq!(before, World::new(settings(), 5, Vec::new()).balancer.learned(0.0).capacity);
+    late.pass(400.0);
+    late.list(Membership::Full(listed()[..4].to_vec()));
+    let capacity = late.balancer.learned(late.now).capacity;
+    // Seven of eight could be used then, three of four now.
+    let part = capacity / kept.capacity;
+    assert!((0.4..0.5).contains(&part), "{capacity} of {}", kept.capacity);
+    // An upstream that is named in what was kept and is draining now draws nothing: the world checks it.
+    let mut leaving = listed();
+    leaving[3].availability = Availability::Draining;
+    restarted(&kept, 0.0, leaving).traffic(3000.0, 60.0, &[0], &|_| Some((Ending::Ok, 50.0)));
+}
+
+/// All copies come back at once with what thirty upstreams carried, and find four, cold.
+#[test]
+fn copies_that_all_restore_at_once_tip_no_cold_upstream() {
+    const COPIES: u32 = 60;
+    let settings = |index| Settings {
+        index,
+        balancers: COPIES,
+        tenants: tenants(&[1.0], 2400.0),
+        cold_from: 0.15,
+        ramp_time: 20_000.0,
+        tip_multiple: 2.5,
+        ..Settings::default()
+    };
+    let demands = vec![Some(40.0), None];
+    let kept = Learned {
+        capacity: 80.0,
+        admitted: 40.0,
+        peak: 50.0,
+        served: 2400.0,
+        in_time: 1.0,
+        uncrowded: 1.0,
+        upstreams_most: 30.0,
+        upstreams_usable: 1.0,
+        answer: 50.0,
+        deviation: 10.0,
+        unloaded: 50.0,
+        demands,
+        ..Learned::default()
+    };
+    let cold = |id| Member { since: 100_000.0, ..member(id) };
+    let mut worlds: Vec<World> = (0..COPIES)
+        .map(|i| {
+            let mut w = World::new(settings(i), u64::from(i), Vec::new());
+            w.pass(100_000.0);
+            w.event(Event::Restored { learned: Box::new(kept.clone()), age: 500.0 });
+            w.list(Membership::Full((1..=4).map(cold).collect()));
+            w
+        })
+        .collect();
+    let mut calls = vec![[0u32; 4]; 4];
+    let mut id = 0;
+    for _ in 0..160 {
+        for w in &mut worlds {
+            id += 1;
+            w.request(id, 0, 0);
+            if let Some(&(to, at)) = w.seen[&RequestId(id)].sends.last() {
+                let second = ((at - 100_000.0) / 1000.0) as usize;
+                calls[second.min(3)][to.0 as usize - 1] += 1;
+                w.outcome(id, 0, Ending::Ok);
+            }
+            w.pass(25.0);
+        }
+    }
+    // Thirty upstreams carried 2,400 calls a second, 80 each.
+    for (second, calls) in calls.iter().enumerate() {
+        let warmth = 0.15 + 0.85 * second as f64 / 20.0;
+        for &n in calls {
+            assert!(f64::from(n) <= 2.5 * 80.0 * warmth, "{calls:?} in second {second}");
+        }
+    }
+    assert!(calls.iter().all(|c| c.iter().sum::<u32>() > 0), "they are warmed up: {calls:?}");
+}
+
+/// Any figure that a file could hold.
+fn figure() -> impl Strategy<Value = f64> {
+    prop_oneof![
+        4 => 0.0..200.0f64,
+        1 => 0.0..1.0f64,
+        1 => prop::num::f64::ANY,
+        1 => Just(0.0),
+        1 => Just(1e15),
+    ]
+}
+
+fn part() -> impl Strategy<Value = f64> {
+    prop_oneof![9 => 0.0..=1.0f64, 1 => prop::num::f64::ANY]
+}
+
+prop_compose! {
+    fn learned()(
+        rates in prop::collection::vec(figure(), 5),
+        parts in prop::collection::vec(part(), 3),
+        times in prop::collection::vec(figure(), 3),
+        demands in prop::collection::vec(prop::option::of(figure()), 2..=4),
+        kinds in prop::collection::vec((any::<u8>(), figure(), figure()), 0..3),
+        rest_lost in prop::collection::vec(part(), 0..12),
+        upstreams in prop::collection::vec((0u64..12, prop::collection::vec(figure(), 4), part(), any::<u32>()), 0..6),
+    ) -> Learned {
+        Learned {
+            capacity: rates[0], admitted: rates[1], peak: rates[2], served: rates[3], upstreams_most: rates[4],
+            in_time: parts[0], uncrowded: parts[1], upstreams_usable: parts[2],
+            answer: times[0], deviation: times[1], unloaded: times[2],
+            demands,
+            kinds: kinds.into_iter().map(|(kind, usual, answers)| LearnedKind { kind, usual, answers }).collect(),
+            rest_lost,
+            upstreams: upstreams.into_iter().map(|(id, f, fails, ejections)| LearnedUpstream {
+                id: UpstreamId(id), since: 0.0, slowness: f[0], unused_for: f[1], ejected_for: f[2], lost_for: f[3],
+                fails, ejections,
+            }).collect(),
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever stands in a record: it is taken back and the balancer works, or it is passed over whole.
+    #[test]
+    fn any_state_is_taken_back_or_passed_over_whole(kept in learned(), age in figure()) {
+        let fresh = World::new(settings(), 5, listed()).balancer.learned(0.0);
+        let mut w = restarted(&kept, age, listed());
+        let now = w.balancer.learned(0.0);
+        prop_assert_eq!(now.validate(&settings()), Ok(()));
+        if kept.validate(&settings()).is_err() {
+            prop_assert_eq!(now, fresh);
+        }
+        w.traffic(1500.0, 40.0, &[0, 1], &|_| Some((Ending::Ok, 50.0)));
+        let later = w.balancer.learned(w.now);
+        prop_assert_eq!(later.validate(&settings()), Ok(()));
+    }
+}
