Refuse restored figures that no run could have learned, and draw property tests from a fixed seed

Cause: what is left of the floor while crowded never falls below 0.3 in a run, and the floor is clamped between 0.3 and it; a restored one of less panicked there (found by the property test at its 200th to 3,000th case, by chance: its seed was not fixed). A kind's answer time of 1e15 objectives would have refused everything as too late.

Change: it is raised to 0.3; answer times beyond what the longest deadline allows are passed over; the property tests have a fixed seed.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -312,16 +312,22 @@
         need(rates.into_iter().all(span), "learned rates", "numbers of at least 0")?;
         let parts = [self.in_time, self.uncrowded, self.upstreams_usable];
         need(parts.into_iter().all(part), "learned parts", "between 0 and 1")?;
-        // Grown from by a part of itself, so that it must not be nothing.
-        let time = |v: f64| (1e-3..=1e15).contains(&v);
-        need(time(self.answer) && time(self.unloaded), "learned.answer", "a time above 0")?;
-        need(span(self.deviation), "learned.deviation", "a time of at least 0")?;
+        // No answer takes longer than the longest deadline. One that took no time would never be grown from again.
+        let longest = s.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+        let parts_most = s.classes.iter().map(|c| c.deadline / c.objective).fold(1.0, f64::max);
+        let time = |v: f64| (1e-3..=longest).contains(&v);
+        need(time(self.answer) && time(self.unloaded), "learned.answer", "a time that an answer can take")?;
+        need(
+            (0.0..=longest).contains(&self.deviation),
+            "learned.deviation",
+            "a time that an answer can take",
+        )?;
         let demands = self.demands.iter().flatten().all(|&d| span(d));
         let places = self.demands.len() == s.tenants.len().max(1) + 1;
         need(demands && places, "learned.demands", "a rate of at least 0 for each tenant")?;
         need(self.rest_lost.iter().all(|&p| part(p)), "learned.rest_lost", "between 0 and 1")?;
-        let kind = |k: &LearnedKind| span(k.usual) && span(k.answers);
-        need(self.kinds.iter().all(kind), "learned.kinds", "numbers of at least 0")?;
+        let kind = |k: &LearnedKind| (0.0..=parts_most).contains(&k.usual) && span(k.answers);
+        need(self.kinds.iter().all(kind), "learned.kinds", "times that answers can take")?;
         let upstream = |u: &LearnedUpstream| {
             let spans = [u.since, u.slowness, u.unused_for, u.ejected_for, u.lost_for];
             spans.into_iter().all(span) && part(u.fails)
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -910,7 +910,7 @@
         mix(&mut a.recent, kept.admitted * size, load);
         mix(&mut a.peak, kept.peak * size, load);
         mix(&mut a.success, kept.in_time, load);
-        mix(&mut a.uncrowded, kept.uncrowded, load);
+        mix(&mut a.uncrowded, kept.uncrowded.max(FLOOR_LEAST), load);
         if kept.served > 0.0 && a.quotas > 0.0 {
             a.served = a.quotas + load * (kept.served * per_cycle - a.quotas);
         }
--- a/store/tests/power.rs
+++ b/store/tests/power.rs
@@ -2,6 +2,7 @@
 use oakflow_store::store::{look, NoStore, FILE};
 use oakflow_store::{Found, Keeper, Kind, Owner, Record, Store};
 use proptest::prelude::{any, prop, prop_assert, prop_assert_eq, proptest, ProptestConfig};
+use proptest::test_runner::RngSeed;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use redb::StorageBackend;
@@ -341,7 +342,12 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
 
     #[test]
     fn a_record_of_anything_comes_back(payload: String, written_ms in -1e15..1e15f64, settings: u32, name: String) {
--- a/tests/restored.rs
+++ b/tests/restored.rs
@@ -4,6 +4,7 @@
 use common::*;
 use oakflow::*;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 fn settings() -> Settings {
     Settings {
@@ -206,7 +207,12 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
 
     /// Whatever stands in a record: it is taken back and the balancer works, or it is passed over whole.
     #[test]
