--- a/src/policy.rs
+++ b/src/policy.rs
@@ -10,6 +10,8 @@
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 
+type Actions = Vec<Action>;
+
 // --- Constants ------------------------------------------------------------------------------------
 
 /// Length of a cycle. The published 10 s is too slow for capacity that is learned instead of benchmarked.
@@ -20,8 +22,7 @@
 const DEMAND_GAIN: f64 = 0.3;
 /// Cycles' worth of limit that a tenant may save up; evens out the chance arrivals of tiny counts.
 const BURST_CYCLES: f64 = 6.0;
-/// An answer is timely within this part of its class's objective; the rest is room for queues to grow while
-/// the news of them travels.
+/// An answer is timely within this part of its objective; the rest is room for queues until they are known.
 const TIMELY: f64 = 0.4;
 /// Lateness counts from 0 there to 1 at the objective, and to this much for failures and time-outs.
 const LATENESS_MOST: f64 = 2.0;
@@ -33,31 +34,27 @@
 const CAPACITY_UP: f64 = 0.2;
 const CAPACITY_DOWN: f64 = 0.6;
 const CAPACITY_FALL: f64 = 0.35;
-/// Part of answers in time below which the floor at the stated quotas gives way; and its least part: with too
-/// few calls connections rest longer and get lost, and nothing would come back.
+/// Part of answers in time below which the floor gives way; its least part, or nothing would come back.
 const SUCCESS_WANTED: f64 = 0.7;
 const FLOOR_LEAST: f64 = 0.3;
 /// Answers that are needed to judge by.
 const LEARN_LEAST: f64 = 4.0;
 /// Calls in flight that are always allowed, since a copy that carries little cannot send parts of a call.
 const INFLIGHT_SPARE: f64 = 1.0;
-/// Answer time, as a multiple of the unloaded one, at which calls in flight are what capacity takes, and
-/// at which tenants within limits are refused too. More is a queue, and crowded servers slow for long.
+/// Answer time in unloaded ones at which calls in flight are what capacity takes; at which all are refused.
 const INFLIGHT_FULL: f64 = 1.6;
 const INFLIGHT_MOST: f64 = 2.2;
 /// Growth per cycle of what counts as the unloaded answer time, which is the least mean seen of late.
 const UNLOADED_UP: f64 = 0.02;
-/// Capacity stays within this multiple of the peak of what was lately admitted, of which this much is kept
-/// each cycle: more is untested. A mean in place of the peak would refuse the chance bursts of tiny counts.
+/// Capacity stays within this multiple of the peak lately admitted; what a cycle keeps of that and the like.
 const CAPACITY_ROOM: f64 = 2.0;
-const PEAK_KEPT: f64 = 0.95;
+const CYCLE_KEPT: f64 = 0.95;
 /// Smoothing of an upstream's failures, per outcome.
 const FAIL_GAIN: f64 = 0.25;
 /// An upstream is ejected when its failures exceed this and this multiple of the whole list's.
 const EJECT_AT: f64 = 0.4;
 const EJECT_RATIO: f64 = 2.0;
-/// Failures that others answer for too, as those of a tier behind, eject no more than this part of the list,
-/// yet one: the rest would have to carry all, and crowd.
+/// Failures that a tier behind may answer for eject no more than this part, yet one, or the rest would crowd.
 const EJECT_PART: f64 = 1.0 / 3.0;
 /// First ejection lasts this long, each further one as much longer, up to the most.
 const EJECT_BASE: Millis = 2000.0;
@@ -86,16 +83,21 @@
 const KIND_GAIN: f64 = 0.02;
 const ANSWER_RATIO: f64 = 1.25;
 const ANSWER_KEPT: Millis = 5000.0;
-/// An upstream is crowded that says it holds more than this multiple of what others say, and this many more;
-/// how long what it said counts; and smoothing of what all say.
+/// Smoothing of what answers take near and far; the most of the calls that keep to the own zone, for news of
+/// others; and the part of them that goes elsewhere for each unit that near ones take longer.
+const NEAR_GAIN: f64 = 0.05;
+const NEAR_MOST: f64 = 0.95;
+/// The part of these for which both are drawn there; the others take one there and one anywhere.
+const NEAR_BOTH: f64 = 0.2;
+const NEAR_FALL: f64 = 2.0;
+/// Crowded is who says it holds this multiple of what others say and this many more; for how long; smoothing.
 const CROWDED_AT: f64 = 1.5;
 const CROWDED_SPARE: f64 = 2.0;
 const SAID_KEPT: Millis = 2000.0;
 const SAID_GAIN: f64 = 0.05;
 /// Calls an upstream of the subset should get per idle period, so that its connections stay warm.
 const CALLS_PER_IDLE: f64 = 4.0;
-/// Upstreams in the subset for each call in flight: two choices then find one that holds none. More would be
-/// connections that each upstream keeps open, at its cost, for calls that other connections carry as well.
+/// Upstreams in the subset for each call in flight: two choices find an idle one; more cost connections.
 const SUBSET_SPREAD: f64 = 2.0;
 /// Never fewer upstreams in the subset than this, so that a few that fail leave enough to choose from.
 const SUBSET_LEAST: usize = 8;
@@ -106,14 +108,23 @@
 const ASK_AGAIN: Millis = 400.0;
 /// Part of the cold budget that is used; the rest absorbs chance and calls heavier than average.
 const COLD_MARGIN: f64 = 0.5;
-
-/// What was learned of the load, and of paths and answer times, before a restart is worth less the older it is:
-/// at this age 0.37 of it is left, beside what a start knows. Load turns over in a minute or so, machines do not.
+/// Zones are judged this often. One is left that owes so many times what answers take, over all calls to it
+/// since it answered last, each for this much at most, and those that broke, for one each.
+const ZONES_EVERY: Millis = 100.0;
+const ZONE_OWES: f64 = 6.0;
+const ZONE_OWES_EACH: f64 = 4.0;
+/// It is tried with a call this often, times one more than it was left of late, and comes back from this part
+/// of its draws on, doubling.
+const ZONE_TRIAL: Millis = 500.0;
+const ZONE_FIRST: f64 = 0.125;
+/// What was learned of the load, and of answer times, is worth less the older it is: 0.37 at this age. Load
+/// turns over in a minute or so, machines do not.
 const LOAD_KEPT: Millis = 30_000.0;
 const TIMES_KEPT: Millis = 600_000.0;
 
 const TIMER_CYCLE: u32 = 0;
 const TIMER_ASK: u32 = 1;
+const TIMER_ZONES: u32 = 2;
 
 // --- Limits: the published rule -------------------------------------------------------------------
 
@@ -126,8 +137,7 @@
     let part = |w: f64| if total > 0.0 { w / total } else { 1.0 / weights.len() as f64 };
     let share = |of: f64, total: f64| if total > 0.0 { of / total } else { 0.0 };
     let defaults: Vec<f64> = weights.iter().map(|&w| capacity * part(w)).collect();
-    let reserved = |(&d, &q): (&f64, &f64)| d.max(q * reservation);
-    let wanted: Vec<f64> = demands.iter().zip(&defaults).map(reserved).collect();
+    let wanted: Vec<f64> = demands.iter().zip(&defaults).map(|(&d, &q)| d.max(q * reservation)).collect();
     let gaps: Vec<f64> = defaults.iter().zip(&wanted).map(|(q, w)| q - w).collect();
     let deficit: f64 = gaps.iter().filter(|&&g| g < 0.0).map(|g| -g).sum();
     let surplus: f64 = gaps.iter().filter(|&&g| g > 0.0).sum();
@@ -138,6 +148,7 @@
     (0..demands.len()).map(limit).collect()
 }
 
+#[derive(Default)]
 struct TenantState {
     weight: f64,
     seen: bool,
@@ -153,44 +164,35 @@
 #[derive(Default)]
 struct Admission {
     tenants: Vec<TenantState>,
-    /// Calls per cycle. Learned: see [`Admission::learn`].
-    capacity: f64,
-    /// The stated quotas per cycle; the part of answers in time; and as parts of the most seen, the upstreams
-    /// that are listed as ready, and those that can be used.
+    /// Learned: see [`Admission::learn`].
+    load: Load,
+    /// The stated quotas per cycle, of this copy and of all; as parts of the most seen, the upstreams listed
+    /// as ready, and those that can be used.
     quota: f64,
-    /// The same of all copies together, and what they get served by what upstreams say (zero: not known).
     quotas: f64,
-    served: f64,
-    success: f64,
     listed: f64,
     usable: f64,
+    /// This cycle: answers in time, admitted less what was saved up, when it began, and admitted.
     in_time: f64,
     admitted: f64,
     cycle_start: Millis,
     cycle_admitted: f64,
-    /// Admitted per cycle: its mean of late, and its peak.
-    recent: f64,
-    peak: f64,
     /// Answers since the last judgement, and their summed lateness.
     answers: f64,
     lateness: f64,
-    /// Calls in flight; those of them lost with their connection; and the mean time of an unqueued answer.
+    /// Calls in flight; those of them that are lost; and until when answers are timely.
     inflight: f64,
     lost: f64,
-    unloaded: Millis,
     timely: Millis,
-    /// What is left of the floor while answers take as long as in a crowd: see [`Admission::note_latency`].
-    uncrowded: f64,
     /// Whether calls within their limits were refused this cycle.
     crowded: bool,
 }
 
 impl Admission {
     fn new(s: &Settings, now: Millis) -> Self {
-        let none = [Tenant { share: 1.0, quota_per_s: 0.0 }];
-        let listed: &[Tenant] = if s.tenants.is_empty() { &none } else { &s.tenants };
-        let fresh =
-            |weight| TenantState { weight, seen: false, count: 0.0, demand: 0.0, admitted: 0.0, limit: 0.0 };
+        let none = vec![Tenant { share: 1.0, quota_per_s: 0.0 }];
+        let listed = if s.tenants.is_empty() { &none } else { &s.tenants };
+        let fresh = |weight| TenantState { weight, ..TenantState::default() };
         let mut tenants: Vec<TenantState> = listed.iter().map(|t| fresh(t.share)).collect();
         // One further place for tenants that the settings do not list, however many they are.
         tenants.push(fresh(listed.iter().map(|t| t.share).fold(f64::INFINITY, f64::min)));
@@ -204,20 +206,17 @@
         // Without stated quotas nothing is known: the first cycle refuses no one and shows what is carried.
         let capacity = if stated > 0.0 { stated } else { 1000.0 };
         let objective = mean_objective(s);
+        let (recent, peak, unloaded) = (stated, stated, objective / 4.0);
+        let load = Load { capacity, recent, peak, unloaded, success: 1.0, uncrowded: 1.0, served: 0.0 };
         Admission {
             tenants,
-            capacity,
+            load,
             quota: (quota * CYCLE / 1000.0).max(0.1),
             quotas,
-            success: 1.0,
             listed: 1.0,
             usable: 1.0,
             cycle_start: now,
-            recent: stated,
-            peak: stated,
-            unloaded: objective / 4.0,
             timely: TIMELY * objective,
-            uncrowded: 1.0,
             ..Admission::default()
         }
     }
@@ -232,13 +231,13 @@
         }
         // Answers tell of an overload only when they come, late. Calls in flight tell at once: more than
         // the capacity takes in the unloaded answer time are waiting somewhere.
-        let room = |time: Millis| self.capacity / CYCLE * time + INFLIGHT_SPARE;
-        let full = room(self.unloaded * INFLIGHT_FULL);
-        let most = room((self.unloaded * INFLIGHT_MOST).max(self.timely));
+        let room = |time: Millis| self.load.capacity / CYCLE * time + INFLIGHT_SPARE;
+        let full = room(self.load.unloaded * INFLIGHT_FULL);
+        let most = room((self.load.unloaded * INFLIGHT_MOST).max(self.timely));
         let t = &mut self.tenants[tenant];
         t.count += 1.0;
         let inflight = self.inflight - self.lost;
-        let full = self.admitted >= self.capacity || inflight >= full;
+        let full = self.admitted >= self.load.capacity || inflight >= full;
         let within = t.admitted < t.limit;
         if inflight >= most || (full && !within) {
             self.crowded |= within;
@@ -252,16 +251,16 @@
 
     /// The unloaded answer time is the least mean of late, let up only while most answers are in time.
     fn note_latency(&mut self, latency: Millis) {
-        let up = if self.success < SUCCESS_WANTED { 1.0 } else { 1.0 + UNLOADED_UP };
-        self.unloaded = (self.unloaded * up).min(latency);
+        let up = if self.load.success < SUCCESS_WANTED { 1.0 } else { 1.0 + UNLOADED_UP };
+        self.load.unloaded = (self.load.unloaded * up).min(latency);
         // Crowded servers stay slow for as long as they hold as many calls, in whatever time they answer: the
         // floor must not keep that up. It comes back step by step, or the crowd would be back at once.
-        if latency > INFLIGHT_MOST * self.unloaded {
-            self.uncrowded *= 1.0 - CAPACITY_FALL;
-        } else if latency < INFLIGHT_FULL * self.unloaded {
-            self.uncrowded *= 1.0 + CAPACITY_UP;
+        if latency > INFLIGHT_MOST * self.load.unloaded {
+            self.load.uncrowded *= 1.0 - CAPACITY_FALL;
+        } else if latency < INFLIGHT_FULL * self.load.unloaded {
+            self.load.uncrowded *= 1.0 + CAPACITY_UP;
         }
-        self.uncrowded = self.uncrowded.clamp(FLOOR_LEAST, 1.0);
+        self.load.uncrowded = self.load.uncrowded.clamp(FLOOR_LEAST, 1.0);
     }
 
     fn end_cycle(&mut self, now: Millis) {
@@ -273,18 +272,20 @@
             t.demand += if part > 0.0 { gain * (t.count / part - t.demand) } else { 0.0 };
             t.count = 0.0;
         }
-        self.recent += if part > 0.0 { gain * (self.cycle_admitted / part - self.recent) } else { 0.0 };
+        self.load.recent +=
+            if part > 0.0 { gain * (self.cycle_admitted / part - self.load.recent) } else { 0.0 };
         if part >= 0.5 {
-            self.peak = (self.cycle_admitted / part).max(self.peak * PEAK_KEPT);
+            self.load.peak = (self.cycle_admitted / part).max(self.load.peak * CYCLE_KEPT);
             self.adapt(self.cycle_admitted / part);
             if std::mem::take(&mut self.crowded) {
                 // More is lent than can be carried: back to that, so that limits decide who is refused.
-                self.capacity = self.capacity.min(self.cycle_admitted / part);
+                self.load.capacity = self.load.capacity.min(self.cycle_admitted / part);
             }
-            self.capacity = self.capacity.min(self.peak * CAPACITY_ROOM + 1.0).max(self.floor());
-            if self.served > 0.0 && self.quotas > 0.0 {
+            self.load.capacity =
+                self.load.capacity.min(self.load.peak * CAPACITY_ROOM + 1.0).max(self.floor());
+            if self.load.served > 0.0 && self.quotas > 0.0 {
                 // Past the quotas little is gained, and what copies learn in quiet times tips all in a burst.
-                self.capacity = self.capacity.min(self.share() * (1.0 + CAPACITY_UP));
+                self.load.capacity = self.load.capacity.min(self.share() * (1.0 + CAPACITY_UP));
             }
         }
         self.cycle_admitted = 0.0;
@@ -292,40 +293,39 @@
         let seen: Vec<usize> = (0..self.tenants.len()).filter(|&i| self.tenants[i].seen).collect();
         let demands: Vec<f64> = seen.iter().map(|&i| self.tenants[i].demand).map(|d| d + d.sqrt()).collect();
         let weights: Vec<f64> = seen.iter().map(|&i| self.tenants[i].weight).collect();
-        let fresh = limits(self.capacity, &demands, &weights, RESERVATION);
+        let fresh = limits(self.load.capacity, &demands, &weights, RESERVATION);
         for (&i, limit) in seen.iter().zip(fresh) {
             let t = &mut self.tenants[i];
             t.admitted = (t.admitted - t.limit * part).clamp(-BURST_CYCLES * limit, limit);
             t.limit = limit;
         }
-        self.admitted = (self.admitted - self.capacity * part).clamp(0.0, self.capacity);
+        self.admitted = (self.admitted - self.load.capacity * part).clamp(0.0, self.load.capacity);
     }
 
-    /// Least capacity: the stated quotas, since lateness that is not of the load's making (heavy work, silent
-    /// servers) would cut it to nothing. Less where most answers are too late to count, for crowded servers
-    /// lose all that is admitted, and where upstreams went away, fail or are cold, which the list tells too
-    /// late or not at all.
+    /// Least capacity: the quotas, since lateness not of the load's making would cut it to nothing. Less
+    /// where most answers are too late, as crowded servers lose all, and where upstreams went or fail.
     fn floor(&self) -> f64 {
-        self.share() * self.usable * (self.success / SUCCESS_WANTED).clamp(FLOOR_LEAST, self.uncrowded)
+        self.share()
+            * self.usable
+            * (self.load.success / SUCCESS_WANTED).clamp(FLOOR_LEAST, self.load.uncrowded)
     }
 
     /// This copy's part of the quotas: an even one, or more where callers ask more of it than of others, as
     /// long as all together do not use the quotas up.
     fn share(&self) -> f64 {
-        let part = if self.served > 0.0 { (self.recent / self.served).min(1.0) } else { 0.0 };
+        let part = if self.load.served > 0.0 { (self.load.recent / self.load.served).min(1.0) } else { 0.0 };
         self.quota.max(self.quotas * part)
     }
 
     fn note_served(&mut self, served: Option<f64>) {
-        let before = if self.served > 0.0 { self.served } else { self.quotas };
-        self.served = served.map_or(0.0, |served| before + DEMAND_GAIN * (served - before));
+        let before = if self.load.served > 0.0 { self.load.served } else { self.quotas };
+        self.load.served = served.map_or(0.0, |served| before + DEMAND_GAIN * (served - before));
     }
 
-    /// What the ready upstreams carry per cycle for this copy when all is well. What is admitted just now
-    /// tells too little of that after an overload, when cold upstreams are needed most: they would be kept
-    /// out for as long as the warm ones stay crowded.
+    /// What the ready upstreams carry per cycle for this copy when all is well, though less is admitted after
+    /// an overload, when cold ones are needed most.
     fn carried(&self) -> f64 {
-        self.recent.max(self.quota * self.listed)
+        self.load.recent.max(self.quota * self.listed)
     }
 
     /// Takes note of how late an answer was.
@@ -342,13 +342,14 @@
             return;
         }
         let mean = self.lateness / self.answers;
-        self.success += DEMAND_GAIN * (self.in_time / self.answers - self.success);
+        self.load.success += DEMAND_GAIN * (self.in_time / self.answers - self.load.success);
         if mean > LATENESS_REST {
             let fall = (CAPACITY_DOWN * (mean - LATENESS_REST)).min(CAPACITY_FALL);
-            self.capacity = (self.capacity * (1.0 - fall)).max(self.floor());
+            self.load.capacity = (self.load.capacity * (1.0 - fall)).max(self.floor());
         } else {
             // What was admitted and answered in time was within capacity, whatever was learned before.
-            self.capacity = self.capacity.max(admitted) * (1.0 + CAPACITY_UP * (1.0 - mean / LATENESS_REST));
+            self.load.capacity =
+                self.load.capacity.max(admitted) * (1.0 + CAPACITY_UP * (1.0 - mean / LATENESS_REST));
         }
         (self.lateness, self.in_time, self.answers) = (0.0, 0.0, 0.0);
     }
@@ -360,20 +361,12 @@
 struct Upstream {
     member: Member,
     inflight: u32,
-    last_used: Millis,
     /// Connections that should be open, and since when one of them may have rested.
     connections: u32,
     rested_from: Millis,
     /// Since when it owes an answer and has given none.
     silent_since: Millis,
-    /// Own answer time, as a multiple of its kind's.
-    slowness: f64,
-    fails: f64,
-    outcomes: u32,
-    ejected_until: Millis,
-    ejections: u32,
-    /// Until when it is ejected for more than errors, which a tier behind may have made.
-    lost_until: Millis,
+    health: Health,
     /// Requests it said it holds, from all copies together, and when it said so.
     held: f64,
     held_at: Millis,
@@ -385,31 +378,44 @@
     tokens_at: Millis,
 }
 
-/// Where classes of one placement may go. Drawing among these, instead of rejecting draws from all, finds the
-/// few that are allowed, also as a last resort; nothing else is ever a candidate.
-#[derive(Default)]
+/// Where a class may go; nothing else is ever a candidate, also as a last resort.
+#[derive(Clone, Default)]
 struct Pool {
-    runs_in: Option<Vec<u16>>,
-    kinds_only: Option<Vec<u8>>,
+    /// The first so many are of the own zone.
+    near: usize,
     members: Vec<usize>,
 }
 
-impl Pool {
-    fn admits(&self, m: &Member) -> bool {
-        self.runs_in.as_ref().is_none_or(|zones| zones.contains(&m.zone))
-            && self.kinds_only.as_ref().is_none_or(|kinds| kinds.contains(&m.kind))
-    }
+fn admits(c: &Class, m: &Member) -> bool {
+    c.runs_in.as_ref().is_none_or(|zones| zones.contains(&m.zone))
+        && c.kinds_only.as_ref().is_none_or(|kinds| kinds.contains(&m.kind))
+}
+
+/// A zone as a whole, judged by more calls than any of its upstreams sees.
+#[derive(Default)]
+struct Zone {
+    /// The part of its draws that are made elsewhere: 0 near, 1 left, between them returning.
+    gone: f64,
+    /// When it answered last, calls that broke since, and what it owes in all.
+    heard: Millis,
+    broken: f64,
+    owes: f64,
+    /// How often it was left of late, since when it is as it is, and when it was tried last.
+    falls: f64,
+    since: Millis,
+    tried: Millis,
 }
 
 #[derive(Default)]
 struct Fleet {
+    zones: BTreeMap<u16, Zone>,
+    /// When any upstream answered last.
+    heard: Millis,
     slots: Vec<Upstream>,
     by_id: BTreeMap<UpstreamId, usize>,
     free: Vec<usize>,
-    /// The ready upstreams of the subset, for each placement that a class is bound to.
+    /// The ready upstreams of the subset, for each class.
     pools: Vec<Pool>,
-    /// The pool of each class.
-    pool_of: Vec<usize>,
     /// Ready upstreams, and the most that there were, each as far as it was warm.
     ready: usize,
     most: f64,
@@ -417,14 +423,19 @@
     fails: f64,
     /// Mean of what upstreams say they hold.
     held: f64,
-    /// Mean answer time of each kind, as a part of the class's objective, and how many answers: a copy that
-    /// sees little has heard of a kind long before it has heard of each upstream.
+    /// Mean answer time of each kind, as a part of the objective, and of how many answers: a copy that sees
+    /// little has heard of a kind long before it has heard of each upstream.
     kinds: BTreeMap<u8, (f64, f64)>,
     /// Mean answer time, and the mean deviation from it.
     latency: Millis,
     deviation: Millis,
     /// The part of calls that got no answer, by how long the connection may have rested (first: not at all).
     rest_lost: [f64; REST_STEPS],
+    /// The own zone, where it matters; in it and elsewhere, what answers take of what their kind does, and
+    /// what upstreams say they hold.
+    zone: Option<u16>,
+    took: [f64; 2],
+    said: [f64; 2],
 }
 
 /// A stable spread of ids over a ring, the same at every balancer.
@@ -436,17 +447,9 @@
 
 impl Fleet {
     fn new(s: &Settings) -> Self {
-        let (mut pools, mut pool_of): (Vec<Pool>, Vec<usize>) = Default::default();
-        for c in &s.classes {
-            let same = |p: &Pool| p.runs_in == c.runs_in && p.kinds_only == c.kinds_only;
-            pool_of.push(pools.iter().position(same).unwrap_or(pools.len()));
-            if pool_of.last() == Some(&pools.len()) {
-                let (runs_in, kinds_only) = (c.runs_in.clone(), c.kinds_only.clone());
-                pools.push(Pool { runs_in, kinds_only, ..Pool::default() });
-            }
-        }
-        let latency = mean_objective(s) / 4.0;
-        Fleet { pools, pool_of, latency, deviation: latency / 2.0, ..Fleet::default() }
+        let (latency, pools) = (mean_objective(s) / 4.0, vec![Pool::default(); s.classes.len()]);
+        let zone = (s.cross_zone_price > 0.0).then_some(s.zone);
+        Fleet { pools, latency, deviation: latency / 2.0, zone, took: [1.0; 2], ..Fleet::default() }
     }
 
     fn apply(&mut self, news: Membership, s: &Settings, now: Millis, rng: &mut Pcg64Mcg) {
@@ -462,29 +465,20 @@
             }
         }
         for member in members {
-            let fresh = |member| {
-                let times =
-                    Upstream { rested_from: now, silent_since: now, tokens_at: now, ..Default::default() };
-                Upstream { member, slowness: 1.0, ..times }
-            };
-            if let Some(&i) = self.by_id.get(&member.id) {
-                if self.slots[i].member.since != member.since {
-                    // Restarted under its old id: cold again, and its old sins are forgotten.
-                    let inflight = self.slots[i].inflight;
-                    self.slots[i] = Upstream { inflight, tokens: unit(rng), ..fresh(member) };
-                } else {
-                    self.slots[i].member = member;
-                }
-            } else if member.availability != Availability::Gone {
+            let known = self.by_id.get(&member.id).copied();
+            if let Some(i) = known.filter(|&i| self.slots[i].member.since == member.since) {
+                self.slots[i].member = member;
+            } else if known.is_some() || member.availability != Availability::Gone {
+                let i = known.or_else(|| self.free.pop()).unwrap_or(self.slots.len());
+                self.slots.resize_with(self.slots.len().max(i + 1), Upstream::default);
+                self.by_id.insert(member.id, i);
+                // Restarted under its old id it is cold again, and its old sins are forgotten.
+                let inflight = known.map_or(0, |i| self.slots[i].inflight);
+                let health = Health { slowness: 1.0, ..Health::default() };
                 // Hundreds of copies must not each send their first call at once: start in random phase.
-                let upstream = Upstream { tokens: unit(rng), ..fresh(member) };
-                let i = self.free.pop().unwrap_or(self.slots.len());
-                if i == self.slots.len() {
-                    self.slots.push(upstream);
-                } else {
-                    self.slots[i] = upstream;
-                }
-                self.by_id.insert(self.slots[i].member.id, i);
+                let (tokens, tokens_at, rested_from, silent_since) = (unit(rng), now, now, now);
+                let times = Upstream { tokens, tokens_at, rested_from, silent_since, ..Upstream::default() };
+                self.slots[i] = Upstream { member, inflight, health, ..times };
             }
         }
         for i in 0..self.slots.len() {
@@ -514,12 +508,20 @@
             (ring_place(UpstreamId(m.group.into())), ring_place(m.id), m.id)
         });
         self.ready = ring.len();
-        for pool in &mut self.pools {
-            let allowed: Vec<usize> =
-                ring.iter().copied().filter(|&i| pool.admits(&self.slots[i].member)).collect();
-            let n = allowed.len();
-            let start = n * (s.index % s.balancers) as usize / s.balancers as usize;
-            pool.members = (0..n.min(self.subset)).map(|k| allowed[(start + k) % n]).collect();
+        let (even, most) = (f64::from(s.index % s.balancers) / f64::from(s.balancers), self.subset);
+        // Even among the copies of a zone as well, however they are numbered.
+        let golden = (f64::from(s.index) * 0.618_033_988_749_895).fract();
+        let run = |from: &[usize], place: f64, most: usize| -> Vec<usize> {
+            let n = from.len();
+            (0..n.min(most)).map(|k| from[((n as f64 * place) as usize + k) % n]).collect()
+        };
+        for (pool, class) in self.pools.iter_mut().zip(&s.classes) {
+            let allowed = ring.iter().copied().filter(|&i| admits(class, &self.slots[i].member));
+            let own = |&i: &usize| Some(self.slots[i].member.zone) == self.zone;
+            let (near, far): (Vec<usize>, Vec<usize>) = allowed.partition(own);
+            pool.members = run(&near, golden, most);
+            pool.near = pool.members.len();
+            pool.members.extend(run(&far, even, if near.is_empty() { most } else { most.div_ceil(2) }));
         }
     }
 
@@ -560,23 +562,64 @@
     }
 
     /// Hears of a call whether it was lost.
-    fn heard(&mut self, rest: usize, lost: bool) {
+    fn note_lost(&mut self, rest: usize, lost: bool) {
         self.rest_lost[rest] += REST_GAIN * (f64::from(u8::from(lost)) - self.rest_lost[rest]);
     }
 
+    /// An answer that takes longer is overdue.
+    fn patience(&self) -> Millis {
+        self.latency + TIMEOUT_DEVIATIONS * self.deviation
+    }
+
+    /// Whether its zone is left.
+    fn left(&self, i: usize) -> bool {
+        self.zones.get(&self.slots[i].member.zone).is_some_and(|z| z.gone >= 1.0)
+    }
+
+    /// Whether a call is lost, though its time-out tells of it too late.
+    fn lost(&self, (_, i, sent, rest): (u32, usize, Millis, usize), now: Millis) -> bool {
+        self.left(i) || (now - sent >= self.patience() && self.dropped(rest))
+    }
+
+    /// Zones that answer come back by degrees, each held the longer the more often they were left of late.
+    fn come_back(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        for (zone, z) in &mut self.zones {
+            let (before, share, bad) = (z.gone, 1.0 - z.gone, z.broken >= 1.0 || z.owes > ZONE_OWES / 2.0);
+            if before == 0.0 {
+                z.falls *= CYCLE_KEPT;
+            } else if bad {
+                z.gone = if before < 1.0 { 1.0 - (share / 2.0).max(ZONE_FIRST) } else { before };
+                z.since = now;
+            } else if z.heard > z.since && (before >= 1.0 || now - z.since > z.falls * CYCLE) {
+                (z.gone, z.since) = (1.0 - (2.0 * share).clamp(ZONE_FIRST, 1.0), now);
+            }
+            if z.gone != before {
+                let (state, part) = (["near", "returning"][usize::from(z.gone > 0.0)], 1.0 - z.gone);
+                actions.push(Action::Log(format!("zone {zone} is {state}: {part:.3} of its draws stand")));
+            }
+        }
+    }
+
+    /// Whether one of a zone that is left or returning may be drawn now.
+    fn stands(&mut self, i: usize, ask: &PickRequest, rng: &mut Pcg64Mcg) -> bool {
+        let Some(z) = self.zones.get_mut(&self.slots[i].member.zone) else { return true };
+        let due = z.heard <= z.since && ask.now - z.tried > ZONE_TRIAL * (1.0 + z.falls);
+        let tries = ask.harmless && z.gone > 0.0 && due;
+        z.tried = if tries { ask.now } else { z.tried };
+        z.gone <= 0.0 || tries || ask.desperate || unit(rng) >= z.gone
+    }
+
     fn sent(&mut self, i: usize, rest: usize, now: Millis) {
         let u = &mut self.slots[i];
         if rest == 0 {
             u.connections = u.inflight;
         }
-        if u.inflight == 0 {
-            u.silent_since = now;
-        }
+        u.silent_since = if u.inflight == 0 { now } else { u.silent_since };
         u.inflight += 1;
         if u.connections <= u.inflight {
             (u.connections, u.rested_from) = (u.inflight, now);
         }
-        u.last_used = now;
+        u.health.last_used = now;
         u.tokens -= 1.0;
     }
 
@@ -592,40 +635,44 @@
         parts.min_by(f64::total_cmp).unwrap_or(0.0)
     }
 
-    /// Books how an attempt ended. Tells whether the failure is this upstream's own.
+    /// Books how an attempt ended, after which part of its objective. Tells whether it is its own fault.
     fn ended(
         &mut self,
-        (i, rest): (usize, usize),
-        ending: Ending,
-        (duration, objective): (Millis, Millis),
+        at: (usize, usize),
+        how: (Ending, Millis, f64),
         now: Millis,
         rng: &mut Pcg64Mcg,
     ) -> bool {
+        let ((i, rest), (ending, duration, part)) = (at, how);
+        let any = now - self.heard < self.patience();
+        let z = self.zones.entry(self.slots[i].member.zone).or_default();
+        if matches!(ending, Ending::Ok | Ending::Error | Ending::Full) {
+            (z.heard, z.broken, self.heard) = (now, 0.0, now);
+        } else if any && !matches!(ending, Ending::Cancelled | Ending::Moot | Ending::Unknown) {
+            z.broken += 1.0;
+        }
         let hung = ending == Ending::Timeout && self.silent(i, now);
         // Neither is the doing of a tier behind, nor does it matter how many others fail.
         let alone = hung || ending == Ending::ConnectFailed;
         let lost = matches!(ending, Ending::Timeout | Ending::Reset);
         let cut = matches!(ending, Ending::Cancelled | Ending::ConnectFailed);
         if !cut && ending != Ending::Moot {
-            self.heard(rest, lost);
+            self.note_lost(rest, lost);
         }
-        let ejected = self.by_id.values().filter(|&&k| now < self.slots[k].ejected_until).count();
+        let ejected = self.by_id.values().filter(|&&k| now < self.slots[k].health.ejected_until).count();
         let room = alone || ejected < ((self.ready as f64 * EJECT_PART) as usize).max(1);
         let u = &mut self.slots[i];
         u.rested_from = if u.inflight >= u.connections { now } else { u.rested_from };
         // A connection whose call got no answer does not come back for another.
         u.connections -= u.connections.min(u32::from(lost || cut));
         u.inflight = u.inflight.saturating_sub(1);
-        u.last_used = now;
+        u.health.last_used = now;
         if matches!(ending, Ending::Cancelled | Ending::Moot) {
             return false;
         }
         let failed = ending != Ending::Ok;
-        if ending != Ending::Timeout {
-            u.silent_since = now;
-        }
-        let (part, (usual, answers)) =
-            (duration.max(1.0) / objective, self.kinds.entry(u.member.kind).or_default());
+        u.silent_since = if ending != Ending::Timeout { now } else { u.silent_since };
+        let (usual, answers) = self.kinds.entry(u.member.kind).or_default();
         if ending == Ending::Ok {
             *answers += 1.0;
             *usual += KIND_GAIN.max(1.0 / *answers) * (part - *usual);
@@ -633,34 +680,32 @@
             self.latency += 0.05 * (duration - self.latency);
         }
         let took = if *usual > 0.0 { part / *usual } else { 1.0 };
-        u.slowness += ANSWER_GAIN * (if failed { took.max(2.0) } else { took } - u.slowness);
-        let bad = f64::from(u8::from(failed));
-        u.fails += FAIL_GAIN * (bad - u.fails);
-        u.outcomes += 1;
-        if hung {
-            // It takes work and answers nothing, while others answer: no need to wait for more time-outs.
-            u.fails = 1.0;
-        }
+        let took = if failed { took.max(2.0) } else { took };
+        u.health.slowness += ANSWER_GAIN * (took - u.health.slowness);
+        let side = &mut self.took[usize::from(Some(u.member.zone) != self.zone)];
+        *side += NEAR_GAIN * (took.min(4.0) - *side);
+        let (bad, h) = (f64::from(u8::from(failed)), &mut u.health);
+        // Who takes work and answers nothing while others answer need not be waited for until more time out.
+        h.fails = if hung { 1.0 } else { h.fails + FAIL_GAIN * (bad - h.fails) };
+        h.outcomes += 1;
         // The fleet's figure counts all: where most fail, it is no fault of each one's own.
         self.fails += 0.02 * (bad - self.fails);
-        let own = u.fails > EJECT_AT && (alone || u.fails > EJECT_RATIO * self.fails);
-        if !failed && now >= u.ejected_until && u.fails < EJECT_AT / 2.0 {
-            u.ejections = 0;
+        let own = h.fails > EJECT_AT && (alone || h.fails > EJECT_RATIO * self.fails);
+        if !failed && now >= h.ejected_until && h.fails < EJECT_AT / 2.0 {
+            h.ejections = 0;
         }
-        if failed && own && room && (alone || u.outcomes >= 3) && now >= u.ejected_until {
+        if failed && own && room && (alone || h.outcomes >= 3) && now >= h.ejected_until {
             // A server that fails fast holds few calls and would win every comparison: take it out.
-            let length = (EJECT_BASE * f64::from(u.ejections + 1)).min(EJECT_MOST);
-            u.ejected_until = now + length * (0.75 + 0.5 * unit(rng));
-            u.ejections += 1;
-            u.lost_until = if ending == Ending::Error { u.lost_until } else { u.ejected_until };
+            let length = (EJECT_BASE * f64::from(h.ejections + 1)).min(EJECT_MOST);
+            h.ejected_until = now + length * (0.75 + 0.5 * unit(rng));
+            h.ejections += 1;
+            h.lost_until = if ending == Ending::Error { h.lost_until } else { h.ejected_until };
             // One more failure after its return ejects it again.
-            u.fails = EJECT_AT;
+            h.fails = EJECT_AT;
         }
         own
     }
 
-    // --- Pick -------------------------------------------------------------------------------------
-
     /// Whether a listed upstream may be sent a call now: it is not out, and within its cold budget.
     fn usable(&mut self, i: usize, ask: &PickRequest) -> bool {
         let PickRequest { settings: s, now, cold_rate, desperate, .. } = *ask;
@@ -688,8 +733,9 @@
                 let warmth = self.warmth(i, s, now);
                 warm += warmth;
                 // Errors eject too, but may come from behind and do not show that it can carry nothing.
-                let lost = now < u.lost_until || self.silent(i, now) || self.crowded(i, now);
-                usable += if lost { 0.0 } else { warmth };
+                let lost = now < u.health.lost_until || self.silent(i, now) || self.crowded(i, now);
+                let gone = self.zones.get(&u.member.zone).map_or(0.0, |z| z.gone);
+                usable += if lost { 0.0 } else { warmth * (1.0 - gone) };
             }
         }
         self.most = self.most.max(warm);
@@ -698,7 +744,7 @@
 
     /// Whether it is ejected, silent or crowded.
     fn out(&self, i: usize, now: Millis) -> bool {
-        now < self.slots[i].ejected_until || self.silent(i, now) || self.crowded(i, now)
+        now < self.slots[i].health.ejected_until || self.silent(i, now) || self.crowded(i, now)
     }
 
     /// Takes note of what an upstream says it holds.
@@ -706,10 +752,12 @@
         if let Some(&i) = self.by_id.get(&id).filter(|_| held.is_finite()) {
             (self.slots[i].held, self.slots[i].held_at) = (held, now);
             self.held += SAID_GAIN * (held - self.held);
+            let side = &mut self.said[usize::from(Some(self.slots[i].member.zone) != self.zone)];
+            *side += NEAR_GAIN * (held - *side);
         }
     }
 
-    /// Takes note of how many requests a second an upstream says it serves.
+    /// And of how many requests a second it serves.
     fn serves(&mut self, id: UpstreamId, per_s: f64, now: Millis) {
         if let Some(&i) = self.by_id.get(&id).filter(|_| per_s.is_finite()) {
             (self.slots[i].served, self.slots[i].served_at) = (per_s, now);
@@ -718,10 +766,8 @@
 
     /// Calls per cycle that all copies together get served, by what upstreams have said of late.
     fn served_by_all(&self, now: Millis) -> Option<f64> {
-        let up = |&&i: &&usize| {
-            self.slots[i].member.availability == Availability::Ready && now >= self.slots[i].lost_until
-        };
-        let up: Vec<&Upstream> = self.by_id.values().filter(up).map(|&i| &self.slots[i]).collect();
+        let up = |u: &&Upstream| u.member.availability == Availability::Ready && now >= u.health.lost_until;
+        let up: Vec<&Upstream> = self.by_id.values().map(|&i| &self.slots[i]).filter(up).collect();
         let heard = |u: &&&Upstream| u.served > 0.0 && now - u.served_at < SAID_KEPT;
         let heard: Vec<f64> = up.iter().filter(heard).map(|u| u.served).collect();
         let mean = heard.iter().sum::<f64>() / heard.len() as f64;
@@ -739,34 +785,42 @@
     /// learned of itself fades to what its kind takes, so that one that was slow is tried again.
     fn usual(&self, u: &Upstream, now: Millis) -> Option<f64> {
         let (kind, _) = self.kinds.get(&u.member.kind).filter(|(kind, _)| *kind > 0.0)?;
-        Some(kind * (1.0 + (u.slowness - 1.0) * (-(now - u.last_used) / ANSWER_KEPT).exp()))
+        Some(kind * (1.0 + (u.health.slowness - 1.0) * (-(now - u.health.last_used) / ANSWER_KEPT).exp()))
     }
 
     /// By own calls in flight. A copy that carries little mostly compares zeros: then the one whose answers
-    /// took clearly less of late, so that slow kinds and crowded ones take less here too; else the one in the
-    /// own zone, which saves a crossing; else the one used longest ago, to spread the calls. Favouring open
-    /// connections would send them all to the same few, and keeping to the own zone crowds a weak one.
-    fn less_busy(&self, a: usize, b: usize, ask: &PickRequest) -> bool {
-        let (s, now) = (ask.settings, ask.now);
+    /// took clearly less of late, so that slow and crowded ones take less here too; else, if calls keep near,
+    /// the one in the own zone; else the one used longest ago.
+    fn less_busy(&self, a: usize, b: usize, now: Millis, lean: bool) -> bool {
         let (a, b) = (&self.slots[a], &self.slots[b]);
-        let near = |u: &Upstream| s.cross_zone_price > 0.0 && u.member.zone == s.zone;
+        let near = |u: &Upstream| Some(u.member.zone) == self.zone;
         let usual = |u| self.usual(u, now);
         let slow = |a, b| usual(a).zip(usual(b)).is_some_and(|(a, b)| a > ANSWER_RATIO * b);
         match a.inflight.cmp(&b.inflight) {
             Ordering::Equal if slow(a, b) => false,
             Ordering::Equal if slow(b, a) => true,
-            Ordering::Equal if near(a) != near(b) => near(a),
-            Ordering::Equal => a.last_used < b.last_used,
+            Ordering::Equal if lean && near(a) != near(b) => near(a),
+            Ordering::Equal => a.health.last_used < b.health.last_used,
             order => order == Ordering::Less,
         }
     }
 
+    /// The part of calls for which one of the two is drawn from the own zone, as far as that is no busier. It
+    /// gives way by degrees, or all copies would leave a weak zone and come back together.
+    fn lean(&self) -> f64 {
+        let busier = (self.took[0] / self.took[1]).max((self.said[0] + 1.0) / (self.said[1] + 1.0));
+        (NEAR_MOST - NEAR_FALL * (busier - 1.0)).clamp(0.0, NEAR_MOST)
+    }
+
     /// The less busy of two random usable upstreams.
     fn pick(&mut self, ask: &PickRequest, rng: &mut Pcg64Mcg) -> Option<usize> {
-        let n = self.pools[ask.pool].members.len();
+        let (n, near) = (self.pools[ask.pool].members.len(), self.pools[ask.pool].near);
         if n == 0 {
             return None;
         }
+        let near = if near > 0 && self.left(self.pools[ask.pool].members[0]) { 0 } else { near };
+        let lean = near > 0 && unit(rng) < self.lean();
+        let both = lean && unit(rng) < NEAR_BOTH;
         let mut best: Option<usize> = None;
         let start = below(rng, n);
         for draw in 0..DRAWS + n {
@@ -774,14 +828,16 @@
             if draw >= DRAWS && best.is_some() {
                 break;
             }
-            let k = if draw < DRAWS { below(rng, n) } else { (start + draw) % n };
+            let drawn = if lean && (both || best.is_none()) { near } else { n };
+            let k = if draw < DRAWS { below(rng, drawn) } else { (start + draw) % n };
             let i = self.pools[ask.pool].members[k];
             let out = (best == Some(i) && n > 1) || ask.avoid == Some(i);
-            if out || !ask.allows(&self.slots[i].member) || !self.usable(i, ask) {
+            if out || !ask.allows(&self.slots[i].member) || !self.usable(i, ask) || !self.stands(i, ask, rng)
+            {
                 continue;
             }
             match best {
-                Some(b) => return Some(if self.less_busy(i, b, ask) { i } else { b }),
+                Some(b) => return Some(if self.less_busy(i, b, ask.now, lean) { i } else { b }),
                 None => best = Some(i),
             }
         }
@@ -796,6 +852,8 @@
     /// Calls per millisecond that a warm upstream's worth of cold ones may be sent by this copy.
     cold_rate: f64,
     avoid: Option<usize>,
+    /// It may run again anywhere, and there is time for that.
+    harmless: bool,
     /// Nothing better is left: ejected, silent and crowded upstreams will do.
     desperate: bool,
     /// A repeat of a guarded request: only these may discard it.
@@ -829,111 +887,13 @@
     ((u128::from(rng.next_u64()) * n as u128) >> 64) as usize
 }
 
-// --- State that outlives an instance ----------------------------------------------------------------
-
-impl Balancer {
-    /// What was learned so far, to be kept for a later instance. Limits follow from it by the published rule.
-    pub fn learned(&mut self, now: Millis) -> Learned {
-        let (_, usable) = self.fleet.count(&self.settings, now);
-        let (a, f, per_s) = (&self.admission, &self.fleet, 1000.0 / CYCLE);
-        let left = |until: Millis| (until - now).max(0.0);
-        let called = f.by_id.values().map(|&i| &f.slots[i]).filter(|u| u.outcomes > 0);
-        let upstreams = called.map(|u| LearnedUpstream {
-            id: u.member.id,
-            since: u.member.since,
-            slowness: u.slowness,
-            fails: u.fails,
-            unused_for: now - u.last_used,
-            ejected_for: left(u.ejected_until),
-            lost_for: left(u.lost_until),
-            ejections: u.ejections,
-        });
-        let kind = |(&kind, &(usual, answers)): (&u8, &(f64, f64))| LearnedKind { kind, usual, answers };
-        Learned {
-            capacity: a.capacity * per_s,
-            admitted: a.recent * per_s,
-            peak: a.peak * per_s,
-            served: a.served * per_s,
-            in_time: a.success,
-            uncrowded: a.uncrowded,
-            upstreams_most: f.most,
-            upstreams_usable: usable,
-            answer: f.latency,
-            deviation: f.deviation,
-            unloaded: a.unloaded,
-            demands: a.tenants.iter().map(|t| t.seen.then_some(t.demand * per_s)).collect(),
-            kinds: f.kinds.iter().map(kind).collect(),
-            rest_lost: f.rest_lost.to_vec(),
-            upstreams: upstreams.collect(),
-        }
-    }
-
-    /// Takes back what was kept, once there is a list.
-    fn take_back(&mut self, now: Millis) {
-        if let Some((kept, at)) = self.kept.take_if(|_| self.fleet.ready > 0) {
-            self.restore(now, &kept, now - at);
-        }
-    }
-
-    /// Takes back what an earlier instance had learned `age` ago: faded towards what this one starts with, and
-    /// scaled to the upstreams that there are now, or copies that all come back would tip the cold ones.
-    fn restore(&mut self, now: Millis, kept: &Learned, age: Millis) {
-        let (load, times) = ((-age / LOAD_KEPT).exp(), (-age / TIMES_KEPT).exp());
-        let mix = |to: &mut f64, kept: f64, worth: f64| *to += worth * (kept - *to);
-        let (a, f, per_cycle) = (&mut self.admission, &mut self.fleet, CYCLE / 1000.0);
-        for kept in &kept.upstreams {
-            let Some(&i) = f.by_id.get(&kept.id) else { continue };
-            let u = &mut f.slots[i];
-            if u.member.since == kept.since {
-                (u.slowness, u.last_used) = (kept.slowness, now - age - kept.unused_for);
-                (u.fails, u.ejections) = (load * kept.fails, kept.ejections);
-                u.ejected_until = now + kept.ejected_for.min(EJECT_MOST) - age;
-                u.lost_until = now + kept.lost_for.min(EJECT_MOST) - age;
-            }
-        }
-        for k in &kept.kinds {
-            // Fewer answers to rest on, so that new ones count for more.
-            let answers = k.answers * times;
-            if answers >= 1.0 && k.usual > 0.0 {
-                f.kinds.entry(k.kind).or_insert((k.usual, answers));
-            }
-        }
-        f.rest_lost.iter_mut().zip(&kept.rest_lost).for_each(|(to, &kept)| mix(to, kept, times));
-        mix(&mut f.latency, kept.answer, times);
-        mix(&mut f.deviation, kept.deviation, times);
-        mix(&mut a.unloaded, kept.unloaded, times);
-        // What is listed now may be the few that are left of what was shared out among many.
-        f.most = f.most.max(load * kept.upstreams_most);
-        (a.listed, a.usable) = f.count(&self.settings, now);
-        let size = per_cycle * (a.usable / kept.upstreams_usable.max(0.01)).min(1.0);
-        mix(&mut a.capacity, kept.capacity * size, load);
-        mix(&mut a.recent, kept.admitted * size, load);
-        mix(&mut a.peak, kept.peak * size, load);
-        mix(&mut a.success, kept.in_time, load);
-        mix(&mut a.uncrowded, kept.uncrowded.max(FLOOR_LEAST), load);
-        if kept.served > 0.0 && a.quotas > 0.0 {
-            a.served = a.quotas + load * (kept.served * per_cycle - a.quotas);
-        }
-        for (t, kept) in a.tenants.iter_mut().zip(&kept.demands) {
-            if let Some(demand) = kept {
-                t.seen = true;
-                mix(&mut t.demand, demand * per_cycle, load);
-            }
-        }
-        f.resize_subset(&self.settings, a.recent);
-        a.end_cycle(now);
-    }
-}
-
-// --- Attempts -------------------------------------------------------------------------------------
-
 struct Pending {
     class: usize,
     /// When an answer stops being worth anything: no attempt runs longer.
     ends: Millis,
     sends: u32,
-    /// Attempts out: their number, upstream, when they were sent and how rested their connection was.
-    out: Vec<(u32, usize, Millis, usize)>,
+    /// The attempt that is out: its number, upstream, when it was sent and how rested its connection was.
+    out: Option<(u32, usize, Millis, usize)>,
     /// The first attempt that may have run: its number, when it was sent, its zone and group.
     ran: Option<(u32, Millis, u16, u16)>,
     last: Option<usize>,
@@ -961,7 +921,7 @@
         settings.validate()?;
         let admission = Admission::new(&settings, now);
         let mut fleet = Fleet::new(&settings);
-        fleet.resize_subset(&settings, admission.recent);
+        fleet.resize_subset(&settings, admission.load.recent);
         Ok(Balancer {
             rng: Pcg64Mcg::seed_from_u64(seed),
             admission,
@@ -989,10 +949,11 @@
             (Some((_, sent, ..)), Effect::Guarded { window, .. }) if now >= sent + window => return false,
             (Some((.., zone, group)), Effect::Guarded { scope, .. }) => Some((scope, zone, group)),
         };
-        let pool = self.fleet.pool_of[p.class];
         let ready = self.fleet.pools.iter().map(|p| p.members.len()).fold(1, usize::max) as f64;
         let cold_rate = self.admission.carried() / CYCLE / ready * COLD_MARGIN * s.tip_multiple;
-        let ask = PickRequest { settings: s, now, pool, cold_rate, avoid: p.last, desperate: false, scope };
+        let harmless = p.sends == 0 && self.harmless(p.class) && now + 3.0 * self.fleet.latency < p.ends;
+        let (pool, avoid, desperate) = (p.class, p.last, false);
+        let ask = PickRequest { settings: s, now, pool, cold_rate, avoid, harmless, desperate, scope };
         let last_resort = PickRequest { avoid: None, desperate: true, ..ask };
         let picked = self.fleet.pick(&ask, &mut self.rng);
         let picked = picked.or_else(|| self.fleet.pick(&last_resort, &mut self.rng));
@@ -1010,7 +971,7 @@
         let (zone, group) = (member.zone, member.group);
         if let Some(p) = self.pending.get_mut(&id) {
             p.ran.get_or_insert((p.sends, now, zone, group));
-            p.out.push((p.sends, i, now, rest));
+            p.out = Some((p.sends, i, now, rest));
             p.sends += 1;
             p.last = Some(i);
         }
@@ -1021,7 +982,7 @@
     /// of late, from this upstream or on connections that rested as long, and a repeat is legal and in time.
     fn timeout(&self, p: &Pending, i: usize, rest: usize, now: Millis) -> Millis {
         let (f, u) = (&self.fleet, &self.fleet.slots[i]);
-        let suspect = u.fails > SUSPECT_AT || f.rest_lost[rest] > SUSPECT_AT / 4.0;
+        let suspect = u.health.fails > SUSPECT_AT || f.rest_lost[rest] > SUSPECT_AT / 4.0 || f.left(i);
         let again = p.sends + 1 < self.settings.attempts_cap && self.retries >= 1.0;
         let repeats = again && self.settings.classes[p.class].effect != Effect::SingleShot;
         let usual = f.usual(u, now).map_or(f.latency, |part| part * self.settings.classes[p.class].objective);
@@ -1035,18 +996,17 @@
         }
     }
 
+    /// Whether another try does no harm, wherever it goes.
+    fn harmless(&self, class: usize) -> bool {
+        let effect = self.settings.classes[class].effect;
+        matches!(effect, Effect::Free | Effect::Guarded { scope: DedupScope::All, .. })
+    }
+
     /// Gives the one final answer: a refusal where another try is known to do no harm, else a failure.
     fn give_up(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(p) = self.pending.get_mut(&id) else { return };
-        let harmless = match self.settings.classes[p.class].effect {
-            Effect::Free | Effect::Guarded { scope: DedupScope::All, .. } => true,
-            _ => p.ran.is_none(),
-        };
-        p.over = true;
+        let Some(p) = self.pending.remove(&id) else { return };
         let reason = if p.sends > 0 { Refusal::GivenUp } else { Refusal::NoUpstream };
-        if p.out.is_empty() {
-            self.pending.remove(&id);
-        }
+        let harmless = p.ran.is_none() || self.harmless(p.class);
         actions.push(if harmless { self.refusal(id, reason) } else { Action::Fail { request: id } });
     }
 
@@ -1063,111 +1023,187 @@
         self.retries = (self.retries + RETRY_RATIO).min(RETRY_SAVED);
         // Hardly any upstream answers in so little time: the call would only keep others waiting. Where there
         // are none it is sent, or what was learned in a slow time would hold for ever.
-        let classes = &self.settings.classes;
-        let short = |c: &Class| r.deadline - now < self.fleet.soonest() * c.objective;
-        let hopeless = |c: &Class| self.admission.inflight > 0.0 && short(c);
-        let refused = if classes.get(r.class).is_none_or(hopeless) {
-            Some(Refusal::TooLittleTime)
-        } else {
-            (!self.admission.admit(r.tenant, now)).then_some(Refusal::OverLimit)
-        };
-        if let Some(reason) = refused {
+        let (out, soonest) = (self.admission.inflight > 0.0, self.fleet.soonest());
+        let hopeless = |c: &Class| out && r.deadline - now < soonest * c.objective;
+        let late = self.settings.classes.get(r.class).is_none_or(hopeless);
+        let over = !late && !self.admission.admit(r.tenant, now);
+        if let Some(reason) = late.then_some(Refusal::TooLittleTime).or(over.then_some(Refusal::OverLimit)) {
             let refusal = self.refusal(r.id, reason);
             return actions.push(refusal);
         }
-        let class = r.class;
-        let c = &self.settings.classes[class];
+        let c = &self.settings.classes[r.class];
         // A late answer that earns nothing only holds a slot in every tier above.
         let useful = if c.late_worth > 0.0 { f64::INFINITY } else { now + c.objective * AIM_PART };
-        let ends = r.deadline.min(useful);
-        let fresh = Pending { class, ends, sends: 0, out: Vec::new(), ran: None, last: None, over: false };
+        let (class, ends) = (r.class, r.deadline.min(useful));
+        let fresh = Pending { class, ends, sends: 0, out: None, ran: None, last: None, over: false };
         self.pending.insert(r.id, fresh);
         if !self.send(now, r.id, actions) {
             self.give_up(r.id, actions);
         }
     }
 
+    /// Counts calls that fill what may be in flight and are lost.
+    fn count_lost(&mut self, now: Millis) {
+        let lost = |p: &&Pending| p.out.is_some_and(|out| !p.over && self.fleet.lost(out, now));
+        self.admission.lost = self.pending.values().filter(lost).count() as f64;
+    }
+
     /// Calls that are late already count before their answers come: judged by the answers alone, which
     /// are the fast ones at first, a tier that slows down would look well.
     fn judge_unanswered(&mut self, now: Millis) {
-        self.admission.lost = 0.0;
-        let patience = self.fleet.latency + TIMEOUT_DEVIATIONS * self.fleet.deviation;
         for p in self.pending.values().filter(|p| !p.over) {
-            let Some(&(_, i, sent, rest)) = p.out.last() else { continue };
-            // The time-out tells of dropped connections too late: lost calls fill what may be in flight.
-            let overdue = now - sent - patience;
-            if (0.0..CYCLE).contains(&overdue) {
-                self.fleet.heard(rest, true);
-            }
-            let lost = overdue >= 0.0 && self.fleet.dropped(rest);
-            self.admission.lost += f64::from(u8::from(lost));
-            if lost || self.fleet.silent(i, now) {
-                continue;
+            let Some((_, i, sent, rest)) = p.out else { continue };
+            if (0.0..CYCLE).contains(&(now - sent - self.fleet.patience())) {
+                self.fleet.note_lost(rest, true);
             }
             let late = lateness((now - sent) / self.settings.classes[p.class].objective);
-            if late > 0.0 {
+            if late > 0.0 && !p.out.is_some_and(|out| self.fleet.lost(out, now)) && !self.fleet.silent(i, now)
+            {
                 self.admission.learn(late);
             }
         }
+        self.count_lost(now);
     }
 
-    fn outcome(
-        &mut self,
-        now: Millis,
-        id: RequestId,
-        number: u32,
-        (ending, duration, closed): (Ending, Millis, bool),
-        actions: &mut Vec<Action>,
-    ) {
+    /// Judges zones as wholes. What hangs in one that is left is called off and repeated where that is legal.
+    fn watch_zones(&mut self, now: Millis, actions: &mut Actions) {
+        let (s, f) = (&self.settings, &mut self.fleet);
+        // Time counts up to the last answer from anywhere: where none comes, to leave would crowd the rest.
+        let (heard, slow) = (f.heard, f.took[0].max(f.took[1]).max(1.0));
+        f.zones.values_mut().for_each(|z| z.owes = z.broken);
+        for p in self.pending.values().filter(|p| !p.over) {
+            let Some((_, i, sent, _)) = p.out else { continue };
+            let (u, objective) = (&f.slots[i], s.classes[p.class].objective);
+            let takes = f.usual(u, now).map_or(f.latency, |part| part * objective).max(1.0) * slow;
+            let z = f.zones.entry(u.member.zone).or_default();
+            z.owes += ((heard - sent.max(z.heard)) / takes - 1.0).clamp(0.0, ZONE_OWES_EACH);
+        }
+        let quiet = |z: &Zone| z.gone < 1.0 && z.owes > ZONE_OWES && z.heard < heard;
+        let before = actions.len();
+        for (zone, z) in f.zones.iter_mut().filter(|(_, z)| quiet(z)) {
+            (z.gone, z.since, z.falls, z.tried) = (1.0, now, z.falls + 1.0, now);
+            let (owes, since) = (z.owes, now - z.heard);
+            let line = format!("zone {zone} is left: it owes {owes:.1} answer times, since {since:.0} ms");
+            actions.push(Action::Log(line));
+        }
+        if actions.len() == before {
+            return;
+        }
+        self.recount(now);
+        for (&request, p) in self.pending.iter().filter(|(_, p)| !p.over && self.settings.cancel) {
+            let Some((attempt, i, ..)) = p.out else { continue };
+            let again = self.harmless(p.class) && p.sends < self.settings.attempts_cap;
+            if self.fleet.left(i) && again && now + self.fleet.latency < p.ends {
+                // Once for each loss, so that it is no multiple: beside what is allowed for each request.
+                self.retries += 1.0;
+                actions.push(Action::Cancel { request, attempt });
+            }
+        }
+        self.count_lost(now);
+    }
+
+    fn outcome(&mut self, now: Millis, of: (RequestId, u32), how: (Ending, Millis, bool), to: &mut Actions) {
+        let ((id, number), (ending, duration, closed)) = (of, how);
         let Some(p) = self.pending.get_mut(&id) else { return };
-        let Some(at) = p.out.iter().position(|&(n, ..)| n == number) else { return };
-        let (_, i, _, rest) = p.out.swap_remove(at);
+        let Some((_, i, _, rest)) = p.out.take_if(|out| out.0 == number) else { return };
         // Where upstreams also shed work that they had begun, 'full' proves nothing.
         let proof = ending.never_ran() && !(ending == Ending::Full && self.settings.late_shedding);
-        if proof && p.out.is_empty() && p.ran.is_some_and(|(n, ..)| n == number) {
+        if proof && p.ran.is_some_and(|(n, ..)| n == number) {
             p.ran = None;
         }
         let objective = self.settings.classes[p.class].objective;
-        p.over |= closed;
-        let (over, waiting) = (p.over, !p.out.is_empty());
+        let over = p.over || closed;
         self.admission.inflight -= 1.0;
-        let own = self.fleet.ended((i, rest), ending, (duration, objective), now, &mut self.rng);
+        let part = duration.max(1.0) / objective;
+        let own = self.fleet.ended((i, rest), (ending, duration, part), now, &mut self.rng);
         self.fleet.forget_if_gone(i);
-        let lateness = match ending {
-            Ending::Ok => Some(lateness(duration / objective)),
-            Ending::Cancelled | Ending::Moot => None,
+        match ending {
+            Ending::Ok => self.admission.learn(lateness(duration / objective)),
+            Ending::Cancelled | Ending::Moot => {}
             // Blame the server or the connection, not the fleet, for failures that are its own.
-            _ if own || self.fleet.dropped(rest) => None,
-            _ => Some(LATENESS_MOST),
-        };
-        if let Some(lateness) = lateness {
-            self.admission.learn(lateness);
+            _ if own || self.fleet.dropped(rest) => {}
+            _ => self.admission.learn(LATENESS_MOST),
         }
-        if over && !waiting {
+        if over {
             self.pending.remove(&id);
-        } else if !over && !waiting {
-            let again = ending != Ending::Ok && self.retries >= 1.0;
-            if again && self.send(now, id, actions) {
-                self.retries -= 1.0;
-            } else {
-                self.give_up(id, actions);
-            }
+        } else if ending != Ending::Ok && self.retries >= 1.0 && self.send(now, id, to) {
+            self.retries -= 1.0;
+        } else {
+            self.give_up(id, to);
+        }
+    }
+
+    /// What was learned so far, to be kept for a later instance. Limits follow from it by the published rule.
+    pub fn learned(&mut self, now: Millis) -> Learned {
+        let (_, usable) = self.fleet.count(&self.settings, now);
+        let (a, f) = (&self.admission, &self.fleet);
+        let called = f.by_id.values().map(|&i| &f.slots[i]).filter(|u| u.health.outcomes > 0);
+        Learned {
+            at: now,
+            load: a.load,
+            upstreams_most: f.most,
+            upstreams_usable: usable,
+            answer: f.latency,
+            deviation: f.deviation,
+            demands: a.tenants.iter().map(|t| t.seen.then_some(t.demand)).collect(),
+            kinds: f.kinds.clone(),
+            rest_lost: f.rest_lost.to_vec(),
+            upstreams: called.map(|u| (u.member.id, u.member.since, u.health)).collect(),
         }
     }
 
+    /// Takes back what was kept, once there is a list.
+    fn take_back(&mut self, now: Millis) {
+        if let Some((kept, at)) = self.kept.take_if(|_| self.fleet.ready > 0) {
+            self.restore(now, &kept, now - at);
+        }
+    }
+
+    /// Takes back what was learned `age` ago: faded towards what this one starts with, and scaled to the
+    /// upstreams that there are now, or copies that all come back would tip the cold ones.
+    fn restore(&mut self, now: Millis, kept: &Learned, age: Millis) {
+        let (load, times) = ((-age / LOAD_KEPT).exp(), (-age / TIMES_KEPT).exp());
+        let mix = |to: &mut f64, kept: f64, worth: f64| *to += worth * (kept - *to);
+        let (a, f, shift) = (&mut self.admission, &mut self.fleet, now - age - kept.at);
+        for &(id, since, health) in &kept.upstreams {
+            let Some(&i) = f.by_id.get(&id).filter(|&&i| f.slots[i].member.since == since) else { continue };
+            let u = &mut f.slots[i];
+            u.health = Health { fails: load * health.fails, ..health.shifted(shift) };
+            u.health.ejected_until = u.health.ejected_until.min(now + EJECT_MOST);
+            u.health.lost_until = u.health.lost_until.min(now + EJECT_MOST);
+        }
+        for (&kind, &(usual, answers)) in kept.kinds.iter().filter(|(_, k)| k.0 > 0.0 && k.1 * times >= 1.0) {
+            // Fewer answers to rest on, so that new ones count for more.
+            f.kinds.entry(kind).or_insert((usual, answers * times));
+        }
+        f.rest_lost.iter_mut().zip(&kept.rest_lost).for_each(|(to, &kept)| mix(to, kept, times));
+        mix(&mut f.latency, kept.answer, times);
+        mix(&mut f.deviation, kept.deviation, times);
+        // What is listed now may be the few that are left of what was shared out among many.
+        f.most = f.most.max(load * kept.upstreams_most);
+        (a.listed, a.usable) = f.count(&self.settings, now);
+        let size = (a.usable / kept.upstreams_usable.max(0.01)).min(1.0);
+        // Before it is known it is taken for the quotas.
+        a.load.served = if kept.load.served > 0.0 { a.quotas } else { 0.0 };
+        a.load = a.load.mixed(&kept.load.scaled(size), load, times);
+        a.load.uncrowded = a.load.uncrowded.max(FLOOR_LEAST);
+        for (t, &kept) in a.tenants.iter_mut().zip(&kept.demands) {
+            t.seen |= kept.is_some();
+            t.demand += load * kept.map_or(0.0, |kept| kept - t.demand);
+        }
+        f.resize_subset(&self.settings, a.load.recent);
+        a.end_cycle(now);
+    }
+
     /// Keeps capacity in step with the upstreams there are: to unlearn what was learned with more of them
     /// would take seconds of late answers.
     fn recount(&mut self, now: Millis) {
         let (listed, usable) = self.fleet.count(&self.settings, now);
         let before = std::mem::replace(&mut self.admission.usable, usable);
         self.admission.listed = listed;
-        if usable > 0.0 && before > 0.0 {
-            self.admission.capacity *= usable / before;
-        }
+        self.admission.load.capacity *= if usable > 0.0 && before > 0.0 { usable / before } else { 1.0 };
     }
 
-    // --- The event handler ------------------------------------------------------------------------
-
     /// Takes one event and appends what is to be done. `now` must not go back.
     pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
         let now = if now.is_finite() { now } else { 0.0 };
@@ -1176,14 +1212,14 @@
             // Copies started together must not recompute in step.
             let after = CYCLE * (0.5 + 0.5 * unit(&mut self.rng));
             actions.push(Action::SetTimer { after, token: TIMER_CYCLE });
+            actions.push(Action::SetTimer { after: ZONES_EVERY, token: TIMER_ZONES });
             if self.settings.ask_for_list {
                 actions.push(Action::Subscribe);
             }
         }
         match event {
             Event::Membership(Membership::Failed) if self.settings.ask_for_list => {
-                // The registry is one queue for all: back off with jitter, yet stay well within the time
-                // after which we count as told.
+                // The registry is one queue for all: back off with jitter, well within the time to be told.
                 let most = self.settings.ask_within / 3.0;
                 let pause = (ASK_AGAIN * f64::from(1u32 << self.ask_failures.min(10))).min(most);
                 self.ask_failures += 1;
@@ -1191,9 +1227,7 @@
                 actions.push(Action::SetTimer { after, token: TIMER_ASK });
             }
             Event::Membership(news) => {
-                if !matches!(news, Membership::Cached(_)) {
-                    self.ask_failures = 0;
-                }
+                self.ask_failures *= u32::from(matches!(news, Membership::Cached(_)));
                 self.fleet.apply(news, &self.settings, now, &mut self.rng);
                 self.recount(now);
                 self.take_back(now);
@@ -1204,36 +1238,37 @@
             }
             Event::Request(r) => self.request(now, r, actions),
             Event::Outcome { request, attempt, ending, duration, closed } => {
-                self.outcome(now, request, attempt, (ending, duration, closed), actions);
+                self.outcome(now, (request, attempt), (ending, duration, closed), actions);
             }
             Event::Served { upstream, per_s } => self.fleet.serves(upstream, per_s, now),
             Event::Load { upstream, held } => self.fleet.said(upstream, held, now),
             Event::ClientGone(id) => {
                 if let Some(p) = self.pending.get_mut(&id) {
                     p.over = true;
-                    for &(attempt, ..) in p.out.iter().filter(|_| self.settings.cancel) {
+                    if let Some((attempt, ..)) = p.out.filter(|_| self.settings.cancel) {
                         actions.push(Action::Cancel { request: id, attempt });
                     }
-                    if p.out.is_empty() {
-                        self.pending.remove(&id);
-                    }
                 }
             }
             Event::Timer(TIMER_CYCLE) => {
                 self.judge_unanswered(now);
                 self.admission.note_latency(self.fleet.latency);
+                self.fleet.come_back(now, actions);
                 self.recount(now);
-                let served = self.fleet.served_by_all(now);
-                self.admission.note_served(served);
+                self.admission.note_served(self.fleet.served_by_all(now));
                 self.admission.end_cycle(now);
-                let late = self.admission.success < SUCCESS_WANTED;
+                let late = self.admission.load.success < SUCCESS_WANTED;
                 if std::mem::replace(&mut self.late, late) != late {
                     let state = if late { "late or failed: capacity is cut" } else { "in time again" };
                     actions.push(Action::Log(format!("answers of tier {} {state}", self.settings.stage)));
                 }
-                self.fleet.resize_subset(&self.settings, self.admission.recent);
+                self.fleet.resize_subset(&self.settings, self.admission.load.recent);
                 actions.push(Action::SetTimer { after: CYCLE, token: TIMER_CYCLE });
             }
+            Event::Timer(TIMER_ZONES) => {
+                self.watch_zones(now, actions);
+                actions.push(Action::SetTimer { after: ZONES_EVERY, token: TIMER_ZONES });
+            }
             Event::Timer(TIMER_ASK) => actions.push(Action::Subscribe),
             Event::EndBy(at) => self.pending.values_mut().for_each(|p| p.ends = p.ends.min(at)),
             Event::Streaming { .. } | Event::Timer(_) => {}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -45,6 +45,8 @@
     pub log: Vec<Action>,
     /// Answers on their way: when, request, attempt, ending.
     pub due: Vec<(f64, u32, usize, Ending)>,
+    /// The attempt of each request that a server was last asked to answer.
+    asked: BTreeMap<u32, usize>,
 }
 
 impl World {
@@ -68,6 +70,7 @@
             timers: Vec::new(),
             log: Vec::new(),
             due: Vec::new(),
+            asked: BTreeMap::new(),
         };
         world.list(Membership::Cached(members));
         world
@@ -137,6 +140,11 @@
                 }
             }
             self.pass(next - self.now);
+            // What a timer has sent again has its answers as well.
+            let out = self.seen.iter().filter(|(_, s)| s.ended.last() == Some(&None));
+            for id in out.map(|(id, _)| id.0).collect::<Vec<_>>() {
+                self.answer(id, server);
+            }
         }
     }
 
@@ -145,7 +153,7 @@
         let seen = &self.seen[&RequestId(id)];
         let Some(&(upstream, _)) = seen.sends.last() else { return };
         let attempt = seen.sends.len() - 1;
-        if seen.ended[attempt].is_none() {
+        if seen.ended[attempt].is_none() && self.asked.insert(id, attempt) != Some(attempt) {
             if let Some((ending, after)) = server(upstream) {
                 self.due.push((self.now + after, id, attempt, ending));
             }
@@ -208,6 +216,14 @@
             assert!(!held, "{id:?} is neither answered nor out anywhere");
         }
         self.log.extend(actions.iter().cloned());
+        for action in &actions {
+            // The outcome of what is called off comes at once.
+            if let Action::Cancel { request, attempt } = *action {
+                if self.seen[&request].ended[attempt as usize].is_none() {
+                    self.outcome(request.0, attempt as usize, Ending::Cancelled);
+                }
+            }
+        }
         actions
     }
 
--- a/tests/restored.rs
+++ b/tests/restored.rs
@@ -25,13 +25,19 @@
             _ => Some((Ending::Ok, 50.0)),
         });
         let kept = w.balancer.learned(w.now);
-        kept.upstreams.iter().any(|u| u.id == UpstreamId(1) && u.ejected_for > 3000.0)
+        left(&kept) > 3000.0
     };
     live(20_000.0);
     while !live(100.0) {}
     w
 }
 
+/// How long the upstream that fails stays ejected.
+fn left(kept: &Learned) -> f64 {
+    let ejected = kept.upstreams.iter().find(|(id, ..)| *id == UpstreamId(1));
+    ejected.map_or(0.0, |(.., health)| health.ejected_until - kept.at)
+}
+
 /// One that has just started, with a list of `upstreams`, and is given what was learned.
 fn restarted(learned: &Learned, age: f64, upstreams: Vec<Member>) -> World {
     let mut w = World::new(settings(), 5, upstreams);
@@ -48,30 +54,35 @@
     let mut w = taught();
     let kept = w.balancer.learned(w.now);
     assert_eq!(kept.validate(&settings()), Ok(()));
-    assert!(kept.capacity > 100.0 && kept.demands[0] > Some(80.0), "{kept:?}");
-    assert!(kept.upstreams.iter().any(|u| u.id == UpstreamId(1) && u.ejected_for > 0.0), "{kept:?}");
+    assert!(kept.load.capacity > 100.0 && kept.demands[0] > Some(80.0), "{kept:?}");
+    assert!(left(&kept) > 0.0, "{kept:?}");
     let mut back = restarted(&kept, 0.0, listed());
     let again = back.balancer.learned(0.0);
     let near = |a: f64, b: f64| (a - b).abs() <= 0.03 * a.abs().max(b.abs()) + 1e-6;
-    assert!(near(again.capacity, kept.capacity), "{} is {}", again.capacity, kept.capacity);
-    assert!(near(again.answer, kept.answer) && near(again.unloaded, kept.unloaded));
+    assert!(
+        near(again.load.capacity, kept.load.capacity),
+        "{} is {}",
+        again.load.capacity,
+        kept.load.capacity
+    );
+    assert!(near(again.answer, kept.answer) && near(again.load.unloaded, kept.load.unloaded));
     assert_eq!((again.demands, &again.kinds), (kept.demands.clone(), &kept.kinds));
     let fresh = World::new(settings(), 5, listed()).balancer.learned(0.0);
-    let mut last = kept.capacity;
+    let mut last = kept.load.capacity;
     for age in [1.0, 5.0, 10.0, 20.0, 40.0, 80.0, 160.0, 1e6, 1e12] {
         let now = restarted(&kept, age * 1000.0, listed()).balancer.learned(0.0);
-        let (low, high) = (fresh.capacity.min(last) - 1e-6, last + 1e-6);
-        assert!((low..=high).contains(&now.capacity), "{} at {age} s after {last}", now.capacity);
-        last = now.capacity;
+        let (low, high) = (fresh.load.capacity.min(last) - 1e-6, last + 1e-6);
+        assert!((low..=high).contains(&now.load.capacity), "{} at {age} s after {last}", now.load.capacity);
+        last = now.load.capacity;
     }
-    assert!(near(last, fresh.capacity), "{last} in the end, a start has {}", fresh.capacity);
+    assert!(near(last, fresh.load.capacity), "{last} in the end, a start has {}", fresh.load.capacity);
 }
 
 #[test]
 fn an_ejection_goes_on_for_what_is_left_of_it_unless_the_upstream_has_restarted_since() {
     let mut w = taught();
     let kept = w.balancer.learned(w.now);
-    let left = kept.upstreams.iter().find(|u| u.id == UpstreamId(1)).expect("was called").ejected_for;
+    let left = left(&kept);
     let calls_to_it = |w: &mut World| {
         w.traffic(left * 0.8, 100.0, &[0], &|_| Some((Ending::Ok, 50.0)));
         w.sent_since(0.0).1.get(&UpstreamId(1)).copied().unwrap_or(0)
@@ -89,14 +100,14 @@
     let mut w = taught();
     let kept = w.balancer.learned(w.now);
     let mut late = restarted(&kept, 0.0, Vec::new());
-    let before = late.balancer.learned(0.0).capacity;
-    assert_eq!(before, World::new(settings(), 5, Vec::new()).balancer.learned(0.0).capacity);
+    let before = late.balancer.learned(0.0).load.capacity;
+    assert_eq!(before, World::new(settings(), 5, Vec::new()).balancer.learned(0.0).load.capacity);
     late.pass(400.0);
     late.list(Membership::Full(listed()[..4].to_vec()));
-    let capacity = late.balancer.learned(late.now).capacity;
+    let capacity = late.balancer.learned(late.now).load.capacity;
     // Seven of eight could be used then, three of four now.
-    let part = capacity / kept.capacity;
-    assert!((0.4..0.5).contains(&part), "{capacity} of {}", kept.capacity);
+    let part = capacity / kept.load.capacity;
+    assert!((0.4..0.5).contains(&part), "{capacity} of {}", kept.load.capacity);
     // An upstream that is named in what was kept and is draining now draws nothing: the world checks it.
     let mut leaving = listed();
     leaving[3].availability = Availability::Draining;
@@ -118,17 +129,19 @@
     };
     let demands = vec![Some(40.0), None];
     let kept = Learned {
-        capacity: 80.0,
-        admitted: 40.0,
-        peak: 50.0,
-        served: 2400.0,
-        in_time: 1.0,
-        uncrowded: 1.0,
+        load: Load {
+            capacity: 80.0,
+            recent: 40.0,
+            peak: 50.0,
+            served: 2400.0,
+            success: 1.0,
+            uncrowded: 1.0,
+            unloaded: 50.0,
+        },
         upstreams_most: 30.0,
         upstreams_usable: 1.0,
         answer: 50.0,
         deviation: 10.0,
-        unloaded: 50.0,
         demands,
         ..Learned::default()
     };
@@ -185,22 +198,27 @@
     fn learned()(
         rates in prop::collection::vec(figure(), 5),
         parts in prop::collection::vec(part(), 3),
-        times in prop::collection::vec(figure(), 3),
+        times in prop::collection::vec(figure(), 4),
         demands in prop::collection::vec(prop::option::of(figure()), 2..=4),
-        kinds in prop::collection::vec((any::<u8>(), figure(), figure()), 0..3),
+        kinds in prop::collection::vec((any::<u8>(), 0.0..4.5f64, figure()), 0..3),
         rest_lost in prop::collection::vec(part(), 0..12),
         upstreams in prop::collection::vec((0u64..12, prop::collection::vec(figure(), 4), part(), any::<u32>()), 0..6),
     ) -> Learned {
         Learned {
-            capacity: rates[0], admitted: rates[1], peak: rates[2], served: rates[3], upstreams_most: rates[4],
-            in_time: parts[0], uncrowded: parts[1], upstreams_usable: parts[2],
-            answer: times[0], deviation: times[1], unloaded: times[2],
+            at: times[3],
+            load: Load {
+                capacity: rates[0], recent: rates[1], peak: rates[2], served: rates[3],
+                success: parts[0], uncrowded: parts[1], unloaded: times[2],
+            },
+            upstreams_most: rates[4], upstreams_usable: parts[2],
+            answer: times[0], deviation: times[1],
             demands,
-            kinds: kinds.into_iter().map(|(kind, usual, answers)| LearnedKind { kind, usual, answers }).collect(),
+            kinds: kinds.into_iter().map(|(kind, usual, answers)| (kind, (usual, answers))).collect(),
             rest_lost,
-            upstreams: upstreams.into_iter().map(|(id, f, fails, ejections)| LearnedUpstream {
-                id: UpstreamId(id), since: 0.0, slowness: f[0], unused_for: f[1], ejected_for: f[2], lost_for: f[3],
-                fails, ejections,
+            upstreams: upstreams.into_iter().map(|(id, f, fails, ejections)| {
+                let (slowness, last_used, ejected_until, lost_until) = (f[0], f[1], f[2], f[3]);
+                let health = Health { slowness, fails, last_used, ejected_until, lost_until, ejections, outcomes: 1 };
+                (UpstreamId(id), 0.0, health)
             }).collect(),
         }
     }
