--- a/src/policy.rs
+++ b/src/policy.rs
@@ -12,8 +12,6 @@
 
 type Actions = Vec<Action>;
 
-// --- Constants ------------------------------------------------------------------------------------
-
 /// Length of a cycle. The published 10 s is too slow for capacity that is learned instead of benchmarked.
 const CYCLE: Millis = 1000.0;
 /// Part of a tenant's default that is never lent (as published).
@@ -109,7 +107,7 @@
 /// Part of the cold budget that is used; the rest absorbs chance and calls heavier than average.
 const COLD_MARGIN: f64 = 0.5;
 /// Zones are judged this often. One is left that owes so many times what answers take, over all calls to it
-/// since it answered last, each for this much at most, and those that broke, for one each.
+/// since it answered last, each for this much at most, and upstreams of which any broke, for one each.
 const ZONES_EVERY: Millis = 100.0;
 const ZONE_OWES: f64 = 6.0;
 const ZONE_OWES_EACH: f64 = 4.0;
@@ -355,8 +353,6 @@
     }
 }
 
-// --- Membership and health ------------------------------------------------------------------------
-
 #[derive(Default)]
 struct Upstream {
     member: Member,
@@ -367,6 +363,8 @@
     /// Since when it owes an answer and has given none.
     silent_since: Millis,
     health: Health,
+    /// When a call to it broke last: however many do, it counts once in its zone.
+    broke_at: Millis,
     /// Requests it said it holds, from all copies together, and when it said so.
     held: f64,
     held_at: Millis,
@@ -396,7 +394,7 @@
 struct Zone {
     /// The part of its draws that are made elsewhere: 0 near, 1 left, between them returning.
     gone: f64,
-    /// When it answered last, calls that broke since, and what it owes in all.
+    /// When it answered last, upstreams of which calls broke since, and what it owes in all.
     heard: Millis,
     broken: f64,
     owes: f64,
@@ -649,7 +647,8 @@
         if matches!(ending, Ending::Ok | Ending::Error | Ending::Full) {
             (z.heard, z.broken, self.heard) = (now, 0.0, now);
         } else if any && !matches!(ending, Ending::Cancelled | Ending::Moot | Ending::Unknown) {
-            z.broken += 1.0;
+            z.broken += f64::from(u8::from(self.slots[i].broke_at <= z.heard));
+            self.slots[i].broke_at = now;
         }
         let hung = ending == Ending::Timeout && self.silent(i, now);
         // Neither is the doing of a tier behind, nor does it matter how many others fail.
--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -161,6 +161,30 @@
     assert_eq!(said(&mut w), Vec::<String>::new());
 }
 
+/// Seen on a day of 45 minutes: one upstream that died with many calls out took its zone along.
+#[test]
+fn one_upstream_that_breaks_all_its_calls_at_once_does_not_take_its_zone_along() {
+    let mut w = world();
+    live(&mut w, 10_000.0, 200.0, well);
+    let of = |w: &World| -> Vec<(u32, usize)> {
+        let out = w.seen.iter().filter(|(_, s)| s.ended.last() == Some(&None));
+        out.map(|(id, s)| (id.0, s.sends.len() - 1)).collect()
+    };
+    let mut broken = 0;
+    // Whatever is out to four upstreams of the own zone: each time all of one of them.
+    for (id, attempt) in of(&w) {
+        let to = w.seen[&RequestId(id)].sends[attempt].0;
+        if zone_of(to) == 0 && to.0 < 12 {
+            w.due.retain(|&(_, due, n, _)| (due, n) != (id, attempt));
+            w.outcome(id, attempt, Ending::Reset);
+            broken += 1;
+        }
+    }
+    assert!(broken >= 7, "{broken}");
+    w.pass(150.0);
+    assert_eq!(said(&mut w), Vec::<String>::new());
+}
+
 /// A zone that refuses every connection is left as one that is silent is.
 #[test]
 fn a_zone_that_refuses_every_connection_is_left() {
