--- a/lab/src/faults.rs
+++ b/lab/src/faults.rs
@@ -240,10 +240,7 @@
             front.world.dealt[b].store(false, Ordering::SeqCst);
         }
     });
-    world.clock.until(until).await;
-    fleet.balancers[b].ended().await;
-    spoil(&fleet, b, state)?;
-    restart(&fleet, &guard, b).await
+    come_back(&fleet, &guard, b, until, state).await
 }
 
 fn kill(fleet: &Fleet, b: usize) {
@@ -265,6 +262,20 @@
     done.map_err(|e| format!("{}: {e}", state.display()))
 }
 
+/// Starts one that was ended again, with what has become of its folder.
+async fn come_back(
+    fleet: &Arc<Fleet>,
+    guard: &Guard,
+    b: usize,
+    until: Millis,
+    state: Option<Damage>,
+) -> Result<(), String> {
+    fleet.world.clock.until(until).await;
+    fleet.balancers[b].ended().await;
+    spoil(fleet, b, state)?;
+    restart(fleet, guard, b).await
+}
+
 async fn restart(fleet: &Arc<Fleet>, guard: &Guard, b: usize) -> Result<(), String> {
     if *fleet.world.over.borrow() {
         return Ok(());
@@ -303,9 +314,7 @@
             process.ended().await;
         }
     }
-    world.clock.until(until).await;
-    spoil(&fleet, b, state)?;
-    restart(&fleet, &guard, b).await
+    come_back(&fleet, &guard, b, until, state).await
 }
 
 /// The ways between two parties, with the direction that leads from the first to the second.
--- a/lab/src/figures.rs
+++ b/lab/src/figures.rs
@@ -146,8 +146,8 @@
     let worth =
         |from: Millis, to: Millis| figures(e, plan, &tally.done, |d| (from..to).contains(&d.at)).worth;
     let before = worth(0.0, fault.at);
-    let windows = (0..).map(|n| first + STEP * f64::from(n)).take_while(|t| t + WINDOW <= plan.length);
-    let back = windows.clone().find(|&t| worth(t, t + WINDOW) >= BACK * before);
+    let mut windows = (0..).map(|n| first + STEP * f64::from(n)).take_while(|t| t + WINDOW <= plan.length);
+    let back = windows.find(|&t| worth(t, t + WINDOW) >= BACK * before);
     Some(Comeback {
         served_ms: finite(took.get(took.len() / 2)),
         served_most_ms: finite(took.last()),
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -23,6 +23,7 @@
 use log::Logging;
 use oakflow::{Balancer, Millis};
 use options::{Loaded, Options, Sources};
+use recovery::Recovered;
 use server::{Phase, Server};
 use sockets::Sockets;
 use std::net::SocketAddr;
@@ -312,16 +313,14 @@
     };
     let names = Names::of(&deployment);
     let kept = match options.recovery.dir.as_path() {
-        dir if dir.as_os_str().is_empty() => None,
+        dir if dir.as_os_str().is_empty() => Recovered::default(),
         _ => {
             let owner = recovery::owner(&name, &deployment);
-            Some(recovery::open(&options.recovery, owner, &names, &deployment.policy))
+            recovery::open(&options.recovery, owner, &names, &deployment.policy)
         }
     };
-    let (recovery, kept, start_number, learned) =
-        kept.map_or((None, None, None, None), |k| (k.recovery, k.list, k.start, k.learned));
     // The platform's word goes first, unless this balancer has heard a later one.
-    let known = match (known, kept) {
+    let known = match (known, kept.list) {
         (Some(known), Some(kept)) if kept.version > known.version => Some(kept),
         (None, kept) => kept,
         (known, _) => known,
@@ -333,15 +332,15 @@
         transport,
         drain_grace: span(deployment.drain_grace),
         max_open: usize::try_from(deployment.max_open).unwrap_or(usize::MAX),
-        figures: on.then(|| Figures::new(&name, &deployment.zones, deployment.policy.zone, start_number)),
-        recovery,
+        figures: on.then(|| Figures::new(&name, &deployment.zones, deployment.policy.zone, kept.start)),
+        recovery: kept.recovery,
     });
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("listen: {listen}: {e}"))?;
     let address = listener.local_addr().map_err(|e| format!("listen: {listen}: {e}"))?;
     let timers = handle.clone();
     let mut timers = tokio::task::spawn_local(async move { timers.run().await });
     handle.cached(known.as_ref());
-    if let Some((learned, age)) = learned {
+    if let Some((learned, age)) = kept.learned {
         handle.restored(learned, age);
     }
     let (moved, discovery) = watch::channel(discovery);
--- a/node/src/options.rs
+++ b/node/src/options.rs
@@ -368,29 +368,21 @@
 
     /// Whether a running program can take these over from `before`; names the first key that it can't.
     pub fn follows(&self, before: &Options) -> Result<(), String> {
-        let fixed =
-            |key: &str| Err(format!("{}: {key}: can't change while the program runs", self.source(key)));
-        if self.options.log.format != before.log.format {
-            return fixed("log.format");
-        }
-        if self.options.figures.dir != before.figures.dir {
-            return fixed("figures.dir");
-        }
-        let (now, then) = (&self.options.recovery, &before.recovery);
+        let (now, then) = (&self.options, before);
         for (key, same) in [
-            ("recovery.dir", now.dir == then.dir),
-            ("recovery.list_age", now.list_age == then.list_age),
-            ("recovery.learned", now.learned == then.learned),
-            ("recovery.every", now.every == then.every),
-            ("recovery.drill", now.drill == then.drill),
+            ("log.format", now.log.format == then.log.format),
+            ("figures.dir", now.figures.dir == then.figures.dir),
+            ("recovery.dir", now.recovery.dir == then.recovery.dir),
+            ("recovery.list_age", now.recovery.list_age == then.recovery.list_age),
+            ("recovery.learned", now.recovery.learned == then.recovery.learned),
+            ("recovery.every", now.recovery.every == then.recovery.every),
+            ("recovery.drill", now.recovery.drill == then.recovery.drill),
+            ("figures.log", now.figures.on() == then.figures.on()),
         ] {
             if !same {
-                return fixed(key);
+                return Err(format!("{}: {key}: can't change while the program runs", self.source(key)));
             }
         }
-        if self.options.figures.on() != before.figures.on() {
-            return fixed("figures.log");
-        }
         Ok(())
     }
 }
--- a/node/src/recovery.rs
+++ b/node/src/recovery.rs
@@ -6,12 +6,12 @@
 use oakflow_settings::Deployment;
 use oakflow_store::keeper::Written;
 use oakflow_store::store::{look, NoStore, Opened};
-use oakflow_store::{Drill, Found, Keeper, Kind, Owner, Record, Store};
+use oakflow_store::{unix_ms, Drill, Found, Keeper, Kind, Owner, Record, Store};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use std::path::Path;
 use std::sync::mpsc::{channel, RecvTimeoutError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 /// A disk that has not answered after this is done without: the start does not wait for it.
 const START_WAIT: Duration = Duration::from_millis(500);
@@ -66,7 +66,8 @@
     learned: Learned,
 }
 
-/// What was found.
+/// What was found; by default nothing.
+#[derive(Default)]
 pub struct Recovered {
     /// Where to keep things; nowhere if the disk does not let us.
     pub recovery: Option<Recovery>,
@@ -93,10 +94,6 @@
     Owner { name: name.into(), settings: hash.finalize() }
 }
 
-fn unix_ms() -> f64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0)
-}
-
 /// What the disk gives back, before anybody looks at what it means.
 struct Read {
     /// Where to keep things, and where a broken store was set aside; or why nothing can be kept.
@@ -156,7 +153,7 @@
         Ok(read) => read,
         Err(error) => {
             off(&error);
-            return Recovered { recovery: None, start: None, list: None, learned: None };
+            return Recovered::default();
         }
     };
     let keeper = store.map_err(|e| e.to_string()).and_then(|Opened { store, aside }| {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -580,7 +580,7 @@
     }
 
     /// Zones that answer come back by degrees, each held the longer the more often they were left of late.
-    fn come_back(&mut self, now: Millis, actions: &mut Vec<Action>) {
+    fn come_back(&mut self, now: Millis, actions: &mut Actions) {
         for (zone, z) in &mut self.zones {
             let (before, share, bad) = (z.gone, 1.0 - z.gone, z.broken >= 1.0 || z.owes > ZONE_OWES / 2.0);
             if before == 0.0 {
@@ -936,7 +936,7 @@
     }
 
     /// Sends an attempt if a place can be found and every rule allows it.
-    fn send(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) -> bool {
+    fn send(&mut self, now: Millis, id: RequestId, actions: &mut Actions) -> bool {
         let s = &self.settings;
         let Some(p) = self.pending.get(&id) else { return false };
         if p.sends >= s.attempts_cap || now >= p.ends {
@@ -1002,7 +1002,7 @@
     }
 
     /// Gives the one final answer: a refusal where another try is known to do no harm, else a failure.
-    fn give_up(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+    fn give_up(&mut self, id: RequestId, actions: &mut Actions) {
         let Some(p) = self.pending.remove(&id) else { return };
         let reason = if p.sends > 0 { Refusal::GivenUp } else { Refusal::NoUpstream };
         let harmless = p.ran.is_none() || self.harmless(p.class);
@@ -1015,7 +1015,7 @@
         Action::Refuse { request, retry_after, reason }
     }
 
-    fn request(&mut self, now: Millis, r: Request, actions: &mut Vec<Action>) {
+    fn request(&mut self, now: Millis, r: Request, actions: &mut Actions) {
         if self.pending.contains_key(&r.id) {
             return;
         }
@@ -1051,13 +1051,12 @@
     /// are the fast ones at first, a tier that slows down would look well.
     fn judge_unanswered(&mut self, now: Millis) {
         for p in self.pending.values().filter(|p| !p.over) {
-            let Some((_, i, sent, rest)) = p.out else { continue };
+            let Some(out @ (_, i, sent, rest)) = p.out else { continue };
             if (0.0..CYCLE).contains(&(now - sent - self.fleet.patience())) {
                 self.fleet.note_lost(rest, true);
             }
             let late = lateness((now - sent) / self.settings.classes[p.class].objective);
-            if late > 0.0 && !p.out.is_some_and(|out| self.fleet.lost(out, now)) && !self.fleet.silent(i, now)
-            {
+            if late > 0.0 && !self.fleet.lost(out, now) && !self.fleet.silent(i, now) {
                 self.admission.learn(late);
             }
         }
--- a/store/src/keeper.rs
+++ b/store/src/keeper.rs
@@ -45,7 +45,8 @@
     shared: Arc<Shared>,
 }
 
-fn unix_ms() -> f64 {
+/// Unix time, in milliseconds: the clock by which records are written, and by which their age is told.
+pub fn unix_ms() -> f64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0)
 }
 
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -17,6 +17,6 @@
 pub mod store;
 
 pub use drill::Drill;
-pub use keeper::Keeper;
+pub use keeper::{unix_ms, Keeper};
 pub use record::{Kind, Owner, Record};
 pub use store::{Found, Store};
--- a/store/src/store.rs
+++ b/store/src/store.rs
@@ -107,6 +107,11 @@
     pub aside: Option<(PathBuf, String)>,
 }
 
+/// What the disk said of a file.
+fn disk(path: &Path) -> impl Fn(io::Error) -> NoStore + '_ {
+    move |e| NoStore::Disk(format!("{}: {e}", path.display()))
+}
+
 fn no_store(e: DatabaseError) -> NoStore {
     match e {
         DatabaseError::DatabaseAlreadyOpen => NoStore::Held,
@@ -132,20 +137,19 @@
     /// Opens the store in a folder, or begins one. What can't be read is set aside first.
     pub fn open(folder: &Path, owner: Owner, drill: Option<Drill>) -> Result<Opened, NoStore> {
         let path = folder.join(FILE);
-        let disk = |e: std::io::Error| NoStore::Disk(format!("{}: {e}", path.display()));
         let file = {
             let path = path.clone();
             move || {
-                let options =
-                    OpenOptions::new().read(true).write(true).create(true).truncate(false).open(&path);
-                let file = options.map_err(|e| NoStore::Disk(format!("{}: {e}", path.display())))?;
+                let mut options = OpenOptions::new();
+                options.read(true).write(true).create(true).truncate(false);
+                let file = options.open(&path).map_err(disk(&path))?;
                 Ok(Drilled::new(FileBackend::new(file).map_err(no_store)?, drill.clone()))
             }
         };
         match Store::through(file.clone(), owner.clone()) {
             Ok(store) => Ok(Opened { store, aside: None }),
             Err(NoStore::Broken(what)) => {
-                let aside = set_aside(folder).map_err(disk)?;
+                let aside = set_aside(folder).map_err(disk(&path))?;
                 Ok(Opened { store: Store::through(file, owner)?, aside: Some((aside, what)) })
             }
             Err(e) => Err(e),
@@ -169,11 +173,10 @@
     /// A copy in memory of what a folder holds: nothing in the folder changes, whatever is done to the copy.
     pub fn copy(folder: &Path, owner: Owner) -> Result<Store, NoStore> {
         let path = folder.join(FILE);
-        let disk = |e: std::io::Error| NoStore::Disk(format!("{}: {e}", path.display()));
-        let bytes = std::fs::read(&path).map_err(disk)?;
+        let bytes = std::fs::read(&path).map_err(disk(&path))?;
         let memory = redb::backends::InMemoryBackend::new();
         let filled = memory.set_len(bytes.len() as u64).and_then(|()| memory.write(0, &bytes));
-        filled.map_err(disk)?;
+        filled.map_err(disk(&path))?;
         Store::on(memory, owner)
     }
 
