Bound a keyed repeat by its window up to the moment it is written

Lines at fault: Balancer::send compared the window with the time of the decision only, and Transport::attempt looked at nothing but the request's deadline after its dial.

Change: Action::Send says until when the attempt may be written (write_by); the node gives up the dial then, as moot, so that it is not held against the upstream.

The storms of tests/rules.rs check the bound of every repeat. Tests of the module, the simulator's adapter and node's sockets pass.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -93,7 +93,9 @@
 
     fn perform(&self, d: &mut Driver, action: Action) {
         match action {
-            Action::Send { request, upstream, timeout } => self.send(d, request, upstream, timeout),
+            Action::Send { request, upstream, timeout, write_by } => {
+                self.send(d, request, upstream, (timeout, write_by));
+            }
             Action::Cancel { request, attempt } => {
                 if let Some(event) = d.end(request, attempt, Ending::Cancelled, None) {
                     d.events.push_back(event);
--- a/node/src/driver/attempts.rs
+++ b/node/src/driver/attempts.rs
@@ -8,7 +8,8 @@
 use tokio::time::Instant;
 
 impl Handle {
-    pub(super) fn send(&self, d: &mut Driver, id: RequestId, to: UpstreamId, timeout: Millis) {
+    pub(super) fn send(&self, d: &mut Driver, id: RequestId, to: UpstreamId, times: (Millis, Millis)) {
+        let (timeout, write_by) = times;
         let (now, now_ms) = (Instant::now(), d.now());
         let Some(open) = d.open.get_mut(&id) else { return };
         let number = open.sends;
@@ -29,6 +30,8 @@
         let left = (open.deadline - now_ms).max(0.0);
         let wait = if timeout > 0.0 { timeout.min(left) } else { left };
         let until = now + Duration::from_secs_f64(wait / 1000.0);
+        // An attempt that may not be written any more is over then, so that this bounds its dial as well.
+        let write_by = now + Duration::from_secs_f64((write_by - now_ms).clamp(0.0, wait) / 1000.0);
         open.running += 1;
         let out = open.out.clone();
         let (transport, handle) = (d.transport.clone(), self.clone());
@@ -36,7 +39,8 @@
             d.free_socket();
         }
         let task = tokio::task::spawn_local(async move {
-            let Ended { ending, answer, held, served } = transport.attempt(target, out, until).await;
+            let Ended { ending, answer, held, served } =
+                transport.attempt(target, out, (write_by, until)).await;
             if let Some(held) = held {
                 handle.feed(Event::Load { upstream: to, held });
             }
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -148,8 +148,10 @@
         Some(Conn { sender, task: task.abort_handle(), _permit: permit })
     }
 
-    /// Carries one attempt out: its request is written once at most. Dropping the future closes the connection.
-    pub async fn attempt(&self, to: Rc<Upstream>, out: Rc<Outgoing>, until: Instant) -> Ended {
+    /// Carries one attempt out: its request is written once at most, and not after the first of `times`; it ends by
+    /// the second. Dropping the future closes the connection.
+    pub async fn attempt(&self, to: Rc<Upstream>, out: Rc<Outgoing>, times: (Instant, Instant)) -> Ended {
+        let (write_by, until) = times;
         let failed = |ending| Ended { ending, answer: None, held: None, served: None };
         let mut request = match out.request() {
             Ok(request) => request,
@@ -158,15 +160,17 @@
         let (mut conn, answer) = loop {
             let (mut conn, reused) = match to.take(self.idle) {
                 Some(conn) => (conn, true),
-                None => match self.dial(to.addr.get(), until).await {
+                None => match self.dial(to.addr.get(), write_by).await {
                     Some(conn) => (conn, false),
+                    // Given up for want of time, which says nothing about the upstream.
+                    None if Instant::now() >= write_by => return failed(Ending::Moot),
                     None => return failed(Ending::ConnectFailed),
                 },
             };
             let now = Instant::now();
             // Guards against what was decided before dialling and must not be written after it: the upstream may
-            // drain, the attempt's time or the request itself may be over by now.
-            if to.closed.get() || now >= until || out.over.get() {
+            // drain, the attempt's time, the window of a repeat or the request itself may be over by now.
+            if to.closed.get() || now >= write_by || out.over.get() {
                 return failed(Ending::Moot);
             }
             let left = (until - now).as_micros();
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -293,7 +293,8 @@
     /// Adds one action.
     pub fn action(&mut self, action: &Action) {
         match action {
-            Action::Send { request, upstream, timeout } => {
+            // What is sent here is written at once, so that there is no time to bound.
+            Action::Send { request, upstream, timeout, .. } => {
                 let r = self.record(7);
                 r[1..5].copy_from_slice(&request.0.to_be_bytes());
                 r[5..11].copy_from_slice(&upstream.0.to_be_bytes()[2..]);
@@ -388,7 +389,12 @@
 
         let mut reply = Reply::default();
         reply.at(3);
-        reply.action(&Action::Send { request: id, upstream: UpstreamId(0x0a12_4a07_2bc3), timeout: 80.0 });
+        reply.action(&Action::Send {
+            request: id,
+            upstream: UpstreamId(0x0a12_4a07_2bc3),
+            timeout: 80.0,
+            write_by: f64::INFINITY,
+        });
         reply.action(&Action::SetTimer { after: 500.0, token: 0x4d });
         reply.at(5);
         reply.action(&Action::Log("two servers known".into()));
--- a/src/interface/actions.rs
+++ b/src/interface/actions.rs
@@ -12,6 +12,8 @@
         upstream: UpstreamId,
         /// Time-out of this attempt; zero: until the client's deadline.
         timeout: Millis,
+        /// It must not be written after this time, however late its connection comes up; infinite: no such bound.
+        write_by: Millis,
     },
     /// Stop waiting for an attempt; its outcome still comes.
     Cancel {
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -14,15 +14,16 @@
     pub(super) fn send(&mut self, now: Millis, id: RequestId, actions: &mut Actions) -> bool {
         let s = &self.settings;
         let Some(p) = self.pending.get(&id) else { return false };
-        if p.sends >= s.attempts_cap || now >= p.ends {
-            return false;
-        }
-        let scope = match (p.ran, s.classes[p.class].effect) {
-            (None, _) | (_, Effect::Free) => None,
+        let (scope, write_by) = match (p.ran, s.classes[p.class].effect) {
+            (None, _) | (_, Effect::Free) => (None, f64::INFINITY),
             (Some(_), Effect::SingleShot) => return false,
-            (Some((_, sent, ..)), Effect::Guarded { window, .. }) if now >= sent + window => return false,
-            (Some((.., zone, group)), Effect::Guarded { scope, .. }) => Some((scope, zone, group)),
+            (Some((_, sent, zone, group)), Effect::Guarded { scope, window }) => {
+                (Some((scope, zone, group)), sent + window)
+            }
         };
+        if p.sends >= s.attempts_cap || now >= p.ends.min(write_by) {
+            return false;
+        }
         let ready = self.fleet.subset.pools.iter().map(|p| p.members.len()).fold(1, usize::max) as f64;
         let cold_rate = self.capacity.carried() / CYCLE / ready * COLD_MARGIN * s.tip_multiple;
         let harmless = p.sends == 0
@@ -32,8 +33,7 @@
         let ask = PickRequest { settings: s, tier, now, pool, cold_rate, avoid, harmless, desperate, scope };
         let last_resort = PickRequest { avoid: None, desperate: true, ..ask };
         let picked = self.fleet.pick(&ask, &mut self.rng);
-        let picked = picked.or_else(|| self.fleet.pick(&last_resort, &mut self.rng));
-        let Some(i) = picked else { return false };
+        let Some(i) = picked.or_else(|| self.fleet.pick(&last_resort, &mut self.rng)) else { return false };
         let (mut rest, close) = self.fleet.rested.rest(&self.fleet.slots[i], s, now, &mut self.rng);
         if close {
             actions.push(Action::CloseIdle(self.fleet.slots[i].member.id));
@@ -44,7 +44,7 @@
         self.meter.sent(p.tenant, p.sends == 0, now);
         let member = &self.fleet.slots[i].member;
         let timeout = self.timeout(p, i, rest, now);
-        actions.push(Action::Send { request: id, upstream: member.id, timeout });
+        actions.push(Action::Send { request: id, upstream: member.id, timeout, write_by });
         let (zone, group) = (member.zone, member.group);
         if let Some(p) = self.pending.get_mut(&id) {
             p.ran.get_or_insert((p.sends, now, zone, group));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -232,7 +232,7 @@
         let now = self.now;
         let may = |w: &Self, s: &Seen| s.ended.iter().position(|e| !w.proves(*e));
         match action {
-            Action::Send { request, upstream, timeout } => {
+            Action::Send { request, upstream, timeout, write_by } => {
                 let m = &self.listed[upstream];
                 assert_eq!(m.availability, Availability::Ready, "{request:?} sent to {m:?}");
                 let s = &self.seen[request];
@@ -253,7 +253,10 @@
                 );
                 let out = s.ended.contains(&None);
                 assert!(!out, "{request:?}: two attempts out");
-                if let Some(first) = may(self, s) {
+                let first = may(self, s);
+                let bounded = first.is_some() && matches!(c.effect, Effect::Guarded { .. });
+                assert_eq!(write_by.is_finite(), bounded, "{request:?}: written by {write_by}");
+                if let Some(first) = first {
                     match c.effect {
                         Effect::Free => {}
                         Effect::SingleShot => panic!("{request:?} may run twice"),
@@ -261,6 +264,10 @@
                             let (before, sent) = s.sends[first];
                             let b = &self.listed[&before];
                             assert!(now < sent + window, "{request:?} resent after the window");
+                            assert!(
+                                *write_by <= sent + window,
+                                "{request:?} may be written after the window"
+                            );
                             assert!(match scope {
                                 DedupScope::All => true,
                                 DedupScope::Zone => b.zone == m.zone,
--- a/tests/common/tier.rs
+++ b/tests/common/tier.rs
@@ -276,7 +276,9 @@
         for action in actions {
             self.log.push((copy, action.clone()));
             match action {
-                Action::Send { request, upstream, timeout } => self.send(copy, request, upstream, timeout),
+                Action::Send { request, upstream, timeout, .. } => {
+                    self.send(copy, request, upstream, timeout)
+                }
                 Action::SetTimer { after, token } => self.after(after, Due::Timer(copy, token)),
                 Action::Refuse { request, retry_after, .. } => self.refused(copy, request, retry_after),
                 Action::Fail { request } => self.refused(copy, request, 0.0),
