Make herondock a library with a thin program, so that tests can read its input

Need: what reads configuration and options could only be tested inside `src`. main.rs held the command line, the verbs, the signals and the wiring.

Change: code is moved only. command_line.rs has the arguments, program.rs the verbs and the exit codes, signals.rs the signals, serve.rs the wiring of a serving balancer; main.rs calls the library. config, options, Listing and Names are public for tests.

Measured: the 13 tests of the library and the 7 of tests/operate.rs pass; `--help` reads as before. The other tests of the crate were not run.

--- /dev/null
+++ b/node/src/lib.rs
@@ -0,0 +1,29 @@
+//! herondock: a load balancer on real sockets, as a library with one entry point, [`main`]. The modules that read input
+//! are public, so that tests can read it without a process. See the README.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+mod callers;
+mod check;
+mod command_line;
+pub mod config;
+mod discovery;
+mod driver;
+mod ending;
+mod figures;
+mod held;
+mod listing;
+mod log;
+mod message;
+pub mod options;
+mod peers;
+mod program;
+mod recovery;
+mod reload;
+mod serve;
+mod signals;
+mod snapshots;
+mod sockets;
+mod upstream;
+
+pub use listing::{Entry, Listing, Names};
+pub use program::main;
