--- a/src/policy/answers.rs
+++ b/src/policy/answers.rs
@@ -25,8 +25,7 @@
         parts.min_by(f64::total_cmp).unwrap_or(0.0)
     }
 
-    /// What answers of an upstream take, as a part of the objective, once its kind has answered. What was
-    /// learned of itself fades to what its kind takes, so that one that was slow is tried again.
+    /// What its answers take, in objectives, once its kind has answered: its own slowness fades if unused.
     pub fn usual(&self, u: &Upstream, now: Millis) -> Option<f64> {
         let (kind, _) = self.kinds.get(&u.member.kind).filter(|(kind, _)| *kind > 0.0)?;
         Some(kind * (1.0 + (u.health.slowness - 1.0) * (-(now - u.health.last_used) / ANSWER_KEPT).exp()))
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -6,8 +6,8 @@
 const SUSPECT_AT: f64 = 0.2;
 /// Where more than this part of all attempts fails, a tier declines as a whole, or what is behind it does.
 const DECLINES_AT: f64 = 0.5;
-/// Part of the cold budget that is used; the rest absorbs chance and calls heavier than average.
-const COLD_MARGIN: f64 = 0.5;
+/// Part of the slow-start budget that is used; the rest absorbs chance and calls heavier than average.
+const SLOW_START_PART: f64 = 0.5;
 
 impl Balancer {
     /// Sends an attempt if a place can be found and every rule allows it.
@@ -24,7 +24,7 @@
             (Some((.., zone, group)), Effect::Guarded { scope, .. }) => Some((scope, zone, group)),
         };
         let ready = self.fleet.subset.pools.iter().map(|p| p.members.len()).fold(1, usize::max) as f64;
-        let cold_rate = self.capacity.carried() / CYCLE / ready * COLD_MARGIN * s.tip_multiple;
+        let cold_rate = self.capacity.carried() / CYCLE / ready * SLOW_START_PART * s.tip_multiple;
         let harmless = p.sends == 0
             && s.classes[p.class].effect.harmless()
             && now + 3.0 * self.fleet.answers.latency < p.ends;
@@ -67,11 +67,8 @@
         let usual = usual.clamp(latency, 3.0 * latency);
         let patience = usual + (TIMEOUT_DEVIATIONS * f.answers.deviation).max(latency);
         let timely = now + patience + latency < p.ends;
-        if suspect && repeats && timely {
-            patience
-        } else {
-            p.ends - now
-        }
+        let early = (suspect && repeats && timely).then_some(patience);
+        early.unwrap_or(p.ends - now)
     }
 
     /// Whether a further attempt is within what this copy may make, and no tier that declines is sent it.
@@ -90,8 +87,7 @@
     pub(super) fn refusal(&mut self, request: RequestId, reason: Refusal, now: Millis) -> Action {
         // Until the next cycle has begun, with jitter, so that those who heed it do not return together.
         let (spread, most) = (0.5 + unit(&mut self.rng), self.settings.max_retry_after);
-        // What a tier has no room for comes back over as many cycles as it was asked for too much, evenly up
-        // to what clients heed and not all at that.
+        // What a tier has no room for comes back evenly over as many cycles as it was asked for too much.
         let paced = |s: &TierSums| spread * (CYCLE * s.load.pressure().max(1.0)).min(most / 1.5);
         let retry_after = self.tier.sums(now).map_or((CYCLE * spread).min(most), paced);
         Action::Refuse { request, retry_after, reason }
--- a/src/policy/capacity.rs
+++ b/src/policy/capacity.rs
@@ -45,16 +45,15 @@
         let (recent, peak, unloaded) = (stated, stated, objective / 4.0);
         let load = Load { capacity, recent, peak, unloaded, success: 1.0, uncrowded: 1.0, served: 0.0 };
         let quota = (quota * CYCLE / 1000.0).max(0.1);
-        let timely = TIMELY * objective;
-        Capacity { load, quota, quotas, listed: 1.0, usable: 1.0, timely, ..Capacity::default() }
+        let (listed, usable, timely) = (1.0, 1.0, TIMELY * objective);
+        Capacity { load, quota, quotas, listed, usable, timely, ..Capacity::default() }
     }
 
     /// The unloaded answer time is the least mean of late, let up only while most answers are in time.
     pub fn note_latency(&mut self, latency: Millis) {
         let up = if self.load.success < SUCCESS_WANTED { 1.0 } else { 1.0 + UNLOADED_UP };
         self.load.unloaded = (self.load.unloaded * up).min(latency);
-        // Crowded servers stay slow for as long as they hold as many calls, in whatever time they answer: the
-        // floor must not keep that up. It comes back step by step, or the crowd would be back at once.
+        // Crowded servers stay slow: the floor gives way, and comes back in steps, or so would the crowd.
         if latency > INFLIGHT_MOST * self.load.unloaded {
             self.load.uncrowded *= 1.0 - CAPACITY_FALL;
         } else if latency < INFLIGHT_FULL * self.load.unloaded {
@@ -70,12 +69,10 @@
         if part >= 0.5 {
             self.load.peak = (admitted / part).max(self.load.peak * CYCLE_KEPT);
             self.adapt(admitted / part);
-            if crowded {
-                // More is lent than can be carried: back to that, so that limits decide who is refused.
-                self.load.capacity = self.load.capacity.min(admitted / part);
-            }
-            self.load.capacity =
-                self.load.capacity.min(self.load.peak * CAPACITY_ROOM + 1.0).max(self.floor());
+            // More is lent than can be carried: back to that, so that limits decide who is refused.
+            let most = if crowded { admitted / part } else { f64::INFINITY };
+            let most = most.min(self.load.peak * CAPACITY_ROOM + 1.0);
+            self.load.capacity = self.load.capacity.min(most).max(self.floor());
             if self.load.served > 0.0 && self.quotas > 0.0 {
                 // Past the quotas little is gained, and what copies learn in quiet times tips all in a burst.
                 self.load.capacity = self.load.capacity.min(self.share() * (1.0 + CAPACITY_UP));
@@ -86,13 +83,11 @@
     /// Least capacity: the quotas, since lateness not of the load's making would cut it to nothing. Less
     /// where most answers are too late, as crowded servers lose all, and where upstreams went or fail.
     fn floor(&self) -> f64 {
-        self.share()
-            * self.usable
-            * (self.load.success / SUCCESS_WANTED).clamp(FLOOR_LEAST, self.load.uncrowded)
+        let success = (self.load.success / SUCCESS_WANTED).clamp(FLOOR_LEAST, self.load.uncrowded);
+        self.share() * self.usable * success
     }
 
-    /// This copy's part of the quotas: an even one, or more where callers ask more of it than of others, as
-    /// long as all together do not use the quotas up.
+    /// This balancer's part of the quotas: an even one, or more where clients ask more of it than of others.
     fn share(&self) -> f64 {
         let part = if self.load.served > 0.0 { (self.load.recent / self.load.served).min(1.0) } else { 0.0 };
         self.quota.max(self.quotas * part)
--- a/src/policy/ejection.rs
+++ b/src/policy/ejection.rs
@@ -106,8 +106,7 @@
         self.silent(i, now).then_some(true).or(told.then_some(!answered))
     }
 
-    /// What others have ejected too stays out, until one of them is answered or it is this copy's turn, which
-    /// comes by chance once in so long.
+    /// What others have ejected too stays out, until one is answered or by chance it is the own turn.
     pub fn hold(&mut self, tier: &Tier, s: &Settings, (since, now): (Millis, Millis), rng: &mut Rng) {
         for u in self.slots.iter_mut().filter(|u| u.health.lost_until > now && tier.word(now).is_some()) {
             let (h, (first, then)) = (&mut u.health, tier.wait(Subject::Upstream(u.member.id), s, now));
@@ -143,8 +142,7 @@
         (heard.len() >= SUBSET_LEAST / 2).then_some(mean * up.len() as f64 * CYCLE / 1000.0)
     }
 
-    /// Whether it said of late that it holds far more than others do. One call in flight seems little to each
-    /// of many copies, but all together they would crowd a slow upstream and keep it so.
+    /// Whether it said of late that it holds far more than others do, of one call each of many balancers.
     pub fn crowded(&self, i: usize, now: Millis) -> bool {
         let u = &self.slots[i];
         now - u.held_at < SAID_KEPT && u.held > CROWDED_AT * self.held + CROWDED_SPARE
--- a/src/policy/pick.rs
+++ b/src/policy/pick.rs
@@ -10,9 +10,8 @@
 const NEAR_BOTH: f64 = 0.2;
 
 impl Fleet {
-    /// By own calls in flight. A copy that carries little mostly compares zeros: then the one whose answers
-    /// took clearly less of late, so that slow and crowded ones take less here too; else, if calls keep near,
-    /// the one in the own zone; else the one used longest ago.
+    /// By own calls in flight. If these are equal (few, mostly), the one whose answers took clearly less of
+    /// late; else, if calls keep near, the one in the own zone; else the one used longest ago.
     pub fn less_busy(&self, a: usize, b: usize, now: Millis, lean: bool) -> bool {
         let (a, b) = (&self.slots[a], &self.slots[b]);
         let near = |u: &Upstream| Some(u.member.zone) == self.near.zone;
--- a/src/policy/zones.rs
+++ b/src/policy/zones.rs
@@ -51,8 +51,8 @@
             if before == 0.0 {
                 z.falls *= CYCLE_KEPT;
             } else if bad {
-                z.gone = if before < 1.0 { 1.0 - (share / 2.0).max(ZONE_FIRST) } else { before };
-                z.since = now;
+                let less = 1.0 - (share / 2.0).max(ZONE_FIRST);
+                (z.gone, z.since) = (if before < 1.0 { less } else { before }, now);
             } else if z.heard > z.since && (before >= 1.0 || now - z.since > z.falls * CYCLE) {
                 (z.gone, z.since) = (1.0 - (2.0 * share).clamp(ZONE_FIRST, 1.0), now);
             }
