Let slow-start tokens lapse unused, so that saved ones make no burst

Symptom: of 300 balancers each saved one call to a cold upstream while little was asked; 273 calls came within 3 s where 217 are allowed, when all other upstreams had been ejected. Suspects: the rates (ruled out, under full load from the start the worst window is half of the budget); last-resort picks, retries and trials passing the bucket by (ruled out, all go through `usable`); a random phase that is not even (ruled out, balancers that restart in turn stay at 0.3). Lines at fault: cold.rs, `.min(1.0)`, which keeps a token for ever, so that the sum holds the number of balancers beside the rates. Change: a token lapses after half of the window of the budget (`invariants.fall`, now read from the settings; 3 s if left out). The phase of the sum is kept, so the tokens of all balancers are the sum of their rates whatever was spent. So that balancers with few calls still use theirs, an upstream in slow start that has a token is drawn first.

--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -3,7 +3,7 @@
 //! Known to the wire, but read by no decision and so dropped here: names and the lists of names (`dcs`, `kinds`,
 //! `tiers`), `blend`, `clients`, `domain_type`, `family_info`, `tick`, `weights`, `worth_by`,
 //! `over_share_worth`; of `classes[]` `aim_stretch` and `streaming`; of `charges` all but crossings;
-//! of `invariants` `drain_grace`, `fall` and `grace_to_answer` (the module stops, spreads and answers well within
+//! of `invariants` `drain_grace` and `grace_to_answer` (the module stops, spreads and answers well within
 //! them); of `permissions` those to probe, to tell peers, to send second copies and to give advice (a refusal
 //! always says when to return), and the limits of CPU, open requests, connections and dialling; [`Deployment`]
 //! keeps what of these a host of the module needs. Of the events the codec drops probe results and peer messages, and
@@ -120,6 +120,8 @@
     cold_from: f64,
     ramp_time: f64,
     tip_multiple: f64,
+    #[serde(default = "fall")]
+    fall: f64,
     #[serde(default = "ask")]
     ask_within: f64,
     #[serde(default)]
@@ -141,6 +143,9 @@
 fn idle() -> f64 {
     Settings::default().idle_close
 }
+fn fall() -> f64 {
+    Settings::default().fall
+}
 fn ask() -> f64 {
     Settings::default().ask_within
 }
@@ -181,6 +186,7 @@
         cold_from: s.invariants.cold_from,
         ramp_time: s.invariants.ramp_time,
         tip_multiple: s.invariants.tip_multiple,
+        fall: s.invariants.fall,
         late_shedding: s.invariants.late_shedding,
         cross_zone_price: s.charges.cross_zone,
     };
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -98,6 +98,8 @@
     pub ramp_time: Millis,
     /// A cold upstream falls over when sent more than this many times what it can do at that moment.
     pub tip_multiple: f64,
+    /// The window in which that is counted, for what all balancers send together. Above zero.
+    pub fall: Millis,
     /// Upstreams also shed work that they had begun: [`Ending::Full`](crate::Ending::Full) is no proof that an
     /// attempt never ran.
     pub late_shedding: bool,
@@ -129,6 +131,7 @@
             cold_from: 0.1,
             ramp_time: 30_000.0,
             tip_multiple: 2.0,
+            fall: 3000.0,
             late_shedding: false,
             cross_zone_price: 0.0,
         }
@@ -188,6 +191,7 @@
         need(span(self.cold_from) && self.cold_from <= 1.0, "cold_from", "between 0 and 1")?;
         need(span(self.ramp_time), "ramp_time", "a time of at least 0")?;
         need(span(self.tip_multiple), "tip_multiple", "a number of at least 0")?;
+        need(span(self.fall) && self.fall > 0.0, "fall", "a time above 0")?;
         need(span(self.cross_zone_price), "cross_zone_price", "a number of at least 0")
     }
 }
--- a/src/policy/cold.rs
+++ b/src/policy/cold.rs
@@ -1,6 +1,9 @@
 //! Owns the token buckets of upstreams in slow start: how many calls each may be sent.
 use crate::{interface::*, state::*};
 
+/// A token that goes unused lapses after this part of the window that the budget holds in.
+const TOKEN_KEPT: f64 = 0.5;
+
 impl Fleet {
     /// Whether a listed upstream may be sent a call now: it is not out, and within its slow-start budget.
     pub fn usable(&mut self, i: usize, ask: &PickRequest) -> bool {
@@ -10,8 +13,11 @@
             return !out;
         }
         let u = &mut self.slots[i];
-        // All copies together stay under the tipping point: each takes its own part, at most one call ahead.
-        u.tokens = (u.tokens + cold_rate * warmth * (now - u.tokens_at)).min(1.0);
+        // A token comes whenever the sum, begun in random phase, passes a whole number: all balancers get the
+        // sum of their rates. Unused ones lapse, or what hundreds have saved would come in one burst.
+        let rate = cold_rate * warmth;
+        u.tokens += rate * (now - u.tokens_at);
+        u.tokens -= (u.tokens - 1.0 - (rate * s.fall * TOKEN_KEPT).min(1.0)).max(0.0).ceil();
         u.tokens_at = now;
         u.tokens >= 1.0
     }
--- a/src/policy/pick.rs
+++ b/src/policy/pick.rs
@@ -26,7 +26,15 @@
         }
     }
 
-    /// The less busy of two random usable upstreams.
+    /// The place in the pool of one in slow start that may be sent a call now, among the first so many.
+    fn cold_with_token(&mut self, among: usize, start: usize, ask: &PickRequest) -> Option<usize> {
+        (0..among).map(|k| (start + k) % among).find(|&k| {
+            let i = self.subset.pools[ask.pool].members[k];
+            self.slots[i].warmth(ask.settings, ask.now) < 1.0 && self.usable(i, ask)
+        })
+    }
+
+    /// The less busy of two random usable upstreams; one in slow start is drawn first, before its token lapses.
     pub fn pick(&mut self, ask: &PickRequest, rng: &mut Rng) -> Option<usize> {
         let (n, near) = (self.subset.pools[ask.pool].members.len(), self.subset.pools[ask.pool].near);
         if n == 0 {
@@ -37,6 +45,7 @@
         let both = lean && unit(rng) < NEAR_BOTH;
         let mut best: Option<usize> = None;
         let start = below(rng, n);
+        let cold = self.cold_with_token(if lean { near } else { n }, start, ask);
         for draw in 0..DRAWS + n {
             // Should the draws miss the few that will do, walk once round the list: rare, and never far.
             if draw >= DRAWS && best.is_some() {
@@ -44,7 +53,7 @@
             }
             let drawn = if lean && (both || best.is_none()) { near } else { n };
             let k = if draw < DRAWS { below(rng, drawn) } else { (start + draw) % n };
-            let i = self.subset.pools[ask.pool].members[k];
+            let i = self.subset.pools[ask.pool].members[cold.filter(|_| draw == 0).unwrap_or(k)];
             let out = (best == Some(i) && n > 1) || ask.avoid == Some(i);
             let (zone, allowed) = (self.slots[i].member.zone, ask.allows(&self.slots[i].member));
             if out || !allowed || !self.usable(i, ask) || !self.zones.stands(zone, ask, rng) {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,5 +1,6 @@
 //! A world for one balancer: it answers what the balancer sends and checks the rules on its own account.
 #![allow(dead_code)] // each test file uses its own part
+pub mod slow_start;
 pub mod tier;
 use oakflow::*;
 use std::collections::BTreeMap;
