Start a lower tier's slow-start rates from the quotas, not from four times them

Symptom: below the first tier, balancers that restart every 1.5 s under load send a cold upstream up to 1.53 times its budget (1.12 times before tokens lapsed, when a bucket held one call). Suspects: the fresh random phase (ruled out, restarts in the first tier stay at 0.4); the deeper bucket alone (ruled out, 1.12 without it). Line at fault: capacity.rs, `recent = stated`, where `stated` is START_BELOW = 4 times the quota below the first tier: until the mean has come down, each new process takes that for what it carries. Change: the mean admitted starts from the quota in every tier. Capacity, its peak and the first subset start as before.

--- a/src/policy/balancer.rs
+++ b/src/policy/balancer.rs
@@ -27,7 +27,7 @@
         let admission = Admission::new(&settings, now);
         let capacity = Capacity::new(&settings);
         let mut fleet = Fleet::new(&settings);
-        fleet.resize_subset(&settings, capacity.load.recent);
+        fleet.resize_subset(&settings, capacity.load.peak);
         Ok(Balancer::of(settings, seed, (admission, capacity, fleet), RETRY_SAVED))
     }
 
--- a/src/policy/capacity.rs
+++ b/src/policy/capacity.rs
@@ -34,7 +34,7 @@
     pub fn new(s: &Settings) -> Self {
         let quota: f64 = s.tenants.iter().map(|t| t.quota_per_s).sum::<f64>() / f64::from(s.balancers);
         // Starting above its quotas, the first tier crowded the servers at once. Tiers below start with more
-        // room: the first tier sheds first, since a refusal below wastes the work done above.
+        // room, as a refusal there wastes the work done above; not with more for upstreams in slow start.
         let start = if s.stage == 0 { 1.0 } else { START_BELOW };
         let stated = start * quota * CYCLE / 1000.0;
         // Quotas count clients' requests: tiers below get several calls for one.
@@ -42,7 +42,7 @@
         // Without stated quotas nothing is known: the first cycle refuses no one and shows what is carried.
         let capacity = if stated > 0.0 { stated } else { 1000.0 };
         let objective = s.mean_objective();
-        let (recent, peak, unloaded) = (stated, stated, objective / 4.0);
+        let (recent, peak, unloaded) = (stated / start, stated, objective / 4.0);
         let load = Load { capacity, recent, peak, unloaded, success: 1.0, uncrowded: 1.0, served: 0.0 };
         let quota = (quota * CYCLE / 1000.0).max(0.1);
         let (listed, usable, timely) = (1.0, 1.0, TIMELY * objective);
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -164,3 +164,17 @@
     let worst = worst_of(fleet, 3, burst_after_quiet);
     assert!(worst <= 1.0, "in a burst: {worst} times the budget");
 }
+
+/// Below the first tier a new process takes four times its quota for what is carried.
+#[test]
+fn new_processes_of_a_lower_tier_keep_to_the_budget() {
+    let new = |d: &mut Day| {
+        d.stage = 1;
+        d.load = |_| 2.0;
+        d.restarts = |_, t| t > 4_000.0 && tenths(t) % 15 == 10;
+    };
+    for fleet in [(1, 8, 40.0), (4, 8, 40.0), (45, 8, 40.0), (300, 8, 80.0)] {
+        let worst = worst_of(fleet, 3, new);
+        assert!(worst <= 1.0, "{fleet:?}: {worst} times the budget");
+    }
+}
