Bound the pause before the list is asked for again at 2 s

Need: a change counts as told 6 s after discovery had it and could be reached, whatever is allowed after a failed call. Suspects: the pause of the module, the patience of the node for a first list, the pause of a pushed list. At fault is the pause in src/policy/balancer.rs: 0.4 s doubling to a third of `ask_within`, so 3.3 s by default and any time at all where a deployment states a longer `ask_within`. 3.3 s and two silent calls of 1.5 s are more than 6 s. Change: the pause ends at 2 s at most, so that it, a call that falls silent and the next one take 5 s. It begins at 0.25 s instead of 0.4 s, so that it still grows by more than four times, as the test of the backoff asks. Test: `the_pause_before_the_list_is_asked_for_again_leaves_time_for_two_calls`.

--- a/src/policy/balancer.rs
+++ b/src/policy/balancer.rs
@@ -11,8 +11,8 @@
 /// tier is asked for more than it has room for, as each takes a first one's place.
 const RETRY_SAVED_ALL: f64 = 100.0;
 const RETRY_CROWDED: f64 = 0.05;
-/// Pause before asking for the list again after a failure, doubling up to a third of `ask_within`.
-const ASK_AGAIN: Millis = 400.0;
+/// Pause before asking for the list again after a failure, doubling to a third of `ask_within` and this at most.
+const ASK_AGAIN: (Millis, Millis) = (250.0, 2000.0);
 /// Zones are judged this often.
 const ZONES_EVERY: Millis = 100.0;
 
@@ -132,8 +132,8 @@
         match event {
             Event::Membership(Membership::Failed) if self.settings.ask_for_list => {
                 // The registry is one queue for all: back off with jitter, well within the time to be told.
-                let most = self.settings.ask_within / 3.0;
-                let pause = (ASK_AGAIN * f64::from(1u32 << self.ask_failures.min(10))).min(most);
+                let most = (self.settings.ask_within / 3.0).min(ASK_AGAIN.1);
+                let pause = (ASK_AGAIN.0 * f64::from(1u32 << self.ask_failures.min(10))).min(most);
                 self.ask_failures += 1;
                 let after = pause * (0.5 + 0.5 * unit(&mut self.rng));
                 actions.push(Action::SetTimer { after, token: TIMER_ASK });
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -303,6 +303,25 @@
     assert!(waits.iter().all(|&w| w < settings.ask_within / 2.0), "never counts as told: {waits:?}");
 }
 
+/// A change counts as told 6 s after discovery had it, whatever a deployment says of `ask_within`: a pause, a call that
+/// falls silent and the next one must fit, 1.5 s for each call.
+#[test]
+fn the_pause_before_the_list_is_asked_for_again_leaves_time_for_two_calls() {
+    for (seed, ask_within) in (0..40).flat_map(|seed| [2_000.0, 10_000.0, 60_000.0].map(|w| (seed, w))) {
+        let settings = Settings { ask_for_list: true, ask_within, ..Settings::default() };
+        let mut world = World::new(settings, seed, vec![member(1)]);
+        for failures in 1..12 {
+            let actions = world.event(Event::Membership(Membership::Failed));
+            let pauses = actions.iter().filter_map(|a| match a {
+                Action::SetTimer { after, .. } => Some(*after),
+                _ => None,
+            });
+            let pause = pauses.fold(0.0, f64::max);
+            assert!(pause > 0.0 && pause + 2.0 * 1500.0 <= 5_000.0, "{pause} ms after {failures} failures");
+        }
+    }
+}
+
 /// Hundreds of balancers see one upstream restart; together they must stay under the tipping point.
 #[test]
 fn a_cold_upstream_is_not_pushed_over_by_all_together() {
