Name the clients' side of the node in the field's terms, with no change of what it does

Need: the module spoke of callers, resting connections, room and words that are heard.

Change: `callers` is `clients`, a resting connection an idle one, room and places are slots, `Caller` is `ClientConnection`. Log targets, events and texts that operators read stay as they are. Renames only.

--- a/node/src/callers/accepting.rs
+++ b/node/src/clients/accepting.rs
@@ -1,8 +1,8 @@
-//! Accepts callers for as long as the program serves. Holds nothing beside what it hands to their connections.
+//! Accepts clients for as long as the program serves. Holds nothing beside what it hands to their connections.
 use super::connection::Connections;
-use super::phase::{closing, heard, Phase};
+use super::phase::{after_pending_reads, closing, Phase};
 use super::requests::Requests;
-use super::room::Room;
+use super::slots::Slots;
 use crate::driver::Handle;
 use crate::held::Held;
 use crate::sockets::Sockets;
@@ -15,11 +15,11 @@
 /// Pause after an accept that failed, for want of descriptors for one.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
-/// The callers' side as a whole.
+/// The clients' side as a whole.
 pub struct Server(Rc<Connections>);
 
 impl Server {
-    /// Serves callers through `driver`, on what `sockets` leaves.
+    /// Serves clients through `driver`, on what `sockets` leaves.
     pub fn new(
         driver: Handle,
         deployment: Deployment,
@@ -27,38 +27,38 @@
         phase: watch::Receiver<Phase>,
         held: Held,
     ) -> Server {
-        let room = Room::new(driver.clone(), sockets, held);
-        Server(Rc::new(Connections { requests: Requests { driver, deployment }, room, phase }))
+        let slots = Slots::new(driver.clone(), sockets, held);
+        Server(Rc::new(Connections { requests: Requests { driver, deployment }, slots, phase }))
     }
 
-    /// Accepts callers until the program closes. Returns once every connection has ended.
+    /// Accepts clients until the program closes. Returns once every connection has ended.
     pub async fn run(self, listener: TcpListener) {
         let Server(connections) = self;
-        let (room, mut phase, mut failing) = (&connections.room, connections.phase.clone(), false);
+        let (slots, mut phase, mut failing) = (&connections.slots, connections.phase.clone(), false);
         loop {
             let accepted = tokio::select! {
                 biased;
                 accepted = listener.accept() => accepted,
                 // Only once nobody waits to be accepted: what they have written counts as taken.
-                () = heard(closing(&mut phase)) => break,
+                () = after_pending_reads(closing(&mut phase)) => break,
             };
             match accepted {
                 Ok((stream, _)) => {
                     failing = false;
-                    let Some(places) = room.place().await else { break };
-                    tokio::task::spawn_local(connections.clone().serve(stream, places));
+                    let Some(slot) = slots.free().await else { break };
+                    tokio::task::spawn_local(connections.clone().serve(stream, slot));
                 }
-                // Out of descriptors, or a caller that left at once: no reason to end, nor to spin.
+                // Out of descriptors, or a client that left at once: no reason to end, nor to spin.
                 Err(e) => {
                     if !std::mem::replace(&mut failing, true) {
                         tracing::warn!(target: "callers", event = "accept_failed", error = %e, "accept: {e}");
                     }
-                    room.close_one();
+                    slots.close_one();
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             }
         }
         drop(listener);
-        room.emptied().await;
+        slots.emptied().await;
     }
 }
--- a/node/src/callers/answers.rs
+++ b/node/src/clients/answers.rs
@@ -1,4 +1,4 @@
-//! The answers that callers get, in HTTP's form. Holds no state.
+//! The answers that clients get, in HTTP's form. Holds no state.
 use crate::message::Answer;
 use bytes::Bytes;
 use http_body_util::Full;
--- a/node/src/callers/connection.rs
+++ b/node/src/clients/connection.rs
@@ -1,12 +1,12 @@
-//! One caller's connection: its requests one after another, and its close, which must not cross one that has come.
+//! One client's connection: its requests one after another, and its close, which must not cross one that has come.
 use super::answers::{final_answer, plain};
-use super::phase::{closing, heard, Phase};
+use super::idle::ClientConnection;
+use super::phase::{after_pending_reads, closing, Phase};
 use super::requests::Requests;
-use super::resting::Caller;
-use super::room::Room;
+use super::slots::Slots;
 use crate::held::Connection;
 use crate::message::BODY_MOST;
-use crate::sockets::Places;
+use crate::sockets::ClientSlot;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -26,7 +26,7 @@
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 use tokio_util::io::InspectReader;
 
-/// A caller has this long from connecting until its first request is whole: one that sends something else, or
+/// A client has this long from connecting until its first request is whole: one that sends something else, or
 /// nothing, is owed an error or a close within 3 s.
 const FIRST_WAIT: Duration = Duration::from_millis(2500);
 /// A kept connection has this long for the head of its next request.
@@ -42,36 +42,36 @@
 pub struct Connections {
     /// Takes its requests.
     pub requests: Requests,
-    /// Where it has its place.
-    pub room: Rc<Room>,
+    /// Where it has its slot.
+    pub slots: Rc<Slots>,
     /// When it is to be closed.
     pub phase: watch::Receiver<Phase>,
 }
 
 impl Connections {
     /// Serves one until it ends.
-    pub async fn serve(self: Rc<Connections>, stream: TcpStream, _places: Places) {
-        // Without it answers wait for the caller's acknowledgements; where it fails the caller is gone.
+    pub async fn serve(self: Rc<Connections>, stream: TcpStream, _slot: ClientSlot) {
+        // Without it answers wait for the client's acknowledgements; where it fails the client is gone.
         if stream.set_nodelay(true).is_err() {
             return;
         }
-        let caller = Caller::new(self.room.held.connection());
-        self.room.resting.rest(&caller);
+        let client = ClientConnection::new(self.slots.held.connection());
+        self.slots.idle.became_idle(&client);
         // Until when the first request must be whole; taken by its head.
         let by = Instant::now() + FIRST_WAIT;
         let first = Rc::new(Cell::new(Some(by)));
         // Whether something was read since the last request: a head that is on its way, while none is open.
         let begun = Rc::new(Cell::new(false));
-        let (all, of, unasked) = (self.clone(), caller.clone(), first.clone());
+        let (all, of, unasked) = (self.clone(), client.clone(), first.clone());
         let read = begun.clone();
         let service = service_fn(move |request| {
-            let (all, caller, begun) = (all.clone(), of.clone(), read.clone());
+            let (all, client, begun) = (all.clone(), of.clone(), read.clone());
             let by = unasked.take().unwrap_or_else(|| Instant::now() + BODY_WAIT);
             async move {
-                all.room.resting.wake(&caller);
-                let response = all.respond(request, by, &caller.of).await;
+                all.slots.idle.became_busy(&client);
+                let response = all.respond(request, by, &client.of).await;
                 begun.set(false);
-                all.room.resting.rest(&caller);
+                all.slots.idle.became_idle(&client);
                 Ok::<_, Infallible>(response)
             }
         });
@@ -85,37 +85,37 @@
         let mut connection = std::pin::pin!(connection);
         let mut phase = self.phase.clone();
         let overdue = async {
-            heard(sleep_until(by)).await;
+            after_pending_reads(sleep_until(by)).await;
             if first.get().is_none() {
                 std::future::pending::<()>().await;
             }
         };
         let ended = tokio::select! {
             biased;
-            // A caller's broken connection or garbage ends this connection only.
+            // A client's broken connection or garbage ends this connection only.
             _ = connection.as_mut() => true,
             // It has said nothing whole so far, so that nothing is owed but the close.
             () = overdue => true,
-            () = heard(caller.close.notified()) => false,
-            () = heard(closing(&mut phase)) => false,
+            () = after_pending_reads(client.close.notified()) => false,
+            () = after_pending_reads(closing(&mut phase)) => false,
         };
         if !ended {
             // Guards against a close in the middle of a head, whose last byte may have been written by then: it is
-            // waited for, though no longer than a caller has for its first request.
+            // waited for, though no longer than a client has for its first request.
             let late = Instant::now() + FLUSH_WAIT;
             let until = first.get().map_or(late, |by| by.min(late));
             let goes_on = poll_fn(|cx| match connection.as_mut().poll(cx) {
                 Poll::Ready(_) => Poll::Ready(false),
-                Poll::Pending if begun.get() && caller.rests() => Poll::Pending,
+                Poll::Pending if begun.get() && client.is_idle() => Poll::Pending,
                 Poll::Pending => Poll::Ready(true),
             });
             if timeout_at(until, goes_on).await == Ok(true) {
                 connection.as_mut().graceful_shutdown();
-                // Guards against callers that never read their answer: no hold on us.
-                while timeout(FLUSH_WAIT, connection.as_mut()).await.is_err() && !caller.rests() {}
+                // Guards against clients that never read their answer: no hold on us.
+                while timeout(FLUSH_WAIT, connection.as_mut()).await.is_err() && !client.is_idle() {}
             }
         }
-        self.room.resting.wake(&caller);
+        self.slots.idle.became_busy(&client);
     }
 
     /// Answers a request whose body must have come by `by`.
--- a/node/src/callers/resting.rs
+++ b/node/src/clients/idle.rs
@@ -1,5 +1,5 @@
-//! Callers' connections between requests. Holds which ones rest, since when, and finds the one that makes way for
-//! another caller; which tenant's it is to be is asked of the module.
+//! Clients' connections between requests. Holds which ones rest, since when, and finds the one that makes way for
+//! another client; which tenant's it is to be is asked of the module.
 use crate::held::Connection;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -9,50 +9,50 @@
 use tokio::time::Instant;
 
 /// A connection may be closed once it has rested for this long.
-const RESTED: Duration = Duration::from_secs(2);
+const IDLE_LONG_ENOUGH: Duration = Duration::from_secs(2);
 
-/// A caller's connection.
-pub struct Caller {
+/// A client's connection.
+pub struct ClientConnection {
     /// Tells it to close.
     pub close: Notify,
     /// Whose it is.
     pub of: Connection,
-    /// Its place among those that rest.
+    /// Its position among the idle ones.
     place: Cell<Option<u64>>,
 }
 
-impl Caller {
-    /// One that does not rest.
-    pub fn new(of: Connection) -> Rc<Caller> {
-        Rc::new(Caller { close: Notify::new(), of, place: Cell::new(None) })
+impl ClientConnection {
+    /// One that is not idle.
+    pub fn new(of: Connection) -> Rc<ClientConnection> {
+        Rc::new(ClientConnection { close: Notify::new(), of, place: Cell::new(None) })
     }
 
     /// Whether it is between requests.
-    pub fn rests(&self) -> bool {
+    pub fn is_idle(&self) -> bool {
         self.place.get().is_some()
     }
 }
 
 /// The connections between requests.
 #[derive(Default)]
-pub struct Resting {
-    /// Since when they rest, the one that rested longest first.
-    places: RefCell<BTreeMap<u64, (Instant, Rc<Caller>)>>,
+pub struct IdleConnections {
+    /// Since when they are idle, the one idle longest first.
+    places: RefCell<BTreeMap<u64, (Instant, Rc<ClientConnection>)>>,
     /// Orders them by when they last fell idle.
     turn: Cell<u64>,
 }
 
-impl Resting {
+impl IdleConnections {
     /// Notes that a connection is between requests, or has said nothing yet.
-    pub fn rest(&self, caller: &Rc<Caller>) {
+    pub fn became_idle(&self, client: &Rc<ClientConnection>) {
         self.turn.set(self.turn.get() + 1);
-        caller.place.set(Some(self.turn.get()));
-        self.places.borrow_mut().insert(self.turn.get(), (Instant::now(), caller.clone()));
+        client.place.set(Some(self.turn.get()));
+        self.places.borrow_mut().insert(self.turn.get(), (Instant::now(), client.clone()));
     }
 
     /// Notes that a connection is not between requests any more, or is gone.
-    pub fn wake(&self, caller: &Caller) {
-        if let Some(place) = caller.place.take() {
+    pub fn became_busy(&self, client: &ClientConnection) {
+        if let Some(place) = client.place.take() {
             self.places.borrow_mut().remove(&place);
         }
     }
@@ -62,7 +62,8 @@
     /// rested longest.
     pub fn close_one(&self, held: &[u32], furthest: impl Fn(&[u32]) -> Option<usize>) -> bool {
         let mut places = self.places.borrow_mut();
-        let long = || places.values().take_while(|(since, _)| since.elapsed() >= RESTED).map(|(_, c)| c);
+        let long =
+            || places.values().take_while(|(since, _)| since.elapsed() >= IDLE_LONG_ENOUGH).map(|(_, c)| c);
         let spare = |tenant: Option<usize>| long().find(|c| c.of.tenant() == tenant);
         let of_tenants = || {
             let mut counts = vec![0; held.len()];
@@ -70,11 +71,11 @@
             furthest(&counts).and_then(|tenant| spare(Some(tenant)))
         };
         let longest = || places.values().next().map(|(_, c)| c);
-        let Some(caller) = spare(None).or_else(of_tenants).or_else(longest).cloned() else { return false };
-        if let Some(place) = caller.place.get() {
+        let Some(client) = spare(None).or_else(of_tenants).or_else(longest).cloned() else { return false };
+        if let Some(place) = client.place.get() {
             places.remove(&place);
         }
-        caller.close.notify_one();
+        client.close.notify_one();
         true
     }
 }
--- a/node/src/callers/mod.rs
+++ b/node/src/clients/mod.rs
@@ -1,11 +1,11 @@
-//! The callers' side: takes requests whole, hands them to the driver and writes the one final answer.
+//! The clients' side: takes requests whole, hands them to the driver and writes the one final answer.
 mod accepting;
 mod answers;
 mod connection;
+mod idle;
 mod phase;
 mod requests;
-mod resting;
-mod room;
+mod slots;
 
 pub use accepting::Server;
 pub use phase::Phase;
--- a/node/src/callers/phase.rs
+++ b/node/src/clients/phase.rs
@@ -1,4 +1,4 @@
-//! How far the end of the program has come, as callers' connections see it. Holds no state of its own.
+//! How far the end of the program has come, as clients' connections see it. Holds no state of its own.
 use std::future::Future;
 use tokio::sync::watch;
 use tokio::task::yield_now;
@@ -9,14 +9,14 @@
     /// Serving.
     Up,
     /// Told to end: what comes is still served, but not taken any more by those who ask whether this is ready.
-    /// Callers go on using the connections they have, and may have nobody else to turn to yet, so these stay
+    /// Clients go on using the connections they have, and may have nobody else to turn to yet, so these stay
     /// open for as long as all can be answered.
     Leaving,
     /// Nothing new is accepted, and connections between requests are closed.
     Closing,
 }
 
-/// Waits until callers' connections are to be closed.
+/// Waits until clients' connections are to be closed.
 pub async fn closing(phase: &mut watch::Receiver<Phase>) {
     // Whoever would tell it has gone: all is over.
     let _ = phase.wait_for(|p| *p == Phase::Closing).await;
@@ -24,7 +24,7 @@
 
 /// Waits for the word to close, and then until what had been written before it can be read: the runtime asks the system
 /// only now and then what has come, so that a request may lie there unseen.
-pub async fn heard(word: impl Future) {
+pub async fn after_pending_reads(word: impl Future) {
     word.await;
     yield_now().await;
 }
--- a/node/src/callers/requests.rs
+++ b/node/src/clients/requests.rs
@@ -94,7 +94,7 @@
     }
 }
 
-/// A span of time as callers write it: a number and `m` for milliseconds or `u` for microseconds.
+/// A span of time as clients write it: a number and `m` for milliseconds or `u` for microseconds.
 fn span(text: &str) -> Option<Millis> {
     let text = text.trim();
     let (number, unit) = match (text.strip_suffix('m'), text.strip_suffix('u')) {
--- a/node/src/ending.rs
+++ b/node/src/ending.rs
@@ -1,6 +1,6 @@
 //! The end of the program, from the word to end to the last answer. Holds no state: what comes when follows from the
 //! time of that word and from the longest deadline.
-use crate::callers::Phase;
+use crate::clients::Phase;
 use crate::driver::Handle;
 use oakflow::Millis;
 use std::time::Duration;
@@ -8,10 +8,10 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep_until, timeout_at, Instant};
 
-/// New connections go on coming for this long after SIGTERM, with some room.
+/// New connections go on coming for this long after SIGTERM, with some slots.
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
 /// SIGKILL comes 0.7 s after the longest deadline at the soonest, counted from SIGTERM, and where that deadline is
-/// longer than this, it is taken as this. All is answered by then, with some room.
+/// longer than this, it is taken as this. All is answered by then, with some slots.
 const DEADLINE_MOST: Millis = 3000.0;
 const ANSWERED: Duration = Duration::from_millis(500);
 /// Nothing is taken any more for this long before all must be answered.
@@ -19,7 +19,7 @@
 /// Time for the last answers to be written.
 const WRITTEN: Duration = Duration::from_millis(100);
 
-/// Ends `served`, the callers' side: all that is open or still comes is answered, and then callers are closed.
+/// Ends `served`, the clients' side: all that is open or still comes is answered, and then clients are closed.
 pub async fn end(
     name: &str,
     handle: &Handle,
--- a/node/src/held.rs
+++ b/node/src/held.rs
@@ -1,9 +1,9 @@
-//! Callers' connections by tenant: for which of them makes way, and for the tier's other copies. A connection is its
+//! Clients' connections by tenant: for which of them makes way, and for the tier's other copies. A connection is its
 //! last request's tenant's; before its first it is nobody's. Owns the counts.
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-/// How many connections each tenant's callers hold.
+/// How many connections each tenant's clients hold.
 #[derive(Clone, Default)]
 pub struct Held(Rc<RefCell<Vec<u32>>>);
 
@@ -31,7 +31,7 @@
     }
 }
 
-/// A caller's connection.
+/// A client's connection.
 pub struct Connection {
     held: Held,
     tenant: Cell<Option<usize>>,
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,8 +1,8 @@
 //! herondock: a load balancer on real sockets. Start-up, signals and wiring; see the README.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
-mod callers;
 mod check;
+mod clients;
 mod config;
 mod discovery;
 mod driver;
@@ -20,8 +20,8 @@
 mod sockets;
 mod upstream;
 
-use callers::{Phase, Server};
 use clap::{Parser, Subcommand};
+use clients::{Phase, Server};
 use config::Config;
 use discovery::Discovery;
 use driver::{Handle, Parts};
--- a/node/src/sockets.rs
+++ b/node/src/sockets.rs
@@ -1,4 +1,4 @@
-//! The one budget of sockets that callers and upstreams share.
+//! The one budget of sockets that clients and upstreams share.
 use std::sync::Arc;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
@@ -9,39 +9,39 @@
 #[derive(Clone)]
 pub struct Sockets {
     all: Arc<Semaphore>,
-    callers: Arc<Semaphore>,
-    callers_most: u32,
+    clients: Arc<Semaphore>,
+    clients_most: u32,
 }
 
-/// A caller's place in the budget, given back when dropped.
-pub struct Places {
+/// A client's slot in the budget, given back when dropped.
+pub struct ClientSlot {
     _all: OwnedSemaphorePermit,
-    _caller: OwnedSemaphorePermit,
+    _client: OwnedSemaphorePermit,
 }
 
 impl Sockets {
-    /// A budget under this many descriptors. Callers may hold three quarters of it, so that there is always a
-    /// way on to the upstreams; upstreams may hold all that callers leave.
+    /// A budget under this many descriptors. Clients may hold three quarters of it, so that there is always a
+    /// way on to the upstreams; upstreams may hold all that clients leave.
     pub fn new(descriptors: usize) -> Sockets {
         let budget = u32::try_from(descriptors.saturating_sub(SPARE)).unwrap_or(u32::MAX).min(1 << 20);
-        let callers_most = budget / 4 * 3;
-        let places = |n: u32| Arc::new(Semaphore::new(n as usize));
-        Sockets { all: places(budget), callers: places(callers_most), callers_most }
+        let clients_most = budget / 4 * 3;
+        let slots = |n: u32| Arc::new(Semaphore::new(n as usize));
+        Sockets { all: slots(budget), clients: slots(clients_most), clients_most }
     }
 
-    /// A place for a caller, if there is one now.
-    pub fn caller(&self) -> Option<Places> {
-        let _caller = self.callers.clone().try_acquire_owned().ok()?;
-        Some(Places { _caller, _all: self.upstream()? })
+    /// A slot for a client, if there is one now.
+    pub fn client(&self) -> Option<ClientSlot> {
+        let _client = self.clients.clone().try_acquire_owned().ok()?;
+        Some(ClientSlot { _client, _all: self.upstream()? })
     }
 
-    /// A place for a caller, once there is one.
-    pub async fn caller_waits(&self) -> Option<Places> {
-        let _caller = self.callers.clone().acquire_owned().await.ok()?;
-        Some(Places { _caller, _all: self.all.clone().acquire_owned().await.ok()? })
+    /// A slot for a client, once there is one.
+    pub async fn client_waits(&self) -> Option<ClientSlot> {
+        let _client = self.clients.clone().acquire_owned().await.ok()?;
+        Some(ClientSlot { _client, _all: self.all.clone().acquire_owned().await.ok()? })
     }
 
-    /// A place for a connection to an upstream, if there is one now.
+    /// A slot for a connection to an upstream, if there is one now.
     pub fn upstream(&self) -> Option<OwnedSemaphorePermit> {
         self.all.clone().try_acquire_owned().ok()
     }
@@ -51,8 +51,8 @@
         self.all.available_permits() == 0
     }
 
-    /// Waits until no caller is connected.
-    pub async fn callers_left(&self) {
-        let _all = self.callers.acquire_many(self.callers_most).await;
+    /// Waits until no client is connected.
+    pub async fn clients_left(&self) {
+        let _all = self.clients.acquire_many(self.clients_most).await;
     }
 }
