--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -2,8 +2,8 @@
 //! are public, so that tests can read it without a process. See the README.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
-mod callers;
 mod check;
+mod clients;
 mod command_line;
 pub mod config;
 mod discovery;
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -1,5 +1,5 @@
 //! Wires the parts of a serving balancer together, starts them and ends them. Owns no state beyond that.
-use crate::callers::{Phase, Server};
+use crate::clients::{Phase, Server};
 use crate::config::Config;
 use crate::discovery::Discovery;
 use crate::driver::{self, Handle, Parts};
