Split what speaks to upstreams into connection, pool, attempt and load report

Need: one file held the pool, the dial, the attempt and the load report; what is to be checked at the write needs a place of its own. Change: node/src/upstreams/ with one job a module; lines are moved, names of the field put in (connection, idle). No behaviour is meant to change.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -15,7 +15,7 @@
 use crate::figures::{Ended as How, Figures};
 use crate::message::Answer;
 use crate::recovery::Recovery;
-use crate::upstream::Transport;
+use crate::upstreams::Transport;
 use oakflow::{Action, Balancer, Ending, Event, Millis};
 use state::{Driver, Due, Shared};
 use std::cell::RefCell;
--- a/node/src/driver/list.rs
+++ b/node/src/driver/list.rs
@@ -2,7 +2,7 @@
 //! Owns no state.
 use super::state::{Driver, Handle};
 use crate::listing::{ListUser, Listing};
-use crate::upstream::Upstream;
+use crate::upstreams::Upstream;
 use oakflow::{Availability, Event, Membership, UpstreamId};
 
 impl Handle {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -18,7 +18,7 @@
 mod reload;
 mod snapshots;
 mod sockets;
-mod upstream;
+mod upstreams;
 
 use callers::{Phase, Server};
 use clap::{Parser, Subcommand};
@@ -192,7 +192,7 @@
     let balancer = Balancer::new(deployment.policy.clone(), seed, start_ms).map_err(|e| e.to_string())?;
     let span = |ms: f64| Duration::from_secs_f64(ms / 1000.0);
     let budget = Sockets::new(sockets);
-    let transport = upstream::Transport::new(
+    let transport = upstreams::Transport::new(
         span(deployment.dial_timeout),
         span(deployment.policy.idle_close.min(86_400_000.0)),
         budget.clone(),
--- a/node/src/upstream.rs
+++ b/node/src/upstreams/attempt.rs
@@ -1,20 +1,16 @@
-//! Attempts: one request to one upstream, once; and the connections that are kept for the next.
+//! Attempts: one request to one upstream, written once at most, and its answer.
+use super::connection::Connection;
+use super::load_report::{reported, HELD, SERVED};
+use super::pool::Upstream;
 use crate::message::{end_to_end, Answer, Outgoing, BODY_MOST, DEADLINE};
 use crate::sockets::Sockets;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1;
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use http_body_util::{BodyExt, Limited};
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use oakflow::Ending;
-use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::task::AbortHandle;
 use tokio::time::{timeout, timeout_at, Instant};
 
 /// How long the time-out of an idle connection is undercut: what is sent on one that the upstream is about to
@@ -24,85 +20,6 @@
 const SETTLE: Duration = Duration::from_millis(5);
 
 const DECLINED: HeaderName = HeaderName::from_static("srv-declined");
-const LOAD: HeaderName = HeaderName::from_static("srv-load");
-/// What a load report calls the requests that the upstream holds, and those a second that it serves.
-const HELD: &str = "inflight";
-const SERVED: &str = "qps";
-
-/// One open connection; closed when dropped.
-struct Conn {
-    sender: http1::SendRequest<Full<Bytes>>,
-    task: AbortHandle,
-    _permit: OwnedSemaphorePermit,
-}
-
-impl Drop for Conn {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
-struct Idle {
-    conn: Conn,
-    since: Instant,
-}
-
-/// One upstream: where it is, and the connections to it that carry nothing now.
-pub struct Upstream {
-    /// Its name in discovery.
-    pub name: String,
-    /// Its zone, by position.
-    pub zone: u16,
-    /// Where it listens.
-    pub addr: Cell<SocketAddr>,
-    /// It drains or is gone: nothing more may be written to it, also of what was decided before. A list may have counted
-    /// as told some time before it is read here, so that a grace from now on could end too late.
-    pub closed: Cell<bool>,
-    idle: RefCell<Vec<Idle>>,
-}
-
-impl Upstream {
-    /// An upstream that nothing is connected to yet.
-    pub fn new(name: String, zone: u16, addr: SocketAddr) -> Rc<Upstream> {
-        let (addr, closed, idle) = (Cell::new(addr), Cell::new(false), RefCell::default());
-        Rc::new(Upstream { name, zone, addr, closed, idle })
-    }
-
-    /// Closes the connections that carry no call now.
-    pub fn close_idle(&self) {
-        self.idle.borrow_mut().clear();
-    }
-
-    /// Closes the connections that have been idle for longer than `most`, and those the other side closed.
-    pub fn sweep(&self, now: Instant, most: Duration) {
-        self.idle.borrow_mut().retain(|i| !i.conn.sender.is_closed() && now - i.since < most);
-    }
-
-    /// Since when the connection that rested longest is idle.
-    pub fn oldest_idle(&self) -> Option<Instant> {
-        self.idle.borrow().first().map(|i| i.since)
-    }
-
-    /// Closes the connection that rested longest.
-    pub fn drop_oldest(&self) {
-        let mut idle = self.idle.borrow_mut();
-        if !idle.is_empty() {
-            idle.remove(0);
-        }
-    }
-
-    /// The connection used last: the others then go idle and close, instead of all being kept warm by turns.
-    fn take(&self, most: Duration) -> Option<Conn> {
-        let now = Instant::now();
-        let mut idle = self.idle.borrow_mut();
-        while let Some(i) = idle.pop() {
-            if i.conn.sender.is_ready() && now - i.since < most {
-                return Some(i.conn);
-            }
-        }
-        None
-    }
-}
 
 /// How an attempt ended.
 pub struct Ended {
@@ -134,18 +51,10 @@
         Transport { dial_timeout, idle, sockets }
     }
 
-    async fn dial(&self, addr: SocketAddr, until: Instant) -> Option<Conn> {
+    async fn dial(&self, addr: SocketAddr, until: Instant) -> Option<Connection> {
         let permit = self.sockets.upstream()?;
         let until = until.min(Instant::now() + self.dial_timeout);
-        let stream = timeout_at(until, TcpStream::connect(addr)).await.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
-        let (sender, conn) =
-            http1::Builder::new().max_buf_size(BODY_MOST).handshake(TokioIo::new(stream)).await.ok()?;
-        let task = tokio::task::spawn_local(async move {
-            // How the connection ended shows in the attempt that was on it.
-            let _ = conn.await;
-        });
-        Some(Conn { sender, task: task.abort_handle(), _permit: permit })
+        timeout_at(until, Connection::dial(addr, permit)).await.ok()?
     }
 
     /// Carries one attempt out: its request is written once at most. Dropping the future closes the connection.
@@ -190,9 +99,7 @@
         let Ok(body) = Limited::new(body, BODY_MOST).collect().await else { return failed(Ending::Reset) };
         // Back before the outcome is told: what the module sends next may go on this connection.
         if let Ok(Ok(())) = timeout(SETTLE, conn.sender.ready()).await {
-            if !to.closed.get() {
-                to.idle.borrow_mut().push(Idle { conn, since: Instant::now() });
-            }
+            to.give_back(conn);
         }
         let answer = (ending == Ending::Ok).then(|| {
             let mut headers = head.headers;
@@ -203,14 +110,6 @@
     }
 }
 
-/// A figure of an answer's load report. What cannot be read is no report.
-fn reported(headers: &HeaderMap, name: &str) -> Option<f64> {
-    let report = headers.get(LOAD)?.to_str().ok()?.trim();
-    let fields = report.strip_prefix("TEXT ")?.split(',').filter_map(|field| field.split_once('='));
-    let (_, figure) = fields.into_iter().find(|(field, _)| field.trim() == name)?;
-    figure.trim().parse().ok().filter(|figure| (0.0..1e9).contains(figure))
-}
-
 /// What an answer says. Only a mark that the request was turned away proves that it never ran.
 fn ending<B>(answer: &Response<B>) -> Ending {
     let declined = answer.headers().get(DECLINED).is_some_and(|v| v == "1");
@@ -220,28 +119,3 @@
         _ => Ending::Error,
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn load_reports_are_read_and_what_cannot_be_read_is_no_report() {
-        let report = |report: &'static str| HeaderMap::from_iter([(LOAD, HeaderValue::from_static(report))]);
-        let held = |text| reported(&report(text), HELD);
-        assert_eq!(held("TEXT latency_ms=31.5, qps=40, inflight=7"), Some(7.0));
-        assert_eq!(held(" TEXT inflight = 2.5"), Some(2.5));
-        assert_eq!(reported(&report("TEXT latency_ms=31.5, qps=40, inflight=7"), SERVED), Some(40.0));
-        for bad in [
-            "",
-            "TEXT",
-            "inflight=7",
-            "TEXT queue=2",
-            "TEXT inflight=",
-            "TEXT inflight=-1",
-            "TEXT inflight=NaN",
-        ] {
-            assert_eq!(held(bad), None, "{bad}");
-        }
-    }
-}
--- /dev/null
+++ b/node/src/upstreams/mod.rs
@@ -0,0 +1,8 @@
+//! Upstreams: their connections, the attempts on these, and the load that they report.
+mod attempt;
+mod connection;
+mod load_report;
+mod pool;
+
+pub use attempt::{Ended, Transport};
+pub use pool::Upstream;
