--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -23,7 +23,7 @@
 mod signals;
 mod snapshots;
 mod sockets;
-mod upstream;
+mod upstreams;
 
 pub use listing::{Entry, Listing, Names};
 pub use program::main;
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -15,7 +15,7 @@
 use crate::signals::Signals;
 use crate::snapshots;
 use crate::sockets::Sockets;
-use crate::upstream;
+use crate::upstreams;
 use oakflow::Balancer;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -35,7 +35,7 @@
     let balancer = Balancer::new(deployment.policy.clone(), seed, start_ms).map_err(|e| e.to_string())?;
     let span = |ms: f64| Duration::from_secs_f64(ms / 1000.0);
     let budget = Sockets::new(sockets);
-    let transport = upstream::Transport::new(
+    let transport = upstreams::Transport::new(
         span(deployment.dial_timeout),
         span(deployment.policy.idle_close.min(86_400_000.0)),
         budget.clone(),
