Measure in the lab what a balancer costs as one thing grows

Need: the target of docs (550 workers, 8,600 tasks running, 21 teams) can only be worked out from slopes, and the lab had no way to measure one: `run` plays fleets and judges them, it grows nothing.

Grows: list, kept list, changes a second, requests a second, calls held, tenants, idle clients, members of the tier, balancers that hear one change. Hollow members run the protocol crate alone on real datagrams, many in a thread, so that a tier of hundreds fits in one process; the lab depends on `peers/` for it.

--- /dev/null
+++ b/lab/src/capacity/hollow/tier.rs
@@ -0,0 +1,274 @@
+//! All hollow members of a tier in one thread, and the questions that the lab asks of it. Owns the thread.
+use super::member::{Addresses, Hollow, Shared};
+use crate::capacity::accounting::thread_processor;
+use oakflow_peers::{Member, Subject, DATAGRAM_MOST, HEADER};
+use std::collections::HashMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::sync::mpsc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc as asked;
+use tokio::task::LocalSet;
+
+/// Where a datagram's header has the deployment, as `oakflow_peers::HEADER` tells.
+const DEPLOYMENT_AT: usize = 15;
+/// The pause between two looks for the first datagram.
+const LOOK_PAUSE: Duration = Duration::from_millis(5);
+/// How often the thread looks whether something was asked or has come true.
+const STEP: Duration = Duration::from_millis(10);
+/// What one member accuses another of: an upstream that no list has.
+const ACCUSED: Subject = Subject::Upstream(1);
+
+/// A tier to be started.
+pub struct Tier {
+    /// An address for each member, the real one's too.
+    pub addresses: Vec<SocketAddr>,
+    /// The hollow members' places and sockets.
+    pub sockets: Vec<(u16, UdpSocket)>,
+    /// Tenants of the deployment.
+    pub tenants: u16,
+    /// Zones over which members are spread.
+    pub zones: u16,
+    /// What a datagram of the deployment carries.
+    pub deployment: u32,
+    /// The real member whose traffic is counted on its own.
+    pub watched: Option<u16>,
+}
+
+/// What the tier has counted so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Snapshot {
+    /// When it was taken, since the start.
+    pub at: Duration,
+    /// Time of the thread on a core.
+    pub processor: Duration,
+    /// Datagrams that hollow members sent and read, and their bytes.
+    pub sent: u64,
+    /// See there.
+    pub sent_bytes: u64,
+    /// See there.
+    pub read: u64,
+    /// See there.
+    pub read_bytes: u64,
+    /// Those that the system did not take.
+    pub unsent: u64,
+    /// Datagrams to and from the watched member, and their bytes.
+    pub to_watched: (u64, u64),
+    /// See there.
+    pub from_watched: (u64, u64),
+    /// Hollow members that run.
+    pub running: usize,
+    /// The least and the mean of members up, as they know it.
+    pub up_least: u32,
+    /// See there.
+    pub up_mean: f64,
+    /// The mean of members in the sums of those that have sums, and how many have.
+    pub summed_mean: f64,
+    /// See there.
+    pub with_sums: usize,
+}
+
+/// Until what the tier is asked to wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Until {
+    /// All know that as many are up as this.
+    Up(u32),
+    /// All but the accuser know of the evidence.
+    Evidence,
+}
+
+enum Question {
+    Snapshot(mpsc::Sender<Snapshot>),
+    Stop(usize),
+    Accuse(usize, bool),
+    Await(Until, Instant, mpsc::Sender<Option<Duration>>),
+}
+
+/// A tier that runs.
+pub struct Running {
+    ask: Option<asked::UnboundedSender<Question>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Tier {
+    /// Starts the thread.
+    pub fn start(self) -> Result<Running, String> {
+        let (ask, asked) = asked::unbounded_channel();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|e| e.to_string())?;
+        let (tell, began) = mpsc::channel();
+        let thread = std::thread::spawn(move || {
+            LocalSet::new().block_on(&runtime, async move {
+                let members = self.members();
+                let failed = members.as_ref().err().cloned();
+                // Whoever started it may have given up.
+                let _ = tell.send(failed);
+                if let Ok(members) = members {
+                    answer(&members, asked).await;
+                }
+            });
+        });
+        match began.recv() {
+            Ok(None) => Ok(Running { ask: Some(ask), thread: Some(thread) }),
+            Ok(Some(error)) => Err(error),
+            Err(_) => Err("the thread of the hollow tier ended".into()),
+        }
+    }
+
+    fn members(self) -> Result<Vec<Rc<Hollow>>, String> {
+        let shared = Shared {
+            tenants: self.tenants,
+            zones: self.zones,
+            deployment: self.deployment,
+            watched: self.watched.map(Member),
+        };
+        let from: HashMap<_, _> = (0..).map(Member).zip(&self.addresses).map(|(m, at)| (*at, m)).collect();
+        let addresses = Rc::new(Addresses { to: self.addresses, from });
+        let mut members = Vec::new();
+        for (place, socket) in self.sockets {
+            socket.set_nonblocking(true).map_err(|e| e.to_string())?;
+            let socket = tokio::net::UdpSocket::from_std(socket).map_err(|e| e.to_string())?;
+            let member = Hollow::new(place, socket, addresses.clone(), shared).map_err(|e| e.to_string())?;
+            tokio::task::spawn_local(member.clone().run());
+            members.push(member);
+        }
+        Ok(members)
+    }
+}
+
+/// Answers until nobody asks any more.
+async fn answer(members: &[Rc<Hollow>], mut asked: asked::UnboundedReceiver<Question>) {
+    let start = Instant::now();
+    while let Some(question) = asked.recv().await {
+        match question {
+            Question::Snapshot(tell) => {
+                let _ = tell.send(snapshot(members, start));
+            }
+            Question::Stop(member) => members[member].stopped.set(true),
+            Question::Accuse(member, accuses) => {
+                members[member].accuses.set(accuses.then_some(ACCUSED));
+            }
+            Question::Await(until, end, tell) => {
+                let _ = tell.send(waited(members, until, end).await);
+            }
+        }
+    }
+}
+
+/// How long it took until it was true of all that run, or none when it was not by then.
+async fn waited(members: &[Rc<Hollow>], until: Until, end: Instant) -> Option<Duration> {
+    let start = Instant::now();
+    let holds = |member: &Rc<Hollow>| match until {
+        Until::Up(count) => member.counted.get().up == count,
+        Until::Evidence => member.accuses.get().is_some() || member.counted.get().evidence,
+    };
+    while Instant::now() < end {
+        if members.iter().filter(|member| !member.stopped.get()).all(holds) {
+            return Some(start.elapsed());
+        }
+        tokio::time::sleep(STEP).await;
+    }
+    None
+}
+
+fn snapshot(members: &[Rc<Hollow>], start: Instant) -> Snapshot {
+    let mut all = Snapshot { at: start.elapsed(), up_least: u32::MAX, ..Snapshot::default() };
+    all.processor = thread_processor().unwrap_or_default();
+    let (mut up, mut summed) = (0.0, 0.0);
+    for member in members {
+        let counted = member.counted.get();
+        all.sent += counted.sent.count;
+        all.sent_bytes += counted.sent.bytes;
+        all.read += counted.read.count;
+        all.read_bytes += counted.read.bytes;
+        all.unsent += counted.unsent;
+        all.to_watched.0 += counted.to_watched.count;
+        all.to_watched.1 += counted.to_watched.bytes;
+        all.from_watched.0 += counted.from_watched.count;
+        all.from_watched.1 += counted.from_watched.bytes;
+        if member.stopped.get() {
+            continue;
+        }
+        all.running += 1;
+        all.up_least = all.up_least.min(counted.up);
+        up += f64::from(counted.up);
+        if let Some(heard) = counted.summed {
+            all.with_sums += 1;
+            summed += f64::from(heard);
+        }
+    }
+    all.up_mean = up / all.running.max(1) as f64;
+    all.summed_mean = summed / all.with_sums.max(1) as f64;
+    all
+}
+
+impl Running {
+    /// What was counted so far.
+    pub fn snapshot(&self) -> Result<Snapshot, String> {
+        let (tell, told) = mpsc::channel();
+        self.ask(Question::Snapshot(tell))?;
+        told.recv().map_err(|e| e.to_string())
+    }
+
+    /// Waits until every hollow member knows as many up as this; the time it took, or none if it takes too long.
+    pub fn until_up(&self, count: u32, most: Duration) -> Result<Option<Duration>, String> {
+        self.until(Until::Up(count), most)
+    }
+
+    /// One member, by its position among the hollow ones, ends without a word.
+    pub fn stop(&self, member: usize) -> Result<(), String> {
+        self.ask(Question::Stop(member))
+    }
+
+    /// One member has evidence against an upstream; the time until all know of it, or none if it takes too long.
+    pub fn until_evidence(&self, accuser: usize, most: Duration) -> Result<Option<Duration>, String> {
+        self.ask(Question::Accuse(accuser, true))?;
+        let took = self.until(Until::Evidence, most);
+        self.ask(Question::Accuse(accuser, false))?;
+        took
+    }
+
+    fn until(&self, until: Until, most: Duration) -> Result<Option<Duration>, String> {
+        let (tell, told) = mpsc::channel();
+        self.ask(Question::Await(until, Instant::now() + most, tell))?;
+        told.recv().map_err(|e| e.to_string())
+    }
+
+    fn ask(&self, question: Question) -> Result<(), String> {
+        let ended = || "the thread of the hollow tier ended".to_string();
+        self.ask.as_ref().ok_or_else(ended)?.send(question).map_err(|_| ended())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.ask = None;
+        if let Some(thread) = self.thread.take() {
+            // A thread that panicked has said so.
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Waits for the first datagram at any of the sockets and reads the deployment from its header.
+pub fn learn_deployment(sockets: &[(u16, UdpSocket)], most: Duration) -> Result<u32, String> {
+    let end = Instant::now() + most;
+    let mut bytes = [0; DATAGRAM_MOST];
+    for (_, socket) in sockets {
+        socket.set_nonblocking(true).map_err(|e| e.to_string())?;
+    }
+    while Instant::now() < end {
+        for (_, socket) in sockets {
+            match socket.recv_from(&mut bytes) {
+                Ok((length, _)) if length > HEADER => {
+                    let at = &bytes[DEPLOYMENT_AT..];
+                    return Ok(u32::from_be_bytes([at[0], at[1], at[2], at[3]]));
+                }
+                _ => {}
+            }
+        }
+        std::thread::sleep(LOOK_PAUSE);
+    }
+    Err("the real member sent no datagram".into())
+}
--- /dev/null
+++ b/lab/src/capacity/trial.rs
@@ -0,0 +1,241 @@
+//! One trial: everything around the balancers is started, they settle, and a span of time is measured.
+use super::accounting::Usage;
+use super::balancer::{Balancer, Place};
+use super::clients::Clients;
+use super::discovery::{Discovery, Traffic, ZONES};
+use super::hollow::{learn_deployment, Running, Snapshot, Tier};
+use super::sample::Sample;
+use super::scenario::Scenario;
+use super::upstreams::Upstreams;
+use crate::net::Block;
+use std::net::{SocketAddr, UdpSocket};
+use std::path::Path;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{sleep, Instant};
+
+/// Upstreams that listen: requests go nowhere else, since longer lists are measured without any.
+const LISTENING_MOST: usize = 8;
+/// Between the start and the measured span.
+const SETTLE: Duration = Duration::from_secs(2);
+/// A tier needs longer until all have met.
+const SETTLE_TIER: Duration = Duration::from_secs(6);
+/// How long the real member may take until its first datagram.
+const FIRST_DATAGRAM: Duration = Duration::from_secs(5);
+/// The pause between two looks whether something is so.
+const LOOK_PAUSE: Duration = Duration::from_millis(10);
+/// How long it may take until all know of a change, or until all calls are held.
+const KNOWN_WITHIN: Duration = Duration::from_secs(20);
+
+/// Where and for how long it is played.
+pub(super) struct Setting<'a> {
+    pub folder: &'a Path,
+    pub program: &'a Path,
+    pub span: Duration,
+}
+
+/// Everything that has been started.
+struct Stage {
+    balancers: Vec<Balancer>,
+    discovery: Arc<Discovery>,
+    upstreams: Arc<Upstreams>,
+    clients: Arc<Clients>,
+    tier: Option<Running>,
+}
+
+/// What is read at both ends of the span.
+struct Reading {
+    at: Instant,
+    usage: Vec<Usage>,
+    discovery: Vec<Traffic>,
+    served: usize,
+    refused: usize,
+    tier: Option<Snapshot>,
+}
+
+/// Plays a scenario with whole balancers once.
+pub(super) async fn play(scenario: &Scenario, size: usize, setting: &Setting<'_>) -> Result<Sample, String> {
+    let block = Block::claim()?;
+    let stage = Stage::start(scenario, setting, &block).await?;
+    sleep(if scenario.members.is_some() { SETTLE_TIER } else { SETTLE }).await;
+    let before = stage.read()?;
+    stage.pass(scenario, setting.span).await;
+    let after = stage.read()?;
+    wait_until(|| stage.discovery.outstanding() == 0).await;
+    let mut sample = Sample::new(size);
+    stage.put(scenario, &before, &after, &mut sample);
+    for balancer in stage.balancers {
+        balancer.stop().await?;
+    }
+    Ok(sample)
+}
+
+/// Waits until something is so, for as long as a trial may wait for it.
+async fn wait_until(holds: impl Fn() -> bool) {
+    let end = Instant::now() + KNOWN_WITHIN;
+    while !holds() && Instant::now() < end {
+        sleep(LOOK_PAUSE).await;
+    }
+}
+
+impl Stage {
+    async fn start(scenario: &Scenario, setting: &Setting<'_>, block: &Block) -> Result<Stage, String> {
+        let discovery = Discovery::start(block, scenario.upstreams, scenario.balancers).await?;
+        let listening = scenario.upstreams.min(LISTENING_MOST);
+        let upstreams = Upstreams::start(block, listening, scenario.held > 0).await?;
+        let addresses: Vec<SocketAddr> =
+            (0..scenario.members.unwrap_or(0)).map(|member| block.peer(member)).collect();
+        let sockets = hollow_sockets(&addresses, scenario.balancers)?;
+        let mut balancers = Vec::new();
+        for number in 0..scenario.balancers {
+            let place = Place { block, folder: setting.folder, program: setting.program, number };
+            balancers.push(Balancer::start(&place, scenario).await?);
+        }
+        let tier = if sockets.is_empty() {
+            None
+        } else {
+            let deployment = learn_deployment(&sockets, FIRST_DATAGRAM)?;
+            let (tenants, zones) = (scenario.tenants as u16, ZONES.len() as u16);
+            let members = addresses.len() as u32;
+            let tier = Tier { addresses, sockets, tenants, zones, deployment, watched: Some(0) }.start()?;
+            tokio::task::block_in_place(|| tier.until_up(members, KNOWN_WITHIN))?;
+            Some(tier)
+        };
+        let clients = Clients::new(block.balancer(0), scenario.tenants);
+        clients.rest(scenario.clients).await?;
+        clients.hold(scenario.held).await;
+        wait_until(|| {
+            let refused = clients.refused.load(Ordering::SeqCst);
+            upstreams.held.load(Ordering::SeqCst) + refused >= scenario.held
+        })
+        .await;
+        if scenario.requests > 0.0 {
+            clients.ask_steadily(scenario.requests);
+        }
+        Ok(Stage { balancers, discovery, upstreams, clients, tier })
+    }
+
+    /// Lets the span pass, with the changes that belong to it.
+    async fn pass(&self, scenario: &Scenario, span: Duration) {
+        let start = Instant::now();
+        let changes = (scenario.changes * span.as_secs_f64()) as u32;
+        for change in 0..changes {
+            tokio::time::sleep_until(start + span * change / changes).await;
+            self.discovery.change();
+        }
+        tokio::time::sleep_until(start + span).await;
+    }
+
+    fn read(&self) -> Result<Reading, String> {
+        Ok(Reading {
+            at: Instant::now(),
+            usage: self.balancers.iter().map(Balancer::usage).collect::<Result<_, _>>()?,
+            discovery: (0..self.balancers.len()).map(|balancer| self.discovery.traffic(balancer)).collect(),
+            served: self.clients.served.load(Ordering::SeqCst),
+            refused: self.clients.refused.load(Ordering::SeqCst),
+            tier: self.tier.as_ref().map(Running::snapshot).transpose()?,
+        })
+    }
+
+    /// Puts what happened between two readings into figures, the mean of a balancer where there are several.
+    fn put(&self, scenario: &Scenario, before: &Reading, after: &Reading, sample: &mut Sample) {
+        let seconds = after.at.duration_since(before.at).as_secs_f64();
+        let count = after.usage.len() as f64;
+        let rate = |of: &dyn Fn(&Usage) -> u64| {
+            let grown = before.usage.iter().zip(&after.usage).map(|(b, a)| of(a).saturating_sub(of(b)));
+            grown.sum::<u64>() as f64 / count / seconds
+        };
+        let mean = |of: &dyn Fn(&Usage) -> u64| after.usage.iter().map(of).sum::<u64>() as f64 / count;
+        sample.add("processor, ms/s", rate(&|usage| usage.processor_ns) / 1e6);
+        sample.add("resident, kB", mean(&|usage| usage.resident_kb));
+        sample.add("proportional, kB", mean(&|usage| usage.proportional_kb));
+        sample.add("descriptors", mean(&|usage| usage.descriptors));
+        let said = |of: &dyn Fn(&Traffic) -> u64| {
+            let grown = before.discovery.iter().zip(&after.discovery).map(|(b, a)| of(a) - of(b));
+            grown.sum::<u64>() as f64 / count / seconds
+        };
+        sample.add("discovery, calls/s", said(&|traffic| traffic.calls));
+        sample.add("discovery, bytes/s", said(&|traffic| traffic.bytes_in + traffic.bytes_out));
+        if scenario.kept {
+            sample.add("written, bytes/s", rate(&|usage| usage.written));
+        }
+        if scenario.requests > 0.0 {
+            sample.add("served, 1/s", (after.served - before.served) as f64 / seconds);
+        }
+        if scenario.requests > 0.0 || scenario.held > 0 {
+            sample.add("refused", after.refused as f64);
+        }
+        if scenario.held > 0 {
+            sample.add("held", self.upstreams.held.load(Ordering::SeqCst) as f64);
+        }
+        if scenario.changes > 0.0 {
+            let (mut each, mut last) = self.discovery.lags();
+            sample.add_times("taken in by one", &mut each);
+            sample.add_times("taken in by all", &mut last);
+            sample.add("not taken in", self.discovery.outstanding() as f64);
+        }
+        if let (Some(before), Some(after)) = (&before.tier, &after.tier) {
+            put_watched(before, after, sample);
+        }
+    }
+}
+
+/// What the real member and the hollow ones said to each other, as the hollow ones counted it.
+fn put_watched(before: &Snapshot, after: &Snapshot, sample: &mut Sample) {
+    let seconds = after.at.saturating_sub(before.at).as_secs_f64();
+    let rate = |after: u64, before: u64| after.saturating_sub(before) as f64 / seconds;
+    sample.add("peers, sent datagrams/s", rate(after.from_watched.0, before.from_watched.0));
+    sample.add("peers, sent bytes/s", rate(after.from_watched.1, before.from_watched.1));
+    sample.add("peers, read datagrams/s", rate(after.to_watched.0, before.to_watched.0));
+    sample.add("peers, read bytes/s", rate(after.to_watched.1, before.to_watched.1));
+    sample.add("up, least known", f64::from(after.up_least));
+}
+
+/// Sockets for all members but the first few, which are real.
+fn hollow_sockets(addresses: &[SocketAddr], real: usize) -> Result<Vec<(u16, UdpSocket)>, String> {
+    let places = (0u16..).zip(addresses).skip(real);
+    places.map(|(place, at)| Ok((place, UdpSocket::bind(at).map_err(|e| format!("{at}: {e}"))?))).collect()
+}
+
+/// Plays a tier that is all hollow: its steady traffic, then evidence, then the end of a member.
+pub(super) fn play_hollow(size: usize, tenants: u16, span: Duration) -> Result<Sample, String> {
+    let block = Block::claim()?;
+    let addresses: Vec<SocketAddr> = (0..size).map(|member| block.peer(member)).collect();
+    let sockets = hollow_sockets(&addresses, 0)?;
+    let zones = ZONES.len() as u16;
+    let tier = Tier { addresses, sockets, tenants, zones, deployment: 1, watched: None }.start()?;
+    let count = u32::try_from(size).map_err(|e| e.to_string())?;
+    let mut sample = Sample::new(size);
+    let add = |sample: &mut Sample, name: &str, took: Option<Duration>| {
+        sample.add(name, took.map_or(f64::NAN, |took| took.as_secs_f64() * 1000.0));
+    };
+    let met = tier.until_up(count, KNOWN_WITHIN)?;
+    add(&mut sample, "all know all, ms", met);
+    std::thread::sleep(SETTLE_TIER);
+    let before = tier.snapshot()?;
+    std::thread::sleep(span);
+    let after = tier.snapshot()?;
+    put_hollow(&before, &after, size, &mut sample);
+    add(&mut sample, "evidence known to all, ms", tier.until_evidence(0, KNOWN_WITHIN)?);
+    tier.stop(size / 2)?;
+    add(&mut sample, "an end known to all, ms", tier.until_up(count.saturating_sub(1), KNOWN_WITHIN)?);
+    Ok(sample)
+}
+
+fn put_hollow(before: &Snapshot, after: &Snapshot, size: usize, sample: &mut Sample) {
+    let seconds = (after.at - before.at).as_secs_f64();
+    let processor = (after.processor - before.processor).as_secs_f64();
+    let each = |after: u64, before: u64| (after - before) as f64 / seconds / size as f64;
+    let datagrams = (after.sent - before.sent + after.read - before.read) as f64;
+    sample.add("sent, datagrams/s", each(after.sent, before.sent));
+    sample.add("sent, bytes/s", each(after.sent_bytes, before.sent_bytes));
+    sample.add("read, datagrams/s", each(after.read, before.read));
+    sample.add("read, bytes/s", each(after.read_bytes, before.read_bytes));
+    sample.add("unsent", (after.unsent - before.unsent) as f64);
+    sample.add("processor a member, ms/s", processor * 1000.0 / seconds / size as f64);
+    sample.add("processor a datagram, us", processor * 1e6 / datagrams);
+    sample.add("members in sums, mean", after.summed_mean);
+    sample.add("members with sums", after.with_sums as f64);
+    sample.add("up, least known", f64::from(after.up_least));
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,11 +3,13 @@
 //!
 //! [`experiment`] reads what is asked for, [`draw`] makes a plan of it from a seed, [`run`] plays the plan, [`figures`]
 //! and [`report`] say what came of it. [`machine`] and [`oracle`] are sans-I/O; the rest puts them on sockets.
+//! [`capacity`] stands apart: it measures what one balancer costs at growing sizes, for `docs/CAPACITY.md`.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 pub mod agent;
 pub mod audit;
 pub mod caller;
+pub mod capacity;
 pub mod clients;
 pub mod clock;
 pub mod convergence;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,6 +1,9 @@
 //! The command line of the lab; what each verb does is in the library.
 #![forbid(unsafe_code)]
 use clap::{Parser, Subcommand};
+use oakflow_lab::capacity::scenario::Dimension;
+use oakflow_lab::capacity::sweep::Sweep;
+use oakflow_lab::capacity::table::markdown;
 use oakflow_lab::draw::{self, Plan};
 use oakflow_lab::experiment::{self, Experiment};
 use oakflow_lab::guard::{stand_guard, Guard};
@@ -10,6 +13,7 @@
 use oakflow_lab::stand_in::{self, Choice, Wrong};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 
@@ -48,6 +52,9 @@
         #[arg(required = true)]
         files: Vec<PathBuf>,
     },
+    /// Measure what a balancer costs as one thing grows, and print samples and lines as markdown. docs/CAPACITY.md
+    /// has its figures from here. The program is not built first: name a release build's.
+    Capacity(Capacity),
     /// Be a pass-through balancer, as the platform would start one. The lab starts these itself.
     #[command(hide = true)]
     StandIn {
@@ -97,6 +104,27 @@
     log: tracing::Level,
 }
 
+#[derive(clap::Args)]
+struct Capacity {
+    /// What grows.
+    dimension: Dimension,
+    /// The sizes, four or more for a line that means something.
+    #[arg(long, value_delimiter = ',', required = true)]
+    sizes: Vec<usize>,
+    /// Measure each size so many times.
+    #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u16).range(1..=100))]
+    runs: u16,
+    /// Measure for so long each time, after everything has settled.
+    #[arg(long, default_value = "5s", value_parser = humantime::parse_duration)]
+    span: Duration,
+    /// The balancer's program [default: herondock beside this program]
+    #[arg(long)]
+    program: Option<PathBuf>,
+    /// Leave configurations and logs here.
+    #[arg(long, default_value = "lab/results/capacity")]
+    out: PathBuf,
+}
+
 /// How a verb ended.
 enum End {
     Held,
@@ -110,6 +138,7 @@
         Verb::Report { folder } => report_it(&folder),
         Verb::List { folder } => list_it(&folder),
         Verb::Check { files } => check_them(&files),
+        Verb::Capacity(capacity) => capacity_it(capacity),
         Verb::StandIn { choice, wrong } => {
             runtime(2).and_then(|r| r.block_on(stand_in::run(choice, wrong)).map(|()| End::Held))
         }
@@ -234,6 +263,21 @@
     Ok(if held { End::Held } else { End::NotHeld })
 }
 
+fn capacity_it(asked: Capacity) -> Result<End, String> {
+    let own = std::env::current_exe().map_err(|e| e.to_string())?;
+    let sweep = Sweep {
+        dimension: asked.dimension,
+        sizes: asked.sizes,
+        runs: usize::from(asked.runs),
+        span: asked.span,
+        program: asked.program.unwrap_or_else(|| own.with_file_name("herondock")),
+        folder: asked.out,
+    };
+    let samples = sweep.measure(|sample| eprintln!("{sample:?}"))?;
+    print!("{}", markdown(&sweep.dimension.name(), &samples));
+    Ok(End::Held)
+}
+
 fn opened(folder: &Path) -> Result<(Results, Experiment, Plan), String> {
     let results = Results::open(folder)?;
     let (asked, e) = results.asked()?;
--- /dev/null
+++ b/lab/tests/capacity/sweep.rs
@@ -0,0 +1,87 @@
+//! A sweep with the real program: what was measured is there and of the right kind. No verdict rests on speed.
+use oakflow_lab::capacity::sample::Sample;
+use oakflow_lab::capacity::scenario::Dimension;
+use oakflow_lab::capacity::sweep::Sweep;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::time::Duration;
+
+/// A balancer asks discovery each second at the latest.
+const SHORT: Duration = Duration::from_secs(2);
+/// Members of a tier speak several times a second.
+const LONG: Duration = Duration::from_secs(5);
+
+/// The real balancer, built by the same cargo into the same folder.
+fn herondock() -> PathBuf {
+    static BUILT: std::sync::Once = std::sync::Once::new();
+    let path = Path::new(env!("CARGO_BIN_EXE_oakflow-lab")).with_file_name("herondock");
+    // A test of the whole workspace has built it; a test of this crate alone has not.
+    BUILT.call_once(|| {
+        if !path.is_file() {
+            let release = path.parent().is_some_and(|folder| folder.ends_with("release"));
+            let profile = if release { "release" } else { "dev" };
+            let arguments = ["build", "--locked", "-p", "herondock", "--profile", profile];
+            assert!(Command::new(env!("CARGO")).args(arguments).status().expect("runs cargo").success());
+        }
+    });
+    path
+}
+
+fn measured(dimension: Dimension, sizes: &[usize], span: Duration) -> Vec<Sample> {
+    let folder = tempfile::tempdir().expect("a folder");
+    let sweep = Sweep {
+        dimension,
+        sizes: sizes.to_vec(),
+        runs: 1,
+        span,
+        program: herondock(),
+        folder: folder.path().to_path_buf(),
+    };
+    let mut told = 0;
+    let samples = sweep.measure(|_| told += 1).expect("measures");
+    assert_eq!((told, samples.len()), (sizes.len(), sizes.len()));
+    samples
+}
+
+fn figure(sample: &Sample, name: &str) -> f64 {
+    *sample.figures.get(name).unwrap_or_else(|| panic!("no {name} in {sample:?}"))
+}
+
+#[test]
+fn a_list_costs_memory_and_calls_of_discovery() {
+    let samples = measured(Dimension::List, &[10, 40], SHORT);
+    for sample in &samples {
+        assert!(figure(sample, "processor, ms/s") > 0.0);
+        assert!(figure(sample, "resident, kB") >= figure(sample, "proportional, kB"));
+        assert!(figure(sample, "descriptors") > 3.0);
+        assert!(figure(sample, "discovery, bytes/s") > 0.0);
+    }
+}
+
+#[test]
+fn held_calls_take_two_descriptors_each() {
+    let samples = measured(Dimension::Held, &[10, 60], SHORT);
+    for sample in &samples {
+        assert_eq!((figure(sample, "held"), figure(sample, "refused")), (sample.size as f64, 0.0));
+    }
+    let grown = figure(&samples[1], "descriptors") - figure(&samples[0], "descriptors");
+    assert_eq!(grown, 100.0);
+}
+
+#[test]
+fn changes_are_seen_to_be_taken_in() {
+    let samples = measured(Dimension::Changes, &[4], SHORT);
+    let (median, most) =
+        (figure(&samples[0], "taken in by one, median ms"), figure(&samples[0], "taken in by one, most ms"));
+    assert!(0.0 < median && median <= most, "{samples:?}");
+    assert_eq!(figure(&samples[0], "taken in by all, most ms"), most);
+    assert_eq!(figure(&samples[0], "not taken in"), 0.0);
+}
+
+#[test]
+fn a_real_member_is_one_of_a_hollow_tier() {
+    let samples = measured(Dimension::Peers, &[5], LONG);
+    for name in ["peers, sent bytes/s", "peers, read bytes/s"] {
+        assert!(figure(&samples[0], name) > 0.0, "{samples:?}");
+    }
+}
