Let the model of slow start pass over the bound of a repeat's write

Cause: the merge of slow start and of the bound on repeats (write_by) left a pattern of the model without the new field, so that the tests did not build. Change: the model passes over it, as sends there are written at once. Result: the workspace checks.

--- a/tests/common/slow_start.rs
+++ b/tests/common/slow_start.rs
@@ -352,7 +352,7 @@
         let life = self.processes[index].life;
         for action in actions {
             match action {
-                Action::Send { request, upstream, timeout } => self.send(index, request, upstream, timeout),
+                Action::Send { request, upstream, timeout, .. } => self.send(index, request, upstream, timeout),
                 Action::SetTimer { after, token } => self.after(after, Due::Timer(index, life, token)),
                 Action::Refuse { request, .. } | Action::Fail { request } => {
                     self.processes[index].open.remove(&request);
