Ask at the system call whether a request may still be written

Symptom: a request whose client had left while the program stood still was written once its dial came up (test of the same turn, dial first, client second; with Cancel allowed or not the write needs no further decision). Suspects: the check after the dial (it holds, but for its instant); the abort of the attempt (takes effect in a later turn than the write, behind the connection's task, and never where attempts may not be cancelled); hyper's hand-back (given only for what never left its queue; a request that was taken from it and failed at its first byte counted as one that may have run). The same gap let the time left grow old, and let bytes or an end that the runtime had not yet reported (a late second answer, an idle close) be met by a request. Change: the stream under hyper asks before each write until the request is whole: is the request over, does the upstream drain, is the time told older than 50 ms, does anything lie on the connection (a peek at the socket itself)? Refused means not a byte written; half written, the rest stays back. What was written then decides the ending: none or part of it is ConnectFailed (or the next connection), all of it Reset; an answer to half a request is no answer to it.

--- a/node/src/upstreams/attempt.rs
+++ b/node/src/upstreams/attempt.rs
@@ -2,22 +2,29 @@
 use super::connection::Connection;
 use super::load_report::{reported, HELD, SERVED};
 use super::pool::Upstream;
+use super::request_write::{Progress, Refused};
 use crate::message::{end_to_end, Answer, Outgoing, BODY_MOST, DEADLINE};
 use crate::sockets::Sockets;
-use http_body_util::{BodyExt, Limited};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue};
-use hyper::{Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use oakflow::Ending;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::task::yield_now;
 use tokio::time::{timeout, timeout_at, Instant};
 
 /// How long the time-out of an idle connection is undercut: what is sent on one that the upstream is about to
 /// close ends as a reset, and the upstream counts from its last byte, not from when we read it.
 const IDLE_MARGIN: Duration = Duration::from_millis(250);
 /// How long a connection may take to be ready for its next request once an answer has been read whole.
-const SETTLE: Duration = Duration::from_millis(5);
+const READY_WAIT: Duration = Duration::from_millis(5);
+
+/// The time left that a request's head tells may be this old when it is written.
+const STAMP_MOST: Duration = Duration::from_millis(50);
 
 const DECLINED: HeaderName = HeaderName::from_static("srv-declined");
 
@@ -57,49 +64,58 @@
         timeout_at(until, Connection::dial(addr, permit)).await.ok()?
     }
 
+    /// A connection to `to`, and whether it has carried requests before.
+    async fn connect(&self, to: &Upstream, until: Instant) -> Option<(Connection, bool)> {
+        match to.take(self.idle) {
+            Some(connection) => Some((connection, true)),
+            None => Some((self.dial(to.addr.get(), until).await?, false)),
+        }
+    }
+
+    /// Writes the request on one connection and waits for the head of its answer. Nothing is written twice: another
+    /// connection is tried only if the one before did not take a byte, or surely not all.
+    async fn exchange(&self, of: &Exchange) -> Result<(Connection, Response<Incoming>), Ending> {
+        loop {
+            let connected = self.connect(&of.to, of.until).await;
+            let (mut connection, reused) = connected.ok_or(Ending::ConnectFailed)?;
+            // Guards against a client that left, or a list that came, before this turn began: the runtime asks the
+            // system once more what has come, and hands that to those who wait for it first.
+            yield_now().await;
+            let request = of.request().ok_or(Ending::Moot)?;
+            of.begin_on(&connection);
+            let answer = connection.sender.try_send_request(request).await;
+            let refused = connection.write.refused();
+            match (answer, connection.write.progress()) {
+                (Ok(answer), Progress::Whole) if refused.is_none() => return Ok((connection, answer)),
+                // Of no request that was not whole at the upstream; it can't get whole any more.
+                (Ok(answer), _) if ending(&answer) == Ending::Full => return Err(Ending::Full),
+                (Ok(_), _) => return Err(Ending::ConnectFailed),
+                (Err(_), _) if refused == Some(Refused::Over) => return Err(Ending::Moot),
+                (Err(_), _) if refused == Some(Refused::Stale) => {}
+                // A connection that was idle and had been closed meanwhile, or has brought something unasked, says
+                // nothing about the upstream, so the next one is tried; each is tried once.
+                (Err(_), Progress::Unwritten) if reused => {}
+                (Err(_), Progress::Unwritten | Progress::Partial) => return Err(Ending::ConnectFailed),
+                (Err(_), Progress::Whole) => return Err(Ending::Reset),
+            }
+        }
+    }
+
     /// Carries one attempt out: its request is written once at most. Dropping the future closes the connection.
     pub async fn attempt(&self, to: Rc<Upstream>, out: Rc<Outgoing>, until: Instant) -> Ended {
         let failed = |ending| Ended { ending, answer: None, held: None, served: None };
-        let mut request = match out.request() {
-            Ok(request) => request,
-            Err(_) => return failed(Ending::Moot),
-        };
-        let (mut conn, answer) = loop {
-            let (mut conn, reused) = match to.take(self.idle) {
-                Some(conn) => (conn, true),
-                None => match self.dial(to.addr.get(), until).await {
-                    Some(conn) => (conn, false),
-                    None => return failed(Ending::ConnectFailed),
-                },
-            };
-            let now = Instant::now();
-            // Guards against what was decided before dialling and must not be written after it: the upstream may
-            // drain, the attempt's time or the request itself may be over by now.
-            if to.closed.get() || now >= until || out.over.get() {
-                return failed(Ending::Moot);
-            }
-            let left = (until - now).as_micros();
-            if let Ok(left) = HeaderValue::try_from(format!("{left}u")) {
-                request.headers_mut().insert(DEADLINE, left);
-            }
-            match conn.sender.try_send_request(request).await {
-                Ok(answer) => break (conn, answer),
-                // Handed back whole: nothing was written. A connection that rested and had been closed meanwhile
-                // says nothing about the upstream, so the next one is tried; each is tried once.
-                Err(mut e) => match e.take_message() {
-                    Some(back) if reused => request = back,
-                    Some(_) => return failed(Ending::ConnectFailed),
-                    None => return failed(Ending::Reset),
-                },
-            }
+        let of = Exchange { to, out, until };
+        let (mut connection, answer) = match self.exchange(&of).await {
+            Ok(exchanged) => exchanged,
+            Err(ending) => return failed(ending),
         };
         let (ending, headers) = (ending(&answer), answer.headers());
         let (held, served) = (reported(headers, HELD), reported(headers, SERVED));
         let (head, body) = answer.into_parts();
         let Ok(body) = Limited::new(body, BODY_MOST).collect().await else { return failed(Ending::Reset) };
         // Back before the outcome is told: what the module sends next may go on this connection.
-        if let Ok(Ok(())) = timeout(SETTLE, conn.sender.ready()).await {
-            to.give_back(conn);
+        if let Ok(Ok(())) = timeout(READY_WAIT, connection.sender.ready()).await {
+            of.to.give_back(connection);
         }
         let answer = (ending == Ending::Ok).then(|| {
             let mut headers = head.headers;
@@ -110,6 +126,52 @@
     }
 }
 
+/// A request on its way to an upstream, and until when it is waited for.
+struct Exchange {
+    to: Rc<Upstream>,
+    out: Rc<Outgoing>,
+    until: Instant,
+}
+
+impl Exchange {
+    /// The request with the time that is left now; `None` if it may not be written any more.
+    fn request(&self) -> Option<Request<Full<Bytes>>> {
+        let now = Instant::now();
+        may_begin(&self.to, &self.out, self.until, now).ok()?;
+        let left = (self.until - now).as_micros();
+        let mut request = self.out.request().ok()?;
+        request.headers_mut().insert(DEADLINE, HeaderValue::try_from(format!("{left}u")).ok()?);
+        Some(request)
+    }
+
+    /// Has the write of the request checked on `connection`.
+    fn begin_on(&self, connection: &Connection) {
+        let (to, out, until) = (self.to.clone(), self.out.clone(), self.until);
+        let stamped = Instant::now();
+        connection.write.begin(move |progress| {
+            let now = Instant::now();
+            match progress {
+                Progress::Unwritten => may_begin(&to, &out, until, now)?,
+                _ if out.over.get() => return Err(Refused::Over),
+                _ => return Ok(()),
+            }
+            if now - stamped > STAMP_MOST {
+                return Err(Refused::Stale);
+            }
+            Ok(())
+        });
+    }
+}
+
+/// Whether the first byte of a request may be written. Guards against what was decided before dialling and must not be
+/// written after it: the upstream may drain, the attempt's time or the request itself may be over by now.
+fn may_begin(to: &Upstream, out: &Outgoing, until: Instant, now: Instant) -> Result<(), Refused> {
+    if to.closed.get() || out.over.get() || now >= until {
+        return Err(Refused::Over);
+    }
+    Ok(())
+}
+
 /// What an answer says. Only a mark that the request was turned away proves that it never ran.
 fn ending<B>(answer: &Response<B>) -> Ending {
     let declined = answer.headers().get(DECLINED).is_some_and(|v| v == "1");
--- a/node/src/upstreams/mod.rs
+++ b/node/src/upstreams/mod.rs
@@ -3,6 +3,7 @@
 mod connection;
 mod load_report;
 mod pool;
+mod request_write;
 
 pub use attempt::{Ended, Transport};
 pub use pool::Upstream;
--- /dev/null
+++ b/node/src/upstreams/request_write.rs
@@ -0,0 +1,176 @@
+//! The write of one request, checked at the system call. The request is handed to the connection's task, which writes in
+//! a later turn: what was true when it was handed over may be over by then, so that it is asked once more here.
+use socket2::SockRef;
+use std::cell::{Cell, RefCell};
+use std::io::{self, ErrorKind, IoSlice};
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// How much of a request the system has taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// Not a byte: another connection may carry it.
+    Unwritten,
+    /// Not all: it never runs if the connection ends now.
+    Partial,
+    /// All: it may run.
+    Whole,
+}
+
+/// Why a request was not written, or not to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// The request has ended, or nothing more may be written to this upstream.
+    Over,
+    /// What its head says has grown too old.
+    Stale,
+    /// Bytes or an end of the connection came before the request was written: they are no answer to it.
+    Spoilt,
+}
+
+type Permission = Box<dyn Fn(Progress) -> Result<(), Refused>>;
+
+/// The request that a connection carries now, as far as it is written.
+pub struct RequestWrite {
+    permission: RefCell<Option<Permission>>,
+    /// Bytes of it that the system has not taken; known once its first write is tried.
+    missing: Cell<Option<usize>>,
+    progress: Cell<Progress>,
+    /// Something was read while the request was half written.
+    early: Cell<bool>,
+    refused: Cell<Option<Refused>>,
+}
+
+impl RequestWrite {
+    /// A connection that carries nothing yet.
+    pub fn new() -> Rc<RequestWrite> {
+        Rc::new(RequestWrite {
+            permission: RefCell::default(),
+            missing: Cell::new(None),
+            progress: Cell::new(Progress::Unwritten),
+            early: Cell::new(false),
+            refused: Cell::new(None),
+        })
+    }
+
+    /// A request is about to be handed over. `permission` is asked before each write, until the request is whole.
+    pub fn begin(&self, permission: impl Fn(Progress) -> Result<(), Refused> + 'static) {
+        *self.permission.borrow_mut() = Some(Box::new(permission));
+        self.missing.set(None);
+        self.progress.set(Progress::Unwritten);
+        self.early.set(false);
+        self.refused.set(None);
+    }
+
+    /// How much of the request has been written.
+    pub fn progress(&self) -> Progress {
+        self.progress.get()
+    }
+
+    /// Why it was not written, if a check refused it.
+    pub fn refused(&self) -> Option<Refused> {
+        self.refused.get()
+    }
+
+    /// Asks whether the next bytes may be written.
+    fn check(&self, stream: &TcpStream) -> Result<(), Refused> {
+        let progress = self.progress.get();
+        if progress == Progress::Whole {
+            return Ok(());
+        }
+        if let Some(permission) = &*self.permission.borrow() {
+            permission(progress)?;
+        }
+        if self.early.get() || has_input(stream) {
+            return Err(Refused::Spoilt);
+        }
+        Ok(())
+    }
+
+    /// Notes that something was read, or the end of what there is.
+    fn read(&self) {
+        if self.progress.get() == Progress::Partial {
+            self.early.set(true);
+        }
+    }
+
+    /// Notes that of `offered` bytes `written` were taken. The whole request is offered at its first write: its body is
+    /// one piece in memory. Only of a head that fills the write buffer alone the body comes later; such a request
+    /// counts as whole too early, which is the safe side.
+    fn wrote(&self, offered: usize, written: usize) {
+        let missing = self.missing.get().unwrap_or(offered).saturating_sub(written);
+        self.missing.set(Some(missing));
+        self.progress.set(if missing == 0 { Progress::Whole } else { Progress::Partial });
+    }
+}
+
+/// Whether bytes, an end or an error lie on a connection on which nothing is due. Asks the system itself: the runtime
+/// learns only once a turn what has come.
+fn has_input(stream: &TcpStream) -> bool {
+    let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
+    !matches!(peeked, Err(e) if e.kind() == ErrorKind::WouldBlock)
+}
+
+/// A connection whose writes are checked.
+pub struct CheckedStream {
+    stream: TcpStream,
+    request: Rc<RequestWrite>,
+}
+
+impl CheckedStream {
+    /// Checks what is written to `stream` for `request`.
+    pub fn new(stream: TcpStream, request: Rc<RequestWrite>) -> CheckedStream {
+        CheckedStream { stream, request }
+    }
+}
+
+impl AsyncRead for CheckedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        ready!(Pin::new(&mut this.stream).poll_read(cx, buffer))?;
+        this.request.read();
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for CheckedStream {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[IoSlice::new(bytes)])
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        pieces: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        if let Err(refused) = this.request.check(&this.stream) {
+            this.request.refused.set(Some(refused));
+            return Poll::Ready(Err(ErrorKind::ConnectionAborted.into()));
+        }
+        let offered = pieces.iter().map(|piece| piece.len()).sum();
+        let written = ready!(Pin::new(&mut this.stream).poll_write_vectored(cx, pieces))?;
+        this.request.wrote(offered, written);
+        Poll::Ready(Ok(written))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/node/tests/common/raw.rs
@@ -0,0 +1,84 @@
+//! An upstream whose connections the test itself reads and writes, in the order that it wants.
+use super::{read, Message, PATIENCE};
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+/// A listener that accepts when it is told to.
+pub struct RawUpstream {
+    listener: TcpListener,
+    pub addr: SocketAddr,
+}
+
+impl RawUpstream {
+    pub fn start() -> RawUpstream {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+        let addr = listener.local_addr().expect("an address");
+        RawUpstream { listener, addr }
+    }
+
+    /// The next connection.
+    pub fn accept(&self) -> RawConnection {
+        self.listener.set_nonblocking(true).expect("does not block");
+        let began = Instant::now();
+        let stream = loop {
+            match self.listener.accept() {
+                Ok((stream, _)) => break stream,
+                Err(_) => assert!(began.elapsed() < PATIENCE, "no connection comes"),
+            }
+            std::thread::yield_now();
+        };
+        stream.set_nonblocking(false).expect("blocks");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        stream.set_nodelay(true).expect("writes at once");
+        RawConnection(BufReader::new(stream))
+    }
+}
+
+/// An upstream's end of a connection.
+pub struct RawConnection(BufReader<TcpStream>);
+
+impl RawConnection {
+    /// The next request; `None` at the end of the connection.
+    pub fn request(&mut self) -> Option<Message> {
+        read(&mut self.0)
+    }
+
+    /// Whether something lies there to be read, or the end.
+    pub fn has_input(&self) -> bool {
+        let stream = self.0.get_ref();
+        stream.set_nonblocking(true).expect("does not block");
+        let has = stream.peek(&mut [0]).is_ok();
+        stream.set_nonblocking(false).expect("blocks");
+        has
+    }
+
+    pub fn write(&mut self, text: &str) {
+        // A connection that was closed shows in what the balancer answers.
+        self.try_write(text);
+    }
+
+    /// The same; whether the connection still takes it.
+    pub fn try_write(&mut self, text: &str) -> bool {
+        self.0.get_mut().write_all(text.as_bytes()).is_ok()
+    }
+
+    pub fn answer(&mut self, body: &str) {
+        self.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    }
+
+    /// Ends the connection with a reset, once the other side has taken what was written.
+    pub fn reset(self) {
+        let socket = socket2::SockRef::from(self.0.get_ref());
+        socket.set_linger(Some(Duration::ZERO)).expect("lingers not");
+    }
+
+    /// Waits until the other side has ended the connection, and returns what came until then.
+    pub fn ended(mut self) -> Vec<u8> {
+        let mut got = Vec::new();
+        if let Err(e) = self.0.read_to_end(&mut got) {
+            assert_eq!(e.kind(), std::io::ErrorKind::ConnectionReset, "it does not end");
+        }
+        got
+    }
+}
