--- a/src/policy/answers.rs
+++ b/src/policy/answers.rs
@@ -25,6 +25,12 @@
         parts.min_by(f64::total_cmp).unwrap_or(0.0)
     }
 
+    /// How many times longer answers of a kind take than the mean one; at least once.
+    pub fn slower(&self, kind: u8) -> f64 {
+        let (times, answers) = self.kinds.values().fold((0.0, 0.0), |(t, n), k| (t + k.0 * k.1, n + k.1));
+        self.kinds.get(&kind).map_or(1.0, |kind| (kind.0 * answers / times).max(1.0))
+    }
+
     /// What its answers take, in objectives, once its kind has answered: its own slowness fades if unused.
     pub fn usual(&self, u: &Upstream, now: Millis) -> Option<f64> {
         let (kind, _) = self.kinds.get(&u.member.kind).filter(|(kind, _)| *kind > 0.0)?;
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -178,3 +178,16 @@
         assert!(worst <= 1.0, "{fleet:?}: {worst} times the budget");
     }
 }
+
+/// A slow machine can do half of what the mean one can, and was allowed as much.
+#[test]
+fn a_slow_kind_is_sent_no_more_than_it_bears() {
+    let slow = |d: &mut Day| {
+        burst_after_quiet(d);
+        d.size = with_slow_kind;
+    };
+    for fleet in [(100, 8, 80.0), (300, 8, 80.0), (300, 30, 40.0)] {
+        let worst = worst_of(fleet, 3, slow);
+        assert!(worst <= 1.0, "{fleet:?}: {worst} times the budget");
+    }
+}
