--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -64,10 +64,9 @@
         let repeats = again && self.settings.classes[p.class].effect != Effect::SingleShot;
         let (latency, objective) = (f.answers.latency, self.settings.classes[p.class].objective);
         let usual = f.answers.usual(u, now).map_or(latency, |part| part * objective);
-        let usual = usual.clamp(latency, 3.0 * latency);
-        let patience = usual + (TIMEOUT_DEVIATIONS * f.answers.deviation).max(latency);
-        let timely = now + patience + latency < p.ends;
-        let early = (suspect && repeats && timely).then_some(patience);
+        let wait = (TIMEOUT_DEVIATIONS * f.answers.deviation).max(latency);
+        let patience = usual.clamp(latency, 3.0 * latency) + wait;
+        let early = (suspect && repeats && now + patience + latency < p.ends).then_some(patience);
         early.unwrap_or(p.ends - now)
     }
 
--- a/src/policy/capacity.rs
+++ b/src/policy/capacity.rs
@@ -111,8 +111,7 @@
         self.answers += 1.0;
     }
 
-    /// Moves the learned capacity: up on timely answers, the more the sooner they came; down on others.
-    /// A mean decides, with room for the tail that slow servers and heavy calls keep however little is sent.
+    /// Moves the learned capacity: up the more the sooner answers come; down beyond the tail that always is.
     fn adapt(&mut self, admitted: f64) {
         if self.answers < LEARN_LEAST {
             return;
--- a/src/policy/pick.rs
+++ b/src/policy/pick.rs
@@ -34,7 +34,7 @@
         })
     }
 
-    /// The less busy of two random usable upstreams; one in slow start is drawn first, before its token lapses.
+    /// The less busy of two random usable upstreams; one in slow start that has a token is drawn first.
     pub fn pick(&mut self, ask: &PickRequest, rng: &mut Rng) -> Option<usize> {
         let (n, near) = (self.subset.pools[ask.pool].members.len(), self.subset.pools[ask.pool].near);
         if n == 0 {
--- a/src/policy/zones.rs
+++ b/src/policy/zones.rs
@@ -24,8 +24,7 @@
         }
     }
 
-    /// Counts a call that is out, where answers take so long. Time counts up to the last answer from
-    /// anywhere: where none comes, to leave would crowd the rest.
+    /// Counts a call that is out, up to the last answer from anywhere: where none comes, all would be left.
     pub fn owe(&mut self, zone: u16, sent: Millis, takes: Millis) {
         let z = self.by_zone.entry(zone).or_default();
         z.owes += ((self.heard - sent.max(z.heard)) / takes - 1.0).clamp(0.0, ZONE_OWES_EACH);
