Bound the sum of what balancers take for carried, however many run

Symptom: with three times as many processes as the settings state, a cold upstream is sent 1.04 times its budget under the usual load and 1.13 times under twice that. Lines at fault: capacity.rs, `carried`: each process takes the even part of the quotas by the stated number, whatever it is asked, and what it admits, also if that is late or fails. Change: the part of the quotas is at most twice what clients ask of this balancer, or, where upstreams say what they serve, its part of that; what is admitted counts as far as it is answered in time (a third at least, or nothing would come back).

--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -24,7 +24,8 @@
             (Some((.., zone, group)), Effect::Guarded { scope, .. }) => Some((scope, zone, group)),
         };
         let ready = self.fleet.subset.pools.iter().map(|p| p.members.len()).fold(1, usize::max) as f64;
-        let cold_rate = self.capacity.carried() / CYCLE / ready * SLOW_START_PART * s.tip_multiple;
+        let asked = self.admission.tenants.iter().map(|t| t.demand).sum();
+        let cold_rate = self.capacity.carried(asked) / CYCLE / ready * SLOW_START_PART * s.tip_multiple;
         let harmless = p.sends == 0
             && s.classes[p.class].effect.harmless()
             && now + 3.0 * self.fleet.answers.latency < p.ends;
--- a/src/policy/capacity.rs
+++ b/src/policy/capacity.rs
@@ -98,10 +98,13 @@
         self.load.served = served.map_or(0.0, |served| before + DEMAND_GAIN * (served - before));
     }
 
-    /// What the ready upstreams carry per cycle for this copy when all is well, though less is admitted after
-    /// an overload, when cold ones are needed most.
-    pub fn carried(&self) -> f64 {
-        self.load.recent.max(self.quota * self.listed)
+    /// What the upstreams carry per cycle for this balancer when all is well, though an overload admits less.
+    /// More balancers than stated get less each: by what is served in all, else by what each is asked.
+    pub fn carried(&self, asked: f64) -> f64 {
+        let (carried, served) = (self.load.recent * self.load.success.max(FLOOR_LEAST), self.load.served);
+        let (told, even) = (served > 0.0 && self.quotas > 0.0, self.quota.min(CAPACITY_ROOM * asked));
+        let part = if told { self.quotas * (carried / served).min(1.0) } else { even };
+        carried.max(part * self.listed)
     }
 
     /// Takes note of how late an answer was.
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -191,3 +191,20 @@
         assert!(worst <= 1.0, "{fleet:?}: {worst} times the budget");
     }
 }
+
+/// Every process took an even part of the quotas by the stated number: the sum grew with those that ran beside.
+#[test]
+fn more_processes_than_stated_keep_to_the_budget() {
+    let many = |d: &mut Day| d.stated = d.balancers.div_ceil(3);
+    let served = |d: &mut Day| {
+        d.stated = d.balancers.div_ceil(3);
+        d.load = |_| 2.0;
+        d.says_served = true;
+    };
+    for fleet in [(12, 8, 40.0), (100, 8, 40.0), (300, 8, 80.0), (300, 30, 20.0)] {
+        let worst = worst_of(fleet, 3, many);
+        assert!(worst <= 1.0, "{fleet:?}, usual load: {worst} times the budget");
+        let worst = worst_of(fleet, 3, served);
+        assert!(worst <= 1.0, "{fleet:?}, overload, upstreams say what they serve: {worst} times the budget");
+    }
+}
