--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -26,9 +26,8 @@
         let ready = self.fleet.subset.pools.iter().map(|p| p.members.len()).fold(1, usize::max) as f64;
         let asked = self.admission.tenants.iter().map(|t| t.demand).sum();
         let cold_rate = self.capacity.carried(asked) / CYCLE / ready * SLOW_START_PART * s.tip_multiple;
-        let harmless = p.sends == 0
-            && s.classes[p.class].effect.harmless()
-            && now + 3.0 * self.fleet.answers.latency < p.ends;
+        let harmless = p.sends == 0 && s.classes[p.class].effect.harmless();
+        let harmless = harmless && now + 3.0 * self.fleet.answers.latency < p.ends;
         let (tier, pool, avoid, desperate) = (&self.tier, p.class, p.last, false);
         let ask = PickRequest { settings: s, tier, now, pool, cold_rate, avoid, harmless, desperate, scope };
         let last_resort = PickRequest { avoid: None, desperate: true, ..ask };
--- a/src/policy/pick.rs
+++ b/src/policy/pick.rs
@@ -47,14 +47,12 @@
         let start = below(rng, n);
         let cold = self.cold_with_token(if lean { near } else { n }, start, ask);
         for draw in 0..DRAWS + n {
-            // Should the draws miss the few that will do, walk once round the list: rare, and never far.
-            if draw >= DRAWS && best.is_some() {
-                break;
-            }
             let drawn = if lean && (both || best.is_none()) { near } else { n };
             let k = if draw < DRAWS { below(rng, drawn) } else { (start + draw) % n };
             let i = self.subset.pools[ask.pool].members[cold.filter(|_| draw == 0).unwrap_or(k)];
-            let out = (best == Some(i) && n > 1) || ask.avoid == Some(i);
+            // Should the draws miss the few that will do, walk once round the list, up to the first: rare.
+            let walked = draw >= DRAWS && best.is_some();
+            let out = walked || (best == Some(i) && n > 1) || ask.avoid == Some(i);
             let (zone, allowed) = (self.slots[i].member.zone, ask.allows(&self.slots[i].member));
             if out || !allowed || !self.usable(i, ask) || !self.zones.stands(zone, ask, rng) {
                 continue;
--- a/src/policy/subset.rs
+++ b/src/policy/subset.rs
@@ -10,8 +10,7 @@
 pub const SUBSET_LEAST: usize = 8;
 
 impl Subset {
-    /// Connections grow as copies times servers: each copy keeps to a run of the ring, evenly placed by its
-    /// own number, so that every upstream serves about as many copies as the next.
+    /// Each balancer keeps to a run of the ring, evenly placed by its number, as connections are scarce.
     pub fn choose(&mut self, slots: &[Upstream], by_id: &ById, zone: Option<u16>, s: &Settings) {
         let ready = |&&i: &&usize| slots[i].member.availability == Availability::Ready;
         let mut ring: Vec<usize> = by_id.values().filter(ready).copied().collect();
