--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -25,10 +25,10 @@
             return false;
         }
         let ready = self.fleet.subset.pools.iter().map(|p| p.members.len()).fold(1, usize::max) as f64;
-        let cold_rate = self.capacity.carried() / CYCLE / ready * SLOW_START_PART * s.tip_multiple;
-        let harmless = p.sends == 0
-            && s.classes[p.class].effect.harmless()
-            && now + 3.0 * self.fleet.answers.latency < p.ends;
+        let asked = self.admission.tenants.iter().map(|t| t.demand).sum();
+        let cold_rate = self.capacity.carried(asked) / CYCLE / ready * SLOW_START_PART * s.tip_multiple;
+        let harmless = p.sends == 0 && s.classes[p.class].effect.harmless();
+        let harmless = harmless && now + 3.0 * self.fleet.answers.latency < p.ends;
         let (tier, pool, avoid, desperate) = (&self.tier, p.class, p.last, false);
         let ask = PickRequest { settings: s, tier, now, pool, cold_rate, avoid, harmless, desperate, scope };
         let last_resort = PickRequest { avoid: None, desperate: true, ..ask };
@@ -64,10 +64,9 @@
         let repeats = again && self.settings.classes[p.class].effect != Effect::SingleShot;
         let (latency, objective) = (f.answers.latency, self.settings.classes[p.class].objective);
         let usual = f.answers.usual(u, now).map_or(latency, |part| part * objective);
-        let usual = usual.clamp(latency, 3.0 * latency);
-        let patience = usual + (TIMEOUT_DEVIATIONS * f.answers.deviation).max(latency);
-        let timely = now + patience + latency < p.ends;
-        let early = (suspect && repeats && timely).then_some(patience);
+        let wait = (TIMEOUT_DEVIATIONS * f.answers.deviation).max(latency);
+        let patience = usual.clamp(latency, 3.0 * latency) + wait;
+        let early = (suspect && repeats && now + patience + latency < p.ends).then_some(patience);
         early.unwrap_or(p.ends - now)
     }
 
