--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A balancer under test between small fakes: callers, upstreams and discovery, on ephemeral loopback ports.
 //! Everything waits for what it needs to have happened; [`PATIENCE`] only ends a test that has failed.
 #![allow(dead_code)]
+pub mod agent;
+
 use oakflow_lab::net::{Manner, Port};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- /dev/null
+++ b/node/tests/discovery.rs
@@ -0,0 +1,152 @@
+//! Discovery that misbehaves, seen from real sockets: what it has to tell comes into use all the same. How long that
+//! may take is tested on injected time in `discovery_watch.rs`.
+mod common;
+use common::agent::{Agent, Manner};
+use common::*;
+use std::io::Write;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const MODES: [&str; 2] = ["pushed", "on_request"];
+
+/// A balancer that knows version 1 with this upstream alone.
+fn knowing(agent: &Agent, mode: &str, old: &Upstream) -> Node {
+    let known = listing(1, true, &[(0, old.addr, "active")]);
+    let config = config(agent.addr, 1024, &known).replace("on_request", mode);
+    Node::run(command(&config), Discovery::start())
+}
+
+/// Waits until requests go to the upstream that answers so.
+fn served_by(node: &Node, body: &[u8]) {
+    let (mut client, started) = (node.client(), Instant::now());
+    while client.call(&get("r", "5000m")).body != body {
+        assert!(started.elapsed() < PATIENCE, "the list is not in use");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// News that version 2 brings, after calls that meet something else first.
+fn news_comes_into_use(first: impl Fn(usize, String) -> Option<Manner> + Clone + Send + Sync + 'static) {
+    for mode in MODES {
+        let (old, new) = (Upstream::start(|_| ok("old")), Upstream::start(|_| ok("new")));
+        let (list, first) = (listing(2, true, &[(1, new.addr, "active")]), first.clone());
+        let agent = Agent::start(move |number, path| match path.contains("since=2&") {
+            true => Manner::Silent,
+            false => first(number, list.clone()).unwrap_or(Manner::Answers(list.clone())),
+        });
+        let node = knowing(&agent, mode, &old);
+        served_by(&node, b"new");
+    }
+}
+
+#[test]
+fn half_an_answer_is_asked_for_anew() {
+    news_comes_into_use(|number, list| (number < 2).then_some(Manner::Half(list)));
+}
+
+#[test]
+fn a_watch_that_ends_instead_of_telling_is_asked_anew() {
+    news_comes_into_use(|number, _| (number < 2).then_some(Manner::Ends));
+}
+
+#[test]
+fn an_answer_that_trickles_for_ever_holds_nothing_up() {
+    news_comes_into_use(|number, _| (number < 3).then_some(Manner::Trickles));
+}
+
+/// Each answer takes 3 s, head and body in small pieces.
+#[test]
+fn a_list_that_takes_long_but_keeps_coming_is_taken() {
+    news_comes_into_use(|_, list| Some(Manner::Pieces(list, 30, Duration::from_millis(100))));
+}
+
+#[test]
+fn a_discovery_that_cannot_be_connected_to_is_reached_once_it_can() {
+    let (old, new) = (Upstream::start(|_| ok("old")), Upstream::start(|_| ok("new")));
+    let silent = Unreachable::start();
+    let known = listing(1, true, &[(0, old.addr, "active")]);
+    let node = Node::run(command(&config(silent.addr, 1024, &known)), Discovery::start());
+    node.logs_times("discovery: no answer in time", 3);
+    let mut call = silent.reach();
+    assert!(read(&mut call).expect("a call").start.contains("since=1&"));
+    let list = listing(2, true, &[(1, new.addr, "active")]);
+    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
+    call.get_mut().write_all(answer.as_bytes()).expect("writes");
+    served_by(&node, b"new");
+}
+
+#[test]
+fn a_reload_ends_the_pause_after_a_failed_call() {
+    let (old, new) = (Upstream::start(|_| ok("old")), Upstream::start(|_| ok("new")));
+    let known = listing(1, true, &[(0, old.addr, "active")]);
+    let node = Node::run(command(&config(refusing(), 1024, &known)), Discovery::start());
+    // The module waits ever longer now.
+    node.logs_times("discovery: ", 4);
+    let list = listing(2, true, &[(1, new.addr, "active")]);
+    let moved = Agent::start(move |_, path| match path.contains("since=2&") {
+        true => Manner::Silent,
+        false => Manner::Answers(list.clone()),
+    });
+    node.reload(&config(moved.addr, 1024, "null"));
+    moved.called_with("since=1&");
+    moved.called_with("since=2&");
+    served_by(&node, b"new");
+}
+
+/// What a whole list does not name is gone, though it would still answer.
+#[test]
+fn what_a_whole_list_does_not_name_gets_nothing_more_and_its_idle_connections_close() {
+    let (old, new) = (Upstream::start(|_| ok("old")), Upstream::start(|_| ok("new")));
+    let node = Node::with(&[old.addr]);
+    let mut client = node.client();
+    assert_eq!(client.call(&get("r1", "5000m")).body, b"old");
+    old.request();
+    node.discovery.answer(&listing(2, true, &[(1, new.addr, "active")]));
+    old.closed();
+    for n in 0..20 {
+        assert_eq!(client.call(&get(&format!("n{n}"), "5000m")).body, b"new");
+    }
+    assert_eq!(old.further(), 0);
+}
+
+#[test]
+fn nothing_is_written_to_an_upstream_that_a_whole_list_leaves_out_while_it_is_dialled() {
+    let (full, new) = (Unreachable::start(), Upstream::start(|_| ok("new")));
+    let discovery = Discovery::start();
+    let known = listing(1, true, &[(0, full.addr, "active")]);
+    let config = config(discovery.addr, 1024, &known)
+        .replace("\"idle_close\"", "\"dial_timeout\":20000,\"idle_close\"")
+        .replace("\"drain_grace\":1000", "\"drain_grace\":20000");
+    let node = Node::run(command(&config), discovery);
+    node.discovery.called();
+    let without = node.descriptors();
+    let mut client = node.client();
+    client.send(&pay("r1", "20000m"));
+    node.holds(|n| n >= without + 2, "it does not dial");
+    node.discovery.answer(&listing(2, true, &[(1, new.addr, "active")]));
+    assert!(node.discovery.called().contains("since=2&"));
+    assert!(read(&mut full.reach()).is_none());
+}
+
+/// Idle clients fill all descriptors that there are, while discovery is down; the watch still reaches it.
+#[test]
+fn clients_that_fill_the_descriptors_leave_one_to_discovery() {
+    let (old, new) = (Upstream::start(|_| ok("old")), Upstream::start(|_| ok("new")));
+    let (list, down) = (listing(2, true, &[(1, new.addr, "active")]), Arc::new(Mutex::new(true)));
+    let is_down = down.clone();
+    let agent = Agent::start(move |_, path| match *is_down.lock().expect("no panic") {
+        true => Manner::Ends,
+        false if path.contains("since=2&") => Manner::Silent,
+        false => Manner::Answers(list.clone()),
+    });
+    let known = listing(1, true, &[(0, old.addr, "active")]);
+    let limited = limited_command(&config(agent.addr, 64, &known), 64);
+    let node = Node::run(limited, Discovery::start());
+    let idle: Vec<Client> = (0..100).map(|_| node.client()).collect();
+    node.holds(|n| n > 32, "the clients are not taken");
+    node.logs_times("discovery: ", 3);
+    *down.lock().expect("no panic") = false;
+    agent.called_with("since=2&");
+    drop(idle);
+    served_by(&node, b"new");
+}
--- a/node/tests/silence.rs
+++ b/node/tests/silence.rs
@@ -57,3 +57,22 @@
 fn what_three_silences_of_a_list_that_is_asked_for_hid_is_known_in_time() {
     what_three_silences_hid_is_known_in_time("on_request");
 }
+
+/// A process without a list asks no more rarely the longer discovery is silent: it would stay without one for long after
+/// discovery is back.
+#[test]
+fn a_first_list_is_asked_for_as_often_as_changes() {
+    for mode in ["pushed", "on_request"] {
+        let new = Upstream::start(|_| ok("new"));
+        let (addr, calls) = silent(4, listing(6, true, &[(1, new.addr, "active")]));
+        let config = config(addr, 1024, "null").replace("on_request", mode);
+        let node = Node::run(command(&config), Discovery::start());
+        let calls: Vec<Instant> = (0..5).map(|_| calls.recv_timeout(PATIENCE).expect("a call")).collect();
+        // 1.5 s each; a slow machine lengthens a wait, but not the last beyond the first by so much.
+        assert!(calls[4] - calls[3] < Duration::from_secs(4), "{mode}: {calls:?}");
+        let (mut client, started) = (node.client(), Instant::now());
+        while client.call(&get("r", "5000m")).body != b"new" {
+            assert!(started.elapsed() < PATIENCE, "{mode}: the list is not in use");
+        }
+    }
+}
