Ask for the whole list where the one that is known at the start is empty

Need: nine in ten restarted processes are ready within 10 s. Symptom: a balancer whose `known` is an empty list, with a discovery that takes 4 s to begin its answers, was not ready after 10 s. Suspects: the watch (ruled out: with no list known the same discovery is borne, as a call for the whole list may be late); the version of the empty list (at fault, node/src/main.rs: it makes the first call a watch, which is given up after 1.5 s of silence each time). Change: changes to an empty list are not asked for; the whole list is.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -234,7 +234,9 @@
         handle.restored(learned, age);
     }
     let (moved, discovery) = watch::channel(discovery);
-    let watcher = Discovery::new(discovery, names, known.as_ref().map(|k| k.version));
+    // An empty list says nothing that changes could follow.
+    let version = known.as_ref().filter(|k| !k.entries.is_empty()).map(|k| k.version);
+    let watcher = Discovery::new(discovery, names, version);
     tokio::task::spawn_local(watcher.run(handle.clone(), !deployment.policy.ask_for_list));
     let longest = deployment.policy.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
     let held = Held::new(deployment.policy.tenants.len().max(1) + 1);
