Take an upstream at another address, or with another start, for another process

Symptom, shown by a test: an upstream gets another address in the list while a request to it is out; when that is answered, its connection to the former address goes among the idle ones, and the next request is sent there. An attempt that dials the former address would be written to it too. Suspects: `close_idle` on a change (ruled out: it runs, but the connection is in use then); the look at `closed` after dialling and before a connection is kept (ruled out: it works, but nothing sets it). At fault are the lines of `note_list` in node/src/driver/list.rs that put the new address into the object which the attempts hold. Change: the object is closed and replaced; attempts that are out hold the former one, to which nothing more is written and whose connections are not kept. What was sent before still gets its answer. Test: `a_connection_to_a_former_address_is_not_used_again`. The same while it dials has no test.

--- a/node/src/driver/list.rs
+++ b/node/src/driver/list.rs
@@ -67,7 +67,7 @@
         }
     }
 
-    /// Closes the idle connection that rested longest, of all upstreams: its socket is needed elsewhere.
+    /// Closes the connection that has been idle longest, of all upstreams: its socket is needed elsewhere.
     pub(super) fn free_socket(&mut self) {
         let oldest = self.upstreams.values().filter_map(|(u, ..)| Some((u.oldest_idle()?, u)));
         if let Some((_, upstream)) = oldest.min_by_key(|&(since, _)| since) {
@@ -77,10 +77,6 @@
 
     /// Keeps addresses and connections in step with the list.
     pub(super) fn note_list(&mut self, listing: &Listing, whole: bool) {
-        let close = |upstream: &Upstream| {
-            upstream.closed.set(true);
-            upstream.close_idle();
-        };
         self.listed |= !listing.entries.is_empty();
         if whole {
             for (id, (upstream, availability, _)) in &mut self.upstreams {
@@ -94,9 +90,11 @@
             let m = &entry.member;
             let fresh = || (Upstream::new(entry.name.clone(), m.zone, entry.addr), m.availability, m.since);
             let (upstream, availability, since) = self.upstreams.entry(m.id).or_insert_with(fresh);
-            // Another address or another start: the old connections lead nowhere.
-            if upstream.addr.replace(entry.addr) != entry.addr || *since != m.since {
-                upstream.close_idle();
+            // Another address or another start is another process. Attempts that are out to the former one keep their
+            // hold on it: nothing more is written to it, and their connections are not kept.
+            if upstream.addr.get() != entry.addr || *since != m.since {
+                close(upstream);
+                *upstream = fresh().0;
             }
             (*availability, *since) = (m.availability, m.since);
             match m.availability {
@@ -110,3 +108,9 @@
         }
     }
 }
+
+/// Lets nothing more be written to an upstream.
+fn close(upstream: &Upstream) {
+    upstream.closed.set(true);
+    upstream.close_idle();
+}
--- a/node/tests/discovery.rs
+++ b/node/tests/discovery.rs
@@ -4,6 +4,7 @@
 use common::agent::{Agent, Manner};
 use common::*;
 use std::io::Write;
+use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -128,6 +129,30 @@
     assert!(read(&mut full.reach()).is_none());
 }
 
+/// A name at another address is another process: a connection to the former one is not used again.
+#[test]
+fn a_connection_to_a_former_address_is_not_used_again() {
+    let (go, hold) = channel();
+    let hold = Arc::new(Mutex::new(Some(hold)));
+    let old = Upstream::start(move |_| match hold.lock().expect("no panic").take() {
+        Some(hold) => Then::Hold(hold, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold".into()),
+        None => ok("old"),
+    });
+    let new = Upstream::start(|_| ok("new"));
+    let node = Node::with(&[old.addr]);
+    let mut client = node.client();
+    client.send(&get("r1", "10000m"));
+    old.request();
+    node.discovery.answer(&listing(2, false, &[(0, new.addr, "active")]));
+    assert!(node.discovery.called().starts_with("/api/targets?since=1&"));
+    assert!(node.discovery.called().contains("since=2&"));
+    go.send(()).expect("it waits");
+    // What was sent on before still gets its answer.
+    assert_eq!(client.answer().expect("an answer").body, b"old");
+    assert_eq!(client.call(&get("r2", "10000m")).body, b"new");
+    assert_eq!(old.further(), 0);
+}
+
 /// Idle clients fill all descriptors that there are, while discovery is down; the watch still reaches it.
 #[test]
 fn clients_that_fill_the_descriptors_leave_one_to_discovery() {
