Say ready only while an upstream is known that takes requests

Need: a process that is ready serves somebody. Symptom, shown by a test: a balancer whose `known` holds only upstreams that leave answered `GET /-/ready` with 200 at once and refused each request. Suspects: the module (ruled out: it refuses rightly, as nobody takes work); the list from discovery (ruled out: the balancer had none yet). At fault: `ready` in node/src/driver/list.rs, which was set for ever by the first list with any entry, whatever its state. Change: it is looked up in the list as it stands. Tests: in readiness.rs `a_balancer_that_knows_nobody_to_send_to_is_not_ready`, and a list of which everybody leaves beside the three others in the three tests over all combinations.

--- a/node/src/driver/list.rs
+++ b/node/src/driver/list.rs
@@ -6,9 +6,10 @@
 use oakflow::{Availability, Event, Membership, UpstreamId};
 
 impl Handle {
-    /// Whether upstreams are known, so that requests can be served.
+    /// Whether an upstream is known that takes requests.
     pub fn ready(&self) -> bool {
-        self.0.driver.borrow().listed
+        let d = self.0.driver.borrow();
+        d.upstreams.values().any(|(_, availability, _)| *availability == Availability::Ready)
     }
 
     /// Closes an idle connection to an upstream, if there is one: its socket is needed elsewhere.
--- a/node/tests/readiness.rs
+++ b/node/tests/readiness.rs
@@ -32,10 +32,11 @@
 fn every_balancer_becomes_ready(manner: fn(usize, String) -> Manner) {
     let upstream = Upstream::start(|_| ok("x"));
     let old = listing(1, true, &[(0, upstream.addr, "active")]);
+    let leaving = listing(1, true, &[(7, refusing(), "leaving")]);
     let empty = listing(1, true, &[]);
     let list = listing(2, true, &[(0, upstream.addr, "active")]);
     let cases = ["pushed", "on_request"].into_iter().flat_map(|mode| {
-        [("absent", "null"), ("old", &*old), ("empty", &*empty)]
+        [("absent", "null"), ("old", &*old), ("empty", &*empty), ("leaving", &*leaving)]
             .map(|(name, known)| (mode, name, known.to_string()))
     });
     // All at once: what they wait for is time.
@@ -98,3 +99,15 @@
     let node = run(&agent, "pushed", &listing(1, true, &[(0, upstream.addr, "active")]));
     becomes_ready(&node, Instant::now(), "known");
 }
+
+/// Nobody can serve a request: not ready, whatever the list says beside.
+#[test]
+fn a_balancer_that_knows_nobody_to_send_to_is_not_ready() {
+    let agent = Agent::start(|_, _| Manner::Silent);
+    let leaving = listing(1, true, &[(0, refusing(), "leaving"), (1, refusing(), "leaving")]);
+    for known in ["null".to_string(), listing(1, true, &[]), leaving] {
+        let node = run(&agent, "pushed", &known);
+        agent.called();
+        assert!(!is_ready(&node), "{known}");
+    }
+}
