--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! A balancer under test between small fakes: callers, upstreams and discovery, on ephemeral loopback ports.
 //! Everything waits for what it needs to have happened; [`PATIENCE`] only ends a test that has failed.
 #![allow(dead_code)]
+pub mod agent;
 pub mod raw;
 
 use oakflow_lab::net::{Manner, Port};
