Name the key of the settings that is refused as the file has it, with its place

The same held for `repeat_window` and for keys of `permissions`, `invariants` and `charges`, which came without their part; and a message said `?:` where a key itself was not UTF-8.

Cause: the decision module checks the settings under its own names (validate in src/interface/settings.rs) and for the lists as a whole.

Change: settings/src/named.rs leads from the module's names to the file's and finds the entry at fault, in one pass also for the last of 50,000 tenants. Class errors of this crate have the place too. tests/settings.rs expects `classes[0].runs_in: ` at the start where it took `classes.runs_in` anywhere; that form is gone, and the new one is stricter.

--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -12,6 +12,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 mod limits;
+mod named;
 
 use limits::Lengths;
 use oakflow::{Class, DedupScope, Effect, Settings, Tenant};
@@ -159,7 +160,7 @@
     let mut json = serde_json::Deserializer::from_slice(json);
     // The path names the key of a value of the wrong type; the message alone does not.
     let s: Setup = serde_path_to_error::deserialize(&mut json).map_err(|e| match e.path().to_string() {
-        path if path == "." => e.inner().to_string(),
+        path if path == "." || path == "?" => e.inner().to_string(),
         path => format!("{path}: {}", e.inner()),
     })?;
     json.end().map_err(|e| e.to_string())?;
@@ -173,7 +174,7 @@
         balancers: s.balancers,
         stage: s.stage,
         zone: s.zone,
-        classes: s.classes.iter().map(class).collect::<Result<_, _>>()?,
+        classes: classes(&s.classes)?,
         tenants: s.tenants.iter().map(|t| Tenant { share: t.share, quota_per_s: t.quota_per_s }).collect(),
         attempts_cap: s.permissions.attempts_cap,
         cancel: s.permissions.cancel,
@@ -193,7 +194,7 @@
         zones: s.dcs.len(),
         kinds: s.kinds.len(),
     })?;
-    settings.validate().map_err(|e| e.to_string())?;
+    settings.validate().map_err(|e| named::refusal(&settings, &e))?;
     limits::check_objectives(&settings.classes)?;
     if !(0.0..=1e9).contains(&s.permissions.dial_timeout) {
         return Err("permissions.dial_timeout: must be a time of at least 0".into());
@@ -212,6 +213,12 @@
     })
 }
 
+fn classes(setups: &[ClassSetup]) -> Result<Vec<Class>, String> {
+    let named = |(i, setup)| class(setup).map_err(|what| format!("classes[{i}].{what}"));
+    setups.iter().enumerate().map(named).collect()
+}
+
+/// Reads a class; the message begins with the key at fault.
 fn class(c: &ClassSetup) -> Result<Class, String> {
     let effect = match c.effect.as_str() {
         "free" => Effect::Free,
@@ -221,11 +228,11 @@
                 "all" => DedupScope::All,
                 "zone" => DedupScope::Zone,
                 "cell" => DedupScope::Cell,
-                other => return Err(format!("classes.dedup_scope: unknown scope {other:?}")),
+                other => return Err(format!("dedup_scope: unknown scope {other:?}")),
             };
             Effect::Guarded { scope, window: c.repeat_window }
         }
-        other => return Err(format!("classes.effect: unknown effect {other:?}")),
+        other => return Err(format!("effect: unknown effect {other:?}")),
     };
     let (runs_in, kinds_only) = (c.runs_in.clone(), c.kinds_only.clone());
     let (objective, deadline, late_worth, worth) = (c.objective, c.deadline, c.late_worth, c.importance);
--- a/settings/tests/bad_input.rs
+++ b/settings/tests/bad_input.rs
@@ -143,29 +143,29 @@
         (
             r#""objective": 100, "deadline": 400, "effect": "free""#,
             r#""objective": 100, "deadline": 0, "effect": "free""#.into(),
-            "classes.deadline",
+            "classes[0].deadline: ",
         ),
-        (r#""deadline": 400"#, r#""deadline": 1e300"#.into(), "classes.deadline"),
+        (r#""deadline": 400"#, r#""deadline": 1e300"#.into(), "classes[0].deadline: "),
         (r#""deadline": 400"#, r#""deadline": 1e999"#.into(), "classes[0].deadline"),
         (r#""deadline": 400"#, r#""deadline": NaN"#.into(), "classes[0].deadline"),
-        (r#""deadline": 400"#, r#""deadline": -5"#.into(), "classes.deadline"),
+        (r#""deadline": 400"#, r#""deadline": -5"#.into(), "classes[0].deadline: "),
         (r#""deadline": 400"#, r#""deadline": "400""#.into(), "classes[0].deadline"),
         (r#""objective": 100"#, r#""objective": 1e-320"#.into(), "classes[0].objective"),
-        (r#""late_worth": 0.5"#, r#""late_worth": -0.5"#.into(), "classes.late_worth"),
-        (r#""importance": 8"#, r#""importance": 1e16"#.into(), "classes.worth"),
-        (r#""repeat_window": 900"#, r#""repeat_window": -1"#.into(), "classes.window"),
-        (r#""effect": "free""#, r#""effect": """#.into(), "classes.effect"),
+        (r#""late_worth": 0.5"#, r#""late_worth": -0.5"#.into(), "classes[0].late_worth: "),
+        (r#""importance": 8"#, r#""importance": 1e16"#.into(), "classes[1].importance: "),
+        (r#""repeat_window": 900"#, r#""repeat_window": -1"#.into(), "classes[1].repeat_window: "),
+        (r#""effect": "free""#, r#""effect": """#.into(), "classes[0].effect: "),
         (r#""runs_in": [0]"#, r#""runs_in": [65536]"#.into(), "classes[1].runs_in"),
         (r#""kinds_only": [1]"#, r#""kinds_only": [-1]"#.into(), "classes[1].kinds_only"),
-        (r#""quota_per_s": 50"#, r#""quota_per_s": -1"#.into(), "tenants.quota_per_s"),
+        (r#""quota_per_s": 50"#, r#""quota_per_s": -1"#.into(), "tenants[0].quota_per_s: "),
         (r#""quota_per_s": 50"#, r#""quota_per_s": NaN"#.into(), "tenants[0].quota_per_s"),
-        (r#""share": 1.0"#, r#""share": 1e300"#.into(), "tenants.share"),
-        (r#""attempts_cap": 3"#, r#""attempts_cap": 0"#.into(), "attempts_cap"),
+        (r#""share": 1.0"#, r#""share": 1e300"#.into(), "tenants[0].share: "),
+        (r#""attempts_cap": 3"#, r#""attempts_cap": 0"#.into(), "permissions.attempts_cap: "),
         (r#""max_open": 9"#, r#""max_open": -9"#.into(), "permissions.max_open"),
         (r#""dial_timeout": 250"#, r#""dial_timeout": 1e300"#.into(), "permissions.dial_timeout"),
-        (r#""idle_close": 5000"#, r#""idle_close": 1e16"#.into(), "idle_close"),
-        (r#""cold_from": 0.2"#, r#""cold_from": 1.5"#.into(), "cold_from"),
-        (r#""ask_within": 9000"#, r#""ask_within": 0"#.into(), "ask_within"),
+        (r#""idle_close": 5000"#, r#""idle_close": 1e16"#.into(), "permissions.idle_close: "),
+        (r#""cold_from": 0.2"#, r#""cold_from": 1.5"#.into(), "invariants.cold_from: "),
+        (r#""ask_within": 9000"#, r#""ask_within": 0"#.into(), "invariants.ask_within: "),
         (r#""membership_mode": "on_request""#, r#""membership_mode": null"#.into(), "membership_mode"),
         (r#""zone": 0"#, r#""zone": 65536"#.into(), "zone"),
         (r#""columns": ["qps", "inflight"]"#, r#""columns": 7"#.into(), "stats.columns"),
@@ -184,6 +184,10 @@
         let error = deployment(GOOD.replacen(from, &to, 1).as_bytes()).expect_err(wanted);
         assert!(error.contains(wanted) && !error.contains('\n'), "wanted {wanted}: {error}");
     }
+    // The last of a long list is found as well.
+    let last = format!(r#"{},{{"name": "t", "share": -1}}"#, tenants(50_000));
+    let error = deployment(GOOD.replacen(old_tenants, &last, 1).as_bytes()).expect_err("the last");
+    assert!(error.starts_with("tenants[50000].share: "), "{error}");
     // Both lists are allowed, but not what is kept for each class of each tenant.
     let classes = format!(r#""classes": [{},{{"name": "read","#, many(class, 40));
     let both = GOOD.replacen(old_classes, &classes, 1).replacen(old_tenants, &tenants(40_000), 1);
--- a/settings/tests/settings.rs
+++ b/settings/tests/settings.rs
@@ -49,7 +49,7 @@
         error("\"ramp_time\": 9000", "\"ramp_time\": \"x\"").contains("invariants.ramp_time: invalid type")
     );
     assert!(error("\"objective\": 100", "\"objective\": []").contains("classes[0].objective"));
-    assert!(error("\"effect\"", "\"runs_in\": [], \"effect\"").contains("classes.runs_in"));
+    assert!(error("\"effect\"", "\"runs_in\": [], \"effect\"").starts_with("classes[0].runs_in: "));
     assert!(parse(b"{").is_err());
     assert!(parse(format!("{MINIMAL} x").as_bytes()).is_err(), "something follows the settings");
 }
