Start where a variable of the environment is not UTF-8

Symptom: with any variable of the environment that is not UTF-8, also one of another program, the balancer ended at its start with a panic over several lines and code 101; `check` too.

Cause: std::env::vars() panics on such a variable (Sources::load in node/src/options/read.rs).

Change: variables are read as the system has them. Others' are passed over; one that sets an option has to be text and is named if it is not. Messages about options go through one_line (new), which takes control characters out and bounds their length: a message could quote a line end of what it refused.

--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -14,6 +14,7 @@
 mod listing;
 mod log;
 mod message;
+pub mod one_line;
 pub mod options;
 mod peers;
 mod program;
--- a/node/src/options/read.rs
+++ b/node/src/options/read.rs
@@ -1,6 +1,7 @@
 //! Reads options from the file, the environment and the flags. Owns no state.
 use super::merged::{flat, plain, Merged, PREFIX};
 use super::{Loaded, Options, Source};
+use crate::one_line::one_line;
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use toml::Table;
@@ -27,12 +28,26 @@
             }
             None => None,
         };
-        let variables = std::env::vars().filter(|(name, _)| name.starts_with(PREFIX) && name != FILE);
+        let variables = variables().map_err(|error| one_line(&error))?;
         let file = text.as_ref().map(|(path, text)| (*path, text.as_str()));
-        load(file, variables, &self.set)
+        load(file, variables.into_iter(), &self.set).map_err(|error| one_line(&error))
     }
 }
 
+/// The variables of the environment that set options. What others hold need not be text.
+fn variables() -> Result<Vec<(String, String)>, String> {
+    let mut variables = Vec::new();
+    for (name, value) in std::env::vars_os() {
+        let name = name.to_string_lossy().into_owned();
+        if !name.starts_with(PREFIX) || name == FILE {
+            continue;
+        }
+        let value = value.into_string().map_err(|_| format!("{name}: not UTF-8"))?;
+        variables.push((name, value));
+    }
+    Ok(variables)
+}
+
 /// The same from what was read.
 pub(super) fn load(
     file: Option<(&Path, &str)>,
