Refuse periods of options that the clock cannot take

Symptom: `recovery.every = "300000000000y"` started, and the timers then ended in a panic ("overflow when adding duration to instant"), four lines and code 1. A mutated options file found it.

Cause: keep_later (node/src/driver/keeping.rs) adds the period to the clock; the options had a least period and no greatest.

Change: recovery.every and figures.every may be 100ms to 24h (node/src/options/types.rs). Longer ones, which were of no use, are refused.

--- a/node/src/options/types.rs
+++ b/node/src/options/types.rs
@@ -10,6 +10,8 @@
     ["run", "discovery", "callers", "requests", "attempts", "module", "figures", "recovery", "peers"];
 /// The shortest time between two snapshots of the figures, or of what was learned.
 const EVERY_LEAST: Duration = Duration::from_millis(100);
+/// The longest. Times far beyond it can't be added to the clock.
+const EVERY_MOST: Duration = Duration::from_secs(24 * 60 * 60);
 
 /// How much is logged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -153,8 +155,9 @@
         if self.log.rate == 0 {
             return Err("must be at least 1".into());
         }
-        if self.figures.every < EVERY_LEAST || self.recovery.every < EVERY_LEAST {
-            return Err("must be at least 100ms".into());
+        let period = EVERY_LEAST..=EVERY_MOST;
+        if !period.contains(&self.figures.every) || !period.contains(&self.recovery.every) {
+            return Err("must be at least 100ms and at most 24h".into());
         }
         if self.peers.version_most < READS.least {
             return Err(format!("no version is left; this program reads {} to {}", READS.least, READS.most));
