Move the tests of peers out of src into test files

Need: tests live in test files, and src is to be read without them. knowledge/cases.rs, wire/cases.rs, versions/cases.rs and model.rs and the test module of knowledge/ages.rs are in peers/tests now: knowledge, wire, version_agreement, version_model.

Change: what they reach is public and hidden from the documentation (knowledge, wire, versions::agreement and versions::rules); Negotiation::apart is a small public method in place of a look at a private field. The rule that a model check leaves out is a value of Rules in every build, where it was compiled for tests alone; programs use Rules::default(), under which every rule holds.

The bytes of both wire versions are compared with the same constants.

--- a/peers/src/knowledge/ages.rs
+++ b/peers/src/knowledge/ages.rs
@@ -18,7 +18,7 @@
 /// time, so that within this a pair has met; beyond it a stamp could be one of a former run of this copy.
 const ECHO_MOST: Millis = 300_000.0;
 /// A datagram that was under way for longer is old: no knowledge's bound outlives it by much.
-pub(crate) const UNDERWAY_MOST: Millis = 2_000.0;
+pub const UNDERWAY_MOST: Millis = 2_000.0;
 
 /// What is held of one peer's stamps.
 #[derive(Clone, Copy, Debug)]
@@ -31,7 +31,7 @@
 
 /// The clocks of all candidates, as far as they need be known.
 #[derive(Debug)]
-pub(crate) struct Clocks {
+pub struct Clocks {
     peers: Vec<Peer>,
     /// Our first stamp: drawn at random, so that what is told back from a former run doesn't pass for one of this.
     first: u32,
@@ -39,32 +39,26 @@
 }
 
 impl Clocks {
-    pub(crate) fn new(candidates: u16, first: u32, now: Millis) -> Clocks {
+    pub fn new(candidates: u16, first: u32, now: Millis) -> Clocks {
         let peers = vec![Peer { last: None, behind: None }; usize::from(candidates)];
         Clocks { peers, first, start: now }
     }
 
     /// The stamp for a datagram sent now.
-    pub(crate) fn stamp(&self, now: Millis) -> u32 {
+    pub fn stamp(&self, now: Millis) -> u32 {
         // Wraps after 49 days; differences are taken in the same arithmetic.
         self.first.wrapping_add((now - self.start).max(0.0) as u64 as u32)
     }
 
     /// What is told back to a peer.
-    pub(crate) fn echo(&self, now: Millis, to: Member) -> Option<Echo> {
+    pub fn echo(&self, now: Millis, to: Member) -> Option<Echo> {
         let (stamp, at) = self.peers.get(usize::from(to.0))?.last?;
         let held = now - at;
         (held < ECHO_MOST).then(|| Echo { stamp, held: held.max(0.0) as u32 })
     }
 
     /// Takes a datagram's stamp and echo; how long it was under way at most, where that can be told.
-    pub(crate) fn read(
-        &mut self,
-        now: Millis,
-        from: Member,
-        stamp: u32,
-        echo: Option<Echo>,
-    ) -> Option<Millis> {
+    pub fn read(&mut self, now: Millis, from: Member, stamp: u32, echo: Option<Echo>) -> Option<Millis> {
         let ours = self.stamp(now);
         let since_start = (now - self.start).max(0.0);
         let peer = self.peers.get_mut(usize::from(from.0))?;
@@ -104,38 +98,6 @@
 }
 
 /// When what has this age on the wire was born at the earliest, if it was under way for at most this long.
-pub(crate) fn born(now: Millis, age: u8, underway: Millis) -> Millis {
+pub fn born(now: Millis, age: u8, underway: Millis) -> Millis {
     now - underway - f64::from(age) * TICK
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Each tells the other something every 100 ms, for so long; how long the last to the first was under way.
-    fn talk(a: &mut Clocks, b: &mut Clocks, from: Millis, span: Millis) -> Option<Millis> {
-        let (mut now, mut underway) = (from, None);
-        while now < from + span {
-            let (stamp, echo) = (a.stamp(now), a.echo(now, Member(1)));
-            b.read(now + 1.0, Member(0), stamp, echo);
-            let (stamp, echo) = (b.stamp(now + 50.0), b.echo(now + 50.0, Member(0)));
-            underway = a.read(now + 51.0, Member(1), stamp, echo);
-            now += 100.0;
-        }
-        underway
-    }
-
-    /// A restart draws its first stamp anew: wherever it falls, the two must soon know each other's clock again. Within
-    /// minutes of the former run's, by one chance in thousands, it takes as long as that.
-    #[test]
-    fn whatever_stamps_a_restart_begins_with_it_is_known_again_soon() {
-        for step in 0..64u32 {
-            let mut stays = Clocks::new(2, 7, 0.0);
-            let mut first = Clocks::new(2, 3_000_000, 0.0);
-            assert!(talk(&mut first, &mut stays, 0.0, 2000.0).is_some_and(|ms| ms < 10.0));
-            let mut second = Clocks::new(2, 3_000_000 + (1 << 25) + (step << 26), 5000.0);
-            let underway = talk(&mut second, &mut stays, 5000.0, 1000.0);
-            assert!(underway.is_some_and(|ms| ms < 10.0), "{step}: {underway:?}");
-        }
-    }
-}
--- a/peers/src/knowledge/mod.rs
+++ b/peers/src/knowledge/mod.rs
@@ -1,7 +1,5 @@
 //! What the copies know together. For each kind: an owner, a merge that commutes, repeats without harm and is bounded,
 //! an age that travels with it, and a bound beyond which it is left out.
-pub(crate) mod ages;
-#[cfg(test)]
-mod cases;
-pub(crate) mod sums;
-pub(crate) mod verdicts;
+pub mod ages;
+pub mod sums;
+pub mod verdicts;
--- a/peers/src/knowledge/sums.rs
+++ b/peers/src/knowledge/sums.rs
@@ -13,9 +13,9 @@
 use crate::wire::v2::{Figure, Rest, Row, Totals, ROWS};
 
 /// Totals older than this are in no sum: what has changed is then known to all within two seconds.
-pub(crate) const BOUND: Millis = 2_000.0;
+pub const BOUND: Millis = 2_000.0;
 /// Tenants' figures may be this old: they come from their owners alone, so they need longer to be enough.
-pub(crate) const TENANTS_BOUND: Millis = 3_000.0;
+pub const TENANTS_BOUND: Millis = 3_000.0;
 /// Of so many heard the sum is told whatever the number of members; of fewer, if they are half of all. At 16 of 300
 /// whose figures differ by 30 in 100, the error is 7 in 100.
 const ENOUGH: usize = 16;
@@ -39,7 +39,7 @@
 
 /// What was heard of each candidate, and this copy's own.
 #[derive(Debug)]
-pub(crate) struct Entries {
+pub struct Entries {
     own: Member,
     places: usize,
     figures: Figures,
@@ -50,7 +50,7 @@
 }
 
 impl Entries {
-    pub(crate) fn new(own: Member, candidates: u16, tenants: u16) -> Entries {
+    pub fn new(own: Member, candidates: u16, tenants: u16) -> Entries {
         let n = usize::from(candidates);
         Entries {
             own,
@@ -64,14 +64,14 @@
     }
 
     /// Takes this copy's own figures.
-    pub(crate) fn observe(&mut self, now: Millis, figures: Figures) {
+    pub fn observe(&mut self, now: Millis, figures: Figures) {
         self.figures = figures;
         self.figures.tenants.resize(self.places, TenantFigures::default());
         self.observed = Some(now);
     }
 
     /// Takes entries that came in a datagram; the tenants' are the sender's.
-    pub(crate) fn read(
+    pub fn read(
         &mut self,
         now: Millis,
         underway: Millis,
@@ -100,7 +100,7 @@
 
     /// What to tell another: own totals first, then others' at random, and own tenants.
     /// The tenants ride on questions alone, so that answers have room for twice the totals.
-    pub(crate) fn tell(
+    pub fn tell(
         &mut self,
         now: Millis,
         tenants: bool,
@@ -161,7 +161,7 @@
     }
 
     /// The sums over `up`, if enough of it was heard.
-    pub(crate) fn sums(&self, now: Millis, up: &[Member]) -> Option<Sums> {
+    pub fn sums(&self, now: Millis, up: &[Member]) -> Option<Sums> {
         let observed = self.observed?;
         let heard: Vec<&Heard> = up
             .iter()
--- a/peers/src/knowledge/verdicts.rs
+++ b/peers/src/knowledge/verdicts.rs
@@ -13,7 +13,7 @@
 use crate::wire::v1::{ticks, Stand, Verdict};
 
 /// Evidence older than this is left out: an observer renews it thrice in that time.
-pub(crate) const BOUND: Millis = 3_000.0;
+pub const BOUND: Millis = 3_000.0;
 /// How often an observer renews what it still says.
 const RENEW: Millis = 1_000.0;
 /// Subjects held at most, the youngest first: a tier of 64 zones and upstreams in trouble at a time has one common
@@ -43,7 +43,7 @@
 
 /// Everything that was said lately.
 #[derive(Debug)]
-pub(crate) struct Verdicts {
+pub struct Verdicts {
     own: Member,
     zone: u16,
     sequence: u16,
@@ -51,12 +51,12 @@
 }
 
 impl Verdicts {
-    pub(crate) fn new(own: Member, zone: u16, sequence: u16) -> Verdicts {
+    pub fn new(own: Member, zone: u16, sequence: u16) -> Verdicts {
         Verdicts { own, zone, sequence, said: BTreeMap::new() }
     }
 
     /// Takes what this copy says itself now, whole; whether any of it is new and to be told at once.
-    pub(crate) fn observe(&mut self, now: Millis, against: &[Subject], cleared: &[Subject]) -> bool {
+    pub fn observe(&mut self, now: Millis, against: &[Subject], cleared: &[Subject]) -> bool {
         let against = against.iter().take(SUBJECTS / 2).map(|subject| (*subject, Stand::Against));
         let cleared = cleared.iter().take(SUBJECTS / 2).map(|subject| (*subject, Stand::Cleared));
         let (own, zone) = (self.own.0, self.zone);
@@ -86,7 +86,7 @@
     }
 
     /// Takes another's word; whether it is news worth passing on at once.
-    pub(crate) fn read(&mut self, now: Millis, underway: Millis, verdict: &Verdict) -> bool {
+    pub fn read(&mut self, now: Millis, underway: Millis, verdict: &Verdict) -> bool {
         let born = born(now, verdict.age, underway);
         if verdict.observer == self.own.0 || now - born > BOUND {
             return false;
@@ -105,7 +105,7 @@
     }
 
     /// Leaves out what is beyond the bounds, in number and in age.
-    pub(crate) fn bound(&mut self, now: Millis) {
+    pub fn bound(&mut self, now: Millis) {
         let own = self.own.0;
         self.said.retain(|_, said| {
             said.retain(|observer, said| *observer == own || now - said.born <= BOUND);
@@ -133,7 +133,7 @@
     }
 
     /// Forgets what a member said in a former run.
-    pub(crate) fn forget(&mut self, member: Member) {
+    pub fn forget(&mut self, member: Member) {
         self.said.retain(|_, said| {
             said.remove(&member.0);
             !said.is_empty()
@@ -141,7 +141,7 @@
     }
 
     /// What to tell another: a few words, the youngest of each subject and others at random.
-    pub(crate) fn tell(&self, now: Millis, rng: &mut impl Rng) -> Vec<Verdict> {
+    pub fn tell(&self, now: Millis, rng: &mut impl Rng) -> Vec<Verdict> {
         let mut all: Vec<Verdict> = Vec::new();
         for (subject, said) in &self.said {
             for (observer, said) in said {
@@ -162,7 +162,7 @@
     }
 
     /// The evidence of others that is within its bound.
-    pub(crate) fn evidence(&self, now: Millis) -> Vec<Evidence> {
+    pub fn evidence(&self, now: Millis) -> Vec<Evidence> {
         let mut all = Vec::new();
         for (subject, said) in &self.said {
             let others =
--- a/peers/src/lib.rs
+++ b/peers/src/lib.rs
@@ -7,12 +7,14 @@
 //! whoever asks does then what it would do alone.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
-mod knowledge;
+#[doc(hidden)]
+pub mod knowledge;
 mod membership;
 mod peers;
 mod types;
 pub mod versions;
-mod wire;
+#[doc(hidden)]
+pub mod wire;
 
 pub use peers::Peers;
 pub use types::*;
--- a/peers/src/versions/agreement.rs
+++ b/peers/src/versions/agreement.rs
@@ -8,7 +8,7 @@
 
 /// Times are in whole milliseconds on this copy's clock.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(super) struct Agreement {
+pub struct Agreement {
     rules: Rules,
     own: Versions,
     epoch: Epoch,
@@ -17,7 +17,7 @@
 }
 
 impl Agreement {
-    pub(super) fn new(rules: Rules, own: Versions) -> Agreement {
+    pub fn new(rules: Rules, own: Versions) -> Agreement {
         Agreement {
             rules,
             own,
@@ -28,7 +28,7 @@
     }
 
     /// Takes a verified header.
-    pub(super) fn heard(&mut self, now: u64, from: Member, incarnation: u64, reads: Versions, epoch: u64) {
+    pub fn heard(&mut self, now: u64, from: Member, incarnation: u64, reads: Versions, epoch: u64) {
         // No program reads nothing, and none reads version 0.
         if reads.least == 0 || reads.least > reads.most {
             return;
@@ -66,18 +66,18 @@
     }
 
     /// Takes who is up besides this copy.
-    pub(super) fn members(&mut self, now: u64, up: &[Member]) {
+    pub fn members(&mut self, now: u64, up: &[Member]) {
         self.announced.members(self.rules, up);
         self.settle(now);
     }
 
-    pub(super) fn next_timeout(&self) -> Option<u64> {
+    pub fn next_timeout(&self) -> Option<u64> {
         self.patience.due()
     }
 
     /// Steps up if that is due. A copy that comes to it late has slept: others may have come and gone, so it listens
     /// for as long again.
-    pub(super) fn timeout(&mut self, now: u64) {
+    pub fn timeout(&mut self, now: u64) {
         let Some(due) = self.patience.due().filter(|&due| due <= now) else { return };
         if now - due >= OVERSLEPT {
             self.patience.anew(now);
@@ -119,7 +119,7 @@
         last.next(version)
     }
 
-    pub(super) fn speaks(&self) -> u8 {
+    pub fn speaks(&self) -> u8 {
         if !self.rules.hold(Rule::Together) {
             return self.announced.limit();
         }
@@ -127,11 +127,11 @@
         self.epoch.version().min(self.announced.limit())
     }
 
-    pub(super) fn epoch(&self) -> u64 {
+    pub fn epoch(&self) -> u64 {
         self.epoch.number()
     }
 
-    pub(super) fn accepts(&self, version: u8, epoch: u64) -> bool {
+    pub fn accepts(&self, version: u8, epoch: u64) -> bool {
         // Whoever knows of no agreement yet speaks the lowest version, which means the same under all of them.
         let agreed = epoch == self.epoch.number() && version <= self.speaks() || version == self.own.least;
         let agreed = agreed || !self.rules.hold(Rule::OwnAgreement);
@@ -139,7 +139,7 @@
         contains(self.own, version) && agreed && sound
     }
 
-    pub(super) fn own(&self) -> Versions {
+    pub fn own(&self) -> Versions {
         self.own
     }
 
@@ -148,8 +148,7 @@
     }
 
     /// The same with a clock that reads less, so that a model of it has finitely many states.
-    #[cfg(test)]
-    pub(super) fn shift(&mut self, by: u64) {
+    pub fn shift(&mut self, by: u64) {
         self.patience.shift(by);
     }
 }
--- a/peers/src/versions/mod.rs
+++ b/peers/src/versions/mod.rs
@@ -5,15 +5,13 @@
 //! version. The larger number holds. A copy that knows a live member which does not read the version makes the next
 //! agreement, on less, at once; one that has known for long enough that all live members read more makes it on more.
 //! `docs/upgrades.md` has the promise, its assumptions and each constant's reason.
-mod agreement;
+#[doc(hidden)]
+pub mod agreement;
 mod announced;
-#[cfg(test)]
-mod cases;
 mod epoch;
-#[cfg(test)]
-mod model;
 mod patience;
-mod rules;
+#[doc(hidden)]
+pub mod rules;
 
 use crate::types::{Member, Millis, Told, Versions};
 use agreement::Agreement;
@@ -46,7 +44,7 @@
     /// was passed on by another, with an epoch of 0.
     pub fn heard(&mut self, now: Millis, from: Member, incarnation: u64, reads: Versions, epoch: u64) {
         self.noting(|agreement| agreement.heard(whole(now), from, incarnation, reads, epoch));
-        let apart = self.agreement.announced().apart(from);
+        let apart = self.apart(from);
         if let Some(reads) = apart.filter(|&reads| self.apart.insert(from, reads) != Some(reads)) {
             let own = self.agreement.own();
             self.tell(format!(
@@ -90,6 +88,11 @@
         self.agreement.accepts(version, epoch)
     }
 
+    /// The versions of a member that reads none in which all live members meet.
+    pub fn apart(&self, member: Member) -> Option<Versions> {
+        self.agreement.announced().apart(member)
+    }
+
     /// The next line for the operator.
     pub fn told(&mut self) -> Option<Told> {
         self.told.pop_front()
--- a/peers/src/versions/patience.rs
+++ b/peers/src/versions/patience.rs
@@ -48,7 +48,6 @@
     }
 
     /// The same with a clock that reads less, so that a model of it has finitely many states.
-    #[cfg(test)]
     pub(super) fn shift(&mut self, by: u64) {
         self.due = self.due.map(|due| due.saturating_sub(by));
         self.unsettled = self.unsettled.saturating_sub(by);
--- a/peers/src/versions/rules.rs
+++ b/peers/src/versions/rules.rs
@@ -3,23 +3,23 @@
 //! Times are in milliseconds. What each constant is for, and what it costs, is in `docs/upgrades.md`.
 
 /// A higher version is taken up when all live members have read it for this long.
-pub(super) const PATIENCE: u64 = 5_000;
+pub const PATIENCE: u64 = 5_000;
 /// The same for a tier that starts together and has agreed on nothing yet, and in which nobody was met who reads less.
-pub(super) const PATIENCE_FIRST: u64 = 500;
+pub const PATIENCE_FIRST: u64 = 500;
 /// Patience doubles with each step down soon after a step up, to this at most.
-pub(super) const PATIENCE_MOST: u64 = 60_000;
+pub const PATIENCE_MOST: u64 = 60_000;
 /// A step down this long after the last step up or later is an event by itself: patience is [`PATIENCE`] again.
-pub(super) const CALM: u64 = 120_000;
+pub const CALM: u64 = 120_000;
 /// A copy that comes so much too late to a step up was paused.
-pub(super) const OVERSLEPT: u64 = 1_000;
+pub const OVERSLEPT: u64 = 1_000;
 /// What looks wrong, though nothing proves it, is believed when the same copy says it so many times in a row.
-pub(super) const ROW: u8 = 3;
+pub const ROW: u8 = 3;
 /// An agreement whose number is further ahead than this looks wrong.
-pub(super) const JUMP: u64 = 1 << 16;
+pub const JUMP: u64 = 1 << 16;
 
 /// What keeps the promise. A test leaves one out at a time, to show that the model checker misses none of them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(super) enum Rule {
+pub enum Rule {
     /// Not what this copy reads alone decides, but what all live members read.
     AllMembers,
     /// A live member that has announced nothing holds the version at the lowest.
@@ -46,27 +46,18 @@
 
 /// The rules that hold: all of them, except in a test that leaves one out.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-pub(super) struct Rules {
-    #[cfg(test)]
+pub struct Rules {
     without: Option<Rule>,
 }
 
 impl Rules {
-    /// All but one.
-    #[cfg(test)]
-    pub(super) fn without(rule: Rule) -> Rules {
+    /// All but one, for a model check that shows what the rule is for.
+    pub fn without(rule: Rule) -> Rules {
         Rules { without: Some(rule) }
     }
 
     /// Whether a rule holds.
-    #[cfg(test)]
-    pub(super) fn hold(self, rule: Rule) -> bool {
+    pub fn hold(self, rule: Rule) -> bool {
         self.without != Some(rule)
     }
-
-    /// Whether a rule holds.
-    #[cfg(not(test))]
-    pub(super) fn hold(self, _rule: Rule) -> bool {
-        true
-    }
 }
--- a/peers/src/wire/mod.rs
+++ b/peers/src/wire/mod.rs
@@ -1,21 +1,19 @@
 //! The bytes of datagrams: the fixed header and the check at the end here, what lies between in a module for each
 //! version. Whatever a stranger sends is either read whole or dropped with a reason; nothing here keeps state.
-#[cfg(test)]
-mod cases;
 mod section;
-pub(crate) mod v1;
-pub(crate) mod v2;
+pub mod v1;
+pub mod v2;
 
 use crate::types::{Member, Versions, DATAGRAM_MOST, HEADER, MAGIC};
 
 /// The CRC-32 at the end, in bytes.
 const CHECK: usize = 4;
 /// What a datagram has for its payload, in bytes.
-pub(crate) const PAYLOAD: usize = DATAGRAM_MOST - HEADER - CHECK;
+pub const PAYLOAD: usize = DATAGRAM_MOST - HEADER - CHECK;
 
 /// What every datagram of every version says first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Header {
+pub struct Header {
     pub version: u8,
     pub reads: Versions,
     pub place: Member,
@@ -26,13 +24,13 @@
 
 /// Why a datagram was not read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Unread {
+pub enum Unread {
     /// Too short, too long, garbled, or nothing of ours.
     Broken,
 }
 
 /// A whole datagram: header, payload, check.
-pub(crate) fn seal(header: &Header, payload: &[u8]) -> Vec<u8> {
+pub fn seal(header: &Header, payload: &[u8]) -> Vec<u8> {
     let mut bytes = Vec::with_capacity(HEADER + payload.len() + CHECK);
     bytes.extend_from_slice(&MAGIC);
     bytes.extend_from_slice(&[header.version, header.reads.least, header.reads.most]);
@@ -47,7 +45,7 @@
 }
 
 /// The header and the payload of a datagram that came whole.
-pub(crate) fn open(bytes: &[u8]) -> Result<(Header, &[u8]), Unread> {
+pub fn open(bytes: &[u8]) -> Result<(Header, &[u8]), Unread> {
     if bytes.len() < HEADER + CHECK || bytes.len() > DATAGRAM_MOST || bytes[..2] != MAGIC {
         return Err(Unread::Broken);
     }
--- a/peers/src/wire/v1.rs
+++ b/peers/src/wire/v1.rs
@@ -7,7 +7,7 @@
 
 /// What a datagram is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum Kind {
+pub enum Kind {
     /// Asks for an [`Kind::Ack`].
     Ping,
     /// Answers a ping, and says so by its echo.
@@ -22,21 +22,21 @@
 
 /// The latest stamp that was read from the receiver, and how long ago, in the sender's milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Echo {
+pub struct Echo {
     pub stamp: u32,
     pub held: u32,
 }
 
 /// A third member, and how long ago it lived at most, in units of [`TICK`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct About {
+pub struct About {
     pub member: u16,
     pub age: u8,
 }
 
 /// The fixed part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Head {
+pub struct Head {
     pub kind: Kind,
     /// The sender's milliseconds from an arbitrary start: told back by the receiver, compared by nobody else.
     pub stamp: u32,
@@ -49,14 +49,14 @@
 
 /// Versions that a member reads, as it announced them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Reads {
+pub struct Reads {
     pub least: u8,
     pub most: u8,
 }
 
 /// Who is up, as a bit for each place from `base` on, so that two copies can tell where they differ.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(crate) struct View {
+pub struct View {
     pub base: u16,
     /// What most of them read.
     pub reads: Reads,
@@ -67,7 +67,7 @@
 
 impl View {
     /// The places that the view speaks of, each with whether it is up, and whether it reads what most do.
-    pub(crate) fn places(&self) -> impl Iterator<Item = (u16, bool, bool)> + '_ {
+    pub fn places(&self) -> impl Iterator<Item = (u16, bool, bool)> + '_ {
         let bit = |bits: &[u8], at: usize| bits.get(at / 8).is_some_and(|byte| byte >> (at % 8) & 1 == 1);
         (0..self.bits.len() * 8).filter_map(move |at| {
             let place = u16::try_from(usize::from(self.base) + at).ok()?;
@@ -78,7 +78,7 @@
 
 /// What is held of a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum Status {
+pub enum Status {
     Up,
     Suspect,
     Gone,
@@ -88,7 +88,7 @@
 
 /// News of a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Record {
+pub struct Record {
     pub member: u16,
     pub incarnation: u64,
     pub status: Status,
@@ -98,18 +98,18 @@
 }
 
 /// The unit of ages on the wire, in milliseconds. A byte of them reaches 5.08 s, beyond every bound.
-pub(crate) const TICK: f64 = 20.0;
+pub const TICK: f64 = 20.0;
 
 /// Whether a verdict is given or taken back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub(crate) enum Stand {
+pub enum Stand {
     Against,
     Cleared,
 }
 
 /// What an observer says of an upstream or a zone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Verdict {
+pub struct Verdict {
     #[serde(with = "SubjectForm")]
     pub subject: Subject,
     pub observer: u16,
@@ -130,7 +130,7 @@
 
 /// All that version 1 says.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) struct Body {
+pub struct Body {
     pub head: Head,
     pub view: View,
     pub records: Vec<Record>,
@@ -163,14 +163,14 @@
 }
 
 /// The payload of a datagram of version 1.
-pub(crate) fn write(body: &mut Body, most: usize) -> Vec<u8> {
+pub fn write(body: &mut Body, most: usize) -> Vec<u8> {
     let mut to = Writer::new(most);
     body.write(&mut to, 0);
     to.done()
 }
 
 /// Reads a whole payload of version 1.
-pub(crate) fn read(payload: &[u8]) -> Result<Body, Unread> {
+pub fn read(payload: &[u8]) -> Result<Body, Unread> {
     let mut from = Reader(payload);
     let body = Body::read(&mut from)?;
     from.end()?;
@@ -178,7 +178,7 @@
 }
 
 /// An age for the wire, never less than it is; none beyond what a byte says.
-pub(crate) fn ticks(age: f64) -> Option<u8> {
+pub fn ticks(age: f64) -> Option<u8> {
     let ticks = (age.max(0.0) / TICK).ceil();
     (ticks < f64::from(u8::MAX)).then_some(ticks as u8)
 }
--- a/peers/src/wire/v2.rs
+++ b/peers/src/wire/v2.rs
@@ -10,16 +10,16 @@
 
 /// A figure as written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Figure(u16);
+pub struct Figure(u16);
 
 impl Figure {
     /// What is no number that can be added, or below nothing, is written as nothing.
-    pub(crate) fn of(value: f64) -> Figure {
+    pub fn of(value: f64) -> Figure {
         let value = if value.is_finite() && value > 0.0 { value.min(f64::from(bf16::MAX)) } else { 0.0 };
         Figure(bf16::from_f64(value).to_bits())
     }
 
-    pub(crate) fn value(self) -> f64 {
+    pub fn value(self) -> f64 {
         let value = f64::from(bf16::from_bits(self.0));
         if value.is_finite() && value > 0.0 {
             value
@@ -47,7 +47,7 @@
 
 /// What an owner told of itself: 12 bytes at most.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Totals {
+pub struct Totals {
     pub owner: u16,
     pub age: u8,
     /// Demand, room, firsts, retries.
@@ -56,24 +56,24 @@
 
 /// One tenant's figures: demand, calls, callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Row {
+pub struct Row {
     pub tenant: u16,
     pub figures: [Figure; 3],
 }
 
 /// The sender's tenants: the sum of those that no [`Row`] names, and the age of all.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Rest {
+pub struct Rest {
     pub age: u8,
     pub figures: [Figure; 3],
 }
 
 /// Tenants that one datagram names at most: 9 bytes each. With fewer tenants all are named.
-pub(crate) const ROWS: usize = 8;
+pub const ROWS: usize = 8;
 
 /// All that version 2 says.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) struct Body {
+pub struct Body {
     pub first: v1::Body,
     pub rest: Option<Rest>,
     pub rows: Vec<Row>,
@@ -84,7 +84,7 @@
 const KEEP: usize = 70;
 
 /// The payload of a datagram of version 2.
-pub(crate) fn write(body: &mut Body, most: usize) -> Vec<u8> {
+pub fn write(body: &mut Body, most: usize) -> Vec<u8> {
     let mut to = Writer::new(most);
     // Three lists that are empty take three bytes.
     let keep = if body.totals.is_empty() { 3 } else { KEEP };
@@ -96,7 +96,7 @@
 }
 
 /// Reads a whole payload of version 2.
-pub(crate) fn read(payload: &[u8]) -> Result<Body, Unread> {
+pub fn read(payload: &[u8]) -> Result<Body, Unread> {
     let mut from = Reader(payload);
     let first = v1::Body::read(&mut from)?;
     let body = Body { first, rest: from.value()?, rows: from.list()?, totals: from.list()? };
--- a/peers/src/knowledge/cases.rs
+++ b/peers/tests/knowledge.rs
@@ -1,12 +1,12 @@
 //! Merges commute and repeat without harm, and stay within their bounds.
 use proptest::prelude::*;
 
-use super::ages::Clocks;
-use super::sums::{self, Entries};
-use super::verdicts::{self, Verdicts};
-use crate::types::{Figures, Member, Subject, TenantFigures};
-use crate::wire::v1::{Stand, Verdict};
-use crate::wire::v2::{Figure, Totals};
+use oakflow_peers::knowledge::ages::Clocks;
+use oakflow_peers::knowledge::sums::{self, Entries};
+use oakflow_peers::knowledge::verdicts::{self, Verdicts};
+use oakflow_peers::wire::v1::{Stand, Verdict};
+use oakflow_peers::wire::v2::{Figure, Totals};
+use oakflow_peers::{Figures, Member, Millis, Subject, TenantFigures};
 
 fn totals() -> impl Strategy<Value = Totals> {
     (1..8_u16, 0..90_u8, 0.0..100.0_f64).prop_map(|(owner, age, value)| {
@@ -95,3 +95,30 @@
         }
     }
 }
+
+/// Each tells the other something every 100 ms, for so long; how long the last to the first was under way.
+fn talk(a: &mut Clocks, b: &mut Clocks, from: Millis, span: Millis) -> Option<Millis> {
+    let (mut now, mut underway) = (from, None);
+    while now < from + span {
+        let (stamp, echo) = (a.stamp(now), a.echo(now, Member(1)));
+        b.read(now + 1.0, Member(0), stamp, echo);
+        let (stamp, echo) = (b.stamp(now + 50.0), b.echo(now + 50.0, Member(0)));
+        underway = a.read(now + 51.0, Member(1), stamp, echo);
+        now += 100.0;
+    }
+    underway
+}
+
+/// A restart draws its first stamp anew: wherever it falls, the two must soon know each other's clock again. Within
+/// minutes of the former run's, by one chance in thousands, it takes as long as that.
+#[test]
+fn whatever_stamps_a_restart_begins_with_it_is_known_again_soon() {
+    for step in 0..64u32 {
+        let mut stays = Clocks::new(2, 7, 0.0);
+        let mut first = Clocks::new(2, 3_000_000, 0.0);
+        assert!(talk(&mut first, &mut stays, 0.0, 2000.0).is_some_and(|ms| ms < 10.0));
+        let mut second = Clocks::new(2, 3_000_000 + (1 << 25) + (step << 26), 5000.0);
+        let underway = talk(&mut second, &mut stays, 5000.0, 1000.0);
+        assert!(underway.is_some_and(|ms| ms < 10.0), "{step}: {underway:?}");
+    }
+}
--- a/peers/src/versions/cases.rs
+++ b/peers/tests/version_agreement.rs
@@ -1,8 +1,8 @@
-//! The hard cases of an upgrade, each on injected time. What holds in every state is in `model.rs`; here is how soon,
+//! The hard cases of an upgrade, each on injected time. What holds in every state is in `version_model.rs`; here is how soon,
 //! how often and what is told.
-use super::rules::{CALM, PATIENCE, PATIENCE_FIRST, PATIENCE_MOST};
-use super::Negotiation;
-use crate::types::{Member, Millis, Versions};
+use oakflow_peers::versions::rules::{CALM, PATIENCE, PATIENCE_FIRST, PATIENCE_MOST};
+use oakflow_peers::versions::Negotiation;
+use oakflow_peers::{Member, Millis, Versions};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 
@@ -265,7 +265,7 @@
     between.heard(0.0, Member(0), 1, OLD, 1);
     between.members(0.0, &[Member(0), Member(2)]);
     assert_eq!(between.speaks(), 1);
-    let apart = |member| between.agreement.announced().apart(Member(member));
+    let apart = |member| between.apart(Member(member));
     assert_eq!((apart(0), apart(2)), (None, Some(only_new)));
 }
 
--- a/peers/src/versions/model.rs
+++ b/peers/tests/version_model.rs
@@ -5,9 +5,9 @@
 //! again, or never: that is delay, loss, repetition and reordering. A copy takes another for live when it has acted on
 //! a datagram of it or when a third says so, and for gone at any time, wrongly too. Each clock runs as fast as it likes:
 //! patience ends whenever. Copies start anew in either build with nothing remembered but a larger incarnation.
-use super::agreement::Agreement;
-use super::rules::{Rule, Rules, PATIENCE_MOST};
-use crate::types::{Member, Versions};
+use oakflow_peers::versions::agreement::Agreement;
+use oakflow_peers::versions::rules::{Rule, Rules, PATIENCE_MOST};
+use oakflow_peers::{Member, Versions};
 use stateright::{Checker, Model, Property};
 
 const COPIES: usize = 3;
--- a/peers/src/wire/cases.rs
+++ b/peers/tests/wire.rs
@@ -1,10 +1,10 @@
 //! The bytes of every version as they are, and what becomes of bytes that are none.
 use proptest::prelude::*;
 
-use super::v1::{About, Body, Echo, Head, Kind, Reads, Record, Stand, Status, Verdict, View};
-use super::v2::{Figure, Rest, Row, Totals};
-use super::{open, seal, v1, v2, Header, PAYLOAD};
-use crate::types::{Member, Subject, Versions, DATAGRAM_MOST};
+use oakflow_peers::wire::v1::{About, Body, Echo, Head, Kind, Reads, Record, Stand, Status, Verdict, View};
+use oakflow_peers::wire::v2::{Figure, Rest, Row, Totals};
+use oakflow_peers::wire::{open, seal, v1, v2, Header, PAYLOAD};
+use oakflow_peers::{Member, Subject, Versions, DATAGRAM_MOST};
 
 fn header(version: u8) -> Header {
     let reads = Versions { least: 1, most: 2 };
