--- a/peers/src/knowledge/verdicts.rs
+++ b/peers/src/knowledge/verdicts.rs
@@ -1,105 +1,108 @@
-//! Evidence against upstreams and zones, and its taking back. Owns what each observer said last of each subject.
+//! Evidence against upstreams and zones, and its withdrawal. Owns the last observation of each observer on each
+//! subject.
 //!
-//! An observer owns what it says; what it said last wins, by its own sequence, and between equals the one that is known
-//! to be younger. Both are maxima, so the order and the number of datagrams don't matter. What no observer renews ends
-//! after [`BOUND`].
+//! An observer owns its observations; its last one wins, by its own sequence, and between equals the one that is known
+//! to be younger. Both are maxima, so the order and the number of datagrams don't matter. What no observer renews
+//! expires after [`MAX_AGE`].
 use std::collections::BTreeMap;
 
 use rand::seq::SliceRandom;
 use rand::Rng;
 
-use crate::knowledge::ages::born;
+use crate::knowledge::ages::created;
 use crate::types::{Evidence, Member, Millis, Subject};
-use crate::wire::v1::{ticks, Stand, Verdict};
+use crate::wire::v1::{ticks, Stance, Verdict};
 
 /// Evidence older than this is left out: an observer renews it thrice in that time.
-pub const BOUND: Millis = 3_000.0;
-/// How often an observer renews what it still says.
-const RENEW: Millis = 1_000.0;
+pub const MAX_AGE: Millis = 3_000.0;
+/// How often an observer renews what it still observes.
+const RENEWAL_PERIOD: Millis = 1_000.0;
 /// Subjects held at most, the youngest first: a tier of 64 zones and upstreams in trouble at a time has one common
-/// trouble, which more of them wouldn't tell better.
-const SUBJECTS: usize = 64;
+/// trouble, which more of them wouldn't show better.
+const MAX_SUBJECTS: usize = 64;
 /// Observers held for a subject at most, the youngest first: a verdict is as good with eight as with 300.
-const OBSERVERS: usize = 8;
+const MAX_OBSERVERS: usize = 8;
 
-/// What one observer said last of one subject.
+/// The last observation of one observer on one subject.
 #[derive(Clone, Copy, Debug, PartialEq)]
-struct Said {
+struct Observation {
     sequence: u16,
-    born: Millis,
-    stand: Stand,
+    created: Millis,
+    stance: Stance,
     zone: u16,
 }
 
-impl Said {
-    /// Whether this goes before another word of the same observer on the same subject.
-    fn before(&self, other: &Said) -> bool {
+impl Observation {
+    /// Whether this one wins against another of the same observer on the same subject.
+    fn supersedes(&self, other: &Observation) -> bool {
         match self.sequence.wrapping_sub(other.sequence) {
-            0 => (self.born, self.stand) > (other.born, other.stand),
+            0 => (self.created, self.stance) > (other.created, other.stance),
             ahead => ahead < 1 << 15,
         }
     }
 }
 
-/// Everything that was said lately.
+/// All recent observations, the own ones included.
 #[derive(Debug)]
 pub struct Verdicts {
     own: Member,
     zone: u16,
     sequence: u16,
-    said: BTreeMap<Subject, BTreeMap<u16, Said>>,
+    observations: BTreeMap<Subject, BTreeMap<u16, Observation>>,
 }
 
 impl Verdicts {
     pub fn new(own: Member, zone: u16, sequence: u16) -> Verdicts {
-        Verdicts { own, zone, sequence, said: BTreeMap::new() }
+        Verdicts { own, zone, sequence, observations: BTreeMap::new() }
     }
 
-    /// Takes what this copy says itself now, whole; whether any of it is new and to be told at once.
+    /// Takes all that this replica observes itself now; whether any of it is new and to be gossiped at once.
     pub fn observe(&mut self, now: Millis, against: &[Subject], cleared: &[Subject]) -> bool {
-        let against = against.iter().take(SUBJECTS / 2).map(|subject| (*subject, Stand::Against));
-        let cleared = cleared.iter().take(SUBJECTS / 2).map(|subject| (*subject, Stand::Cleared));
+        let against = against.iter().take(MAX_SUBJECTS / 2).map(|subject| (*subject, Stance::Against));
+        let cleared = cleared.iter().take(MAX_SUBJECTS / 2).map(|subject| (*subject, Stance::Cleared));
         let (own, zone) = (self.own.0, self.zone);
-        let mut fresh = false;
-        let mut kept: BTreeMap<Subject, Stand> = BTreeMap::new();
-        for (subject, stand) in against.chain(cleared) {
-            kept.entry(subject).or_insert(stand);
+        let mut changed_any = false;
+        let mut own_verdicts: BTreeMap<Subject, Stance> = BTreeMap::new();
+        for (subject, stance) in against.chain(cleared) {
+            own_verdicts.entry(subject).or_insert(stance);
         }
-        // What is said no more is not renewed, and ends by its age everywhere.
-        self.said.retain(|subject, said| {
-            if !kept.contains_key(subject) {
-                said.remove(&own);
+        // What is observed no longer is not renewed, and expires everywhere.
+        self.observations.retain(|subject, observation| {
+            if !own_verdicts.contains_key(subject) {
+                observation.remove(&own);
             }
-            !said.is_empty()
+            !observation.is_empty()
         });
-        for (subject, stand) in kept {
-            let held = self.said.entry(subject).or_default();
-            let last = held.get(&own).copied();
-            let changed = last.is_none_or(|last| last.stand != stand);
-            if changed || last.is_some_and(|last| now - last.born >= RENEW) {
+        for (subject, stance) in own_verdicts {
+            let observers_known = self.observations.entry(subject).or_default();
+            let last = observers_known.get(&own).copied();
+            let changed = last.is_none_or(|last| last.stance != stance);
+            if changed || last.is_some_and(|last| now - last.created >= RENEWAL_PERIOD) {
                 self.sequence = self.sequence.wrapping_add(1);
-                held.insert(own, Said { sequence: self.sequence, born: now, stand, zone });
+                observers_known
+                    .insert(own, Observation { sequence: self.sequence, created: now, stance, zone });
             }
-            fresh |= changed;
+            changed_any |= changed;
         }
-        fresh
+        changed_any
     }
 
-    /// Takes another's word; whether it is news worth passing on at once.
-    pub fn read(&mut self, now: Millis, underway: Millis, verdict: &Verdict) -> bool {
-        let born = born(now, verdict.age, underway);
-        if verdict.observer == self.own.0 || now - born > BOUND {
+    /// Takes the observation of another; whether it is new and to be gossiped at once.
+    pub fn read(&mut self, now: Millis, transit: Millis, verdict: &Verdict) -> bool {
+        let created = created(now, verdict.age, transit);
+        if verdict.observer == self.own.0 || now - created > MAX_AGE {
             return false;
         }
-        let said = Said { sequence: verdict.sequence, born, stand: verdict.stand, zone: verdict.zone };
-        let held = self.said.entry(verdict.subject).or_default();
-        let last = held.get(&verdict.observer);
-        if last.is_some_and(|last| !said.before(last)) {
+        let observation =
+            Observation { sequence: verdict.sequence, created, stance: verdict.stance, zone: verdict.zone };
+        let observers_known = self.observations.entry(verdict.subject).or_default();
+        let last = observers_known.get(&verdict.observer);
+        if last.is_some_and(|last| !observation.supersedes(last)) {
             return false;
         }
-        let news = last.is_none_or(|last| last.stand != said.stand);
-        held.insert(verdict.observer, said);
-        let news = news && held.len() <= OBSERVERS;
+        let news = last.is_none_or(|last| last.stance != observation.stance);
+        observers_known.insert(verdict.observer, observation);
+        let news = news && observers_known.len() <= MAX_OBSERVERS;
         self.bound(now);
         news
     }
@@ -107,51 +110,60 @@
     /// Leaves out what is beyond the bounds, in number and in age.
     pub fn bound(&mut self, now: Millis) {
         let own = self.own.0;
-        self.said.retain(|_, said| {
-            said.retain(|observer, said| *observer == own || now - said.born <= BOUND);
-            while said.len() > OBSERVERS {
-                let key = |(observer, said): &(&u16, &Said)| (**observer == own, said.born, **observer);
+        self.observations.retain(|_, observation| {
+            observation
+                .retain(|observer, observation| *observer == own || now - observation.created <= MAX_AGE);
+            while observation.len() > MAX_OBSERVERS {
+                let key = |(observer, observation): &(&u16, &Observation)| {
+                    (**observer == own, observation.created, **observer)
+                };
                 let oldest =
-                    said.iter().min_by(|a, b| key(a).partial_cmp(&key(b)).expect("times are numbers"));
+                    observation.iter().min_by(|a, b| key(a).partial_cmp(&key(b)).expect("times are numbers"));
                 let Some(oldest) = oldest.map(|(observer, _)| *observer) else { break };
-                said.remove(&oldest);
+                observation.remove(&oldest);
             }
-            !said.is_empty()
+            !observation.is_empty()
         });
-        while self.said.len() > SUBJECTS {
-            let youngest = |said: &BTreeMap<u16, Said>| {
-                let own = said.contains_key(&own);
-                (own, said.values().map(|said| said.born).fold(f64::NEG_INFINITY, f64::max))
+        while self.observations.len() > MAX_SUBJECTS {
+            let youngest = |observation: &BTreeMap<u16, Observation>| {
+                let own = observation.contains_key(&own);
+                (
+                    own,
+                    observation
+                        .values()
+                        .map(|observation| observation.created)
+                        .fold(f64::NEG_INFINITY, f64::max),
+                )
             };
-            let oldest = self.said.iter().min_by(|a, b| {
+            let oldest = self.observations.iter().min_by(|a, b| {
                 let (a, b) = (youngest(a.1), youngest(b.1));
                 a.partial_cmp(&b).expect("times are numbers")
             });
             let Some(oldest) = oldest.map(|(subject, _)| *subject) else { break };
-            self.said.remove(&oldest);
+            self.observations.remove(&oldest);
         }
     }
 
-    /// Forgets what a member said in a former run.
+    /// Forgets the observations of a former run of a member.
     pub fn forget(&mut self, member: Member) {
-        self.said.retain(|_, said| {
-            said.remove(&member.0);
-            !said.is_empty()
+        self.observations.retain(|_, observation| {
+            observation.remove(&member.0);
+            !observation.is_empty()
         });
     }
 
-    /// What to tell another: a few words, the youngest of each subject and others at random.
-    pub fn tell(&self, now: Millis, rng: &mut impl Rng) -> Vec<Verdict> {
+    /// The observations for a datagram: a few, the newest ones first and the others at random.
+    pub fn outgoing(&self, now: Millis, rng: &mut impl Rng) -> Vec<Verdict> {
         let mut all: Vec<Verdict> = Vec::new();
-        for (subject, said) in &self.said {
-            for (observer, said) in said {
-                if now - said.born > BOUND {
+        for (subject, observation) in &self.observations {
+            for (observer, observation) in observation {
+                if now - observation.created > MAX_AGE {
                     continue;
                 }
-                let Some(age) = ticks(now - said.born) else { continue };
-                let (subject, observer, zone) = (*subject, *observer, said.zone);
-                let (sequence, stand) = (said.sequence, said.stand);
-                all.push(Verdict { subject, observer, zone, sequence, stand, age });
+                let Some(age) = ticks(now - observation.created) else { continue };
+                let (subject, observer, zone) = (*subject, *observer, observation.zone);
+                let (sequence, stance) = (observation.sequence, observation.stance);
+                all.push(Verdict { subject, observer, zone, sequence, stance, age });
             }
         }
         all.shuffle(rng);
@@ -164,19 +176,20 @@
     /// The evidence of others that is within its bound.
     pub fn evidence(&self, now: Millis) -> Vec<Evidence> {
         let mut all = Vec::new();
-        for (subject, said) in &self.said {
-            let others =
-                said.iter().filter(|(observer, said)| **observer != self.own.0 && now - said.born <= BOUND);
+        for (subject, observation) in &self.observations {
+            let others = observation.iter().filter(|(observer, observation)| {
+                **observer != self.own.0 && now - observation.created <= MAX_AGE
+            });
             let (mut observers, mut cleared, mut age) = (0, 0, f64::INFINITY);
             let mut zones: Vec<u16> = Vec::new();
-            for (_, said) in others {
-                age = f64::min(age, now - said.born);
-                match said.stand {
-                    Stand::Against => {
+            for (_, observation) in others {
+                age = f64::min(age, now - observation.created);
+                match observation.stance {
+                    Stance::Against => {
                         observers += 1;
-                        zones.push(said.zone);
+                        zones.push(observation.zone);
                     }
-                    Stand::Cleared => cleared += 1,
+                    Stance::Cleared => cleared += 1,
                 }
             }
             zones.sort_unstable();
--- a/peers/src/membership/receive.rs
+++ b/peers/src/membership/receive.rs
@@ -1,41 +1,43 @@
-//! What a datagram changes.
-use super::{Membership, Send, WAVE};
+//! What a received datagram changes in the membership.
+use super::{Membership, Outgoing, ROUND_INTERVAL};
 use crate::types::{Member, Millis};
 use crate::wire::v1::{About, Body, Kind, Reads, Record, Status, TICK};
 
-use super::table::Came;
+use super::table::Applied;
 
-/// How often others may know a higher incarnation of this copy than its own within [`RISES_WITHIN`]: a restart finds
-/// that out once, or a few times from those who knew of different ones; another copy in its place goes on.
-const RISES: usize = 4;
-const RISES_WITHIN: Millis = 10_000.0;
-/// A copy with a twin doesn't go above it for so long, so that the two don't chase each other.
+/// How often others may know a higher incarnation of this replica than its own within [`RISES_WITHIN`]: a restart finds
+/// that out once, or a few times from those who knew of different ones; another replica in its place goes on.
+const MAX_REFUTATIONS: usize = 4;
+const REFUTATIONS_WITHIN: Millis = 10_000.0;
+/// A replica whose place a second process uses doesn't raise its incarnation for so long, so that the two don't chase
+/// each other.
 const QUIET: Millis = 30_000.0;
-/// Records that an answer tells of where the two differ.
+/// Records that an answer carries where the two views differ.
 const DIFFERENCES: usize = 16;
-/// Newcomers whom urgent news is made of, at a time.
-const FEW: usize = 4;
-/// Strangers that wait to be asked.
-const WANTED: usize = 16;
+/// Newcomers that are urgent updates, at a time.
+const FEW_NEWCOMERS: usize = 4;
+/// Strangers that wait to be probed.
+const MAX_STRANGERS: usize = 16;
 
 impl Membership {
-    /// Takes a datagram with its sender's incarnation and what it reads, and the time it was under way at most, where that is known.
+    /// Takes a datagram with its sender's incarnation and what it reads, and the time it was in transit at most, where
+    /// that is known.
     pub(crate) fn read(
         &mut self,
         now: Millis,
         from: Member,
-        said: (u64, Reads),
-        underway: Option<Millis>,
+        sender: (u64, Reads),
+        transit: Option<Millis>,
         body: &Body,
     ) {
-        let (incarnation, reads) = said;
-        if self.left {
+        let (incarnation, reads) = sender;
+        if self.departed {
             return;
         }
-        let bounded = underway.is_some();
-        let lived = underway.map(|underway| now - underway);
-        self.heard = now;
-        let mut first = self.sender(now, from, incarnation, lived);
+        let bounded = transit.is_some();
+        let alive_at = transit.map(|transit| now - transit);
+        self.last_received = now;
+        let mut first = self.sender(now, from, incarnation, alive_at);
         if let Some(entry) = self.table.entries.get_mut(usize::from(from.0)) {
             if entry.incarnation == incarnation {
                 entry.reads = reads;
@@ -48,86 +50,92 @@
         self.changed |= !come.is_empty();
         self.announced.extend(come.into_iter().map(|member| (member, 0, body.view.reads)));
         match body.head.kind {
-            Kind::Ping if self.budget.owed(now) => {
+            Kind::Ping if self.budget.may_answer(now) => {
                 let start = usize::from(from.0) % differ.len().max(1);
                 let differ = differ[start..].iter().chain(&differ[..start]).take(DIFFERENCES);
                 let records = differ.filter_map(|member| self.table.record(now, *member, self.incarnation));
                 first.extend(records);
-                let bare = !self.budget.free(now);
-                self.out.push_back(Send { to: from, kind: Kind::Ack, about: None, first, bare });
+                let bare = !self.budget.has_credit(now);
+                self.out.push_back(Outgoing { to: from, kind: Kind::Ack, about: None, first, bare });
             }
             Kind::Ack => {
-                if bounded && body.head.lost >= self.lost_elsewhere.0
-                    || now - self.lost_elsewhere.1 > super::SILENT
+                if bounded && body.head.lost >= self.lost_reported.0
+                    || now - self.lost_reported.1 > super::SILENT
                 {
-                    self.lost_elsewhere = (body.head.lost, now);
+                    self.lost_reported = (body.head.lost, now);
                 }
                 for member in differ.into_iter().take(DIFFERENCES) {
-                    self.news.once(member);
+                    self.gossip.once(member);
                 }
             }
-            Kind::Ask => self.asked(now, from, body.head.about),
-            Kind::Vouch => {
-                if let (Some(about), Some(lived)) = (body.head.about, lived) {
-                    self.vouched(now, Member(about.member), lived - f64::from(about.age) * TICK);
+            Kind::PingRequest => self.ping_requested(now, from, body.head.about),
+            Kind::IndirectAck => {
+                if let (Some(about), Some(alive_at)) = (body.head.about, alive_at) {
+                    self.indirect_ack(now, Member(about.member), alive_at - f64::from(about.age) * TICK);
                 }
             }
-            Kind::Ping | Kind::Rumour => {}
+            Kind::Ping | Kind::Gossip => {}
         }
-        if let Some(lived) = lived {
-            for asker in self.probes.relayed(now, from, lived) {
-                let Some(age) = crate::wire::v1::ticks(now - lived) else { continue };
+        if let Some(alive_at) = alive_at {
+            for asker in self.probes.relayed(now, from, alive_at) {
+                let Some(age) = crate::wire::v1::ticks(now - alive_at) else { continue };
                 let first = self.table.record(now, from, self.incarnation).into_iter().collect();
                 let about = Some(About { member: from.0, age });
-                self.out.push_back(Send { to: asker, kind: Kind::Vouch, about, first, bare: true });
+                self.out.push_back(Outgoing { to: asker, kind: Kind::IndirectAck, about, first, bare: true });
             }
         }
     }
 
-    /// Takes a datagram of a version that this copy doesn't read: it answers with its own, so that the sender can tell
-    /// what this copy reads, and nothing else follows from it.
+    /// Takes a datagram of a version that this replica doesn't read: it answers with its own, so that the sender learns
+    /// what this replica reads, and nothing else follows from it.
     pub(crate) fn unread(&mut self, now: Millis, from: Member, incarnation: u64) {
-        if !self.left && self.budget.free(now) {
+        if !self.departed && self.budget.has_credit(now) {
             let first = self.correction(now, from, incarnation);
-            self.out.push_back(Send { to: from, kind: Kind::Rumour, about: None, first, bare: true });
+            self.out.push_back(Outgoing { to: from, kind: Kind::Gossip, about: None, first, bare: true });
         }
     }
 
-    /// What the datagram says of its sender by itself; what the sender is to be told of itself in return.
-    fn sender(&mut self, now: Millis, from: Member, incarnation: u64, lived: Option<Millis>) -> Vec<Record> {
+    /// Takes what the datagram shows of its sender; returns the records on it that the sender must learn.
+    fn sender(
+        &mut self,
+        now: Millis,
+        from: Member,
+        incarnation: u64,
+        alive_at: Option<Millis>,
+    ) -> Vec<Record> {
         let Some(entry) = self.table.get(from).copied() else { return Vec::new() };
         let newer = entry.status.is_none() || incarnation > entry.incarnation;
-        let Some(lived) = lived else {
+        let Some(alive_at) = alive_at else {
             if newer && !entry.up() {
                 self.want(now, from);
             }
             return self.correction(now, from, incarnation);
         };
-        self.alive(now, from, lived);
+        self.alive(now, from, alive_at);
         if newer {
             if entry.incarnation > 0 && !entry.up() {
-                self.anew.push(from);
+                self.restarted.push(from);
             }
             self.table.set(now, from, Status::Up, incarnation);
             self.changed = true;
             if entry.status != Some(Status::Up) {
-                // One that comes is news for all; where many come, the views tell of them.
-                let few = entry.status.is_some() || self.news.len() < FEW;
-                self.tell(now, from, few);
+                // A newcomer is an update for all; where many come, the views carry them.
+                let few_newcomers = entry.status.is_some() || self.gossip.len() < FEW_NEWCOMERS;
+                self.announce(now, from, few_newcomers);
             }
         }
         self.correction(now, from, incarnation)
     }
 
-    /// A stranger is to be asked soon.
+    /// A stranger is to be probed soon.
     fn want(&mut self, now: Millis, member: Member) {
-        if self.wanted.len() < WANTED && !self.wanted.contains(&member) {
-            self.wanted.push_back(member);
-            self.next_seek = self.next_seek.min(now + WAVE);
+        if self.strangers.len() < MAX_STRANGERS && !self.strangers.contains(&member) {
+            self.strangers.push_back(member);
+            self.next_discovery = self.next_discovery.min(now + ROUND_INTERVAL);
         }
     }
 
-    /// Whoever isn't held for up under the incarnation it speaks with is told so: it will go above.
+    /// The record for a sender that isn't known as up under its incarnation: it will raise it.
     pub(super) fn correction(&self, now: Millis, from: Member, incarnation: u64) -> Vec<Record> {
         let Some(entry) = self.table.get(from) else { return Vec::new() };
         if entry.status.is_some_and(|status| status != Status::Up) || incarnation < entry.incarnation {
@@ -138,69 +146,70 @@
     }
 
     /// A member lived at this time.
-    fn alive(&mut self, now: Millis, member: Member, lived: Millis) {
+    fn alive(&mut self, now: Millis, member: Member, alive_at: Millis) {
         let Some(entry) = self.table.entries.get_mut(usize::from(member.0)) else { return };
-        entry.lived = entry.lived.max(lived);
-        if entry.status == Some(Status::Suspect) && lived >= entry.since {
+        entry.alive_at = entry.alive_at.max(alive_at);
+        if entry.status == Some(Status::Suspect) && alive_at >= entry.since {
             (entry.status, entry.since) = (Some(Status::Up), now);
         }
-        self.probes.lived(member, lived);
+        self.probes.alive_at(member, alive_at);
     }
 
-    fn asked(&mut self, now: Millis, from: Member, about: Option<About>) {
+    fn ping_requested(&mut self, now: Millis, from: Member, about: Option<About>) {
         let Some(about) = about.map(|about| Member(about.member)) else { return };
-        if about != self.own && self.table.get(about).is_some() && self.budget.owed(now) {
+        if about != self.own && self.table.get(about).is_some() && self.budget.may_answer(now) {
             self.probes.relay(now, from, about);
             self.send(about, Kind::Ping, true);
         }
     }
 
-    fn vouched(&mut self, now: Millis, about: Member, lived: Millis) {
+    fn indirect_ack(&mut self, now: Millis, about: Member, alive_at: Millis) {
         if self.is_up(about) {
-            self.alive(now, about, lived);
+            self.alive(now, about, alive_at);
         }
     }
 
-    /// News of a member, this one perhaps.
+    /// Takes an update on a member, perhaps on this one.
     fn record(&mut self, now: Millis, record: &Record, bounded: bool) {
         let member = Member(record.member);
         if member == self.own {
-            self.of_self(now, record);
+            self.refute(now, record);
             return;
         }
         let Some(before) = self.table.get(member).copied() else { return };
-        match self.table.news(now, record, bounded) {
-            Came::Nothing => {}
-            Came::Ask if before.up() => self.check(now, member),
-            Came::Ask => self.want(now, member),
-            Came::Changed => {
+        match self.table.apply(now, record, bounded) {
+            Applied::Nothing => {}
+            Applied::MustProbe if before.up() => self.verify(now, member),
+            Applied::MustProbe => self.want(now, member),
+            Applied::Changed => {
                 let after = self.table.entries[usize::from(member.0)];
                 self.changed |= before.up() != after.up();
                 self.announced.push((member, after.incarnation, after.reads));
                 if after.status == Some(Status::Up) && before.incarnation > 0 && !before.up() {
-                    self.anew.push(member);
+                    self.restarted.push(member);
                 }
                 if after.status == Some(Status::Suspect) {
-                    self.marks.suspected += 1;
+                    self.counters.suspected += 1;
                 }
                 if after.status == Some(Status::Gone) && before.up() {
-                    self.marks.gone += 1;
+                    self.counters.gone += 1;
                 }
                 // Where only an incarnation was not known yet, nothing has happened.
                 let learned = before.status == after.status && before.incarnation == 0;
-                let few = before.status.is_some() || self.news.len() < FEW;
+                let few_newcomers = before.status.is_some() || self.gossip.len() < FEW_NEWCOMERS;
                 if !learned {
-                    self.tell(now, member, few);
+                    self.announce(now, member, few_newcomers);
                 }
             }
         }
     }
 
-    /// What others hold of this copy: it goes above what isn't true, and above what a former run of it has reached.
-    fn of_self(&mut self, now: Millis, record: &Record) {
+    /// Refutes an update on this replica that isn't true by a higher incarnation, and raises its own above that of a
+    /// former run.
+    fn refute(&mut self, now: Millis, record: &Record) {
         if record.status != Status::Up && record.incarnation < self.incarnation {
-            // Whoever doubts it doesn't know yet under which incarnation it speaks.
-            self.tell(now, self.own, true);
+            // The suspicion is of an earlier incarnation: the current one is not known there yet.
+            self.announce(now, self.own, true);
             return;
         }
         let doubted = record.status != Status::Up && record.incarnation >= self.incarnation;
@@ -212,16 +221,16 @@
             if now < self.quiet_until {
                 return;
             }
-            self.rises.retain(|at| now - at < RISES_WITHIN);
-            self.rises.push_back(now);
-            if self.rises.len() > RISES {
-                self.rises.clear();
+            self.refutations.retain(|at| now - at < REFUTATIONS_WITHIN);
+            self.refutations.push_back(now);
+            if self.refutations.len() > MAX_REFUTATIONS {
+                self.refutations.clear();
                 self.quiet_until = now + QUIET;
-                self.twin = true;
+                self.duplicate = true;
                 return;
             }
         }
         self.incarnation = record.incarnation + 1;
-        self.tell(now, self.own, true);
+        self.announce(now, self.own, true);
     }
 }
--- a/peers/src/membership/table.rs
+++ b/peers/src/membership/table.rs
@@ -1,22 +1,22 @@
-//! What this copy holds of every candidate. Owns statuses and incarnations, and the one rule by which they change.
+//! What this replica knows of every candidate. Owns statuses and incarnations, and the one rule by which they change.
 use std::collections::BTreeMap;
 
 use crate::types::{Member, Millis};
 use crate::wire::v1::{Reads, Record, Status, View, TICK};
 
-/// When a suspicion that was only heard of is looked into.
-pub(super) const CHECK: Millis = 500.0;
-/// Places that one view speaks of at most; of a longer list each datagram shows the next part.
+/// When a suspicion that was only received is verified.
+pub(super) const VERIFY_AFTER: Millis = 500.0;
+/// Places that one view covers at most; of a longer list each datagram shows the next part.
 const VIEW: usize = 512;
-/// Evidence of life that is younger than this is told to those who know less.
-const LIVED: Millis = 1_000.0;
-/// An incarnation beyond this is none that a copy came to by itself.
+/// Evidence of life that is younger than this is sent to those that know less.
+const ALIVE_RECENTLY: Millis = 1_000.0;
+/// An incarnation beyond this is none that a replica came to by itself.
 const INCARNATION_MOST: u64 = u64::MAX / 2;
 
 /// One candidate.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Entry {
-    /// None until something of it was heard.
+    /// None until something of it was received.
     pub status: Option<Status>,
     /// Zero where it is only known to be up.
     pub incarnation: u64,
@@ -25,11 +25,11 @@
     /// Since when it has this status.
     pub since: Millis,
     /// When it certainly lived last.
-    pub lived: Millis,
-    /// Whether this suspicion was looked into already, or was to be left to others.
-    pub checked: bool,
-    /// Whether a probe of this copy's own belongs to this suspicion.
-    pub asked: bool,
+    pub alive_at: Millis,
+    /// Whether this suspicion was verified already, or left to others.
+    pub verified: bool,
+    /// Whether a probe of this replica's own belongs to this suspicion.
+    pub ping_requested: bool,
 }
 
 impl Entry {
@@ -47,15 +47,15 @@
     }
 }
 
-/// What came of news.
+/// What an update came to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Came {
+pub(crate) enum Applied {
     /// It was known, or is overruled by what is known.
     Nothing,
     /// It changes what is held.
     Changed,
-    /// It can't be believed as it stands: the member is to be asked itself.
-    Ask,
+    /// It isn't sufficient evidence: the member is to be probed.
+    MustProbe,
 }
 
 /// All candidates.
@@ -63,25 +63,25 @@
 pub(crate) struct Table {
     pub own: Member,
     pub entries: Vec<Entry>,
-    window: usize,
+    view_base: usize,
 }
 
 impl Table {
     pub(crate) fn new(own: Member, candidates: u16, reads: Reads, now: Millis) -> Table {
-        let lived = f64::NEG_INFINITY;
+        let alive_at = f64::NEG_INFINITY;
         let nothing = Reads::default();
         let entry = Entry {
             status: None,
             incarnation: 0,
             reads: nothing,
             since: now,
-            lived,
-            checked: false,
-            asked: false,
+            alive_at,
+            verified: false,
+            ping_requested: false,
         };
         let mut entries = vec![entry; usize::from(candidates)];
         entries[usize::from(own.0)] = Entry { status: Some(Status::Up), reads, ..entry };
-        Table { own, entries, window: 0 }
+        Table { own, entries, view_base: 0 }
     }
 
     pub(crate) fn get(&self, member: Member) -> Option<&Entry> {
@@ -91,17 +91,17 @@
     pub(crate) fn set(&mut self, now: Millis, member: Member, status: Status, incarnation: u64) {
         if let Some(entry) = self.entries.get_mut(usize::from(member.0)) {
             (entry.status, entry.incarnation) = (Some(status), incarnation);
-            (entry.since, entry.checked, entry.asked) = (now, false, false);
+            (entry.since, entry.verified, entry.ping_requested) = (now, false, false);
         }
     }
 
-    /// Members that are up, those suspected and this copy included, in the list's order.
+    /// Members that are up, those suspected and this replica included, in the list's order.
     pub(crate) fn up(&self) -> Vec<Member> {
         let members = self.entries.iter().enumerate();
         members.filter(|(_, entry)| entry.up()).map(|(at, _)| Member(at as u16)).collect()
     }
 
-    /// Those of whom nobody doubts that they are up, this copy included.
+    /// Those of whom nobody doubts that they are up, this replica included.
     pub(crate) fn unsuspected(&self) -> Vec<Member> {
         let members = self.entries.iter().enumerate();
         members
@@ -110,24 +110,29 @@
             .collect()
     }
 
-    /// News of another member. A higher incarnation wins. Within one, its own leave-taking is final, and suspicion goes
-    /// before being up unless this copy has evidence of life that is younger. That a member is gone is believed of one
-    /// that is suspected already; otherwise whoever says so may have been cut off itself, and the member is asked.
-    pub(crate) fn news(&mut self, now: Millis, record: &Record, bounded: bool) -> Came {
-        let Some(entry) = self.entries.get_mut(usize::from(record.member)) else { return Came::Nothing };
+    /// Applies an update on another member. A higher incarnation wins. Within one, its own leave-taking is final, and
+    /// suspicion goes before being up unless this replica has evidence of life that is younger. That a member is gone
+    /// is believed of one that is suspected already; otherwise the sender may have been isolated itself, and the member
+    /// is probed.
+    pub(crate) fn apply(&mut self, now: Millis, record: &Record, bounded: bool) -> Applied {
+        let Some(entry) = self.entries.get_mut(usize::from(record.member)) else { return Applied::Nothing };
         if record.incarnation > INCARNATION_MOST {
-            return Came::Nothing;
+            return Applied::Nothing;
         }
         let suspected = now - f64::from(record.age) * TICK;
-        // However late it is heard of, there is time left to hear of the contrary as well.
-        let since = suspected.max(now - CHECK);
+        // However late it arrives, there is time left for a refutation.
+        let since = suspected.max(now - VERIFY_AFTER);
         let newer = entry.status.is_none() || record.incarnation > entry.incarnation;
         let next = match (record.status, entry.status) {
-            _ if !newer && record.incarnation < entry.incarnation => return Came::Nothing,
-            // Who comes back is believed only where the word is no old one that was late.
-            (Status::Up, None | Some(Status::Gone | Status::Left)) if newer && !bounded => return Came::Ask,
-            (Status::Gone, Some(Status::Up)) if !newer => return Came::Ask,
-            (Status::Suspect, Some(Status::Up)) if !newer && entry.lived > suspected => return Came::Nothing,
+            _ if !newer && record.incarnation < entry.incarnation => return Applied::Nothing,
+            // A return is believed only of a datagram that is known not to be late.
+            (Status::Up, None | Some(Status::Gone | Status::Left)) if newer && !bounded => {
+                return Applied::MustProbe
+            }
+            (Status::Gone, Some(Status::Up)) if !newer => return Applied::MustProbe,
+            (Status::Suspect, Some(Status::Up)) if !newer && entry.alive_at > suspected => {
+                return Applied::Nothing
+            }
             (status, _) if newer => status,
             (Status::Suspect, Some(Status::Up)) => Status::Suspect,
             (Status::Gone, Some(Status::Suspect)) => Status::Gone,
@@ -135,23 +140,23 @@
             (Status::Suspect, Some(Status::Suspect)) => {
                 // The first suspicion counts, so that all who know of it come to the same end at about one time.
                 entry.since = entry.since.min(since);
-                return Came::Nothing;
+                return Applied::Nothing;
             }
-            _ => return Came::Nothing,
+            _ => return Applied::Nothing,
         };
         let changed = entry.status != Some(next) || record.incarnation > entry.incarnation;
         (entry.status, entry.incarnation) = (Some(next), record.incarnation);
-        (entry.checked, entry.asked) = (false, false);
+        (entry.verified, entry.ping_requested) = (false, false);
         entry.reads = record.reads;
         entry.since = if next == Status::Suspect { since } else { now };
         if changed {
-            Came::Changed
+            Applied::Changed
         } else {
-            Came::Nothing
+            Applied::Nothing
         }
     }
 
-    /// What to tell of a member.
+    /// The update to send on a member.
     pub(crate) fn record(&self, now: Millis, member: Member, own_incarnation: u64) -> Option<Record> {
         let entry = self.get(member)?;
         let status = entry.status?;
@@ -166,8 +171,8 @@
 
     /// Who is up, for others to compare.
     pub(crate) fn view(&mut self) -> View {
-        let base = if self.window < self.entries.len() { self.window } else { 0 };
-        self.window = base + VIEW;
+        let base = if self.view_base < self.entries.len() { self.view_base } else { 0 };
+        self.view_base = base + VIEW;
         let part = &self.entries[base..self.entries.len().min(base + VIEW)];
         let byte = |eight: &[Entry]| {
             let up = |entry: &Entry| u8::from(entry.status == Some(Status::Up));
@@ -193,8 +198,8 @@
         most.map_or(Reads::default(), |((least, most), _)| Reads { least, most })
     }
 
-    /// Takes another's view. Who is up there and unknown here is up, if the view is bounded in age and says what it
-    /// reads. Where this copy has evidence of something different, the places are returned, for their records to be
+    /// Takes another's view. Who is up there and unknown here is up, if the view is bounded in age and contains what it
+    /// reads. Where this replica has evidence of something different, the places are returned, for their records to be
     /// sent.
     pub(crate) fn compare(&mut self, now: Millis, view: &View, bounded: bool) -> (Vec<Member>, Vec<Member>) {
         let (mut come, mut differ) = (Vec::new(), Vec::new());
@@ -205,11 +210,11 @@
                 come.push(Member(place));
                 continue;
             }
-            let lived = now - entry.lived < LIVED;
+            let alive_at = now - entry.alive_at < ALIVE_RECENTLY;
             match entry.status {
                 Some(Status::Gone | Status::Left) if up => differ.push(Member(place)),
-                Some(Status::Up) if !up && lived => differ.push(Member(place)),
-                // One of the two missed the word of a start in another build.
+                Some(Status::Up) if !up && alive_at => differ.push(Member(place)),
+                // One of the two missed a start in another build.
                 Some(_) if up && entry.up() && usual != (entry.reads == view.reads) => {
                     differ.push(Member(place));
                 }
--- a/peers/src/peers.rs
+++ b/peers/src/peers.rs
@@ -1,22 +1,22 @@
-//! The whole machine: hands datagrams and time to its parts and puts their answers together.
+//! The protocol as a state machine: passes datagrams and time to its parts and assembles their answers.
 use std::collections::VecDeque;
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::knowledge::ages::{Clocks, UNDERWAY_MOST};
+use crate::knowledge::ages::{Clocks, MAX_TRANSIT};
 use crate::knowledge::sums::Entries;
 use crate::knowledge::verdicts::Verdicts;
-use crate::membership::{Membership, Send};
+use crate::membership::{Membership, Outgoing};
 use crate::types::{Config, ConfigError, Counts, Member, Millis, Own, Told, Transmit, Versions, Word, READS};
 use crate::versions::Negotiation;
 use crate::wire::v1::{Head, Kind, Reads, View};
 use crate::wire::{self, v1, v2, Header, PAYLOAD};
 
-/// What one operator is told waits here until it is asked for; more than this at once says nothing more.
-const TOLD_MOST: usize = 16;
+/// Lines for the operator that wait until they are polled; further ones are dropped.
+const MAX_NOTIFICATIONS: usize = 16;
 
-/// One copy's end of what the tier knows together.
+/// One replica's part in the protocol of its tier.
 #[derive(Debug)]
 pub struct Peers {
     config: Config,
@@ -27,15 +27,15 @@
     negotiation: Negotiation,
     verdicts: Verdicts,
     sums: Entries,
-    told: VecDeque<Told>,
+    notifications: VecDeque<Told>,
     /// The time of the last call: when datagrams are written.
     now: Millis,
-    /// Whether the operator was told last that this copy is cut off.
-    cut: bool,
+    /// Whether the last line for the operator said that this replica is isolated.
+    isolated: bool,
 }
 
 impl Peers {
-    /// A copy that has heard nobody yet.
+    /// A replica that has received nothing yet.
     pub fn new(config: Config, now: Millis) -> Result<Peers, ConfigError> {
         if config.own.0 >= config.candidates {
             return Err(ConfigError("this copy is not among the peers"));
@@ -44,7 +44,7 @@
         if least > most || least < READS.least || most > READS.most {
             return Err(ConfigError("no version of the peers' protocol is left to speak"));
         }
-        // Two runs of one copy, and two copies of one seed, draw differently.
+        // Two runs of one replica, and two replicas of one seed, draw differently.
         let mut rng = Pcg64Mcg::seed_from_u64(
             config.seed ^ config.incarnation.rotate_left(32) ^ u64::from(config.own.0),
         );
@@ -60,7 +60,7 @@
             rng.clone(),
             now,
         );
-        let (counts, told) = (Counts::default(), VecDeque::new());
+        let (counts, notifications) = (Counts::default(), VecDeque::new());
         Ok(Peers {
             config,
             counts,
@@ -70,15 +70,15 @@
             negotiation,
             verdicts,
             sums,
-            told,
+            notifications,
             now,
-            cut: false,
+            isolated: false,
         })
     }
 
     /// Takes a datagram that came from a candidate's address. Whatever is wrong with it, it is counted and dropped.
     pub fn datagram(&mut self, now: Millis, from: Member, bytes: &[u8]) {
-        self.woken(now);
+        self.resume(now);
         self.counts.read += 1;
         self.counts.read_bytes += bytes.len() as u64;
         let Ok((header, payload)) = wire::open(bytes) else {
@@ -95,7 +95,7 @@
         }
         let body = match header.version {
             version if version < self.config.reads.least || version > self.config.reads.most => {
-                // What it says can't be read, but the header says who speaks and what it reads.
+                // Its payload can't be read, but the header has the sender and the versions that it reads.
                 self.counts.unspoken += 1;
                 self.header(now, &header);
                 self.membership.unread(now, from, header.incarnation);
@@ -113,77 +113,77 @@
             self.counts.broken += 1;
             return;
         };
-        let underway = self.clocks.read(now, from, body.first.head.stamp, body.first.head.echo);
-        if underway.is_some_and(|underway| underway > UNDERWAY_MOST) {
+        let transit = self.clocks.read(now, from, body.first.head.stamp, body.first.head.echo);
+        if transit.is_some_and(|transit| transit > MAX_TRANSIT) {
             self.counts.old += 1;
             return;
         }
         self.header(now, &header);
         let reads = Reads { least: header.reads.least, most: header.reads.most };
-        self.membership.read(now, from, (header.incarnation, reads), underway, &body.first);
+        self.membership.read(now, from, (header.incarnation, reads), transit, &body.first);
         self.members(now);
         if !self.negotiation.accepts(header.version, header.epoch) {
             self.counts.unspoken += 1;
             return;
         }
-        let Some(underway) = underway else {
+        let Some(transit) = transit else {
             // Nothing that ages can be taken from it; an answer to a question of our own will have a bound.
             if !body.first.verdicts.is_empty() {
-                self.membership.ask(now, from);
+                self.membership.probe(now, from);
             }
             return;
         };
-        let mut news = false;
+        let mut changed = false;
         for verdict in &body.first.verdicts {
-            news |= verdict.observer < self.config.candidates && self.verdicts.read(now, underway, verdict);
+            changed |= verdict.observer < self.config.candidates && self.verdicts.read(now, transit, verdict);
         }
-        if news {
-            self.membership.urge(now);
+        if changed {
+            self.membership.disseminate(now);
         }
         if header.version >= 2 {
-            self.sums.read(now, underway, from, &body.totals, body.rest, body.rows);
+            self.sums.read(now, transit, from, &body.totals, body.rest, body.rows);
         }
     }
 
     /// A header that was verified, for the agreement on a version; unless it is of a run that is over.
     fn header(&mut self, now: Millis, header: &Header) {
         if self.membership.current(header.place, header.incarnation) {
-            self.negotiation.heard(now, header.place, header.incarnation, header.reads, header.epoch);
+            self.negotiation.received(now, header.place, header.incarnation, header.reads, header.epoch);
         }
     }
 
     /// Hands on who is up, where that may have changed.
     fn members(&mut self, now: Millis) {
-        for member in std::mem::take(&mut self.membership.anew) {
+        for member in std::mem::take(&mut self.membership.restarted) {
             self.verdicts.forget(member);
         }
         for (member, incarnation, reads) in std::mem::take(&mut self.membership.announced) {
             let reads = Versions { least: reads.least, most: reads.most };
-            self.negotiation.heard(now, member, incarnation, reads, 0);
+            self.negotiation.received(now, member, incarnation, reads, 0);
         }
         if self.membership.changed() {
             let mut up = self.membership.up();
             up.retain(|member| *member != self.config.own);
             self.negotiation.members(now, &up);
         }
-        if self.membership.twin() {
+        if self.membership.duplicate() {
             let place = self.config.own.0;
-            self.tell(format!(
+            self.notify(format!(
                 "another copy speaks as this one, place {place} of the peers: two must not have one name"
             ));
         }
     }
 
-    fn tell(&mut self, line: String) {
-        if self.told.len() < TOLD_MOST {
-            self.told.push_back(Told(line));
+    fn notify(&mut self, line: String) {
+        if self.notifications.len() < MAX_NOTIFICATIONS {
+            self.notifications.push_back(Told(line));
         }
     }
 
-    /// Before anything else that happens at a time: whether this copy slept past what was due.
-    fn woken(&mut self, now: Millis) {
+    /// Before anything else that happens at a time: whether this replica slept past what was due.
+    fn resume(&mut self, now: Millis) {
         self.now = now;
-        self.membership.wake(now);
+        self.membership.resume(now);
     }
 
     /// When [`Peers::timeout`] is to be called next.
@@ -194,7 +194,7 @@
 
     /// Does what is due.
     pub fn timeout(&mut self, now: Millis) {
-        self.woken(now);
+        self.resume(now);
         self.negotiation.timeout(now);
         self.membership.timeout(now);
         self.members(now);
@@ -211,7 +211,7 @@
         Some(Transmit { to: send.to, bytes })
     }
 
-    fn write(&mut self, send: &Send) -> Vec<u8> {
+    fn write(&mut self, send: &Outgoing) -> Vec<u8> {
         let now = self.now;
         // A stranger may read the lowest version only.
         let known = self.membership.is_up(send.to);
@@ -224,14 +224,14 @@
             about: send.about,
             lost: self.membership.lost(now),
         };
-        // An answer always says who is up: when many end at once there is no shorter way to tell.
+        // An answer always carries the view: when many end at once there is no shorter form.
         let view =
             if send.kind == Kind::Ack || !send.bare { self.membership.view() } else { View::default() };
         let records = self.membership.records(now, send);
-        let verdicts = if send.bare && send.kind != Kind::Rumour {
+        let verdicts = if send.bare && send.kind != Kind::Gossip {
             Vec::new()
         } else {
-            self.verdicts.tell(now, &mut self.rng)
+            self.verdicts.outgoing(now, &mut self.rng)
         };
         let first = v1::Body { head, view, records, verdicts };
         let mut body = v2::Body { first, rest: None, rows: Vec::new(), totals: Vec::new() };
@@ -240,11 +240,11 @@
         } else {
             if !send.bare {
                 (body.totals, body.rest, body.rows) =
-                    self.sums.tell(now, send.kind == Kind::Ping, &mut self.rng);
+                    self.sums.outgoing(now, send.kind == Kind::Ping, &mut self.rng);
             }
             v2::write(&mut body, PAYLOAD)
         };
-        self.membership.told(&body.first.records);
+        self.membership.sent(&body.first.records);
         let header = Header {
             version,
             reads: self.config.reads,
@@ -256,50 +256,50 @@
         wire::seal(&header, &payload)
     }
 
-    /// The next thing to tell the operator.
+    /// The next line for the operator.
     pub fn told(&mut self) -> Option<Told> {
-        self.told.pop_front().or_else(|| self.negotiation.told())
+        self.notifications.pop_front().or_else(|| self.negotiation.next_notification())
     }
 
-    /// Takes what this copy observes itself.
+    /// Takes what this replica observes itself.
     pub fn observe(&mut self, now: Millis, own: Own) {
-        self.woken(now);
+        self.resume(now);
         if self.verdicts.observe(now, &own.against, &own.cleared) {
-            self.membership.urge(now);
+            self.membership.disseminate(now);
         }
         self.sums.observe(now, own.figures);
     }
 
     /// What the tier knows.
     pub fn word(&mut self, now: Millis) -> Word {
-        self.woken(now);
+        self.resume(now);
         let members = self.membership.up();
         let place = members.iter().position(|member| *member == self.config.own).unwrap_or(0) as u32;
         let (up, version) = (members.len() as u32, self.negotiation.speaks());
         let joined = self.membership.joined(now);
-        if self.cut == joined && (joined || up > 1) {
-            self.cut = !joined;
+        if self.isolated == joined && (joined || up > 1) {
+            self.isolated = !joined;
             let line =
                 if joined { "hears the tier again" } else { "is cut off from more than half of the tier" };
-            self.tell(format!("this copy {line}: {up} members up"));
+            self.notify(format!("this copy {line}: {up} members up"));
         }
         let sums = if joined && version >= 2 { self.sums.sums(now, &members) } else { None };
         let evidence = self.verdicts.evidence(now);
         Word { up, place, version, epoch: self.negotiation.epoch(), joined, sums, evidence }
     }
 
-    /// Tells the others that this copy ends, so that nobody need suspect it.
+    /// Tells the others that this replica ends, so that nobody need suspect it.
     pub fn leave(&mut self, now: Millis) {
-        self.woken(now);
+        self.resume(now);
         self.membership.leave(now);
     }
 
     /// What was counted.
     pub fn counts(&self) -> Counts {
-        let marks = self.membership.marks;
+        let counters = self.membership.counters;
         Counts {
-            suspected: marks.suspected,
-            gone: marks.gone,
+            suspected: counters.suspected,
+            gone: counters.gone,
             steps: self.negotiation.steps(),
             ..self.counts
         }
--- a/peers/src/types.rs
+++ b/peers/src/types.rs
@@ -1,16 +1,16 @@
 //! What goes in and out of [`Peers`](crate::Peers): plain values that know nothing of requests or sockets.
 //!
-//! Every time is in milliseconds on one monotonic clock of this copy's own; no clock is ever compared with another
-//! copy's.
+//! Every time is in milliseconds on one monotonic clock of this replica's own; no clock is ever compared with another
+//! replica's.
 
-/// Milliseconds: a point on this copy's monotonic clock, or a span of it.
+/// Milliseconds: a point on this replica's monotonic clock, or a span of it.
 pub type Millis = f64;
 
 /// The longest datagram that may be sent, in bytes.
 pub const DATAGRAM_MOST: usize = 256;
 
 /// Every datagram of every version begins with these bytes, all numbers big-endian, and ends with the CRC-32 (IEEE) of
-/// all before it, so that copies of any two versions can tell what the other reads:
+/// all before it, so that replicas of any two versions learn what the other reads:
 ///
 /// | at | bytes | what |
 /// | --- | --- | --- |
@@ -26,11 +26,11 @@
 /// The first two bytes of every datagram.
 pub const MAGIC: [u8; 2] = *b"oP";
 
-/// A candidate for membership: a position in the list of the tier's addresses, the same at every copy.
+/// A candidate for membership: a position in the list of the tier's addresses, the same at every replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Member(pub u16);
 
-/// Versions of the protocol that a copy reads, both ends included.
+/// Versions of the protocol that a replica reads, both ends included.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Versions {
     /// The lowest.
@@ -42,22 +42,22 @@
 /// The versions that this program reads: 1 has membership and verdicts, 2 sums over the tier as well.
 pub const READS: Versions = Versions { least: 1, most: 2 };
 
-/// What a copy is told at its start.
+/// The configuration of a replica at its start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
-    /// This copy's place in the list.
+    /// This replica's place in the list.
     pub own: Member,
     /// How many places the list has; at most [`u16::MAX`].
     pub candidates: u16,
-    /// A number that grows with each start of this copy, as far as it can tell.
+    /// A number that grows with each start of this replica, as far as it can tell.
     pub incarnation: u64,
     /// Feeds random choices.
     pub seed: u64,
-    /// The zone of this copy.
+    /// The zone of this replica.
     pub zone: u16,
-    /// How many tenants there are; the same at every copy whose [`Config::deployment`] is.
+    /// How many tenants there are; the same at every replica whose [`Config::deployment`] is.
     pub tenants: u16,
-    /// A hash of what must be the same for sums and positions to mean the same at two copies.
+    /// A hash of what must be the same for sums and positions to mean the same at two replicas.
     pub deployment: u32,
     /// The versions it reads and may speak: [`READS`], or less where the operator pins them.
     pub reads: Versions,
@@ -82,7 +82,7 @@
     pub demand: f64,
     /// Calls to upstreams in flight: the mean over a second, so that slow calls count for as long as they last.
     pub calls: f64,
-    /// Callers' connections held.
+    /// Clients' connections held.
     pub callers: f64,
 }
 
@@ -91,7 +91,7 @@
 pub struct Figures {
     /// Requests a second that were asked for.
     pub demand: f64,
-    /// Requests a second that the copy takes the next tier to have room for.
+    /// Capacity of the next tier in requests a second, as the replica estimates it.
     pub room: f64,
     /// First attempts a second.
     pub firsts: f64,
@@ -104,13 +104,13 @@
 /// What a verdict is on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Subject {
-    /// An upstream, by the hash of its name that all copies use as its id.
+    /// An upstream, by the hash of its name that all replicas use as its id.
     Upstream(u64),
     /// A zone, by its position in the settings.
     Zone(u16),
 }
 
-/// What this copy observes itself, told whole each time; replaces what was told before.
+/// What this replica observes itself, in whole each time; replaces the former observations.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Own {
     /// Its figures.
@@ -124,35 +124,36 @@
 /// Sums over the live members.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Sums {
-    /// The sums, this copy's own figures included.
+    /// The sums, this replica's own figures included.
     pub figures: Figures,
     /// The oldest figure in them is at most this old.
     pub age: Millis,
     /// Members whose figures are in them, of those that are up; the sums are scaled from these to all.
     pub heard: u32,
-    /// The relative standard error of the sum of demands that the scaling brings; zero where all are heard.
+    /// The relative standard error of the sum of demands that the scaling brings; zero where the figures of all are
+    /// known.
     pub error: f64,
 }
 
-/// Evidence of others against an upstream or a zone. This copy's own is not in it.
+/// Evidence of others against an upstream or a zone. This replica's own is not in it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Evidence {
     /// Against what.
     pub subject: Subject,
-    /// Distinct copies that say so now, and the distinct zones these are in.
+    /// Distinct replicas that observe it now, and the distinct zones these are in.
     pub observers: u32,
     /// See there.
     pub zones: u32,
-    /// Distinct copies that say now that it has answered them again.
+    /// Distinct replicas that it has answered again since.
     pub cleared: u32,
     /// The youngest of it is at most this old.
     pub age: Millis,
 }
 
-/// What the tier knows, as far as this copy has heard. What is older than its bound is not in it.
+/// What the tier knows, as far as this replica has received it. What is older than its bound is not in it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Word {
-    /// Members that are up, this copy included, and its place among them in the list's order.
+    /// Members that are up, this replica included, and its place among them in the list's order.
     pub up: u32,
     /// See there.
     pub place: u32,
@@ -160,9 +161,9 @@
     pub version: u8,
     /// See there.
     pub epoch: u64,
-    /// Whether enough was heard lately for this copy not to be cut off: more than half of those that were up.
+    /// Whether this replica is not isolated: more than half of the members that were up are known to be alive.
     pub joined: bool,
-    /// Sums over the tier; absent where too little that is fresh was heard, or the version has none.
+    /// Sums over the tier; absent where too few fresh figures were received, or the version has none.
     pub sums: Option<Sums>,
     /// Evidence of others.
     pub evidence: Vec<Evidence>,
@@ -177,7 +178,7 @@
     pub bytes: Vec<u8>,
 }
 
-/// What an operator is told; each change once.
+/// A line for the operator; each change once.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Told(pub String);
 
--- a/peers/src/versions/agreement.rs
+++ b/peers/src/versions/agreement.rs
@@ -1,19 +1,19 @@
-//! The agreement on a version that this copy knows of, and how it comes to another. Owns its number; the rest of what
-//! decides is in its parts, all of it integers, so that a model checker can tell states apart.
+//! The agreement on a version that this replica knows of, and how it comes to another. Owns its number; the rest of
+//! what decides is in its parts, all of it integers, so that a model checker can compare states.
 use super::announced::{contains, overlap, Announced};
 use super::epoch::Epoch;
-use super::patience::Patience;
-use super::rules::{Rule, Rules, JUMP, OVERSLEPT};
+use super::rules::{Rule, Rules, MAX_EPOCH_JUMP, MAX_TIMER_LATENESS};
+use super::step_up::StepUpTimer;
 use crate::types::{Member, Versions};
 
-/// Times are in whole milliseconds on this copy's clock.
+/// Times are in whole milliseconds on this replica's clock.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Agreement {
     rules: Rules,
     own: Versions,
     epoch: Epoch,
     announced: Announced,
-    patience: Patience,
+    step_up: StepUpTimer,
 }
 
 impl Agreement {
@@ -23,23 +23,23 @@
             own,
             epoch: Epoch::first(own.least),
             announced: Announced::new(own),
-            patience: Patience::new(),
+            step_up: StepUpTimer::new(),
         }
     }
 
     /// Takes a verified header.
-    pub fn heard(&mut self, now: u64, from: Member, incarnation: u64, reads: Versions, epoch: u64) {
+    pub fn received(&mut self, now: u64, from: Member, incarnation: u64, reads: Versions, epoch: u64) {
         // No program reads nothing, and none reads version 0.
         if reads.least == 0 || reads.least > reads.most {
             return;
         }
-        if !self.announced.hear(self.rules, from, incarnation, reads) {
+        if !self.announced.record(self.rules, from, incarnation, reads) {
             return self.settle(now);
         }
         if reads.most < self.own.most && overlap(reads, self.own) {
-            self.patience.begun();
+            self.step_up.established();
             if reads.most < self.announced.limit() {
-                self.patience.anew(now);
+                self.step_up.restart(now);
             }
         }
         if let Some(epoch) = Epoch::read(epoch) {
@@ -48,41 +48,41 @@
         self.settle(now);
     }
 
-    /// Takes up an agreement of which another copy tells, if it is later than the one known of.
+    /// Adopts an agreement that another replica announces, if it is later than the one known of.
     fn consider(&mut self, now: u64, from: Member, reads: Versions, epoch: Epoch) {
         let version = epoch.version();
-        // A copy agrees only on what it reads itself; what this one can't read it leaves to the others, who will step
-        // down as soon as they hear of it. And those that it doesn't mix with agree among themselves.
+        // A replica agrees only on what it reads itself; what this one can't read it leaves to the others, who will
+        // step down as soon as they receive it. And those that it doesn't mix with agree among themselves.
         let both = contains(reads, version) && contains(self.own, version);
-        if !both || self.announced.apart(from).is_some() || !self.rules.hold(Rule::Adopt) {
+        if !both || self.announced.incompatible(from).is_some() || !self.rules.hold(Rule::Adopt) {
             return;
         }
-        let far = epoch.counter() > self.epoch.counter().saturating_add(JUMP);
-        let repeated = self.announced.astray(from, far);
+        let far = epoch.counter() > self.epoch.counter().saturating_add(MAX_EPOCH_JUMP);
+        let repeated = self.announced.implausible_epoch(from, far);
         if (epoch > self.epoch || !self.rules.hold(Rule::Largest)) && (!far || repeated) {
-            self.turn(now, epoch);
-            self.patience.begun();
+            self.adopt(now, epoch);
+            self.step_up.established();
         }
     }
 
-    /// Takes who is up besides this copy.
+    /// Takes who is up besides this replica.
     pub fn members(&mut self, now: u64, up: &[Member]) {
         self.announced.members(self.rules, up);
         self.settle(now);
     }
 
     pub fn next_timeout(&self) -> Option<u64> {
-        self.patience.due()
+        self.step_up.due()
     }
 
-    /// Steps up if that is due. A copy that comes to it late has slept: others may have come and gone, so it listens
+    /// Steps up if that is due. A replica that comes to it late has slept: others may have come and gone, so it listens
     /// for as long again.
     pub fn timeout(&mut self, now: u64) {
-        let Some(due) = self.patience.due().filter(|&due| due <= now) else { return };
-        if now - due >= OVERSLEPT {
-            self.patience.anew(now);
+        let Some(due) = self.step_up.due().filter(|&due| due <= now) else { return };
+        if now - due >= MAX_TIMER_LATENESS {
+            self.step_up.restart(now);
         } else {
-            self.turn(now, self.another(self.announced.limit()));
+            self.adopt(now, self.next_epoch(self.announced.limit()));
             self.settle(now);
         }
     }
@@ -92,30 +92,30 @@
         let limit = self.announced.limit();
         if limit < self.epoch.version() && self.rules.hold(Rule::OwnKnowledge) {
             let raised = self.rules.hold(Rule::RaiseOnDown);
-            self.turn(now, if raised { self.another(limit) } else { Epoch::first(limit) });
+            self.adopt(now, if raised { self.next_epoch(limit) } else { Epoch::first(limit) });
         }
-        // Where a member reads less, a tier says so by its first agreement. Whoever joins it learns from that number that
-        // it is no part of a common start.
-        if self.epoch.counter() == 0 && self.announced.held() {
-            self.turn(now, self.another(limit));
+        // Where a member reads less, a tier shows so by its first agreement. Whoever joins it learns from that number
+        // that it is no part of a common start.
+        if self.epoch.counter() == 0 && self.announced.limited() {
+            self.adopt(now, self.next_epoch(limit));
         }
         let possible = limit > self.epoch.version() && self.announced.any();
-        self.patience.wait(now, possible);
+        self.step_up.arm(now, possible);
     }
 
-    fn turn(&mut self, now: u64, epoch: Epoch) {
+    fn adopt(&mut self, now: u64, epoch: Epoch) {
         let before = self.epoch.version();
         self.epoch = epoch;
         match epoch.version().cmp(&before) {
-            std::cmp::Ordering::Greater => self.patience.stepped_up(now),
-            std::cmp::Ordering::Less => self.patience.stepped_down(now),
+            std::cmp::Ordering::Greater => self.step_up.stepped_up(now),
+            std::cmp::Ordering::Less => self.step_up.stepped_down(now),
             std::cmp::Ordering::Equal => {}
         }
     }
 
     /// A new agreement.
-    fn another(&self, version: u8) -> Epoch {
-        let last = if self.rules.hold(Rule::AboveHeard) { self.epoch } else { Epoch::first(version) };
+    fn next_epoch(&self, version: u8) -> Epoch {
+        let last = if self.rules.hold(Rule::AboveKnown) { self.epoch } else { Epoch::first(version) };
         last.next(version)
     }
 
@@ -149,6 +149,6 @@
 
     /// The same with a clock that reads less, so that a model of it has finitely many states.
     pub fn shift(&mut self, by: u64) {
-        self.patience.shift(by);
+        self.step_up.shift(by);
     }
 }
--- a/peers/src/versions/mod.rs
+++ b/peers/src/versions/mod.rs
@@ -1,53 +1,62 @@
-//! The version of the protocol that all live members speak, and the agreement on it, while copies of two builds run
+//! The version of the protocol that all live members speak, and the agreement on it, while replicas of two builds run
 //! beside each other.
 //!
-//! Each copy announces in every datagram the versions it reads and the agreement it knows of, a number that holds the
-//! version. The larger number holds. A copy that knows a live member which does not read the version makes the next
-//! agreement, on less, at once; one that has known for long enough that all live members read more makes it on more.
-//! `docs/upgrades.md` has the promise, its assumptions and each constant's reason.
+//! Each replica announces in every datagram the versions it reads and the agreement it knows of, a number that holds
+//! the version. The larger number holds. A replica that knows a live member which does not read the version makes the
+//! next agreement, on less, at once; one that has known for long enough that all live members read more makes it on
+//! more. `docs/upgrades.md` has the promise, its assumptions and each constant's reason.
 #[doc(hidden)]
 pub mod agreement;
 mod announced;
 mod epoch;
-mod patience;
 #[doc(hidden)]
 pub mod rules;
+mod step_up;
 
 use crate::types::{Member, Millis, Told, Versions};
 use agreement::Agreement;
 use rules::Rules;
 use std::collections::{BTreeMap, VecDeque};
 
-/// Lines that wait for whoever asks; with more the oldest are dropped.
-const LINES: usize = 64;
+/// Lines for the operator that wait to be polled; with more the oldest are dropped.
+const MAX_NOTIFICATIONS: usize = 64;
 
-/// One copy's part in the agreement. What decides is in `Agreement`; here are the clock's type, and what is told.
+/// One replica's part in the agreement. What decides is in `Agreement`; here are the clock's type, and the lines for
+/// the operator.
 #[derive(Clone, Debug)]
 pub struct Negotiation {
     agreement: Agreement,
     steps: u64,
-    /// Whether it was told why the version is lower than this copy could speak.
-    held: bool,
-    told: VecDeque<Told>,
-    /// Members that were told to be apart, and what they read.
-    apart: BTreeMap<Member, Versions>,
+    /// Whether the operator was notified why the version is lower than this replica could speak.
+    limited: bool,
+    notifications: VecDeque<Told>,
+    /// Members that the operator was notified of as incompatible, and the versions that they read.
+    incompatible: BTreeMap<Member, Versions>,
 }
 
 impl Negotiation {
-    /// A copy that has heard nobody yet. It speaks the lowest version it reads.
+    /// A replica that has received nothing yet. It speaks the lowest version it reads.
     pub fn new(own: Versions, _now: Millis) -> Negotiation {
         let agreement = Agreement::new(Rules::default(), own);
-        Negotiation { agreement, steps: 0, held: false, told: VecDeque::new(), apart: BTreeMap::new() }
+        Negotiation {
+            agreement,
+            steps: 0,
+            limited: false,
+            notifications: VecDeque::new(),
+            incompatible: BTreeMap::new(),
+        }
     }
 
-    /// Takes a verified header of a live or not yet known member. The same may be said of a member whose announcement
-    /// was passed on by another, with an epoch of 0.
-    pub fn heard(&mut self, now: Millis, from: Member, incarnation: u64, reads: Versions, epoch: u64) {
-        self.noting(|agreement| agreement.heard(whole(now), from, incarnation, reads, epoch));
-        let apart = self.apart(from);
-        if let Some(reads) = apart.filter(|&reads| self.apart.insert(from, reads) != Some(reads)) {
+    /// Takes a verified header of a live or not yet known member; or, with an epoch of 0, an announcement that another
+    /// member has relayed.
+    pub fn received(&mut self, now: Millis, from: Member, incarnation: u64, reads: Versions, epoch: u64) {
+        self.apply(|agreement| agreement.received(whole_milliseconds(now), from, incarnation, reads, epoch));
+        let incompatible = self.incompatible(from);
+        if let Some(reads) =
+            incompatible.filter(|&reads| self.incompatible.insert(from, reads) != Some(reads))
+        {
             let own = self.agreement.own();
-            self.tell(format!(
+            self.notify(format!(
                 "no version in common with member {}, which reads {} to {}, while this copy reads {} to {} and speaks {}: \
                  they go without each other's word",
                 from.0, reads.least, reads.most, own.least, own.most, self.speaks()
@@ -56,15 +65,15 @@
     }
 
     /// Takes the members that are up now besides this one, the suspected ones included. One of which nothing was
-    /// [heard](Negotiation::heard) holds the tier at the lowest version; so whoever learns from another that a member
-    /// is up must learn from it what that member reads, too.
+    /// [received](Negotiation::received) holds the tier at the lowest version; so whoever learns from another that a
+    /// member is up must learn from it what that member reads, too.
     pub fn members(&mut self, now: Millis, up: &[Member]) {
-        self.noting(|agreement| agreement.members(whole(now), up));
+        self.apply(|agreement| agreement.members(whole_milliseconds(now), up));
     }
 
     /// Does what is due.
     pub fn timeout(&mut self, now: Millis) {
-        self.noting(|agreement| agreement.timeout(whole(now)));
+        self.apply(|agreement| agreement.timeout(whole_milliseconds(now)));
     }
 
     /// When [`Negotiation::timeout`] is to be called next.
@@ -83,19 +92,20 @@
         self.agreement.epoch()
     }
 
-    /// Whether the rest of a datagram may be acted on; to be asked after its header was [heard](Negotiation::heard).
+    /// Whether the rest of a datagram may be acted on; to be asked after its header was
+    /// [received](Negotiation::received).
     pub fn accepts(&self, version: u8, epoch: u64) -> bool {
         self.agreement.accepts(version, epoch)
     }
 
     /// The versions of a member that reads none in which all live members meet.
-    pub fn apart(&self, member: Member) -> Option<Versions> {
-        self.agreement.announced().apart(member)
+    pub fn incompatible(&self, member: Member) -> Option<Versions> {
+        self.agreement.announced().incompatible(member)
     }
 
     /// The next line for the operator.
-    pub fn told(&mut self) -> Option<Told> {
-        self.told.pop_front()
+    pub fn next_notification(&mut self) -> Option<Told> {
+        self.notifications.pop_front()
     }
 
     /// How often the version spoken has changed.
@@ -103,16 +113,16 @@
         self.steps
     }
 
-    /// Does something, and tells of the version if that has changed it, or has shown who holds it down.
-    fn noting(&mut self, does: impl FnOnce(&mut Agreement)) {
+    /// Applies a change, and notifies the operator of the version if it has changed, or of the member that limits it.
+    fn apply(&mut self, does: impl FnOnce(&mut Agreement)) {
         let before = self.speaks();
         does(&mut self.agreement);
         let (now, announced) = (self.speaks(), self.agreement.announced());
-        let (changed, held) = (now != before, announced.held());
-        if !changed && (self.held || !held) {
+        let (changed, limited) = (now != before, announced.limited());
+        if !changed && (self.limited || !limited) {
             return;
         }
-        let why = match announced.holder() {
+        let why = match announced.limiting_member() {
             _ if now > before => "all live members read it".to_string(),
             Some((member, Some(reads))) if reads.most == now => {
                 format!("member {} reads {} to {}", member.0, reads.least, reads.most)
@@ -121,22 +131,22 @@
             _ => "another copy says that a member reads no more".to_string(),
         };
         self.steps += u64::from(changed);
-        self.held = now <= before;
+        self.limited = now <= before;
         let (counter, most) = (self.epoch() >> 8, self.agreement.own().most);
         let instead = if changed { format!("instead of {before}") } else { format!("and not {most}") };
-        self.tell(format!("version {now} {instead}, by agreement {counter}: {why}"));
+        self.notify(format!("version {now} {instead}, by agreement {counter}: {why}"));
     }
 
-    fn tell(&mut self, line: String) {
-        if self.told.len() == LINES {
-            self.told.pop_front();
+    fn notify(&mut self, line: String) {
+        if self.notifications.len() == MAX_NOTIFICATIONS {
+            self.notifications.pop_front();
         }
-        self.told.push_back(Told(line));
+        self.notifications.push_back(Told(line));
     }
 }
 
 /// A point of time in whole milliseconds; later is never earlier. To the nearest, so that a timer which fires a hair
 /// early, by an error in the last digits, is not asked for again and again.
-fn whole(now: Millis) -> u64 {
+fn whole_milliseconds(now: Millis) -> u64 {
     now.round() as u64
 }
--- a/peers/src/versions/patience.rs
+++ b/peers/src/versions/step_up.rs
@@ -1,18 +1,18 @@
-//! When a step up is due. Owns that, and how long the tier waits for it.
-use super::rules::{CALM, PATIENCE, PATIENCE_FIRST, PATIENCE_MOST};
+//! The timer of a step up to a higher version. Owns its due time and its delay.
+use super::rules::{FIRST_STEP_UP_DELAY, MAX_STEP_UP_DELAY, SETTLED_AFTER, STEP_UP_DELAY};
 
 /// Times in whole milliseconds.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(super) struct Patience {
+pub(super) struct StepUpTimer {
     length: u64,
     due: Option<u64>,
     /// Until when a step down counts as following on the last step up.
     unsettled: u64,
 }
 
-impl Patience {
-    pub(super) fn new() -> Patience {
-        Patience { length: PATIENCE_FIRST, due: None, unsettled: 0 }
+impl StepUpTimer {
+    pub(super) fn new() -> StepUpTimer {
+        StepUpTimer { length: FIRST_STEP_UP_DELAY, due: None, unsettled: 0 }
     }
 
     /// When the step up is due, if one is.
@@ -20,31 +20,34 @@
         self.due
     }
 
-    /// Says whether a step up could be made, were it not for patience.
-    pub(super) fn wait(&mut self, now: u64, possible: bool) {
+    /// Says whether a step up could be made, were it not for the delay.
+    pub(super) fn arm(&mut self, now: u64, possible: bool) {
         self.due = possible.then(|| self.due.unwrap_or(now.saturating_add(self.length)));
     }
 
     /// The tier is no longer one that starts together and has agreed on nothing.
-    pub(super) fn begun(&mut self) {
-        self.length = self.length.max(PATIENCE);
+    pub(super) fn established(&mut self) {
+        self.length = self.length.max(STEP_UP_DELAY);
     }
 
-    /// Somebody was heard who holds the tier back, or will: waiting begins anew.
-    pub(super) fn anew(&mut self, now: u64) {
-        self.begun();
+    /// A member that limits the tier, or will, has announced itself: the delay starts anew.
+    pub(super) fn restart(&mut self, now: u64) {
+        self.established();
         self.due = self.due.map(|_| now.saturating_add(self.length));
     }
 
     pub(super) fn stepped_up(&mut self, now: u64) {
         self.due = None;
-        self.unsettled = now.saturating_add(CALM);
+        self.unsettled = now.saturating_add(SETTLED_AFTER);
     }
 
     pub(super) fn stepped_down(&mut self, now: u64) {
         self.due = None;
-        self.length =
-            if now < self.unsettled { (self.length.max(PATIENCE) * 2).min(PATIENCE_MOST) } else { PATIENCE };
+        self.length = if now < self.unsettled {
+            (self.length.max(STEP_UP_DELAY) * 2).min(MAX_STEP_UP_DELAY)
+        } else {
+            STEP_UP_DELAY
+        };
     }
 
     /// The same with a clock that reads less, so that a model of it has finitely many states.
--- a/peers/src/wire/mod.rs
+++ b/peers/src/wire/mod.rs
@@ -11,7 +11,7 @@
 /// What a datagram has for its payload, in bytes.
 pub const PAYLOAD: usize = DATAGRAM_MOST - HEADER - CHECK;
 
-/// What every datagram of every version says first.
+/// The header of every datagram of every version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Header {
     pub version: u8,
@@ -24,7 +24,7 @@
 
 /// Why a datagram was not read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Unread {
+pub enum DecodeError {
     /// Too short, too long, garbled, or nothing of ours.
     Broken,
 }
@@ -45,17 +45,17 @@
 }
 
 /// The header and the payload of a datagram that came whole.
-pub fn open(bytes: &[u8]) -> Result<(Header, &[u8]), Unread> {
+pub fn open(bytes: &[u8]) -> Result<(Header, &[u8]), DecodeError> {
     if bytes.len() < HEADER + CHECK || bytes.len() > DATAGRAM_MOST || bytes[..2] != MAGIC {
-        return Err(Unread::Broken);
+        return Err(DecodeError::Broken);
     }
     let (body, check) = bytes.split_at(bytes.len() - CHECK);
     if crc32fast::hash(body).to_be_bytes() != check {
-        return Err(Unread::Broken);
+        return Err(DecodeError::Broken);
     }
     let reads = Versions { least: body[3], most: body[4] };
     if reads.least > reads.most || body[2] < reads.least || body[2] > reads.most {
-        return Err(Unread::Broken);
+        return Err(DecodeError::Broken);
     }
     let header = Header {
         version: body[2],
@@ -68,7 +68,7 @@
     Ok((header, &body[HEADER..]))
 }
 
-/// The first bytes of a slice as an array; the callers' slices have its length.
+/// The first bytes of a slice as an array; the slices that it is given have its length.
 fn fixed<const N: usize>(bytes: &[u8]) -> [u8; N] {
     let mut array = [0; N];
     array.copy_from_slice(&bytes[..N]);
--- a/peers/src/wire/section.rs
+++ b/peers/src/wire/section.rs
@@ -3,7 +3,7 @@
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
-use super::Unread;
+use super::DecodeError;
 
 /// Writes a payload up to a number of bytes.
 pub(crate) struct Writer {
@@ -17,14 +17,14 @@
     }
 
     /// Bytes that are left.
-    pub(crate) fn left(&self) -> usize {
+    pub(crate) fn remaining(&self) -> usize {
         self.most.saturating_sub(self.bytes.len())
     }
 
     /// One value, or nothing of it where it does not fit.
     pub(crate) fn value<T: Serialize>(&mut self, value: &T) -> bool {
         match postcard::to_stdvec(value) {
-            Ok(written) if written.len() <= self.left() => {
+            Ok(written) if written.len() <= self.remaining() => {
                 self.bytes.extend_from_slice(&written);
                 true
             }
@@ -38,11 +38,11 @@
         &mut self,
         items: impl IntoIterator<Item = &'a T>,
         most: usize,
-        keep: usize,
+        reserved: usize,
     ) -> usize {
         let at = self.bytes.len();
         self.bytes.push(0);
-        let end = (at + most).min(self.most.saturating_sub(keep));
+        let end = (at + most).min(self.most.saturating_sub(reserved));
         let mut count: u8 = 0;
         for item in items {
             let Ok(written) = postcard::to_stdvec(item) else { break };
@@ -56,7 +56,7 @@
         usize::from(count)
     }
 
-    pub(crate) fn done(self) -> Vec<u8> {
+    pub(crate) fn finish(self) -> Vec<u8> {
         self.bytes
     }
 }
@@ -65,27 +65,27 @@
 pub(crate) struct Reader<'a>(pub(crate) &'a [u8]);
 
 impl Reader<'_> {
-    pub(crate) fn value<T: DeserializeOwned>(&mut self) -> Result<T, Unread> {
-        let (value, rest) = postcard::take_from_bytes(self.0).map_err(|_| Unread::Broken)?;
+    pub(crate) fn value<T: DeserializeOwned>(&mut self) -> Result<T, DecodeError> {
+        let (value, rest) = postcard::take_from_bytes(self.0).map_err(|_| DecodeError::Broken)?;
         self.0 = rest;
         Ok(value)
     }
 
-    pub(crate) fn list<T: DeserializeOwned>(&mut self) -> Result<Vec<T>, Unread> {
+    pub(crate) fn list<T: DeserializeOwned>(&mut self) -> Result<Vec<T>, DecodeError> {
         let count: u8 = self.value()?;
         // Every item has a byte at least, so a count beyond what is left is a lie and nothing is set aside for it.
         if usize::from(count) > self.0.len() {
-            return Err(Unread::Broken);
+            return Err(DecodeError::Broken);
         }
         (0..count).map(|_| self.value()).collect()
     }
 
     /// Bytes that nothing reads are no part of the version.
-    pub(crate) fn end(self) -> Result<(), Unread> {
+    pub(crate) fn end(self) -> Result<(), DecodeError> {
         if self.0.is_empty() {
             Ok(())
         } else {
-            Err(Unread::Broken)
+            Err(DecodeError::Broken)
         }
     }
 }
--- a/peers/src/wire/v1.rs
+++ b/peers/src/wire/v1.rs
@@ -2,7 +2,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::section::{Reader, Writer};
-use super::Unread;
+use super::DecodeError;
 use crate::types::Subject;
 
 /// What a datagram is for.
@@ -10,14 +10,14 @@
 pub enum Kind {
     /// Asks for an [`Kind::Ack`].
     Ping,
-    /// Answers a ping, and says so by its echo.
+    /// Answers a ping, identified by its echo.
     Ack,
-    /// Asks the receiver to ping the one that this is about.
-    Ask,
-    /// Says that the one this is about has answered.
-    Vouch,
-    /// Passes news on; wants no answer.
-    Rumour,
+    /// Asks the receiver for an indirect probe of the member that this is about.
+    PingRequest,
+    /// Confirms that the member that this is about has answered an indirect probe.
+    IndirectAck,
+    /// Disseminates updates; wants no answer.
+    Gossip,
 }
 
 /// The latest stamp that was read from the receiver, and how long ago, in the sender's milliseconds.
@@ -38,12 +38,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Head {
     pub kind: Kind,
-    /// The sender's milliseconds from an arbitrary start: told back by the receiver, compared by nobody else.
+    /// The sender's milliseconds from an arbitrary start: echoed by the receiver, compared by nobody else.
     pub stamp: u32,
     pub echo: Option<Echo>,
-    /// Whom an [`Kind::Ask`] or a [`Kind::Vouch`] is about.
+    /// Whom an [`Kind::PingRequest`] or a [`Kind::IndirectAck`] is about.
     pub about: Option<About>,
-    /// Members that the sender has lately taken for gone.
+    /// Members that the sender has lately declared gone.
     pub lost: u16,
 }
 
@@ -54,7 +54,7 @@
     pub most: u8,
 }
 
-/// Who is up, as a bit for each place from `base` on, so that two copies can tell where they differ.
+/// Who is up, as a bit for each place from `base` on, so that two replicas find where they differ.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct View {
     pub base: u16,
@@ -66,7 +66,7 @@
 }
 
 impl View {
-    /// The places that the view speaks of, each with whether it is up, and whether it reads what most do.
+    /// The places that the view covers, each with whether it is up, and whether it reads what most do.
     pub fn places(&self) -> impl Iterator<Item = (u16, bool, bool)> + '_ {
         let bit = |bits: &[u8], at: usize| bits.get(at / 8).is_some_and(|byte| byte >> (at % 8) & 1 == 1);
         (0..self.bits.len() * 8).filter_map(move |at| {
@@ -82,11 +82,11 @@
     Up,
     Suspect,
     Gone,
-    /// It said itself that it ends.
+    /// It has left in order, by its own message.
     Left,
 }
 
-/// News of a member.
+/// An update on a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
     pub member: u16,
@@ -100,14 +100,14 @@
 /// The unit of ages on the wire, in milliseconds. A byte of them reaches 5.08 s, beyond every bound.
 pub const TICK: f64 = 20.0;
 
-/// Whether a verdict is given or taken back.
+/// Whether a verdict is given or withdrawn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum Stand {
+pub enum Stance {
     Against,
     Cleared,
 }
 
-/// What an observer says of an upstream or a zone.
+/// An observation on an upstream or a zone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Verdict {
     #[serde(with = "SubjectForm")]
@@ -116,7 +116,7 @@
     pub zone: u16,
     /// Grows with each change of the observer's mind, as RFC 1982's serial numbers do.
     pub sequence: u16,
-    pub stand: Stand,
+    pub stance: Stance,
     pub age: u8,
 }
 
@@ -128,7 +128,7 @@
     Zone(u16),
 }
 
-/// All that version 1 says.
+/// The payload of version 1.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Body {
     pub head: Head,
@@ -137,24 +137,24 @@
     pub verdicts: Vec<Verdict>,
 }
 
-/// Room for verdicts, in bytes: four of 17 bytes, so that news of members and sums keep theirs.
-const VERDICTS: usize = 70;
+/// Space for verdicts, in bytes: four of 17 bytes, so that membership updates and sums keep theirs.
+const VERDICTS_BYTES: usize = 70;
 
 impl Body {
-    /// Writes what fits, news of members first; `records` are as many as were written.
-    pub(crate) fn write(&mut self, to: &mut Writer, keep: usize) {
+    /// Writes what fits, membership updates first; `records` are as many as were written.
+    pub(crate) fn write(&mut self, to: &mut Writer, reserved: usize) {
         // The fixed part has 30 bytes at most and the view what its owner limits it to, so both always fit.
         to.value(&self.head);
         to.value(&(self.view.base, self.view.reads));
-        to.list(&self.view.bits, usize::MAX >> 1, keep + 3);
-        to.list(&self.view.others, usize::MAX >> 1, keep + 2);
-        let verdicts = if self.verdicts.is_empty() { 1 } else { VERDICTS };
-        let written = to.list(&self.records, usize::MAX >> 1, keep + verdicts);
+        to.list(&self.view.bits, usize::MAX >> 1, reserved + 3);
+        to.list(&self.view.others, usize::MAX >> 1, reserved + 2);
+        let verdicts = if self.verdicts.is_empty() { 1 } else { VERDICTS_BYTES };
+        let written = to.list(&self.records, usize::MAX >> 1, reserved + verdicts);
         self.records.truncate(written);
-        to.list(&self.verdicts, VERDICTS, keep);
+        to.list(&self.verdicts, VERDICTS_BYTES, reserved);
     }
 
-    pub(crate) fn read(from: &mut Reader<'_>) -> Result<Body, Unread> {
+    pub(crate) fn read(from: &mut Reader<'_>) -> Result<Body, DecodeError> {
         let head = from.value()?;
         let (base, reads) = from.value()?;
         let view = View { base, reads, bits: from.list()?, others: from.list()? };
@@ -166,18 +166,18 @@
 pub fn write(body: &mut Body, most: usize) -> Vec<u8> {
     let mut to = Writer::new(most);
     body.write(&mut to, 0);
-    to.done()
+    to.finish()
 }
 
 /// Reads a whole payload of version 1.
-pub fn read(payload: &[u8]) -> Result<Body, Unread> {
+pub fn read(payload: &[u8]) -> Result<Body, DecodeError> {
     let mut from = Reader(payload);
     let body = Body::read(&mut from)?;
     from.end()?;
     Ok(body)
 }
 
-/// An age for the wire, never less than it is; none beyond what a byte says.
+/// An age for the wire, never less than it is; none beyond what a byte holds.
 pub fn ticks(age: f64) -> Option<u8> {
     let ticks = (age.max(0.0) / TICK).ceil();
     (ticks < f64::from(u8::MAX)).then_some(ticks as u8)
--- a/peers/src/wire/v2.rs
+++ b/peers/src/wire/v2.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::section::{Reader, Writer};
-use super::{v1, Unread};
+use super::{v1, DecodeError};
 
 /// A figure as written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -43,18 +43,18 @@
 }
 
 /// Bytes of the sender's own [`Totals`] and of the count before them.
-const TOTALS: usize = 14;
+const TOTALS_BYTES: usize = 14;
 
-/// What an owner told of itself: 12 bytes at most.
+/// An owner's totals: 12 bytes at most.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Totals {
     pub owner: u16,
     pub age: u8,
-    /// Demand, room, firsts, retries.
+    /// Demand, capacity, first attempts, retries.
     pub figures: [Figure; 4],
 }
 
-/// One tenant's figures: demand, calls, callers.
+/// One tenant's figures: demand, calls, client connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
     pub tenant: u16,
@@ -71,7 +71,7 @@
 /// Tenants that one datagram names at most: 9 bytes each. With fewer tenants all are named.
 pub const ROWS: usize = 8;
 
-/// All that version 2 says.
+/// The payload of version 2.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Body {
     pub first: v1::Body,
@@ -80,23 +80,23 @@
     pub totals: Vec<Totals>,
 }
 
-/// Bytes that news of members leave for sums: the sender's own totals and four tenants at least.
-const KEEP: usize = 70;
+/// Bytes that membership updates leave for sums: the sender's own totals and four tenants at least.
+const SUMS_RESERVE: usize = 70;
 
 /// The payload of a datagram of version 2.
 pub fn write(body: &mut Body, most: usize) -> Vec<u8> {
     let mut to = Writer::new(most);
     // Three lists that are empty take three bytes.
-    let keep = if body.totals.is_empty() { 3 } else { KEEP };
-    body.first.write(&mut to, keep);
+    let reserved = if body.totals.is_empty() { 3 } else { SUMS_RESERVE };
+    body.first.write(&mut to, reserved);
     to.value(&body.rest);
-    to.list(&body.rows, usize::MAX >> 1, if body.totals.is_empty() { 1 } else { TOTALS });
+    to.list(&body.rows, usize::MAX >> 1, if body.totals.is_empty() { 1 } else { TOTALS_BYTES });
     to.list(&body.totals, usize::MAX >> 1, 0);
-    to.done()
+    to.finish()
 }
 
 /// Reads a whole payload of version 2.
-pub fn read(payload: &[u8]) -> Result<Body, Unread> {
+pub fn read(payload: &[u8]) -> Result<Body, DecodeError> {
     let mut from = Reader(payload);
     let first = v1::Body::read(&mut from)?;
     let body = Body { first, rest: from.value()?, rows: from.list()?, totals: from.list()? };
--- a/peers/tests/common/mod.rs
+++ b/peers/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! A network of copies in one process: delay, loss, repetition, late datagrams, cuts, pauses, restarts, on injected
+//! A network of replicas in one process: delay, loss, repetition, late datagrams, cuts, pauses, restarts, on injected
 //! time and from a seed.
 #![allow(dead_code)]
 use std::cmp::Reverse;
@@ -75,7 +75,7 @@
         }
     }
 
-    /// As many copies as there are places, all started within a tenth of a second, run until they know each other.
+    /// As many replicas as there are places, all started within a tenth of a second, run until they know each other.
     pub fn tier(n: u16, tenants: u16, net: Net, seed: u64) -> Sim {
         let mut sim = Sim::new(n, tenants, net, seed);
         for place in 0..n {
@@ -85,7 +85,7 @@
         sim
     }
 
-    /// Starts a copy; its place among [`Sim::nodes`].
+    /// Starts a replica; its place among [`Sim::nodes`].
     pub fn start(&mut self, place: u16, incarnation: u64, reads: Versions) -> usize {
         let skew = self.rng.gen_range(0.0..3_600_000.0);
         let node = self.node(place, incarnation, reads, skew);
@@ -95,7 +95,7 @@
         at
     }
 
-    /// A copy anew in place of one that ran or was killed, with nothing remembered.
+    /// A replica anew in place of one that ran or was killed, with nothing remembered.
     pub fn restart(&mut self, at: usize, incarnation: u64) {
         let (place, skew) = (self.nodes[at].place, self.rng.gen_range(0.0..3_600_000.0));
         self.nodes[at] = self.node(place, incarnation, READS, skew);
@@ -151,7 +151,7 @@
         self.events.push(Reverse(((at * 1_000.0) as u64, self.count)));
     }
 
-    /// Sends what a copy has to send, and notes when it wants to be called.
+    /// Sends what a replica has to send, and notes when it wants to be called.
     fn settle(&mut self, at: usize) {
         let place = self.nodes[at].place;
         while let Some(transmit) = self.nodes[at].peers.as_mut().and_then(Peers::transmit) {
@@ -228,7 +228,7 @@
         if there.is_empty() {
             return;
         }
-        // Two copies under one name: the network brings it to either.
+        // Two replicas under one name: the network brings it to either.
         let at = there[self.rng.gen_range(0..there.len())];
         let (now, node) = (self.now, &mut self.nodes[at]);
         if now < node.paused_until {
--- a/peers/tests/knowledge.rs
+++ b/peers/tests/knowledge.rs
@@ -4,7 +4,7 @@
 use oakflow_peers::knowledge::ages::Clocks;
 use oakflow_peers::knowledge::sums::{self, Entries};
 use oakflow_peers::knowledge::verdicts::{self, Verdicts};
-use oakflow_peers::wire::v1::{Stand, Verdict};
+use oakflow_peers::wire::v1::{Stance, Verdict};
 use oakflow_peers::wire::v2::{Figure, Totals};
 use oakflow_peers::{Figures, Member, Millis, Subject, TenantFigures};
 
@@ -17,45 +17,45 @@
 
 fn verdict() -> impl Strategy<Value = Verdict> {
     (0..3_u64, 1..6_u16, 0..40_u16, 0..100_u8).prop_map(|(subject, observer, sequence, age)| {
-        // What an observer says under one sequence is one thing.
-        let stand = if sequence % 3 == 0 { Stand::Cleared } else { Stand::Against };
-        Verdict { subject: Subject::Upstream(subject), observer, zone: observer % 2, sequence, stand, age }
+        // What an observer sends under one sequence is one thing.
+        let stance = if sequence % 3 == 0 { Stance::Cleared } else { Stance::Against };
+        Verdict { subject: Subject::Upstream(subject), observer, zone: observer % 2, sequence, stance, age }
     })
 }
 
 proptest! {
     #[test]
     fn sums_are_the_same_in_any_order_and_number(
-        told in prop::collection::vec(totals(), 0..30).prop_shuffle(), again in prop::collection::vec(any::<prop::sample::Index>(), 0..30),
+        entries_read in prop::collection::vec(totals(), 0..30).prop_shuffle(), again in prop::collection::vec(any::<prop::sample::Index>(), 0..30),
     ) {
         let up: Vec<Member> = (0..8).map(Member).collect();
-        let sums = |told: &[Totals]| {
+        let sums = |entries_read: &[Totals]| {
             let mut entries = Entries::new(Member(0), 8, 2);
             entries.observe(10_000.0, Figures { tenants: vec![TenantFigures::default()], ..Figures::default() });
-            for entry in told {
+            for entry in entries_read {
                 entries.read(10_000.0, 5.0, Member(1), &[*entry], None, Vec::new());
             }
             entries.sums(10_000.0, &up)
         };
-        let mut other: Vec<Totals> = told.iter().rev().copied().collect();
-        other.extend(again.iter().filter(|_| !told.is_empty()).map(|at| told[at.index(told.len())]));
-        let (one, two) = (sums(&told), sums(&other));
+        let mut other: Vec<Totals> = entries_read.iter().rev().copied().collect();
+        other.extend(again.iter().filter(|_| !entries_read.is_empty()).map(|at| entries_read[at.index(entries_read.len())]));
+        let (one, two) = (sums(&entries_read), sums(&other));
         prop_assert_eq!(&one, &two);
         if let Some(sums) = one {
-            prop_assert!(sums.age <= sums::TENANTS_BOUND && sums.heard <= 8);
+            prop_assert!(sums.age <= sums::TENANTS_MAX_AGE && sums.heard <= 8);
         }
     }
 
     #[test]
-    fn verdicts_are_the_same_in_any_order_and_number(told in prop::collection::vec(verdict(), 0..40)) {
-        let evidence = |told: &mut dyn Iterator<Item = &Verdict>| {
+    fn verdicts_are_the_same_in_any_order_and_number(entries_read in prop::collection::vec(verdict(), 0..40)) {
+        let evidence = |entries_read: &mut dyn Iterator<Item = &Verdict>| {
             let mut verdicts = Verdicts::new(Member(0), 0, 0);
-            told.for_each(|verdict| _ = verdicts.read(10_000.0, 5.0, verdict));
+            entries_read.for_each(|verdict| _ = verdicts.read(10_000.0, 5.0, verdict));
             verdicts.evidence(10_000.0)
         };
-        let one = evidence(&mut told.iter());
-        prop_assert_eq!(&one, &evidence(&mut told.iter().rev().chain(&told)));
-        prop_assert!(one.iter().all(|evidence| evidence.age <= verdicts::BOUND));
+        let one = evidence(&mut entries_read.iter());
+        prop_assert_eq!(&one, &evidence(&mut entries_read.iter().rev().chain(&entries_read)));
+        prop_assert!(one.iter().all(|evidence| evidence.age <= verdicts::MAX_AGE));
     }
 
     #[test]
@@ -64,14 +64,14 @@
         for at in 0..many {
             let value = seed.wrapping_mul(at.wrapping_add(7) | 1);
             let subject = Subject::Upstream(value % 211);
-            let verdict = Verdict { subject, observer: 1 + (value >> 9) as u16 % 300, zone: 0, sequence: 0, stand: Stand::Against, age: 3 };
+            let verdict = Verdict { subject, observer: 1 + (value >> 9) as u16 % 300, zone: 0, sequence: 0, stance: Stance::Against, age: 3 };
             verdicts.read(10_000.0, 5.0, &verdict);
         }
         let evidence = verdicts.evidence(10_000.0);
         prop_assert!(evidence.len() <= 64 && evidence.iter().all(|evidence| evidence.observers <= 8));
     }
 
-    /// Two clocks an hour apart whose rates differ: what is said of the time under way is never less than it was.
+    /// Two clocks an hour apart whose rates differ: the bound on the time in transit is never less than it was.
     #[test]
     fn the_time_under_way_is_never_taken_for_less(
         skew in -3.6e6..3.6e6_f64, rate in 0.999..1.001_f64,
@@ -96,7 +96,7 @@
     }
 }
 
-/// Each tells the other something every 100 ms, for so long; how long the last to the first was under way.
+/// Each sends the other a datagram every 100 ms, for so long; how long the last to the first was in transit.
 fn talk(a: &mut Clocks, b: &mut Clocks, from: Millis, span: Millis) -> Option<Millis> {
     let (mut now, mut underway) = (from, None);
     while now < from + span {
--- a/peers/tests/strangers.rs
+++ b/peers/tests/strangers.rs
@@ -59,7 +59,7 @@
         sim.run(2_000.0);
         sim.keep = false;
         let kept = std::mem::take(&mut sim.kept);
-        // One ends; a minute later all that was said before comes again.
+        // One ends; a minute later all datagrams of before come again.
         sim.kill(2);
         sim.run(60_000.0);
         let gone = sim.with(0, |peers, _| peers.counts().gone);
--- a/peers/tests/tier.rs
+++ b/peers/tests/tier.rs
@@ -1,9 +1,9 @@
-//! Tiers of copies on a simulated network: what the promise says, from seeds, under loss and faults.
+//! Tiers of replicas on a simulated network: what the protocol promises, from seeds, under loss and faults.
 mod common;
 use common::{Net, Sim, LOSSY};
 use oakflow_peers::{Figures, Own, Subject, TenantFigures, READS};
 
-/// What a copy observes; the demand differs from copy to copy by 30 in 100.
+/// What a replica observes; the demand differs from replica to replica by 30 in 100.
 fn own(place: u16, level: f64) -> Own {
     let demand = level * (0.48 + 1.04 * f64::from(place * 37 % 101) / 100.0);
     let tenant = |at: u16| {
@@ -15,7 +15,7 @@
     Own { figures, ..Own::default() }
 }
 
-/// Runs the tier while each copy observes four times a second.
+/// Runs the tier while each replica observes four times a second.
 fn observed(sim: &mut Sim, span: f64, level: f64) {
     let end = sim.now + span;
     while sim.now < end {
@@ -27,7 +27,7 @@
     }
 }
 
-/// The part of the running copies that hold so many for up.
+/// The part of the running replicas that hold so many for up.
 fn agree(sim: &mut Sim, up: u32) -> f64 {
     let alive = sim.alive();
     let agree = alive.iter().filter(|at| sim.word(**at).up == up).count();
@@ -59,7 +59,7 @@
                 .sums
                 .unwrap_or_else(|| panic!("{n} copies: {at} hears too little: {:?}", sim.word(at)));
             let off = (sums.figures.demand / truth - 1.0).abs();
-            // Six times the error that is stated, so that one copy of 300 doesn't fail the test by chance.
+            // Six times the error that is stated, so that one replica of 300 doesn't fail the test by chance.
             assert!(off <= 6.0 * sums.error + 0.005, "{n} copies: off by {off}, stated {}", sums.error);
         }
         sim.kill(3);
@@ -140,7 +140,7 @@
     sim.cut = Box::new(|from, to| (from, to) == (1, 2));
     sim.run(20_000.0);
     assert_eq!(agree(&mut sim, 24), 1.0);
-    // One hears nobody: it says itself that it is cut off, and makes nobody else doubt the others.
+    // One receives nothing: it reports itself as isolated, and makes nobody else suspect the others.
     sim.cut = Box::new(|_, to| to == 5);
     sim.run(6_000.0);
     assert!(!sim.word(5).joined);
@@ -148,7 +148,7 @@
     assert!(others.iter().all(|up| *up == 23), "{others:?}");
     sim.cut = Box::new(|_, _| false);
     until(&mut sim, 8_000.0, |sim| agree(sim, 24) == 1.0);
-    // A copy is paused for 20 s; what it says and hears of the past brings nobody down when it wakes.
+    // A replica is paused for 20 s; what it sends and receives of the past brings nobody down when it resumes.
     sim.pause(7, 20_000.0);
     sim.run(19_900.0);
     let gone = |sim: &mut Sim, at: usize| sim.with(at, |peers, _| peers.counts().gone);
--- a/peers/tests/upgrades.rs
+++ b/peers/tests/upgrades.rs
@@ -6,7 +6,7 @@
 
 const OLD: Versions = Versions { least: 1, most: 1 };
 
-/// Ends the copy at a place as an orderly stop does, and starts it 0.5 s later with nothing remembered.
+/// Ends the replica at a place as an orderly stop does, and starts it 0.5 s later with nothing remembered.
 fn again(sim: &mut Sim, place: u16, incarnation: u64, reads: Versions) {
     let runs = sim.alive().into_iter().find(|at| sim.nodes[*at].place == place).expect("it runs");
     sim.with(runs, |peers, now| peers.leave(now));
@@ -46,12 +46,12 @@
         again(&mut sim, place, 2_000, READS);
         assert_eq!(go_on(&mut sim, 1), (vec![1], 0), "{place} is upgraded");
     }
-    // Then, with every copy a new run, all know sums, and go on knowing them.
+    // Then, with every replica a new run, all know sums, and go on knowing them.
     go_on(&mut sim, 7);
     for _ in 0..10 {
         assert_eq!(go_on(&mut sim, 1), (vec![2], N.into()));
     }
-    // The first copy of the old build takes all down; the others' restarts change nothing more.
+    // The first replica of the old build takes all down; the others' restarts change nothing more.
     for place in 0..N {
         again(&mut sim, place, 3_000, OLD);
         let (versions, sums) = go_on(&mut sim, 1);
--- a/peers/tests/version_model.rs
+++ b/peers/tests/version_model.rs
@@ -1,16 +1,16 @@
-//! The agreement that runs, explored by a model checker: three copies of two builds, of which one reads version 1 and
+//! The agreement that runs, explored by a model checker: three replicas of two builds, of which one reads version 1 and
 //! one both.
 //!
-//! Any of the headers that a copy has written last may come to any other at any time, again and
-//! again, or never: that is delay, loss, repetition and reordering. A copy takes another for live when it has acted on
-//! a datagram of it or when a third says so, and for gone at any time, wrongly too. Each clock runs as fast as it likes:
-//! patience ends whenever. Copies start anew in either build with nothing remembered but a larger incarnation.
+//! Any of the headers that a replica has written last may come to any other at any time, again and again, or never:
+//! that is delay, loss, repetition and reordering. A replica takes another for live when it has acted on a datagram of
+//! it or when a third reports it, and for gone at any time, wrongly too. Each clock runs as fast as it likes: the
+//! step-up delay ends whenever. Copies start anew in either build with nothing remembered but a larger incarnation.
 use oakflow_peers::versions::agreement::Agreement;
-use oakflow_peers::versions::rules::{Rule, Rules, PATIENCE_MOST};
+use oakflow_peers::versions::rules::{Rule, Rules, MAX_STEP_UP_DELAY};
 use oakflow_peers::{Member, Versions};
 use stateright::{Checker, Model, Property};
 
-const COPIES: usize = 3;
+const REPLICAS: usize = 3;
 const OLD: Versions = Versions { least: 1, most: 1 };
 const NEW: Versions = Versions { least: 1, most: 2 };
 
@@ -23,22 +23,22 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Copy {
+struct Replica {
     agreement: Agreement,
     incarnation: u64,
     reads: Versions,
-    up: [bool; COPIES],
-    /// The latest start of each of the others that it has heard of, and what that reads.
-    announced: [Option<(u64, Versions)>; COPIES],
+    up: [bool; REPLICAS],
+    /// The latest start of each of the others that it has received, and what that reads.
+    announced: [Option<(u64, Versions)>; REPLICAS],
     /// What it has written, the latest last.
     written: Vec<Header>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct World {
-    copies: Vec<Copy>,
+    replicas: Vec<Replica>,
     starts: u8,
-    /// A copy went back to an earlier agreement, or acted on what it misreads.
+    /// A replica went back to an earlier agreement, or acted on what it misreads.
     back: bool,
     misread: bool,
 }
@@ -50,7 +50,7 @@
         which: usize,
         to: usize,
     },
-    /// A third copy says that one is up.
+    /// A third replica reports that one is up.
     Gossip {
         of: usize,
         to: usize,
@@ -59,9 +59,9 @@
         of: usize,
         to: usize,
     },
-    Patience(usize),
+    StepUpDelay(usize),
     Start {
-        copy: usize,
+        replica: usize,
         reads: Versions,
     },
 }
@@ -71,15 +71,15 @@
     /// How many starts after the first, and how many agreements, are explored.
     starts: u8,
     agreements: u64,
-    /// How many different headers of each copy may still be under way, the last one included.
+    /// How many different headers of each replica may still be under way, the last one included.
     under_way: usize,
 }
 
-impl Copy {
-    fn start(rules: Rules, incarnation: u64, reads: Versions, written: Vec<Header>) -> Copy {
+impl Replica {
+    fn start(rules: Rules, incarnation: u64, reads: Versions, written: Vec<Header>) -> Replica {
         let agreement = Agreement::new(rules, reads);
-        let (up, announced) = ([false; COPIES], [None; COPIES]);
-        Copy { agreement, incarnation, reads, up, announced, written }
+        let (up, announced) = ([false; REPLICAS], [None; REPLICAS]);
+        Replica { agreement, incarnation, reads, up, announced, written }
     }
 
     fn header(&self) -> Header {
@@ -100,7 +100,7 @@
     /// Takes a datagram as the whole machine does; true if it was misread.
     fn take(&mut self, now: u64, from: usize, header: Header) -> bool {
         let Header { incarnation, reads, epoch, version } = header;
-        self.agreement.heard(now, Member(from as u16), incarnation, reads, epoch);
+        self.agreement.received(now, Member(from as u16), incarnation, reads, epoch);
         if self.announced[from].is_none_or(|before| before.0 < incarnation) {
             self.announced[from] = Some((incarnation, reads));
         }
@@ -114,7 +114,7 @@
 
     fn set(&mut self, now: u64, of: usize, up: bool) {
         self.up[of] = up;
-        let members: Vec<Member> = (0..COPIES).filter(|&i| self.up[i]).map(|i| Member(i as u16)).collect();
+        let members: Vec<Member> = (0..REPLICAS).filter(|&i| self.up[i]).map(|i| Member(i as u16)).collect();
         self.agreement.members(now, &members);
     }
 }
@@ -123,29 +123,31 @@
     /// With everybody running and every datagram arriving from now on: after how long all have agreed on the highest
     /// version that all read, if they do.
     fn settles(&self) -> Option<u64> {
-        let (mut copies, mut now) = (self.copies.clone(), 0);
+        let (mut replicas, mut now) = (self.replicas.clone(), 0);
         for _ in 0..8 {
             for (from, to) in pairs().chain(pairs()).chain(pairs()) {
-                let header = copies[from].header();
-                copies[to].take(now, from, header);
-                copies[to].set(now, from, true);
+                let header = replicas[from].header();
+                replicas[to].take(now, from, header);
+                replicas[to].set(now, from, true);
             }
-            let Some(due) = copies.iter().filter_map(|copy| copy.agreement.next_timeout()).min() else {
+            let Some(due) = replicas.iter().filter_map(|replica| replica.agreement.next_timeout()).min()
+            else {
                 break;
             };
             now = due;
-            copies.iter_mut().for_each(|copy| copy.agreement.timeout(now));
+            replicas.iter_mut().for_each(|replica| replica.agreement.timeout(now));
         }
-        let version = copies.iter().map(|copy| copy.reads.most).min();
-        let agreed = copies.iter().all(|copy| {
-            copy.agreement.epoch() == copies[0].agreement.epoch() && Some(copy.agreement.speaks()) == version
+        let version = replicas.iter().map(|replica| replica.reads.most).min();
+        let agreed = replicas.iter().all(|replica| {
+            replica.agreement.epoch() == replicas[0].agreement.epoch()
+                && Some(replica.agreement.speaks()) == version
         });
         agreed.then_some(now)
     }
 }
 
 fn pairs() -> impl Iterator<Item = (usize, usize)> {
-    (0..COPIES * COPIES).map(|i| (i / COPIES, i % COPIES)).filter(|(a, b)| a != b)
+    (0..REPLICAS * REPLICAS).map(|i| (i / REPLICAS, i % REPLICAS)).filter(|(a, b)| a != b)
 }
 
 impl Model for Tier {
@@ -153,27 +155,27 @@
     type Action = Act;
 
     fn init_states(&self) -> Vec<World> {
-        let world = |builds: [Versions; COPIES]| {
-            let mut copies = builds.map(|reads| Copy::start(self.rules, 1, reads, Vec::new())).to_vec();
-            copies.iter_mut().for_each(|copy| copy.write(self.under_way));
-            World { copies, starts: 0, back: false, misread: false }
+        let world = |builds: [Versions; REPLICAS]| {
+            let mut replicas = builds.map(|reads| Replica::start(self.rules, 1, reads, Vec::new())).to_vec();
+            replicas.iter_mut().for_each(|replica| replica.write(self.under_way));
+            World { replicas, starts: 0, back: false, misread: false }
         };
         vec![world([NEW, NEW, NEW]), world([NEW, NEW, OLD])]
     }
 
     fn actions(&self, world: &World, acts: &mut Vec<Act>) {
-        for (copy, state) in world.copies.iter().enumerate() {
+        for (replica, state) in world.replicas.iter().enumerate() {
             if state.agreement.next_timeout().is_some() {
-                acts.push(Act::Patience(copy));
+                acts.push(Act::StepUpDelay(replica));
             }
             if world.starts < self.starts {
-                acts.extend([OLD, NEW].map(|reads| Act::Start { copy, reads }));
+                acts.extend([OLD, NEW].map(|reads| Act::Start { replica, reads }));
             }
         }
         for (from, to) in pairs() {
-            let ways = world.copies[from].written.len();
+            let ways = world.replicas[from].written.len();
             acts.extend((0..ways).map(|which| Act::Deliver { from, which, to }));
-            let up = world.copies[to].up[from];
+            let up = world.replicas[to].up[from];
             acts.push(if up { Act::Gone { of: from, to } } else { Act::Gossip { of: from, to } });
         }
     }
@@ -182,27 +184,27 @@
         let mut world = before.clone();
         match act {
             Act::Deliver { from, which, to } => {
-                let header = before.copies[from].written[which];
-                world.misread |= world.copies[to].take(0, from, header);
+                let header = before.replicas[from].written[which];
+                world.misread |= world.replicas[to].take(0, from, header);
             }
-            Act::Gossip { of, to } => world.copies[to].set(0, of, true),
-            Act::Gone { of, to } => world.copies[to].set(0, of, false),
-            Act::Patience(copy) => {
-                let agreement = &mut world.copies[copy].agreement;
+            Act::Gossip { of, to } => world.replicas[to].set(0, of, true),
+            Act::Gone { of, to } => world.replicas[to].set(0, of, false),
+            Act::StepUpDelay(replica) => {
+                let agreement = &mut world.replicas[replica].agreement;
                 let due = agreement.next_timeout()?;
                 agreement.timeout(due);
                 agreement.shift(due);
             }
-            Act::Start { copy, reads } => {
+            Act::Start { replica, reads } => {
                 world.starts += 1;
-                let Copy { incarnation, written, .. } = world.copies[copy].clone();
-                world.copies[copy] = Copy::start(self.rules, incarnation + 1, reads, written);
+                let Replica { incarnation, written, .. } = world.replicas[replica].clone();
+                world.replicas[replica] = Replica::start(self.rules, incarnation + 1, reads, written);
             }
         }
-        for (copy, was) in world.copies.iter_mut().zip(&before.copies) {
-            copy.write(self.under_way);
-            let runs_on = copy.incarnation == was.incarnation;
-            world.back |= runs_on && copy.agreement.epoch() < was.agreement.epoch();
+        for (replica, was) in world.replicas.iter_mut().zip(&before.replicas) {
+            replica.write(self.under_way);
+            let runs_on = replica.incarnation == was.incarnation;
+            world.back |= runs_on && replica.agreement.epoch() < was.agreement.epoch();
         }
         (world != *before).then_some(world)
     }
@@ -210,32 +212,32 @@
     fn properties(&self) -> Vec<Property<Tier>> {
         vec![
             Property::always("speaks only what live members have announced", |_, world: &World| {
-                world.copies.iter().all(|copy| {
-                    let speaks = copy.agreement.speaks();
-                    (0..COPIES).filter(|&i| copy.up[i]).all(|i| {
-                        speaks == 1 || copy.announced[i].is_some_and(|(_, reads)| speaks <= reads.most)
+                world.replicas.iter().all(|replica| {
+                    let speaks = replica.agreement.speaks();
+                    (0..REPLICAS).filter(|&i| replica.up[i]).all(|i| {
+                        speaks == 1 || replica.announced[i].is_some_and(|(_, reads)| speaks <= reads.most)
                     })
                 })
             }),
             Property::always("one agreement, one version", |_, world: &World| {
                 pairs().all(|(a, b)| {
-                    let (a, b) = (&world.copies[a].agreement, &world.copies[b].agreement);
+                    let (a, b) = (&world.replicas[a].agreement, &world.replicas[b].agreement);
                     a.epoch() != b.epoch() || a.speaks() == b.speaks()
                 })
             }),
             Property::always("no agreement goes back", |_, world: &World| !world.back),
             Property::always("nothing is misread", |_, world: &World| !world.misread),
             Property::always("agrees when datagrams arrive", |_, world: &World| {
-                world.settles().is_some_and(|after| after <= PATIENCE_MOST)
+                world.settles().is_some_and(|after| after <= MAX_STEP_UP_DELAY)
             }),
             Property::sometimes("comes to as many agreements", |tier: &Tier, world: &World| {
-                world.copies.iter().all(|copy| copy.agreement.epoch() >> 8 == tier.agreements)
+                world.replicas.iter().all(|replica| replica.agreement.epoch() >> 8 == tier.agreements)
             }),
         ]
     }
 
     fn within_boundary(&self, world: &World) -> bool {
-        world.copies.iter().all(|copy| copy.agreement.epoch() >> 8 <= self.agreements)
+        world.replicas.iter().all(|replica| replica.agreement.epoch() >> 8 <= self.agreements)
     }
 }
 
@@ -280,11 +282,11 @@
     use Rule::*;
     for (rule, breaks) in [
         (AllMembers, "speaks only what live members have announced"),
-        (Silent, "speaks only what live members have announced"),
+        (UnannouncedIsLowest, "speaks only what live members have announced"),
         (Narrower, "speaks only what live members have announced"),
         (Incarnations, "speaks only what live members have announced"),
         (RaiseOnDown, "no agreement goes back"),
-        (AboveHeard, "no agreement goes back"),
+        (AboveKnown, "no agreement goes back"),
         (Largest, "no agreement goes back"),
         (OwnKnowledge, "one agreement, one version"),
         (Together, "one agreement, one version"),
--- a/peers/tests/wire.rs
+++ b/peers/tests/wire.rs
@@ -1,7 +1,7 @@
 //! The bytes of every version as they are, and what becomes of bytes that are none.
 use proptest::prelude::*;
 
-use oakflow_peers::wire::v1::{About, Body, Echo, Head, Kind, Reads, Record, Stand, Status, Verdict, View};
+use oakflow_peers::wire::v1::{About, Body, Echo, Head, Kind, Reads, Record, Stance, Status, Verdict, View};
 use oakflow_peers::wire::v2::{Figure, Rest, Row, Totals};
 use oakflow_peers::wire::{open, seal, v1, v2, Header, PAYLOAD};
 use oakflow_peers::{Member, Subject, Versions, DATAGRAM_MOST};
@@ -13,7 +13,7 @@
 
 fn first() -> Body {
     let head = Head {
-        kind: Kind::Vouch,
+        kind: Kind::IndirectAck,
         stamp: 1_000,
         echo: Some(Echo { stamp: 7, held: 300 }),
         about: Some(About { member: 3, age: 2 }),
@@ -22,9 +22,11 @@
     let reads = Reads { least: 1, most: 2 };
     let view = View { base: 0, reads, bits: vec![0b111], others: vec![0b100] };
     let record = Record { member: 2, incarnation: 300, status: Status::Suspect, reads, age: 5 };
-    let verdict = |subject, stand| Verdict { subject, observer: 1, zone: 2, sequence: 9, stand, age: 4 };
-    let verdicts =
-        vec![verdict(Subject::Upstream(1 << 60), Stand::Against), verdict(Subject::Zone(3), Stand::Cleared)];
+    let verdict = |subject, stance| Verdict { subject, observer: 1, zone: 2, sequence: 9, stance, age: 4 };
+    let verdicts = vec![
+        verdict(Subject::Upstream(1 << 60), Stance::Against),
+        verdict(Subject::Zone(3), Stance::Cleared),
+    ];
     Body { head, view, records: vec![record], verdicts }
 }
 
@@ -41,7 +43,8 @@
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-/// Written by this program once; a copy of any later build must go on writing and reading them, or take a new version.
+/// Written by this program once; a replica of any later build must go on writing and reading them, or take a new
+/// version.
 const FIRST: &str = "6f500101020102000000000102030400000007000000000000030203e8070107ac0201030201000102010701040102ac02010102050200808080808080808010010209000401030102090104acf3c920";
 const SECOND: &str = "6f500201020102000000000102030400000007000000000000030203e8070107ac0201030201000102010701040102ac0201010205020080808080808080801001020900040103010209010401033f804000404001044110410000000182020342c83f004974000011315d24";
 
