Move the tests of store out of src into test files

Need: tests live in test files. Drilled is public, as Drill was; the test looks at the disk below by a handle of its own in place of a private field.

--- a/store/src/drill.rs
+++ b/store/src/drill.rs
@@ -53,7 +53,7 @@
 
 /// Storage that does as a drill says.
 #[derive(Debug)]
-pub(crate) struct Drilled<B> {
+pub struct Drilled<B> {
     disk: B,
     drill: Option<Drill>,
     /// Writes that reach the disk with the next sync.
@@ -61,7 +61,8 @@
 }
 
 impl<B: StorageBackend> Drilled<B> {
-    pub(crate) fn new(disk: B, drill: Option<Drill>) -> Drilled<B> {
+    /// Storage on this disk, well or as the drill says.
+    pub fn new(disk: B, drill: Option<Drill>) -> Drilled<B> {
         Drilled { disk, drill, held: Mutex::default() }
     }
 
@@ -147,59 +148,3 @@
         self.disk.close()
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use redb::backends::InMemoryBackend;
-
-    #[test]
-    fn a_drill_does_what_its_file_says_and_names_what_it_does_not_know() {
-        let folder = tempfile::TempDir::new().expect("a folder");
-        let file = folder.path().join("drill");
-        let disk = Drilled::new(InMemoryBackend::new(), Some(Drill::told_by(&file)));
-        let says = |text: &str| std::fs::write(&file, text).expect("writes");
-        let read = || {
-            let mut out = [0; 4];
-            disk.read(0, &mut out).map(|()| out)
-        };
-        disk.set_len(4096).expect("grows");
-        disk.write(0, b"well").expect("no file, no fault");
-        says("full\n");
-        assert_eq!(disk.write(0, b"full").map_err(|e| e.kind()), Err(io::ErrorKind::StorageFull));
-        assert_eq!(read().expect("reads"), *b"well");
-        says("failing");
-        assert!(read().is_err() && disk.sync_data().is_err() && disk.set_len(8192).is_err());
-        says("slow 1ms");
-        assert_eq!(read().expect("reads"), *b"well");
-        says("lsow 1ms");
-        assert!(read().is_err_and(|e| e.to_string().contains("\"lsow 1ms\" is no known fault")));
-    }
-
-    #[test]
-    fn what_is_unsynced_is_read_back_but_is_on_the_disk_for_sure_only_after_a_sync() {
-        let folder = tempfile::TempDir::new().expect("a folder");
-        let file = folder.path().join("drill");
-        std::fs::write(&file, "unsynced").expect("writes");
-        let disk = Drilled::new(InMemoryBackend::new(), Some(Drill::told_by(&file)));
-        disk.set_len(1 << 16).expect("grows");
-        let on_disk = |at: u64| {
-            let mut out = vec![0; 1024];
-            disk.disk.read(at, &mut out).expect("reads");
-            out
-        };
-        let whole = vec![7; 1024];
-        let offsets: Vec<u64> = (0..60).map(|n| n * 1024).collect();
-        for &at in &offsets {
-            disk.write(at, &whole).expect("writes");
-            let mut out = vec![0; 1024];
-            disk.read(at, &mut out).expect("reads");
-            assert_eq!(out, whole);
-        }
-        // By chance all of one kind once in 3^59 runs.
-        let lost = offsets.iter().filter(|&&at| on_disk(at)[0] == 0).count();
-        assert!(lost > 0 && lost < 60, "{lost} of 60 lost");
-        disk.sync_data().expect("syncs");
-        assert!(offsets.iter().all(|&at| on_disk(at) == whole));
-    }
-}
--- /dev/null
+++ b/store/tests/drill.rs
@@ -0,0 +1,84 @@
+//! A disk that does wrong on demand.
+use oakflow_store::drill::Drilled;
+use oakflow_store::Drill;
+use redb::backends::InMemoryBackend;
+use redb::StorageBackend;
+use std::io;
+use std::sync::Arc;
+
+/// A disk that the test can look at beside the drill.
+#[derive(Debug, Clone)]
+struct Disk(Arc<InMemoryBackend>);
+
+impl StorageBackend for Disk {
+    fn len(&self) -> io::Result<u64> {
+        self.0.len()
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+        self.0.read(offset, out)
+    }
+
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        self.0.set_len(len)
+    }
+
+    fn sync_data(&self) -> io::Result<()> {
+        self.0.sync_data()
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.0.write(offset, data)
+    }
+}
+
+#[test]
+fn a_drill_does_what_its_file_says_and_names_what_it_does_not_know() {
+    let folder = tempfile::TempDir::new().expect("a folder");
+    let file = folder.path().join("drill");
+    let disk = Drilled::new(InMemoryBackend::new(), Some(Drill::told_by(&file)));
+    let says = |text: &str| std::fs::write(&file, text).expect("writes");
+    let read = || {
+        let mut out = [0; 4];
+        disk.read(0, &mut out).map(|()| out)
+    };
+    disk.set_len(4096).expect("grows");
+    disk.write(0, b"well").expect("no file, no fault");
+    says("full\n");
+    assert_eq!(disk.write(0, b"full").map_err(|e| e.kind()), Err(io::ErrorKind::StorageFull));
+    assert_eq!(read().expect("reads"), *b"well");
+    says("failing");
+    assert!(read().is_err() && disk.sync_data().is_err() && disk.set_len(8192).is_err());
+    says("slow 1ms");
+    assert_eq!(read().expect("reads"), *b"well");
+    says("lsow 1ms");
+    assert!(read().is_err_and(|e| e.to_string().contains("\"lsow 1ms\" is no known fault")));
+}
+
+#[test]
+fn what_is_unsynced_is_read_back_but_is_on_the_disk_for_sure_only_after_a_sync() {
+    let folder = tempfile::TempDir::new().expect("a folder");
+    let file = folder.path().join("drill");
+    std::fs::write(&file, "unsynced").expect("writes");
+    let below = Disk(Arc::new(InMemoryBackend::new()));
+    let disk = Drilled::new(below.clone(), Some(Drill::told_by(&file)));
+    disk.set_len(1 << 16).expect("grows");
+    let on_disk = |at: u64| {
+        let mut out = vec![0; 1024];
+        below.read(at, &mut out).expect("reads");
+        out
+    };
+    let whole = vec![7; 1024];
+    let offsets: Vec<u64> = (0..60).map(|n| n * 1024).collect();
+    for &at in &offsets {
+        disk.write(at, &whole).expect("writes");
+        let mut out = vec![0; 1024];
+        disk.read(at, &mut out).expect("reads");
+        assert_eq!(out, whole);
+    }
+    // By chance all of one kind once in 3^59 runs.
+    let lost = offsets.iter().filter(|&&at| on_disk(at)[0] == 0).count();
+    assert!(lost > 0 && lost < 60, "{lost} of 60 lost");
+    disk.sync_data().expect("syncs");
+    assert!(offsets.iter().all(|&at| on_disk(at) == whole));
+}
