Move the tests of the lab out of src into test files

Need: tests live in test files. Change: the test modules of convergence, state, machine, audit, net, caller and datagrams/way and the file oracle/tests.rs are modules of lab/tests/parts, one binary that starts no balancer. Public for that: Datagrams::next, deliver and arrivals, net::listener and caller::mark.

--- a/lab/src/audit.rs
+++ b/lab/src/audit.rs
@@ -107,24 +107,3 @@
     set("attempts", nearest, seen.attempts, open);
     (!wrong.is_empty()).then(|| wrong.join("; "))
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_figure_that_differs_is_named_and_what_may_differ_is_not() {
-        let seen = Seen { taken: 10, served: 6, refused: 2, failed: 1, unclear: 1, attempts: 8 };
-        let text = r#"{"at_ms": 1, "requests": 10, "ended": {"served": 7, "refused_over_limit": 2, "failed": 1},
-            "attempts": 10, "attempts_ended": {"served": 7, "not_connected": 1, "error": 1, "timed_out": 1}}"#;
-        let counted: Counted = serde_json::from_str(text).expect("figures");
-        assert_eq!(differs(&counted, &seen), None);
-        let off = Counted { requests: 12, ..counted.clone() };
-        assert_eq!(differs(&off, &seen).as_deref(), Some("requests: counted 12, seen 10"));
-        let off = Counted { attempts: 13, ..counted.clone() };
-        assert!(differs(&off, &seen).is_some_and(|d| d.starts_with("attempts")));
-        let ended = BTreeMap::from([("served".to_string(), 4)]);
-        assert!(differs(&Counted { ended, ..counted }, &seen)
-            .is_some_and(|d| d.contains("served: counted 4, seen 6")));
-    }
-}
--- a/lab/src/caller.rs
+++ b/lab/src/caller.rs
@@ -228,20 +228,7 @@
 }
 
 /// The mark in the body of an answer.
-fn mark(body: &[u8]) -> Option<u64> {
+pub fn mark(body: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(body).ok()?;
     u64::from_str_radix(text.trim_end().rsplit_once("mark ")?.1, 16).ok()
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_mark_of_an_answer_is_read_and_no_other_text_has_one() {
-        assert_eq!(mark(&body("desk-1", 0xab12)), Some(0xab12));
-        for other in ["", "mark", "mark x", "ok"] {
-            assert_eq!(mark(other.as_bytes()), None, "{other}");
-        }
-    }
-}
--- a/lab/src/datagrams/way.rs
+++ b/lab/src/datagrams/way.rs
@@ -189,7 +189,7 @@
     }
 
     /// The next datagram that a balancer sent: which host it named, and its bytes.
-    async fn next(&self, of: usize) -> io::Result<(Ipv4Addr, Vec<u8>)> {
+    pub async fn next(&self, of: usize) -> io::Result<(Ipv4Addr, Vec<u8>)> {
         let socket = &self.sockets[of];
         let read = || {
             // One byte more than is allowed shows that it is too long.
@@ -216,7 +216,7 @@
     }
 
     /// Writes a datagram to a balancer, from the address by which it knows the sender.
-    fn deliver(&self, from: Option<usize>, to: usize, bytes: &[u8]) -> io::Result<()> {
+    pub fn deliver(&self, from: Option<usize>, to: usize, bytes: &[u8]) -> io::Result<()> {
         let known =
             from.map_or(SocketAddr::new(IpAddr::V4(self.host(STRANGER)), 0), |from| self.peer(to, from));
         let (SocketAddr::V4(known), SocketAddr::V4(at)) = (known, self.listen[to]) else {
@@ -238,7 +238,7 @@
     }
 
     /// When copies of a datagram arrive: none, one, or two, each at its own time.
-    fn arrivals(&self, from: usize, to: usize) -> Vec<Millis> {
+    pub fn arrivals(&self, from: usize, to: usize) -> Vec<Millis> {
         if lock(&self.cuts).get(&(from, to)).is_some_and(|cuts| *cuts > 0) {
             return Vec::new();
         }
@@ -252,53 +252,3 @@
         (0..copies).map(|_| delay()).collect()
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use std::time::Duration;
-    use tokio::time::timeout;
-
-    const PATIENCE: Duration = Duration::from_secs(20);
-
-    #[tokio::test]
-    async fn a_peer_is_named_by_its_address_and_heard_from_it() {
-        let block = crate::net::Block::claim().expect("a block");
-        let calm = Weather { delay: Range::fixed(0.0), loss: 0.0, repeat: 0.0 };
-        let way = Datagrams::open(&[0, 0, 0], &block, calm, 1).expect("sockets");
-        let own = UdpSocket::bind(block.peer(0)).await.expect("binds");
-        let other = UdpSocket::bind(block.peer(2)).await.expect("binds");
-        own.send_to(b"hello", way.peer(0, 2)).await.expect("sends");
-        let (named, bytes) = timeout(PATIENCE, way.next(0)).await.expect("in time").expect("a datagram");
-        assert_eq!((IpAddr::V4(named), &bytes[..]), (way.peer(0, 2).ip(), &b"hello"[..]));
-
-        way.deliver(Some(0), 2, &bytes).expect("sends");
-        let mut read = [0; 16];
-        let (length, from) =
-            timeout(PATIENCE, other.recv_from(&mut read)).await.expect("in time").expect("reads");
-        assert_eq!((&read[..length], from), (&b"hello"[..], way.peer(2, 0)));
-        own.send_to(&[7; LONGEST + 9], way.all(0)).await.expect("sends");
-        let (named, bytes) = timeout(PATIENCE, way.next(0)).await.expect("in time").expect("a datagram");
-        assert_eq!((IpAddr::V4(named), bytes.len()), (way.all(0).ip(), LONGEST + 1));
-    }
-
-    #[tokio::test]
-    async fn datagrams_are_lost_repeated_and_cut_as_told() {
-        let block = crate::net::Block::claim().expect("a block");
-        let weather = Weather { delay: Range { least: 1.0, most: 9.0 }, loss: 0.25, repeat: 0.5 };
-        let way = Datagrams::open(&[0, 0], &block, weather, 1).expect("sockets");
-        let copies: Vec<usize> = (0..2000).map(|_| way.arrivals(0, 1).len()).collect();
-        let count = |n: usize| copies.iter().filter(|&&c| c == n).count();
-        assert!(
-            (400..600).contains(&count(0)) && (600..900).contains(&count(2)),
-            "{} {}",
-            count(0),
-            count(2)
-        );
-        way.cut(0, 1);
-        assert!((0..50).all(|_| way.arrivals(0, 1).is_empty()));
-        assert!((0..50).any(|_| !way.arrivals(1, 0).is_empty()), "the other way is open");
-        way.heal(0, 1);
-        assert!((0..50).any(|_| !way.arrivals(0, 1).is_empty()));
-    }
-}
--- a/lab/src/oracle/mod.rs
+++ b/lab/src/oracle/mod.rs
@@ -10,8 +10,6 @@
 mod peers;
 mod rule;
 mod rules;
-#[cfg(test)]
-mod tests;
 mod tries;
 
 pub use facts::{ClassRules, End, Final, Limits, Parts, Place, Seen};
--- /dev/null
+++ b/lab/tests/parts/audit.rs
@@ -0,0 +1,22 @@
+//! The figures of a balancer against what the stand-ins saw.
+use oakflow_lab::audit::{differs, Counted};
+use oakflow_lab::oracle::Seen;
+
+/// Figures as a balancer writes them.
+fn counted(requests: u64, served: u64, attempts: u64) -> Counted {
+    let text = format!(
+        r#"{{"at_ms": 1, "requests": {requests},
+            "ended": {{"served": {served}, "refused_over_limit": 2, "failed": 1}}, "attempts": {attempts},
+            "attempts_ended": {{"served": 7, "not_connected": 1, "error": 1, "timed_out": 1}}}}"#
+    );
+    serde_json::from_str(&text).expect("figures")
+}
+
+#[test]
+fn a_figure_that_differs_is_named_and_what_may_differ_is_not() {
+    let seen = Seen { taken: 10, served: 6, refused: 2, failed: 1, unclear: 1, attempts: 8 };
+    assert_eq!(differs(&counted(10, 7, 10), &seen), None);
+    assert_eq!(differs(&counted(12, 7, 10), &seen).as_deref(), Some("requests: counted 12, seen 10"));
+    assert!(differs(&counted(10, 7, 13), &seen).is_some_and(|d| d.starts_with("attempts")));
+    assert!(differs(&counted(10, 4, 10), &seen).is_some_and(|d| d.contains("served: counted 4, seen 6")));
+}
--- /dev/null
+++ b/lab/tests/parts/machine.rs
@@ -0,0 +1,109 @@
+//! An emulated machine: its slots, its queue, its cores, and how crowding and a cold start slow it down.
+use oakflow_lab::draw::{Choke, Upstream};
+use oakflow_lab::experiment::Millis;
+use oakflow_lab::machine::{Door, Machine, Tipping, Token};
+
+fn plan() -> Upstream {
+    Upstream {
+        name: "u".into(),
+        tier: 0,
+        zone: 0,
+        kind: 0,
+        cell: 1,
+        cores: 2,
+        speed: 1.0,
+        slots: 4,
+        queue: 1,
+        cold_from: 0.25,
+        cold_for: 10_000.0,
+        errors: 0.0,
+        cancel_stops: false,
+        connections: 10,
+        round_trips: 1.0,
+        connection_work: 1.0,
+        full_tax: 0.0,
+        report_period: 100.0,
+        report_delay: 10.0,
+        choke: Some(Choke { at: 2.0, over: 1000.0, slower: 2.0, rest: 2000.0, below: 0.5, most: 20_000.0 }),
+    }
+}
+
+fn machine() -> Machine {
+    Machine::new(plan(), Tipping { multiple: 2.5, fall: 3000.0 }, 10.0)
+}
+
+fn done(m: &mut Machine, now: Millis) -> Vec<Token> {
+    let mut done = Vec::new();
+    m.advance(now, &mut done);
+    done
+}
+
+#[test]
+fn slots_then_the_waiting_room_then_the_door() {
+    let mut m = machine();
+    let doors: Vec<Door> = (0..6).map(|t| m.enter(0.0, t, 10.0, true)).collect();
+    assert_eq!(doors[..4], [Door::Slot; 4]);
+    assert_eq!(doors[4..], [Door::Waits, Door::Full]);
+    assert_eq!(m.leave(1.0, 0), Some(4), "who waited gets the slot");
+    assert_eq!(m.holds(), 4);
+}
+
+#[test]
+fn work_is_laid_out_by_its_own_clock_however_late_anyone_looks() {
+    let mut m = machine();
+    for t in 0..4 {
+        m.enter(0.0, t, 10.0, true);
+        m.work(0.0, t, 10.0);
+    }
+    assert_eq!(m.next(), Some(10.0));
+    // Looked at only at 25 ms: the second pair ran from 10 to 20 all the same.
+    assert_eq!(done(&mut m, 25.0).len(), 4);
+    m.work(25.0, 9, 10.0);
+    assert_eq!((done(&mut m, 34.0), done(&mut m, 35.0)), (vec![], vec![9]));
+}
+
+#[test]
+fn a_crowd_makes_it_slow_until_it_has_rested() {
+    let mut m = machine();
+    (0..4).for_each(|t| assert_eq!(m.enter(0.0, t, 10.0, true), Door::Slot));
+    done(&mut m, 999.0);
+    assert!(!m.is_choked());
+    done(&mut m, 1000.0);
+    assert!(m.is_choked());
+    m.work(1000.0, 0, 10.0);
+    assert_eq!((done(&mut m, 1019.0), done(&mut m, 1020.0)), (vec![], vec![0]));
+    (0..4).for_each(|t| assert_eq!(m.leave(2000.0, t), None));
+    done(&mut m, 3999.0);
+    assert!(m.is_choked());
+    done(&mut m, 4000.0);
+    assert!(!m.is_choked());
+}
+
+#[test]
+fn a_cold_machine_warms_and_falls_over_when_overfed_by_all_together() {
+    let mut m = machine();
+    m.restart(0.0);
+    assert_eq!((m.warmth(0.0), m.warmth(5000.0), m.warmth(10_000.0)), (0.25, 0.625, 1.0));
+    // 2.5 times what half a core can do for 3 s is 3,750 ms, with a little for chance.
+    for n in 0..37 {
+        m.enter(n as f64, n, 100.0, n % 4 != 0);
+        m.leave(n as f64, n);
+    }
+    assert_eq!(m.tipped(), None);
+    for n in 37..50 {
+        m.enter(40.0, n, 100.0, true);
+    }
+    let tipped = m.tipped().expect("it fell over");
+    assert!(tipped.sent > tipped.bears && tipped.told > 0.7, "{tipped:?}");
+    assert_eq!(m.enter(50.0, 99, 1.0, true), Door::Full);
+    m.restart(60.0);
+    assert_eq!((m.tipped(), m.enter(61.0, 1, 1.0, true)), (None, Door::Slot));
+}
+
+#[test]
+fn a_fault_and_a_full_table_slow_it_down() {
+    let mut m = machine();
+    m.slow_down(3.0);
+    m.work(0.0, 1, 10.0);
+    assert_eq!((done(&mut m, 29.0), done(&mut m, 30.0)), (vec![], vec![1]));
+}
--- /dev/null
+++ b/lab/tests/parts/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the parts of the lab, each by its public interface and without processes of balancers.
+mod answers;
+mod audit;
+mod convergence;
+mod datagrams;
+mod machine;
+mod net;
+mod oracle;
+mod state;
--- /dev/null
+++ b/lab/tests/parts/net.rs
@@ -0,0 +1,81 @@
+//! Ports that take, refuse or hang, and connections that are cut or reset.
+use oakflow_lab::net::{connect, listener, Block, Direction, Manner, Port, Way};
+use std::io;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+const SOON: Duration = Duration::from_millis(200);
+const PATIENCE: Duration = Duration::from_secs(20);
+
+#[tokio::test]
+async fn a_port_takes_refuses_and_stays_silent_and_comes_back() {
+    let block = Block::claim().expect("a block");
+    let at = block.upstream(1, 2);
+    let (manner, watched) = watch::channel(Manner::Open);
+    let mut port = Port::bind(at, watched).expect("binds");
+    let (tell, mut taken) = tokio::sync::mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        while let Ok(Some(stream)) = port.accept().await {
+            if tell.send(stream).is_err() {
+                break;
+            }
+        }
+    });
+    for round in 0..3 {
+        let up = timeout(PATIENCE, TcpStream::connect(at)).await.expect("in time").expect("connects");
+        taken.recv().await.expect("accepted");
+        drop(up);
+        manner.send_replace(Manner::Silent);
+        // Once it is silent, connections neither come up nor fail.
+        while timeout(SOON, TcpStream::connect(at)).await.is_ok() {}
+        assert!(timeout(SOON, TcpStream::connect(at)).await.is_err(), "round {round}");
+        if round == 1 {
+            manner.send_replace(Manner::Refusing);
+            loop {
+                match timeout(SOON, TcpStream::connect(at)).await {
+                    Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => break,
+                    _ => tokio::task::yield_now().await,
+                }
+            }
+        }
+        manner.send_replace(Manner::Open);
+        // What hung meanwhile may still come in; the next round starts with a connection of its own.
+        loop {
+            match timeout(SOON, TcpStream::connect(at)).await {
+                Ok(Ok(_)) => break,
+                _ => tokio::task::yield_now().await,
+            }
+        }
+        while timeout(SOON, taken.recv()).await.is_ok_and(|s| s.is_some()) {}
+    }
+}
+
+#[tokio::test]
+async fn a_cut_way_is_silent_one_way_or_both_and_a_reset_is_seen() {
+    let block = Block::claim().expect("a block");
+    let at = block.balancer(1);
+    let server = listener(at).expect("listens");
+    let way = Way::open();
+    let mut near = connect(at, &way).await.expect("connects");
+    let (mut far, _) = server.accept().await.expect("accepts");
+    let mut byte = [0];
+    way.cut(Direction::Inward);
+    near.write_all(b"x").await.expect("writes");
+    far.read_exact(&mut byte).await.expect("what goes out is not cut");
+    far.write_all(b"y").await.expect("writes");
+    assert!(timeout(SOON, near.read_exact(&mut byte)).await.is_err());
+    assert!(timeout(SOON, connect(at, &way)).await.is_err(), "nothing new comes up");
+    way.cut(Direction::Inward);
+    way.heal(Direction::Inward);
+    assert!(timeout(SOON, near.read_exact(&mut byte)).await.is_err(), "one of two cuts is left");
+    way.heal(Direction::Inward);
+    timeout(PATIENCE, near.read_exact(&mut byte)).await.expect("in time").expect("reads");
+    assert_eq!(&byte, b"y");
+    way.reset();
+    drop(near);
+    let end = far.read(&mut byte).await;
+    assert_eq!(end.map_err(|e| e.kind()), Err(io::ErrorKind::ConnectionReset));
+}
