--- /dev/null
+++ b/lab/src/net/block.rs
@@ -0,0 +1,69 @@
+//! Loopback addresses, a block of them for each lab on a machine.
+use socket2::{Domain, Socket, Type};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+/// The port that a lab holds on its block, so that another lab takes another one.
+const CLAIM: u16 = 9999;
+/// The second bytes of loopback addresses that labs use.
+const BLOCKS: std::ops::Range<u8> = 16..240;
+/// The port on which balancers listen.
+pub const LISTEN: u16 = 8443;
+/// The first port on which discovery's agents listen.
+pub const DISCOVERY: u16 = 8500;
+/// Upstreams listen for each balancer at this port and its number.
+pub const UPSTREAM: u16 = 10_000;
+/// Balancers hear of each other at this port.
+pub const PEERS: u16 = 7946;
+
+/// 65,536 loopback addresses that this lab has for itself.
+pub struct Block {
+    second: u8,
+    _claim: Socket,
+}
+
+impl Block {
+    /// Takes a block that no other lab on this machine holds.
+    pub fn claim() -> Result<Block, String> {
+        let first = u32::from(std::process::id() as u16) % u32::from(BLOCKS.end - BLOCKS.start);
+        for step in 0..u32::from(BLOCKS.end - BLOCKS.start) {
+            let second = BLOCKS.start + ((first + step) % u32::from(BLOCKS.end - BLOCKS.start)) as u8;
+            let socket =
+                Socket::new(Domain::IPV4, Type::STREAM, None).map_err(|e| format!("a socket: {e}"))?;
+            let at = SocketAddr::from((Ipv4Addr::new(127, second, 255, 254), CLAIM));
+            if socket.bind(&at.into()).is_ok() {
+                return Ok(Block { second, _claim: socket });
+            }
+        }
+        Err("every block of loopback addresses is taken by another lab".into())
+    }
+
+    fn address(&self, host: u16, port: u16) -> SocketAddr {
+        let [high, low] = host.to_be_bytes();
+        SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, self.second, high, low)), port)
+    }
+
+    /// The first two bytes of its addresses.
+    pub fn prefix(&self) -> [u8; 2] {
+        [127, self.second]
+    }
+
+    /// Where a balancer listens.
+    pub fn balancer(&self, balancer: usize) -> SocketAddr {
+        self.address(0x0100 + balancer as u16, LISTEN)
+    }
+
+    /// Where a balancer reaches an upstream.
+    pub fn upstream(&self, upstream: usize, balancer: usize) -> SocketAddr {
+        self.address(0x4000 + upstream as u16, UPSTREAM + balancer as u16)
+    }
+
+    /// Where a balancer reaches its discovery, after so many moves.
+    pub fn agent(&self, balancer: usize, moves: u16) -> SocketAddr {
+        self.address(0x8000 + balancer as u16, DISCOVERY + moves)
+    }
+
+    /// Where a balancer hears its peers.
+    pub fn peer(&self, balancer: usize) -> SocketAddr {
+        self.address(0x0100 + balancer as u16, PEERS)
+    }
+}
--- /dev/null
+++ b/lab/src/net/port.rs
@@ -0,0 +1,113 @@
+//! Listening addresses that accept, refuse or stay silent.
+use socket2::{Domain, SockRef, Socket, Type};
+use std::io;
+use std::net::SocketAddr;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1024;
+
+/// What a port does with new connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Manner {
+    /// Takes them.
+    Open,
+    /// Refuses them, as a machine does on which nobody listens.
+    Refusing,
+    /// Lets them hang, as a network does that drops packets.
+    Silent,
+}
+
+/// Listens at an address.
+pub fn listener(at: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// A listening address whose manner follows a watch.
+pub struct Port {
+    at: SocketAddr,
+    listener: Option<TcpListener>,
+    /// Own connections that fill the queue of those to be accepted, so that further ones hang.
+    plugs: Vec<Socket>,
+    manner: watch::Receiver<Manner>,
+}
+
+impl Port {
+    /// Listens, or does not, as `manner` says now.
+    pub fn bind(at: SocketAddr, manner: watch::Receiver<Manner>) -> io::Result<Port> {
+        let mut port = Port { at, listener: None, plugs: Vec::new(), manner };
+        let now = *port.manner.borrow_and_update();
+        port.become_(now)?;
+        Ok(port)
+    }
+
+    fn become_(&mut self, manner: Manner) -> io::Result<()> {
+        if manner == Manner::Refusing {
+            self.listener = None;
+            self.plugs.clear();
+            return Ok(());
+        }
+        if self.listener.is_none() {
+            self.listener = Some(listener(self.at)?);
+        }
+        let Some(listener) = &self.listener else { return Ok(()) };
+        match manner {
+            Manner::Silent if self.plugs.is_empty() => {
+                // The queue takes one more than its stated length; what comes after that is dropped unanswered.
+                SockRef::from(listener).listen(0)?;
+                for _ in 0..2 {
+                    let plug = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+                    plug.set_nonblocking(true)?;
+                    // Under way is all that is asked of it.
+                    let _ = plug.connect(&self.at.into());
+                    self.plugs.push(plug);
+                }
+            }
+            Manner::Open if !self.plugs.is_empty() => SockRef::from(listener).listen(BACKLOG)?,
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// The next connection. It ends when the watch's other side is gone.
+    pub async fn accept(&mut self) -> io::Result<Option<TcpStream>> {
+        loop {
+            let now = *self.manner.borrow_and_update();
+            self.become_(now)?;
+            let waits = async {
+                match (&self.listener, now) {
+                    (Some(listener), Manner::Open) => listener.accept().await,
+                    _ => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                changed = self.manner.changed() => {
+                    if changed.is_err() {
+                        return Ok(None);
+                    }
+                }
+                accepted = waits => {
+                    let (stream, from) = accepted?;
+                    if self.is_plug(from) {
+                        continue;
+                    }
+                    self.plugs.clear();
+                    stream.set_nodelay(true)?;
+                    return Ok(Some(stream));
+                }
+            }
+        }
+    }
+
+    fn is_plug(&self, from: SocketAddr) -> bool {
+        let own = |plug: &Socket| plug.local_addr().ok().and_then(|a| a.as_socket());
+        self.plugs.iter().any(|plug| own(plug) == Some(from))
+    }
+}
