--- /dev/null
+++ b/tests/failures/main.rs
@@ -0,0 +1,12 @@
+//! One test for each failure met: it fails without the guard that `src/policy` names it at.
+mod attempts;
+mod capacity;
+mod choice;
+#[path = "../common/mod.rs"]
+mod common;
+mod connections;
+mod ejection;
+mod overload;
+mod tenants;
+mod worlds;
+mod zones;
