Measure how long a tier of 550 takes to know that some of its members are lost

Need: what the loss of a rack, a zone or a region costs at the target's size was known from models of 60 and 300 only.

Other verbs measure as before.

--- a/lab/src/capacity/scenario.rs
+++ b/lab/src/capacity/scenario.rs
@@ -24,6 +24,8 @@
     Fleet,
     /// Members of a tier that is all hollow.
     Hollow,
+    /// Members lost at once of a hollow tier of the target's size.
+    Loss,
 }
 
 /// What stands around the balancers.
@@ -83,7 +85,7 @@
             Dimension::Clients => Scenario { clients: size, ..answering },
             Dimension::Peers => Scenario { members: Some(size), ..answering },
             Dimension::Fleet => Scenario { balancers: size, changes: 1.0, ..idle },
-            Dimension::Hollow => return None,
+            Dimension::Hollow | Dimension::Loss => return None,
         })
     }
 
--- a/lab/src/capacity/sweep.rs
+++ b/lab/src/capacity/sweep.rs
@@ -1,7 +1,7 @@
 //! All sizes of one dimension, each so many times in turn.
 use super::sample::Sample;
 use super::scenario::Dimension;
-use super::trial::{play, play_hollow, Setting};
+use super::trial::{play, play_hollow, play_loss, Setting};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -49,7 +49,10 @@
 
     fn one(&self, size: usize, folder: &Path) -> Result<Sample, String> {
         let Some(scenario) = self.dimension.scenario(size) else {
-            return play_hollow(size, HOLLOW_TENANTS, self.span);
+            return match self.dimension {
+                Dimension::Loss => play_loss(size, HOLLOW_TENANTS),
+                _ => play_hollow(size, HOLLOW_TENANTS, self.span),
+            };
         };
         std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
         let setting = Setting { folder, program: &self.program, span: self.span };
--- a/lab/src/capacity/trial.rs
+++ b/lab/src/capacity/trial.rs
@@ -21,6 +21,8 @@
 const SETTLE: Duration = Duration::from_secs(2);
 /// A tier needs longer until all have met.
 const SETTLE_TIER: Duration = Duration::from_secs(6);
+/// Members of the tier of which some are lost: a balancer beside each of the target's upstreams.
+const TARGET_MEMBERS: usize = 550;
 /// How long the real member may take until its first datagram.
 const FIRST_DATAGRAM: Duration = Duration::from_secs(5);
 /// The pause between two looks whether something is so.
@@ -198,28 +200,60 @@
     places.map(|(place, at)| Ok((place, UdpSocket::bind(at).map_err(|e| format!("{at}: {e}"))?))).collect()
 }
 
-/// Plays a tier that is all hollow: its steady traffic, then evidence, then the end of a member.
-pub(super) fn play_hollow(size: usize, tenants: u16, span: Duration) -> Result<Sample, String> {
-    let block = Block::claim()?;
+/// A hollow tier whose members have begun to speak.
+fn hollow_tier(block: &Block, size: usize, tenants: u16) -> Result<Running, String> {
     let addresses: Vec<SocketAddr> = (0..size).map(|member| block.peer(member)).collect();
     let sockets = hollow_sockets(&addresses, 0)?;
     let zones = ZONES.len() as u16;
-    let tier = Tier { addresses, sockets, tenants, zones, deployment: 1, watched: None }.start()?;
+    Tier { addresses, sockets, tenants, zones, deployment: 1, watched: None }.start()
+}
+
+/// A time in milliseconds; none is not finite, so that no sample has it.
+fn milliseconds(took: Option<Duration>) -> f64 {
+    took.map_or(f64::NAN, |took| took.as_secs_f64() * 1000.0)
+}
+
+/// Plays a tier that is all hollow: its steady traffic, then evidence, then the end of a member.
+pub(super) fn play_hollow(size: usize, tenants: u16, span: Duration) -> Result<Sample, String> {
+    let block = Block::claim()?;
+    let tier = hollow_tier(&block, size, tenants)?;
     let count = u32::try_from(size).map_err(|e| e.to_string())?;
     let mut sample = Sample::new(size);
-    let add = |sample: &mut Sample, name: &str, took: Option<Duration>| {
-        sample.add(name, took.map_or(f64::NAN, |took| took.as_secs_f64() * 1000.0));
-    };
-    let met = tier.until_up(count, KNOWN_WITHIN)?;
-    add(&mut sample, "all know all, ms", met);
+    sample.add("all know all, ms", milliseconds(tier.until_up(count, KNOWN_WITHIN)?));
     std::thread::sleep(SETTLE_TIER);
     let before = tier.snapshot()?;
     std::thread::sleep(span);
     let after = tier.snapshot()?;
     put_hollow(&before, &after, size, &mut sample);
-    add(&mut sample, "evidence known to all, ms", tier.until_evidence(0, KNOWN_WITHIN)?);
+    sample.add("evidence known to all, ms", milliseconds(tier.until_evidence(0, KNOWN_WITHIN)?));
     tier.stop(size / 2)?;
-    add(&mut sample, "an end known to all, ms", tier.until_up(count.saturating_sub(1), KNOWN_WITHIN)?);
+    let known = tier.until_up(count.saturating_sub(1), KNOWN_WITHIN)?;
+    sample.add("an end known to all, ms", milliseconds(known));
+    Ok(sample)
+}
+
+/// Plays the loss of members at once, evenly over the list, in a hollow tier of the target's size.
+pub(super) fn play_loss(lost: usize, tenants: u16) -> Result<Sample, String> {
+    let block = Block::claim()?;
+    let tier = hollow_tier(&block, TARGET_MEMBERS, tenants)?;
+    let count = u32::try_from(TARGET_MEMBERS).map_err(|e| e.to_string())?;
+    let left = u32::try_from(TARGET_MEMBERS.saturating_sub(lost)).map_err(|e| e.to_string())?;
+    tier.until_up(count, KNOWN_WITHIN)?;
+    std::thread::sleep(SETTLE_TIER);
+    for number in 0..lost {
+        tier.stop(number * TARGET_MEMBERS / lost)?;
+    }
+    let before = tier.snapshot()?;
+    let known = tier.until_up(left, KNOWN_WITHIN)?;
+    let after = tier.snapshot()?;
+    let mut sample = Sample::new(lost);
+    let seconds = after.at.saturating_sub(before.at).as_secs_f64();
+    sample.add("loss known to all, ms", milliseconds(known));
+    sample.add("up at the end, mean", after.up_mean);
+    sample.add("up at the end, least", f64::from(after.up_least));
+    sample.add("up in truth", f64::from(left));
+    let sent = (after.sent_bytes - before.sent_bytes) as f64;
+    sample.add("sent meanwhile, bytes/s a member", sent / seconds / f64::from(left));
     Ok(sample)
 }
 
--- a/lab/tests/capacity/hollow.rs
+++ b/lab/tests/capacity/hollow.rs
@@ -31,6 +31,18 @@
     assert!(counted.processor > Duration::ZERO);
 }
 
+#[test]
+fn the_loss_of_several_at_once_is_known_to_the_rest() {
+    let tier = tier(8);
+    assert!(tier.until_up(8, PATIENCE).expect("runs").is_some());
+    for lost in [1, 4] {
+        tier.stop(lost).expect("runs");
+    }
+    assert!(tier.until_up(6, PATIENCE).expect("runs").is_some());
+    let counted = tier.snapshot().expect("runs");
+    assert_eq!((counted.running, counted.up_least, counted.up_mean), (6, 6, 6.0));
+}
+
 #[test]
 fn the_deployment_is_read_from_a_datagram_of_a_member() {
     let bind = || UdpSocket::bind("127.0.0.1:0").expect("binds");
