Space calls to a discovery that answers watches at once with nothing newer

Symptom, in the model: of a discovery that answers a watch after 2 ms with nothing newer, 30 calls are made in 0.36 s, and so on for ever; on a real socket as fast as both sides can. Change: such an answer is followed by the next call 0.1 s after the last one began, within the 0.2 s in which a watch continues. News, and answers that took their time, are followed at once as before.

--- a/node/src/discovery/watch.rs
+++ b/node/src/discovery/watch.rs
@@ -15,6 +15,9 @@
 const PUSHED_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after a failed call where lists are asked for, unless the module asks earlier.
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// A call that is answered with nothing newer is followed by the next this long after it began at the soonest: discovery
+/// may answer without waiting. A watch continues if the next call comes within 200 ms of the last answer.
+const SPACING: Duration = Duration::from_millis(100);
 /// How long an overdue call may go on, from its beginning, while nothing of its answer has come.
 const OVERDUE_UNANSWERED: Duration = Duration::from_secs(6);
 /// How long an overdue call may go on between two pieces of its answer.
@@ -129,7 +132,7 @@
     Unasked,
     /// A call stands.
     Calling(Call),
-    /// The last call failed.
+    /// The last call failed, or brought nothing newer too soon.
     Paused { until: Instant },
 }
 
@@ -241,6 +244,7 @@
             let error = format!("version {} does not follow {expected}", answer.version);
             return self.failed(now, id, error, actions);
         }
+        let newer = self.version.is_none_or(|known| answer.version > known);
         // Guards against an overdue answer that is older than what came meanwhile.
         if self.version.is_none_or(|known| answer.version >= known) {
             self.version = Some(answer.version);
@@ -250,19 +254,23 @@
             }
             self.informed = true;
         }
-        self.after_answer(now, stands, actions);
+        match stands {
+            true if !newer && now < call.began + SPACING => {
+                self.state = State::Paused { until: call.began + SPACING };
+            }
+            true => self.call(now, actions),
+            false => self.after_overdue(now, actions),
+        }
     }
 
     /// The connection of the answer has proven itself: the next call goes on it, unless the one that stands is being
     /// answered.
-    fn after_answer(&mut self, now: Instant, stands: bool, actions: &mut Vec<Action>) {
-        if !stands {
-            self.overdue = None;
-            match self.state {
-                State::Calling(call) if call.receiving() => return,
-                State::Calling(call) => actions.push(Action::Abandon(call.id)),
-                State::Unasked | State::Paused { .. } => {}
-            }
+    fn after_overdue(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.overdue = None;
+        match self.state {
+            State::Calling(call) if call.receiving() => return,
+            State::Calling(call) => actions.push(Action::Abandon(call.id)),
+            State::Unasked | State::Paused { .. } => {}
         }
         self.call(now, actions);
     }
