--- a/node/tests/discovery.rs
+++ b/node/tests/discovery.rs
@@ -153,6 +153,24 @@
     assert_eq!(old.further(), 0);
 }
 
+#[test]
+fn nothing_is_written_to_a_former_address_that_is_dialled() {
+    let (full, new) = (Unreachable::start(), Upstream::start(|_| ok("new")));
+    let discovery = Discovery::start();
+    let config = config(discovery.addr, 1024, &listing(1, true, &[(0, full.addr, "active")]))
+        .replace("\"idle_close\"", "\"dial_timeout\":20000,\"idle_close\"");
+    let node = Node::run(command(&config), discovery);
+    node.discovery.called();
+    let without = node.descriptors();
+    let mut client = node.client();
+    client.send(&pay("r1", "20000m"));
+    node.holds(|n| n >= without + 2, "it does not dial");
+    node.discovery.answer(&listing(2, false, &[(0, new.addr, "active")]));
+    assert!(node.discovery.called().contains("since=2&"));
+    assert!(read(&mut full.reach()).is_none());
+    assert!(client.answer().is_some());
+}
+
 /// Idle clients fill all descriptors that there are, while discovery is down; the watch still reaches it.
 #[test]
 fn clients_that_fill_the_descriptors_leave_one_to_discovery() {
