Take an answer that tells its length in two ways for a broken one

Symptom: an answer with Content-Length and Transfer-Encoding was passed on as whole; the client library lets the chunks win and forgets the length. Suspects: differing Content-Length lines, negative lengths, chunks cut short: all ruled out by the same test, they failed before as well. At fault: the attempt never looked at both headers. Change: such an answer is a reset (may have run), and its connection is not kept.

--- a/node/src/upstreams/attempt.rs
+++ b/node/src/upstreams/attempt.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderName, HeaderValue};
+use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use oakflow::Ending;
 use std::net::SocketAddr;
@@ -86,6 +86,7 @@
             let answer = connection.sender.try_send_request(request).await;
             let refused = connection.write.refused();
             match (answer, connection.write.progress()) {
+                (Ok(answer), Progress::Whole) if has_two_lengths(&answer) => return Err(Ending::Reset),
                 (Ok(answer), Progress::Whole) if refused.is_none() => return Ok((connection, answer)),
                 // Of no request that was not whole at the upstream; it can't get whole any more.
                 (Ok(answer), _) if ending(&answer) == Ending::Full => return Err(Ending::Full),
@@ -172,6 +173,13 @@
     Ok(())
 }
 
+/// Whether an answer says in two ways how long it is. One of them is wrong, and nobody can tell which: what is read as
+/// the next answer may be the rest of this one.
+fn has_two_lengths<B>(answer: &Response<B>) -> bool {
+    let headers = answer.headers();
+    headers.contains_key(header::TRANSFER_ENCODING) && headers.contains_key(header::CONTENT_LENGTH)
+}
+
 /// What an answer says. Only a mark that the request was turned away proves that it never ran.
 fn ending<B>(answer: &Response<B>) -> Ending {
     let declined = answer.headers().get(DECLINED).is_some_and(|v| v == "1");
--- a/node/tests/attempts.rs
+++ b/node/tests/attempts.rs
@@ -145,6 +145,7 @@
         format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n{}", "x".repeat(0x10001));
     let head = format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(70 << 10));
     for text in [
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody",
         "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nbody",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
--- a/node/tests/common/raw.rs
+++ b/node/tests/common/raw.rs
@@ -13,25 +13,28 @@
 impl RawUpstream {
     pub fn start() -> RawUpstream {
         let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+        listener.set_nonblocking(true).expect("does not block");
         let addr = listener.local_addr().expect("an address");
         RawUpstream { listener, addr }
     }
 
     /// The next connection.
     pub fn accept(&self) -> RawConnection {
-        self.listener.set_nonblocking(true).expect("does not block");
+        RawUpstream::accept_any(std::slice::from_ref(self)).0
+    }
+
+    /// The next connection to any of several, and to which.
+    pub fn accept_any(upstreams: &[RawUpstream]) -> (RawConnection, usize) {
         let began = Instant::now();
-        let stream = loop {
-            match self.listener.accept() {
-                Ok((stream, _)) => break stream,
-                Err(_) => assert!(began.elapsed() < PATIENCE, "no connection comes"),
+        loop {
+            for (at, upstream) in upstreams.iter().enumerate() {
+                if let Ok((stream, _)) = upstream.listener.accept() {
+                    return (RawConnection::new(stream), at);
+                }
             }
+            assert!(began.elapsed() < PATIENCE, "no connection comes");
             std::thread::yield_now();
-        };
-        stream.set_nonblocking(false).expect("blocks");
-        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-        stream.set_nodelay(true).expect("writes at once");
-        RawConnection(BufReader::new(stream))
+        }
     }
 }
 
@@ -39,6 +42,13 @@
 pub struct RawConnection(BufReader<TcpStream>);
 
 impl RawConnection {
+    fn new(stream: TcpStream) -> RawConnection {
+        stream.set_nonblocking(false).expect("blocks");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        stream.set_nodelay(true).expect("writes at once");
+        RawConnection(BufReader::new(stream))
+    }
+
     /// The next request; `None` at the end of the connection.
     pub fn request(&mut self) -> Option<Message> {
         read(&mut self.0)
