Take the time that the program stood still off what a request has left

Symptom: of a request that came while the program was stopped for 1 s an attempt told 19.99 s of 20 s, where 19.0 s were left (tests of a stop before reading and before accepting). At fault: time counts from when the request is taken, and nothing knew how long it had lain unread. Change: the timer that is overdue most says how long the program has not looked; the first attempt's deadline is that much earlier, if it is 20 ms or more.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -67,6 +67,7 @@
             upstreams: HashMap::new(),
             timers: BTreeMap::new(),
             timer_seq: 0,
+            stall: None,
             events: VecDeque::new(),
             listed: false,
             figures,
--- a/node/src/driver/attempts.rs
+++ b/node/src/driver/attempts.rs
@@ -10,8 +10,13 @@
 impl Handle {
     pub(super) fn send(&self, d: &mut Driver, id: RequestId, to: UpstreamId, timeout: Millis) {
         let (now, now_ms) = (Instant::now(), d.now());
+        let stood_still = d.stood_still(now).as_secs_f64() * 1000.0;
         let Some(open) = d.open.get_mut(&id) else { return };
         let number = open.sends;
+        if number == 0 {
+            // The first attempt follows the request at once: its client has waited while the program stood still.
+            open.deadline -= stood_still;
+        }
         open.sends += 1;
         let target = d.upstreams.get(&to).map(|(u, ..)| u.clone());
         let (Some(target), true) = (target, open.reply.is_some()) else {
--- a/node/src/driver/state.rs
+++ b/node/src/driver/state.rs
@@ -8,6 +8,7 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -62,6 +63,8 @@
     pub(super) upstreams: HashMap<UpstreamId, (Rc<Upstream>, Availability, Millis)>,
     pub(super) timers: BTreeMap<(Instant, u64), Due>,
     pub(super) timer_seq: u64,
+    /// When a timer last fired late because the program had stood still, and how late.
+    pub(super) stall: Option<(Instant, Duration)>,
     pub(super) events: VecDeque<Event>,
     pub(super) listed: bool,
     pub(super) figures: Option<Figures>,
--- /dev/null
+++ b/node/tests/deadlines.rs
@@ -0,0 +1,118 @@
+//! What an attempt tells its upstream of the time that is left, on real sockets: never more than the client has.
+mod common;
+use common::raw::RawUpstream;
+use common::{command, config, get, listing, pay, read, Discovery, Message, Node, Unreachable};
+use std::time::{Duration, Instant};
+
+/// What clients wait for here.
+const PATIENCE_MS: u64 = 20_000;
+/// What the users grant beyond what the client has left.
+const SLACK: Duration = Duration::from_millis(150);
+
+/// The time left that a request tells.
+fn told(request: &Message) -> Duration {
+    let text = request.header("req-deadline").and_then(|d| d.strip_suffix('u')).expect("microseconds");
+    Duration::from_micros(text.parse().expect("a number"))
+}
+
+/// Checks that a request tells no more than a client that sent it at `sent` has, the request having been held back
+/// until `held` at least.
+fn at_most_what_is_left(request: &Message, sent: Instant, held: Instant) {
+    let left = Duration::from_millis(PATIENCE_MS).saturating_sub(held - sent);
+    let told = told(request);
+    assert!(told <= left + SLACK, "tells {told:?}, and {left:?} is left");
+}
+
+fn patience() -> String {
+    format!("{PATIENCE_MS}m")
+}
+
+#[test]
+fn a_dial_that_comes_up_late_is_taken_off() {
+    let unreachable = Unreachable::start();
+    let discovery = Discovery::start();
+    let config = config(discovery.addr, 1024, &listing(1, true, &[(0, unreachable.addr, "active")]))
+        .replace("\"idle_close\"", "\"dial_timeout\":20000,\"idle_close\"");
+    let node = Node::run(command(&config), discovery);
+    node.discovery.called();
+    let without = node.descriptors();
+    let mut client = node.client();
+    let sent = Instant::now();
+    client.send(&pay("r1", &patience()));
+    node.holds(|n| n >= without + 2, "it does not dial");
+    std::thread::sleep(Duration::from_millis(500));
+    let held = Instant::now();
+    let request = read(&mut unreachable.reach()).expect("a request");
+    at_most_what_is_left(&request, sent, held);
+}
+
+#[test]
+fn the_attempt_before_is_taken_off() {
+    let upstreams = [RawUpstream::start(), RawUpstream::start()];
+    let node = Node::with(&[upstreams[0].addr, upstreams[1].addr]);
+    let mut client = node.client();
+    let sent = Instant::now();
+    client.send(&get("r1", &patience()));
+    let (mut first, at) = RawUpstream::accept_any(&upstreams);
+    first.request().expect("a request");
+    std::thread::sleep(Duration::from_millis(500));
+    let held = Instant::now();
+    first.write("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n");
+    let request = upstreams[1 - at].accept().request().expect("a second attempt");
+    at_most_what_is_left(&request, sent, held);
+}
+
+#[test]
+fn a_stop_while_it_dials_is_taken_off() {
+    let unreachable = Unreachable::start();
+    let discovery = Discovery::start();
+    let config = config(discovery.addr, 1024, &listing(1, true, &[(0, unreachable.addr, "active")]))
+        .replace("\"idle_close\"", "\"dial_timeout\":20000,\"idle_close\"");
+    let node = Node::run(command(&config), discovery);
+    node.discovery.called();
+    let without = node.descriptors();
+    let mut client = node.client();
+    let sent = Instant::now();
+    client.send(&pay("r1", &patience()));
+    node.holds(|n| n >= without + 2, "it does not dial");
+    node.pause();
+    let mut upstream = unreachable.reach();
+    std::thread::sleep(Duration::from_millis(500));
+    let held = Instant::now();
+    node.resume();
+    at_most_what_is_left(&read(&mut upstream).expect("a request"), sent, held);
+}
+
+#[test]
+fn a_stop_before_the_request_is_read_is_taken_off() {
+    let upstream = RawUpstream::start();
+    let node = Node::with(&[upstream.addr]);
+    let mut client = node.client();
+    client.send(&pay("warm", &patience()));
+    let mut connection = upstream.accept();
+    connection.request().expect("a request");
+    connection.answer("x");
+    client.answer().expect("an answer");
+    node.pause();
+    let sent = Instant::now();
+    client.send(&pay("r1", &patience()));
+    std::thread::sleep(Duration::from_millis(1000));
+    let held = Instant::now();
+    node.resume();
+    at_most_what_is_left(&connection.request().expect("a request"), sent, held);
+}
+
+#[test]
+fn a_stop_before_the_connection_is_accepted_is_taken_off() {
+    let upstream = RawUpstream::start();
+    let node = Node::with(&[upstream.addr]);
+    assert_eq!(node.client().call("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status(), 200);
+    node.pause();
+    let mut client = node.client();
+    let sent = Instant::now();
+    client.send(&pay("r1", &patience()));
+    std::thread::sleep(Duration::from_millis(1000));
+    let held = Instant::now();
+    node.resume();
+    at_most_what_is_left(&upstream.accept().request().expect("a request"), sent, held);
+}
