Start without a known list that cannot be used, and say so

Symptom: a new process whose configuration had a broken entry in `known` did not start, and one that was told to read its configuration again stayed at the old discovery because of it, though `known` counts for nothing then.

Decision: a balancer starts without such a list, with one line (`known_refused`). The list may be old anyway, discovery has a better one, and a process that does not start serves nobody; that is what operators of other balancers know of stale state files. No part of a broken list is used. `check` ends 0 and says the same.

Change: Config has the list or why it can't be used; serve.rs and check.rs tell of it.

--- a/node/src/check.rs
+++ b/node/src/check.rs
@@ -17,6 +17,9 @@
         d.zones.len(),
         config.sockets
     );
+    if let Some(error) = &config.known_error {
+        text.push_str(&format!("{error}; it would start without it\n"));
+    }
     if loaded.options.peers.on {
         let said = match peers::addresses(d, &config.peers) {
             Ok(at) => format!("on, one of {}, listens at {}", at.peers.len(), at.listen),
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -30,7 +30,7 @@
     logging: &Logging,
 ) -> Result<(), String> {
     let (start, start_ms) = (Instant::now(), driver::unix_ms());
-    let Config { name, listen, discovery, seed, sockets, known, peers, deployment } = config;
+    let Config { name, listen, discovery, seed, sockets, known, known_error, peers, deployment } = config;
     let (mut end_signals, mut hang_up) = Signals::listen()?.split();
     let balancer = Balancer::new(deployment.policy.clone(), seed, start_ms).map_err(|e| e.to_string())?;
     let span = |ms: f64| Duration::from_secs_f64(ms / 1000.0);
@@ -53,7 +53,10 @@
             recovery::open(&options.recovery, owner, &names, &deployment.policy)
         }
     };
-    // The platform's word goes first, unless this balancer has heard a later one.
+    if let Some(error) = known_error {
+        tracing::warn!(target: "run", event = "known_refused", error, "{name}: {error}; starting without it");
+    }
+    // The platform's list goes first, unless this balancer has kept a later one.
     let known = match (known, kept.list) {
         (Some(known), Some(kept)) if kept.version > known.version => Some(kept),
         (None, kept) => kept,
--- /dev/null
+++ b/node/tests/bad_input.rs
@@ -0,0 +1,193 @@
+//! A running balancer and bad input: from its starter, after SIGHUP, from discovery and from clients. Nothing of it ends
+//! the balancer or changes what it knew.
+mod common;
+use common::*;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::process::{Command, Stdio};
+
+/// How a program ended that ends by itself: its status, and what it wrote to standard output and error.
+fn ended(mut command: Command) -> (Option<i32>, String, String) {
+    let out = command.stdout(Stdio::piped()).output().expect("runs");
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).expect("text");
+    (out.status.code(), text(out.stdout), text(out.stderr))
+}
+
+/// The configuration of a balancer whose discovery pushes: it is asked again soon after each failure.
+fn pushed(discovery: &Discovery, known: &str) -> String {
+    config(discovery.addr, 1024, known).replace("on_request", "pushed")
+}
+
+fn serves(node: &Node, id: &str) {
+    assert_eq!(node.client().call(&get(id, "5000m")).status(), 200, "{:?}", node.log());
+}
+
+fn never_panicked(node: &Node) {
+    assert!(!node.log().iter().any(|line| line.contains("panic")), "{:?}", node.log());
+}
+
+#[test]
+fn a_new_process_starts_without_a_known_list_that_cannot_be_used() {
+    let upstream = Upstream::start(|_| ok("x"));
+    let good = listing(1, true, &[(0, upstream.addr, "active")]);
+    for bad in
+        ["7", "[]", "{}", "\"\\ud83d\\ude00\"", &good.replace("active", "odd"), &good.replace(":1,", ":-1,")]
+    {
+        let discovery = Discovery::start();
+        let node = Node::run(command(&config(discovery.addr, 1024, bad)), discovery);
+        let said: Vec<String> = node.log().into_iter().filter(|l| l.contains("known: ")).collect();
+        assert!(said.len() == 1 && said[0].ends_with("starting without it"), "{bad}: {said:?}");
+        // Discovery is asked for the whole list.
+        assert_eq!(node.discovery.called(), "/api/targets");
+        node.discovery.answer(&good);
+        node.discovery.called();
+        serves(&node, "r1");
+    }
+    let discovery = Discovery::start();
+    let mut check = command(&config(discovery.addr, 1024, "7"));
+    check.arg("check");
+    let (status, said, errors) = ended(check);
+    assert_eq!((status, errors.as_str()), (Some(0), ""));
+    assert!(
+        said.lines().any(|l| l.starts_with("known: ") && l.ends_with("would start without it")),
+        "{said}"
+    );
+}
+
+#[test]
+fn a_list_of_discovery_that_cannot_be_used_leaves_the_old_one() {
+    let upstream = Upstream::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let good = listing(1, true, &[(0, upstream.addr, "active")]);
+    let mut command = command(&pushed(&discovery, &good));
+    command.args(["run", "--set", "log.rate=100000"]);
+    let node = Node::run(command, discovery);
+    let gone = listing(2, true, &[(0, upstream.addr, "left")]);
+    let bad = [
+        gone[..gone.len() - 1].to_string(),
+        gone.replace("\"full\":true", "\"full\":\"yes\""),
+        gone.replace("\"version\":2", "\"version\":1e300"),
+        gone.replace("\"started_ms\":0", "\"started_ms\":-1"),
+        listing(0, true, &[(0, upstream.addr, "left")]),
+    ];
+    for (n, list) in bad.iter().enumerate() {
+        node.discovery.called();
+        node.discovery.answer_with("Connection: close\r\n", list);
+        node.logs_times("discovery: ", n + 1);
+        serves(&node, &format!("after-{n}"));
+    }
+    // It was asked for what came after the old list all the time.
+    assert_eq!(node.discovery.called(), "/api/targets?since=1&timeout_ms=1000");
+    never_panicked(&node);
+}
+
+/// The status of the first answer to these bytes, with which the client's side of the connection ends; none if the
+/// connection ends without an answer.
+fn status_of(node: &Node, bytes: &[u8]) -> Option<u16> {
+    let stream = TcpStream::connect(node.addr).expect("connects");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    let mut stream = BufReader::new(stream);
+    // The balancer may close before all is written.
+    let _ = stream.get_mut().write_all(bytes);
+    let _ = stream.get_mut().shutdown(Shutdown::Write);
+    let mut line = String::new();
+    let _ = stream.read_line(&mut line);
+    let rest = stream.read_to_end(&mut Vec::new());
+    assert!(rest.is_ok() || rest.is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionReset));
+    line.split(' ').nth(1).and_then(|status| status.parse().ok())
+}
+
+#[test]
+fn a_request_that_is_cut_off_at_any_length_is_not_sent_on() {
+    let upstream = Upstream::start(|_| ok("x"));
+    let node = Node::with(&[upstream.addr]);
+    let whole = pay("cut", "5000m");
+    for length in 0..whole.len() {
+        let status = status_of(&node, &whole.as_bytes()[..length]);
+        assert!(status.is_none_or(|s| (400..500).contains(&s)), "{length}: {status:?}");
+    }
+    serves(&node, "after");
+    assert_eq!(upstream.request().header("req-id"), Some("after"));
+    never_panicked(&node);
+}
+
+#[test]
+fn a_request_that_cannot_be_used_is_refused_and_not_sent_on() {
+    let upstream = Upstream::start(|_| ok("x"));
+    let node = Node::with(&[upstream.addr]);
+    let whole = get("r1", "5000m");
+    let status = |from: &str, to: &str| {
+        assert!(whole.contains(from), "{from}");
+        node.client().call(&whole.replacen(from, to, 1)).status()
+    };
+    for deadline in
+        ["NaNm", "infm", "-5m", "1e300m", "", "m", "5000", "99999999999999999999m", "5000m, 5000m"]
+    {
+        assert_eq!(status("Req-Deadline: 5000m", &format!("Req-Deadline: {deadline}")), 400, "{deadline}");
+    }
+    for (from, to) in [
+        ("Req-Id: r1", "Req-Id: "),
+        ("Req-Id: r1", "Req-Id: r1\r\nReq-Id: r2"),
+        ("Req-Id: r1", "Req-Id: \u{e9}"),
+        ("Req-Kind: read", "Req-Kind: write"),
+        ("Req-Kind: read", "Req-Kind: read\r\nReq-Kind: read"),
+        ("Req-Kind: read\r\n", ""),
+        ("Req-Owner: club", "Req-Owner: nobody"),
+        ("Req-Deadline: 5000m", "Req-Deadline: 5000m\r\nReq-Deadline: 6000m"),
+        ("\r\n\r\n", "\r\nContent-Length: 1\r\n\r\nx"),
+        ("\r\n\r\n", "\r\nContent-Length: -1\r\n\r\n"),
+        ("\r\n\r\n", "\r\nContent-Length: 18446744073709551616\r\n\r\n"),
+        ("\r\n\r\n", "\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx"),
+        ("\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\n"),
+    ] {
+        assert_eq!(status(from, to), 400, "{to:?}");
+    }
+    let long = "x".repeat(257);
+    assert_eq!(status("Req-Id: r1", &format!("Req-Id: {long}")), 400);
+    let body = pay("r1", "5000m").replace("Content-Length: 4\r\n\r\nbody", "Content-Length: 65537\r\n\r\n");
+    assert_eq!(node.client().call(&body).status(), 413);
+    // A deadline that has come already leaves nothing to do.
+    let late = status("Req-Deadline: 5000m", "Req-Deadline: 0m");
+    assert!((500..600).contains(&late), "{late}");
+    let huge = whole.replacen("Req-Id: r1", &format!("Req-Id: r1\r\nX-Huge: {}", "x".repeat(1 << 20)), 1);
+    assert!(status_of(&node, huge.as_bytes()).is_none_or(|s| s == 431));
+    // Unknown headers go on as they are.
+    assert_eq!(status("Req-Id: r1", "Req-Id: last\r\nX-Novel: 1e300"), 200);
+    assert_eq!(upstream.request().header("req-id"), Some("last"));
+    assert_eq!(upstream.further(), 0);
+    never_panicked(&node);
+}
+
+#[test]
+fn mutated_requests_hurt_nobody_else() {
+    let upstream = Upstream::start(|_| ok("x"));
+    let node = Node::with(&[upstream.addr]);
+    // The same numbers each time (a linear congruence, its upper half).
+    let mut state = 7_u64;
+    let mut below = |n: usize| {
+        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (state >> 33) as usize % n.max(1)
+    };
+    let mut steady = node.client();
+    for round in 0..1_000 {
+        let mut bytes = pay("mutated", "50m").into_bytes();
+        for _ in 0..=below(3) {
+            let at = below(bytes.len());
+            let to = (at + 1 + below(20)).min(bytes.len());
+            match below(4) {
+                0 => bytes[at] = below(256) as u8,
+                1 => drop(bytes.drain(at..to)),
+                2 => {
+                    let again = bytes[at..to].to_vec();
+                    bytes.splice(at..at, again);
+                }
+                _ => drop(bytes.splice(at..to, *b"\r\n")),
+            }
+        }
+        status_of(&node, &bytes);
+        if round % 50 == 0 {
+            assert_eq!(steady.call(&get("steady", "5000m")).status(), 200, "{round}");
+        }
+    }
+    never_panicked(&node);
+}
