End with 78 on an unusable configuration, and bound what is read and quoted

Need: a process that could not use its configuration ended with 1, as on an address in use, so that a service manager could not tell what another start cannot help. A configuration of any size was read whole (the path may name a device), a refused value of any length and with any control characters was quoted whole, two classes or tenants of one name were taken (requests never reach the second), and where a key is not UTF-8 the line said `?:`.

Change: `run` ends with 78 (EX_CONFIG of sysexits.h, which service managers know) on an unusable configuration; options stay at 2, `check` at 2, all else at 1.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -5,12 +5,17 @@
 use oakflow_settings::Deployment;
 use serde::Deserialize;
 use serde_json::value::{RawValue, Value};
+use std::collections::HashSet;
+use std::fs::File as Input;
+use std::io::Read;
 use std::net::SocketAddr;
 
 /// Descriptors where the configuration states no limit.
 const SOCKETS: usize = 1024;
 /// Fewer descriptors than this leave no room for callers and upstreams.
 const SOCKETS_LEAST: usize = 64;
+/// Largest configuration file read, in bytes. A list of upstreams alone may have 4 MiB.
+const FILE_MOST: u64 = 16 << 20;
 
 #[derive(Deserialize)]
 struct File {
@@ -60,27 +65,30 @@
     /// Reads the file that NODE_CONFIG names.
     pub fn load() -> Result<Config, String> {
         let path = std::env::var("NODE_CONFIG").map_err(|e| format!("NODE_CONFIG: {e}"))?;
-        let text = std::fs::read(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
-        Config::parse(&text)
+        let text = read_bounded(&path).map_err(|e| one_line(&format!("NODE_CONFIG: {path}: {e}")))?;
+        Config::parse(&text).map_err(|e| format!("{path}: {e}"))
     }
 
-    /// Reads a configuration.
+    /// Reads a configuration; what is wrong with it is one line that names the field.
     pub fn parse(json: &[u8]) -> Result<Config, String> {
+        Config::read(json).map_err(|error| one_line(&error))
+    }
+
+    fn read(json: &[u8]) -> Result<Config, String> {
         let mut json = serde_json::Deserializer::from_slice(json);
         let file: File =
             serde_path_to_error::deserialize(&mut json).map_err(|e| match e.path().to_string() {
-                path if path == "." => e.inner().to_string(),
+                path if path == "." || path == "?" => e.inner().to_string(),
                 path => format!("{path}: {}", e.inner()),
             })?;
         json.end().map_err(|e| e.to_string())?;
         let deployment = oakflow_settings::deployment(file.settings.get().as_bytes())
             .map_err(|e| format!("settings: {e}"))?;
-        if let Some(i) = deployment.classes.iter().position(String::is_empty) {
-            return Err(format!("settings.classes[{i}].name: missing"));
-        }
-        if let Some(i) = deployment.tenants.iter().position(String::is_empty) {
-            return Err(format!("settings.tenants[{i}].name: missing"));
+        if file.name.chars().any(char::is_control) {
+            return Err(format!("name: {:?} has control characters", file.name));
         }
+        check_names("classes", &deployment.classes)?;
+        check_names("tenants", &deployment.tenants)?;
         let seed = u64::from_str_radix(&file.seed, 16)
             .map_err(|_| format!("seed: {:?} is no hexadecimal number of 64 bits", file.seed))?;
         let sockets = file.limits.sockets.unwrap_or(SOCKETS);
@@ -99,3 +107,28 @@
         Ok(Config { name, listen, discovery, seed, sockets, known, known_error, peers, deployment })
     }
 }
+
+/// Reads a file, unless it is far larger than any configuration.
+fn read_bounded(path: &str) -> Result<Vec<u8>, String> {
+    let file = Input::open(path).map_err(|e| e.to_string())?;
+    let mut text = Vec::new();
+    file.take(FILE_MOST + 1).read_to_end(&mut text).map_err(|e| e.to_string())?;
+    if text.len() as u64 > FILE_MOST {
+        return Err(format!("larger than {FILE_MOST} bytes"));
+    }
+    Ok(text)
+}
+
+/// Requests name classes and tenants, so that each needs a name of its own.
+fn check_names(list: &str, names: &[String]) -> Result<(), String> {
+    let mut seen = HashSet::new();
+    for (i, name) in names.iter().enumerate() {
+        if name.is_empty() {
+            return Err(format!("settings.{list}[{i}].name: missing"));
+        }
+        if !seen.insert(name) {
+            return Err(format!("settings.{list}[{i}].name: {name:?} is there twice"));
+        }
+    }
+    Ok(())
+}
--- a/node/src/program.rs
+++ b/node/src/program.rs
@@ -3,6 +3,7 @@
 use crate::command_line::{self, StateVerb, Verb};
 use crate::config::Config;
 use crate::log::Logging;
+use crate::one_line::one_line;
 use crate::options::{Loaded, Sources};
 use crate::recovery;
 use crate::serve;
@@ -10,6 +11,8 @@
 
 /// Unusable options, or a configuration or folder of state that a check finds unusable.
 const UNUSABLE: u8 = 2;
+/// A configuration that the balancer can't start with: EX_CONFIG of sysexits.h, which service managers know.
+const UNUSABLE_CONFIGURATION: u8 = 78;
 /// Whatever else the program cannot start with, or ended by.
 const FAILED: u8 = 1;
 
@@ -24,7 +27,7 @@
 
 /// Says on one line why the program ends.
 fn failed(message: &str, code: u8) -> ExitCode {
-    eprintln!("herondock: {}", message.replace('\n', " "));
+    eprintln!("herondock: {}", one_line(message));
     ExitCode::from(code)
 }
 
@@ -53,6 +56,10 @@
         Ok(loaded) => loaded,
         Err(message) => return failed(&message, UNUSABLE),
     };
+    let config = match Config::load() {
+        Ok(config) => config,
+        Err(message) => return failed(&message, UNUSABLE_CONFIGURATION),
+    };
     let logging = match Logging::start(&loaded.options.log) {
         Ok(logging) => logging,
         Err(message) => return failed(&message, FAILED),
@@ -61,8 +68,7 @@
         quiet_panics();
     }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let done = Config::load().and_then(|config| {
-        let runtime = runtime.map_err(|e| e.to_string())?;
+    let done = runtime.map_err(|e| e.to_string()).and_then(|runtime| {
         let serving = serve::run(config, sources, loaded.options, &logging);
         tokio::task::LocalSet::new().block_on(&runtime, serving)
     });
--- a/node/tests/bad_input.rs
+++ b/node/tests/bad_input.rs
@@ -4,6 +4,7 @@
 use common::*;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, TcpStream};
+use std::path::PathBuf;
 use std::process::{Command, Stdio};
 
 /// How a program ended that ends by itself: its status, and what it wrote to standard output and error.
@@ -13,6 +14,11 @@
     (out.status.code(), text(out.stdout), text(out.stderr))
 }
 
+fn configuration_of(command: &Command) -> PathBuf {
+    let path = command.get_envs().find(|(name, _)| *name == "NODE_CONFIG").and_then(|(_, path)| path);
+    PathBuf::from(path.expect("a configuration"))
+}
+
 /// The configuration of a balancer whose discovery pushes: it is asked again soon after each failure.
 fn pushed(discovery: &Discovery, known: &str) -> String {
     config(discovery.addr, 1024, known).replace("on_request", "pushed")
@@ -26,6 +32,48 @@
     assert!(!node.log().iter().any(|line| line.contains("panic")), "{:?}", node.log());
 }
 
+#[test]
+fn a_new_process_says_in_one_line_what_it_cannot_start_with() {
+    let discovery = Discovery::start();
+    let good = config(discovery.addr, 1024, "null");
+    let refuses = |command: Command, code: i32, wanted: &str| {
+        let (status, said, errors) = ended(command);
+        assert_eq!((status, said.as_str()), (Some(code), ""), "{wanted}: {errors}");
+        assert!(errors.lines().count() == 1 && errors.contains(wanted), "wanted {wanted}: {errors}");
+    };
+    let with = |argument: &str, text: &str| {
+        let mut command = command(text);
+        command.arg(argument);
+        command
+    };
+    let cut_off = &good[..good.len() / 2];
+    let huge = good.replace("8c1f30d27a5be964", &"x".repeat(1 << 20));
+    let no_sockets = good.replace("\"sockets\":1024", "\"sockets\":0");
+    for (text, wanted) in
+        [("", "EOF"), (cut_off, "EOF"), (&huge, "seed: "), (&no_sockets, "limits.sockets: ")]
+    {
+        refuses(with("run", text), 78, wanted);
+        refuses(command(text), 78, wanted);
+        refuses(with("check", text), 2, wanted);
+    }
+    let mut missing = command(&good);
+    missing.env("NODE_CONFIG", "/no/such/file");
+    refuses(missing, 78, "NODE_CONFIG: /no/such/file: ");
+    let mut unnamed = command(&good);
+    unnamed.env_remove("NODE_CONFIG");
+    refuses(unnamed, 78, "NODE_CONFIG: ");
+    let mut too_large = command(&good);
+    std::fs::File::create(configuration_of(&too_large)).and_then(|f| f.set_len(1 << 40)).expect("a hole");
+    refuses(too_large, 78, "larger than");
+    too_large = command(&good);
+    too_large.env("NODE_CONFIG", "/dev/zero");
+    refuses(too_large, 78, "larger than");
+    // An address in use is no fault of the configuration.
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("binds");
+    let address = taken.local_addr().expect("an address").to_string();
+    refuses(command(&good.replace("127.0.0.1:0", &address)), 1, "listen: ");
+}
+
 #[test]
 fn a_new_process_starts_without_a_known_list_that_cannot_be_used() {
     let upstream = Upstream::start(|_| ok("x"));
@@ -54,6 +102,50 @@
     );
 }
 
+#[test]
+fn a_reload_of_what_cannot_be_used_changes_nothing() {
+    let upstream = Upstream::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let good = config(discovery.addr, 1024, &listing(1, true, &[(0, upstream.addr, "active")]));
+    let mut command = command(&good);
+    command.args(["run", "--set", "log.rate=100000"]);
+    let path = configuration_of(&command);
+    let node = Node::run(command, discovery);
+    let mut reloads = 0;
+    let mut refused = |write: &dyn Fn(), wanted: &str| {
+        write();
+        node.hang_up();
+        reloads += 1;
+        node.logs_times("not reloaded: ", reloads);
+        let log = node.log();
+        let last = log.iter().rfind(|l| l.contains("not reloaded: ")).expect("a line");
+        assert!(last.contains(wanted) && last.chars().count() < 500, "wanted {wanted}: {last}");
+        serves(&node, &format!("after-{reloads}"));
+    };
+    let written = |text: &[u8]| std::fs::write(&path, text).expect("writes");
+    for part in 0..8 {
+        refused(&|| written(&good.as_bytes()[..good.len() * part / 8]), "EOF");
+    }
+    refused(&|| written(&[good.as_bytes(), b"}"].concat()), "trailing");
+    refused(
+        &|| written(&[&good.as_bytes()[..10], b"\xff", &good.as_bytes()[10..]].concat()),
+        "name: invalid unicode",
+    );
+    refused(
+        &|| written(&[&good.as_bytes()[..20], b"\xff", &good.as_bytes()[20..]].concat()),
+        ".json: invalid unicode",
+    );
+    refused(
+        &|| written(good.replace("\"deadline\":20000", "\"deadline\":1e300").as_bytes()),
+        "classes[0].deadline",
+    );
+    refused(&|| written(good.replace("\"sockets\":1024", "\"sockets\":1").as_bytes()), "limits.sockets");
+    refused(&|| written(good.replace("\"discovery\":\"", "\"discovery\":\"x").as_bytes()), "discovery: ");
+    refused(&|| std::fs::remove_file(&path).expect("removes"), "NODE_CONFIG: ");
+    assert!(!node.log().iter().any(|l| l.contains(": reloaded")), "{:?}", node.log());
+    never_panicked(&node);
+}
+
 #[test]
 fn a_list_of_discovery_that_cannot_be_used_leaves_the_old_one() {
     let upstream = Upstream::start(|_| ok("x"));
--- /dev/null
+++ b/node/tests/bad_input_read.rs
@@ -0,0 +1,199 @@
+//! Configuration and lists that can't be used are refused with one line; nothing panics.
+use herondock::config::Config;
+use herondock::{Listing, Names};
+use oakflow::Balancer;
+
+const GOOD: &str = r#"{"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"8c1f30d27a5be964",
+    "limits":{"cores":1.0,"sockets":1024},"peer_listen":"127.0.0.1:7","peers":["127.0.0.1:7","127.0.0.1:8"],
+    "known":{"version":4,"full":true,"servers":[{"id":"s-1","addr":"127.0.0.1:10","zone":"a","kind":"m2",
+        "cell":3,"state":"active","weight":1.0,"started_ms":0}]},
+    "settings":{"balancers":2,"index":1,"membership_mode":"on_request","dcs":["a"],"kinds":["m1","m2"],
+        "classes":[{"name":"read","objective":100,"deadline":400,"effect":"free"}],
+        "tenants":[{"name":"club","share":1.0,"quota_per_s":50}],
+        "permissions":{"attempts_cap":3},"invariants":{"cold_from":0.2,"ramp_time":9000,"tip_multiple":3}}}"#;
+
+const LIST: &str = r#"{"version":4,"full":false,"servers":[
+    {"id":"s-1","addr":"127.0.0.1:10","zone":"a","kind":"m2","cell":3,"state":"active","weight":1.0,"started_ms":5},
+    {"id":"s-2","addr":"127.0.0.1:11","zone":"a","kind":"m2","cell":3,"state":"left","weight":0,"started_ms":0}]}"#;
+
+/// Messages may quote what was read; they stay this short all the same.
+const LINE_MOST: usize = 400;
+
+/// A small generator (SplitMix64): the same numbers for the same seed, always.
+struct Numbers(u64);
+
+impl Numbers {
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    fn below(&mut self, n: usize) -> usize {
+        (self.next() % n.max(1) as u64) as usize
+    }
+}
+
+/// What may stand where a value was.
+const VALUES: [&str; 22] = [
+    "null",
+    "true",
+    "-1",
+    "0",
+    "0.5",
+    "7",
+    "1e6",
+    "1e-320",
+    "1e300",
+    "1e999",
+    "NaN",
+    "Infinity",
+    "4294967295",
+    "18446744073709551615",
+    "18446744073709551616",
+    "\"\"",
+    "\"\\u0000\\n\"",
+    "\"127.0.0.1:0\"",
+    "\"9000000000y\"",
+    "[]",
+    "{}",
+    "[[[[[[[[",
+];
+
+/// One change or two: a value replaced, a byte changed, a span taken out, doubled or cut off.
+fn mutated(text: &str, numbers: &mut Numbers) -> Vec<u8> {
+    let mut bytes = text.as_bytes().to_vec();
+    for _ in 0..=numbers.below(2) {
+        let at = numbers.below(bytes.len());
+        let to = (at + 1 + numbers.below(30)).min(bytes.len());
+        match numbers.below(10) {
+            0 => bytes.truncate(at),
+            1 => bytes.iter_mut().skip(at).take(1).for_each(|b| *b = (numbers.next() & 0xff) as u8),
+            2 => drop(bytes.drain(at..to)),
+            3 => {
+                let again = bytes[at..to].to_vec();
+                bytes.splice(at..at, again);
+            }
+            _ => {
+                let from = bytes[at..].iter().position(|b| *b == b':').map_or(at, |p| at + p + 1);
+                let ends = |b: &u8| matches!(b, b',' | b'}' | b']' | b'\n');
+                let end = bytes[from..].iter().position(ends).map_or(bytes.len(), |p| from + p);
+                bytes.splice(from..end, VALUES[numbers.below(VALUES.len())].bytes());
+            }
+        }
+    }
+    bytes
+}
+
+fn is_one_line(error: &str) {
+    let plain = !error.is_empty() && !error.contains(char::is_control);
+    assert!(plain && error.chars().count() <= LINE_MOST, "{error:?}");
+}
+
+fn names() -> Names {
+    Names::of(&Config::parse(GOOD.as_bytes()).expect("good").deployment)
+}
+
+#[test]
+fn a_configuration_that_cannot_be_used_is_refused_with_the_field_at_fault() {
+    let long = format!("\"seed\":\"{}\"", "x\u{1b}".repeat(1 << 20));
+    let sockets = "\"sockets\":1024";
+    for (from, to, wanted) in [
+        ("\"name\":\"n3\"", "\"name\":\"n3\\nserving\"", "name: "),
+        ("\"name\":\"n3\"", "\"name\":3", "name: "),
+        ("\"name\":\"n3\"", "\"name\":\"n3\",\"name\":\"n4\"", "duplicate field `name`"),
+        ("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:65536\"", "listen: "),
+        ("\"discovery\":\"127.0.0.1:9\"", "\"discovery\":null", "discovery: "),
+        ("\"discovery\":\"127.0.0.1:9\",", "", "discovery"),
+        ("\"seed\":\"8c1f30d27a5be964\"", long.as_str(), "seed: "),
+        ("8c1f30d27a5be964", "18c1f30d27a5be964", "seed: "),
+        (sockets, "\"sockets\":0", "limits.sockets: "),
+        (sockets, "\"sockets\":-1", "limits.sockets: "),
+        (sockets, "\"sockets\":1e300", "limits.sockets: "),
+        (sockets, "\"sockets\":1e999", "limits.sockets: "),
+        (sockets, "\"sockets\":NaN", "limits.sockets: "),
+        (sockets, "\"sockets\":18446744073709551616", "limits.sockets: "),
+        ("\"limits\":{", "\"limits\":[{", "limits"),
+        ("\"deadline\":400", "\"deadline\":0", "settings: classes[0].deadline: "),
+        ("\"deadline\":400", "\"deadline\":1e300", "settings: classes[0].deadline: "),
+        (
+            "{\"name\":\"club\"",
+            "{\"name\":\"club\",\"share\":1},{\"name\":\"club\"",
+            "settings.tenants[1].name: ",
+        ),
+        ("\"settings\":{", "\"settings\":null,\"x\":{", "settings: "),
+    ] {
+        assert!(GOOD.contains(from), "{from}");
+        let error = Config::parse(GOOD.replacen(from, to, 1).as_bytes()).err().expect(wanted);
+        is_one_line(&error);
+        assert!(error.contains(wanted), "wanted {wanted}: {error}");
+    }
+    let not_text = [GOOD[..20].as_bytes(), &[0xff], GOOD[20..].as_bytes()].concat();
+    is_one_line(&Config::parse(&not_text).err().expect("not UTF-8"));
+}
+
+#[test]
+fn unknown_fields_are_ignored_whatever_they_hold() {
+    let nested = format!("{}{}", "[".repeat(100), "]".repeat(100));
+    for value in ["1e300", "{\"a\":[null]}", "\"\\ud83d\\ude00\"", &nested] {
+        let with = |text: &str| text.replacen('{', &format!("{{\"novel\":{value},"), 1);
+        assert!(Config::parse(with(GOOD).as_bytes()).is_ok_and(|c| c.known.is_some()), "{value}");
+        assert!(Listing::parse(with(LIST).as_bytes(), &names()).is_ok(), "{value}");
+    }
+}
+
+#[test]
+fn what_is_cut_off_at_any_length_is_refused() {
+    for length in 0..GOOD.len() {
+        is_one_line(&Config::parse(&GOOD.as_bytes()[..length]).err().expect("cut off"));
+    }
+    let names = names();
+    for length in 0..LIST.len() {
+        is_one_line(&Listing::parse(&LIST.as_bytes()[..length], &names).expect_err("cut off"));
+    }
+}
+
+#[test]
+fn mutated_configurations_are_refused_in_one_line_or_can_be_run_with() {
+    let mut numbers = Numbers(1);
+    let (mut taken, mut refused, mut without_list) = (0, 0, 0);
+    for _ in 0..20_000 {
+        match Config::parse(&mutated(GOOD, &mut numbers)) {
+            Ok(config) => {
+                taken += 1;
+                if let Some(error) = &config.known_error {
+                    without_list += 1;
+                    is_one_line(error);
+                }
+                Balancer::new(config.deployment.policy, config.seed, 0.0).expect("checked");
+            }
+            Err(error) => {
+                refused += 1;
+                is_one_line(&error);
+            }
+        }
+    }
+    let counts = (taken, refused, without_list);
+    assert!(taken > 500 && refused > 500 && without_list > 100, "{counts:?}");
+}
+
+#[test]
+fn mutated_lists_are_refused_in_one_line_or_taken() {
+    let (mut numbers, names) = (Numbers(2), names());
+    let (mut taken, mut refused) = (0, 0);
+    for _ in 0..20_000 {
+        match Listing::parse(&mutated(LIST, &mut numbers), &names) {
+            Ok(listing) => {
+                taken += 1;
+                assert!(listing.members().all(|m| (0.0..1e15).contains(&m.since)));
+            }
+            Err(error) => {
+                refused += 1;
+                is_one_line(&error);
+            }
+        }
+    }
+    assert!(taken > 500 && refused > 500, "{taken} taken, {refused} refused");
+}
