Say after SIGHUP which changes wait for the next start

Symptom: on SIGHUP only discovery's address is taken over; a configuration with other settings, limits or addresses was told of as `reloaded` as well, so that an operator could believe that the rest held too.

Change: config::Fixed keeps what the start fixed; the line of `reloaded` names what differs from it (field `kept`): `name`, `listen`, `limits.sockets`, `peer_listen`, `peers`, `settings`. `seed` and `known` are for a start alone.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -132,3 +132,38 @@
     }
     Ok(())
 }
+
+/// What a running balancer keeps from its start, whatever a configuration says that is read again.
+pub struct Fixed {
+    name: String,
+    listen: SocketAddr,
+    sockets: usize,
+    peers: Unread,
+    deployment: Deployment,
+}
+
+impl Fixed {
+    /// What this configuration fixes.
+    pub fn of(config: &Config) -> Fixed {
+        Fixed {
+            name: config.name.clone(),
+            listen: config.listen,
+            sockets: config.sockets,
+            peers: config.peers.clone(),
+            deployment: config.deployment.clone(),
+        }
+    }
+
+    /// The fields in which a configuration differs that only another start can take over.
+    pub fn differing(&self, config: &Config) -> Vec<&'static str> {
+        let compared = [
+            ("name", self.name == config.name),
+            ("listen", self.listen == config.listen),
+            ("limits.sockets", self.sockets == config.sockets),
+            ("peer_listen", self.peers.listen == config.peers.listen),
+            ("peers", self.peers.peers == config.peers.peers),
+            ("settings", self.deployment == config.deployment),
+        ];
+        compared.into_iter().filter(|(_, same)| !same).map(|(field, _)| field).collect()
+    }
+}
--- a/node/src/reload.rs
+++ b/node/src/reload.rs
@@ -1,5 +1,5 @@
 //! What SIGHUP does. Owns no state.
-use crate::config::Config;
+use crate::config::{Config, Fixed};
 use crate::log::Logging;
 use crate::options::{Options, Sources};
 use std::net::SocketAddr;
@@ -10,6 +10,8 @@
 pub struct Reload<'a> {
     /// The balancer's name.
     pub name: &'a str,
+    /// What stays as it was at the start.
+    pub fixed: Fixed,
     /// Where discovery answers.
     pub discovery: watch::Sender<SocketAddr>,
     /// Where the options come from.
@@ -27,11 +29,11 @@
         match Config::load() {
             Ok(config) => {
                 let at = config.discovery;
-                tracing::info!(target: "run", event = "reloaded", discovery = %at, "{name}: reloaded, discovery at {at}");
+                let (kept, note) = self.kept(&config);
+                tracing::info!(target: "run", event = "reloaded", discovery = %at, kept, "{name}: reloaded, discovery at {at}{note}");
                 self.discovery.send_replace(at);
             }
             Err(error) => {
-                let error = error.replace('\n', " ");
                 tracing::warn!(target: "run", event = "not_reloaded", error, "{name}: not reloaded: {error}");
             }
         }
@@ -46,9 +48,18 @@
                 tracing::info!(target: "run", event = "options_reloaded", "{name}: options reloaded");
             }
             Err(error) => {
-                let error = error.replace('\n', " ");
                 tracing::warn!(target: "run", event = "options_not_reloaded", error, "{name}: options not reloaded: {error}");
             }
         }
     }
+
+    /// The fields that stay as they were though the configuration says something else, and a remark on them.
+    fn kept(&self, config: &Config) -> (String, String) {
+        let kept = self.fixed.differing(config).join(", ");
+        let note = match kept.as_str() {
+            "" => String::new(),
+            kept => format!("; as before until the next start: {kept}"),
+        };
+        (kept, note)
+    }
 }
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -1,6 +1,6 @@
 //! Wires the parts of a serving balancer together, starts them and ends them. Owns no state beyond that.
 use crate::callers::{Phase, Server};
-use crate::config::Config;
+use crate::config::{Config, Fixed};
 use crate::discovery::Discovery;
 use crate::driver::{self, Handle, Parts};
 use crate::ending;
@@ -30,6 +30,7 @@
     logging: &Logging,
 ) -> Result<(), String> {
     let (start, start_ms) = (Instant::now(), driver::unix_ms());
+    let fixed = Fixed::of(&config);
     let Config { name, listen, discovery, seed, sockets, known, known_error, peers, deployment } = config;
     let (mut end_signals, mut hang_up) = Signals::listen()?.split();
     let balancer = Balancer::new(deployment.policy.clone(), seed, start_ms).map_err(|e| e.to_string())?;
@@ -110,7 +111,7 @@
     };
     let mut counted = std::pin::pin!(counted);
     let mut counting = on;
-    let again = Reload { name: &name, discovery: moved, sources, options, logging };
+    let again = Reload { name: &name, fixed, discovery: moved, sources, options, logging };
 
     let reloads = async {
         while hang_up.recv().await.is_some() {
--- a/node/tests/bad_input.rs
+++ b/node/tests/bad_input.rs
@@ -146,6 +146,30 @@
     never_panicked(&node);
 }
 
+#[test]
+fn a_reload_takes_discovery_over_and_says_what_stays() {
+    let upstream = Upstream::start(|_| ok("x"));
+    let (discovery, other) = (Discovery::start(), Discovery::start());
+    let known = listing(1, true, &[(0, upstream.addr, "active")]);
+    let node = Node::run(command(&config(discovery.addr, 1024, &known)), discovery);
+    // A list that can't be used is no reason to stay where discovery was.
+    let changed = config(other.addr, 2048, "7").replace("\"attempts_cap\":5", "\"attempts_cap\":2");
+    node.reload(&changed);
+    let wanted = format!(
+        "reloaded, discovery at {}; as before until the next start: limits.sockets, settings",
+        other.addr
+    );
+    node.logs(&wanted);
+    assert_eq!(other.called(), "/api/targets?since=1&timeout_ms=1000");
+    serves(&node, "r1");
+    // What has not changed since the start isn't told of.
+    node.reload(&config(other.addr, 1024, "null"));
+    node.logs_times(": reloaded", 2);
+    let log = node.log();
+    let last = log.iter().rfind(|l| l.contains(": reloaded")).expect("a line");
+    assert!(last.ends_with(&format!("discovery at {}", other.addr)), "{last}");
+}
+
 #[test]
 fn a_list_of_discovery_that_cannot_be_used_leaves_the_old_one() {
     let upstream = Upstream::start(|_| ok("x"));
