Name the field of a list of upstreams that cannot be used

Symptom: an upstream without an id was told of as `upstream "": started_ms reads 0`, and a value of the wrong type in discovery's list or in `known` only by line and column (`invalid type: string "4", expected u64 at line 1 column 14`), in a line as long as the value.

Cause: one condition for both fields in entry() of node/src/listing.rs, and serde_json's message without a path.

Change: messages begin with the field (`servers[1].id: missing`) and are held to one line. What is taken and what is refused stays the same.

--- a/node/src/listing.rs
+++ b/node/src/listing.rs
@@ -1,4 +1,5 @@
 //! The list of upstreams in discovery's form, and what whoever keeps the list fresh tells of it.
+use crate::one_line::one_line;
 use oakflow::{Availability, Member, UpstreamId};
 use oakflow_settings::Deployment;
 use serde::{Deserialize, Serialize};
@@ -67,9 +68,22 @@
 
 impl Listing {
     /// Reads an answer. One bad entry spoils it whole, so that a garbled list never replaces a good one.
+    /// What is wrong is one line that names the field.
     pub fn parse(json: &[u8], names: &Names) -> Result<Listing, String> {
-        let raw: RawListing = serde_json::from_slice(json).map_err(|e| e.to_string())?;
-        let entries = raw.servers.iter().cloned().map(|e| entry(e, names)).collect::<Result<_, _>>()?;
+        Listing::read(json, names).map_err(|error| one_line(&error))
+    }
+
+    fn read(json: &[u8], names: &Names) -> Result<Listing, String> {
+        let mut json = serde_json::Deserializer::from_slice(json);
+        let raw: RawListing =
+            serde_path_to_error::deserialize(&mut json).map_err(|e| match e.path().to_string() {
+                path if path == "." || path == "?" => e.inner().to_string(),
+                path => format!("{path}: {}", e.inner()),
+            })?;
+        json.end().map_err(|e| e.to_string())?;
+        let entries = raw.servers.iter().cloned().enumerate();
+        let entries = entries.map(|(i, e)| entry(e, names).map_err(|what| format!("servers[{i}].{what}")));
+        let entries = entries.collect::<Result<_, _>>()?;
         Ok(Listing { version: raw.version, full: raw.full, entries, raw: raw.servers })
     }
 
@@ -79,15 +93,19 @@
     }
 }
 
+/// Reads an entry; the message begins with the field at fault.
 fn entry(e: RawEntry, names: &Names) -> Result<Entry, String> {
     let availability = match e.state.as_str() {
         "active" => Availability::Ready,
         "leaving" => Availability::Draining,
         "left" => Availability::Gone,
-        other => return Err(format!("upstream {:?}: unknown state {other:?}", e.id)),
+        other => return Err(format!("state: unknown state {other:?} of upstream {:?}", e.id)),
     };
-    if e.id.is_empty() || !(0.0..1e15).contains(&e.started_ms) {
-        return Err(format!("upstream {:?}: started_ms reads {}", e.id, e.started_ms));
+    if e.id.is_empty() {
+        return Err("id: missing".into());
+    }
+    if !(0.0..1e15).contains(&e.started_ms) {
+        return Err(format!("started_ms: reads {} at upstream {:?}", e.started_ms, e.id));
     }
     // A name that the settings do not list gets a position that no class is bound to.
     let zone = names.zones.iter().position(|z| *z == e.zone).map_or(u16::MAX, |i| i as u16);
--- a/node/tests/bad_input_read.rs
+++ b/node/tests/bad_input_read.rs
@@ -155,6 +155,32 @@
     }
 }
 
+#[test]
+fn a_list_that_cannot_be_used_is_refused_whole() {
+    let names = names();
+    for (from, to, wanted) in [
+        ("\"version\":4", "\"version\":\"4\"", "version"),
+        ("\"version\":4", "\"version\":1e300", "version"),
+        ("\"version\":4", "\"version\":18446744073709551616", "version"),
+        ("\"version\":4", "\"version\":4,\"version\":5", "version"),
+        ("\"full\":false,", "", "full"),
+        ("\"servers\":[", "\"servers\":{},\"x\":[", "servers"),
+        ("\"id\":\"s-2\"", "\"id\":\"\"", "servers[1].id"),
+        ("\"addr\":\"127.0.0.1:11\"", "\"addr\":\"127.0.0.1\"", "servers[1].addr"),
+        ("\"cell\":3,\"state\":\"left\"", "\"cell\":65536,\"state\":\"left\"", "servers[1].cell"),
+        ("\"state\":\"left\"", "\"state\":null", "servers[1].state"),
+        ("\"state\":\"left\"", "\"state\":\"odd\"", "servers[1].state"),
+        ("\"started_ms\":0", "\"started_ms\":-1", "servers[1].started_ms"),
+        ("\"started_ms\":0", "\"started_ms\":1e300", "servers[1].started_ms"),
+        ("\"started_ms\":0", "\"started_ms\":1e999", "servers[1].started_ms"),
+    ] {
+        assert!(LIST.contains(from), "{from}");
+        let error = Listing::parse(LIST.replacen(from, to, 1).as_bytes(), &names).expect_err(wanted);
+        is_one_line(&error);
+        assert!(error.contains(wanted), "wanted {wanted}: {error}");
+    }
+}
+
 #[test]
 fn mutated_configurations_are_refused_in_one_line_or_can_be_run_with() {
     let mut numbers = Numbers(1);
