--- a/node/tests/bad_input_read.rs
+++ b/node/tests/bad_input_read.rs
@@ -130,7 +130,7 @@
         is_one_line(&error);
         assert!(error.contains(wanted), "wanted {wanted}: {error}");
     }
-    let not_text = [GOOD[..20].as_bytes(), &[0xff], GOOD[20..].as_bytes()].concat();
+    let not_text = [&GOOD.as_bytes()[..20], &[0xff], &GOOD.as_bytes()[20..]].concat();
     is_one_line(&Config::parse(&not_text).err().expect("not UTF-8"));
 }
 
