--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -1,6 +1,6 @@
 //! Wires the parts of a serving balancer together, starts them and ends them. Owns no state beyond that.
 use crate::clients::{Phase, Server};
-use crate::config::Config;
+use crate::config::{Config, Fixed};
 use crate::discovery::Discovery;
 use crate::driver::{self, Handle, Parts};
 use crate::ending;
@@ -30,7 +30,8 @@
     logging: &Logging,
 ) -> Result<(), String> {
     let (start, start_ms) = (Instant::now(), driver::unix_ms());
-    let Config { name, listen, discovery, seed, sockets, known, peers, deployment } = config;
+    let fixed = Fixed::of(&config);
+    let Config { name, listen, discovery, seed, sockets, known, known_error, peers, deployment } = config;
     let (mut end_signals, mut hang_up) = Signals::listen()?.split();
     let balancer = Balancer::new(deployment.policy.clone(), seed, start_ms).map_err(|e| e.to_string())?;
     let span = |ms: f64| Duration::from_secs_f64(ms / 1000.0);
@@ -53,7 +54,10 @@
             recovery::open(&options.recovery, owner, &names, &deployment.policy)
         }
     };
-    // The platform's word goes first, unless this balancer has heard a later one.
+    if let Some(error) = known_error {
+        tracing::warn!(target: "run", event = "known_refused", error, "{name}: {error}; starting without it");
+    }
+    // The platform's list goes first, unless this balancer has kept a later one.
     let known = match (known, kept.list) {
         (Some(known), Some(kept)) if kept.version > known.version => Some(kept),
         (None, kept) => kept,
@@ -109,7 +113,7 @@
     };
     let mut counted = std::pin::pin!(counted);
     let mut counting = on;
-    let again = Reload { name: &name, discovery: moved, sources, options, logging };
+    let again = Reload { name: &name, fixed, discovery: moved, sources, options, logging };
 
     let reloads = async {
         while hang_up.recv().await.is_some() {
