--- a/lab/src/agent.rs
+++ b/lab/src/agent.rs
@@ -1,7 +1,7 @@
-//! Discovery as one balancer sees it: an agent on its own machine that tells it of upstreams, late or badly.
+//! Discovery as one balancer sees it: an agent on its own machine that lists upstreams for it, late or badly.
 use crate::draw::Plan;
 use crate::experiment::Millis;
-use crate::net::{lock, Gate, Manner, Port, Way};
+use crate::net::{lock, AcceptMode, Link, LinkedStream, Port};
 use crate::world::World;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -22,7 +22,7 @@
 /// An address that was left closes its connections after this.
 const LEFT_CLOSES: Duration = Duration::from_millis(1500);
 
-/// What discovery says of an upstream.
+/// The entry of an upstream in discovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
@@ -84,7 +84,7 @@
     version: u64,
     /// By id, with the version that last changed it.
     entries: BTreeMap<String, (Entry, u64)>,
-    /// The last change applied for each id: one that was on its way for longer is old.
+    /// The last change applied for each id: one that was in transit for longer is old.
     applied: BTreeMap<String, u64>,
 }
 
@@ -95,8 +95,8 @@
     changed: watch::Sender<u64>,
     mood: watch::Sender<Mood>,
     moves: watch::Sender<u16>,
-    /// The way between it and its balancer.
-    pub way: Arc<Way>,
+    /// The link between it and its balancer.
+    pub link: Arc<Link>,
 }
 
 impl Agent {
@@ -119,7 +119,7 @@
             changed: watch::channel(1).0,
             mood: watch::channel(Mood::Sound).0,
             moves: watch::channel(0).0,
-            way: Way::open(),
+            link: Link::open(),
         }
     }
 
@@ -143,7 +143,7 @@
         self.mood.send_replace(mood);
     }
 
-    /// Moves to its next address, and says how often it has moved.
+    /// Moves to its next address, and returns how often it has moved.
     pub fn move_on(&self) -> u16 {
         self.moves.send_modify(|n| *n += 1);
         *self.moves.borrow()
@@ -159,7 +159,7 @@
         self.listing(world, None, false).1
     }
 
-    /// What changed since a version, or all. The states in it count as told once it is written.
+    /// What changed since a version, or all. The balancer counts as notified of the states in it once it is written.
     fn listing(&self, world: &World, since: Option<u64>, stale: bool) -> (Vec<Entry>, String) {
         let list = lock(&self.list);
         // A version from the future is another discovery's: only the whole list helps then.
@@ -168,7 +168,7 @@
             Some(since) => *version > since,
             None => entry.state != State::Left,
         };
-        let told: Vec<Entry> = list.entries.values().filter(fits).map(|(e, _)| e.clone()).collect();
+        let notified: Vec<Entry> = list.entries.values().filter(fits).map(|(e, _)| e.clone()).collect();
         let line = |e: &Entry| {
             let u = &world.plan.upstreams[e.upstream];
             let state = if stale { State::Active } else { e.state };
@@ -184,16 +184,17 @@
             }
         };
         let version = if stale { 1 } else { list.version };
-        let listing = Listing { version, full: since.is_none(), servers: told.iter().map(line).collect() };
+        let listing =
+            Listing { version, full: since.is_none(), servers: notified.iter().map(line).collect() };
         // Strings and numbers only: there is nothing in it that JSON can't hold.
-        (told, serde_json::to_string(&listing).unwrap_or_default())
+        (notified, serde_json::to_string(&listing).unwrap_or_default())
     }
 
-    fn note_told(&self, world: &World, told: &[Entry]) {
+    fn note_notified(&self, world: &World, notified: &[Entry]) {
         let now = world.now();
         let mut oracle = lock(&world.oracle);
-        for entry in told {
-            oracle.told(now, self.balancer, entry.upstream, entry.start.0, entry.state == State::Active);
+        for entry in notified {
+            oracle.notified(now, self.balancer, entry.upstream, entry.start.0, entry.state == State::Active);
         }
     }
 
@@ -228,20 +229,20 @@
     /// One address. Once another is open it takes no new connection; dropping what is returned closes the old ones.
     fn open(self: &Arc<Self>, world: &Arc<World>, moves: u16) -> Result<watch::Sender<()>, String> {
         let at = world.block.agent(self.balancer, moves);
-        let (tell, manner) = watch::channel(Manner::Open);
-        let mut port = Port::bind(at, manner).map_err(|e| format!("{at}: {e}"))?;
+        let (tell, mode) = watch::channel(AcceptMode::Open);
+        let mut port = Port::bind(at, mode).map_err(|e| format!("{at}: {e}"))?;
         let (closing, closes) = watch::channel(());
         let (own, world) = (self.clone(), world.clone());
         tokio::spawn(async move {
-            let mut changes = own.way.changes();
+            let mut changes = own.link.changes();
             let mut current = own.moves.subscribe();
             loop {
-                let manner = match (*current.borrow_and_update() > moves, own.way.is_silent()) {
-                    (true, _) => Manner::Refusing,
-                    (false, true) => Manner::Silent,
-                    (false, false) => Manner::Open,
+                let mode = match (*current.borrow_and_update() > moves, own.link.is_silent()) {
+                    (true, _) => AcceptMode::Refusing,
+                    (false, true) => AcceptMode::Silent,
+                    (false, false) => AcceptMode::Open,
                 };
-                tell.send_if_modified(|now| std::mem::replace(now, manner) != manner);
+                tell.send_if_modified(|now| std::mem::replace(now, mode) != mode);
                 let accepted = tokio::select! {
                     accepted = port.accept() => accepted,
                     _ = changes.changed() => continue,
@@ -250,7 +251,7 @@
                 };
                 let Ok(Some(stream)) = accepted else { return };
                 let (own, world, mut closes) = (own.clone(), world.clone(), closes.clone());
-                let gate = Gate::new(stream, own.way.clone());
+                let gate = LinkedStream::new(stream, own.link.clone());
                 tokio::spawn(async move {
                     let service = service_fn(|request| {
                         let (own, world) = (own.clone(), world.clone());
@@ -303,8 +304,8 @@
             Mood::Garbled => r#"{"version":9,"full":true,"servers":[{"id":"#.to_string(),
             Mood::Stale => self.listing(world, None, true).1,
             Mood::Sound | Mood::Silent => {
-                let (told, text) = self.listing(world, since, false);
-                self.note_told(world, &told);
+                let (notified, text) = self.listing(world, since, false);
+                self.note_notified(world, &notified);
                 text
             }
         };
--- a/lab/src/audit.rs
+++ b/lab/src/audit.rs
@@ -48,13 +48,13 @@
     heard: u32,
 }
 
-/// What it says of its tier.
+/// What it reports of its tier.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tier {
     /// Balancers that are up, and those whose figures are in its sums.
     pub up: u32,
     /// See there.
-    pub heard: u32,
+    pub in_sums: u32,
     /// Others that it has newly suspected, and taken for gone.
     pub suspected: u64,
     /// See there.
@@ -64,11 +64,11 @@
 }
 
 impl Counted {
-    /// What it says of its tier, if it speaks with that.
+    /// What it reports of its tier, if it exchanges datagrams with that.
     pub fn tier(&self) -> Option<Tier> {
         let p = self.peers.as_ref()?;
-        let heard = p.sums.as_ref().map_or(0, |s| s.heard);
-        Some(Tier { up: p.up, heard, suspected: p.suspected, gone: p.gone, steps: p.steps })
+        let in_sums = p.sums.as_ref().map_or(0, |s| s.heard);
+        Some(Tier { up: p.up, in_sums, suspected: p.suspected, gone: p.gone, steps: p.steps })
     }
 
     /// What of its peers' it acts on, and how old that is, in milliseconds.
@@ -80,7 +80,7 @@
 
 /// What differs, in one line; nothing if all can be so.
 ///
-/// Where a caller left, or a connection broke, the two sides may rightly see another end of the same request: so many
+/// Where a client left, or a connection broke, the two sides may rightly see another end of the same request: so many
 /// may differ, and no more.
 pub fn differs(counted: &Counted, seen: &Seen) -> Option<String> {
     let sum = |of: &BTreeMap<String, u64>, of_name: &dyn Fn(&str) -> bool| -> u64 {
--- a/lab/src/caller.rs
+++ b/lab/src/call.rs
@@ -1,7 +1,7 @@
 //! Calls to balancers, as clients and as upstreams make them.
 use crate::clock::pause;
 use crate::experiment::{Effect, Millis};
-use crate::net::{connect, lock, Gate, Way};
+use crate::net::{connect, lock, Link, LinkedStream};
 use crate::oracle::{Final, ANSWER_GRACE};
 use crate::pool::Conn;
 use crate::world::{Asked, World};
@@ -22,27 +22,27 @@
 pub struct Call {
     /// The balancer.
     pub balancer: usize,
-    /// The way to it.
-    pub way: Arc<Way>,
-    /// One way to it.
+    /// The link to it.
+    pub link: Arc<Link>,
+    /// One-way delay to it.
     pub delay: Millis,
     /// What it asks for.
     pub asked: Asked,
     /// When it counts as sent.
     pub sent: Millis,
-    /// How long its caller waits, counted from then.
-    pub patience: Millis,
-    /// The caller leaves by itself after this, counted from then.
-    pub leaves: Option<Millis>,
+    /// How long its client waits, counted from then.
+    pub timeout: Millis,
+    /// The client leaves by itself after this, counted from then.
+    pub cancels_after: Option<Millis>,
     /// It is another try of the same request.
     pub retry: bool,
-    /// Its caller opens a connection for it and leaves that open, so many at the most.
+    /// Its client opens a connection for it and leaves that open, so many at the most.
     pub flood: Option<usize>,
 }
 
 /// What came of a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Got {
+pub enum CallResult {
     /// Served; the balancer added this time to what upstreams took.
     Served(Millis),
     /// Refused, with advice when to return, in milliseconds.
@@ -55,27 +55,27 @@
     Ended,
     /// No connection came up: nothing was sent.
     Unreached,
-    /// The caller left.
+    /// The client left.
     Left,
 }
 
-/// Tells the oracle how a call ended, also where its caller is dropped half way.
-struct Owed<'a> {
+/// Reports to the oracle how a call ended, also where its client is dropped half way.
+struct PendingCall<'a> {
     world: &'a World,
     id: u64,
-    told: bool,
+    reported: bool,
 }
 
-impl Owed<'_> {
+impl PendingCall<'_> {
     fn ends(&mut self, how: Final) {
-        if !std::mem::replace(&mut self.told, true) {
+        if !std::mem::replace(&mut self.reported, true) {
             let now = self.world.now();
             lock(&self.world.oracle).ended(now, self.id, how);
         }
     }
 }
 
-impl Drop for Owed<'_> {
+impl Drop for PendingCall<'_> {
     fn drop(&mut self) {
         self.ends(Final::Left);
         self.world.forget(self.id);
@@ -84,19 +84,19 @@
 
 impl Call {
     /// Makes the call and waits for what comes of it.
-    pub async fn make(self, world: &World) -> Got {
-        let leaves = self.leaves.map(|after| world.clock.instant(self.sent + after));
-        match leaves {
-            Some(at) => timeout_at(at, self.carry(world)).await.unwrap_or(Got::Left),
+    pub async fn make(self, world: &World) -> CallResult {
+        let cancels_after = self.cancels_after.map(|after| world.clock.instant(self.sent + after));
+        match cancels_after {
+            Some(at) => timeout_at(at, self.carry(world)).await.unwrap_or(CallResult::Left),
             None => self.carry(world).await,
         }
     }
 
-    async fn carry(&self, world: &World) -> Got {
+    async fn carry(&self, world: &World) -> CallResult {
         pause(self.delay).await;
-        let gives_up = world.clock.instant(self.sent + self.patience);
+        let gives_up = world.clock.instant(self.sent + self.timeout);
         let id = world.ask(self.asked);
-        let mut owed = Owed { world, id, told: true };
+        let mut pending = PendingCall { world, id, reported: true };
         // One that floods takes a connection of its own for each request.
         let flood = self.flood;
         let mut fresh = flood.is_some();
@@ -108,44 +108,44 @@
                     fresh = true;
                     match timeout_at(gives_up, self.dial(world)).await {
                         Ok(Some(conn)) => conn,
-                        Ok(None) => return Got::Unreached,
-                        Err(_) => return Got::Unreached,
+                        Ok(None) => return CallResult::Unreached,
+                        Err(_) => return CallResult::Unreached,
                     }
                 }
             };
-            let Some(request) = self.request(world, id) else { return Got::Unreached };
-            let (deadline, written) = (self.sent + self.patience, world.now());
+            let Some(request) = self.request(world, id) else { return CallResult::Unreached };
+            let (deadline, written) = (self.sent + self.timeout, world.now());
             lock(&world.oracle).taken(written, id, self.asked.class, self.balancer, deadline);
-            owed.told = false;
+            pending.reported = false;
             let latest = world.clock.instant(deadline + ANSWER_GRACE);
             let answer = match timeout_at(latest, conn.sender.try_send_request(request)).await {
                 Ok(Ok(answer)) => answer,
-                // A connection that rested may be closed just when it is used: where the balancer can't have read the
+                // An idle connection may be closed just when it is used: where the balancer can't have read the
                 // request, it is sent once more.
                 Ok(Err(_)) if !fresh && !lock(&world.oracle).sent_on(id) => {
                     fresh = true;
                     continue;
                 }
                 Ok(Err(_)) => {
-                    owed.ends(if fresh { Final::Turned } else { Final::Ended });
-                    return Got::Ended;
+                    pending.ends(if fresh { Final::Turned } else { Final::Ended });
+                    return CallResult::Ended;
                 }
                 Err(_) => {
-                    owed.ends(Final::Silence);
-                    return Got::Silence;
+                    pending.ends(Final::Silence);
+                    return CallResult::Silence;
                 }
             };
             let (how, mut got) = match timeout_at(latest, read(answer)).await {
                 Ok(read) => read,
-                Err(_) => (Final::Silence, Got::Silence),
+                Err(_) => (Final::Silence, CallResult::Silence),
             };
-            if let Got::Served(added) = &mut got {
+            if let CallResult::Served(added) = &mut got {
                 let now = world.now();
                 *added = now - written - world.asked(id).map_or(0.0, |a| a.at_upstreams);
                 lock(&world.tally).served(self.balancer, now);
             }
             pause(self.delay).await;
-            owed.ends(how);
+            pending.ends(how);
             let whole = !matches!(how, Final::Partial | Final::Silence);
             if let (true, Some(most)) = (whole, flood) {
                 let mut held = lock(&world.floods[self.asked.tenant]);
@@ -164,9 +164,9 @@
     }
 
     async fn dial(&self, world: &World) -> Option<Conn> {
-        let gate: Gate = connect(world.block.balancer(self.balancer), &self.way).await.ok()?;
+        let gate: LinkedStream = connect(world.block.balancer(self.balancer), &self.link).await.ok()?;
         let (sender, conn) = http1::handshake(TokioIo::new(gate)).await.ok()?;
-        let mut resets = self.way.resets();
+        let mut resets = self.link.resets();
         let task = tokio::spawn(async move {
             // How the connection ended shows in the call that was on it.
             tokio::select! {
@@ -179,7 +179,7 @@
 
     fn request(&self, world: &World, id: u64) -> Option<Request<Full<Bytes>>> {
         let class = &world.experiment.classes[self.asked.class];
-        let left = (self.sent + self.patience - world.now()).max(1.0);
+        let left = (self.sent + self.timeout - world.now()).max(1.0);
         let mut request = Request::builder()
             .uri("/api")
             .header("host", "service.internal")
@@ -206,19 +206,19 @@
 }
 
 /// Reads an answer whole.
-async fn read(answer: Response<hyper::body::Incoming>) -> (Final, Got) {
+async fn read(answer: Response<hyper::body::Incoming>) -> (Final, CallResult) {
     let status = answer.status();
     let after =
         answer.headers().get("retry-after").and_then(|v| v.to_str().ok()).and_then(|v| v.parse::<f64>().ok());
     let Ok(body) = Limited::new(answer.into_body(), BODY_MOST).collect().await else {
-        return (Final::Partial, Got::Failed);
+        return (Final::Partial, CallResult::Failed);
     };
     match status {
-        StatusCode::OK => (Final::Served(mark(&body.to_bytes())), Got::Served(0.0)),
+        StatusCode::OK => (Final::Served(mark(&body.to_bytes())), CallResult::Served(0.0)),
         StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
-            (Final::Refused, Got::Refused(after.map(|s| s * 1000.0)))
+            (Final::Refused, CallResult::Refused(after.map(|s| s * 1000.0)))
         }
-        _ => (Final::Failed, Got::Failed),
+        _ => (Final::Failed, CallResult::Failed),
     }
 }
 
--- a/lab/src/clients.rs
+++ b/lab/src/clients.rs
@@ -1,5 +1,5 @@
 //! Clients behind the front: each request is sent when it is due, whatever became of those before it.
-use crate::caller::{Call, Got};
+use crate::call::{Call, CallResult};
 use crate::clock::pause;
 use crate::draw::{Arrival, Calls};
 use crate::experiment::{Effect, Group, Millis};
@@ -70,37 +70,37 @@
     let how = loop {
         tries += 1;
         let left = a.at + deadline - due;
-        let patience = (deadline * a.try_share).min(left);
-        let leaves = a.leaves.filter(|_| tries == 1).map(|part| patience * part);
+        let try_timeout = (deadline * a.try_share).min(left);
+        let leaves = a.leaves.filter(|_| tries == 1).map(|part| try_timeout * part);
         let got = match pick(world, a, due, &mut drawn) {
             Some(balancer) => {
-                let ways = &world.caller_ways[balancer];
+                let links = &world.client_links[balancer];
                 let call = Call {
                     balancer,
-                    way: ways[a.zone].clone(),
+                    link: links[a.zone].clone(),
                     delay: world.delay(a.zone, world.plan.balancers[balancer].zone),
                     asked,
                     sent: due,
-                    patience,
-                    leaves,
+                    timeout: try_timeout,
+                    cancels_after: leaves,
                     retry: tries > 1,
                     flood: world.experiment.tenants[a.tenant].connections,
                 };
                 call.make(world).await
             }
-            None => Got::Unreached,
+            None => CallResult::Unreached,
         };
         let (how, again, advice) = match got {
-            Got::Served(time) => {
+            CallResult::Served(time) => {
                 added = Some(time);
                 break How::Served;
             }
-            Got::Left => break How::Left,
-            Got::Refused(advice) => (How::Refused, true, advice),
-            Got::Unreached => (How::Unreached, true, None),
-            Got::Failed => (How::Failed, may_repeat(world, a.class), None),
-            Got::Ended => (How::Failed, may_repeat(world, a.class), None),
-            Got::Silence => (How::Silent, may_repeat(world, a.class), None),
+            CallResult::Left => break How::Left,
+            CallResult::Refused(advice) => (How::Refused, true, advice),
+            CallResult::Unreached => (How::Unreached, true, None),
+            CallResult::Failed => (How::Failed, may_repeat(world, a.class), None),
+            CallResult::Ended => (How::Failed, may_repeat(world, a.class), None),
+            CallResult::Silence => (How::Silent, may_repeat(world, a.class), None),
         };
         let waits = advice.filter(|_| a.honours).unwrap_or(0.0).max(backoff);
         let next = world.now() + waits;
--- a/lab/src/convergence.rs
+++ b/lab/src/convergence.rs
@@ -1,6 +1,6 @@
-//! How long it takes from a change of who runs until every balancer of the tier knows, as their figures say.
+//! How long it takes from a change of who runs until every balancer of the tier knows, as their figures report.
 //!
-//! Sans-I/O. A change is who runs where before somebody else did; what a balancer says counts from the figures that
+//! Sans-I/O. A change is who runs where before somebody else did; what a balancer reports counts from the figures that
 //! show it, so that their period adds to each time.
 use crate::audit::Tier;
 use crate::clock::histogram;
@@ -26,14 +26,14 @@
 }
 
 struct Measure {
-    waits: BTreeSet<usize>,
+    waiting: BTreeSet<usize>,
     times: Histogram<u64>,
     never: u64,
 }
 
 impl Measure {
     fn new() -> Measure {
-        Measure { waits: BTreeSet::new(), times: histogram(), never: 0 }
+        Measure { waiting: BTreeSet::new(), times: histogram(), never: 0 }
     }
 
     fn known(&self) -> Known {
@@ -58,16 +58,16 @@
 }
 
 impl Convergence {
-    /// These run now. `disturbed`: not all of them can hear each other, so that nobody can be held to know.
+    /// These run now. `disturbed`: not all of them can reach each other, so that nobody can be held to know.
     pub fn runs(&mut self, now: Millis, running: &BTreeSet<usize>, disturbed: bool) {
         let (first, same) = (self.running.is_empty(), self.running == *running);
         let over = self.changed.is_some_and(|at| now - at > LIMIT);
         for measure in [&mut self.members, &mut self.sums] {
             if over {
-                measure.never += measure.waits.len() as u64;
+                measure.never += measure.waiting.len() as u64;
             }
             if over || disturbed || !same {
-                measure.waits.clear();
+                measure.waiting.clear();
             }
         }
         if disturbed || over {
@@ -80,17 +80,17 @@
         // How a tier comes together at its start is not what one member's coming or going takes.
         self.changed = (!first && !disturbed).then_some(now);
         if self.changed.is_some() {
-            self.members.waits.clone_from(running);
-            self.sums.waits.clone_from(running);
+            self.members.waiting.clone_from(running);
+            self.sums.waiting.clone_from(running);
         }
     }
 
-    /// A balancer's figures of this time say this.
-    pub fn says(&mut self, balancer: usize, at: Millis, tier: Tier) {
+    /// Takes what a balancer's figures of this time report.
+    pub fn observe(&mut self, balancer: usize, at: Millis, tier: Tier) {
         let Some(changed) = self.changed.filter(|changed| at >= *changed) else { return };
         let all = self.running.len() as u32;
-        for (measure, knows) in [(&mut self.members, tier.up), (&mut self.sums, tier.heard)] {
-            if knows == all && measure.waits.remove(&balancer) {
+        for (measure, knows) in [(&mut self.members, tier.up), (&mut self.sums, tier.in_sums)] {
+            if knows == all && measure.waiting.remove(&balancer) {
                 measure.times.saturating_record(((at - changed) * 1000.0) as u64);
             }
         }
--- a/lab/src/datagrams/mod.rs
+++ b/lab/src/datagrams/mod.rs
@@ -1,8 +1,8 @@
 //! The datagrams between balancers: late, lost, repeated, reordered, cut; never any other way.
 //!
-//! Each balancer has one socket of the lab's for all its peers. It names a peer by the address it sends to, and hears
-//! it from that same address, as the platform has it.
+//! Each balancer has one socket of the lab's for all its peers. It names a peer by the address it sends to, and
+//! receives it from that same address, as the platform has it.
 mod garbage;
-mod way;
+mod network;
 
-pub use way::{Datagrams, Weather, LONGEST};
+pub use network::{Conditions, Datagrams, LONGEST};
--- a/lab/src/datagrams/way.rs
+++ b/lab/src/datagrams/network.rs
@@ -1,4 +1,4 @@
-//! Carries datagrams between balancers. Owns what is cut, and what happens on the way.
+//! Carries datagrams between balancers. Owns the cuts, and the conditions of the network.
 use super::garbage::Garbage;
 use crate::draw::Calls;
 use crate::experiment::{Millis, Range};
@@ -26,10 +26,10 @@
 /// Of somebody who is nobody's peer.
 const STRANGER: u16 = 0xcffe;
 
-/// What happens to datagrams on their way.
+/// What happens to datagrams in transit.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Weather {
-    /// Time under way.
+pub struct Conditions {
+    /// Time in transit.
     pub delay: Range,
     /// The part that is lost.
     pub loss: f64,
@@ -37,18 +37,18 @@
     pub repeat: f64,
 }
 
-/// The way between balancers.
+/// The network between balancers.
 pub struct Datagrams {
     sockets: Vec<UdpSocket>,
     ports: Vec<u16>,
     /// Where each balancer listens for its peers.
     listen: Vec<SocketAddr>,
-    /// The tier of each balancer: nobody hears those of another.
+    /// The tier of each balancer: nobody receives those of another.
     tiers: Vec<usize>,
     /// First bytes of the lab's addresses.
     block: [u8; 2],
     cuts: Mutex<HashMap<(usize, usize), u32>>,
-    weather: Mutex<Weather>,
+    conditions: Mutex<Conditions>,
     drawn: Mutex<Calls>,
     garbage: Mutex<Garbage>,
     sent: AtomicU64,
@@ -67,7 +67,12 @@
 
 impl Datagrams {
     /// A socket for each balancer, whose tiers these are, on the lab's block of addresses.
-    pub fn open(tiers: &[usize], block: &Block, weather: Weather, seed: u64) -> Result<Datagrams, String> {
+    pub fn open(
+        tiers: &[usize],
+        block: &Block,
+        conditions: Conditions,
+        seed: u64,
+    ) -> Result<Datagrams, String> {
         let sockets = tiers.iter().map(|_| socket()).collect::<io::Result<Vec<_>>>();
         let sockets = sockets.map_err(|e| format!("a socket for datagrams: {e}"))?;
         let ports = sockets.iter().map(|s| s.local_addr().map(|a| a.port())).collect::<io::Result<_>>();
@@ -78,7 +83,7 @@
             tiers: tiers.to_vec(),
             block: block.prefix(),
             cuts: Mutex::default(),
-            weather: Mutex::new(weather),
+            conditions: Mutex::new(conditions),
             drawn: Mutex::new(Calls::new(seed)),
             garbage: Mutex::new(Garbage::new(seed)),
             sent: AtomicU64::new(0),
@@ -118,12 +123,12 @@
         }
     }
 
-    /// Changes what happens on the way, and says what it was.
-    pub fn change(&self, how: impl FnOnce(&mut Weather)) {
-        how(&mut lock(&self.weather));
+    /// Changes the conditions.
+    pub fn change(&self, how: impl FnOnce(&mut Conditions)) {
+        how(&mut lock(&self.conditions));
     }
 
-    /// Carries datagrams until `over` is set. `sees` is told of each that a balancer sends, too long ones included.
+    /// Carries datagrams until `over` is set. `sees` is called for each that a balancer sends, too long ones included.
     pub fn start(
         self: &Arc<Self>,
         over: &watch::Sender<bool>,
@@ -242,13 +247,14 @@
         if lock(&self.cuts).get(&(from, to)).is_some_and(|cuts| *cuts > 0) {
             return Vec::new();
         }
-        let weather = *lock(&self.weather);
+        let conditions = *lock(&self.conditions);
         let mut drawn = lock(&self.drawn);
-        if drawn.chance(weather.loss) {
+        if drawn.chance(conditions.loss) {
             return Vec::new();
         }
-        let copies = if drawn.chance(weather.repeat) { 2 } else { 1 };
-        let mut delay = || weather.delay.least + drawn.unit() * (weather.delay.most - weather.delay.least);
+        let copies = if drawn.chance(conditions.repeat) { 2 } else { 1 };
+        let mut delay =
+            || conditions.delay.least + drawn.unit() * (conditions.delay.most - conditions.delay.least);
         (0..copies).map(|_| delay()).collect()
     }
 }
--- a/lab/src/draw/machines.rs
+++ b/lab/src/draw/machines.rs
@@ -54,8 +54,8 @@
     let mut dealt = vec![0.0; kinds.len()];
     (0..count)
         .map(|n| {
-            let owed = |k: usize| kinds[k].share / total * (n + 1) as f64 - dealt[k];
-            let next = (0..kinds.len()).max_by(|&a, &b| owed(a).total_cmp(&owed(b))).unwrap_or(0);
+            let pending = |k: usize| kinds[k].share / total * (n + 1) as f64 - dealt[k];
+            let next = (0..kinds.len()).max_by(|&a, &b| pending(a).total_cmp(&pending(b))).unwrap_or(0);
             dealt[next] += 1.0;
             next
         })
--- a/lab/src/experiment/bounds.rs
+++ b/lab/src/experiment/bounds.rs
@@ -16,7 +16,7 @@
     pub trials: Vec<Trials>,
     /// What tenants within their share keep beside one that is not.
     pub in_share: Option<InShare>,
-    /// What balancers say that they act on is at most this old.
+    /// What balancers report that they act on is at most this old.
     pub age: Option<Span>,
 }
 
--- a/lab/src/experiment/build.rs
+++ b/lab/src/experiment/build.rs
@@ -14,7 +14,7 @@
     /// It gets none of the experiment's options: it may be too old to know them.
     #[serde(default)]
     pub bare: bool,
-    /// Who runs it from the start; without a word nobody.
+    /// Who runs it from the start; by default nobody.
     #[serde(default)]
     pub on: Option<Target>,
 }
--- a/lab/src/experiment/fault.rs
+++ b/lab/src/experiment/fault.rs
@@ -8,7 +8,7 @@
 pub enum FaultKind {
     /// Balancers get SIGKILL and start again after `for`.
     Kill,
-    /// The machines of balancers lose power: SIGKILL, and of what their disks were not told to sync some is lost, some
+    /// The machines of balancers lose power: SIGKILL, and of what was not synced to their disks some is lost, some
     /// is kept and some is torn. They start again after `for`.
     PowerLoss,
     /// Balancers get SIGTERM, SIGKILL when their time is over, and start again after `for`.
@@ -33,7 +33,8 @@
     Reset,
     /// Clients send `size` times as much.
     Burst,
-    /// No client reaches the front; a part of `size` of what was due then comes at once when it is over, within `delay`.
+    /// No client reaches the front; a part of `size` of what was due then comes at once when it is over, within
+    /// `delay`.
     Outage,
     /// A part of `size` of all datagrams between balancers is lost.
     DatagramLoss,
@@ -41,7 +42,8 @@
     DatagramRepeat,
     /// Datagrams take up to `delay`, each its own time, so that they overtake each other.
     DatagramDelay,
-    /// Each balancer's port for its peers gets `size` datagrams a second that nobody meant: noise, broken and forged ones.
+    /// Each balancer's port for its peers gets `size` datagrams a second that nobody meant: noise, broken and forged
+    /// ones.
     DatagramGarbage,
     /// The disks of balancers take nothing more.
     DiskFull,
@@ -49,7 +51,7 @@
     DiskFailing,
     /// Every access to the disks of balancers takes `delay` longer.
     DiskSlow,
-    /// Discovery says nothing to balancers.
+    /// Discovery sends nothing to balancers.
     DiscoverySilent,
     /// Discovery answers with what is no list.
     DiscoveryGarbled,
@@ -96,8 +98,8 @@
     /// How much; see [`FaultKind`].
     #[serde(default)]
     pub size: Option<Range>,
-    /// For `datagram-delay`: the time under way; for `disk-slow`: the time that an access takes longer; for `outage`: the
-    /// time within which clients come back.
+    /// For `datagram-delay`: the time in transit; for `disk-slow`: the time that an access takes longer; for `outage`:
+    /// the time within which clients come back.
     #[serde(default)]
     pub delay: Option<Span>,
     /// It comes so often, each time at whom is drawn anew.
--- a/lab/src/experiment/fleet.rs
+++ b/lab/src/experiment/fleet.rs
@@ -41,7 +41,7 @@
     pub peers: bool,
     /// The connect time-out that the settings name.
     pub dial_timeout: Span,
-    /// Nothing new goes to an upstream this long after its balancer was told that it drains or is gone.
+    /// Nothing new goes to an upstream this long after its balancer was notified that it drains or is gone.
     pub drain_grace: Span,
     /// A cold upstream falls over when sent this many times what it can do ...
     pub tip_multiple: f64,
@@ -67,7 +67,7 @@
     }
 }
 
-/// Delays one way between machines.
+/// One-way delays between machines.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Net {
@@ -112,7 +112,7 @@
     pub notice: Span,
     /// One that fell silent is dropped after this time.
     pub silent_notice: Span,
-    /// Each balancer hears of a change this much later.
+    /// Each balancer is notified of a change this much later.
     pub spread: Span,
 }
 
--- a/lab/src/experiment/load.rs
+++ b/lab/src/experiment/load.rs
@@ -99,10 +99,10 @@
     /// The same as a part of what the weakest tier can do when warm.
     #[serde(default)]
     pub load: Option<Range>,
-    /// For a tenant with requests of its own: their classes, without a word all.
+    /// For a tenant with requests of its own: their classes, by default all.
     #[serde(default)]
     pub classes: Option<Vec<String>>,
-    /// For such a tenant: when it sends, `["4s", "12s"]`; without a word all the time.
+    /// For such a tenant: when it sends, `["4s", "12s"]`; by default all the time.
     #[serde(default)]
     pub during: Option<Span>,
     /// It sends everything to one balancer at the front, and to the next after this time.
--- a/lab/src/experiment/tier.rs
+++ b/lab/src/experiment/tier.rs
@@ -27,7 +27,7 @@
     /// What connections cost.
     #[serde(default)]
     pub connections: Connections,
-    /// What upstreams say of their load.
+    /// The load reports of upstreams.
     #[serde(default)]
     pub report: Report,
     /// Whether balancers may probe, and the work that one probe costs, in milliseconds of a core.
@@ -98,9 +98,9 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Choke {
-    /// Requests held for each core from which it counts as crowded.
+    /// Requests held for each core from which it counts as overloaded.
     pub at: f64,
-    /// It gets slow when crowded for this long.
+    /// It gets slow when overloaded for this long.
     pub over: Span,
     /// Times slower.
     pub slower: Range,
@@ -140,7 +140,7 @@
     }
 }
 
-/// What upstreams say of their load, in every answer.
+/// The load reports of upstreams, in every answer.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Report {
--- a/lab/src/experiment/whole.rs
+++ b/lab/src/experiment/whole.rs
@@ -43,7 +43,7 @@
     /// Delays between machines.
     #[serde(default)]
     pub net: Net,
-    /// How balancers hear of upstreams.
+    /// How balancers discover upstreams.
     #[serde(default)]
     pub discovery: Discovery,
     /// What balancers are given and held to.
@@ -80,7 +80,7 @@
 }
 
 impl Experiment {
-    /// Whether balancers are told to have the faults of their disks from the lab.
+    /// Whether balancers are configured to have the faults of their disks from the lab.
     pub(super) fn drills(&self) -> bool {
         let drill = self.options.get("recovery").and_then(|r| r.get("drill"));
         drill.and_then(toml::Value::as_str).is_some_and(|d| d.contains("{drill}"))
--- a/lab/src/faults/cut.rs
+++ b/lab/src/faults/cut.rs
@@ -1,28 +1,28 @@
-//! Cuts ways between parties, and heals them.
+//! Cuts links between parties, and heals them.
 use super::ends::CATCH_UP;
 use crate::draw::{Party, PlannedFault};
 use crate::fleet::Fleet;
-use crate::net::{lock, Direction, Way};
+use crate::net::{lock, Direction, Link};
 use std::sync::Arc;
 
-/// The ways between two parties, with the direction that leads from the first to the second.
-fn ways(fleet: &Fleet, from: Party, to: Party) -> Vec<(Arc<Way>, Direction, Option<usize>)> {
+/// The links between two parties, with the direction that leads from the first to the second.
+fn links(fleet: &Fleet, from: Party, to: Party) -> Vec<(Arc<Link>, Direction, Option<usize>)> {
     let world = &fleet.world;
     use Party::*;
     match (from, to) {
         (Balancer(b), Upstream(u)) => fleet.upstreams[u]
-            .ways
+            .links
             .get(&b)
             .map(|w| (w.clone(), Direction::Inward, None))
             .into_iter()
             .collect(),
         (Balancer(b), Clients(z)) if world.plan.balancers[b].owner.is_none() => {
-            vec![(world.caller_ways[b][z].clone(), Direction::Inward, Some(b))]
+            vec![(world.client_links[b][z].clone(), Direction::Inward, Some(b))]
         }
-        (Balancer(b), Agent(a)) if a == b => vec![(fleet.agents[a].way.clone(), Direction::Inward, None)],
+        (Balancer(b), Agent(a)) if a == b => vec![(fleet.agents[a].link.clone(), Direction::Inward, None)],
         (Upstream(_) | Clients(_) | Agent(_), Balancer(_)) => {
-            let turned = ways(fleet, to, from).into_iter();
-            turned.map(|(way, _, excused)| (way, Direction::Outward, excused)).collect()
+            let turned = links(fleet, to, from).into_iter();
+            turned.map(|(link, _, excused)| (link, Direction::Outward, excused)).collect()
         }
         _ => Vec::new(),
     }
@@ -33,9 +33,9 @@
     let mut cuts = Vec::new();
     for &a in &fault.on {
         for &b in &fault.to {
-            cuts.extend(ways(fleet, a, b));
+            cuts.extend(links(fleet, a, b));
             if !fault.one_way {
-                cuts.extend(ways(fleet, b, a));
+                cuts.extend(links(fleet, b, a));
             }
         }
     }
@@ -54,15 +54,15 @@
         world.datagrams.cut(from, to);
         lock(&world.oracle).part(from, to, true, world.now());
     }
-    for (way, direction, excused) in &cuts {
-        way.cut(*direction);
+    for (link, direction, excused) in &cuts {
+        link.cut(*direction);
         if let Some(b) = excused {
             lock(&world.oracle).excuse(*b, world.now(), fault.until + CATCH_UP);
         }
     }
     world.clock.until(fault.until).await;
-    for (way, direction, _) in &cuts {
-        way.heal(*direction);
+    for (link, direction, _) in &cuts {
+        link.heal(*direction);
     }
     for &(from, to) in &unheard {
         world.datagrams.heal(from, to);
--- a/lab/src/faults/ends.rs
+++ b/lab/src/faults/ends.rs
@@ -137,7 +137,7 @@
     tokio::select! {
         () = process.ended() => {}
         () = world.clock.until(told + longest + KILL_AFTER) => {
-            // What came later than this after the word was no longer owed its answer.
+            // What came later than this after the signal was no longer owed its answer.
             process.signal(Signal::SIGKILL, true);
             process.ended().await;
         }
--- a/lab/src/faults/schedule.rs
+++ b/lab/src/faults/schedule.rs
@@ -117,7 +117,7 @@
         }
         Reset => {
             for &u in &upstreams {
-                fleet.upstreams[u].ways.values().for_each(|way| way.reset());
+                fleet.upstreams[u].links.values().for_each(|link| link.reset());
             }
         }
         Burst => {}
--- a/lab/src/figures/played.rs
+++ b/lab/src/figures/played.rs
@@ -1,9 +1,9 @@
-//! One play of one program, as it is kept.
+//! One play of one program, as it is stored.
 use super::comeback::Comeback;
 use super::requests::Figures;
 use super::traffic::{Datagrams, Tier, Traffic};
 use crate::experiment::Millis;
-use crate::oracle::{Broken, Rule};
+use crate::oracle::{Rule, Violation};
 use crate::tally::Tally;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -53,10 +53,10 @@
     pub by: BTreeMap<String, Figures>,
     /// What passed.
     pub traffic: Traffic,
-    /// What balancers said to each other.
+    /// What balancers sent to each other.
     #[serde(default)]
     pub datagrams: Datagrams,
-    /// What balancers said of their tier, if they speak with it.
+    /// What balancers reported of their tier, if they exchange datagrams with it.
     #[serde(default)]
     pub tier: Option<Tier>,
     /// How the fleet came back, if anything stopped balancers.
@@ -64,9 +64,9 @@
     pub comeback: Option<Comeback>,
     /// The lab's own lateness.
     pub lateness: Lateness,
-    /// Cases of broken rules, the first of each.
+    /// Violations of rules, the first of each.
     pub broken: Vec<Case>,
-    /// How often each rule was broken.
+    /// How many violations of each rule there were.
     pub counts: BTreeMap<String, u64>,
     /// Requests that were checked to their end.
     pub checked: u64,
@@ -84,7 +84,7 @@
     pub faults: Vec<(Millis, Millis, String)>,
 }
 
-/// A broken rule, as it is kept.
+/// A violation, as it is stored.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Case {
     /// The rule.
@@ -105,8 +105,8 @@
     }
 }
 
-impl From<&Broken> for Case {
-    fn from(b: &Broken) -> Case {
+impl From<&Violation> for Case {
+    fn from(b: &Violation) -> Case {
         let rule: Rule = b.rule;
         Case { rule: name_of(rule), asks: rule.asks().into(), at: b.at, case: b.case.clone() }
     }
--- a/lab/src/figures/traffic.rs
+++ b/lab/src/figures/traffic.rs
@@ -55,7 +55,7 @@
     sum * sum / (each.len() as f64 * squares)
 }
 
-/// What balancers said to each other.
+/// What balancers sent to each other.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Datagrams {
     /// Datagrams that a balancer sent in a second, in the mean.
@@ -64,7 +64,7 @@
     pub bytes_a_second: f64,
 }
 
-/// What balancers said of their tier.
+/// What balancers reported of their tier.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Tier {
     /// Until balancers at the front knew who of them is up.
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -43,7 +43,7 @@
         }))
     }
 
-    /// Starts the upstreams, the agents and the ways between balancers; the balancers start one by one.
+    /// Starts the upstreams, the agents and the network between balancers; the balancers start one by one.
     pub fn listen(&self) -> Result<(), String> {
         for agent in &self.agents {
             agent.start(&self.world)?;
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -7,7 +7,7 @@
 #![warn(missing_docs)]
 pub mod agent;
 pub mod audit;
-pub mod caller;
+pub mod call;
 pub mod clients;
 pub mod clock;
 pub mod convergence;
--- a/lab/src/machine.rs
+++ b/lab/src/machine.rs
@@ -1,6 +1,6 @@
-//! One emulated machine: slots, a waiting room, cores, warmth, and what crowding does to it.
+//! One emulated machine: slots, a queue, cores, warmth, and what overload does to it.
 //!
-//! Sans-I/O: it is told what comes and what time it is, and says when it wants to be asked again. Work is laid out
+//! Sans-I/O: it takes requests and the time, and answers when it is to be polled again. Work is laid out
 //! on the cores by its own clock, so that a host that asks a little late changes no figure.
 use crate::draw::Upstream;
 use crate::experiment::Millis;
@@ -9,13 +9,13 @@
 /// Names one request, or one piece of work, at one machine.
 pub type Token = u64;
 
-/// What a request meets at the door.
+/// How a machine admits a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Door {
+pub enum Admission {
     /// A slot: its work may begin.
     Slot,
-    /// The waiting room: the one whose [`Machine::leave`] makes room says when it has a slot.
-    Waits,
+    /// Queued: the one whose [`Machine::leave`] frees a slot names it.
+    Queued,
     /// Turned away.
     Full,
 }
@@ -25,7 +25,7 @@
     since: Millis,
     /// Work done since the start, in milliseconds of a core.
     done: f64,
-    /// Work sent lately: when, how much, and whether by a balancer that had been told of the start.
+    /// Work sent lately: when, how much, and whether by a balancer that had been notified of the start.
     sent: VecDeque<(Millis, f64, bool)>,
 }
 
@@ -45,8 +45,8 @@
     pub sent: f64,
     /// What it bears in such a window.
     pub bears: f64,
-    /// The part of it that came from balancers that had been told of its start.
-    pub told: f64,
+    /// The part of it that came from balancers that had been notified of its start.
+    pub knew_start: f64,
 }
 
 /// One machine.
@@ -68,9 +68,9 @@
     ready: VecDeque<(Token, f64)>,
     /// Work on a core: when it ends.
     running: BTreeMap<(u64, Token), f64>,
-    crowded: Option<Millis>,
-    choked: Option<Millis>,
-    rested: Option<Millis>,
+    overloaded: Option<Millis>,
+    degraded: Option<Millis>,
+    idle: Option<Millis>,
 }
 
 /// An order for times that are never NaN.
@@ -93,9 +93,9 @@
             waiting: VecDeque::new(),
             ready: VecDeque::new(),
             running: BTreeMap::new(),
-            crowded: None,
-            choked: None,
-            rested: None,
+            overloaded: None,
+            degraded: None,
+            idle: None,
         }
     }
 
@@ -122,13 +122,13 @@
         let Some(cold) = &self.cold else { return 1.0 };
         // Capacity rises with time, or with the work done if that is more.
         let all = self.plan.cold_for * self.plan.cores as f64 * self.plan.speed;
-        let way = ((now - cold.since) / self.plan.cold_for.max(1.0)).max(cold.done / all.max(1.0));
-        (self.plan.cold_from + (1.0 - self.plan.cold_from) * way).min(1.0)
+        let progress = ((now - cold.since) / self.plan.cold_for.max(1.0)).max(cold.done / all.max(1.0));
+        (self.plan.cold_from + (1.0 - self.plan.cold_from) * progress).min(1.0)
     }
 
     /// What each core does in a millisecond.
     fn rate(&self, now: Millis) -> f64 {
-        let choke = match (self.choked, self.plan.choke) {
+        let choke = match (self.degraded, self.plan.choke) {
             (Some(_), Some(choke)) => choke.slower,
             _ => 1.0,
         };
@@ -141,9 +141,9 @@
         self.inside.len() + self.waiting.len()
     }
 
-    /// Whether it is slow because it was crowded.
-    pub fn is_choked(&self) -> bool {
-        self.choked.is_some()
+    /// Whether it is slow because it was overloaded.
+    pub fn is_degraded(&self) -> bool {
+        self.degraded.is_some()
     }
 
     /// How it fell over, if it did since its last start.
@@ -151,42 +151,43 @@
         self.tipped
     }
 
-    /// A request comes: `work` is what it asks for in all, `told` whether its sender knew of the last start.
-    pub fn enter(&mut self, now: Millis, token: Token, work: f64, told: bool) -> Door {
-        self.note_sent(now, work, told);
-        let door = if self.tipped.is_some() {
-            Door::Full
+    /// A request comes: `work` is what it asks for in all, `knew_start` whether its sender knew of the last start.
+    pub fn enter(&mut self, now: Millis, token: Token, work: f64, knew_start: bool) -> Admission {
+        self.note_sent(now, work, knew_start);
+        let admission = if self.tipped.is_some() {
+            Admission::Full
         } else if self.inside.len() < self.plan.slots {
             self.inside.insert(token);
-            Door::Slot
+            Admission::Slot
         } else if self.waiting.len() < self.plan.queue {
             self.waiting.push_back(token);
-            Door::Waits
+            Admission::Queued
         } else {
-            Door::Full
+            Admission::Full
         };
-        self.look_at_crowd(now);
-        door
+        self.update_overload(now);
+        admission
     }
 
-    fn note_sent(&mut self, now: Millis, work: f64, told: bool) {
+    fn note_sent(&mut self, now: Millis, work: f64, knew_start: bool) {
         let warm = self.warmth(now) >= 1.0;
         let Some(cold) = &mut self.cold else { return };
         if warm {
             self.cold = None;
             return;
         }
-        cold.sent.push_back((now, work, told));
+        cold.sent.push_back((now, work, knew_start));
         while cold.sent.front().is_some_and(|&(at, ..)| at < now - self.tipping.fall) {
             cold.sent.pop_front();
         }
         let sent: f64 = cold.sent.iter().map(|(_, work, _)| work).sum();
-        let by_told: f64 = cold.sent.iter().filter(|(.., told)| *told).map(|(_, work, _)| work).sum();
+        let by_informed: f64 =
+            cold.sent.iter().filter(|(.., knew_start)| *knew_start).map(|(_, work, _)| work).sum();
         let can = self.plan.cores as f64 * self.plan.speed * self.warmth(now);
         // A few requests more than the budget are chance.
         let bears = self.tipping.multiple * can * self.tipping.fall + 4.0 * self.mean_work;
         if sent > bears && self.tipped.is_none() {
-            self.tipped = Some(Tipped { sent, bears, told: by_told / sent });
+            self.tipped = Some(Tipped { sent, bears, knew_start: by_informed / sent });
         }
     }
 
@@ -215,7 +216,7 @@
             // One from before a restart is in neither place.
             self.waiting.retain(|t| *t != token);
         }
-        self.look_at_crowd(now);
+        self.update_overload(now);
         next
     }
 
@@ -227,16 +228,16 @@
         }
     }
 
-    /// When it wants to be asked again.
+    /// When it is to be polled next.
     pub fn next(&self) -> Option<Millis> {
         let work = self.running.keys().next().map(|&(at, _)| at as f64 / 1000.0);
-        let crowd = self.plan.choke.and_then(|c| {
-            let slow = self.crowded.filter(|_| self.choked.is_none()).map(|at| at + c.over);
-            let rested = self.rested.filter(|_| self.choked.is_some()).map(|at| at + c.rest);
-            let most = self.choked.map(|at| at + c.most);
-            [slow, rested, most].into_iter().flatten().min_by(f64::total_cmp)
+        let overload = self.plan.choke.and_then(|c| {
+            let slow = self.overloaded.filter(|_| self.degraded.is_none()).map(|at| at + c.over);
+            let idle = self.idle.filter(|_| self.degraded.is_some()).map(|at| at + c.rest);
+            let latest = self.degraded.map(|at| at + c.most);
+            [slow, idle, latest].into_iter().flatten().min_by(f64::total_cmp)
         });
-        [work, crowd].into_iter().flatten().min_by(f64::total_cmp)
+        [work, overload].into_iter().flatten().min_by(f64::total_cmp)
     }
 
     /// Adds the work that is done by now, each piece ended at its own time.
@@ -255,24 +256,24 @@
             // The core takes up its next piece when this one ended, not when somebody looked.
             self.fill_cores(at);
         }
-        self.look_at_crowd(now);
+        self.update_overload(now);
     }
 
-    fn look_at_crowd(&mut self, now: Millis) {
+    fn update_overload(&mut self, now: Millis) {
         let Some(choke) = self.plan.choke else { return };
-        let held = self.holds() as f64 / self.plan.cores as f64;
-        self.crowded = if held >= choke.at { self.crowded.or(Some(now)) } else { None };
-        self.rested = if held < choke.below { self.rested.or(Some(now)) } else { None };
-        match self.choked {
-            None if self.crowded.is_some_and(|at| now - at >= choke.over) => {
-                self.choked = Some(now);
-                self.rested = None;
+        let held_per_core = self.holds() as f64 / self.plan.cores as f64;
+        self.overloaded = if held_per_core >= choke.at { self.overloaded.or(Some(now)) } else { None };
+        self.idle = if held_per_core < choke.below { self.idle.or(Some(now)) } else { None };
+        match self.degraded {
+            None if self.overloaded.is_some_and(|at| now - at >= choke.over) => {
+                self.degraded = Some(now);
+                self.idle = None;
             }
             Some(since) => {
-                let rested = self.rested.is_some_and(|at| now - at >= choke.rest);
-                if rested || now - since >= choke.most {
-                    self.choked = None;
-                    self.crowded = None;
+                let idle = self.idle.is_some_and(|at| now - at >= choke.rest);
+                if idle || now - since >= choke.most {
+                    self.degraded = None;
+                    self.overloaded = None;
                 }
             }
             None => {}
--- a/lab/src/net/block.rs
+++ b/lab/src/net/block.rs
@@ -12,7 +12,7 @@
 pub const DISCOVERY: u16 = 8500;
 /// Upstreams listen for each balancer at this port and its number.
 pub const UPSTREAM: u16 = 10_000;
-/// Balancers hear of each other at this port.
+/// Balancers listen for their peers at this port.
 pub const PEERS: u16 = 7946;
 
 /// 65,536 loopback addresses that this lab has for itself.
@@ -62,7 +62,7 @@
         self.address(0x8000 + balancer as u16, DISCOVERY + moves)
     }
 
-    /// Where a balancer hears its peers.
+    /// Where a balancer listens for its peers.
     pub fn peer(&self, balancer: usize) -> SocketAddr {
         self.address(0x0100 + balancer as u16, PEERS)
     }
--- a/lab/src/net/way.rs
+++ b/lab/src/net/link.rs
@@ -1,17 +1,17 @@
-//! Ways between stand-ins and balancers, which can be cut and reset.
+//! Links between stand-ins and balancers, which can be cut and reset.
 use super::lock::lock;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Waker};
 use tokio::sync::watch;
 
-/// The way between one stand-in and one balancer.
-pub struct Way {
+/// The link between one stand-in and one balancer.
+pub struct Link {
     /// Cuts of what comes from the balancer, and of what goes to it.
     inward: AtomicU32,
     outward: AtomicU32,
     waiting: Mutex<Vec<Waker>>,
-    /// Grows when all connections on this way are reset.
+    /// Grows when all connections on this link are reset.
     pub(super) resets: watch::Sender<u64>,
     /// Wakes ports when anything changes.
     changed: watch::Sender<u64>,
@@ -26,10 +26,10 @@
     Outward,
 }
 
-impl Way {
-    /// A way that is open.
-    pub fn open() -> Arc<Way> {
-        Arc::new(Way {
+impl Link {
+    /// A link that is open.
+    pub fn open() -> Arc<Link> {
+        Arc::new(Link {
             inward: AtomicU32::new(0),
             outward: AtomicU32::new(0),
             waiting: Mutex::default(),
--- a/lab/src/net/port.rs
+++ b/lab/src/net/port.rs
@@ -10,7 +10,7 @@
 
 /// What a port does with new connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Manner {
+pub enum AcceptMode {
     /// Takes them.
     Open,
     /// Refuses them, as a machine does on which nobody listens.
@@ -29,47 +29,47 @@
     TcpListener::from_std(socket.into())
 }
 
-/// A listening address whose manner follows a watch.
+/// A listening address whose mode follows a watch.
 pub struct Port {
     at: SocketAddr,
     listener: Option<TcpListener>,
     /// Own connections that fill the queue of those to be accepted, so that further ones hang.
-    plugs: Vec<Socket>,
-    manner: watch::Receiver<Manner>,
+    fillers: Vec<Socket>,
+    mode: watch::Receiver<AcceptMode>,
 }
 
 impl Port {
-    /// Listens, or does not, as `manner` says now.
-    pub fn bind(at: SocketAddr, manner: watch::Receiver<Manner>) -> io::Result<Port> {
-        let mut port = Port { at, listener: None, plugs: Vec::new(), manner };
-        let now = *port.manner.borrow_and_update();
-        port.become_(now)?;
+    /// Listens, or does not, as `mode` demands now.
+    pub fn bind(at: SocketAddr, mode: watch::Receiver<AcceptMode>) -> io::Result<Port> {
+        let mut port = Port { at, listener: None, fillers: Vec::new(), mode };
+        let now = *port.mode.borrow_and_update();
+        port.enter_mode(now)?;
         Ok(port)
     }
 
-    fn become_(&mut self, manner: Manner) -> io::Result<()> {
-        if manner == Manner::Refusing {
+    fn enter_mode(&mut self, mode: AcceptMode) -> io::Result<()> {
+        if mode == AcceptMode::Refusing {
             self.listener = None;
-            self.plugs.clear();
+            self.fillers.clear();
             return Ok(());
         }
         if self.listener.is_none() {
             self.listener = Some(listener(self.at)?);
         }
         let Some(listener) = &self.listener else { return Ok(()) };
-        match manner {
-            Manner::Silent if self.plugs.is_empty() => {
+        match mode {
+            AcceptMode::Silent if self.fillers.is_empty() => {
                 // The queue takes one more than its stated length; what comes after that is dropped unanswered.
                 SockRef::from(listener).listen(0)?;
                 for _ in 0..2 {
-                    let plug = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-                    plug.set_nonblocking(true)?;
-                    // Under way is all that is asked of it.
-                    let _ = plug.connect(&self.at.into());
-                    self.plugs.push(plug);
+                    let filler = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+                    filler.set_nonblocking(true)?;
+                    // It is enough that it is in progress.
+                    let _ = filler.connect(&self.at.into());
+                    self.fillers.push(filler);
                 }
             }
-            Manner::Open if !self.plugs.is_empty() => SockRef::from(listener).listen(BACKLOG)?,
+            AcceptMode::Open if !self.fillers.is_empty() => SockRef::from(listener).listen(BACKLOG)?,
             _ => {}
         }
         Ok(())
@@ -78,27 +78,27 @@
     /// The next connection. It ends when the watch's other side is gone.
     pub async fn accept(&mut self) -> io::Result<Option<TcpStream>> {
         loop {
-            let now = *self.manner.borrow_and_update();
-            self.become_(now)?;
+            let now = *self.mode.borrow_and_update();
+            self.enter_mode(now)?;
             let waits = async {
                 match (&self.listener, now) {
-                    (Some(listener), Manner::Open) => listener.accept().await,
+                    (Some(listener), AcceptMode::Open) => listener.accept().await,
                     _ => std::future::pending().await,
                 }
             };
             tokio::select! {
                 biased;
-                changed = self.manner.changed() => {
+                changed = self.mode.changed() => {
                     if changed.is_err() {
                         return Ok(None);
                     }
                 }
                 accepted = waits => {
                     let (stream, from) = accepted?;
-                    if self.is_plug(from) {
+                    if self.is_filler(from) {
                         continue;
                     }
-                    self.plugs.clear();
+                    self.fillers.clear();
                     stream.set_nodelay(true)?;
                     return Ok(Some(stream));
                 }
@@ -106,8 +106,8 @@
         }
     }
 
-    fn is_plug(&self, from: SocketAddr) -> bool {
-        let own = |plug: &Socket| plug.local_addr().ok().and_then(|a| a.as_socket());
-        self.plugs.iter().any(|plug| own(plug) == Some(from))
+    fn is_filler(&self, from: SocketAddr) -> bool {
+        let own = |filler: &Socket| filler.local_addr().ok().and_then(|a| a.as_socket());
+        self.fillers.iter().any(|filler| own(filler) == Some(from))
     }
 }
--- a/lab/src/net/gate.rs
+++ b/lab/src/net/stream.rs
@@ -1,5 +1,5 @@
-//! Connections on a way.
-use super::way::{Direction, Way};
+//! Connections on a link.
+use super::link::{Direction, Link};
 use socket2::SockRef;
 use std::io;
 use std::net::SocketAddr;
@@ -10,42 +10,42 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// A connection on a way: it neither reads nor writes while that is cut, and is reset where the way was.
-pub struct Gate {
+/// A connection on a link: it neither reads nor writes while that is cut, and is reset where the link was.
+pub struct LinkedStream {
     stream: TcpStream,
-    way: Arc<Way>,
+    link: Arc<Link>,
     resets: u64,
 }
 
-impl Gate {
-    /// Puts a connection on a way.
-    pub fn new(stream: TcpStream, way: Arc<Way>) -> Gate {
-        let resets = *way.resets.borrow();
-        Gate { stream, way, resets }
+impl LinkedStream {
+    /// Puts a connection on a link.
+    pub fn new(stream: TcpStream, link: Arc<Link>) -> LinkedStream {
+        let resets = *link.resets.borrow();
+        LinkedStream { stream, link, resets }
     }
 }
 
-impl Drop for Gate {
+impl Drop for LinkedStream {
     fn drop(&mut self) {
-        if *self.way.resets.borrow() != self.resets {
+        if *self.link.resets.borrow() != self.resets {
             // What fails here leaves an ordinary close.
             let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
         }
     }
 }
 
-impl AsyncRead for Gate {
+impl AsyncRead for LinkedStream {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-        if self.way.blocked(Direction::Inward, cx) {
+        if self.link.blocked(Direction::Inward, cx) {
             return Poll::Pending;
         }
         Pin::new(&mut self.stream).poll_read(cx, buf)
     }
 }
 
-impl AsyncWrite for Gate {
+impl AsyncWrite for LinkedStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        if self.way.blocked(Direction::Outward, cx) {
+        if self.link.blocked(Direction::Outward, cx) {
             return Poll::Pending;
         }
         Pin::new(&mut self.stream).poll_write(cx, buf)
@@ -54,22 +54,22 @@
         Pin::new(&mut self.stream).poll_flush(cx)
     }
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        if self.way.blocked(Direction::Outward, cx) {
+        if self.link.blocked(Direction::Outward, cx) {
             return Poll::Pending;
         }
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
 
-/// Connects to a balancer on a way. While it is silent nothing comes up.
-pub async fn connect(to: SocketAddr, way: &Arc<Way>) -> io::Result<Gate> {
-    let mut changes = way.changes();
-    while way.is_silent() {
+/// Connects to a balancer on a link. While it is silent nothing comes up.
+pub async fn connect(to: SocketAddr, link: &Arc<Link>) -> io::Result<LinkedStream> {
+    let mut changes = link.changes();
+    while link.is_silent() {
         if changes.changed().await.is_err() {
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
     }
     let stream = TcpStream::connect(to).await?;
     stream.set_nodelay(true)?;
-    Ok(Gate::new(stream, way.clone()))
+    Ok(LinkedStream::new(stream, link.clone()))
 }
--- a/lab/src/oracle/facts.rs
+++ b/lab/src/oracle/facts.rs
@@ -1,4 +1,4 @@
-//! What the oracle is told, in its own words.
+//! What the oracle observes, as plain values.
 use super::rules::trials::Bound;
 use crate::experiment::{Effect, Group, Millis};
 
@@ -69,7 +69,7 @@
     pub refused: u64,
     /// Answered as failed.
     pub failed: u64,
-    /// Ended in a way that the balancer may see otherwise: the caller left, the connection broke, nothing came.
+    /// Ended in a way that the balancer may see otherwise: the client left, the connection broke, nothing came.
     pub unclear: u64,
     /// Attempts that reached an upstream.
     pub attempts: u64,
@@ -119,7 +119,7 @@
 /// Figures of rules that depend on the experiment.
 #[derive(Clone, Debug, Default)]
 pub struct Limits {
-    /// How long word of a member's versions may be under way.
+    /// How long an announcement of a member's versions may be in transit.
     pub version_grace: Millis,
     /// All speak one version after this.
     pub agree: Option<Millis>,
--- a/lab/src/oracle/findings.rs
+++ b/lab/src/oracle/findings.rs
@@ -1,5 +1,5 @@
-//! What was found: broken rules with their cases, and cases that stand only if the lab was not late itself. Owns the
-//! lab's lateness as far as it explains anything.
+//! What was found: violations of rules with their cases, and cases that stand only if the lab was not late itself. Owns
+//! the lab's lateness as far as it explains anything.
 use super::rule::Rule;
 use crate::experiment::Millis;
 use serde::Serialize;
@@ -12,9 +12,9 @@
 /// Lateness of less than this explains nothing that the slack does not.
 const LATE_LEAST: Millis = 5.0;
 
-/// A rule that was broken, and the case.
+/// A violation of a rule, and the case.
 #[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct Broken {
+pub struct Violation {
     /// Which.
     pub rule: Rule,
     /// When it was seen.
@@ -31,7 +31,7 @@
     pub case: String,
 }
 
-/// Broken rules and suspects.
+/// Violations and suspects.
 #[derive(Default)]
 pub(super) struct Findings {
     /// The run is over: what its processes' ends bring about is nobody's fault.
@@ -39,12 +39,12 @@
     suspects: Vec<(Millis, Suspect)>,
     /// When the lab was late, and by how much.
     late: VecDeque<(Millis, Millis)>,
-    broken: Vec<Broken>,
+    broken: Vec<Violation>,
     counts: BTreeMap<Rule, u64>,
 }
 
 impl Findings {
-    /// Writes a broken rule down.
+    /// Records a violation.
     pub fn breaks(&mut self, at: Millis, rule: Rule, case: String) {
         if self.closed {
             return;
@@ -52,7 +52,7 @@
         let count = self.counts.entry(rule).or_default();
         *count += 1;
         if *count as usize <= CASES_MOST {
-            self.broken.push(Broken { rule, at, case });
+            self.broken.push(Violation { rule, at, case });
         }
     }
 
@@ -87,7 +87,7 @@
     }
 
     /// The first cases of each rule, and how many there were.
-    pub fn found(&self) -> (&[Broken], &BTreeMap<Rule, u64>) {
+    pub fn found(&self) -> (&[Violation], &BTreeMap<Rule, u64>) {
         (&self.broken, &self.counts)
     }
 
--- a/lab/src/oracle/judge.rs
+++ b/lab/src/oracle/judge.rs
@@ -1,14 +1,15 @@
 //! The oracle itself: takes what the stand-ins saw and hands it to the rules. Owns the tries that are remembered and
 //! when each balancer could not act.
 use super::facts::{ClassRules, End, Final, Parts, Place, Seen};
-use super::findings::{Broken, Findings, Suspect};
+use super::findings::{Findings, Suspect, Violation};
 use super::peers::Peers;
 use super::rule::Rule;
 use super::rules::budget::Budget;
 use super::rules::lost::{Case, Turned, ANSWER_GRACE};
 use super::rules::trials::Counts;
 use super::rules::{
-    after_end, attempts, drained::Told, effects::Effects, invented, refused, repeated, two_out, SLACK,
+    after_end, attempts, drained::Notifications, effects::Effects, invented, refused, repeated, two_out,
+    SLACK,
 };
 use super::rules::{in_share, stale};
 use super::tries::{Attempt, Try};
@@ -27,7 +28,7 @@
     attempts_most: usize,
     tries: HashMap<u64, Try>,
     old: VecDeque<(Millis, u64)>,
-    told: Told,
+    notified: Notifications,
     /// When each balancer could not act, or could not be reached.
     excused: HashMap<usize, Vec<(Millis, Millis)>>,
     effects: Effects,
@@ -52,7 +53,7 @@
             attempts_most: parts.attempts_most,
             tries: HashMap::new(),
             old: VecDeque::new(),
-            told: Told::new(parts.drain_grace),
+            notified: Notifications::new(parts.drain_grace),
             excused: HashMap::new(),
             effects: Effects::default(),
             checked: 0,
@@ -64,7 +65,7 @@
         }
     }
 
-    /// Writes a broken rule down.
+    /// Records a violation.
     pub fn breaks(&mut self, at: Millis, rule: Rule, case: String) {
         self.findings.breaks(at, rule, case);
     }
@@ -83,8 +84,8 @@
         self.findings.judge(now);
     }
 
-    /// What was broken: the first cases of each rule, and how many there were.
-    pub fn found(&self) -> (&[Broken], &BTreeMap<Rule, u64>) {
+    /// The violations: the first cases of each rule, and how many there were.
+    pub fn found(&self) -> (&[Violation], &BTreeMap<Rule, u64>) {
         self.findings.found()
     }
 
@@ -125,13 +126,20 @@
     }
 
     /// A balancer's discovery has written the state of an upstream to it, after so many starts of that.
-    pub fn told(&mut self, now: Millis, balancer: usize, upstream: usize, start: usize, takes_work: bool) {
-        self.told.told(now, balancer, upstream, start, takes_work);
+    pub fn notified(
+        &mut self,
+        now: Millis,
+        balancer: usize,
+        upstream: usize,
+        start: usize,
+        takes_work: bool,
+    ) {
+        self.notified.notified(now, balancer, upstream, start, takes_work);
     }
 
-    /// Whether a balancer was told of an upstream's latest start.
+    /// Whether a balancer was notified of an upstream's latest start.
     pub fn knows_start(&self, balancer: usize, upstream: usize, start: usize) -> bool {
-        self.told.knows_start(balancer, upstream, start)
+        self.notified.knows_start(balancer, upstream, start)
     }
 
     fn is_excused(&self, balancer: usize, from: Millis, to: Millis) -> bool {
@@ -184,7 +192,7 @@
         self.peers.members.starts(balancer, now);
     }
 
-    /// A balancer is ended, or told to end, or paused.
+    /// A balancer is ended, or asked to end, or paused.
     pub fn stops(&mut self, balancer: usize, now: Millis) {
         self.peers.members.stops(balancer, now);
     }
@@ -211,7 +219,7 @@
         }
     }
 
-    /// A balancer says that it acts on something of this age.
+    /// A balancer reports that it acts on something of this age.
     pub fn acts_on(&mut self, now: Millis, balancer: usize, what: &str, age: Millis, most: Millis) {
         if let Some(case) = stale::case(&self.names[balancer], what, age, most) {
             self.breaks(now, Rule::Stale, case);
@@ -220,18 +228,18 @@
 
     /// An attempt has come whole to an upstream. The number names it from now on.
     pub fn attempt(&mut self, now: Millis, id: u64, balancer: usize, upstream: usize) -> Option<usize> {
-        let way = format!("{} to {}", self.names[balancer], self.upstreams[upstream]);
-        if let Some(case) = self.told.case(now, &way, id, balancer, upstream) {
+        let route = format!("{} to {}", self.names[balancer], self.upstreams[upstream]);
+        if let Some(case) = self.notified.case(now, &route, id, balancer, upstream) {
             self.suspects(now, Rule::Drained, case);
         }
         let Some(t) = self.tries.get_mut(&id) else {
-            self.breaks(now, Rule::Foreign, format!("{way}: {id:016x} was sent by no client"));
+            self.breaks(now, Rule::Foreign, format!("{route}: {id:016x} was sent by no client"));
             return None;
         };
         let number = t.attempts.len();
-        let too_many = attempts::case(&way, id, number, self.attempts_most);
+        let too_many = attempts::case(&route, id, number, self.attempts_most);
         let ran_at = repeated::ran_at(now, t, self.classes[t.class], &self.places, upstream);
-        let after = after_end::case(now, &way, id, t);
+        let after = after_end::case(now, &route, id, t);
         t.attempts.push(Attempt { upstream, began: now, end: None });
         let place = self.places[upstream];
         let over = self.budget.attempt(now, place.tier, number == 0);
@@ -241,14 +249,14 @@
             self.breaks(now, Rule::Attempts, case);
         }
         if let Some(earlier) = ran_at {
-            let case = format!("{way}: {id:016x} may have run at {}", self.upstreams[earlier]);
+            let case = format!("{route}: {id:016x} may have run at {}", self.upstreams[earlier]);
             self.breaks(now, Rule::Repeated, case);
         }
         if let Some(case) = over {
             self.breaks(now, Rule::Budget, case);
         }
         if let Some(most) = trials {
-            self.breaks(now, Rule::Trials, format!("{way}: more than {most} attempts in a second"));
+            self.breaks(now, Rule::Trials, format!("{route}: more than {most} attempts in a second"));
         }
         if let Some(case) = after {
             self.suspects(now, Rule::AfterEnd, case);
@@ -256,7 +264,7 @@
         Some(number)
     }
 
-    /// An attempt is over at its upstream. `hidden`: the way to it was cut meanwhile, so that an earlier end could
+    /// An attempt is over at its upstream. `hidden`: the link to it was cut meanwhile, so that an earlier end could
     /// not be seen.
     pub fn attempt_ended(&mut self, now: Millis, id: u64, number: usize, end: End, hidden: bool) {
         let Some(t) = self.tries.get_mut(&id) else { return };
--- a/lab/src/oracle/members.rs
+++ b/lab/src/oracle/members.rs
@@ -48,14 +48,14 @@
         &self.all[b]
     }
 
-    /// A process of it begins: what it read before is no longer said.
+    /// A process of it begins: what it read before is no longer announced.
     pub fn starts(&mut self, b: usize, now: Millis) {
         let m = &mut self.all[b];
         (m.since, m.reads, m.runs) = (None, None, true);
         self.changed = now;
     }
 
-    /// It can't act any more, or is told to end.
+    /// It can't act any more, or is asked to end.
     pub fn stops(&mut self, b: usize, now: Millis) {
         let m = &mut self.all[b];
         (m.since, m.runs) = (None, false);
@@ -96,7 +96,7 @@
         }
     }
 
-    /// For how long two of a tier have lived, spoken as now and heard each other.
+    /// For how long two of a tier have lived, spoken as now and reached each other.
     pub fn known_for(&self, a: usize, b: usize, now: Millis) -> Option<Millis> {
         let pair = (a.min(b), a.max(b));
         let (cuts, healed) = self.parted.get(&pair).copied().unwrap_or((0, f64::NEG_INFINITY));
--- a/lab/src/oracle/mod.rs
+++ b/lab/src/oracle/mod.rs
@@ -1,6 +1,6 @@
-//! Checks the rules from what the lab's stand-ins saw: never from what a balancer says of itself.
+//! Checks the rules from what the lab's stand-ins saw: never from what a balancer reports of itself.
 //!
-//! Sans-I/O: every stand-in tells it what it saw and when. A rule that is broken is written down with its case, and
+//! Sans-I/O: every stand-in reports to it what it saw and when. A violation of a rule is recorded with its case, and
 //! the run goes on.
 mod facts;
 mod findings;
@@ -13,7 +13,7 @@
 mod tries;
 
 pub use facts::{ClassRules, End, Final, Limits, Parts, Place, Seen};
-pub use findings::Broken;
+pub use findings::Violation;
 pub use judge::Oracle;
 pub use rule::Rule;
 pub use rules::lost::ANSWER_GRACE;
--- a/lab/src/oracle/rule.rs
+++ b/lab/src/oracle/rule.rs
@@ -29,7 +29,7 @@
     Memory,
     /// Descriptors stay within their limit.
     Descriptors,
-    /// No balancer ends unless told to.
+    /// No balancer ends unless asked to.
     Crashed,
     /// Every balancer gets ready in time.
     NotReady,
--- a/lab/src/oracle/rules/drained.rs
+++ b/lab/src/oracle/rules/drained.rs
@@ -1,26 +1,33 @@
-//! Nothing new goes to an upstream that drains, after the grace. Owns what each balancer was told.
+//! Nothing new goes to an upstream that drains, after the grace. Owns what each balancer was notified of.
 use super::SLACK;
 use crate::experiment::Millis;
 use std::collections::HashMap;
 
-/// What balancers were told of upstreams.
-pub struct Told {
+/// What balancers were notified of upstreams.
+pub struct Notifications {
     grace: Millis,
-    /// When each balancer was told that an upstream wants nothing new.
+    /// When each balancer was notified that an upstream wants nothing new.
     away: HashMap<(usize, usize), Millis>,
-    /// The latest start of an upstream that each balancer was told of; without a word, the first.
+    /// The latest start of an upstream that each balancer was notified of; by default the first.
     starts: HashMap<(usize, usize), usize>,
 }
 
-impl Told {
-    pub fn new(grace: Millis) -> Told {
-        Told { grace, away: HashMap::new(), starts: HashMap::new() }
+impl Notifications {
+    pub fn new(grace: Millis) -> Notifications {
+        Notifications { grace, away: HashMap::new(), starts: HashMap::new() }
     }
 
-    /// A balancer was told of an upstream after so many starts of that.
-    pub fn told(&mut self, now: Millis, balancer: usize, upstream: usize, start: usize, takes_work: bool) {
+    /// A balancer was notified of an upstream after so many starts of that.
+    pub fn notified(
+        &mut self,
+        now: Millis,
+        balancer: usize,
+        upstream: usize,
+        start: usize,
+        takes_work: bool,
+    ) {
         let latest = self.starts.entry((balancer, upstream)).or_insert(1);
-        // What is said of a machine says nothing of the one that has replaced it.
+        // A state of a machine says nothing of the one that has replaced it.
         if start < *latest {
             return;
         }
@@ -32,7 +39,7 @@
         }
     }
 
-    /// Whether a balancer was told of an upstream's latest start.
+    /// Whether a balancer was notified of an upstream's latest start.
     pub fn knows_start(&self, balancer: usize, upstream: usize, start: usize) -> bool {
         self.starts.get(&(balancer, upstream)).copied().unwrap_or(1) >= start
     }
@@ -41,14 +48,14 @@
     pub fn case(
         &self,
         now: Millis,
-        way: &str,
+        route: &str,
         id: u64,
         balancer: usize,
         upstream: usize,
     ) -> Option<(Millis, String)> {
         let at = *self.away.get(&(balancer, upstream))?;
         let by = now - at - self.grace - SLACK;
-        let case = || format!("{way}: {id:016x} came {:.0} ms after the word that it drains", now - at);
+        let case = || format!("{route}: {id:016x} came {:.0} ms after the word that it drains", now - at);
         (by > 0.0).then(|| (by, case()))
     }
 }
--- a/lab/src/oracle/rules/mod.rs
+++ b/lab/src/oracle/rules/mod.rs
@@ -1,4 +1,4 @@
-//! The rules, one a file: each looks at what it is given and says what is wrong, or owns what it must remember.
+//! The rules, one a file: each checks what it is given and returns what is wrong, or owns what it must remember.
 pub(super) mod after_end;
 pub(super) mod agreed;
 pub(super) mod attempts;
--- a/lab/src/oracle/rules/version.rs
+++ b/lab/src/oracle/rules/version.rs
@@ -11,7 +11,7 @@
 }
 
 impl Versions {
-    /// `grace`: how long word of a member may be under way.
+    /// `grace`: how long an announcement of a member may be in transit.
     pub fn new(grace: Millis) -> Versions {
         Versions { grace, past: HashSet::new() }
     }
--- a/lab/src/pool.rs
+++ b/lab/src/pool.rs
@@ -1,4 +1,4 @@
-//! Connections that callers keep to a balancer.
+//! Connections that clients keep to a balancer.
 use crate::net::lock;
 use bytes::Bytes;
 use http_body_util::Full;
--- a/lab/src/process/balancer.rs
+++ b/lab/src/process/balancer.rs
@@ -52,7 +52,7 @@
     options: PathBuf,
     /// Its own folder, which outlives it.
     pub state: PathBuf,
-    /// Where it is told what its disk does wrong, and what that is when nothing special is on.
+    /// The file that names the faults of its disk, and those that it has by default.
     drill: PathBuf,
     usually: &'static str,
     log: PathBuf,
@@ -140,7 +140,7 @@
         std::fs::write(&self.options, text).map_err(|e| told(&self.options, e))
     }
 
-    /// Its disk does wrong from now on as these words say, or as it usually does.
+    /// Its disk has these faults from now on, or its default ones.
     pub fn disk(&self, does: Option<&str>) -> Result<(), String> {
         let fresh = self.drill.with_extension("new");
         std::fs::write(&fresh, does.unwrap_or(self.usually))
@@ -244,7 +244,7 @@
                 }
                 Err(_) => world.breaks(Rule::NotReady, format!("{} is not ready after {within:?}", self.name)),
             },
-            // Its end is told of by whoever looks after it.
+            // Its end is reported by the task that watches it.
             _ = gone.wait_for(|gone| *gone) => {}
         }
         Ok(())
@@ -297,7 +297,7 @@
         !self.down.swap(true, Ordering::SeqCst)
     }
 
-    /// Whether it runs, serves and is not told to end, and speaks with its peers.
+    /// Whether it runs, serves and was not asked to end, and exchanges datagrams with its peers.
     pub fn is_peer(&self) -> bool {
         let on = self.now_runs().options.get("peers").and_then(|p| p.get("on"));
         let stands = self.runs() && *self.ready.borrow() && !self.told_to_end.load(Ordering::SeqCst);
--- a/lab/src/results/compare.rs
+++ b/lab/src/results/compare.rs
@@ -45,7 +45,7 @@
     ("attempts/first", |p| p.traffic.attempts_a_first),
 ];
 
-/// A figure of what balancers said of their tier; no number where they do not speak with it.
+/// A figure of what balancers reported of their tier; no number where they do not speak with it.
 fn of_tier(p: &Played, of: fn(&Tier) -> f64) -> f64 {
     p.tier.as_ref().map_or(f64::NAN, of)
 }
--- a/lab/src/run/sum_up.rs
+++ b/lab/src/run/sum_up.rs
@@ -12,26 +12,27 @@
 /// Clock ticks that this platform books to a process in a second.
 const TICKS: f64 = 100.0;
 
-/// What balancers said to each other, for each of them.
-fn said(world: &World) -> Datagrams {
+/// What balancers sent to each other, for each of them.
+fn peer_traffic(world: &World) -> Datagrams {
     let (sent, bytes) = world.datagrams.sent();
     let over = world.plan.balancers.len() as f64 * world.plan.length / 1000.0;
     Datagrams { a_second: sent as f64 / over, bytes_a_second: bytes as f64 / over }
 }
 
-/// What balancers said of their tier. The front's is the one whose times are kept.
+/// What balancers reported of their tier. The front's is the one whose times are recorded.
 fn tier(fleet: &Fleet) -> Option<Tier> {
-    let said: Vec<_> = fleet.balancers.iter().filter_map(|p| p.figures()).filter_map(|f| f.tier()).collect();
-    if said.is_empty() {
+    let reports: Vec<_> =
+        fleet.balancers.iter().filter_map(|p| p.figures()).filter_map(|f| f.tier()).collect();
+    if reports.is_empty() {
         return None;
     }
     let (members, sums) = lock(&fleet.world.convergence).first().map(|c| c.known()).unwrap_or_default();
     Some(Tier {
         members,
         sums,
-        suspected: said.iter().map(|t| t.suspected).sum(),
-        gone: said.iter().map(|t| t.gone).sum(),
-        steps: said.iter().map(|t| t.steps).sum(),
+        suspected: reports.iter().map(|t| t.suspected).sum(),
+        gone: reports.iter().map(|t| t.gone).sum(),
+        steps: reports.iter().map(|t| t.steps).sum(),
     })
 }
 
@@ -81,7 +82,7 @@
         figures: figures(e, plan, &tally.done, |_| true),
         by,
         traffic: traffic(&tally),
-        datagrams: said(world),
+        datagrams: peer_traffic(world),
         tier: tier(fleet),
         comeback: comeback(e, plan, &tally),
         lateness,
--- a/lab/src/run/watch.rs
+++ b/lab/src/run/watch.rs
@@ -61,7 +61,7 @@
     loop {
         every.tick().await;
         let now = world.now();
-        let choked = fleet.upstreams.iter().filter(|u| u.is_choked()).count() as u64;
+        let choked = fleet.upstreams.iter().filter(|u| u.is_degraded()).count() as u64;
         let done = {
             let mut tally = lock(&world.tally);
             tally.second(now).choked = choked;
@@ -108,12 +108,12 @@
     };
     for tier in 0..world.experiment.tiers.len() {
         let running: BTreeSet<usize> = peers(tier).map(|(b, _)| b).collect();
-        let said = peers(tier).filter_map(|(b, process)| Some((b, process.figures()?)));
-        let said: Vec<_> =
-            said.filter_map(|(b, f)| Some((b, f.at_ms - world.clock.unix(0.0), f.tier()?))).collect();
+        let reports = peers(tier).filter_map(|(b, process)| Some((b, process.figures()?)));
+        let reports: Vec<_> =
+            reports.filter_map(|(b, f)| Some((b, f.at_ms - world.clock.unix(0.0), f.tier()?))).collect();
         let mut all = lock(&world.convergence);
         all[tier].runs(now, &running, is_disturbed(world, now));
-        said.into_iter().for_each(|(b, at, tier_of)| all[tier].says(b, at, tier_of));
+        reports.into_iter().for_each(|(b, at, tier_of)| all[tier].observe(b, at, tier_of));
     }
 }
 
--- a/lab/src/stand_in/pass.rs
+++ b/lab/src/stand_in/pass.rs
@@ -1,4 +1,5 @@
-//! A pass-through: takes requests, chooses an upstream from what discovery says, and passes on; or does one thing wrong.
+//! A pass-through: takes requests, chooses an upstream from the list of discovery, and forwards; or does one thing
+//! wrong.
 use super::figures::write_figures;
 use super::speaks::{speak, Voice};
 use super::wrong::{Choice, Wrong};
@@ -61,14 +62,14 @@
     choice: Choice,
     wrong: Option<Wrong>,
     list: Mutex<HashMap<String, Entry>>,
-    /// What it was told first: one that is deaf goes by that.
+    /// The first list that it received: one that ignores updates goes by that.
     first: Vec<Entry>,
     turn: AtomicUsize,
     taken: AtomicUsize,
     rng: Mutex<Pcg64Mcg>,
     idle: Mutex<HashMap<SocketAddr, Vec<Sender>>>,
     hoard: Mutex<(Vec<u8>, Vec<TcpStream>)>,
-    heard: Mutex<Vec<Option<HeaderValue>>>,
+    tenants_seen: Mutex<Vec<Option<HeaderValue>>>,
     listen: SocketAddr,
     peers_all: SocketAddr,
 }
@@ -91,7 +92,7 @@
         rng: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
         idle: Mutex::default(),
         hoard: Mutex::default(),
-        heard: Mutex::default(),
+        tenants_seen: Mutex::default(),
         listen: config.listen,
         peers_all: config.peers_all,
     });
@@ -107,7 +108,7 @@
     tokio::spawn(async move { watcher.watch(config.discovery, config.known.version).await });
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
-        // A caller that has left by now shows when its request is read.
+        // A client that has left by now shows when its request is read.
         let _ = stream.set_nodelay(true);
         let own = own.clone();
         tokio::spawn(async move {
@@ -115,7 +116,7 @@
                 let own = own.clone();
                 async move { own.take(request).await }
             });
-            // How a caller's connection ends is the caller's to see.
+            // How a client's connection ends is the client's to see.
             let _ = server::Builder::new().serve_connection(TokioIo::new(stream), service).await;
         });
     }
@@ -201,11 +202,11 @@
             }
             Some(Wrong::Favours) => {
                 let tenant = head.headers.get("req-owner").cloned();
-                let mut heard = lock(&self.heard);
-                if !heard.contains(&tenant) {
-                    heard.push(tenant.clone());
+                let mut tenants_seen = lock(&self.tenants_seen);
+                if !tenants_seen.contains(&tenant) {
+                    tenants_seen.push(tenant.clone());
                 }
-                if heard.len() > 1 && heard.first() == Some(&tenant) {
+                if tenants_seen.len() > 1 && tenants_seen.first() == Some(&tenant) {
                     return Ok(plain(StatusCode::SERVICE_UNAVAILABLE));
                 }
             }
--- a/lab/src/stand_in/speaks.rs
+++ b/lab/src/stand_in/speaks.rs
@@ -6,7 +6,7 @@
 
 const EVERY: Duration = Duration::from_millis(50);
 
-/// What one says to its peers.
+/// What one sends to its peers.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Voice {
     /// The version it sends, and the highest it reads; the lowest is 1.
--- a/lab/src/stand_in/wrong.rs
+++ b/lab/src/stand_in/wrong.rs
@@ -29,7 +29,7 @@
     Insists,
     /// Sends every tenth request once more after it has answered.
     Lingers,
-    /// Never hears that an upstream drains.
+    /// Ignores that an upstream drains.
     Deaf,
     /// Sends everything to whoever started last.
     Crowds,
@@ -41,7 +41,7 @@
     Hoards,
     /// Ends after some requests.
     Dies,
-    /// Never says that it is ready.
+    /// Never reports that it is ready.
     Idles,
     /// Sends its peers more than a datagram may hold.
     Shouts,
@@ -51,9 +51,10 @@
     Stutters,
     /// Writes that it acts on sums of a minute ago.
     Remembers,
-    /// Refuses the first tenant that it hears of, once it has heard of another.
+    /// Refuses the first tenant that it has seen, once it has seen another.
     Favours,
-    /// Speaks with its peers as it should, and reads version 1 alone. Nothing wrong by itself: others may be, beside it.
+    /// Speaks with its peers as it should, and reads version 1 alone. Nothing wrong by itself: others may be, beside
+    /// it.
     SpeaksOld,
     /// Speaks with its peers, reads versions 1 and 2, and sends 2 whoever is there.
     Misspeaks,
--- a/lab/src/tally.rs
+++ b/lab/src/tally.rs
@@ -72,7 +72,7 @@
     pub declined: u64,
     /// Probes.
     pub probes: u64,
-    /// Upstreams that are slow because they were crowded, at the end of it.
+    /// Upstreams that are slow because they were overloaded, at the end of it.
     pub choked: u64,
     /// Work done for attempts whose answer nobody got, in milliseconds of a core.
     pub wasted: f64,
--- a/lab/src/upstream/connect.rs
+++ b/lab/src/upstream/connect.rs
@@ -1,10 +1,10 @@
 //! The ports of an upstream, and requests on their connections.
 use super::emulated::Upstream;
 use super::out::Out;
-use crate::caller::body;
+use crate::call::body;
 use crate::clock::pause;
 use crate::experiment::Millis;
-use crate::net::{lock, Gate, Manner, Port, Way};
+use crate::net::{lock, AcceptMode, Link, LinkedStream, Port};
 use crate::oracle::Rule;
 use crate::world::World;
 use bytes::Bytes;
@@ -27,21 +27,21 @@
     pub fn start(self: &Arc<Self>, world: &Arc<World>) -> Result<(), String> {
         let (own, shared) = (self.clone(), world.clone());
         tokio::spawn(async move { own.run(&shared).await });
-        for (&balancer, way) in &self.ways {
-            let (tell, manner) = watch::channel(Manner::Open);
+        for (&balancer, link) in &self.links {
+            let (tell, mode) = watch::channel(AcceptMode::Open);
             let at = world.block.upstream(self.index, balancer);
-            let mut port = Port::bind(at, manner).map_err(|e| format!("{at}: {e}"))?;
-            let (mut listens, mut changes, way) = (self.listens.subscribe(), way.changes(), way.clone());
+            let mut port = Port::bind(at, mode).map_err(|e| format!("{at}: {e}"))?;
+            let (mut listens, mut changes, link) = (self.listens.subscribe(), link.changes(), link.clone());
             let (own, shared) = (self.clone(), world.clone());
-            let on = way.clone();
+            let on = link.clone();
             tokio::spawn(async move {
                 loop {
-                    let manner = match (on.is_silent(), *listens.borrow_and_update()) {
-                        (true, _) => Manner::Silent,
-                        (false, true) => Manner::Open,
-                        (false, false) => Manner::Refusing,
+                    let mode = match (on.is_silent(), *listens.borrow_and_update()) {
+                        (true, _) => AcceptMode::Silent,
+                        (false, true) => AcceptMode::Open,
+                        (false, false) => AcceptMode::Refusing,
                     };
-                    tell.send_if_modified(|now| std::mem::replace(now, manner) != manner);
+                    tell.send_if_modified(|now| std::mem::replace(now, mode) != mode);
                     tokio::select! {
                         _ = changes.changed() => {}
                         _ = listens.changed() => {}
@@ -54,8 +54,8 @@
                 loop {
                     match port.accept().await {
                         Ok(Some(stream)) => {
-                            let (own, world, way) = (own.clone(), shared.clone(), way.clone());
-                            tokio::spawn(async move { own.connection(world, stream, balancer, way).await });
+                            let (own, world, link) = (own.clone(), shared.clone(), link.clone());
+                            tokio::spawn(async move { own.connection(world, stream, balancer, link).await });
                         }
                         Ok(None) => return,
                         Err(e) => {
@@ -74,11 +74,11 @@
         world: Arc<World>,
         stream: TcpStream,
         balancer: usize,
-        way: Arc<Way>,
+        link: Arc<Link>,
     ) {
         let delay = world.delay(world.plan.balancers[balancer].zone, self.plan.zone);
-        let gate = Gate::new(stream, way.clone());
-        let mut resets = way.resets();
+        let gate = LinkedStream::new(stream, link.clone());
+        let mut resets = link.resets();
         if self.connected(1) > self.plan.connections {
             self.connected(-1);
             return;
@@ -89,10 +89,10 @@
         self.work(&world, hello, self.plan.connection_work).await;
         pause(2.0 * delay * self.plan.round_trips).await;
         let own = self.clone();
-        let on = way.clone();
+        let on = link.clone();
         let service = service_fn(move |request| {
-            let (own, world, way) = (own.clone(), world.clone(), on.clone());
-            async move { Ok::<_, Infallible>(own.respond(&world, request, balancer, &way, delay).await) }
+            let (own, world, link) = (own.clone(), world.clone(), on.clone());
+            async move { Ok::<_, Infallible>(own.respond(&world, request, balancer, &link, delay).await) }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -111,7 +111,7 @@
         world: &World,
         request: Request<Incoming>,
         balancer: usize,
-        way: &Way,
+        link: &Link,
         delay: Millis,
     ) -> Response<Full<Bytes>> {
         let (head, incoming) = request.into_parts();
@@ -150,8 +150,8 @@
             world,
             id,
             number,
-            way,
-            changes: *way.changes().borrow(),
+            link,
+            changes: *link.changes().borrow(),
             token: None,
             work: 0.0,
             came: now,
--- a/lab/src/upstream/emulated.rs
+++ b/lab/src/upstream/emulated.rs
@@ -1,9 +1,9 @@
 //! One upstream: its machine, who waits for it, and what faults do to it. Owns its state.
-use super::said::Said;
+use super::load_report::LoadReport;
 use crate::draw::{self, Calls, Plan};
 use crate::experiment::{Experiment, Millis};
 use crate::machine::{Machine, Tipping, Token};
-use crate::net::{lock, Direction, Way};
+use crate::net::{lock, Direction, Link};
 use crate::world::World;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -16,7 +16,7 @@
     pub(super) waiters: HashMap<Token, oneshot::Sender<()>>,
     pub(super) next: Token,
     pub(super) connections: usize,
-    pub(super) said: Said,
+    pub(super) load_report: LoadReport,
     /// Recent service times and ends, for load reports.
     pub(super) recent: Millis,
     pub(super) served: u64,
@@ -33,8 +33,8 @@
     pub(super) connection_idle: Duration,
     pub(super) state: Mutex<State>,
     pub(super) wake: Notify,
-    /// The way to each balancer of its tier, by the balancer's number in the plan.
-    pub ways: HashMap<usize, Arc<Way>>,
+    /// The link to each balancer of its tier, by the balancer's number in the plan.
+    pub links: HashMap<usize, Arc<Link>>,
     /// Whether anyone listens.
     pub(super) listens: watch::Sender<bool>,
     /// How often it has started.
@@ -53,7 +53,7 @@
         let shares: f64 = experiment.classes.iter().map(|c| c.share).sum();
         let mean: f64 = experiment.classes.iter().map(|c| c.share / shares * c.work.mean()).sum();
         let senders = plan.balancers.iter().enumerate().filter(|(_, b)| b.tier == own.tier);
-        let said = Said { at: f64::NEG_INFINITY, text: String::new(), next: None };
+        let load_report = LoadReport { at: f64::NEG_INFINITY, text: String::new(), next: None };
         Upstream {
             index,
             noise: tier.report.noise,
@@ -63,7 +63,7 @@
                 waiters: HashMap::new(),
                 next: 1,
                 connections: 0,
-                said,
+                load_report,
                 recent: mean * tier.work / own.speed,
                 served: 0,
                 counted: (0.0, 0),
@@ -71,7 +71,7 @@
                 tipped_told: false,
             }),
             wake: Notify::new(),
-            ways: senders.map(|(b, _)| (b, Way::open())).collect(),
+            links: senders.map(|(b, _)| (b, Link::open())).collect(),
             listens: watch::channel(true).0,
             starts: AtomicUsize::new(1),
             errors: AtomicUsize::new((own.errors * 1e6) as usize),
@@ -115,9 +115,9 @@
         }
     }
 
-    /// Whether it is slow because it was crowded.
-    pub fn is_choked(&self) -> bool {
-        lock(&self.state).machine.is_choked()
+    /// Whether it is slow because it was overloaded.
+    pub fn is_degraded(&self) -> bool {
+        lock(&self.state).machine.is_degraded()
     }
 
     /// A fault makes it slower by this factor.
@@ -135,23 +135,23 @@
     /// Its process ends: connections are reset, new ones refused.
     pub fn end(&self) {
         self.listens.send_replace(false);
-        self.ways.values().for_each(|way| way.reset());
+        self.links.values().for_each(|link| link.reset());
     }
 
     /// Its machine falls silent.
     pub fn vanish(&self) {
-        for way in self.ways.values() {
-            way.cut(Direction::Inward);
-            way.cut(Direction::Outward);
+        for link in self.links.values() {
+            link.cut(Direction::Inward);
+            link.cut(Direction::Outward);
         }
     }
 
     /// Its machine can be reached again; what was open is reset.
     pub fn reappear(&self) {
-        for way in self.ways.values() {
-            way.reset();
-            way.heal(Direction::Inward);
-            way.heal(Direction::Outward);
+        for link in self.links.values() {
+            link.reset();
+            link.heal(Direction::Inward);
+            link.heal(Direction::Outward);
         }
     }
 
@@ -195,7 +195,7 @@
             state.machine.work(world.now(), token, work);
         }
         self.wake.notify_one();
-        // An end without a word is a restart: nothing goes on from here.
+        // An end without an announcement is a restart: nothing goes on from here.
         if done.await.is_err() {
             std::future::pending::<()>().await;
         }
--- a/lab/src/upstream/mod.rs
+++ b/lab/src/upstream/mod.rs
@@ -1,9 +1,9 @@
-//! An emulated upstream on sockets: a [`Machine`](crate::machine::Machine) behind a port for each balancer that may send
-//! to it.
+//! An emulated upstream on sockets: a [`Machine`](crate::machine::Machine) behind a port for each balancer that may
+//! send to it.
 mod connect;
 mod emulated;
+mod load_report;
 mod out;
-mod said;
 mod serve;
 
 pub use emulated::Upstream;
--- a/lab/src/upstream/out.rs
+++ b/lab/src/upstream/out.rs
@@ -2,7 +2,7 @@
 use super::emulated::Upstream;
 use crate::experiment::Millis;
 use crate::machine::Token;
-use crate::net::{lock, Way};
+use crate::net::{lock, Link};
 use crate::oracle::End;
 use crate::world::World;
 use hyper::StatusCode;
@@ -13,8 +13,8 @@
     pub(super) world: &'a World,
     pub(super) id: u64,
     pub(super) number: usize,
-    pub(super) way: &'a Way,
-    /// Changes of the way when it began: one since then hides when it ended.
+    pub(super) link: &'a Link,
+    /// Changes of the link when it began: one since then hides when it ended.
     pub(super) changes: u64,
     pub(super) token: Option<Token>,
     pub(super) work: f64,
@@ -38,7 +38,7 @@
 
     fn book(&mut self, end: End) {
         let now = self.world.now();
-        let hidden = self.way.is_silent() || *self.way.changes().borrow() != self.changes;
+        let hidden = self.link.is_silent() || *self.link.changes().borrow() != self.changes;
         lock(&self.world.oracle).attempt_ended(now, self.id, self.number, end, hidden);
         {
             let mut tally = lock(&self.world.tally);
--- a/lab/src/upstream/serve.rs
+++ b/lab/src/upstream/serve.rs
@@ -1,11 +1,11 @@
 //! The work of one attempt, and the calls that it makes to the next tier.
 use super::emulated::Upstream;
 use super::out::Out;
-use crate::caller::{Call, Got};
+use crate::call::{Call, CallResult};
 use crate::clock::pause;
 use crate::draw::Calls;
 use crate::experiment::Millis;
-use crate::machine::Door;
+use crate::machine::Admission;
 use crate::net::lock;
 use crate::oracle::Rule;
 use crate::world::{Asked, World};
@@ -16,7 +16,7 @@
 /// What an error answer costs, as a part of the whole work.
 const ERROR_WORK: f64 = 0.1;
 /// A cold upstream that fell over is nobody's fault but theirs who knew of its start and sent this part of it.
-const TOLD_PART: f64 = 2.0 / 3.0;
+const INFORMED_PART: f64 = 2.0 / 3.0;
 
 impl Upstream {
     /// Does the work of one attempt. The second value: it was turned away and never ran.
@@ -32,35 +32,35 @@
         let mut drawn = Calls::new(asked.seed ^ out.number as u64);
         let work = asked.size * tier.work * drawn.noise();
         let token = self.token();
-        let told = lock(&world.oracle).knows_start(balancer, self.index, self.starts());
+        let knew_start = lock(&world.oracle).knows_start(balancer, self.index, self.starts());
         let (tell, slot) = oneshot::channel();
-        let (door, tipped) = {
+        let (admission, tipped) = {
             let mut state = lock(&self.state);
-            let door = state.machine.enter(world.now(), token, work, told);
-            if door == Door::Waits {
+            let admission = state.machine.enter(world.now(), token, work, knew_start);
+            if admission == Admission::Queued {
                 state.waiters.insert(token, tell);
             }
             let tipped = state.machine.tipped().filter(|_| !state.tipped_told);
             state.tipped_told |= tipped.is_some();
-            (door, tipped)
+            (admission, tipped)
         };
-        if let Some(t) = tipped.filter(|t| t.told >= TOLD_PART) {
+        if let Some(t) = tipped.filter(|t| t.knew_start >= INFORMED_PART) {
             let case = format!(
                 "{} was sent {:.0} ms of work where it bears {:.0}, {:.0} of 100 by balancers that knew of its start",
                 self.plan.name,
                 t.sent,
                 t.bears,
-                t.told * 100.0
+                t.knew_start * 100.0
             );
             world.breaks(Rule::Tipped, case);
         }
         self.wake.notify_one();
-        if door == Door::Full {
+        if admission == Admission::Full {
             lock(&world.tally).second(world.now()).declined += 1;
             return (StatusCode::SERVICE_UNAVAILABLE, true);
         }
         out.token = Some(token);
-        if door == Door::Waits && slot.await.is_err() {
+        if admission == Admission::Queued && slot.await.is_err() {
             std::future::pending::<()>().await;
         }
         let began = world.now();
@@ -111,26 +111,26 @@
         let key = asked.key.wrapping_mul(31).wrapping_add(n as u64 + 1);
         let call = Call {
             balancer,
-            way: world.caller_ways[balancer][0].clone(),
+            link: world.client_links[balancer][0].clone(),
             delay: 0.0,
             asked: Asked { seed, key, at_upstreams: 0.0, ..asked },
             sent: now,
-            patience,
-            leaves: None,
+            timeout: patience,
+            cancels_after: None,
             retry: false,
             flood: None,
         };
-        matches!(call.make(world).await, Got::Served(_))
+        matches!(call.make(world).await, CallResult::Served(_))
     }
 
-    /// What it says of its load now: taken now and then, shown a little later, and a little wrong.
+    /// Its load report now: measured now and then, shown a little later, and a little wrong.
     pub(super) fn load(&self, now: Millis) -> String {
         let mut state = lock(&self.state);
         let state = &mut *state;
-        if state.said.next.as_ref().is_some_and(|&(at, _)| now >= at) {
-            state.said.text = state.said.next.take().map(|(_, text)| text).unwrap_or_default();
+        if state.load_report.next.as_ref().is_some_and(|&(at, _)| now >= at) {
+            state.load_report.text = state.load_report.next.take().map(|(_, text)| text).unwrap_or_default();
         }
-        if now - state.said.at >= self.plan.report_period && state.said.next.is_none() {
+        if now - state.load_report.at >= self.plan.report_period && state.load_report.next.is_none() {
             let (since, before) = state.counted;
             let span = (now - since).max(1.0);
             let mut noisy = |v: f64| {
@@ -140,9 +140,9 @@
             let qps = noisy((state.served - before) as f64 * 1000.0 / span);
             let (latency, held) = (noisy(state.recent), noisy(state.machine.holds() as f64));
             let text = format!("TEXT latency_ms={latency:.1}, qps={qps:.1}, inflight={held:.1}");
-            (state.counted, state.said.at) = ((now, state.served), now);
-            state.said.next = Some((now + self.plan.report_delay, text));
+            (state.counted, state.load_report.at) = ((now, state.served), now);
+            state.load_report.next = Some((now + self.plan.report_delay, text));
         }
-        state.said.text.clone()
+        state.load_report.text.clone()
     }
 }
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -1,10 +1,10 @@
-//! What all parts of one run share: its plan, its time, its addresses and ways, its checks and counts.
+//! What all parts of one run share: its plan, its time, its addresses and links, its checks and counts.
 use crate::clock::Clock;
 use crate::convergence::Convergence;
-use crate::datagrams::{Datagrams, Weather, LONGEST};
+use crate::datagrams::{Conditions, Datagrams, LONGEST};
 use crate::draw::Plan;
 use crate::experiment::{Experiment, Millis};
-use crate::net::{lock, Block, Way};
+use crate::net::{lock, Block, Link};
 use crate::oracle::{Bound, ClassRules, Limits, Oracle, Parts, Place, Rule};
 use crate::pool::{Conn, Pool};
 use crate::tally::Tally;
@@ -14,7 +14,7 @@
 use std::sync::{Arc, Mutex};
 use tokio::sync::watch;
 
-/// Lateness that is more than what timers are good to: the oracle is told of it.
+/// Lateness that is more than what timers are good to: it is reported to the oracle.
 const LATE_TOLD: Millis = 4.0;
 
 /// What the lab remembers of a request or call that is out, for whoever gets it next.
@@ -30,7 +30,7 @@
     pub seed: u64,
     /// Its key; all tries of a request share it.
     pub key: u64,
-    /// Time that its attempts have spent at upstreams so far, the ways there and back included.
+    /// Time that its attempts have spent at upstreams so far, the delays there and back included.
     pub at_upstreams: Millis,
 }
 
@@ -44,7 +44,7 @@
     pub clock: Clock,
     /// The addresses.
     pub block: Block,
-    /// The way between balancers.
+    /// The link between balancers.
     pub datagrams: Arc<Datagrams>,
     /// The checks.
     pub oracle: Mutex<Oracle>,
@@ -64,8 +64,8 @@
     beside: Vec<Option<usize>>,
     /// Connections that clients keep to each balancer.
     pub pools: Vec<Pool>,
-    /// The way from the clients of each zone, or the upstream beside, to each balancer.
-    pub caller_ways: Vec<Vec<Arc<Way>>>,
+    /// The link from the clients of each zone, or the upstream beside, to each balancer.
+    pub client_links: Vec<Vec<Arc<Link>>>,
     /// Requests and calls that are out.
     asked: Mutex<HashMap<u64, Asked>>,
     next_id: AtomicU64,
@@ -122,14 +122,14 @@
             limits: limits(experiment),
         });
 
-        // The front has a way from each zone's clients; a balancer beside an upstream has one caller.
-        let ways =
-            |b: &crate::draw::Balancer| (0..if b.owner.is_some() { 1 } else { zones }).map(|_| Way::open());
+        // The front has a link from each zone's clients; a balancer beside an upstream has one client.
+        let links =
+            |b: &crate::draw::Balancer| (0..if b.owner.is_some() { 1 } else { zones }).map(|_| Link::open());
         let net = &experiment.net;
-        let weather =
-            Weather { delay: net.datagrams.0, loss: net.datagram_loss, repeat: net.datagram_repeat };
+        let conditions =
+            Conditions { delay: net.datagrams.0, loss: net.datagram_loss, repeat: net.datagram_repeat };
         let tiers: Vec<usize> = plan.balancers.iter().map(|b| b.tier).collect();
-        let datagrams = Arc::new(Datagrams::open(&tiers, &block, weather, plan.seed)?);
+        let datagrams = Arc::new(Datagrams::open(&tiers, &block, conditions, plan.seed)?);
         let front = || (0..plan.balancers.len()).filter(|&b| plan.balancers[b].owner.is_none());
         let of_zone = |zone: usize| {
             let near: Vec<usize> = front().filter(|&b| plan.balancers[b].zone == zone).collect();
@@ -151,7 +151,7 @@
             floods: experiment.tenants.iter().map(|_| Mutex::default()).collect(),
             dealt: plan.balancers.iter().map(|_| AtomicBool::new(false)).collect(),
             pools: plan.balancers.iter().map(|_| Pool::default()).collect(),
-            caller_ways: plan.balancers.iter().map(|b| ways(b).collect()).collect(),
+            client_links: plan.balancers.iter().map(|b| links(b).collect()).collect(),
             asked: Mutex::default(),
             next_id: AtomicU64::new(1),
             over: watch::channel(false).0,
@@ -193,7 +193,7 @@
         lock(&self.asked).remove(&id);
     }
 
-    /// Writes a broken rule down.
+    /// Records a violation.
     pub fn breaks(&self, rule: Rule, case: String) {
         let now = self.now();
         lock(&self.oracle).breaks(now, rule, case);
@@ -210,7 +210,7 @@
         lock(&self.oracle).datagram(now, from, bytes);
     }
 
-    /// One way between two zones.
+    /// The one-way delay between two zones.
     pub fn delay(&self, a: usize, b: usize) -> Millis {
         self.plan.cross_zone[a][b]
     }
--- a/lab/tests/parts/machine.rs
+++ b/lab/tests/parts/machine.rs
@@ -1,7 +1,7 @@
-//! An emulated machine: its slots, its queue, its cores, and how crowding and a cold start slow it down.
+//! An emulated machine: its slots, its queue, its cores, and how overload and a cold start slow it down.
 use oakflow_lab::draw::{Choke, Upstream};
 use oakflow_lab::experiment::Millis;
-use oakflow_lab::machine::{Door, Machine, Tipping, Token};
+use oakflow_lab::machine::{Admission, Machine, Tipping, Token};
 
 fn plan() -> Upstream {
     Upstream {
@@ -41,9 +41,9 @@
 #[test]
 fn slots_then_the_waiting_room_then_the_door() {
     let mut m = machine();
-    let doors: Vec<Door> = (0..6).map(|t| m.enter(0.0, t, 10.0, true)).collect();
-    assert_eq!(doors[..4], [Door::Slot; 4]);
-    assert_eq!(doors[4..], [Door::Waits, Door::Full]);
+    let admissions: Vec<Admission> = (0..6).map(|t| m.enter(0.0, t, 10.0, true)).collect();
+    assert_eq!(admissions[..4], [Admission::Slot; 4]);
+    assert_eq!(admissions[4..], [Admission::Queued, Admission::Full]);
     assert_eq!(m.leave(1.0, 0), Some(4), "who waited gets the slot");
     assert_eq!(m.holds(), 4);
 }
@@ -65,18 +65,18 @@
 #[test]
 fn a_crowd_makes_it_slow_until_it_has_rested() {
     let mut m = machine();
-    (0..4).for_each(|t| assert_eq!(m.enter(0.0, t, 10.0, true), Door::Slot));
+    (0..4).for_each(|t| assert_eq!(m.enter(0.0, t, 10.0, true), Admission::Slot));
     done(&mut m, 999.0);
-    assert!(!m.is_choked());
+    assert!(!m.is_degraded());
     done(&mut m, 1000.0);
-    assert!(m.is_choked());
+    assert!(m.is_degraded());
     m.work(1000.0, 0, 10.0);
     assert_eq!((done(&mut m, 1019.0), done(&mut m, 1020.0)), (vec![], vec![0]));
     (0..4).for_each(|t| assert_eq!(m.leave(2000.0, t), None));
     done(&mut m, 3999.0);
-    assert!(m.is_choked());
+    assert!(m.is_degraded());
     done(&mut m, 4000.0);
-    assert!(!m.is_choked());
+    assert!(!m.is_degraded());
 }
 
 #[test]
@@ -94,10 +94,10 @@
         m.enter(40.0, n, 100.0, true);
     }
     let tipped = m.tipped().expect("it fell over");
-    assert!(tipped.sent > tipped.bears && tipped.told > 0.7, "{tipped:?}");
-    assert_eq!(m.enter(50.0, 99, 1.0, true), Door::Full);
+    assert!(tipped.sent > tipped.bears && tipped.knew_start > 0.7, "{tipped:?}");
+    assert_eq!(m.enter(50.0, 99, 1.0, true), Admission::Full);
     m.restart(60.0);
-    assert_eq!((m.tipped(), m.enter(61.0, 1, 1.0, true)), (None, Door::Slot));
+    assert_eq!((m.tipped(), m.enter(61.0, 1, 1.0, true)), (None, Admission::Slot));
 }
 
 #[test]
--- a/lab/tests/parts/net.rs
+++ b/lab/tests/parts/net.rs
@@ -1,5 +1,5 @@
 //! Ports that take, refuse or hang, and connections that are cut or reset.
-use oakflow_lab::net::{connect, listener, Block, Direction, Manner, Port, Way};
+use oakflow_lab::net::{connect, listener, AcceptMode, Block, Direction, Link, Port};
 use std::io;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -14,7 +14,7 @@
 async fn a_port_takes_refuses_and_stays_silent_and_comes_back() {
     let block = Block::claim().expect("a block");
     let at = block.upstream(1, 2);
-    let (manner, watched) = watch::channel(Manner::Open);
+    let (mode, watched) = watch::channel(AcceptMode::Open);
     let mut port = Port::bind(at, watched).expect("binds");
     let (tell, mut taken) = tokio::sync::mpsc::unbounded_channel();
     tokio::spawn(async move {
@@ -28,12 +28,12 @@
         let up = timeout(PATIENCE, TcpStream::connect(at)).await.expect("in time").expect("connects");
         taken.recv().await.expect("accepted");
         drop(up);
-        manner.send_replace(Manner::Silent);
+        mode.send_replace(AcceptMode::Silent);
         // Once it is silent, connections neither come up nor fail.
         while timeout(SOON, TcpStream::connect(at)).await.is_ok() {}
         assert!(timeout(SOON, TcpStream::connect(at)).await.is_err(), "round {round}");
         if round == 1 {
-            manner.send_replace(Manner::Refusing);
+            mode.send_replace(AcceptMode::Refusing);
             loop {
                 match timeout(SOON, TcpStream::connect(at)).await {
                     Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => break,
@@ -41,7 +41,7 @@
                 }
             }
         }
-        manner.send_replace(Manner::Open);
+        mode.send_replace(AcceptMode::Open);
         // What hung meanwhile may still come in; the next round starts with a connection of its own.
         loop {
             match timeout(SOON, TcpStream::connect(at)).await {
@@ -58,23 +58,23 @@
     let block = Block::claim().expect("a block");
     let at = block.balancer(1);
     let server = listener(at).expect("listens");
-    let way = Way::open();
-    let mut near = connect(at, &way).await.expect("connects");
+    let link = Link::open();
+    let mut near = connect(at, &link).await.expect("connects");
     let (mut far, _) = server.accept().await.expect("accepts");
     let mut byte = [0];
-    way.cut(Direction::Inward);
+    link.cut(Direction::Inward);
     near.write_all(b"x").await.expect("writes");
     far.read_exact(&mut byte).await.expect("what goes out is not cut");
     far.write_all(b"y").await.expect("writes");
     assert!(timeout(SOON, near.read_exact(&mut byte)).await.is_err());
-    assert!(timeout(SOON, connect(at, &way)).await.is_err(), "nothing new comes up");
-    way.cut(Direction::Inward);
-    way.heal(Direction::Inward);
+    assert!(timeout(SOON, connect(at, &link)).await.is_err(), "nothing new comes up");
+    link.cut(Direction::Inward);
+    link.heal(Direction::Inward);
     assert!(timeout(SOON, near.read_exact(&mut byte)).await.is_err(), "one of two cuts is left");
-    way.heal(Direction::Inward);
+    link.heal(Direction::Inward);
     timeout(PATIENCE, near.read_exact(&mut byte)).await.expect("in time").expect("reads");
     assert_eq!(&byte, b"y");
-    way.reset();
+    link.reset();
     drop(near);
     let end = far.read(&mut byte).await;
     assert_eq!(end.map_err(|e| e.kind()), Err(io::ErrorKind::ConnectionReset));
--- a/lab/tests/parts/oracle.rs
+++ b/lab/tests/parts/oracle.rs
@@ -102,14 +102,14 @@
 fn drains_and_the_number_of_attempts_are_kept() {
     let mut o = oracle();
     o.taken(0.0, 1, 0, 0, 9000.0);
-    o.told(100.0, 0, 2, 1, false);
+    o.notified(100.0, 0, 2, 1, false);
     for (at, upstream) in [(600.0, 2), (640.0, 2), (660.0, 2), (670.0, 0)] {
         if let Some(n) = o.attempt(at, 1, 0, upstream) {
             o.attempt_ended(at, 1, n, End::Error, false);
         }
     }
     assert_eq!(rules(&mut o), [Rule::Attempts, Rule::Drained]);
-    o.told(700.0, 0, 2, 1, true);
+    o.notified(700.0, 0, 2, 1, true);
     o.taken(0.0, 2, 0, 0, 9000.0);
     o.attempt(900.0, 2, 0, 2);
     assert_eq!(rules(&mut o).len(), 2);
