Split the bounds of the peers' verdicts into short functions

Need: Verdicts::bound did three things in one function. Change: the oldest observer and the oldest subject have a function each; nothing else changes.

--- a/peers/src/knowledge/verdicts.rs
+++ b/peers/src/knowledge/verdicts.rs
@@ -67,20 +67,19 @@
             own_verdicts.entry(subject).or_insert(stance);
         }
         // What is observed no longer is not renewed, and expires everywhere.
-        self.observations.retain(|subject, observation| {
+        self.observations.retain(|subject, by_observer| {
             if !own_verdicts.contains_key(subject) {
-                observation.remove(&own);
+                by_observer.remove(&own);
             }
-            !observation.is_empty()
+            !by_observer.is_empty()
         });
         for (subject, stance) in own_verdicts {
-            let observers_known = self.observations.entry(subject).or_default();
-            let last = observers_known.get(&own).copied();
+            let by_observer = self.observations.entry(subject).or_default();
+            let last = by_observer.get(&own).copied();
             let changed = last.is_none_or(|last| last.stance != stance);
             if changed || last.is_some_and(|last| now - last.created >= RENEWAL_PERIOD) {
                 self.sequence = self.sequence.wrapping_add(1);
-                observers_known
-                    .insert(own, Observation { sequence: self.sequence, created: now, stance, zone });
+                by_observer.insert(own, Observation { sequence: self.sequence, created: now, stance, zone });
             }
             changed_any |= changed;
         }
@@ -95,68 +94,62 @@
         }
         let observation =
             Observation { sequence: verdict.sequence, created, stance: verdict.stance, zone: verdict.zone };
-        let observers_known = self.observations.entry(verdict.subject).or_default();
-        let last = observers_known.get(&verdict.observer);
+        let by_observer = self.observations.entry(verdict.subject).or_default();
+        let last = by_observer.get(&verdict.observer);
         if last.is_some_and(|last| !observation.supersedes(last)) {
             return false;
         }
         let news = last.is_none_or(|last| last.stance != observation.stance);
-        observers_known.insert(verdict.observer, observation);
-        let news = news && observers_known.len() <= MAX_OBSERVERS;
+        by_observer.insert(verdict.observer, observation);
+        let news = news && by_observer.len() <= MAX_OBSERVERS;
         self.bound(now);
         news
     }
 
-    /// Leaves out what is beyond the bounds, in number and in age.
+    /// Removes what is beyond the bounds, in number and in age.
     pub fn bound(&mut self, now: Millis) {
         let own = self.own.0;
-        self.observations.retain(|_, observation| {
-            observation
+        self.observations.retain(|_, by_observer| {
+            by_observer
                 .retain(|observer, observation| *observer == own || now - observation.created <= MAX_AGE);
-            while observation.len() > MAX_OBSERVERS {
-                let key = |(observer, observation): &(&u16, &Observation)| {
-                    (**observer == own, observation.created, **observer)
-                };
-                let oldest =
-                    observation.iter().min_by(|a, b| key(a).partial_cmp(&key(b)).expect("times are numbers"));
-                let Some(oldest) = oldest.map(|(observer, _)| *observer) else { break };
-                observation.remove(&oldest);
+            while by_observer.len() > MAX_OBSERVERS {
+                let Some(oldest) = oldest_observer(by_observer, own) else { break };
+                by_observer.remove(&oldest);
             }
-            !observation.is_empty()
+            !by_observer.is_empty()
         });
         while self.observations.len() > MAX_SUBJECTS {
-            let youngest = |observation: &BTreeMap<u16, Observation>| {
-                let own = observation.contains_key(&own);
-                (
-                    own,
-                    observation
-                        .values()
-                        .map(|observation| observation.created)
-                        .fold(f64::NEG_INFINITY, f64::max),
-                )
-            };
-            let oldest = self.observations.iter().min_by(|a, b| {
-                let (a, b) = (youngest(a.1), youngest(b.1));
-                a.partial_cmp(&b).expect("times are numbers")
-            });
-            let Some(oldest) = oldest.map(|(subject, _)| *subject) else { break };
+            let Some(oldest) = self.oldest_subject() else { break };
             self.observations.remove(&oldest);
         }
     }
 
+    /// The subject whose latest observation is the oldest; those that this replica observes itself come last.
+    fn oldest_subject(&self) -> Option<Subject> {
+        let latest = |by_observer: &BTreeMap<u16, Observation>| {
+            let times = by_observer.values().map(|observation| observation.created);
+            (by_observer.contains_key(&self.own.0), times.fold(f64::NEG_INFINITY, f64::max))
+        };
+        let oldest = self.observations.iter().min_by(|a, b| {
+            let (a, b) = (latest(a.1), latest(b.1));
+            a.partial_cmp(&b).expect("times are numbers")
+        });
+        oldest.map(|(subject, _)| *subject)
+    }
+
     /// Forgets the observations of a former run of a member.
     pub fn forget(&mut self, member: Member) {
-        self.observations.retain(|_, observation| {
-            observation.remove(&member.0);
-            !observation.is_empty()
+        self.observations.retain(|_, by_observer| {
+            by_observer.remove(&member.0);
+            !by_observer.is_empty()
         });
     }
 
     /// The observations for a datagram: a few, the newest ones first and the others at random.
     pub fn outgoing(&self, now: Millis, rng: &mut impl Rng) -> Vec<Verdict> {
         let mut all: Vec<Verdict> = Vec::new();
-        for (subject, observation) in &self.observations {
-            for (observer, observation) in observation {
+        for (subject, by_observer) in &self.observations {
+            for (observer, observation) in by_observer {
                 if now - observation.created > MAX_AGE {
                     continue;
                 }
@@ -176,8 +169,8 @@
     /// The evidence of others that is within its bound.
     pub fn evidence(&self, now: Millis) -> Vec<Evidence> {
         let mut all = Vec::new();
-        for (subject, observation) in &self.observations {
-            let others = observation.iter().filter(|(observer, observation)| {
+        for (subject, by_observer) in &self.observations {
+            let others = by_observer.iter().filter(|(observer, observation)| {
                 **observer != self.own.0 && now - observation.created <= MAX_AGE
             });
             let (mut observers, mut cleared, mut age) = (0, 0, f64::INFINITY);
@@ -202,3 +195,11 @@
         all
     }
 }
+
+/// The observer of the oldest observation; this replica itself comes last.
+fn oldest_observer(by_observer: &BTreeMap<u16, Observation>, own: u16) -> Option<u16> {
+    let key =
+        |(observer, observation): &(&u16, &Observation)| (**observer == own, observation.created, **observer);
+    let oldest = by_observer.iter().min_by(|a, b| key(a).partial_cmp(&key(b)).expect("times are numbers"));
+    oldest.map(|(observer, _)| *observer)
+}
