Name the parts of the store by the field's terms

Need: drill and keeper spoke in metaphors. Change: renames and comments alone: a drill injects a fault, a keeper has a queue of pending payloads, a record is stored.

--- a/store/src/drill.rs
+++ b/store/src/drill.rs
@@ -1,9 +1,9 @@
-//! A disk that does wrong on demand: for drills, and for tests with whole processes.
+//! Fault injection for the disk: for drills, and for tests with whole processes.
 //!
-//! A file says what it does wrong, looked at with every access; without the file nothing. Its one line is `full`
+//! A file names the fault, read with every access; without the file there is none. Its one line is `full`
 //! (nothing can be written), `failing` (nothing can be read, written or synced), `slow 300ms` (every access takes that
 //! much longer) or `unsynced` (what was not synced is lost, kept or torn when the process is killed, as when the power
-//! goes). Anything else fails every access with a message that says so.
+//! goes). Anything else fails every access with a message that names it.
 use rand::Rng;
 use redb::StorageBackend;
 use std::io;
@@ -14,13 +14,13 @@
 /// What survives of a torn write is a number of these, in bytes.
 const SECTOR: usize = 512;
 
-/// Who says what the disk does wrong.
+/// The file that names the fault of the disk.
 #[derive(Clone, Debug)]
 pub struct Drill(PathBuf);
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Does {
-    Well,
+enum Fault {
+    None,
     Full,
     Failing,
     Slow(Duration),
@@ -28,69 +28,69 @@
 }
 
 impl Drill {
-    /// The file that says it; it need not be there yet.
+    /// A drill by this file, which need not exist yet.
     pub fn told_by(file: &Path) -> Drill {
         Drill(file.to_path_buf())
     }
 
-    fn does(&self) -> io::Result<Does> {
+    fn fault(&self) -> io::Result<Fault> {
         let text = match std::fs::read_to_string(&self.0) {
-            Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(Does::Well),
+            Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(Fault::None),
             text => text?,
         };
         let unknown =
             || io::Error::other(format!("drill {}: {:?} is no known fault", self.0.display(), text.trim()));
         match text.split_whitespace().collect::<Vec<_>>()[..] {
-            [] => Ok(Does::Well),
-            ["full"] => Ok(Does::Full),
-            ["failing"] => Ok(Does::Failing),
-            ["unsynced"] => Ok(Does::Unsynced),
-            ["slow", span] => humantime::parse_duration(span).map(Does::Slow).map_err(|_| unknown()),
+            [] => Ok(Fault::None),
+            ["full"] => Ok(Fault::Full),
+            ["failing"] => Ok(Fault::Failing),
+            ["unsynced"] => Ok(Fault::Unsynced),
+            ["slow", span] => humantime::parse_duration(span).map(Fault::Slow).map_err(|_| unknown()),
             _ => Err(unknown()),
         }
     }
 }
 
-/// Storage that does as a drill says.
+/// Storage with the faults of a drill.
 #[derive(Debug)]
 pub struct Drilled<B> {
     disk: B,
     drill: Option<Drill>,
     /// Writes that reach the disk with the next sync.
-    held: Mutex<Vec<(u64, Vec<u8>)>>,
+    unsynced_writes: Mutex<Vec<(u64, Vec<u8>)>>,
 }
 
 impl<B: StorageBackend> Drilled<B> {
-    /// Storage on this disk, well or as the drill says.
+    /// Storage on this disk, with the faults of a drill if there is one.
     pub fn new(disk: B, drill: Option<Drill>) -> Drilled<B> {
-        Drilled { disk, drill, held: Mutex::default() }
+        Drilled { disk, drill, unsynced_writes: Mutex::default() }
     }
 
-    fn held(&self) -> MutexGuard<'_, Vec<(u64, Vec<u8>)>> {
-        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    fn unsynced_writes(&self) -> MutexGuard<'_, Vec<(u64, Vec<u8>)>> {
+        self.unsynced_writes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// What an access meets.
-    fn meets(&self, writes: bool) -> io::Result<Does> {
-        let Some(drill) = &self.drill else { return Ok(Does::Well) };
-        let does = drill.does()?;
-        match does {
-            Does::Failing => Err(io::Error::other("input/output error (drill)")),
-            Does::Full if writes => Err(io::Error::new(io::ErrorKind::StorageFull, "no space left (drill)")),
-            Does::Slow(span) => {
+    /// Applies the fault to an access.
+    fn inject(&self, writes: bool) -> io::Result<Fault> {
+        let Some(drill) = &self.drill else { return Ok(Fault::None) };
+        let fault = drill.fault()?;
+        match fault {
+            Fault::Failing => Err(io::Error::other("input/output error (drill)")),
+            Fault::Full if writes => Err(io::Error::new(io::ErrorKind::StorageFull, "no space left (drill)")),
+            Fault::Slow(span) => {
                 std::thread::sleep(span);
-                Ok(does)
+                Ok(fault)
             }
-            does => Ok(does),
+            fault => Ok(fault),
         }
     }
 
-    fn write_held(&self) -> io::Result<()> {
-        let mut held = self.held();
-        for (offset, data) in held.iter() {
+    fn write_unsynced(&self) -> io::Result<()> {
+        let mut unsynced_writes = self.unsynced_writes();
+        for (offset, data) in unsynced_writes.iter() {
             self.disk.write(*offset, data)?;
         }
-        held.clear();
+        unsynced_writes.clear();
         Ok(())
     }
 }
@@ -101,10 +101,10 @@
     }
 
     fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
-        self.meets(false)?;
+        self.inject(false)?;
         self.disk.read(offset, out)?;
         let end = offset + out.len() as u64;
-        for (at, data) in self.held().iter() {
+        for (at, data) in self.unsynced_writes().iter() {
             let (from, to) = ((*at).max(offset), (at + data.len() as u64).min(end));
             if from < to {
                 let part = &data[(from - at) as usize..(to - at) as usize];
@@ -115,23 +115,23 @@
     }
 
     fn set_len(&self, len: u64) -> io::Result<()> {
-        self.meets(true)?;
+        self.inject(true)?;
         self.disk.set_len(len)
     }
 
     fn sync_data(&self) -> io::Result<()> {
-        self.meets(false)?;
-        self.write_held()?;
+        self.inject(false)?;
+        self.write_unsynced()?;
         self.disk.sync_data()
     }
 
     fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
-        if self.meets(true)? != Does::Unsynced {
-            self.write_held()?;
+        if self.inject(true)? != Fault::Unsynced {
+            self.write_unsynced()?;
             return self.disk.write(offset, data);
         }
         let rng = &mut rand::thread_rng();
-        // A disk may write early what it was not told to sync, or a part of it.
+        // A disk may write early what is not synced, or a part of it.
         match rng.gen_range(0..3) {
             0 => self.disk.write(offset, data)?,
             1 if data.len() > SECTOR => {
@@ -139,12 +139,12 @@
             }
             _ => {}
         }
-        self.held().push((offset, data.to_vec()));
+        self.unsynced_writes().push((offset, data.to_vec()));
         Ok(())
     }
 
     fn close(&self) -> io::Result<()> {
-        self.write_held()?;
+        self.write_unsynced()?;
         self.disk.close()
     }
 }
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -1,7 +1,7 @@
-//! What a balancer keeps on disk, for deployments that have one.
+//! Persistent state of a balancer, for deployments that have a disk.
 //!
 //! A [`Store`] holds one [`record::Record`] of each [`record::Kind`] in a redb database: whole, checked, of this owner
-//! and this deployment, or not at all. A [`keeper::Keeper`] writes on a thread of its own and keeps only the newest of
+//! and this deployment, or not at all. A [`keeper::Keeper`] writes on a thread of its own and queues only the newest of
 //! each kind waiting, so that a disk that stalls costs nobody else anything. What the records mean is not known here.
 //!
 //! redb was weighed against sled (no stable format, unmaintained), fjall and rocksdb (log-structured: many files and
--- a/store/src/record.rs
+++ b/store/src/record.rs
@@ -7,7 +7,7 @@
 /// The largest payload, in bytes: state is small, and what is larger is not ours.
 pub const PAYLOAD_MOST: usize = 4 << 20;
 
-/// What is kept.
+/// The kind of a record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
@@ -42,7 +42,7 @@
     pub settings: u32,
 }
 
-/// A record as it is handed over.
+/// A record as it is written and read.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Record {
     /// What it holds: JSON that only its owner can read.
@@ -74,9 +74,9 @@
     }
 }
 
-/// How a record lies in the database: a checksum of four bytes, then this as JSON.
+/// How a record is stored in the database: a checksum of four bytes, then this as JSON.
 #[derive(Serialize, Deserialize)]
-struct Lying {
+struct Stored {
     format: u16,
     kind: Kind,
     owner: String,
@@ -86,9 +86,9 @@
 }
 
 impl Record {
-    /// The bytes to keep.
+    /// The bytes to store.
     pub fn encode(&self, kind: Kind, owner: &str) -> Vec<u8> {
-        let lying = Lying {
+        let stored = Stored {
             format: FORMAT,
             kind,
             owner: owner.into(),
@@ -97,43 +97,43 @@
             payload: self.payload.clone(),
         };
         // Text and finite numbers only: there is nothing in it that JSON can't hold.
-        let body = serde_json::to_vec(&lying).unwrap_or_default();
+        let body = serde_json::to_vec(&stored).unwrap_or_default();
         let mut bytes = crc32fast::hash(&body).to_be_bytes().to_vec();
         bytes.extend(body);
         bytes
     }
 
-    /// A record from bytes that were kept under this kind, by whoever it was.
+    /// A record from bytes that were stored under this kind, of any owner where none is given.
     pub fn decode(bytes: &[u8], kind: Kind, owner: Option<&str>) -> Result<(Record, String), Unfit> {
         let broken = |what: &str| Err(Unfit::Broken(what.into()));
-        let Some((sum, body)) = bytes.split_first_chunk::<4>() else {
+        let Some((checksum, body)) = bytes.split_first_chunk::<4>() else {
             return broken("shorter than its checksum");
         };
         if body.len() > 2 * PAYLOAD_MOST {
             return broken("too long");
         }
-        if crc32fast::hash(body).to_be_bytes() != *sum {
+        if crc32fast::hash(body).to_be_bytes() != *checksum {
             return broken("the checksum does not fit");
         }
         // A later form need not have the fields of this one, so that is looked at by itself first.
         #[derive(Deserialize)]
-        struct Formed {
+        struct FormatOnly {
             format: u16,
         }
-        match serde_json::from_slice::<Formed>(body) {
-            Ok(formed) if formed.format != FORMAT => return Err(Unfit::Format(formed.format)),
+        match serde_json::from_slice::<FormatOnly>(body) {
+            Ok(format_only) if format_only.format != FORMAT => return Err(Unfit::Format(format_only.format)),
             Ok(_) => {}
             Err(e) => return Err(Unfit::Broken(e.to_string())),
         }
-        let lying: Lying = serde_json::from_slice(body).map_err(|e| Unfit::Broken(e.to_string()))?;
-        if lying.kind != kind {
+        let stored: Stored = serde_json::from_slice(body).map_err(|e| Unfit::Broken(e.to_string()))?;
+        if stored.kind != kind {
             return broken("it is kept under another kind");
         }
-        if owner.is_some_and(|owner| owner != lying.owner) {
-            return Err(Unfit::Owner(lying.owner));
+        if owner.is_some_and(|owner| owner != stored.owner) {
+            return Err(Unfit::Owner(stored.owner));
         }
         let record =
-            Record { payload: lying.payload, written_ms: lying.written_ms, settings: lying.settings };
-        Ok((record, lying.owner))
+            Record { payload: stored.payload, written_ms: stored.written_ms, settings: stored.settings };
+        Ok((record, stored.owner))
     }
 }
--- a/store/src/store.rs
+++ b/store/src/store.rs
@@ -52,9 +52,9 @@
 
 /// Storage whose length is on the disk before anything is written that rests on it, and never shrinks.
 ///
-/// redb's header says how long the file is and may reach the disk before a growth that was asked for ahead of it; a power
-/// loss in between leaves a file that is too short for its header, which redb refuses. The tests of this crate lose power
-/// there.
+/// redb's header says how long the file is and may reach the disk before a growth that was asked for ahead of it; a
+/// power loss in between leaves a file that is too short for its header, which redb refuses. The tests of this crate
+/// lose power there.
 #[derive(Debug)]
 struct Steady<B>(B);
 
@@ -180,7 +180,7 @@
         Store::on(memory, owner)
     }
 
-    /// Reading everything once shows whether it can be read.
+    /// Reads every record once, which fails on a database that can't be read.
     fn checked(store: Store) -> Result<Store, NoStore> {
         guarded(|| Kind::ALL.into_iter().try_for_each(|kind| store.bytes(kind).map(drop)))?;
         Ok(store)
@@ -208,7 +208,7 @@
         Ok(value.map(|v| v.value().to_vec()))
     }
 
-    /// What is kept under a kind.
+    /// The record of a kind.
     pub fn get(&self, kind: Kind) -> Result<Found, NoStore> {
         let bytes = guarded(|| self.bytes(kind))?;
         Ok(match bytes.map(|b| Record::decode(&b, kind, Some(&self.owner.name))) {
@@ -218,7 +218,7 @@
         })
     }
 
-    /// Keeps payloads, all of them or none, and returns once they are on the disk.
+    /// Writes payloads, all of them or none, and returns once they are on the disk.
     pub fn put(&mut self, payloads: &[(Kind, String)], now_ms: f64) -> Result<(), NoStore> {
         if let (None, Some(open)) = (&self.database, &self.opener) {
             self.database = Some(open()?);
@@ -256,7 +256,7 @@
     }
 }
 
-/// Moves what is there out of the way and keeps a few such for a look.
+/// Renames an unreadable database, and preserves the latest few for inspection.
 fn set_aside(folder: &Path) -> std::io::Result<PathBuf> {
     let name = |n: usize| folder.join(format!("{FILE}.bad-{n}"));
     // The oldest goes, the others move up by one.
@@ -274,7 +274,7 @@
     Ok(name(1))
 }
 
-/// One line of what a folder holds.
+/// One record of a folder.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Line {
     /// The kind.
