Split receiving, failed probes and ended suspicions of membership into short functions

Need: Membership::read took 60 lines, and the timers' functions did two things each. Change: answer, ack, answer_askers, probe_failed and declare_gone are functions of their own; the entry's fields for its last evidence of life and for an own probe are named for that, which the renames had confused with a method. Behaviour is the same.

--- a/peers/src/membership/probes.rs
+++ b/peers/src/membership/probes.rs
@@ -74,7 +74,7 @@
     }
 
     /// A member lived at this time: its probes that began before have their answer.
-    pub(crate) fn alive_at(&mut self, member: Member, at: Millis) {
+    pub(crate) fn record_alive(&mut self, member: Member, at: Millis) {
         let (outcomes, late) = (&mut self.outcomes, &mut self.late);
         self.all.retain(|probe| {
             // Stamps are whole milliseconds.
--- a/peers/src/membership/receive.rs
+++ b/peers/src/membership/receive.rs
@@ -37,7 +37,7 @@
         let bounded = transit.is_some();
         let alive_at = transit.map(|transit| now - transit);
         self.last_received = now;
-        let mut first = self.sender(now, from, incarnation, alive_at);
+        let first = self.sender(now, from, incarnation, alive_at);
         if let Some(entry) = self.table.entries.get_mut(usize::from(from.0)) {
             if entry.incarnation == incarnation {
                 entry.reads = reads;
@@ -50,25 +50,9 @@
         self.changed |= !come.is_empty();
         self.announced.extend(come.into_iter().map(|member| (member, 0, body.view.reads)));
         match body.head.kind {
-            Kind::Ping if self.budget.may_answer(now) => {
-                let start = usize::from(from.0) % differ.len().max(1);
-                let differ = differ[start..].iter().chain(&differ[..start]).take(DIFFERENCES);
-                let records = differ.filter_map(|member| self.table.record(now, *member, self.incarnation));
-                first.extend(records);
-                let bare = !self.budget.has_credit(now);
-                self.out.push_back(Outgoing { to: from, kind: Kind::Ack, about: None, first, bare });
-            }
-            Kind::Ack => {
-                if bounded && body.head.lost >= self.lost_reported.0
-                    || now - self.lost_reported.1 > super::SILENT
-                {
-                    self.lost_reported = (body.head.lost, now);
-                }
-                for member in differ.into_iter().take(DIFFERENCES) {
-                    self.gossip.once(member);
-                }
-            }
-            Kind::PingRequest => self.ping_requested(now, from, body.head.about),
+            Kind::Ping if self.budget.may_answer(now) => self.answer(now, from, first, &differ),
+            Kind::Ack => self.ack(now, bounded, body.head.lost, differ),
+            Kind::PingRequest => self.ping_request(now, from, body.head.about),
             Kind::IndirectAck => {
                 if let (Some(about), Some(alive_at)) = (body.head.about, alive_at) {
                     self.indirect_ack(now, Member(about.member), alive_at - f64::from(about.age) * TICK);
@@ -77,12 +61,39 @@
             Kind::Ping | Kind::Gossip => {}
         }
         if let Some(alive_at) = alive_at {
-            for asker in self.probes.relayed(now, from, alive_at) {
-                let Some(age) = crate::wire::v1::ticks(now - alive_at) else { continue };
-                let first = self.table.record(now, from, self.incarnation).into_iter().collect();
-                let about = Some(About { member: from.0, age });
-                self.out.push_back(Outgoing { to: asker, kind: Kind::IndirectAck, about, first, bare: true });
-            }
+            self.answer_askers(now, from, alive_at);
+        }
+    }
+
+    /// Answers a ping, with the records of where the two views differ.
+    fn answer(&mut self, now: Millis, to: Member, mut first: Vec<Record>, differ: &[Member]) {
+        // Each sender gets another part of a long list.
+        let start = usize::from(to.0) % differ.len().max(1);
+        let differ = differ[start..].iter().chain(&differ[..start]).take(DIFFERENCES);
+        first.extend(differ.filter_map(|member| self.table.record(now, *member, self.incarnation)));
+        let bare = !self.budget.has_credit(now);
+        self.out.push_back(Outgoing { to, kind: Kind::Ack, about: None, first, bare });
+    }
+
+    /// Takes what an answer carries beside its updates: how many members its sender has lost, and where the views
+    /// differ.
+    fn ack(&mut self, now: Millis, bounded: bool, lost: u16, differ: Vec<Member>) {
+        let (most_lost, at) = self.lost_reported;
+        if bounded && lost >= most_lost || now - at > super::SILENT {
+            self.lost_reported = (lost, now);
+        }
+        for member in differ.into_iter().take(DIFFERENCES) {
+            self.gossip.once(member);
+        }
+    }
+
+    /// Confirms to those that asked for an indirect probe of a member that it was alive at this time.
+    fn answer_askers(&mut self, now: Millis, about: Member, alive_at: Millis) {
+        for asker in self.probes.relayed(now, about, alive_at) {
+            let Some(age) = crate::wire::v1::ticks(now - alive_at) else { continue };
+            let first = self.table.record(now, about, self.incarnation).into_iter().collect();
+            let about = Some(About { member: about.0, age });
+            self.out.push_back(Outgoing { to: asker, kind: Kind::IndirectAck, about, first, bare: true });
         }
     }
 
@@ -148,14 +159,14 @@
     /// A member lived at this time.
     fn alive(&mut self, now: Millis, member: Member, alive_at: Millis) {
         let Some(entry) = self.table.entries.get_mut(usize::from(member.0)) else { return };
-        entry.alive_at = entry.alive_at.max(alive_at);
+        entry.last_alive = entry.last_alive.max(alive_at);
         if entry.status == Some(Status::Suspect) && alive_at >= entry.since {
             (entry.status, entry.since) = (Some(Status::Up), now);
         }
-        self.probes.alive_at(member, alive_at);
+        self.probes.record_alive(member, alive_at);
     }
 
-    fn ping_requested(&mut self, now: Millis, from: Member, about: Option<About>) {
+    fn ping_request(&mut self, now: Millis, from: Member, about: Option<About>) {
         let Some(about) = about.map(|about| Member(about.member)) else { return };
         if about != self.own && self.table.get(about).is_some() && self.budget.may_answer(now) {
             self.probes.relay(now, from, about);
--- a/peers/src/membership/table.rs
+++ b/peers/src/membership/table.rs
@@ -25,11 +25,11 @@
     /// Since when it has this status.
     pub since: Millis,
     /// When it certainly lived last.
-    pub alive_at: Millis,
+    pub last_alive: Millis,
     /// Whether this suspicion was verified already, or left to others.
     pub verified: bool,
     /// Whether a probe of this replica's own belongs to this suspicion.
-    pub ping_requested: bool,
+    pub probed: bool,
 }
 
 impl Entry {
@@ -68,16 +68,16 @@
 
 impl Table {
     pub(crate) fn new(own: Member, candidates: u16, reads: Reads, now: Millis) -> Table {
-        let alive_at = f64::NEG_INFINITY;
+        let last_alive = f64::NEG_INFINITY;
         let nothing = Reads::default();
         let entry = Entry {
             status: None,
             incarnation: 0,
             reads: nothing,
             since: now,
-            alive_at,
+            last_alive,
             verified: false,
-            ping_requested: false,
+            probed: false,
         };
         let mut entries = vec![entry; usize::from(candidates)];
         entries[usize::from(own.0)] = Entry { status: Some(Status::Up), reads, ..entry };
@@ -91,7 +91,7 @@
     pub(crate) fn set(&mut self, now: Millis, member: Member, status: Status, incarnation: u64) {
         if let Some(entry) = self.entries.get_mut(usize::from(member.0)) {
             (entry.status, entry.incarnation) = (Some(status), incarnation);
-            (entry.since, entry.verified, entry.ping_requested) = (now, false, false);
+            (entry.since, entry.verified, entry.probed) = (now, false, false);
         }
     }
 
@@ -130,7 +130,7 @@
                 return Applied::MustProbe
             }
             (Status::Gone, Some(Status::Up)) if !newer => return Applied::MustProbe,
-            (Status::Suspect, Some(Status::Up)) if !newer && entry.alive_at > suspected => {
+            (Status::Suspect, Some(Status::Up)) if !newer && entry.last_alive > suspected => {
                 return Applied::Nothing
             }
             (status, _) if newer => status,
@@ -146,7 +146,7 @@
         };
         let changed = entry.status != Some(next) || record.incarnation > entry.incarnation;
         (entry.status, entry.incarnation) = (Some(next), record.incarnation);
-        (entry.verified, entry.ping_requested) = (false, false);
+        (entry.verified, entry.probed) = (false, false);
         entry.reads = record.reads;
         entry.since = if next == Status::Suspect { since } else { now };
         if changed {
@@ -210,10 +210,10 @@
                 come.push(Member(place));
                 continue;
             }
-            let alive_at = now - entry.alive_at < ALIVE_RECENTLY;
+            let last_alive = now - entry.last_alive < ALIVE_RECENTLY;
             match entry.status {
                 Some(Status::Gone | Status::Left) if up => differ.push(Member(place)),
-                Some(Status::Up) if !up && alive_at => differ.push(Member(place)),
+                Some(Status::Up) if !up && last_alive => differ.push(Member(place)),
                 // One of the two missed a start in another build.
                 Some(_) if up && entry.up() && usual != (entry.reads == view.reads) => {
                     differ.push(Member(place));
--- a/peers/src/membership/timers.rs
+++ b/peers/src/membership/timers.rs
@@ -2,7 +2,7 @@
 use rand::seq::SliceRandom;
 use rand::Rng;
 
-use super::probes::{Probes, Purpose};
+use super::probes::{Probe, Probes, Purpose};
 use super::table::{Entry, VERIFY_AFTER};
 use super::{
     Membership, Outgoing, DISCOVERY_ALONE, DISCOVERY_PERIOD, GOSSIP_FANOUT, MAX_TIMER_LATENESS, PERIOD,
@@ -25,7 +25,7 @@
 /// How long a suspicion lasts. A replica that has not probed the member itself leaves it to those that have, unless
 /// many are suspected, which can't all be probed. Where much is lost, all takes longer.
 fn suspicion_timeout(entry: &Entry, probes: &Probes) -> Millis {
-    let times = if entry.ping_requested || probes.likely_isolated() { 1.0 } else { 2.0 };
+    let times = if entry.probed || probes.likely_isolated() { 1.0 } else { 2.0 };
     SUSPICION * times * if probes.lossy() { 2.0 } else { 1.0 }
 }
 
@@ -179,7 +179,7 @@
     fn verify_directly(&mut self, now: Millis, target: Member) {
         self.probe(now, target);
         if let Some(entry) = self.table.entries.get_mut(usize::from(target.0)) {
-            entry.ping_requested = self.probes.under_way(target);
+            entry.probed = self.probes.under_way(target);
         }
     }
 
@@ -208,22 +208,29 @@
             }
         }
         for probe in failed {
-            let entry = &mut self.table.entries[usize::from(probe.target.0)];
-            // One that was probed as a stranger and came up since has not been probed as a member.
-            let member = entry.status == Some(Status::Up) && entry.since < probe.started;
-            if member && entry.alive_at < probe.started {
-                (entry.status, entry.since) = (Some(Status::Suspect), now);
-                (entry.verified, entry.ping_requested) = (true, false);
-                self.counters.suspected += 1;
-                // A replica that receives nothing is likely the isolated one, and suspects nobody publicly.
-                if now - self.last_received < SILENT / 2.0 {
-                    self.announce(now, probe.target, true);
-                    self.send(probe.target, Kind::Gossip, true);
-                    if !self.probes.likely_isolated() {
-                        self.verify_directly(now, probe.target);
-                    }
-                }
-            }
+            self.probe_failed(now, &probe);
+        }
+    }
+
+    /// Suspects the member that a probe got no answer from.
+    fn probe_failed(&mut self, now: Millis, probe: &Probe) {
+        let entry = &mut self.table.entries[usize::from(probe.target.0)];
+        // One that was probed as a stranger and came up since has not been probed as a member.
+        let member = entry.status == Some(Status::Up) && entry.since < probe.started;
+        if !member || entry.last_alive >= probe.started {
+            return;
+        }
+        (entry.status, entry.since) = (Some(Status::Suspect), now);
+        (entry.verified, entry.probed) = (true, false);
+        self.counters.suspected += 1;
+        // A replica that receives nothing is likely the isolated one, and suspects nobody publicly.
+        if now - self.last_received >= SILENT / 2.0 {
+            return;
+        }
+        self.announce(now, probe.target, true);
+        self.send(probe.target, Kind::Gossip, true);
+        if !self.probes.likely_isolated() {
+            self.verify_directly(now, probe.target);
         }
     }
 
@@ -243,24 +250,28 @@
             } else if now >= entry.since + suspicion_timeout(entry, &self.probes)
                 && !self.probes.under_way(member)
             {
-                if !entry.ping_requested && !self.probes.likely_isolated() {
+                if !entry.probed && !self.probes.likely_isolated() {
                     // Nobody has declared it gone, and it was not probed, for want of budget or of a turn.
                     entry.since = now - VERIFY_AFTER;
                     self.verify_directly(now, member);
                     continue;
                 }
-                let incarnation = entry.incarnation;
-                self.table.set(now, member, Status::Gone, incarnation);
-                self.counters.gone += 1;
-                self.changed = true;
-                if now - self.last_received < SILENT / 2.0 {
-                    let many = self.probes.likely_isolated();
-                    self.announce(now, member, !many);
-                }
+                self.declare_gone(now, member);
             }
         }
     }
 
+    fn declare_gone(&mut self, now: Millis, member: Member) {
+        let incarnation = self.table.entries[usize::from(member.0)].incarnation;
+        self.table.set(now, member, Status::Gone, incarnation);
+        self.counters.gone += 1;
+        self.changed = true;
+        if now - self.last_received < SILENT / 2.0 {
+            let many = self.probes.likely_isolated();
+            self.announce(now, member, !many);
+        }
+    }
+
     /// Gossips urgent updates to a few members, if the budget allows.
     fn gossip_round(&mut self, now: Millis) {
         if !self.gossip.urgent() && self.rounds == 0 {
