Give the lab's accept mode its public name back, which the node's tests use

The suspect was one line, the import.

Change: Manner keeps its name until the node's tests are renamed with it.

--- a/lab/src/agent.rs
+++ b/lab/src/agent.rs
@@ -1,7 +1,7 @@
 //! Discovery as one balancer sees it: an agent on its own machine that lists upstreams for it, late or badly.
 use crate::draw::Plan;
 use crate::experiment::Millis;
-use crate::net::{lock, AcceptMode, Link, LinkedStream, Port};
+use crate::net::{lock, Link, LinkedStream, Manner, Port};
 use crate::world::World;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -229,7 +229,7 @@
     /// One address. Once another is open it takes no new connection; dropping what is returned closes the old ones.
     fn open(self: &Arc<Self>, world: &Arc<World>, moves: u16) -> Result<watch::Sender<()>, String> {
         let at = world.block.agent(self.balancer, moves);
-        let (tell, mode) = watch::channel(AcceptMode::Open);
+        let (tell, mode) = watch::channel(Manner::Open);
         let mut port = Port::bind(at, mode).map_err(|e| format!("{at}: {e}"))?;
         let (closing, closes) = watch::channel(());
         let (own, world) = (self.clone(), world.clone());
@@ -238,9 +238,9 @@
             let mut current = own.moves.subscribe();
             loop {
                 let mode = match (*current.borrow_and_update() > moves, own.link.is_silent()) {
-                    (true, _) => AcceptMode::Refusing,
-                    (false, true) => AcceptMode::Silent,
-                    (false, false) => AcceptMode::Open,
+                    (true, _) => Manner::Refusing,
+                    (false, true) => Manner::Silent,
+                    (false, false) => Manner::Open,
                 };
                 tell.send_if_modified(|now| std::mem::replace(now, mode) != mode);
                 let accepted = tokio::select! {
--- a/lab/src/net/mod.rs
+++ b/lab/src/net/mod.rs
@@ -11,5 +11,5 @@
 pub use block::{Block, DISCOVERY, LISTEN, PEERS, UPSTREAM};
 pub use link::{Direction, Link};
 pub use lock::lock;
-pub use port::{listener, AcceptMode, Port};
+pub use port::{listener, Manner, Port};
 pub use stream::{connect, LinkedStream};
--- a/lab/src/net/port.rs
+++ b/lab/src/net/port.rs
@@ -10,7 +10,7 @@
 
 /// What a port does with new connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AcceptMode {
+pub enum Manner {
     /// Takes them.
     Open,
     /// Refuses them, as a machine does on which nobody listens.
@@ -35,20 +35,20 @@
     listener: Option<TcpListener>,
     /// Own connections that fill the queue of those to be accepted, so that further ones hang.
     fillers: Vec<Socket>,
-    mode: watch::Receiver<AcceptMode>,
+    mode: watch::Receiver<Manner>,
 }
 
 impl Port {
     /// Listens, or does not, as `mode` demands now.
-    pub fn bind(at: SocketAddr, mode: watch::Receiver<AcceptMode>) -> io::Result<Port> {
+    pub fn bind(at: SocketAddr, mode: watch::Receiver<Manner>) -> io::Result<Port> {
         let mut port = Port { at, listener: None, fillers: Vec::new(), mode };
         let now = *port.mode.borrow_and_update();
         port.enter_mode(now)?;
         Ok(port)
     }
 
-    fn enter_mode(&mut self, mode: AcceptMode) -> io::Result<()> {
-        if mode == AcceptMode::Refusing {
+    fn enter_mode(&mut self, mode: Manner) -> io::Result<()> {
+        if mode == Manner::Refusing {
             self.listener = None;
             self.fillers.clear();
             return Ok(());
@@ -58,7 +58,7 @@
         }
         let Some(listener) = &self.listener else { return Ok(()) };
         match mode {
-            AcceptMode::Silent if self.fillers.is_empty() => {
+            Manner::Silent if self.fillers.is_empty() => {
                 // The queue takes one more than its stated length; what comes after that is dropped unanswered.
                 SockRef::from(listener).listen(0)?;
                 for _ in 0..2 {
@@ -69,7 +69,7 @@
                     self.fillers.push(filler);
                 }
             }
-            AcceptMode::Open if !self.fillers.is_empty() => SockRef::from(listener).listen(BACKLOG)?,
+            Manner::Open if !self.fillers.is_empty() => SockRef::from(listener).listen(BACKLOG)?,
             _ => {}
         }
         Ok(())
@@ -82,7 +82,7 @@
             self.enter_mode(now)?;
             let waits = async {
                 match (&self.listener, now) {
-                    (Some(listener), AcceptMode::Open) => listener.accept().await,
+                    (Some(listener), Manner::Open) => listener.accept().await,
                     _ => std::future::pending().await,
                 }
             };
--- a/lab/src/upstream/connect.rs
+++ b/lab/src/upstream/connect.rs
@@ -4,7 +4,7 @@
 use crate::call::body;
 use crate::clock::pause;
 use crate::experiment::Millis;
-use crate::net::{lock, AcceptMode, Link, LinkedStream, Port};
+use crate::net::{lock, Link, LinkedStream, Manner, Port};
 use crate::oracle::Rule;
 use crate::world::World;
 use bytes::Bytes;
@@ -28,7 +28,7 @@
         let (own, shared) = (self.clone(), world.clone());
         tokio::spawn(async move { own.run(&shared).await });
         for (&balancer, link) in &self.links {
-            let (tell, mode) = watch::channel(AcceptMode::Open);
+            let (tell, mode) = watch::channel(Manner::Open);
             let at = world.block.upstream(self.index, balancer);
             let mut port = Port::bind(at, mode).map_err(|e| format!("{at}: {e}"))?;
             let (mut listens, mut changes, link) = (self.listens.subscribe(), link.changes(), link.clone());
@@ -37,9 +37,9 @@
             tokio::spawn(async move {
                 loop {
                     let mode = match (on.is_silent(), *listens.borrow_and_update()) {
-                        (true, _) => AcceptMode::Silent,
-                        (false, true) => AcceptMode::Open,
-                        (false, false) => AcceptMode::Refusing,
+                        (true, _) => Manner::Silent,
+                        (false, true) => Manner::Open,
+                        (false, false) => Manner::Refusing,
                     };
                     tell.send_if_modified(|now| std::mem::replace(now, mode) != mode);
                     tokio::select! {
--- a/lab/tests/parts/net.rs
+++ b/lab/tests/parts/net.rs
@@ -1,5 +1,5 @@
 //! Ports that take, refuse or hang, and connections that are cut or reset.
-use oakflow_lab::net::{connect, listener, AcceptMode, Block, Direction, Link, Port};
+use oakflow_lab::net::{connect, listener, Block, Direction, Link, Manner, Port};
 use std::io;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -14,7 +14,7 @@
 async fn a_port_takes_refuses_and_stays_silent_and_comes_back() {
     let block = Block::claim().expect("a block");
     let at = block.upstream(1, 2);
-    let (mode, watched) = watch::channel(AcceptMode::Open);
+    let (mode, watched) = watch::channel(Manner::Open);
     let mut port = Port::bind(at, watched).expect("binds");
     let (tell, mut taken) = tokio::sync::mpsc::unbounded_channel();
     tokio::spawn(async move {
@@ -28,12 +28,12 @@
         let up = timeout(PATIENCE, TcpStream::connect(at)).await.expect("in time").expect("connects");
         taken.recv().await.expect("accepted");
         drop(up);
-        mode.send_replace(AcceptMode::Silent);
+        mode.send_replace(Manner::Silent);
         // Once it is silent, connections neither come up nor fail.
         while timeout(SOON, TcpStream::connect(at)).await.is_ok() {}
         assert!(timeout(SOON, TcpStream::connect(at)).await.is_err(), "round {round}");
         if round == 1 {
-            mode.send_replace(AcceptMode::Refusing);
+            mode.send_replace(Manner::Refusing);
             loop {
                 match timeout(SOON, TcpStream::connect(at)).await {
                     Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => break,
@@ -41,7 +41,7 @@
                 }
             }
         }
-        mode.send_replace(AcceptMode::Open);
+        mode.send_replace(Manner::Open);
         // What hung meanwhile may still come in; the next round starts with a connection of its own.
         loop {
             match timeout(SOON, TcpStream::connect(at)).await {
