--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -8,7 +8,7 @@
 #![warn(missing_docs)]
 pub mod agent;
 pub mod audit;
-pub mod caller;
+pub mod call;
 pub mod capacity;
 pub mod clients;
 pub mod clock;
