--- a/node/tests/discovery.rs
+++ b/node/tests/discovery.rs
@@ -174,6 +174,16 @@
 /// Idle clients fill all descriptors that there are, while discovery is down; the watch still reaches it.
 #[test]
 fn clients_that_fill_the_descriptors_leave_one_to_discovery() {
+    discovery_is_reached_under(64, 64);
+}
+
+/// The configuration promises more than the system gives.
+#[test]
+fn clients_that_take_more_descriptors_than_there_are_leave_one_to_discovery() {
+    discovery_is_reached_under(1024, 40);
+}
+
+fn discovery_is_reached_under(promised: usize, given: usize) {
     let (old, new) = (Upstream::start(|_| ok("old")), Upstream::start(|_| ok("new")));
     let (list, down) = (listing(2, true, &[(1, new.addr, "active")]), Arc::new(Mutex::new(true)));
     let is_down = down.clone();
@@ -183,7 +193,7 @@
         false => Manner::Answers(list.clone()),
     });
     let known = listing(1, true, &[(0, old.addr, "active")]);
-    let limited = limited_command(&config(agent.addr, 64, &known), 64);
+    let limited = limited_command(&config(agent.addr, promised, &known), given);
     let node = Node::run(limited, Discovery::start());
     let idle: Vec<Client> = (0..100).map(|_| node.client()).collect();
     node.holds(|n| n > 32, "the clients are not taken");
