--- a/src/policy/balancer.rs
+++ b/src/policy/balancer.rs
@@ -11,7 +11,7 @@
 /// tier is asked for more than it has room for, as each takes a first one's place.
 const RETRY_SAVED_ALL: f64 = 100.0;
 const RETRY_CROWDED: f64 = 0.05;
-/// Pause before asking for the list again after a failure, doubling to a third of `ask_within` and this at most.
+/// Pause before asking for the list again after a failure, doubling to this or a third of `ask_within`.
 const ASK_AGAIN: (Millis, Millis) = (250.0, 2000.0);
 /// Zones are judged this often.
 const ZONES_EVERY: Millis = 100.0;
