--- a/lab/src/capacity/hollow/tier.rs
+++ b/lab/src/capacity/hollow/tier.rs
@@ -2,6 +2,7 @@
 use super::member::{Addresses, Hollow, Shared};
 use crate::capacity::accounting::thread_processor;
 use oakflow_peers::{Member, Subject, DATAGRAM_MOST, HEADER};
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
@@ -57,6 +58,9 @@
     pub to_watched: (u64, u64),
     /// See there.
     pub from_watched: (u64, u64),
+    /// How late the thread was at the most for something that was due: a member that is 200 ms late takes itself for
+    /// stopped, so that what is measured on a crowded machine is partly the machine's doing.
+    pub late_most: Duration,
     /// Hollow members that run.
     pub running: usize,
     /// The least and the mean of members up, as they know it.
@@ -140,10 +144,12 @@
 /// Answers until nobody asks any more.
 async fn answer(members: &[Rc<Hollow>], mut asked: asked::UnboundedReceiver<Question>) {
     let start = Instant::now();
+    let late = Rc::new(Cell::new(Duration::ZERO));
+    tokio::task::spawn_local(watch_lateness(late.clone()));
     while let Some(question) = asked.recv().await {
         match question {
             Question::Snapshot(tell) => {
-                let _ = tell.send(snapshot(members, start));
+                let _ = tell.send(Snapshot { late_most: late.get(), ..snapshot(members, start) });
             }
             Question::Stop(member) => members[member].stopped.set(true),
             Question::Accuse(member, accuses) => {
@@ -156,6 +162,15 @@
     }
 }
 
+/// Keeps the most by which a short pause was too long.
+async fn watch_lateness(late: Rc<Cell<Duration>>) {
+    loop {
+        let due = Instant::now() + STEP;
+        tokio::time::sleep(STEP).await;
+        late.set(late.get().max(due.elapsed()));
+    }
+}
+
 /// How long it took until it was true of all that run, or none when it was not by then.
 async fn waited(members: &[Rc<Hollow>], until: Until, end: Instant) -> Option<Duration> {
     let start = Instant::now();
--- a/lab/src/capacity/trial.rs
+++ b/lab/src/capacity/trial.rs
@@ -251,6 +251,7 @@
     sample.add("loss known to all, ms", milliseconds(known));
     sample.add("up at the end, mean", after.up_mean);
     sample.add("up at the end, least", f64::from(after.up_least));
+    sample.add("late at the most, ms", after.late_most.as_secs_f64() * 1000.0);
     sample.add("up in truth", f64::from(left));
     let sent = (after.sent_bytes - before.sent_bytes) as f64;
     sample.add("sent meanwhile, bytes/s a member", sent / seconds / f64::from(left));
@@ -266,6 +267,7 @@
     sample.add("sent, bytes/s", each(after.sent_bytes, before.sent_bytes));
     sample.add("read, datagrams/s", each(after.read, before.read));
     sample.add("read, bytes/s", each(after.read_bytes, before.read_bytes));
+    sample.add("late at the most, ms", after.late_most.as_secs_f64() * 1000.0);
     sample.add("unsent", (after.unsent - before.unsent) as f64);
     sample.add("processor a member, ms/s", processor * 1000.0 / seconds / size as f64);
     sample.add("processor a datagram, us", processor * 1e6 / datagrams);
--- a/lab/tests/capacity/hollow.rs
+++ b/lab/tests/capacity/hollow.rs
@@ -29,6 +29,7 @@
     assert!(counted.to_watched.0 > 0 && counted.to_watched.0 < counted.sent, "{counted:?}");
     assert!(counted.from_watched.0 > 0 && counted.from_watched.0 < counted.read, "{counted:?}");
     assert!(counted.processor > Duration::ZERO);
+    assert!(counted.late_most > Duration::ZERO && counted.late_most <= counted.at, "{counted:?}");
 }
 
 #[test]
