Have one request answered on each idle client's connection of a capacity trial

Symptom: `capacity clients` saw 13 descriptors with 250 as with 4,000 idle clients. Suspects: connections not accepted (ruled out: memory grew to 50 MB at 4,000), the stand-in dropping them (ruled out: it keeps them until the trial ends), the balancer closing them: it ends a connection on which no first request came in 2.5 s (`FIRST_WAIT` of node/src/callers/connection.rs), as it should. At fault: `Clients::rest`, which sent nothing.

Change: each idle client first has a request answered.

The test that was added had not been run with or without the mend when this was committed (it was compiling).

--- a/lab/src/capacity/clients.rs
+++ b/lab/src/capacity/clients.rs
@@ -24,7 +24,7 @@
     /// Answers of 200, and all others.
     pub served: AtomicUsize,
     pub refused: AtomicUsize,
-    idle: Mutex<Vec<TcpStream>>,
+    idle: Mutex<Vec<BufReader<TcpStream>>>,
 }
 
 impl Clients {
@@ -40,10 +40,11 @@
         })
     }
 
-    /// Opens connections and says nothing on them.
+    /// Opens connections, has one request answered on each and says nothing more: a balancer soon closes one on which
+    /// no request ever came.
     pub async fn rest(&self, count: usize) -> Result<(), String> {
-        for _ in 0..count {
-            let stream = TcpStream::connect(self.to).await.map_err(|e| format!("a client: {e}"))?;
+        for number in 0..count {
+            let stream = self.call(None).await.ok_or_else(|| format!("client {number} got no answer"))?;
             lock(&self.idle).push(stream);
         }
         Ok(())
--- a/lab/tests/capacity/sweep.rs
+++ b/lab/tests/capacity/sweep.rs
@@ -68,6 +68,14 @@
     assert_eq!(grown, 100.0);
 }
 
+/// Beside the clients' it holds some descriptors of its own, and connections to as many upstreams as it has called.
+#[test]
+fn idle_clients_take_a_descriptor_each_for_as_long_as_the_trial() {
+    for sample in measured(Dimension::Clients, &[60, 120], SHORT) {
+        assert!(figure(&sample, "descriptors") >= sample.size as f64, "{sample:?}");
+    }
+}
+
 #[test]
 fn changes_are_seen_to_be_taken_in() {
     let samples = measured(Dimension::Changes, &[4], SHORT);
