Make the folder that a balancer keeps its state in before a capacity trial starts it

Symptom: `capacity store` ended with "balancer 0 is not ready after 10s". The balancer's log named the cause at once, so nothing else was suspected: `recovery.dir: can't be written to`, since the folder was not there.

Change: the trial makes it. A test looks for the kept file.

--- a/lab/src/capacity/balancer.rs
+++ b/lab/src/capacity/balancer.rs
@@ -47,7 +47,10 @@
         };
         let (config, options) = (file("json"), file("toml"));
         write(&config, configuration(place, scenario).to_string())?;
-        write(&options, options_text(scenario, &file("state")))?;
+        let state = file("state");
+        // What is kept has a folder that is there before the balancer is.
+        std::fs::create_dir_all(&state).map_err(|e| format!("{}: {e}", state.display()))?;
+        write(&options, options_text(scenario, &state))?;
         let log = std::fs::File::create(file("log")).map_err(|e| e.to_string())?;
         let child = Command::new(place.program)
             .args(["run", "--options"])
--- a/lab/tests/capacity/sweep.rs
+++ b/lab/tests/capacity/sweep.rs
@@ -68,6 +68,23 @@
     assert_eq!(grown, 100.0);
 }
 
+#[test]
+fn a_balancer_that_keeps_state_writes_it() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let sweep = Sweep {
+        dimension: Dimension::Store,
+        sizes: vec![10],
+        runs: 1,
+        span: SHORT,
+        program: herondock(),
+        folder: folder.path().to_path_buf(),
+    };
+    let samples = sweep.measure(|_| ()).expect("measures");
+    assert!(figure(&samples[0], "written, bytes/s") >= 0.0);
+    let kept = folder.path().join("store-10-0/balancer-0.state/state.redb");
+    assert!(kept.is_file(), "{}", kept.display());
+}
+
 /// Beside the clients' it holds some descriptors of its own, and connections to as many upstreams as it has called.
 #[test]
 fn idle_clients_take_a_descriptor_each_for_as_long_as_the_trial() {
