See that a client has left behind bytes of its next request, and read the socket before a close

Need: a client that leaves is gone, and an attempt that begins more than 0.1 s later is a lost request.

Suspect: hyper looks for the end of a connection while a request is open only as long as its own read buffer is empty (`mid_message_detect_eof`), so that a client which has sent a part of its next request and then leaves stays unseen until its answer is written. Beside it, by reading: one turn of the runtime before a close is no proof that the socket was read; `begun` was taken back with every answer, also where hyper held a part of the next head; and an answer with `Connection: close` dropped requests that hyper had read with it. All four stood in `connection.rs`.

Change: `stream.rs` owns a client's socket. While a request waits for its answer the connection's task reads ahead, up to 16 KiB, and beyond that asks the system for the end each 25 ms; hyper is given no byte beyond the end of a request (`framing.rs`). The socket is read once more, whatever the runtime knows of it, before a request goes to the driver and right before an idle connection closes. `Connection: close` is said only with an answer that nothing follows. These are four causes in one commit, since all rest on the same wrapper. `socket2` (in Cargo.lock before, through tokio) reads without the runtime's readiness.

--- a/node/src/clients/accepting.rs
+++ b/node/src/clients/accepting.rs
@@ -1,6 +1,6 @@
 //! Accepts clients for as long as the program serves. Holds nothing beside what it hands to their connections.
 use super::connection::Connections;
-use super::phase::{after_pending_reads, closing, Phase};
+use super::phase::{closing, Phase};
 use super::requests::Requests;
 use super::slots::Slots;
 use crate::driver::Handle;
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::yield_now;
 
 /// Pause after an accept that failed, for want of descriptors for one.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -40,7 +41,7 @@
                 biased;
                 accepted = listener.accept() => accepted,
                 // Only once nobody waits to be accepted: what they have written counts as taken.
-                () = after_pending_reads(closing(&mut phase)) => break,
+                () = closing_and_polled(&mut phase) => break,
             };
             match accepted {
                 Ok((stream, _)) => {
@@ -62,3 +63,9 @@
         slots.emptied().await;
     }
 }
+
+/// Waits for the word to close, and then until the runtime has asked the system once more who waits to be accepted.
+async fn closing_and_polled(phase: &mut watch::Receiver<Phase>) {
+    closing(phase).await;
+    yield_now().await;
+}
--- a/node/src/clients/connection.rs
+++ b/node/src/clients/connection.rs
@@ -1,10 +1,11 @@
 //! One client's connection: its requests one after another, and its close, which must not cross one that has come.
 use super::answers::{final_answer, plain};
+use super::framing::Framing;
 use super::idle::ClientConnection;
-use super::phase::{after_pending_reads, closing, Phase};
+use super::phase::{closing, Phase};
 use super::requests::Requests;
 use super::slots::Slots;
-use crate::held::Connection;
+use super::stream::ClientStream;
 use crate::message::BODY_MOST;
 use crate::sockets::ClientSlot;
 use bytes::Bytes;
@@ -14,17 +15,17 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::future::{poll_fn, Future};
+use std::future::{pending, poll_fn, Future};
+use std::pin::Pin;
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::{sleep_until, timeout, timeout_at, Instant};
-use tokio_util::io::InspectReader;
+use tokio::time::{sleep_until, timeout_at, Instant};
 
 /// A client has this long from connecting until its first request is whole: one that sends something else, or
 /// nothing, is owed an error or a close within 3 s.
@@ -33,7 +34,8 @@
 const HEAD_WAIT: Duration = Duration::from_secs(60);
 /// And this long for the body.
 const BODY_WAIT: Duration = Duration::from_secs(2);
-/// A connection that is to close, and owes no answer, has this long to take what was written.
+/// A connection that is to close, and owes no answer, has this long to take what was written, or to send the rest of
+/// a head that has begun.
 const FLUSH_WAIT: Duration = Duration::from_secs(2);
 const READY: &str = "/-/ready";
 const SERVICE: &str = "/api";
@@ -48,11 +50,91 @@
     pub phase: watch::Receiver<Phase>,
 }
 
+/// What ends a connection.
+enum CloseReason {
+    /// hyper has ended it: the client closed it, wanted it closed after an answer, or sent no proper request.
+    Finished,
+    /// The client left while its request waited for an answer.
+    ClientGone,
+    /// No whole request came in time.
+    FirstOverdue,
+    /// It makes way for another client.
+    MakesWay,
+    /// The program ends.
+    ProgramEnds,
+}
+
+/// A connection's requests and what is known of it.
+struct Exchange<C> {
+    /// hyper's side.
+    connection: C,
+    stream: ClientStream,
+    client: Rc<ClientConnection>,
+}
+
+impl<C: Future + Unpin> Exchange<C> {
+    /// Goes on until hyper ends the connection, or the client leaves while its request waits for an answer.
+    fn poll_serve(&mut self, cx: &mut Context<'_>) -> Poll<CloseReason> {
+        if Pin::new(&mut self.connection).poll(cx).is_ready() {
+            return Poll::Ready(CloseReason::Finished);
+        }
+        if self.stream.is_waiting() && self.stream.poll_ended(cx).is_ready() {
+            return Poll::Ready(CloseReason::ClientGone);
+        }
+        Poll::Pending
+    }
+
+    /// The same until the socket itself says that there is nothing to read: whoever closes without another await
+    /// leaves nothing unread that had come by then.
+    fn poll_settle(&mut self, cx: &mut Context<'_>) -> Poll<Option<CloseReason>> {
+        loop {
+            if let Poll::Ready(reason) = self.poll_serve(cx) {
+                return Poll::Ready(Some(reason));
+            }
+            if !self.client.is_idle() || !self.stream.look() {
+                return Poll::Ready(None);
+            }
+        }
+    }
+
+    /// The same until no request is open, none has begun, and all that was written is on its way.
+    fn poll_idle(&mut self, cx: &mut Context<'_>) -> Poll<Option<CloseReason>> {
+        match self.poll_settle(cx) {
+            Poll::Ready(None) if self.is_quiet() => Poll::Ready(None),
+            Poll::Ready(None) | Poll::Pending => Poll::Pending,
+            ended => ended,
+        }
+    }
+
+    fn is_quiet(&self) -> bool {
+        self.client.is_idle() && self.stream.is_flushed() && !self.stream.has_begun()
+    }
+
+    /// Waits until nothing is open on a connection that is to close for this reason. Guards against a close in the
+    /// middle of a head, whose last byte may have been written by then, and against clients that never read their
+    /// answer: for these it waits until `until` at most.
+    async fn close_idle(&mut self, reason: CloseReason, mut until: Instant) -> CloseReason {
+        self.client.closes.set(true);
+        loop {
+            if let Ok(ended) = timeout_at(until, poll_fn(|cx| self.poll_idle(cx))).await {
+                return ended.unwrap_or(reason);
+            }
+            if let Some(ended) = poll_fn(|cx| self.poll_settle(cx)).await {
+                return ended;
+            }
+            if self.client.is_idle() {
+                return reason;
+            }
+            until = Instant::now() + FLUSH_WAIT;
+        }
+    }
+}
+
 impl Connections {
     /// Serves one until it ends.
-    pub async fn serve(self: Rc<Connections>, stream: TcpStream, _slot: ClientSlot) {
+    pub async fn serve(self: Rc<Connections>, socket: TcpStream, _slot: ClientSlot) {
         // Without it answers wait for the client's acknowledgements; where it fails the client is gone.
-        if stream.set_nodelay(true).is_err() {
+        if socket.set_nodelay(true).is_err() {
             return;
         }
         let client = ClientConnection::new(self.slots.held.connection());
@@ -60,62 +142,62 @@
         // Until when the first request must be whole; taken by its head.
         let by = Instant::now() + FIRST_WAIT;
         let first = Rc::new(Cell::new(Some(by)));
-        // Whether something was read since the last request: a head that is on its way, while none is open.
-        let begun = Rc::new(Cell::new(false));
-        let (all, of, unasked) = (self.clone(), client.clone(), first.clone());
-        let read = begun.clone();
-        let service = service_fn(move |request| {
-            let (all, client, begun) = (all.clone(), of.clone(), read.clone());
-            let by = unasked.take().unwrap_or_else(|| Instant::now() + BODY_WAIT);
-            async move {
-                all.slots.idle.became_busy(&client);
-                let response = all.respond(request, by, &client.of).await;
-                begun.set(false);
-                all.slots.idle.became_idle(&client);
-                Ok::<_, Infallible>(response)
-            }
-        });
-        let noted = begun.clone();
-        let stream = InspectReader::new(stream, move |bytes| noted.set(noted.get() || !bytes.is_empty()));
+        let stream = ClientStream::new(socket);
+        let service = {
+            let (all, client, stream, first) = (self.clone(), client.clone(), stream.clone(), first.clone());
+            service_fn(move |request| {
+                let by = first.take().unwrap_or_else(|| Instant::now() + BODY_WAIT);
+                stream.begin_body(Framing::of(&request));
+                let (all, client, stream) = (all.clone(), client.clone(), stream.clone());
+                async move {
+                    all.slots.idle.became_busy(&client);
+                    let response = all.respond(request, by, &client, &stream).await;
+                    stream.end_request();
+                    all.slots.idle.became_idle(&client);
+                    Ok::<_, Infallible>(response)
+                }
+            })
+        };
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_WAIT)
             .max_buf_size(BODY_MOST)
-            .serve_connection(TokioIo::new(stream), service);
-        let mut connection = std::pin::pin!(connection);
+            .serve_connection(stream.clone(), service);
+        let connection = std::pin::pin!(connection);
+        let mut exchange = Exchange { connection, stream, client: client.clone() };
+        let _reason = self.serve_until_closed(&mut exchange, &first, by).await;
+        self.slots.idle.became_busy(&client);
+    }
+
+    /// Serves until the connection can be dropped. `first` holds the time of its first request, `by`, until that came.
+    async fn serve_until_closed<C: Future + Unpin>(
+        &self,
+        exchange: &mut Exchange<C>,
+        first: &Cell<Option<Instant>>,
+        by: Instant,
+    ) -> CloseReason {
+        let client = exchange.client.clone();
         let mut phase = self.phase.clone();
-        let overdue = async {
-            after_pending_reads(sleep_until(by)).await;
-            if first.get().is_none() {
-                std::future::pending::<()>().await;
+        let reason = loop {
+            tokio::select! {
+                biased;
+                // A client's broken connection or garbage ends this connection only.
+                reason = poll_fn(|cx| exchange.poll_serve(cx)) => return reason,
+                () = sleep_until(by), if first.get().is_some() => {
+                    if let Some(ended) = poll_fn(|cx| exchange.poll_settle(cx)).await {
+                        return ended;
+                    }
+                    // It has said nothing whole so far, so that nothing is owed but the close.
+                    if first.get().is_some() {
+                        return CloseReason::FirstOverdue;
+                    }
+                }
+                () = client.close.notified() => break CloseReason::MakesWay,
+                () = closing(&mut phase) => break CloseReason::ProgramEnds,
             }
         };
-        let ended = tokio::select! {
-            biased;
-            // A client's broken connection or garbage ends this connection only.
-            _ = connection.as_mut() => true,
-            // It has said nothing whole so far, so that nothing is owed but the close.
-            () = overdue => true,
-            () = after_pending_reads(client.close.notified()) => false,
-            () = after_pending_reads(closing(&mut phase)) => false,
-        };
-        if !ended {
-            // Guards against a close in the middle of a head, whose last byte may have been written by then: it is
-            // waited for, though no longer than a client has for its first request.
-            let late = Instant::now() + FLUSH_WAIT;
-            let until = first.get().map_or(late, |by| by.min(late));
-            let goes_on = poll_fn(|cx| match connection.as_mut().poll(cx) {
-                Poll::Ready(_) => Poll::Ready(false),
-                Poll::Pending if begun.get() && client.is_idle() => Poll::Pending,
-                Poll::Pending => Poll::Ready(true),
-            });
-            if timeout_at(until, goes_on).await == Ok(true) {
-                connection.as_mut().graceful_shutdown();
-                // Guards against clients that never read their answer: no hold on us.
-                while timeout(FLUSH_WAIT, connection.as_mut()).await.is_err() && !client.is_idle() {}
-            }
-        }
-        self.slots.idle.became_busy(&client);
+        let late = Instant::now() + FLUSH_WAIT;
+        exchange.close_idle(reason, first.get().map_or(late, |by| by.min(late))).await
     }
 
     /// Answers a request whose body must have come by `by`.
@@ -123,7 +205,8 @@
         &self,
         request: Request<Incoming>,
         by: Instant,
-        held: &Connection,
+        client: &ClientConnection,
+        stream: &ClientStream,
     ) -> Response<Full<Bytes>> {
         let mut response = match request.uri().path() {
             READY if self.requests.driver.ready() && *self.phase.borrow() == Phase::Up => {
@@ -131,16 +214,34 @@
             }
             READY => plain(StatusCode::SERVICE_UNAVAILABLE),
             path if path == SERVICE || path.starts_with("/api/") => {
-                match self.requests.take(request, by, held).await {
-                    Ok(waiting) => final_answer(waiting.answer().await),
-                    Err(response) => response,
-                }
+                self.serve_request(request, by, client, stream).await.unwrap_or_else(|response| response)
             }
             _ => plain(StatusCode::NOT_FOUND),
         };
-        if *self.phase.borrow() == Phase::Closing {
+        let closes = client.closes.get() || *self.phase.borrow() == Phase::Closing;
+        // What has come after this request is answered too.
+        if closes && !stream.look() && !stream.has_begun() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         response
     }
+
+    /// The final answer to a request for the services, or what is wrong with it.
+    async fn serve_request(
+        &self,
+        request: Request<Incoming>,
+        by: Instant,
+        client: &ClientConnection,
+        stream: &ClientStream,
+    ) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
+        let request = self.requests.read(request, by, &client.of).await?;
+        stream.begin_waiting();
+        stream.look();
+        if stream.has_ended() {
+            // Its connection ends in this same turn, and nothing is sent for nobody.
+            pending::<()>().await;
+        }
+        let waiting = self.requests.hand_on(request)?;
+        Ok(final_answer(waiting.answer().await))
+    }
 }
--- a/node/src/clients/idle.rs
+++ b/node/src/clients/idle.rs
@@ -15,6 +15,8 @@
 pub struct ClientConnection {
     /// Tells it to close.
     pub close: Notify,
+    /// It closes once it is idle, so that its answers say so.
+    pub closes: Cell<bool>,
     /// Whose it is.
     pub of: Connection,
     /// Its position among the idle ones.
@@ -24,7 +26,12 @@
 impl ClientConnection {
     /// One that is not idle.
     pub fn new(of: Connection) -> Rc<ClientConnection> {
-        Rc::new(ClientConnection { close: Notify::new(), of, place: Cell::new(None) })
+        Rc::new(ClientConnection {
+            close: Notify::new(),
+            closes: Cell::new(false),
+            of,
+            place: Cell::new(None),
+        })
     }
 
     /// Whether it is between requests.
--- a/node/src/clients/mod.rs
+++ b/node/src/clients/mod.rs
@@ -2,10 +2,12 @@
 mod accepting;
 mod answers;
 mod connection;
+mod framing;
 mod idle;
 mod phase;
 mod requests;
 mod slots;
+mod stream;
 
 pub use accepting::Server;
 pub use phase::Phase;
--- a/node/src/clients/phase.rs
+++ b/node/src/clients/phase.rs
@@ -1,7 +1,5 @@
 //! How far the end of the program has come, as clients' connections see it. Holds no state of its own.
-use std::future::Future;
 use tokio::sync::watch;
-use tokio::task::yield_now;
 
 /// How far the end of the program has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -21,10 +19,3 @@
     // Whoever would tell it has gone: all is over.
     let _ = phase.wait_for(|p| *p == Phase::Closing).await;
 }
-
-/// Waits for the word to close, and then until what had been written before it can be read: the runtime asks the system
-/// only now and then what has come, so that a request may lie there unseen.
-pub async fn after_pending_reads(word: impl Future) {
-    word.await;
-    yield_now().await;
-}
--- a/node/src/clients/requests.rs
+++ b/node/src/clients/requests.rs
@@ -24,14 +24,22 @@
     pub deployment: Deployment,
 }
 
+/// A request that was read whole.
+pub struct WholeRequest {
+    class: usize,
+    tenant: usize,
+    patience: Millis,
+    out: Outgoing,
+}
+
 impl Requests {
-    /// Reads a request whole, whose body must have come by `by`, and hands it to the driver.
-    pub async fn take(
+    /// Reads a request whole, whose body must have come by `by`.
+    pub async fn read(
         &self,
         request: Request<Incoming>,
         by: Instant,
         held: &Connection,
-    ) -> Result<Waiting, Response<Full<Bytes>>> {
+    ) -> Result<WholeRequest, Response<Full<Bytes>>> {
         let (head, body) = request.into_parts();
         let bad = |what: &str| refuse_input(StatusCode::BAD_REQUEST, what);
         let (class, tenant, patience) = self.classify(&head.method, &head.headers).map_err(bad)?;
@@ -55,6 +63,12 @@
         headers.remove(&DEADLINE);
         let target = head.uri.path_and_query().map(|p| Uri::from(p.clone())).unwrap_or_default();
         let out = Outgoing { method: head.method, target, headers, body, over: Cell::new(false) };
+        Ok(WholeRequest { class, tenant, patience, out })
+    }
+
+    /// Hands a request to the driver: from now on one final answer is owed.
+    pub fn hand_on(&self, request: WholeRequest) -> Result<Waiting, Response<Full<Bytes>>> {
+        let WholeRequest { class, tenant, patience, out } = request;
         let full = || final_answer(Answer::Refused { retry_after: 0.0 });
         self.driver.take(class, tenant, patience, out).ok_or_else(full)
     }
--- /dev/null
+++ b/node/src/clients/stream.rs
@@ -0,0 +1,281 @@
+//! A client's socket, as its connection's task and hyper share it. Owns what was read from it and not yet handed to
+//! hyper. While a request waits for its answer the connection's task reads ahead here, so that the end of the client
+//! shows also behind bytes of its next request.
+use super::framing::{Framing, HeadScan};
+use bytes::{Buf, BytesMut};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use socket2::SockRef;
+use std::cell::RefCell;
+use std::future::Future;
+use std::io::{self, ErrorKind, IoSlice, Read as _};
+use std::pin::{pin, Pin};
+use std::rc::Rc;
+use std::task::{ready, Context, Poll, Waker};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, Sleep};
+
+/// Nothing more is read ahead of hyper while this much is held.
+const READ_AHEAD_MOST: usize = 16 << 10;
+/// Read at once.
+const CHUNK: usize = 4 << 10;
+/// How often the end of a client that has sent more than is read ahead is looked for.
+const BEYOND_PAUSE: Duration = Duration::from_millis(25);
+
+/// What hyper may read now.
+enum Reading {
+    /// The head of a request; `begun` once a part of it was handed over.
+    Head { scan: HeadScan, begun: bool },
+    /// The body of the request that is open.
+    Body(Framing),
+    /// Nothing: the request was read whole and waits for its answer. `begun` as for the next one's head.
+    Waiting { begun: bool },
+}
+
+impl Reading {
+    /// Whether hyper has a part of the next request.
+    fn has_begun(&self) -> bool {
+        match self {
+            Reading::Body(framing) => framing.went_beyond(),
+            Reading::Head { begun, .. } | Reading::Waiting { begun } => *begun,
+        }
+    }
+}
+
+struct Shared {
+    socket: TcpStream,
+    ahead: BytesMut,
+    reading: Reading,
+    /// The client has shut its side, or the connection is broken.
+    ended: bool,
+    /// All that hyper wrote was taken by the system.
+    flushed: bool,
+    /// The connection's task, while it waits for the socket.
+    waker: Option<Waker>,
+    beyond: Option<Pin<Box<Sleep>>>,
+}
+
+/// A client's socket. Clones are the same one.
+#[derive(Clone)]
+pub struct ClientStream(Rc<RefCell<Shared>>);
+
+impl ClientStream {
+    /// Nothing is read so far.
+    pub fn new(socket: TcpStream) -> ClientStream {
+        ClientStream(Rc::new(RefCell::new(Shared {
+            socket,
+            ahead: BytesMut::new(),
+            reading: Reading::Head { scan: HeadScan::default(), begun: false },
+            ended: false,
+            flushed: true,
+            waker: None,
+            beyond: None,
+        })))
+    }
+
+    /// A head was read whole, and its body comes in this form.
+    pub fn begin_body(&self, framing: Framing) {
+        self.0.borrow_mut().reading = Reading::Body(framing);
+    }
+
+    /// The request was read whole and waits for its answer from now on.
+    pub fn begin_waiting(&self) {
+        let mut shared = self.0.borrow_mut();
+        shared.reading = Reading::Waiting { begun: shared.reading.has_begun() };
+    }
+
+    /// The request has its answer: hyper reads on.
+    pub fn end_request(&self) {
+        let mut shared = self.0.borrow_mut();
+        shared.reading = Reading::Head { scan: HeadScan::default(), begun: shared.reading.has_begun() };
+        shared.beyond = None;
+        let unread = !shared.ahead.is_empty() || shared.ended;
+        // hyper was told that nothing is there, and is told anew.
+        if let Some(waker) = shared.waker.take_if(|_| unread) {
+            waker.wake();
+        }
+    }
+
+    /// Whether a request waits for its answer.
+    pub fn is_waiting(&self) -> bool {
+        matches!(self.0.borrow().reading, Reading::Waiting { .. })
+    }
+
+    /// Whether the system has taken all that was written.
+    pub fn is_flushed(&self) -> bool {
+        self.0.borrow().flushed
+    }
+
+    /// Whether the client is known to have gone.
+    pub fn has_ended(&self) -> bool {
+        self.0.borrow().ended
+    }
+
+    /// Whether a part of a request has come that hyper has not read whole.
+    pub fn has_begun(&self) -> bool {
+        let shared = self.0.borrow();
+        !shared.ahead.is_empty() || shared.reading.has_begun()
+    }
+
+    /// Reads what lies in the socket at this very moment, whatever the runtime knows of it. Returns whether anything
+    /// was found: bytes, or the end of the client.
+    pub fn look(&self) -> bool {
+        let mut shared = self.0.borrow_mut();
+        let mut found = false;
+        while shared.may_read() {
+            let mut chunk = [0; CHUNK];
+            let read = (&*SockRef::from(&shared.socket)).read(&mut chunk);
+            match read {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                read => {
+                    shared.note(read.map(|length| &chunk[..length]));
+                    found = true;
+                }
+            }
+        }
+        found
+    }
+
+    /// Reads ahead until the client has gone.
+    pub fn poll_ended(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut shared = self.0.borrow_mut();
+        while shared.may_read() {
+            ready!(shared.poll_fill(cx));
+        }
+        if shared.ended {
+            return Poll::Ready(());
+        }
+        shared.poll_ended_beyond(cx)
+    }
+}
+
+impl Shared {
+    fn may_read(&self) -> bool {
+        !self.ended && self.ahead.len() < READ_AHEAD_MOST
+    }
+
+    fn note(&mut self, read: io::Result<&[u8]>) {
+        match read {
+            Ok([]) | Err(_) => self.ended = true,
+            Ok(bytes) => self.ahead.extend_from_slice(bytes),
+        }
+    }
+
+    /// Reads once.
+    fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        self.remember(cx);
+        let mut chunk = [0; CHUNK];
+        let mut buffer = ReadBuf::new(&mut chunk);
+        let read = ready!(Pin::new(&mut self.socket).poll_read(cx, &mut buffer));
+        self.note(read.map(|()| buffer.filled()));
+        Poll::Ready(())
+    }
+
+    fn remember(&mut self, cx: &Context<'_>) {
+        if !self.waker.as_ref().is_some_and(|waker| waker.will_wake(cx.waker())) {
+            self.waker = Some(cx.waker().clone());
+        }
+    }
+
+    /// Looks for the end of a client that has sent more than is read ahead: the system tells of it without a read.
+    fn poll_ended_beyond(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        loop {
+            let ready = pin!(self.socket.ready(Interest::READABLE)).poll(cx);
+            if let Poll::Ready(Ok(ready)) = ready {
+                self.ended = ready.is_read_closed();
+            }
+            if self.ended {
+                return Poll::Ready(());
+            }
+            let pause = self.beyond.get_or_insert_with(|| Box::pin(sleep(BEYOND_PAUSE)));
+            ready!(pause.as_mut().poll(cx));
+            self.beyond = None;
+        }
+    }
+
+    /// How much of what is held hyper may have now, and notes that it has it.
+    fn hand_over(&mut self, most: usize) -> usize {
+        let held = &self.ahead[..self.ahead.len().min(most)];
+        match &mut self.reading {
+            Reading::Waiting { .. } => 0,
+            Reading::Body(framing) => framing.take(held),
+            Reading::Head { scan, begun } => {
+                *begun = true;
+                scan.take(held)
+            }
+        }
+    }
+
+    fn wants_nothing(&self) -> bool {
+        match &self.reading {
+            Reading::Waiting { .. } => true,
+            Reading::Body(framing) => framing.is_over(),
+            Reading::Head { .. } => false,
+        }
+    }
+}
+
+impl Read for ClientStream {
+    /// Hands over no byte beyond the end of a request, as far as that can be told: what follows it stays here, where
+    /// it can be seen.
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut into: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut shared = self.0.borrow_mut();
+        if shared.wants_nothing() {
+            shared.remember(cx);
+            return Poll::Pending;
+        }
+        if shared.ahead.is_empty() && !shared.ended {
+            ready!(shared.poll_fill(cx));
+        }
+        if shared.ahead.is_empty() {
+            return Poll::Ready(Ok(()));
+        }
+        let length = shared.hand_over(into.remaining());
+        into.put_slice(&shared.ahead[..length]);
+        shared.ahead.advance(length);
+        if shared.ahead.is_empty() {
+            // Idle connections hold no memory for what they may read.
+            shared.ahead = BytesMut::new();
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Write for ClientStream {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let mut shared = self.0.borrow_mut();
+        shared.flushed = false;
+        Pin::new(&mut shared.socket).poll_write(cx, bytes)
+    }
+
+    /// hyper flushes once it has written all it had.
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut shared = self.0.borrow_mut();
+        shared.flushed = true;
+        Pin::new(&mut shared.socket).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0.borrow_mut().socket).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.borrow().socket.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let mut shared = self.0.borrow_mut();
+        shared.flushed = false;
+        Pin::new(&mut shared.socket).poll_write_vectored(cx, slices)
+    }
+}
--- /dev/null
+++ b/node/tests/common/raw.rs
@@ -0,0 +1,92 @@
+//! A client that does with its socket what others never do: resets it, shuts one side, sends pieces and whole floods.
+#![allow(dead_code)]
+use socket2::SockRef;
+use std::io::{BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::time::Duration;
+
+pub struct RawClient(TcpStream);
+
+impl RawClient {
+    /// Reads wait for this long at most.
+    pub fn connect(addr: SocketAddr, patience: Duration) -> RawClient {
+        let stream = TcpStream::connect(addr).expect("connects");
+        stream.set_nodelay(true).expect("sends at once");
+        stream.set_read_timeout(Some(patience)).expect("a time-out");
+        stream.set_write_timeout(Some(patience)).expect("a time-out");
+        RawClient(stream)
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.0.write_all(bytes).expect("sends");
+    }
+
+    /// Sends until the other side takes no more of it, or all is sent. Returns how much was.
+    pub fn flood(&mut self, bytes: &[u8], times: usize) -> usize {
+        (0..times).take_while(|_| self.0.write_all(bytes).is_ok()).count() * bytes.len()
+    }
+
+    pub fn port(&self) -> u16 {
+        self.0.local_addr().expect("an address").port()
+    }
+
+    /// Shuts the side it writes to, and stays.
+    pub fn half_close(&self) {
+        self.0.shutdown(Shutdown::Write).expect("shuts");
+    }
+
+    /// Resets the connection.
+    pub fn reset(self) {
+        SockRef::from(&self.0).set_linger(Some(Duration::ZERO)).expect("lingers for no time");
+    }
+
+    /// All that comes until the connection ends, and whether it ended in order.
+    pub fn rest(&mut self) -> (Vec<u8>, bool) {
+        let mut bytes = Vec::new();
+        let ended = self.0.read_to_end(&mut bytes);
+        (bytes, ended.is_ok())
+    }
+
+    /// The same socket, to read answers from.
+    pub fn reader(&self) -> BufReader<TcpStream> {
+        BufReader::new(self.0.try_clone().expect("a second descriptor"))
+    }
+}
+
+/// A connection as the system shows it at one end.
+pub struct SystemSocket {
+    pub local: u16,
+    pub remote: u16,
+    /// As in `/proc/net/tcp`.
+    pub state: u8,
+    pub unread: u64,
+}
+
+/// The other side has shut its end of the connection, and this side has not.
+pub const CLOSE_WAIT: u8 = 8;
+
+/// All connections over IPv4, at both ends.
+pub fn system_sockets() -> Vec<SystemSocket> {
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of connections");
+    table.lines().skip(1).filter_map(parse_socket).collect()
+}
+
+fn parse_socket(line: &str) -> Option<SystemSocket> {
+    let fields: Vec<&str> = line.split_whitespace().collect();
+    let port = |field: &str| u16::from_str_radix(field.split_once(':')?.1, 16).ok();
+    Some(SystemSocket {
+        local: port(fields.get(1)?)?,
+        remote: port(fields.get(2)?)?,
+        state: u8::from_str_radix(fields.get(3)?, 16).ok()?,
+        unread: u64::from_str_radix(fields.get(4)?.split_once(':')?.1, 16).ok()?,
+    })
+}
+
+/// Waits until the system shows this.
+pub fn wait_for_system(patience: Duration, shown: impl Fn(&[SystemSocket]) -> bool, otherwise: &str) {
+    let started = std::time::Instant::now();
+    while !shown(&system_sockets()) {
+        assert!(started.elapsed() < patience, "{otherwise}");
+        std::thread::yield_now();
+    }
+}
