--- a/node/tests/leaving.rs
+++ b/node/tests/leaving.rs
@@ -71,12 +71,15 @@
     }
 }
 
-/// A balancer that gives up no attempt by itself, so that what it does without its client shows.
+/// A balancer that gives up no attempt by itself, so that what it does without its client shows: nothing ends by time
+/// before a test has failed.
 fn keeps_attempts(upstreams: &[std::net::SocketAddr]) -> Node {
     let servers: Vec<_> = upstreams.iter().enumerate().map(|(n, &addr)| (n, addr, "active")).collect();
     let discovery = Discovery::start();
     let config = config(discovery.addr, 1024, &listing(1, true, &servers))
-        .replace("\"idle_close\"", "\"dial_timeout\":20000,\"idle_close\"")
+        .replace("\"idle_close\"", "\"dial_timeout\":80000,\"idle_close\"")
+        .replace("\"deadline\":20000", "\"deadline\":80000")
+        .replace("\"repeat_window\":20000", "\"repeat_window\":80000")
         .replace("\"cancel\":true", "\"cancel\":false");
     let node = Node::run(command(&config), discovery);
     node.discovery.called();
@@ -88,7 +91,7 @@
     let node = keeps_attempts(&[full.addr]);
     let without = node.descriptors();
     let mut client = RawClient::connect(node.addr, PATIENCE);
-    let (mut request, more) = (pay("gone", "20000m").into_bytes(), after.bytes());
+    let (mut request, more) = (pay("gone", "80000m").into_bytes(), after.bytes());
     if after.is_together() {
         request.extend_from_slice(&more);
     }
@@ -138,7 +141,7 @@
             let node = keeps_attempts(&[upstream.addr]);
             let without = node.descriptors();
             let mut client = RawClient::connect(node.addr, PATIENCE);
-            let mut request = get("gone", "20000m").into_bytes();
+            let mut request = get("gone", "80000m").into_bytes();
             request.extend_from_slice(&after.bytes());
             client.send(&request);
             assert_eq!(upstream.request().header("req-id"), Some("gone"));
@@ -169,7 +172,7 @@
             });
             let node = Node::with(&[upstream.addr]);
             let mut client = RawClient::connect(node.addr, PATIENCE);
-            let mut request = get("gone", "20000m").into_bytes();
+            let mut request = get("gone", "80000m").into_bytes();
             request.extend_from_slice(&after.bytes());
             client.send(&request);
             assert_eq!(upstream.request().header("req-id"), Some("gone"));
