--- a/node/src/clients/connection.rs
+++ b/node/src/clients/connection.rs
@@ -6,7 +6,7 @@
 use super::requests::Requests;
 use super::slots::Slots;
 use super::stream::ClientStream;
-use crate::message::BODY_MOST;
+use crate::message::{Answer, BODY_MOST};
 use crate::sockets::ClientSlot;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -241,7 +241,10 @@
             // Its connection ends in this same turn, and nothing is sent for nobody.
             pending::<()>().await;
         }
-        let waiting = self.requests.hand_on(request)?;
-        Ok(final_answer(waiting.answer().await))
+        let answer = match self.requests.hand_on(request) {
+            Some(waiting) => waiting.answer().await,
+            None => Answer::Refused { retry_after: 0.0 },
+        };
+        Ok(final_answer(answer))
     }
 }
--- a/node/src/clients/requests.rs
+++ b/node/src/clients/requests.rs
@@ -1,8 +1,8 @@
 //! Reads requests whole, finds out whose they are and hands them to the driver. Holds what the settings say of them.
-use super::answers::{final_answer, refuse_input};
+use super::answers::refuse_input;
 use crate::driver::{Handle, Waiting};
 use crate::held::Connection;
-use crate::message::{end_to_end, Answer, Outgoing, BODY_MOST, DEADLINE};
+use crate::message::{end_to_end, Outgoing, BODY_MOST, DEADLINE};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -66,11 +66,10 @@
         Ok(WholeRequest { class, tenant, patience, out })
     }
 
-    /// Hands a request to the driver: from now on one final answer is owed.
-    pub fn hand_on(&self, request: WholeRequest) -> Result<Waiting, Response<Full<Bytes>>> {
+    /// Hands a request to the driver: from now on one final answer is owed. `None`: more are open than may be.
+    pub fn hand_on(&self, request: WholeRequest) -> Option<Waiting> {
         let WholeRequest { class, tenant, patience, out } = request;
-        let full = || final_answer(Answer::Refused { retry_after: 0.0 });
-        self.driver.take(class, tenant, patience, out).ok_or_else(full)
+        self.driver.take(class, tenant, patience, out)
     }
 
     /// Class, tenant and patience of a request, or what is wrong with its head.
