Move the node's inline tests of pure modules into test files

Need: tests live in test files, and src holds the program alone.

Change: the test modules of held, message, options, peers/addresses, peers/words and upstreams/load_report move unchanged to node/tests/. Modules that stand by themselves are included by path, as discovery_watch.rs does; options' `load` and the tier's `word` (as `tier_word`) are exported with #[doc(hidden)], since they need the rest of the crate. The load report's header is written out in its test, for its constant stays private. No behaviour changes.

--- a/node/src/held.rs
+++ b/node/src/held.rs
@@ -55,23 +55,3 @@
         self.held.change(self.tenant.get(), -1);
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_connection_counts_once_for_the_tenant_of_its_last_request() {
-        let held = Held::new(2);
-        let (first, second) = (held.connection(), held.connection());
-        assert_eq!(held.counts(), [0, 0]);
-        first.is_of(0);
-        first.is_of(1);
-        second.is_of(1);
-        // A place that there is none of changes nothing.
-        held.connection().is_of(7);
-        assert_eq!(held.counts(), [0, 2]);
-        drop(first);
-        assert_eq!(held.counts(), [0, 1]);
-    }
-}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -27,4 +27,6 @@
 mod upstreams;
 
 pub use listing::{Entry, Listing, Names};
+#[doc(hidden)]
+pub use peers::word as tier_word;
 pub use program::main;
--- a/node/src/options/read.rs
+++ b/node/src/options/read.rs
@@ -49,7 +49,7 @@
 }
 
 /// The same from what was read.
-pub(super) fn load(
+pub fn load(
     file: Option<(&Path, &str)>,
     variables: impl Iterator<Item = (String, String)>,
     set: &[String],
--- a/node/src/peers.rs
+++ b/node/src/peers.rs
@@ -6,6 +6,7 @@
 mod words;
 
 pub use addresses::{Addresses, Unread};
+pub use words::word;
 
 use crate::driver::Handle;
 use crate::figures;
