--- /dev/null
+++ b/node/tests/common/message.rs
@@ -0,0 +1,60 @@
+//! Messages as they came over a socket, and requests as clients write them.
+use std::io::{BufRead, BufReader, Read};
+use std::net::TcpStream;
+
+/// A request or an answer as it came over a socket.
+#[derive(Clone, Debug)]
+pub struct Message {
+    pub start: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+    }
+
+    pub fn status(&self) -> u16 {
+        self.start.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status line")
+    }
+}
+
+/// Reads one message; `None` when the connection ended before its first byte.
+pub fn read(stream: &mut BufReader<TcpStream>) -> Option<Message> {
+    let mut start = String::new();
+    if stream.read_line(&mut start).unwrap_or(0) == 0 {
+        return None;
+    }
+    let mut message = Message { start: start.trim_end().into(), headers: Vec::new(), body: Vec::new() };
+    loop {
+        let mut line = String::new();
+        if stream.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        match line.trim_end().split_once(':') {
+            Some((name, value)) => message.headers.push((name.into(), value.trim().into())),
+            None => break,
+        }
+    }
+    let length = message.header("content-length").map_or(0, |l| l.parse().expect("a length"));
+    message.body.resize(length, 0);
+    stream.read_exact(&mut message.body).ok()?;
+    Some(message)
+}
+
+/// A request that may be repeated.
+pub fn get(id: &str, deadline: &str) -> String {
+    format!(
+        "GET /api/x?y=1 HTTP/1.1\r\nHost: service.internal\r\nReq-Id: {id}\r\nReq-Kind: read\r\n\
+         Req-Owner: club\r\nReq-Deadline: {deadline}\r\n\r\n"
+    )
+}
+
+/// A request that must never run twice.
+pub fn pay(id: &str, deadline: &str) -> String {
+    format!(
+        "POST /api HTTP/1.1\r\nHost: service.internal\r\nReq-Id: {id}\r\nReq-Kind: pay\r\n\
+         Req-Owner: club\r\nReq-Deadline: {deadline}\r\nContent-Length: 4\r\n\r\nbody"
+    )
+}
