--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -352,6 +352,11 @@
         self.log.lock().expect("no panic").clone()
     }
 
+    /// Its number in the system.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// How many descriptors it holds.
     pub fn descriptors(&self) -> usize {
         let path = format!("/proc/{}/fd", self.child.id());
