Accept all that wait in the system's queue before the listener is dropped

Cause: before the drop the accept loop waited for one turn of the runtime, which asks the system for events once. A client that the system took up after that was reset unread, though its request may have been written whole. Found by reading (closing_and_polled in node/src/clients/accepting.rs), not by a failing run.

Change: once told to close, the listener is taken from the runtime and accepted from until the system itself says that nobody waits; no await stands between that and the drop. The wait for one turn goes.

--- a/node/src/clients/accepting.rs
+++ b/node/src/clients/accepting.rs
@@ -7,11 +7,11 @@
 use crate::held::Held;
 use crate::sockets::Sockets;
 use oakflow_settings::Deployment;
+use std::io::{self, ErrorKind};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::yield_now;
 
 /// Pause after an accept that failed, for want of descriptors for one.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -40,32 +40,48 @@
             let accepted = tokio::select! {
                 biased;
                 accepted = listener.accept() => accepted,
-                // Only once nobody waits to be accepted: what they have written counts as taken.
-                () = closing_and_polled(&mut phase) => break,
+                () = closing(&mut phase) => break,
             };
             match accepted {
                 Ok((stream, _)) => {
                     failing = false;
-                    let Some(slot) = slots.free().await else { break };
-                    tokio::task::spawn_local(connections.clone().serve(stream, slot));
+                    connections.clone().start(stream).await;
                 }
                 // Out of descriptors, or a client that left at once: no reason to end, nor to spin.
                 Err(e) => {
                     if !std::mem::replace(&mut failing, true) {
-                        tracing::warn!(target: "callers", event = "accept_failed", error = %e, "accept: {e}");
+                        warn_of(&e);
                     }
                     slots.close_one();
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             }
         }
-        drop(listener);
+        if let Err(e) = accept_waiting(&connections, listener).await {
+            warn_of(&e);
+        }
         slots.emptied().await;
     }
 }
 
-/// Waits for the word to close, and then until the runtime has asked the system once more who waits to be accepted.
-async fn closing_and_polled(phase: &mut watch::Receiver<Phase>) {
-    closing(phase).await;
-    yield_now().await;
+/// Accepts whoever waits by now, and drops the listener once the system itself says that nobody does: what they have
+/// written counts as taken, and the runtime may not know of them yet. No await stands between that and the drop.
+async fn accept_waiting(connections: &Rc<Connections>, listener: TcpListener) -> io::Result<()> {
+    let listener = listener.into_std()?;
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                connections.clone().start(TcpStream::from_std(stream)?).await;
+            }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+            // A client that left at once, or a signal.
+            Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
+
+fn warn_of(error: &io::Error) {
+    tracing::warn!(target: "callers", event = "accept_failed", error = %error, "accept: {error}");
 }
--- a/node/src/clients/connection.rs
+++ b/node/src/clients/connection.rs
@@ -131,8 +131,15 @@
 }
 
 impl Connections {
+    /// Serves one in a task of its own, once there is a slot for it.
+    pub async fn start(self: Rc<Connections>, socket: TcpStream) {
+        if let Some(slot) = self.slots.free().await {
+            tokio::task::spawn_local(self.serve(socket, slot));
+        }
+    }
+
     /// Serves one until it ends.
-    pub async fn serve(self: Rc<Connections>, socket: TcpStream, _slot: ClientSlot) {
+    async fn serve(self: Rc<Connections>, socket: TcpStream, _slot: ClientSlot) {
         // Without it answers wait for the client's acknowledgements; where it fails the client is gone.
         if socket.set_nodelay(true).is_err() {
             return;
