Let connections linger after a last answer, so that what the client sends on takes none of it

Symptom: a client that sends on after its last request gets a part of its answer and a reset. Suspects: the answer is not written whole (ruled out: hyper flushes and shuts the side that writes before it ends); the socket is dropped over unread bytes, and the system's reset throws away what it still holds of the answer. The latter, at the end of Connections::serve in node/src/clients/connection.rs.

Not after closes between requests, after a head that is overdue, for a client that has gone, nor while all slots are taken. A new last phase of the end drops what only lingers when all must be answered, so that it is not reported as unanswered.

--- a/node/src/clients/connection.rs
+++ b/node/src/clients/connection.rs
@@ -2,6 +2,7 @@
 use super::answers::{final_answer, plain};
 use super::framing::Framing;
 use super::idle::ClientConnection;
+use super::lingering::linger;
 use super::phase::{closing, Phase};
 use super::requests::Requests;
 use super::slots::Slots;
@@ -54,6 +55,8 @@
 enum CloseReason {
     /// hyper has ended it: the client closed it, wanted it closed after an answer, or sent no proper request.
     Finished,
+    /// hyper has ended it, as no head came in time.
+    HeadOverdue,
     /// The client left while its request waited for an answer.
     ClientGone,
     /// No whole request came in time.
@@ -72,11 +75,12 @@
     client: Rc<ClientConnection>,
 }
 
-impl<C: Future + Unpin> Exchange<C> {
+impl<C: Future<Output = hyper::Result<()>> + Unpin> Exchange<C> {
     /// Goes on until hyper ends the connection, or the client leaves while its request waits for an answer.
     fn poll_serve(&mut self, cx: &mut Context<'_>) -> Poll<CloseReason> {
-        if Pin::new(&mut self.connection).poll(cx).is_ready() {
-            return Poll::Ready(CloseReason::Finished);
+        if let Poll::Ready(ended) = Pin::new(&mut self.connection).poll(cx) {
+            let is_overdue = ended.is_err_and(|error| error.is_timeout());
+            return Poll::Ready(if is_overdue { CloseReason::HeadOverdue } else { CloseReason::Finished });
         }
         if self.stream.is_waiting() && self.stream.poll_ended(cx).is_ready() {
             return Poll::Ready(CloseReason::ClientGone);
@@ -172,12 +176,17 @@
             .serve_connection(stream.clone(), service);
         let connection = std::pin::pin!(connection);
         let mut exchange = Exchange { connection, stream, client: client.clone() };
-        let _reason = self.serve_until_closed(&mut exchange, &first, by).await;
+        let reason = self.serve_until_closed(&mut exchange, &first, by).await;
         self.slots.idle.became_busy(&client);
+        // Only a last answer is worth a wait, and only while nobody waits for the slot: what comes on a connection
+        // that is closed between requests may be a request, which must not be read and thrown away.
+        if matches!(reason, CloseReason::Finished) && self.slots.has_free() {
+            linger(&exchange.stream, &mut self.phase.clone()).await;
+        }
     }
 
     /// Serves until the connection can be dropped. `first` holds the time of its first request, `by`, until that came.
-    async fn serve_until_closed<C: Future + Unpin>(
+    async fn serve_until_closed<C: Future<Output = hyper::Result<()>> + Unpin>(
         &self,
         exchange: &mut Exchange<C>,
         first: &Cell<Option<Instant>>,
@@ -225,7 +234,7 @@
             }
             _ => plain(StatusCode::NOT_FOUND),
         };
-        let closes = client.closes.get() || *self.phase.borrow() == Phase::Closing;
+        let closes = client.closes.get() || *self.phase.borrow() >= Phase::Closing;
         // What has come after this request is answered too.
         if closes && !stream.look() && !stream.has_begun() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/node/src/clients/mod.rs
+++ b/node/src/clients/mod.rs
@@ -4,6 +4,7 @@
 mod connection;
 mod framing;
 mod idle;
+mod lingering;
 mod phase;
 mod requests;
 mod slots;
--- a/node/src/clients/phase.rs
+++ b/node/src/clients/phase.rs
@@ -12,10 +12,17 @@
     Leaving,
     /// Nothing new is accepted, and connections between requests are closed.
     Closing,
+    /// All is answered, or will not be any more: connections that only linger are dropped.
+    Over,
 }
 
 /// Waits until clients' connections are to be closed.
 pub async fn closing(phase: &mut watch::Receiver<Phase>) {
     // Whoever would tell it has gone: all is over.
-    let _ = phase.wait_for(|p| *p == Phase::Closing).await;
+    let _ = phase.wait_for(|p| *p >= Phase::Closing).await;
+}
+
+/// Waits until nothing may linger any more.
+pub async fn over(phase: &mut watch::Receiver<Phase>) {
+    let _ = phase.wait_for(|p| *p == Phase::Over).await;
 }
--- a/node/src/clients/slots.rs
+++ b/node/src/clients/slots.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Whether one more client may connect now.
+    pub fn has_free(&self) -> bool {
+        self.sockets.client().is_some()
+    }
+
     /// Waits until no client is connected.
     pub async fn emptied(&self) {
         self.sockets.clients_left().await;
--- a/node/src/clients/stream.rs
+++ b/node/src/clients/stream.rs
@@ -8,6 +8,7 @@
 use std::cell::RefCell;
 use std::future::Future;
 use std::io::{self, ErrorKind, IoSlice, Read as _};
+use std::net::Shutdown;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll, Waker};
@@ -151,6 +152,22 @@
     }
 }
 
+/// Closing.
+impl ClientStream {
+    /// Shuts the side that writes: the client finds the end behind all that was written.
+    pub fn shut_write(&self) -> io::Result<()> {
+        SockRef::from(&self.0.borrow().socket).shutdown(Shutdown::Write)
+    }
+
+    /// Reads once and throws away what came. Returns how much that was: none once the client has gone.
+    pub fn poll_discard(&self, cx: &mut Context<'_>) -> Poll<usize> {
+        let mut chunk = [0; CHUNK];
+        let mut buffer = ReadBuf::new(&mut chunk);
+        let read = ready!(Pin::new(&mut self.0.borrow_mut().socket).poll_read(cx, &mut buffer));
+        Poll::Ready(read.map_or(0, |()| buffer.filled().len()))
+    }
+}
+
 impl Shared {
     fn may_read(&self) -> bool {
         !self.ended && self.ahead.len() < READ_AHEAD_MOST
--- a/node/src/ending.rs
+++ b/node/src/ending.rs
@@ -25,7 +25,7 @@
     handle: &Handle,
     phase: &watch::Sender<Phase>,
     longest: Millis,
-    served: JoinHandle<()>,
+    mut served: JoinHandle<()>,
 ) {
     let told = Instant::now();
     let answered = told + Duration::from_secs_f64(longest.min(DEADLINE_MOST) / 1000.0) + ANSWERED;
@@ -34,8 +34,12 @@
     sleep_until((answered - LAST_ANSWERS).max(told + STILL_ACCEPTING)).await;
     phase.send_replace(Phase::Closing);
     // Guards against a machine that stood still meanwhile: what came is read and answered even then.
-    let ends = answered.max(Instant::now()) + WRITTEN;
-    if timeout_at(ends, served).await.is_err() {
+    let over = answered.max(Instant::now());
+    if timeout_at(over, &mut served).await.is_ok() {
+        return;
+    }
+    phase.send_replace(Phase::Over);
+    if timeout_at(over + WRITTEN, served).await.is_err() {
         let open = handle.open();
         let said = "callers are still connected at the end";
         tracing::warn!(target: "run", event = "ended_unanswered", open, "{name}: {said}, {open} requests unanswered");
--- a/node/tests/common/raw_client.rs
+++ b/node/tests/common/raw_client.rs
@@ -1,10 +1,13 @@
 //! A client that does with its socket what others never do: resets it, shuts one side, sends pieces and whole floods.
 #![allow(dead_code)]
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
 
+/// The receive buffer of a client that takes little, in bytes.
+const NARROW: usize = 4 << 10;
+
 pub struct RawClient(TcpStream);
 
 impl RawClient {
@@ -17,6 +20,17 @@
         RawClient(stream)
     }
 
+    /// The same, and its system takes little that it has not read: what comes beyond that stays at the other side.
+    pub fn connect_narrow(addr: SocketAddr, patience: Duration) -> RawClient {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.set_recv_buffer_size(NARROW).expect("a small buffer");
+        socket.connect(&addr.into()).expect("connects");
+        let stream = TcpStream::from(socket);
+        stream.set_read_timeout(Some(patience)).expect("a time-out");
+        stream.set_write_timeout(Some(patience)).expect("a time-out");
+        RawClient(stream)
+    }
+
     pub fn send(&mut self, bytes: &[u8]) {
         self.0.write_all(bytes).expect("sends");
     }
