--- /dev/null
+++ b/system/control/src/agreement.rs
@@ -0,0 +1,113 @@
+//! Agreement on the next view: one instance of single-decree Paxos for each view, among the voters of the one before.
+use crate::durable::AgreementState;
+use magpiegap_protocol::{Member, Position, Promise, View};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A ballot: its round, then a tag of its proposer.
+pub(crate) type Ballot = (u64, u32);
+
+/// A proposer's state.
+#[derive(Clone, Debug)]
+pub(crate) struct Round {
+    pub ballot: Ballot,
+    pub started_at: u64,
+    pub promises: BTreeMap<Member, Promise>,
+    /// The view proposed, and the voters that have accepted it.
+    pub proposed: Option<(View, BTreeSet<Member>)>,
+}
+
+/// The state of the agreement at one replica.
+#[derive(Clone, Debug)]
+pub(crate) struct Agreement {
+    pub state: AgreementState,
+    pub round: Option<Round>,
+    /// The highest round seen in any ballot.
+    pub highest_round: u64,
+}
+
+impl Agreement {
+    pub fn new(state: AgreementState) -> Agreement {
+        let highest_round = state.promised.map_or(0, |ballot| ballot.0);
+        Agreement { state, round: None, highest_round }
+    }
+
+    /// The view that is to be agreed next.
+    pub fn next_number(&self) -> u64 {
+        self.state.current.number + 1
+    }
+
+    /// Whether the replica takes part in the agreement on the next view, and so takes no writes in this one.
+    pub fn sealed(&self) -> bool {
+        self.state.promised.is_some()
+    }
+
+    /// Begins a round as proposer. The tag is of this life of the process, so that no two rounds share a ballot.
+    pub fn begin(&mut self, own_tag: u32, now: u64) -> Ballot {
+        self.highest_round += 1;
+        let ballot = (self.highest_round, own_tag);
+        self.round = Some(Round { ballot, started_at: now, promises: BTreeMap::new(), proposed: None });
+        ballot
+    }
+
+    /// Takes part in a ballot, when it is the highest so far.
+    ///
+    /// # Errors
+    /// The ballot promised before.
+    pub fn promise(&mut self, ballot: Ballot) -> Result<Option<(Ballot, View)>, Ballot> {
+        self.highest_round = self.highest_round.max(ballot.0);
+        match self.state.promised {
+            Some(promised) if promised > ballot => Err(promised),
+            _ => {
+                self.state.promised = Some(ballot);
+                Ok(self.state.accepted.clone())
+            }
+        }
+    }
+
+    /// Accepts a view, when no higher ballot was promised.
+    ///
+    /// # Errors
+    /// The ballot promised before.
+    pub fn accept(&mut self, ballot: Ballot, view: &View) -> Result<(), Ballot> {
+        self.highest_round = self.highest_round.max(ballot.0);
+        match self.state.promised {
+            Some(promised) if promised > ballot => Err(promised),
+            _ => {
+                self.state.promised = Some(ballot);
+                self.state.accepted = Some((ballot, view.clone()));
+                Ok(())
+            }
+        }
+    }
+
+    /// Takes up a view that was agreed. Returns whether it is news.
+    pub fn decide(&mut self, view: &View) -> bool {
+        if view.number <= self.state.current.number {
+            return false;
+        }
+        self.state.current = view.clone();
+        self.state.promised = None;
+        self.state.accepted = None;
+        self.round = None;
+        true
+    }
+}
+
+impl Round {
+    /// Whether a majority of the voters takes part.
+    pub fn has_majority(&self, current: &View) -> bool {
+        self.promises.len() >= current.majority()
+    }
+
+    /// What must be proposed since it may have been decided already.
+    pub fn bound_view(&self) -> Option<View> {
+        let accepted = self.promises.values().filter_map(|promise| promise.accepted.as_ref());
+        accepted.max_by_key(|(ballot, _)| *ballot).map(|(_, view)| view.clone())
+    }
+
+    /// The voters that have all that was committed, with the last entry on their disks.
+    pub fn complete(&self) -> BTreeMap<Member, Position> {
+        let complete = |(member, promise): (&Member, &Promise)| Some((*member, promise.complete?));
+        self.promises.iter().filter_map(complete).collect()
+    }
+}
--- /dev/null
+++ b/system/control/src/lib.rs
@@ -0,0 +1,21 @@
+//! Chain replication under an agreed membership view, as a state machine without I/O.
+//!
+//! The coordinators agree on a sequence of views, each by a majority of the voters of the one before. A view names a
+//! chain: writes enter at its head, pass down, and are committed at its tail once they are on every disk of the chain.
+//! A voter that takes part in the agreement on the next view takes no more writes in the old one, so that whoever of
+//! the old chain is asked has all that was ever committed.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod agreement;
+mod chain;
+mod durable;
+mod log;
+mod membership;
+mod replica;
+mod settings;
+mod view_change;
+
+pub use durable::{DurableRecord, DurableState, Snapshot};
+pub use replica::{Output, Replica, StateMachine};
+pub use settings::ControlSettings;
--- /dev/null
+++ b/system/control/src/membership.rs
@@ -0,0 +1,174 @@
+//! Who is there: heartbeats to a few monitors on a ring, and what others report.
+use crate::settings::ControlSettings;
+use magpiegap_protocol::{Heartbeat, Member, Millis, PeerReport, Replica, WallMillis};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How many successors on the ring hear a replica's heartbeats.
+const MONITORS: usize = 4;
+/// A newcomer must have been heard for this long.
+const SETTLE_MS: Millis = 150;
+/// Reports on replicas that were not heard for this long are dropped.
+const FORGET_MS: Millis = 30_000;
+
+/// What is known of another replica.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Peer {
+    pub replica: Replica,
+    pub first_heard: Millis,
+    pub last_heard: Millis,
+    pub view: u64,
+    pub serving: bool,
+    pub unfit: bool,
+    /// When it last said that it hears us; `None`: it tells us nothing itself.
+    pub hears_us: Option<Millis>,
+    /// When it last told us something itself.
+    pub direct: Option<Millis>,
+    /// Its time of day less our steady clock.
+    pub wall_offset: Option<i64>,
+}
+
+/// All that is known of other replicas.
+#[derive(Clone, Debug)]
+pub(crate) struct Membership {
+    own: Replica,
+    suspect_ms: Millis,
+    /// Addresses at which replicas may be found.
+    addresses: BTreeSet<u32>,
+    peers: BTreeMap<Member, Peer>,
+}
+
+impl Membership {
+    pub fn new(settings: &ControlSettings) -> Membership {
+        let addresses =
+            settings.seeds.iter().copied().filter(|a| *a != settings.own.member.address).collect();
+        Membership { own: settings.own, suspect_ms: settings.suspect_ms, addresses, peers: BTreeMap::new() }
+    }
+
+    /// Learns of an address.
+    pub fn know(&mut self, address: u32) {
+        if address != self.own.member.address {
+            self.addresses.insert(address);
+        }
+    }
+
+    /// Those that hear this replica's heartbeats: its successors on the ring of addresses.
+    pub fn monitors(&self) -> Vec<u32> {
+        let own = self.own.member.address;
+        let after = self.addresses.range(own..);
+        let before = self.addresses.range(..own);
+        after.chain(before).copied().take(MONITORS).collect()
+    }
+
+    /// Takes a heartbeat.
+    pub fn hear(&mut self, from: Replica, heartbeat: &Heartbeat, now: Millis) {
+        self.know(from.member.address);
+        self.touch(from, now, heartbeat.view, heartbeat.serving, heartbeat.unfit, now);
+        let own = self.own;
+        let hears_us =
+            heartbeat.heard.iter().find(|report| report.replica == own).map(|report| report.age_ms);
+        let suspect_ms = self.suspect_ms;
+        if let Some(peer) = self.peers.get_mut(&from.member) {
+            peer.direct = Some(now);
+            peer.wall_offset = Some(heartbeat.wall_ms as i64 - now as i64);
+            if hears_us.is_some_and(|age| age < suspect_ms) {
+                peer.hears_us = Some(now);
+            }
+        }
+        for report in &heartbeat.heard {
+            if report.replica.member != own.member && report.age_ms < suspect_ms {
+                self.know(report.replica.member.address);
+                let at = now.saturating_sub(report.age_ms);
+                self.touch(report.replica, at, report.view, report.serving, report.unfit, now);
+            }
+        }
+    }
+
+    fn touch(&mut self, replica: Replica, at: Millis, view: u64, serving: bool, unfit: bool, now: Millis) {
+        let suspect_ms = self.suspect_ms;
+        let fresh = Peer {
+            replica,
+            first_heard: now,
+            last_heard: at,
+            view,
+            serving,
+            unfit,
+            hears_us: None,
+            direct: None,
+            wall_offset: None,
+        };
+        let peer = self.peers.entry(replica.member).or_insert(fresh);
+        if at < peer.last_heard {
+            return;
+        }
+        if peer.replica != replica {
+            *peer = fresh;
+            return;
+        }
+        if at.saturating_sub(peer.last_heard) > suspect_ms {
+            peer.first_heard = now;
+        }
+        peer.last_heard = at;
+        peer.view = view;
+        peer.serving = serving;
+        peer.unfit = unfit;
+    }
+
+    /// Reports for a heartbeat.
+    pub fn reports(&self, now: Millis) -> Vec<PeerReport> {
+        let report = |peer: &Peer| PeerReport {
+            replica: peer.replica,
+            age_ms: now.saturating_sub(peer.last_heard),
+            view: peer.view,
+            serving: peer.serving,
+            unfit: peer.unfit,
+        };
+        self.peers.values().map(report).collect()
+    }
+
+    /// The replicas that are there and can take part, without this one.
+    pub fn alive(&self, now: Millis) -> Vec<Peer> {
+        let both_ways = |peer: &Peer| match peer.direct {
+            Some(at) if now.saturating_sub(at) <= self.suspect_ms => {
+                peer.hears_us.is_some_and(|at| now.saturating_sub(at) <= self.suspect_ms)
+            }
+            // Heard of from others only: those it tells nothing itself, since it has other monitors.
+            _ => self.addresses.len() > MONITORS,
+        };
+        let alive = |peer: &&Peer| {
+            now.saturating_sub(peer.last_heard) <= self.suspect_ms
+                && now.saturating_sub(peer.first_heard) >= SETTLE_MS
+                && !peer.unfit
+                && both_ways(peer)
+        };
+        let mut newest: BTreeMap<u32, Peer> = BTreeMap::new();
+        for peer in self.peers.values().filter(alive) {
+            let known = newest.entry(peer.replica.member.address).or_insert(*peer);
+            if peer.last_heard > known.last_heard {
+                *known = *peer;
+            }
+        }
+        newest.into_values().collect()
+    }
+
+    /// What is known of a member.
+    pub fn peer(&self, member: &Member) -> Option<&Peer> {
+        self.peers.get(member)
+    }
+
+    /// The middle one of the times of day of all that are heard, with this replica's own.
+    pub fn median_wall(&self, own_wall: WallMillis, now: Millis) -> WallMillis {
+        let recent =
+            |peer: &&Peer| peer.direct.is_some_and(|at| now.saturating_sub(at) <= 2 * self.suspect_ms);
+        let heard = self.peers.values().filter(recent).filter_map(|peer| peer.wall_offset);
+        let mut walls: Vec<i64> = heard.map(|offset| offset + now as i64).collect();
+        walls.push(own_wall as i64);
+        walls.sort_unstable();
+        let lower = walls[(walls.len() - 1) / 2];
+        u64::try_from(lower).unwrap_or(0)
+    }
+
+    /// Drops what is known of replicas that were not heard for long.
+    pub fn forget(&mut self, now: Millis) {
+        self.peers.retain(|_, peer| now.saturating_sub(peer.last_heard) < FORGET_MS);
+    }
+}
--- /dev/null
+++ b/system/control/src/replica.rs
@@ -0,0 +1,353 @@
+//! One replica: takes messages, the passing of time and the disk's word, and says what to send and to keep.
+use crate::{
+    agreement::Agreement,
+    chain::{Activity, Chain},
+    durable::{DurableRecord, DurableState, Snapshot},
+    log::Log,
+    membership::Membership,
+    settings::ControlSettings,
+};
+use magpiegap_protocol::{
+    Entry, Heartbeat, Millis, PeerMessage, Position, Replica as ReplicaId, View, WallMillis,
+};
+use rand::{rngs::StdRng, SeedableRng};
+use std::collections::VecDeque;
+
+/// A disk that has not done what it was asked to for this long makes the replica unfit.
+const DISK_PATIENCE_MS: Millis = 1200;
+/// Records after which a checkpoint is due, in bytes.
+const CHECKPOINT_BYTES: usize = 4 << 20;
+
+/// The replicated state.
+pub trait StateMachine {
+    /// Applies the next entry.
+    fn apply(&mut self, entry: &Entry);
+    /// The last entry applied.
+    fn position(&self) -> Position;
+    /// The whole state, encoded.
+    fn encode(&self) -> Vec<u8>;
+    /// Replaces the state; `false`, and no change, when the bytes are no state.
+    fn restore(&mut self, state: &[u8]) -> bool;
+}
+
+/// Something that a replica wants done. Disk work is done in order, and each ticket is answered with
+/// [`Replica::persisted`].
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Send a message to the coordinator at an address.
+    Send {
+        /// The address.
+        to: u32,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Add records to the log on disk.
+    Persist {
+        /// Names the work.
+        ticket: u64,
+        /// The records.
+        records: Vec<DurableRecord>,
+    },
+    /// Replace all that is on disk.
+    Checkpoint {
+        /// Names the work.
+        ticket: u64,
+        /// What to keep.
+        snapshot: Box<Snapshot>,
+    },
+    /// A line for the operator's log.
+    Log(String),
+}
+
+/// What waits for the disk.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum After {
+    Send(u32, PeerMessage),
+    EntriesDurable(u64),
+}
+
+struct Ticket {
+    number: u64,
+    issued_at: Millis,
+    after: Vec<After>,
+}
+
+/// One replica.
+pub struct Replica {
+    pub(crate) settings: ControlSettings,
+    pub(crate) agreement: Agreement,
+    pub(crate) membership: Membership,
+    pub(crate) chain: Chain,
+    /// The view up to which this replica has all that was committed.
+    pub(crate) synchronized: Option<u64>,
+    pub(crate) random: StdRng,
+    pub(crate) view_since: Millis,
+    pub(crate) needed_since: Option<Millis>,
+    pub(crate) next_round_at: Millis,
+    disk: u64,
+    leaving: bool,
+    next_heartbeat: Millis,
+    next_ticket: u64,
+    tickets: VecDeque<Ticket>,
+    bytes_since_checkpoint: usize,
+    out: Vec<Output>,
+}
+
+impl Replica {
+    /// A replica that has just started, with what was on its disk. The state machine must have been restored from
+    /// the same.
+    pub fn new(settings: ControlSettings, durable: &DurableState, now: Millis) -> Replica {
+        let mut membership = Membership::new(&settings);
+        for voter in &durable.agreement.current.voters {
+            membership.know(voter.address);
+        }
+        let log = Log::new(durable.applied, durable.entries.clone());
+        Replica {
+            random: StdRng::seed_from_u64(settings.seed),
+            agreement: Agreement::new(durable.agreement.clone()),
+            membership,
+            chain: Chain::new(log, durable.applied),
+            synchronized: durable.synchronized,
+            view_since: now,
+            needed_since: None,
+            next_round_at: now,
+            disk: durable.disk,
+            leaving: false,
+            next_heartbeat: now,
+            next_ticket: 0,
+            tickets: VecDeque::new(),
+            bytes_since_checkpoint: 0,
+            out: Vec::new(),
+            settings,
+        }
+    }
+
+    /// This replica's name.
+    pub fn own(&self) -> ReplicaId {
+        self.settings.own
+    }
+
+    /// The newest view that this replica knows.
+    pub fn view(&self) -> &View {
+        &self.agreement.state.current
+    }
+
+    /// The newest entry known to be committed.
+    pub fn committed(&self) -> u64 {
+        self.chain.committed
+    }
+
+    /// Takes what it wants done.
+    pub fn take_outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Announces that this replica is about to end, so that the others go on without it at once.
+    pub fn leave(&mut self, now: Millis) {
+        self.leaving = true;
+        self.next_heartbeat = now;
+    }
+
+    /// The middle one of the times of day of the core machines.
+    pub fn median_wall(&self, own_wall: WallMillis, now: Millis) -> WallMillis {
+        self.membership.median_wall(own_wall, now)
+    }
+
+    /// Whether this replica was in touch with a majority of the voters just now, and all is as it should be: the view
+    /// that it knows was the newest one a moment ago.
+    pub fn view_stands(&self, now: Millis) -> bool {
+        let view = self.view();
+        let own = self.settings.own.member;
+        let agrees = |member: &magpiegap_protocol::Member| {
+            *member == own
+                || self.membership.peer(member).is_some_and(|peer| {
+                    peer.view == view.number
+                        && now.saturating_sub(peer.last_heard) <= self.settings.suspect_ms
+                })
+        };
+        self.is_active() && view.voters.iter().filter(|voter| agrees(voter)).count() >= view.majority()
+    }
+
+    /// Does what is due. To be called every few hundredths of a second.
+    pub fn tick(&mut self, now: Millis, own_wall: WallMillis, machine: &mut dyn StateMachine) {
+        if now >= self.next_heartbeat {
+            self.next_heartbeat = now + self.settings.heartbeat_ms;
+            self.send_heartbeats(now, own_wall);
+            self.membership.forget(now);
+        }
+        self.check_view(now, machine);
+        if self.chain.activity == Activity::Joining {
+            self.ask_predecessor(now);
+        }
+        if self.bytes_since_checkpoint > CHECKPOINT_BYTES && self.tickets.is_empty() {
+            self.checkpoint(now, machine);
+        }
+        self.flush_chain(now, machine);
+    }
+
+    /// Takes a message from another replica.
+    pub fn receive(
+        &mut self,
+        now: Millis,
+        wall: WallMillis,
+        from: ReplicaId,
+        message: PeerMessage,
+        machine: &mut dyn StateMachine,
+    ) {
+        let current = self.view().number;
+        match message {
+            PeerMessage::Heartbeat(heartbeat) => self.heartbeat(from, &heartbeat, now),
+            PeerMessage::Prepare { number, ballot } => self.prepare(from, number, ballot, now),
+            PeerMessage::Promise(promise) => self.promised(from, promise, now),
+            PeerMessage::Reject { number, promised } => self.rejected(number, promised, now),
+            PeerMessage::Accept { ballot, view } => self.accept_view(from, ballot, &view, now),
+            PeerMessage::Accepted { number, ballot } => self.accepted(from, number, ballot, now, machine),
+            PeerMessage::Decided(view) => self.decided(&view, now, machine),
+            PeerMessage::Append { view, after, entries, durable } if view == current => {
+                if self.predecessor() == Some(from) {
+                    self.append(after, entries, durable, now);
+                }
+            }
+            PeerMessage::Committed { view, index } if view == current => self.learn_committed(index),
+            PeerMessage::Synchronize { view, last } if view == current => {
+                self.give_missing(from, last, machine)
+            }
+            PeerMessage::MissingEntries { view, after, entries } if view == current => {
+                if self.predecessor() == Some(from) {
+                    self.take_missing(after, entries, now);
+                }
+            }
+            PeerMessage::WholeState { view, applied, state, entries } if view == current => {
+                if self.predecessor() == Some(from) {
+                    self.take_whole_state(applied, &state, entries, now, machine);
+                }
+            }
+            PeerMessage::Propose { view, proposal, fence, command } if view == current => {
+                if self.is_head() {
+                    self.write(wall, proposal, fence, command);
+                }
+            }
+            // Of another view, or not for this layer.
+            _ => {}
+        }
+    }
+
+    /// Ends a step: hands on what has come up.
+    pub fn flush(&mut self, now: Millis, machine: &mut dyn StateMachine) {
+        self.flush_chain(now, machine);
+    }
+
+    /// Disk work up to this ticket is done.
+    pub fn persisted(&mut self, ticket: u64, now: Millis, machine: &mut dyn StateMachine) {
+        while self.tickets.front().is_some_and(|front| front.number <= ticket) {
+            let Some(done) = self.tickets.pop_front() else { break };
+            for after in done.after {
+                match after {
+                    After::Send(to, message) => self.send(to, message),
+                    After::EntriesDurable(index) => {
+                        self.chain.own_durable = self.chain.own_durable.max(index);
+                    }
+                }
+            }
+        }
+        self.flush_chain(now, machine);
+    }
+
+    fn heartbeat(&mut self, from: ReplicaId, heartbeat: &Heartbeat, now: Millis) {
+        self.membership.hear(from, heartbeat, now);
+        let current = self.view();
+        if heartbeat.view < current.number {
+            let decided = PeerMessage::Decided(current.clone());
+            self.send(from.member.address, decided);
+        } else if heartbeat.view == current.number && current.tail() == Some(from) {
+            self.learn_committed(heartbeat.committed);
+        }
+    }
+
+    fn send_heartbeats(&mut self, now: Millis, own_wall: WallMillis) {
+        let heartbeat = Heartbeat {
+            view: self.view().number,
+            serving: self.serving(),
+            unfit: self.unfit(now),
+            heard: self.membership.reports(now),
+            wall_ms: own_wall,
+            committed: self.chain.committed,
+        };
+        for address in self.membership.monitors() {
+            self.send(address, PeerMessage::Heartbeat(heartbeat.clone()));
+        }
+    }
+
+    /// Whether this replica is at work in its view, or waits for its predecessor there.
+    pub(crate) fn serving(&self) -> bool {
+        self.chain.activity != Activity::Inactive && !self.agreement.sealed()
+    }
+
+    /// Whether this replica can't take part for now.
+    pub(crate) fn unfit(&self, now: Millis) -> bool {
+        let stuck = |ticket: &Ticket| now.saturating_sub(ticket.issued_at) > DISK_PATIENCE_MS;
+        self.leaving || self.tickets.front().is_some_and(stuck)
+    }
+
+    pub(crate) fn log(&mut self, line: String) {
+        self.out.push(Output::Log(line));
+    }
+
+    /// Sends a message; one to this replica itself comes back like any other.
+    pub(crate) fn send(&mut self, to: u32, message: PeerMessage) {
+        self.out.push(Output::Send { to, message });
+    }
+
+    fn ticket(&mut self, after: Vec<After>, now: Millis) -> u64 {
+        self.next_ticket += 1;
+        self.tickets.push_back(Ticket { number: self.next_ticket, issued_at: now, after });
+        self.next_ticket
+    }
+
+    pub(crate) fn persist(&mut self, records: Vec<DurableRecord>, after: Vec<After>, now: Millis) {
+        let ticket = self.ticket(after, now);
+        self.bytes_since_checkpoint += records.iter().map(rough_size).sum::<usize>();
+        self.out.push(Output::Persist { ticket, records });
+    }
+
+    /// Replaces all that is on disk by what the replica has now.
+    pub(crate) fn checkpoint(&mut self, now: Millis, machine: &mut dyn StateMachine) {
+        self.bytes_since_checkpoint = 0;
+        let last = self.chain.log.last().index;
+        let snapshot = Snapshot {
+            disk: self.disk,
+            agreement: self.agreement.state.clone(),
+            synchronized: self.synchronized,
+            applied: machine.position(),
+            state: machine.encode(),
+            entries: self.chain.log.after(self.chain.applied).unwrap_or_default(),
+        };
+        self.chain.handed_to_disk = last;
+        let ticket = self.ticket(vec![After::EntriesDurable(last)], now);
+        self.out.push(Output::Checkpoint { ticket, snapshot: Box::new(snapshot) });
+    }
+}
+
+/// About how many bytes a record takes up on disk.
+fn rough_size(record: &DurableRecord) -> usize {
+    match record {
+        DurableRecord::Entries(entries) => entries.iter().map(rough_entry_size).sum(),
+        DurableRecord::Agreement(_) => 1000,
+        DurableRecord::Synchronized(_) => 20,
+    }
+}
+
+fn rough_entry_size(entry: &Entry) -> usize {
+    use magpiegap_protocol::Command;
+    const HEAD: usize = 80;
+    const RUN: usize = 80;
+    HEAD + match &entry.command {
+        Command::ReplaceConfiguration { body, .. } => body.len(),
+        Command::SubmitJob { submission, runs } => {
+            submission.spec.spec.len() + 100 * submission.spec.steps.len() + RUN * runs.len()
+        }
+        Command::StartRuns { runs } | Command::LoseRuns { runs } => RUN * runs.len(),
+        Command::NoteEnds { ends, .. } => RUN * ends.len(),
+        _ => 0,
+    }
+}
--- /dev/null
+++ b/system/control/src/view_change.rs
@@ -0,0 +1,291 @@
+//! When the next view is proposed, by whom, and with whom.
+use crate::{
+    durable::DurableRecord,
+    membership::Peer,
+    replica::{After, Replica, StateMachine},
+};
+use magpiegap_protocol::{Member, Millis, PeerMessage, Position, Promise, Replica as ReplicaId, View};
+use rand::Rng;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How long each further candidate waits before it proposes in place of those before it.
+const RANK_DELAY_MS: Millis = 250;
+/// A round that has led to nothing is given up after this time.
+const ROUND_TIMEOUT_MS: Millis = 500;
+/// How long a proposer waits for more than a majority of promises.
+const PROMISE_WAIT_MS: Millis = 60;
+/// A member of the chain that does not take part is replaced, or taken in anew, after this time.
+const IDLE_MEMBER_MS: Millis = 500;
+
+impl Replica {
+    /// Whether this replica's disk has all that was committed so far.
+    pub(crate) fn is_complete(&self) -> bool {
+        let current = &self.agreement.state.current;
+        self.synchronized.is_some_and(|view| current.complete_since(view, &self.settings.own.member))
+    }
+
+    /// All that are there, this replica included unless it can't take part.
+    fn alive(&self, now: Millis) -> Vec<ReplicaId> {
+        let mut alive: Vec<ReplicaId> = self.membership.alive(now).iter().map(|peer| peer.replica).collect();
+        if !self.unfit(now) {
+            alive.push(self.settings.own);
+        }
+        alive.sort_unstable();
+        alive
+    }
+
+    /// Proposes the next view when one is needed and it is this replica's turn.
+    pub(crate) fn check_view(&mut self, now: Millis, machine: &mut dyn StateMachine) {
+        let _ = &machine;
+        if self.agreement.round.as_ref().is_some_and(|round| now < round.started_at + ROUND_TIMEOUT_MS) {
+            self.propose_view(now);
+            return;
+        }
+        self.agreement.round = None;
+        let alive = self.alive(now);
+        if !self.view_needed(&alive, now) {
+            self.needed_since = None;
+            return;
+        }
+        let needed_since = *self.needed_since.get_or_insert(now);
+        let Some(rank) = self.proposer_rank(&alive) else { return };
+        if now >= needed_since + rank * RANK_DELAY_MS && now >= self.next_round_at {
+            self.begin_round(now);
+        }
+    }
+
+    fn view_needed(&self, alive: &[ReplicaId], now: Millis) -> bool {
+        let current = &self.agreement.state.current;
+        let voters = alive.iter().filter(|replica| current.voters.contains(&replica.member)).count();
+        if voters < current.majority() {
+            return false;
+        }
+        let wanted: BTreeSet<ReplicaId> = alive.iter().copied().collect();
+        let chain: BTreeSet<ReplicaId> = current.chain.iter().copied().collect();
+        wanted != chain || self.agreement.sealed() || self.idle_member(now)
+    }
+
+    /// Whether a member of the chain is there and has not taken part for a while.
+    fn idle_member(&self, now: Millis) -> bool {
+        if now < self.view_since + IDLE_MEMBER_MS {
+            return false;
+        }
+        let current = &self.agreement.state.current;
+        let idle = |peer: &Peer| peer.view == current.number && !peer.serving;
+        let others = current.chain.iter().filter_map(|replica| self.membership.peer(&replica.member));
+        others.into_iter().any(idle) || (self.own_position().is_some() && !self.serving())
+    }
+
+    /// How many are to propose before this replica; `None` when it has no vote.
+    fn proposer_rank(&self, alive: &[ReplicaId]) -> Option<u64> {
+        let current = &self.agreement.state.current;
+        let mut candidates: Vec<ReplicaId> =
+            alive.iter().copied().filter(|replica| current.voters.contains(&replica.member)).collect();
+        candidates.sort_by_key(|replica| (current.position(replica).unwrap_or(usize::MAX), *replica));
+        let own = candidates.iter().position(|replica| *replica == self.settings.own)?;
+        Some(own as u64)
+    }
+
+    fn begin_round(&mut self, now: Millis) {
+        self.next_round_at = now + ROUND_TIMEOUT_MS + self.random.gen_range(0..200);
+        let ballot = self.agreement.begin(self.settings.own.boot as u32, now);
+        let number = self.agreement.next_number();
+        let message = PeerMessage::Prepare { number, ballot };
+        self.send_to_voters(&message);
+    }
+
+    fn send_to_voters(&mut self, message: &PeerMessage) {
+        let voters: Vec<Member> = self.agreement.state.current.voters.clone();
+        for voter in voters {
+            self.send(voter.address, message.clone());
+        }
+    }
+
+    /// A proposer asks for the agreement on the next view.
+    pub(crate) fn prepare(&mut self, from: ReplicaId, number: u64, ballot: (u64, u32), now: Millis) {
+        if !self.takes_part(from, number) {
+            return;
+        }
+        match self.agreement.promise(ballot) {
+            Ok(accepted) => {
+                let complete = self.is_complete().then(|| self.chain.log.last());
+                let promise = PeerMessage::Promise(Promise { number, ballot, accepted, complete });
+                self.persist_agreement(vec![After::Send(from.member.address, promise)], now);
+            }
+            Err(promised) => self.send(from.member.address, PeerMessage::Reject { number, promised }),
+        }
+    }
+
+    /// Whether this replica votes on that view. Tells a proposer that lies behind.
+    fn takes_part(&mut self, from: ReplicaId, number: u64) -> bool {
+        let current = &self.agreement.state.current;
+        if number <= current.number {
+            let decided = PeerMessage::Decided(current.clone());
+            self.send(from.member.address, decided);
+            return false;
+        }
+        number == current.number + 1 && current.voters.contains(&self.settings.own.member)
+    }
+
+    /// A voter takes part in this replica's round.
+    pub(crate) fn promised(&mut self, from: ReplicaId, promise: Promise, now: Millis) {
+        let number = self.agreement.next_number();
+        let voter = self.agreement.state.current.voters.contains(&from.member);
+        let Some(round) = self.agreement.round.as_mut() else { return };
+        if promise.number != number || promise.ballot != round.ballot || !voter {
+            return;
+        }
+        round.promises.insert(from.member, promise);
+        self.propose_view(now);
+    }
+
+    /// Proposes a view once enough voters take part.
+    fn propose_view(&mut self, now: Millis) {
+        let current = self.agreement.state.current.clone();
+        let alive = self.alive(now);
+        let Some(round) = self.agreement.round.as_ref() else { return };
+        if round.proposed.is_some() || !round.has_majority(&current) {
+            return;
+        }
+        let expected = alive.iter().filter(|replica| current.voters.contains(&replica.member)).count();
+        if round.promises.len() < expected && now < round.started_at + PROMISE_WAIT_MS {
+            return;
+        }
+        let view = round.bound_view().or_else(|| self.compose_view(&current, &alive, &round.complete()));
+        let Some(view) = view else { return };
+        let ballot = round.ballot;
+        if let Some(round) = self.agreement.round.as_mut() {
+            round.proposed = Some((view.clone(), BTreeSet::new()));
+        }
+        self.send_to_voters(&PeerMessage::Accept { ballot, view });
+    }
+
+    /// The next view: all that are there, led by one that has all that was committed.
+    fn compose_view(
+        &self,
+        current: &View,
+        alive: &[ReplicaId],
+        complete: &BTreeMap<Member, Position>,
+    ) -> Option<View> {
+        let last = |replica: &ReplicaId| complete.get(&replica.member).copied();
+        let newest = alive.iter().filter_map(last).max()?;
+        let mut chain = alive.to_vec();
+        chain.sort_by_key(|replica| {
+            let can_lead = last(replica) == Some(newest);
+            let place = current.chain.iter().position(|other| other.member == replica.member);
+            (!can_lead, place.unwrap_or(usize::MAX), *replica)
+        });
+        Some(current.next(self.next_voters(current, alive), chain))
+    }
+
+    /// The voters of the next view: a machine with a new disk takes the place of its old one, a newcomer that of a
+    /// voter that is gone, or one more place while there are too few.
+    fn next_voters(&self, current: &View, alive: &[ReplicaId]) -> Vec<Member> {
+        let wanted = 2 * self.settings.tolerance + 1;
+        let mut voters = current.voters.clone();
+        let is_alive = |member: &Member| alive.iter().any(|replica| replica.member == *member);
+        for newcomer in alive.iter().map(|replica| replica.member) {
+            if voters.contains(&newcomer) {
+                continue;
+            }
+            let same_machine = voters.iter().position(|voter| voter.address == newcomer.address);
+            let gone = voters.iter().position(|voter| !is_alive(voter));
+            match same_machine.or_else(|| gone.filter(|_| voters.len() >= wanted)) {
+                Some(place) => voters[place] = newcomer,
+                None if voters.len() < wanted => voters.push(newcomer),
+                None => {}
+            }
+        }
+        voters.sort_unstable();
+        voters
+    }
+
+    /// A proposer asks to accept a view.
+    pub(crate) fn accept_view(&mut self, from: ReplicaId, ballot: (u64, u32), view: &View, now: Millis) {
+        if !self.takes_part(from, view.number) {
+            return;
+        }
+        let number = view.number;
+        match self.agreement.accept(ballot, view) {
+            Ok(()) => {
+                let accepted = PeerMessage::Accepted { number, ballot };
+                self.persist_agreement(vec![After::Send(from.member.address, accepted)], now);
+            }
+            Err(promised) => self.send(from.member.address, PeerMessage::Reject { number, promised }),
+        }
+    }
+
+    /// A voter has accepted the view of this replica's round.
+    pub(crate) fn accepted(
+        &mut self,
+        from: ReplicaId,
+        number: u64,
+        ballot: (u64, u32),
+        now: Millis,
+        machine: &mut dyn StateMachine,
+    ) {
+        let current = &self.agreement.state.current;
+        if number != current.number + 1 || !current.voters.contains(&from.member) {
+            return;
+        }
+        let majority = current.majority();
+        let Some(round) = self.agreement.round.as_mut().filter(|round| round.ballot == ballot) else {
+            return;
+        };
+        let Some((view, accepted)) = round.proposed.as_mut() else { return };
+        accepted.insert(from.member);
+        if accepted.len() >= majority {
+            let view = view.clone();
+            self.announce(&view, now);
+            self.decided(&view, now, machine);
+        }
+    }
+
+    fn announce(&mut self, view: &View, now: Millis) {
+        let mut addresses: BTreeSet<u32> =
+            self.membership.alive(now).iter().map(|p| p.replica.member.address).collect();
+        addresses.extend(view.voters.iter().map(|voter| voter.address));
+        addresses.extend(view.chain.iter().map(|replica| replica.member.address));
+        addresses.remove(&self.settings.own.member.address);
+        for address in addresses {
+            self.send(address, PeerMessage::Decided(view.clone()));
+        }
+    }
+
+    /// A higher ballot is under way.
+    pub(crate) fn rejected(&mut self, number: u64, promised: (u64, u32), now: Millis) {
+        if number != self.agreement.next_number() {
+            return;
+        }
+        self.agreement.highest_round = self.agreement.highest_round.max(promised.0);
+        if self.agreement.round.as_ref().is_some_and(|round| round.ballot < promised) {
+            self.agreement.round = None;
+            self.next_round_at = now + ROUND_TIMEOUT_MS / 2 + self.random.gen_range(0..200);
+        }
+    }
+
+    /// Takes up a view that was agreed.
+    pub(crate) fn decided(&mut self, view: &View, now: Millis, machine: &mut dyn StateMachine) {
+        if !self.agreement.decide(view) {
+            return;
+        }
+        self.view_since = now;
+        self.needed_since = None;
+        for member in &view.voters {
+            self.membership.know(member.address);
+        }
+        self.persist_agreement(Vec::new(), now);
+        self.log(format!("view {}: {}", view.number, describe(view)));
+        self.enter_view(view, now, machine);
+    }
+
+    fn persist_agreement(&mut self, after: Vec<After>, now: Millis) {
+        let state = Box::new(self.agreement.state.clone());
+        self.persist(vec![DurableRecord::Agreement(state)], after, now);
+    }
+}
+
+fn describe(view: &View) -> String {
+    let chain: Vec<String> = view.chain.iter().map(|replica| replica.member.to_string()).collect();
+    format!("chain {}, {} voters", chain.join(" > "), view.voters.len())
+}
--- /dev/null
+++ b/system/coordinator/src/describe.rs
@@ -0,0 +1,47 @@
+//! The state of the cluster, for operators.
+use crate::coordinator::Coordinator;
+use magpiegap_protocol::Role;
+use std::fmt::Write;
+
+impl Coordinator {
+    /// The state of the cluster as this coordinator sees it, as JSON.
+    pub fn describe(&self) -> String {
+        let view = self.replica.view();
+        let state = &self.machine.state;
+        let chain: Vec<String> =
+            view.chain.iter().map(|replica| format!("\"{}\"", replica.member.ip())).collect();
+        let mut roles = Vec::new();
+        for (role, held) in &state.roles {
+            let name = match role {
+                Role::PlatformReader => "platform-reader".to_owned(),
+                Role::Scheduler(service) => format!("scheduler {service}"),
+            };
+            let holder = held.holder.member.ip();
+            roles.push(format!("{{\"role\":\"{name}\",\"holder\":\"{holder}\",\"token\":{}}}", held.token));
+        }
+        let mut schedulers = Vec::new();
+        for (service, scheduler) in &self.schedulers {
+            let sum = scheduler.summary();
+            schedulers.push(format!(
+                "{{\"service\":\"{service}\",\"workers\":{},\"silent\":{},\"runs\":{},\"waiting\":{}}}",
+                sum.workers, sum.silent, sum.runs, sum.waiting
+            ));
+        }
+        let mut text = String::new();
+        let _ = write!(
+            text,
+            "{{\"view\":{},\"chain\":[{}],\"voters\":{},\"active\":{},\"committed\":{},\"configuration\":{},\
+             \"jobs\":{},\"roles\":[{}],\"schedulers\":[{}]}}",
+            view.number,
+            chain.join(","),
+            view.voters.len(),
+            self.replica.is_active(),
+            self.replica.committed(),
+            state.configuration.version,
+            state.jobs.len(),
+            roles.join(","),
+            schedulers.join(",")
+        );
+        text
+    }
+}
--- /dev/null
+++ b/system/coordinator/src/lib.rs
@@ -0,0 +1,20 @@
+//! A coordinator as a state machine without I/O: a replica of the state, the roles that it holds, and the requests
+//! that it answers.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod coordinator;
+mod describe;
+mod feeds;
+mod machine;
+mod outputs;
+mod platform;
+mod proposals;
+mod requests;
+mod roles;
+mod settings;
+
+pub use coordinator::Coordinator;
+pub use machine::Machine;
+pub use outputs::{Output, PlatformReply, RequestId};
+pub use settings::CoordinatorSettings;
--- /dev/null
+++ b/system/coordinator/src/outputs.rs
@@ -0,0 +1,74 @@
+//! What a coordinator wants done.
+use magpiegap_control::{DurableRecord, Snapshot};
+use magpiegap_protocol::{CoordinatorAnswer, PeerMessage, WorkerEntry};
+use magpiegap_scheduler::WorkerCall;
+
+/// Names a request that waits for its answer.
+pub type RequestId = u64;
+
+/// Something that a coordinator wants done. Disk work is done in order, and each ticket is answered.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Send a message to the coordinator at an address.
+    Send {
+        /// The address.
+        to: u32,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Add records to the log on disk.
+    Persist {
+        /// Names the work.
+        ticket: u64,
+        /// The records.
+        records: Vec<DurableRecord>,
+    },
+    /// Replace all that is on disk.
+    Checkpoint {
+        /// Names the work.
+        ticket: u64,
+        /// What to keep.
+        snapshot: Box<Snapshot>,
+    },
+    /// Answer a request.
+    Answer {
+        /// The request.
+        request: RequestId,
+        /// The answer.
+        answer: CoordinatorAnswer,
+    },
+    /// Call a worker.
+    CallWorker {
+        /// The service whose scheduler gets the reply.
+        service: String,
+        /// The fencing token of that scheduler.
+        token: u64,
+        /// The call.
+        call: WorkerCall,
+    },
+    /// Ask the platform for a page of its list.
+    ListWorkers {
+        /// Names the call.
+        call: u64,
+        /// The page; `None`: the first.
+        page: Option<String>,
+    },
+    /// A line for the operator's log.
+    Log(String),
+}
+
+/// The platform's answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PlatformReply {
+    /// A page of the list.
+    Page {
+        /// The workers.
+        workers: Vec<WorkerEntry>,
+        /// The page that follows; `None`: this was the last one.
+        next: Option<String>,
+    },
+    /// Too many calls.
+    Limited,
+    /// No answer, or one that can't be read.
+    Failed,
+}
--- /dev/null
+++ b/system/coordinator/src/proposals.rs
@@ -0,0 +1,190 @@
+//! What this coordinator has proposed and what waits for it.
+use crate::{coordinator::Coordinator, outputs::RequestId};
+use magpiegap_protocol::{
+    Command, CoordinatorAnswer, Fence, JobId, Millis, ProposalId, Role, RunStart, Submission,
+};
+
+/// A request that was not answered for this long is answered as it stands.
+const REQUEST_PATIENCE_MS: Millis = 2000;
+
+/// A proposal that the head may not have got is sent again after this time.
+const PROPOSE_AGAIN_MS: Millis = 500;
+
+/// Why something was proposed.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Purpose {
+    /// A scheduler needs it; these are the runs in it.
+    Scheduler { service: String, runs: Vec<RunStart> },
+    /// To take a role.
+    Claim(Role),
+    /// To prove that the view stands.
+    Lease,
+    /// The first proposal in a view: with it all that was proposed before is settled.
+    FirstOfView,
+}
+
+/// What a client or operator wants.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Wish {
+    Submit(Box<Submission>),
+    Cancel(JobId),
+    ReplaceConfiguration { base: u64, version: u64, body: Vec<u8> },
+    DescribeConfiguration,
+}
+
+/// A wish that is not settled yet.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Pending {
+    pub wish: Wish,
+    pub requests: Vec<RequestId>,
+    pub since: Millis,
+    /// It was proposed at least once, and so may take effect.
+    pub proposed: bool,
+}
+
+/// A proposal under way.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Proposal {
+    pub purpose: Option<Purpose>,
+    /// The wish that it is to settle.
+    pub pending: Option<u64>,
+    pub proposed_at: Millis,
+    pub view: u64,
+    pub fence: Option<Fence>,
+    pub command: Command,
+    /// When it is sent to the head again, in case it was lost on its way there.
+    pub again_at: Millis,
+}
+
+impl Coordinator {
+    /// Proposes a command. Returns whether it is under way.
+    pub(crate) fn propose(
+        &mut self,
+        command: Command,
+        fence: Option<Fence>,
+        purpose: Option<Purpose>,
+        pending: Option<u64>,
+    ) -> bool {
+        self.next_sequence += 1;
+        let sequence = self.next_sequence;
+        let proposal = ProposalId { origin: self.replica.own(), sequence };
+        let wall = self.wall;
+        if !self.replica.propose(self.now, wall, proposal, fence.clone(), command.clone()) {
+            return false;
+        }
+        let view = self.replica.view().number;
+        let again_at = self.now + PROPOSE_AGAIN_MS;
+        let proposal = Proposal { purpose, pending, proposed_at: self.now, view, fence, command, again_at };
+        self.proposals.insert(sequence, proposal);
+        self.last_proposed_at = self.now;
+        true
+    }
+
+    /// Sends proposals to the head again that may have been lost on their way. All commands may be applied twice.
+    pub(crate) fn propose_again(&mut self) {
+        if self.replica.is_head() || !self.replica.is_active() {
+            return;
+        }
+        let (now, wall, origin) = (self.now, self.wall, self.replica.own());
+        let view = self.replica.view().number;
+        for (sequence, proposal) in &mut self.proposals {
+            if now < proposal.again_at || proposal.view != view {
+                continue;
+            }
+            proposal.again_at = now + PROPOSE_AGAIN_MS;
+            let id = ProposalId { origin, sequence: *sequence };
+            self.replica.propose(now, wall, id, proposal.fence.clone(), proposal.command.clone());
+        }
+    }
+
+    /// Takes up a wish.
+    pub(crate) fn wish(&mut self, wish: Wish, request: RequestId) {
+        let same = self.pending.iter_mut().find(|(_, pending)| same_wish(&pending.wish, &wish));
+        if let Some((_, pending)) = same {
+            pending.requests.push(request);
+            return;
+        }
+        self.next_pending += 1;
+        let id = self.next_pending;
+        let pending = Pending { wish, requests: vec![request], since: self.now, proposed: false };
+        self.pending.insert(id, pending);
+        self.pursue(id);
+    }
+
+    /// Proposes what settles a wish.
+    pub(crate) fn pursue(&mut self, id: u64) {
+        if !self.settled_in_view {
+            return;
+        }
+        let Some(Pending { wish, proposed, .. }) = self.pending.get(&id).cloned() else { return };
+        let (command, fence, purpose) = match wish {
+            Wish::Submit(submission) => match self.submission_command(*submission) {
+                Some((command, fence, purpose)) => (command, Some(fence), Some(purpose)),
+                None => {
+                    self.settle(id, &unsettled_answer(proposed));
+                    return;
+                }
+            },
+            Wish::Cancel(job) => (Command::CancelJob { job }, None, None),
+            Wish::ReplaceConfiguration { base, version, body } => {
+                (Command::ReplaceConfiguration { base, version, body }, None, None)
+            }
+            Wish::DescribeConfiguration => (Command::Noop, None, None),
+        };
+        if self.propose(command, fence, purpose, Some(id)) {
+            if let Some(pending) = self.pending.get_mut(&id) {
+                pending.proposed = true;
+            }
+        }
+    }
+
+    /// Answers all that wait for a wish.
+    pub(crate) fn settle(&mut self, id: u64, answer: &CoordinatorAnswer) {
+        let Some(pending) = self.pending.remove(&id) else { return };
+        for request in pending.requests {
+            self.answer(request, answer.clone());
+        }
+    }
+
+    /// Answers requests that have waited too long.
+    pub(crate) fn give_up_requests(&mut self) {
+        let old: Vec<(u64, bool)> = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| self.now >= pending.since + REQUEST_PATIENCE_MS)
+            .map(|(id, pending)| (*id, pending.proposed))
+            .collect();
+        for (id, proposed) in old {
+            self.settle(id, &unsettled_answer(proposed));
+        }
+    }
+
+    /// Proposes anew what a change of the view has left open.
+    pub(crate) fn pursue_all(&mut self) {
+        let view = self.replica.view().number;
+        self.proposals.retain(|_, proposal| proposal.view == view);
+        let under_way: Vec<u64> = self.proposals.values().filter_map(|proposal| proposal.pending).collect();
+        let open: Vec<u64> = self.pending.keys().copied().filter(|id| !under_way.contains(id)).collect();
+        for id in open {
+            self.pursue(id);
+        }
+    }
+}
+
+/// The answer to a request that could not be settled: it may take effect only where it was proposed.
+fn unsettled_answer(proposed: bool) -> CoordinatorAnswer {
+    if proposed {
+        CoordinatorAnswer::Unknown
+    } else {
+        CoordinatorAnswer::NotServing
+    }
+}
+
+fn same_wish(one: &Wish, other: &Wish) -> bool {
+    match (one, other) {
+        (Wish::Submit(one), Wish::Submit(other)) => one.job == other.job,
+        (Wish::Cancel(one), Wish::Cancel(other)) => one == other,
+        (one @ Wish::ReplaceConfiguration { .. }, other) => one == other,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/system/jobs/src/configuration.rs
@@ -0,0 +1,285 @@
+//! The operator's configuration: read by hand, and checked whole.
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use tinyjson::JsonValue;
+
+/// Why a configuration is invalid.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ConfigurationError {
+    /// The bytes are no JSON text.
+    #[error("not readable as JSON: {0}")]
+    Unreadable(String),
+    /// A field is missing or of the wrong kind.
+    #[error("{field}: must be {must}")]
+    Field {
+        /// Where.
+        field: String,
+        /// What it must be.
+        must: &'static str,
+    },
+    /// A route names a service that isn't there.
+    #[error("route {route}: unknown service {service}")]
+    UnknownService {
+        /// The route.
+        route: String,
+        /// The service.
+        service: String,
+    },
+    /// Two routes are at the same place.
+    #[error("routes {first} and {second} have the same host and prefix")]
+    SamePlace {
+        /// One route.
+        first: String,
+        /// The other.
+        second: String,
+    },
+    /// Two routes or services have the same name.
+    #[error("{0}: the name comes twice")]
+    SameName(String),
+}
+
+/// One route: a queue.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Its name.
+    pub name: String,
+    /// Host that clients name.
+    pub hostname: String,
+    /// What a path begins with.
+    pub path_prefix: String,
+    /// Longest time that a call may take, in milliseconds.
+    pub timeout_ms: u64,
+    /// Part of the time in which a job is to be done, in milliseconds.
+    pub target_latency_ms: u64,
+    /// Zero goes first.
+    pub priority: u32,
+    /// The service that runs its jobs.
+    pub service: String,
+    /// A task fails its job when this many of its runs have failed.
+    pub max_attempts: u32,
+    /// Part of the time in which a job is to be done, as a multiple of its work.
+    pub stretch: f64,
+}
+
+impl Route {
+    /// Names the queue: the same whatever the route is called.
+    pub fn queue(&self) -> String {
+        format!("{}{}", self.hostname, self.path_prefix)
+    }
+}
+
+/// One service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Service {
+    /// Its name.
+    pub name: String,
+    /// Where its workers answer for their health.
+    pub health_path: String,
+    /// Most connections to one worker.
+    pub max_connections: u64,
+    /// Its workers turn down what does not fit.
+    pub guards: bool,
+}
+
+/// Limits on clients' requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Longest body, in bytes.
+    pub max_body_bytes: u64,
+    /// Longest head, in bytes.
+    pub max_header_bytes: u64,
+    /// Longest time without a request on an open connection, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { max_body_bytes: 262_144, max_header_bytes: 16_384, idle_timeout_ms: 15_000 }
+    }
+}
+
+/// A valid configuration.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Configuration {
+    /// Its version.
+    pub version: u64,
+    /// Its routes.
+    pub routes: Vec<Route>,
+    /// Its services, by name.
+    pub services: BTreeMap<String, Service>,
+    /// Its limits.
+    pub limits: Limits,
+}
+
+type Object = HashMap<String, JsonValue>;
+
+fn field_error(field: impl Into<String>, must: &'static str) -> ConfigurationError {
+    ConfigurationError::Field { field: field.into(), must }
+}
+
+/// Reads the fields of one object; `path` names it in errors.
+struct Fields<'a> {
+    path: String,
+    object: &'a Object,
+}
+
+impl<'a> Fields<'a> {
+    fn new(path: String, value: &'a JsonValue) -> Result<Fields<'a>, ConfigurationError> {
+        match value.get::<Object>() {
+            Some(object) => Ok(Fields { path, object }),
+            None => Err(field_error(path, "an object")),
+        }
+    }
+
+    fn name(&self, field: &str) -> String {
+        if self.path.is_empty() {
+            field.to_owned()
+        } else {
+            format!("{}.{field}", self.path)
+        }
+    }
+
+    fn text(&self, field: &str) -> Result<String, ConfigurationError> {
+        let text = self.object.get(field).and_then(|value| value.get::<String>());
+        text.cloned().ok_or_else(|| field_error(self.name(field), "a text"))
+    }
+
+    /// A whole number of at least zero; a missing one is `missing`.
+    fn number(&self, field: &str, missing: u64) -> Result<u64, ConfigurationError> {
+        const MOST: f64 = 9_007_199_254_740_992.0;
+        match self.object.get(field) {
+            None | Some(JsonValue::Null) => Ok(missing),
+            Some(JsonValue::Number(number)) if (0.0..=MOST).contains(number) && number.fract() == 0.0 => {
+                Ok(*number as u64)
+            }
+            Some(_) => Err(field_error(self.name(field), "a whole number of at least 0")),
+        }
+    }
+
+    fn small(&self, field: &str, missing: u32) -> Result<u32, ConfigurationError> {
+        let number = self.number(field, u64::from(missing))?;
+        u32::try_from(number).map_err(|_| field_error(self.name(field), "a smaller number"))
+    }
+
+    fn fraction(&self, field: &str, missing: f64) -> Result<f64, ConfigurationError> {
+        match self.object.get(field) {
+            None | Some(JsonValue::Null) => Ok(missing),
+            Some(JsonValue::Number(number)) if number.is_finite() && *number >= 0.0 => Ok(*number),
+            Some(_) => Err(field_error(self.name(field), "a number of at least 0")),
+        }
+    }
+
+    fn flag(&self, field: &str) -> Result<bool, ConfigurationError> {
+        match self.object.get(field) {
+            None | Some(JsonValue::Null) => Ok(false),
+            Some(JsonValue::Boolean(flag)) => Ok(*flag),
+            Some(_) => Err(field_error(self.name(field), "true or false")),
+        }
+    }
+
+    fn list(&self, field: &str) -> Result<Vec<Fields<'a>>, ConfigurationError> {
+        let list = self.object.get(field).and_then(|value| value.get::<Vec<JsonValue>>());
+        let list = list.ok_or_else(|| field_error(self.name(field), "a list"))?;
+        let read = |(i, value)| Fields::new(format!("{}[{i}]", self.name(field)), value);
+        list.iter().enumerate().map(read).collect()
+    }
+}
+
+impl Configuration {
+    /// Reads and checks a configuration.
+    ///
+    /// # Errors
+    /// The first fault found.
+    pub fn parse(body: &[u8]) -> Result<Configuration, ConfigurationError> {
+        let text = std::str::from_utf8(body).map_err(|e| ConfigurationError::Unreadable(e.to_string()))?;
+        let value: JsonValue = text
+            .parse()
+            .map_err(|e: tinyjson::JsonParseError| ConfigurationError::Unreadable(e.to_string()))?;
+        let fields = Fields::new(String::new(), &value)?;
+        let version = fields.number("version", 0)?;
+        if version == 0 {
+            return Err(field_error("version", "a whole number above 0"));
+        }
+        let services = read_services(&fields)?;
+        let routes = read_routes(&fields, &services)?;
+        let limits = read_limits(&fields)?;
+        Ok(Configuration { version, routes, services, limits })
+    }
+
+    /// The route of a host and path: the longest prefix counts.
+    pub fn route(&self, hostname: &str, path: &str) -> Option<&Route> {
+        let fits = |route: &&Route| {
+            route.hostname.eq_ignore_ascii_case(hostname) && path.starts_with(&route.path_prefix)
+        };
+        self.routes.iter().filter(fits).max_by_key(|route| route.path_prefix.len())
+    }
+}
+
+fn read_services(fields: &Fields) -> Result<BTreeMap<String, Service>, ConfigurationError> {
+    let mut services = BTreeMap::new();
+    for service in fields.list("services")? {
+        let name = service.text("name")?;
+        let entry = Service {
+            name: name.clone(),
+            health_path: service.text("healthPath").unwrap_or_else(|_| "/health".to_owned()),
+            max_connections: service.number("maxConnections", 64)?,
+            guards: service.flag("guards")?,
+        };
+        if services.insert(name.clone(), entry).is_some() {
+            return Err(ConfigurationError::SameName(name));
+        }
+    }
+    Ok(services)
+}
+
+fn read_routes(
+    fields: &Fields,
+    services: &BTreeMap<String, Service>,
+) -> Result<Vec<Route>, ConfigurationError> {
+    let mut routes = Vec::new();
+    let mut names = BTreeSet::new();
+    let mut places: BTreeMap<(String, String), String> = BTreeMap::new();
+    for fields in fields.list("routes")? {
+        let route = read_route(&fields)?;
+        if !services.contains_key(&route.service) {
+            return Err(ConfigurationError::UnknownService { route: route.name, service: route.service });
+        }
+        if !names.insert(route.name.clone()) {
+            return Err(ConfigurationError::SameName(route.name));
+        }
+        let place = (route.hostname.to_ascii_lowercase(), route.path_prefix.clone());
+        if let Some(first) = places.insert(place, route.name.clone()) {
+            return Err(ConfigurationError::SamePlace { first, second: route.name });
+        }
+        routes.push(route);
+    }
+    Ok(routes)
+}
+
+fn read_route(fields: &Fields) -> Result<Route, ConfigurationError> {
+    let timeout_ms = fields.number("timeoutMs", 0)?;
+    if timeout_ms == 0 {
+        return Err(field_error(fields.name("timeoutMs"), "above 0"));
+    }
+    Ok(Route {
+        name: fields.text("name")?,
+        hostname: fields.text("hostname")?,
+        path_prefix: fields.text("pathPrefix")?,
+        timeout_ms,
+        target_latency_ms: fields.number("targetLatencyMs", 0)?,
+        priority: fields.small("priority", 0)?,
+        service: fields.text("service")?,
+        max_attempts: fields.small("maxAttempts", 1)?,
+        stretch: fields.fraction("stretch", 1.0)?,
+    })
+}
+
+fn read_limits(fields: &Fields) -> Result<Limits, ConfigurationError> {
+    let Some(value) = fields.object.get("limits") else { return Ok(Limits::default()) };
+    let fields = Fields::new("limits".to_owned(), value)?;
+    let usual = Limits::default();
+    Ok(Limits {
+        max_body_bytes: fields.number("maxBodyBytes", usual.max_body_bytes)?,
+        max_header_bytes: fields.number("maxHeaderBytes", usual.max_header_bytes)?,
+        idle_timeout_ms: fields.number("idleTimeoutMs", usual.idle_timeout_ms)?,
+    })
+}
--- /dev/null
+++ b/system/jobs/src/lib.rs
@@ -0,0 +1,18 @@
+//! The replicated state of the scheduler: configuration, roles, jobs and what runs where.
+//!
+//! Each coordinator applies the same committed entries in the same order and so has the same state. Nothing here
+//! reads a clock or does I/O.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod apply;
+mod configuration;
+mod job;
+mod readiness;
+mod state;
+
+pub use apply::{Applied, Change, Outcome};
+pub use configuration::{Configuration, ConfigurationError, Limits, Route, Service};
+pub use job::{ActiveRun, Job, StepState, TaskState, TimeState};
+pub use readiness::{startable, Startable};
+pub use state::{ConfigurationState, RoleState, State, WorkerRecord};
--- /dev/null
+++ b/system/jobs/src/state.rs
@@ -0,0 +1,88 @@
+//! The whole replicated state.
+use crate::Job;
+use magpiegap_protocol::{JobId, Position, Replica, Role, RunId, TaskId};
+use minicbor::{Decode, Encode};
+use std::collections::BTreeMap;
+
+/// How many configurations are remembered, so that one sent again is known.
+const REMEMBERED_CONFIGURATIONS: usize = 4096;
+
+/// The newest configuration and those before it.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct ConfigurationState {
+    /// Its version; zero: there is none.
+    #[n(0)]
+    pub version: u64,
+    /// As the operator sent it.
+    #[cbor(n(1), with = "minicbor::bytes")]
+    pub body: Vec<u8>,
+    /// Fingerprints of the configurations taken, by version.
+    #[n(2)]
+    pub taken: BTreeMap<u64, u64>,
+}
+
+impl ConfigurationState {
+    pub(crate) fn take(&mut self, version: u64, body: &[u8], fingerprint: u64) {
+        self.version = version;
+        self.body = body.to_vec();
+        self.taken.insert(version, fingerprint);
+        while self.taken.len() > REMEMBERED_CONFIGURATIONS {
+            self.taken.pop_first();
+        }
+    }
+}
+
+/// Who holds a role.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct RoleState {
+    /// The holder.
+    #[n(0)]
+    pub holder: Replica,
+    /// Rises with each holder.
+    #[n(1)]
+    pub token: u64,
+}
+
+/// What is kept of one life of a worker.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct WorkerRecord {
+    /// Ends up to this number have been noted.
+    #[n(0)]
+    pub last_seen: u64,
+    /// Runs that may be going on there.
+    #[n(1)]
+    pub runs: BTreeMap<TaskId, RunId>,
+    /// This life is over.
+    #[n(2)]
+    pub ended: bool,
+}
+
+/// The whole replicated state.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct State {
+    /// The last entry applied.
+    #[n(0)]
+    pub position: Position,
+    /// The configuration.
+    #[n(1)]
+    pub configuration: ConfigurationState,
+    /// Roles that were ever held.
+    #[n(2)]
+    pub roles: BTreeMap<Role, RoleState>,
+    /// The jobs.
+    #[n(3)]
+    pub jobs: BTreeMap<JobId, Job>,
+    /// The workers that ever ran something, until their lives are over.
+    #[n(4)]
+    pub workers: BTreeMap<String, WorkerRecord>,
+    /// How many jobs of each queue have not ended.
+    #[n(5)]
+    pub open_jobs: BTreeMap<String, u64>,
+}
+
+impl State {
+    /// A role's current token; zero for one that was never held.
+    pub fn token(&self, role: &Role) -> u64 {
+        self.roles.get(role).map_or(0, |state| state.token)
+    }
+}
--- /dev/null
+++ b/system/magpiegap/src/agent/link.rs
@@ -0,0 +1,118 @@
+//! The link to the control plane: a long poll with what is known, at one coordinator after the other.
+use crate::{endpoint, settings::NodeSettings};
+use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, Feed, FeedPoll};
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::sync::watch;
+
+/// How long a coordinator may wait with its answer.
+const WAIT_MS: u64 = 1500;
+/// How much longer the agent waits for it.
+const PATIENCE_MS: u64 = 400;
+/// Pause after a coordinator that could not serve.
+const PAUSE: Duration = Duration::from_millis(60);
+/// The settings file is read again at most this often.
+const READ_EVERY: Duration = Duration::from_secs(1);
+
+/// The link to the control plane.
+pub struct Link {
+    client: reqwest::Client,
+    file: PathBuf,
+    read_at: Instant,
+    seeds: Vec<u32>,
+    port: u16,
+    /// Where to begin among the candidates, so that agents spread over the coordinators.
+    turn: usize,
+    feed: Arc<Feed>,
+    publish: watch::Sender<Arc<Feed>>,
+}
+
+impl Link {
+    /// A link that has not asked anyone yet.
+    pub fn new(
+        client: reqwest::Client,
+        file: PathBuf,
+        settings: &NodeSettings,
+        publish: watch::Sender<Arc<Feed>>,
+    ) -> Link {
+        Link {
+            client,
+            file,
+            read_at: Instant::now(),
+            seeds: settings.seed_addresses(),
+            port: settings.request_port(),
+            turn: u32::from(settings.ip) as usize,
+            feed: Arc::new(Feed::default()),
+            publish,
+        }
+    }
+
+    /// Asks for news without end.
+    pub async fn run(mut self) {
+        loop {
+            if !self.ask().await {
+                self.turn = self.turn.wrapping_add(1);
+                self.read_seeds();
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+
+    fn candidates(&self) -> Vec<u32> {
+        let mut candidates = self.feed.chain.clone();
+        candidates.extend(self.seeds.iter().filter(|seed| !self.feed.chain.contains(seed)));
+        candidates
+    }
+
+    fn read_seeds(&mut self) {
+        if self.read_at.elapsed() < READ_EVERY {
+            return;
+        }
+        self.read_at = Instant::now();
+        match NodeSettings::read(&self.file) {
+            Ok(settings) => self.seeds = settings.seed_addresses(),
+            Err(error) => log::warn!("{error}"),
+        }
+    }
+
+    /// Asks one coordinator. Returns whether it could serve.
+    async fn ask(&mut self) -> bool {
+        let candidates = self.candidates();
+        if candidates.is_empty() {
+            return false;
+        }
+        let address = Ipv4Addr::from(candidates[self.turn % candidates.len()]);
+        let address = SocketAddr::new(IpAddr::V4(address), self.port);
+        let poll = FeedPoll {
+            revision: self.feed.revision,
+            configuration_version: self.feed.configuration_version,
+            wait_ms: WAIT_MS,
+        };
+        let timeout = Duration::from_millis(WAIT_MS + PATIENCE_MS);
+        let request = CoordinatorRequest::Poll(poll);
+        match endpoint::call(&self.client, address, &request, timeout).await {
+            Ok(CoordinatorAnswer::Feed(feed)) => self.take(*feed),
+            Ok(_) | Err(_) => false,
+        }
+    }
+
+    /// Takes up a feed, unless it is older than what is known.
+    fn take(&mut self, mut feed: Feed) -> bool {
+        let known = &self.feed;
+        if feed.view < known.view || feed.configuration_version < known.configuration_version {
+            return false;
+        }
+        if feed.configuration_version == known.configuration_version {
+            feed.configuration.clone_from(&known.configuration);
+        }
+        if feed != **known {
+            self.feed = Arc::new(feed);
+            self.publish.send_replace(self.feed.clone());
+        }
+        true
+    }
+}
--- /dev/null
+++ b/system/magpiegap/src/agent/mod.rs
@@ -0,0 +1,47 @@
+//! The agent beside a proxy: keeps the link to the control plane, and feeds the proxy over loopback.
+mod link;
+mod server;
+
+use crate::{
+    endpoint,
+    error::ProgramError,
+    serving::{self, ServerSettings},
+    settings::NodeSettings,
+    signals::Signals,
+};
+use link::Link;
+use magpiegap_protocol::Feed;
+use rocket::http::Method;
+use std::{path::PathBuf, sync::Arc, time::Duration};
+use tokio::sync::watch;
+
+/// How long the agent outlives the order to end, so that the proxy beside it is fed to its end, in seconds.
+const OUTLIVE_S: f64 = 4.5;
+
+/// Runs an agent until it is told to end.
+///
+/// # Errors
+/// When it can't start.
+pub async fn run(file: PathBuf, settings: NodeSettings) -> Result<(), ProgramError> {
+    let mut signals = Signals::heed()?;
+    let (publish, feed) = watch::channel(Arc::new(Feed::default()));
+    let address = settings.agent_address();
+    let handler = server::FeedHandler::new(feed);
+    let server = ServerSettings { address, keep_alive_s: 60, grace_s: 1 };
+    let running = serving::start(serving::server(server, &[Method::Post], handler)).await?;
+    let grace = settings.bounds.grace_s;
+    let link = Link::new(endpoint::client(), file, &settings, publish);
+    let task = tokio::spawn(link.run());
+    loop {
+        tokio::select! {
+            _ = signals.terminate.recv() => break,
+            // The link reads the settings file anew whenever it looks for a coordinator.
+            _ = signals.hangup.recv() => log::info!("the settings may have changed"),
+        }
+    }
+    let outlive = OUTLIVE_S.min(grace * 0.75).max(0.0);
+    tokio::time::sleep(Duration::from_secs_f64(outlive)).await;
+    task.abort();
+    running.end().await;
+    Ok(())
+}
--- /dev/null
+++ b/system/magpiegap/src/coordinator/driver.rs
@@ -0,0 +1,191 @@
+//! Drives the coordinator's state machine: events in, effects out.
+use super::{disk::DiskWork, peers::Peers, platform_client, worker_client};
+use crate::clock::Clock;
+use magpiegap_control::DurableState;
+use magpiegap_coordinator::{Coordinator, CoordinatorSettings, Output, PlatformReply, RequestId};
+use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, PeerMessage, Replica};
+use magpiegap_scheduler::WorkerReply;
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use tokio::sync::{
+    mpsc::{UnboundedReceiver, UnboundedSender},
+    oneshot,
+};
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(20);
+/// Most events taken before what they have brought up is done.
+const MOST_EVENTS: usize = 64;
+
+/// Something that has happened.
+pub enum Event {
+    /// Messages from another coordinator.
+    Peer { from: Replica, messages: Vec<PeerMessage> },
+    /// Disk work is done.
+    Persisted(u64),
+    /// Somebody asks.
+    Request { what: CoordinatorRequest, answer: oneshot::Sender<CoordinatorAnswer> },
+    /// A worker has answered, or has not in time.
+    Worker { service: String, token: u64, call: u64, reply: WorkerReply },
+    /// The platform has answered, or has not in time.
+    Platform { call: u64, reply: PlatformReply },
+}
+
+/// The way for requests into the coordinator.
+#[derive(Clone)]
+pub struct Handle {
+    events: UnboundedSender<Event>,
+}
+
+impl Handle {
+    /// Requests go in here.
+    pub fn new(events: UnboundedSender<Event>) -> Handle {
+        Handle { events }
+    }
+
+    /// Asks, and waits for the answer; `None` when the coordinator is ending.
+    pub async fn ask(&self, what: CoordinatorRequest) -> Option<CoordinatorAnswer> {
+        let (answer, answered) = oneshot::channel();
+        self.events.send(Event::Request { what, answer }).ok()?;
+        answered.await.ok()
+    }
+}
+
+/// Drives a coordinator.
+pub struct Driver {
+    clock: Clock,
+    own: Replica,
+    coordinator: Coordinator,
+    disk: std::sync::mpsc::Sender<DiskWork>,
+    peers: Peers,
+    client: reqwest::Client,
+    platform: Option<SocketAddr>,
+    answers: HashMap<RequestId, oneshot::Sender<CoordinatorAnswer>>,
+    next_request: RequestId,
+    /// Messages of this coordinator to itself.
+    to_self: Vec<PeerMessage>,
+}
+
+impl Driver {
+    /// A driver around a coordinator that has just started.
+    pub fn new(
+        clock: Clock,
+        settings: CoordinatorSettings,
+        durable: &DurableState,
+        disk: std::sync::mpsc::Sender<DiskWork>,
+        peers: Peers,
+        client: reqwest::Client,
+        platform: Option<SocketAddr>,
+    ) -> Driver {
+        Driver {
+            clock,
+            own: settings.control.own,
+            coordinator: Coordinator::new(settings, durable, clock.now()),
+            disk,
+            peers,
+            client,
+            platform,
+            answers: HashMap::new(),
+            next_request: 0,
+            to_self: Vec::new(),
+        }
+    }
+
+    /// Takes events until it is dropped.
+    pub async fn run(
+        mut self,
+        events: UnboundedSender<Event>,
+        mut inbox: UnboundedReceiver<Event>,
+        mut leave: UnboundedReceiver<()>,
+    ) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                event = inbox.recv() => {
+                    let Some(event) = event else { return };
+                    self.take(event);
+                    for _ in 0..MOST_EVENTS {
+                        match inbox.try_recv() {
+                            Ok(event) => self.take(event),
+                            Err(_) => break,
+                        }
+                    }
+                }
+                _ = ticks.tick() => self.coordinator.tick(self.clock.now(), self.clock.wall()),
+                Some(()) = leave.recv() => self.coordinator.leave(self.clock.now()),
+            }
+            self.finish(&events);
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        let (now, wall) = (self.clock.now(), self.clock.wall());
+        match event {
+            Event::Peer { from, messages } => self.coordinator.receive(now, wall, from, messages),
+            Event::Persisted(ticket) => self.coordinator.persisted(now, wall, ticket),
+            Event::Request { what, answer } => {
+                self.next_request += 1;
+                self.answers.insert(self.next_request, answer);
+                self.coordinator.request(now, wall, self.next_request, what);
+            }
+            Event::Worker { service, token, call, reply } => {
+                self.coordinator.worker_reply(now, &service, token, call, reply);
+            }
+            Event::Platform { call, reply } => self.coordinator.platform_reply(now, call, reply),
+        }
+    }
+
+    /// Does what the events have brought up, until nothing more comes up.
+    fn finish(&mut self, events: &UnboundedSender<Event>) {
+        loop {
+            for output in self.coordinator.take_outputs() {
+                self.perform(output, events);
+            }
+            let to_self = std::mem::take(&mut self.to_self);
+            if to_self.is_empty() {
+                return;
+            }
+            let (now, wall) = (self.clock.now(), self.clock.wall());
+            self.coordinator.receive(now, wall, self.own, to_self);
+        }
+    }
+
+    fn perform(&mut self, output: Output, events: &UnboundedSender<Event>) {
+        match output {
+            Output::Send { to, message } if to == self.own.member.address => self.to_self.push(message),
+            Output::Send { to, message } => self.peers.send(to, message),
+            Output::Persist { ticket, records } => self.hand_to_disk(DiskWork::Records { ticket, records }),
+            Output::Checkpoint { ticket, snapshot } => {
+                self.hand_to_disk(DiskWork::Checkpoint { ticket, snapshot });
+            }
+            Output::Answer { request, answer } => {
+                if let Some(waiting) = self.answers.remove(&request) {
+                    let _ = waiting.send(answer);
+                }
+            }
+            Output::CallWorker { service, token, call } => {
+                let (client, events) = (self.client.clone(), events.clone());
+                tokio::spawn(async move {
+                    let id = call.id;
+                    let reply = worker_client::call(client, call).await;
+                    let _ = events.send(Event::Worker { service, token, call: id, reply });
+                });
+            }
+            Output::ListWorkers { call, page } => {
+                let (client, events) = (self.client.clone(), events.clone());
+                let Some(address) = self.platform else { return };
+                tokio::spawn(async move {
+                    let reply = platform_client::list(client, address, page).await;
+                    let _ = events.send(Event::Platform { call, reply });
+                });
+            }
+            Output::Log(line) => log::info!("{line}"),
+        }
+    }
+
+    fn hand_to_disk(&self, work: DiskWork) {
+        if self.disk.send(work).is_err() {
+            log::error!("the disk's thread has ended");
+        }
+    }
+}
--- /dev/null
+++ b/system/magpiegap/src/coordinator/peers.rs
@@ -0,0 +1,147 @@
+//! Connections between coordinators: one each way, with framed messages.
+use super::driver::Event;
+use magpiegap_protocol::{decode, encode, Envelope, PeerMessage, Replica};
+use std::{
+    collections::HashMap,
+    io,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::mpsc::{self, Sender, UnboundedSender},
+    time::timeout,
+};
+
+/// Longest frame, in bytes.
+const MAX_FRAME: u32 = 64 << 20;
+/// Messages that wait for one peer; more are dropped, and asked for again by those that miss them.
+const MAX_WAITING: usize = 4000;
+/// How long a connection may take to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a frame may take to be written.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(2000);
+/// Data that is not acknowledged for this long breaks the connection.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1000);
+/// Pause after a connection that did not come up.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// The way to other coordinators.
+pub struct Peers {
+    own: Replica,
+    port: u16,
+    senders: HashMap<u32, Sender<PeerMessage>>,
+}
+
+impl Peers {
+    /// Sends a message to the coordinator at an address; it may be lost.
+    pub fn send(&mut self, to: u32, message: PeerMessage) {
+        let (own, port) = (self.own, self.port);
+        let sender = self.senders.entry(to).or_insert_with(|| {
+            let (sender, receiver) = mpsc::channel(MAX_WAITING);
+            let address = SocketAddr::new(IpAddr::V4(Ipv4Addr::from(to)), port);
+            tokio::spawn(write_to(own, address, receiver));
+            sender
+        });
+        let _ = sender.try_send(message);
+    }
+}
+
+/// Listens for other coordinators.
+///
+/// # Errors
+/// When the port can't be listened on.
+pub async fn start(
+    own: Replica,
+    ip: Ipv4Addr,
+    port: u16,
+    events: UnboundedSender<Event>,
+) -> io::Result<Peers> {
+    let listener = TcpListener::bind(SocketAddr::new(IpAddr::V4(ip), port)).await?;
+    tokio::spawn(accept(listener, events));
+    Ok(Peers { own, port, senders: HashMap::new() })
+}
+
+async fn accept(listener: TcpListener, events: UnboundedSender<Event>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(read_from(stream, events.clone()));
+            }
+            Err(_) => tokio::time::sleep(PAUSE).await,
+        }
+    }
+}
+
+/// Reads frames until the connection ends or brings something else.
+async fn read_from(mut stream: TcpStream, events: UnboundedSender<Event>) {
+    set_options(&stream);
+    while let Ok(length) = stream.read_u32().await {
+        if length > MAX_FRAME {
+            log::warn!("a peer's frame of {length} bytes is too long");
+            return;
+        }
+        let mut frame = Vec::new();
+        let mut part = (&mut stream).take(u64::from(length));
+        match part.read_to_end(&mut frame).await {
+            Ok(read) if read == length as usize => {}
+            _ => return,
+        }
+        match decode::<Envelope>(&frame) {
+            Ok(envelope) => {
+                let event = Event::Peer { from: envelope.from, messages: envelope.messages };
+                if events.send(event).is_err() {
+                    return;
+                }
+            }
+            Err(error) => {
+                log::warn!("a peer's frame: {error}");
+                return;
+            }
+        }
+    }
+}
+
+/// Writes what waits, on a connection that is made anew whenever it breaks.
+async fn write_to(own: Replica, address: SocketAddr, mut inbox: mpsc::Receiver<PeerMessage>) {
+    let mut connection: Option<TcpStream> = None;
+    while let Some(first) = inbox.recv().await {
+        let mut messages = vec![first];
+        while let Ok(more) = inbox.try_recv() {
+            messages.push(more);
+        }
+        if connection.is_none() {
+            connection = connect(address).await;
+        }
+        let Some(stream) = connection.as_mut() else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        let frame = frame(own, messages);
+        let written = timeout(WRITE_TIMEOUT, stream.write_all(&frame)).await;
+        if !matches!(written, Ok(Ok(()))) {
+            connection = None;
+        }
+    }
+}
+
+fn frame(own: Replica, messages: Vec<PeerMessage>) -> Vec<u8> {
+    let body = encode(&Envelope { from: own, messages });
+    let mut frame = Vec::with_capacity(body.len() + 4);
+    frame.extend_from_slice(&(body.len() as u32).to_be_bytes());
+    frame.extend_from_slice(&body);
+    frame
+}
+
+async fn connect(address: SocketAddr) -> Option<TcpStream> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
+    set_options(&stream);
+    Some(stream)
+}
+
+fn set_options(stream: &TcpStream) {
+    // A connection without these works too, only slower to notice that the other end is gone.
+    let _ = stream.set_nodelay(true);
+    let _ = socket2::SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+}
--- /dev/null
+++ b/system/magpiegap/src/coordinator/platform_client.rs
@@ -0,0 +1,92 @@
+//! Calls to the platform.
+use magpiegap_coordinator::PlatformReply;
+use magpiegap_protocol::{Availability, Resources, WorkerEntry};
+use serde::Deserialize;
+use std::{net::SocketAddr, time::Duration};
+
+const TIMEOUT: Duration = Duration::from_millis(1200);
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Page {
+    instances: Vec<Instance>,
+    #[serde(default)]
+    next_page_token: Option<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Instance {
+    id: String,
+    service: String,
+    address: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    state: String,
+    #[serde(default)]
+    capacity: Capacity,
+    #[serde(default)]
+    labels: Vec<String>,
+    #[serde(default)]
+    remaining_ms: Option<f64>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct Capacity {
+    cpu: f64,
+    mem_mb: f64,
+    gpu: f64,
+}
+
+/// Asks for a page of the list.
+pub async fn list(client: reqwest::Client, address: SocketAddr, page: Option<String>) -> PlatformReply {
+    let mut url = format!("http://{address}/instances");
+    if let Some(page) = page {
+        url.push_str("?pageToken=");
+        url.push_str(&escape(&page));
+    }
+    let Ok(response) = client.get(url).timeout(TIMEOUT).send().await else { return PlatformReply::Failed };
+    let status = response.status().as_u16();
+    let Ok(body) = response.bytes().await else { return PlatformReply::Failed };
+    match status {
+        200 => match serde_json::from_slice::<Page>(&body) {
+            Ok(page) => PlatformReply::Page {
+                workers: page.instances.into_iter().map(entry).collect(),
+                next: page.next_page_token.filter(|token| !token.is_empty()),
+            },
+            Err(error) => {
+                log::warn!("the platform's list: {error}");
+                PlatformReply::Failed
+            }
+        },
+        429 => PlatformReply::Limited,
+        _ => PlatformReply::Failed,
+    }
+}
+
+fn escape(text: &str) -> String {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~".contains(&byte);
+    let escaped = |byte: u8| if plain(byte) { char::from(byte).to_string() } else { format!("%{byte:02X}") };
+    text.bytes().map(escaped).collect()
+}
+
+fn entry(instance: Instance) -> WorkerEntry {
+    let availability =
+        if instance.state == "draining" { Availability::Draining } else { Availability::Ready };
+    WorkerEntry {
+        instance: instance.id,
+        service: instance.service,
+        address: instance.address,
+        zone: instance.zone,
+        capacity: Resources {
+            cpu: instance.capacity.cpu as u64,
+            memory_mb: instance.capacity.mem_mb as u64,
+            gpu: instance.capacity.gpu as u64,
+        },
+        labels: instance.labels,
+        availability,
+        remaining_ms: instance.remaining_ms.map(|ms| ms as u64),
+    }
+}
--- /dev/null
+++ b/system/magpiegap/src/endpoint.rs
@@ -0,0 +1,52 @@
+//! Calls to coordinators and agents.
+use magpiegap_protocol::{decode, encode, CoordinatorAnswer, CoordinatorRequest};
+use std::{net::SocketAddr, time::Duration};
+
+/// The path of all requests among the processes.
+pub const REQUEST_PATH: &str = "/request";
+/// How long a connection may take to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// A connection whose data is not acknowledged for this long is given up.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1200);
+
+/// How a call failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallError {
+    /// No connection came up: the request surely was not read.
+    NotSent,
+    /// It isn't known whether the request was read.
+    Unanswered,
+}
+
+/// A client for all calls of a process.
+pub fn client() -> reqwest::Client {
+    let builder = reqwest::Client::builder()
+        .no_proxy()
+        .http1_only()
+        .redirect(reqwest::redirect::Policy::none())
+        .connect_timeout(CONNECT_TIMEOUT)
+        .pool_idle_timeout(Duration::from_secs(60))
+        .tcp_nodelay(true)
+        .tcp_user_timeout(UNACKNOWLEDGED);
+    builder.build().unwrap_or_default()
+}
+
+/// Calls a coordinator or agent.
+///
+/// # Errors
+/// When there is no answer that can be read.
+pub async fn call(
+    client: &reqwest::Client,
+    address: SocketAddr,
+    request: &CoordinatorRequest,
+    timeout: Duration,
+) -> Result<CoordinatorAnswer, CallError> {
+    let url = format!("http://{address}{REQUEST_PATH}");
+    let sent = client.post(url).body(encode(request)).timeout(timeout).send().await;
+    let response = sent.map_err(|error| match error.is_connect() {
+        true => CallError::NotSent,
+        false => CallError::Unanswered,
+    })?;
+    let body = response.bytes().await.map_err(|_| CallError::Unanswered)?;
+    decode(&body).map_err(|_| CallError::Unanswered)
+}
--- /dev/null
+++ b/system/magpiegap/src/lib.rs
@@ -0,0 +1,18 @@
+//! The processes of the scheduler: sockets, clocks, files and signals around the state machines.
+#![forbid(unsafe_code)]
+
+mod agent;
+mod clock;
+mod command_line;
+mod coordinator;
+mod endpoint;
+mod error;
+mod logging;
+mod proxy;
+mod serving;
+mod settings;
+mod signals;
+
+pub use command_line::{command_line, run, CommandLine};
+pub use error::ProgramError;
+pub use settings::{NodeSettings, SettingsError};
--- /dev/null
+++ b/system/magpiegap/src/logging.rs
@@ -0,0 +1,17 @@
+//! The operator's log: one event a line, on standard error.
+use flexi_logger::{DeferredNow, LogSpecification, Logger, Record};
+use std::io::Write;
+
+/// Starts the log. Its level is `info`, or what `MAGPIEGAP_LOG` says.
+pub fn start(node: &str) {
+    let level = std::env::var("MAGPIEGAP_LOG").unwrap_or_else(|_| "info".to_owned());
+    let own = LogSpecification::parse(format!("error, magpiegap={level}"));
+    let specification = own.unwrap_or_else(|_| LogSpecification::info());
+    // Where there is no place to log to, the program works all the same.
+    let _ = Logger::with(specification).log_to_stderr().format(line).start();
+    log::info!("{node} starts");
+}
+
+fn line(out: &mut dyn Write, _now: &mut DeferredNow, record: &Record) -> Result<(), std::io::Error> {
+    write!(out, "{} {}", record.level(), record.args())
+}
--- /dev/null
+++ b/system/magpiegap/src/main.rs
@@ -0,0 +1,13 @@
+//! The program: one process for each role, chosen by the subcommand.
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let command = magpiegap::command_line();
+    match magpiegap::run(&command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("magpiegap: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/system/magpiegap/src/proxy/calls.rs
@@ -0,0 +1,99 @@
+//! Calls to the coordinators, tried again while that does no harm.
+use super::feed::{Knowledge, Known};
+use crate::endpoint::{self, CallError};
+use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, Submission};
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// Longest wait for one coordinator's answer.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Pause before another try, unless there is news before.
+const PAUSE: Duration = Duration::from_millis(60);
+/// A request that could be offered to nobody is refused after this time.
+const UNOFFERED: Duration = Duration::from_millis(900);
+
+/// How a submission ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Submitted {
+    /// The job is kept.
+    Accepted,
+    /// There is no room; the job is not kept.
+    Full,
+    /// Nobody could be asked; the job is not kept.
+    Refused,
+    /// It isn't known whether the job is kept.
+    Unknown,
+}
+
+/// Calls to the coordinators.
+#[derive(Clone)]
+pub struct Calls {
+    client: reqwest::Client,
+    port: u16,
+    knowledge: Arc<Knowledge>,
+}
+
+impl Calls {
+    /// Calls by what is known.
+    pub fn new(client: reqwest::Client, port: u16, knowledge: Arc<Knowledge>) -> Calls {
+        Calls { client, port, knowledge }
+    }
+
+    async fn call(
+        &self,
+        address: u32,
+        request: &CoordinatorRequest,
+        deadline: Instant,
+    ) -> Result<CoordinatorAnswer, CallError> {
+        let address = SocketAddr::new(IpAddr::V4(Ipv4Addr::from(address)), self.port);
+        let left = deadline.saturating_duration_since(Instant::now());
+        endpoint::call(&self.client, address, request, left.min(CALL_TIMEOUT)).await
+    }
+
+    /// Hands a job in. The same job may be handed in again: it remains one.
+    pub async fn submit(&self, submission: Submission, deadline: Instant) -> Submitted {
+        let service = submission.service.clone();
+        let request = CoordinatorRequest::Submit(Box::new(submission));
+        let give_up = (Instant::now() + UNOFFERED).min(deadline);
+        let mut offered = false;
+        loop {
+            let known = self.knowledge.now();
+            if let Some(holder) = known.scheduler(&service) {
+                match self.call(holder, &request, deadline).await {
+                    Ok(CoordinatorAnswer::Accepted) => return Submitted::Accepted,
+                    Ok(CoordinatorAnswer::Full) if !offered => return Submitted::Full,
+                    Ok(CoordinatorAnswer::NotServing) | Err(CallError::NotSent) => {}
+                    Ok(_) | Err(CallError::Unanswered) => offered = true,
+                }
+            }
+            let until = if offered { deadline } else { give_up };
+            if Instant::now() + PAUSE >= until {
+                return if offered { Submitted::Unknown } else { Submitted::Refused };
+            }
+            self.knowledge.news(&known, PAUSE).await;
+        }
+    }
+
+    /// Asks the coordinators in turn, the one at the tail first, until one can answer.
+    pub async fn ask(&self, request: &CoordinatorRequest, deadline: Instant) -> Option<CoordinatorAnswer> {
+        loop {
+            let known: Arc<Known> = self.knowledge.now();
+            for reader in known.readers() {
+                match self.call(reader, request, deadline).await {
+                    Ok(CoordinatorAnswer::NotServing | CoordinatorAnswer::Unknown) | Err(_) => {}
+                    Ok(answer) => return Some(answer),
+                }
+                if Instant::now() >= deadline {
+                    return None;
+                }
+            }
+            if Instant::now() + PAUSE >= deadline {
+                return None;
+            }
+            self.knowledge.news(&known, PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/system/magpiegap/src/proxy/feed.rs
@@ -0,0 +1,122 @@
+//! What the proxy knows: the feed of the agent beside it.
+use crate::endpoint;
+use magpiegap_jobs::Configuration;
+use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, Feed, FeedPoll, Role};
+use std::{
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+    time::Duration,
+};
+use tokio::sync::watch;
+
+/// How long the agent may wait with its answer.
+const WAIT_MS: u64 = 20_000;
+/// Pause after an agent that did not answer.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// The feed and what it means.
+#[derive(Clone, Debug, Default)]
+pub struct Known {
+    /// The feed.
+    pub feed: Feed,
+    /// The configuration; `None`: there is none yet.
+    pub configuration: Option<Configuration>,
+}
+
+impl Known {
+    /// The address of the coordinator that schedules a service.
+    pub fn scheduler(&self, service: &str) -> Option<u32> {
+        let held = self
+            .feed
+            .roles
+            .iter()
+            .find(|held| matches!(&held.role, Role::Scheduler(name) if name == service));
+        held.map(|held| held.holder.member.address)
+    }
+
+    /// The coordinators, the one that reads are answered by first.
+    pub fn readers(&self) -> Vec<u32> {
+        self.feed.chain.iter().rev().copied().collect()
+    }
+}
+
+/// What all parts of the proxy share.
+pub struct Knowledge {
+    known: watch::Sender<Arc<Known>>,
+    ending: AtomicBool,
+}
+
+impl Knowledge {
+    /// Nothing is known yet.
+    pub fn new() -> Knowledge {
+        Knowledge { known: watch::Sender::new(Arc::new(Known::default())), ending: AtomicBool::new(false) }
+    }
+
+    /// What is known now.
+    pub fn now(&self) -> Arc<Known> {
+        self.known.borrow().clone()
+    }
+
+    /// Waits until something else is known, or for this long.
+    pub async fn news(&self, since: &Arc<Known>, most: Duration) {
+        let mut receiver = self.known.subscribe();
+        let changed = receiver.wait_for(|known| !Arc::ptr_eq(known, since));
+        let _ = tokio::time::timeout(most, changed).await;
+    }
+
+    /// The process has been told to end.
+    pub fn begin_to_end(&self) {
+        self.ending.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the process has been told to end.
+    pub fn is_ending(&self) -> bool {
+        self.ending.load(Ordering::Relaxed)
+    }
+
+    /// Whether clients can be served.
+    pub fn is_ready(&self) -> bool {
+        !self.is_ending() && self.known.borrow().configuration.is_some()
+    }
+
+    /// Takes up a feed, unless it is older than what is known.
+    fn take(&self, feed: Feed) {
+        let known = self.now();
+        if feed.configuration_version < known.feed.configuration_version || feed.view < known.feed.view {
+            return;
+        }
+        let configuration = match feed.configuration_version == known.feed.configuration_version {
+            true => known.configuration.clone(),
+            false => Configuration::parse(&feed.configuration).ok(),
+        };
+        if configuration.is_none() && feed.configuration_version > 0 {
+            log::error!("configuration {} can't be read", feed.configuration_version);
+            return;
+        }
+        self.known.send_replace(Arc::new(Known { feed, configuration }));
+    }
+}
+
+/// Follows the agent's feed without end.
+pub async fn follow(client: reqwest::Client, agent: SocketAddr, knowledge: Arc<Knowledge>) {
+    loop {
+        let known = knowledge.now();
+        let poll = FeedPoll {
+            revision: known.feed.revision,
+            configuration_version: known.feed.configuration_version,
+            wait_ms: WAIT_MS,
+        };
+        let timeout = Duration::from_millis(WAIT_MS + 1000);
+        match endpoint::call(&client, agent, &CoordinatorRequest::Poll(poll), timeout).await {
+            Ok(CoordinatorAnswer::Feed(feed)) => {
+                if feed.revision != known.feed.revision {
+                    knowledge.take(*feed);
+                }
+            }
+            Ok(_) | Err(_) => tokio::time::sleep(PAUSE).await,
+        }
+    }
+}
--- /dev/null
+++ b/system/magpiegap/src/proxy/job_body.rs
@@ -0,0 +1,112 @@
+//! Jobs as clients write them.
+use magpiegap_protocol::{JobSpec, Resources, StepSpec};
+use serde::Deserialize;
+
+/// Why a body is no job.
+#[derive(Debug, thiserror::Error)]
+pub enum JobBodyError {
+    /// It is no JSON text of the expected form.
+    #[error("not a job: {0}")]
+    Malformed(#[from] serde_json::Error),
+    /// It can't be run.
+    #[error(transparent)]
+    Spec(#[from] magpiegap_protocol::JobSpecError),
+}
+
+/// One label or several.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(untagged)]
+enum Labels {
+    One(String),
+    Several(Vec<String>),
+    #[default]
+    None,
+}
+
+impl Labels {
+    fn list(self) -> Vec<String> {
+        let labels = match self {
+            Labels::One(label) => vec![label],
+            Labels::Several(labels) => labels,
+            Labels::None => Vec::new(),
+        };
+        labels.into_iter().filter(|label| !label.is_empty()).collect()
+    }
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Schedule {
+    long_running: bool,
+    repeat_count: u32,
+    start_at_ms: f64,
+    interval_ms: f64,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Step {
+    count: u32,
+    cpu: f64,
+    mem_mb: f64,
+    gpu: f64,
+    estimated_ms: f64,
+    depends_on: Vec<u32>,
+    checkpoints: bool,
+    gang: bool,
+    rack_local: bool,
+    requirements: Labels,
+    affinity: Option<String>,
+    anti_affinity: f64,
+    allow_duplicate: bool,
+    #[serde(flatten)]
+    schedule: Schedule,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Body {
+    spec: String,
+    steps: Vec<Step>,
+    #[serde(flatten)]
+    schedule: Schedule,
+}
+
+/// Reads and checks a job.
+///
+/// # Errors
+/// When it is malformed or can't be run.
+pub fn read(body: &[u8]) -> Result<JobSpec, JobBodyError> {
+    let body: Body = serde_json::from_slice(body)?;
+    let schedule = body.schedule;
+    let spec = JobSpec {
+        spec: body.spec,
+        long_running: schedule.long_running || body.steps.iter().any(|step| step.schedule.long_running),
+        repeat_count: schedule.repeat_count,
+        start_at_ms: whole(schedule.start_at_ms),
+        interval_ms: whole(schedule.interval_ms),
+        steps: body.steps.into_iter().map(step).collect(),
+    };
+    spec.validate()?;
+    Ok(spec)
+}
+
+fn whole(number: f64) -> u64 {
+    number.max(0.0) as u64
+}
+
+fn step(step: Step) -> StepSpec {
+    StepSpec {
+        count: step.count,
+        resources: Resources { cpu: whole(step.cpu), memory_mb: whole(step.mem_mb), gpu: whole(step.gpu) },
+        estimated_ms: whole(step.estimated_ms),
+        depends_on: step.depends_on,
+        checkpoints: step.checkpoints,
+        gang: step.gang,
+        rack_local: step.rack_local,
+        requirements: step.requirements.list(),
+        affinity: step.affinity.filter(|rack| !rack.is_empty()),
+        anti_affinity: whole(step.anti_affinity).min(u64::from(u32::MAX)) as u32,
+        allow_duplicate: step.allow_duplicate,
+    }
+}
--- /dev/null
+++ b/system/magpiegap/src/settings.rs
@@ -0,0 +1,231 @@
+//! The settings of a process.
+use serde::Deserialize;
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+};
+
+/// The variable that names the settings file.
+const SETTINGS_VARIABLE: &str = "MAGPIEGAP_BOOT";
+
+/// Why settings can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// No file is named.
+    #[error("no settings file: name one with --settings or in {SETTINGS_VARIABLE}")]
+    NoFile,
+    /// The file can't be read.
+    #[error("{file}: {source}")]
+    Unreadable {
+        /// The file.
+        file: PathBuf,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The file is no settings file.
+    #[error("{file}: {problem}")]
+    Malformed {
+        /// The file.
+        file: PathBuf,
+        /// What is wrong, and where.
+        problem: String,
+    },
+    /// A field has a value that can't be used.
+    #[error("{file}: {field} must be {must}")]
+    Field {
+        /// The file.
+        file: PathBuf,
+        /// The field.
+        field: &'static str,
+        /// What it must be.
+        must: &'static str,
+    },
+}
+
+/// Where the process listens for what its role serves.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Listen {
+    /// For clients.
+    pub frontend: Option<SocketAddr>,
+    /// For the platform's question whether the process is ready.
+    pub readiness: Option<SocketAddr>,
+    /// For the operator.
+    pub control_plane: Option<SocketAddr>,
+}
+
+/// What may be lost at once.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct FaultTolerance {
+    /// Machines that count.
+    pub machines: usize,
+    /// Zones.
+    pub zones: usize,
+    /// Regions.
+    pub regions: usize,
+}
+
+impl Default for FaultTolerance {
+    fn default() -> Self {
+        FaultTolerance { machines: 1, zones: 0, regions: 0 }
+    }
+}
+
+/// Figures of the rules in force that the program needs.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default)]
+pub struct Bounds {
+    /// Seconds that a process has to end after a SIGTERM.
+    #[serde(rename = "graceS")]
+    pub grace_s: f64,
+    /// Longest hold on a worker, in milliseconds.
+    #[serde(rename = "maxHoldMs")]
+    pub max_hold_ms: f64,
+    /// Longest time that a worker takes to stop a run, in milliseconds.
+    pub stop_ms: f64,
+    /// Longest time that members of a gang wait for each other, in milliseconds.
+    pub gang_ms: f64,
+    /// How long the state of an ended job is shown, in seconds.
+    pub status_s: f64,
+    /// How many times as long a task takes away from its data.
+    pub far_x: f64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Bounds {
+            grace_s: 6.0,
+            max_hold_ms: 6000.0,
+            stop_ms: 400.0,
+            gang_ms: 3000.0,
+            status_s: 120.0,
+            far_x: 2.0,
+        }
+    }
+}
+
+/// The platform's list of workers.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Cloud {
+    /// Where the list is kept.
+    pub address: Option<SocketAddr>,
+    /// Calls a second that it takes from all balancers together.
+    pub rate_per_s: f64,
+    /// How far the list may run behind, in milliseconds.
+    pub max_lag_ms: f64,
+}
+
+/// The settings of a process. Unknown fields are ignored.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct NodeSettings {
+    /// Name of the machine.
+    #[serde(default)]
+    pub node_name: String,
+    /// Name of the role.
+    #[serde(default)]
+    pub role: String,
+    /// The machine's address.
+    pub ip: Ipv4Addr,
+    /// The machine's zone.
+    #[serde(default)]
+    pub zone: String,
+    /// First and last port free for the processes among themselves.
+    pub internal_port_range: (u16, u16),
+    /// Addresses of machines that serve the control plane.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The whole system starts for the first time, with empty disks.
+    #[serde(default)]
+    pub bootstrap: bool,
+    /// Where files are kept.
+    pub data_dir: Option<PathBuf>,
+    /// How workers are told what to do.
+    #[serde(default)]
+    pub commands: String,
+    /// Where the process listens.
+    #[serde(default)]
+    pub listen: Listen,
+    /// What may be lost at once.
+    #[serde(default)]
+    pub fault_tolerance: FaultTolerance,
+    /// Figures of the rules.
+    #[serde(default)]
+    pub bounds: Bounds,
+    /// The platform's list.
+    #[serde(default)]
+    pub cloud: Cloud,
+}
+
+impl NodeSettings {
+    /// The settings file: the one named, or the one that the environment names.
+    ///
+    /// # Errors
+    /// When neither names one.
+    pub fn file(named: Option<PathBuf>) -> Result<PathBuf, SettingsError> {
+        let from_environment = || std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
+        named.or_else(from_environment).ok_or(SettingsError::NoFile)
+    }
+
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// The first fault found.
+    pub fn read(file: &Path) -> Result<NodeSettings, SettingsError> {
+        let text = std::fs::read_to_string(file)
+            .map_err(|source| SettingsError::Unreadable { file: file.to_owned(), source })?;
+        let settings: NodeSettings = toml::from_str(&text).map_err(|error| SettingsError::Malformed {
+            file: file.to_owned(),
+            problem: error.to_string().trim().replace('\n', " "),
+        })?;
+        settings.check(file)?;
+        Ok(settings)
+    }
+
+    fn check(&self, file: &Path) -> Result<(), SettingsError> {
+        let need = |fine: bool, field, must| match fine {
+            true => Ok(()),
+            false => Err(SettingsError::Field { file: file.to_owned(), field, must }),
+        };
+        let (first, last) = self.internal_port_range;
+        need(first > 0 && last >= first.saturating_add(2), "internalPortRange", "at least three ports")?;
+        let time = |value: f64| (0.0..=1e9).contains(&value);
+        need(
+            time(self.bounds.max_hold_ms) && self.bounds.max_hold_ms >= 500.0,
+            "bounds.maxHoldMs",
+            "at least 500",
+        )?;
+        need(time(self.bounds.stop_ms), "bounds.stop_ms", "a time of at least 0")?;
+        need(time(self.bounds.gang_ms), "bounds.gang_ms", "a time of at least 0")?;
+        need(time(self.bounds.grace_s), "bounds.graceS", "a time of at least 0")?;
+        need(time(self.bounds.status_s), "bounds.status_s", "a time of at least 0")?;
+        need(time(self.bounds.far_x), "bounds.far_x", "a number of at least 0")?;
+        need(self.fault_tolerance.machines <= 8, "faultTolerance.machines", "at most 8")
+    }
+
+    /// Where coordinators listen for each other.
+    pub fn peer_port(&self) -> u16 {
+        self.internal_port_range.0
+    }
+
+    /// Where coordinators listen for agents and proxies.
+    pub fn request_port(&self) -> u16 {
+        self.internal_port_range.0 + 1
+    }
+
+    /// Where the agent listens for the proxy beside it.
+    pub fn agent_address(&self) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), self.internal_port_range.0 + 2)
+    }
+
+    /// Addresses of the seeds, as numbers.
+    pub fn seed_addresses(&self) -> Vec<u32> {
+        let address = |seed: &SocketAddr| match seed.ip() {
+            IpAddr::V4(ip) => Some(u32::from(ip)),
+            IpAddr::V6(_) => None,
+        };
+        self.seeds.iter().filter_map(address).collect()
+    }
+}
--- /dev/null
+++ b/system/protocol/src/codec.rs
@@ -0,0 +1,25 @@
+//! Encoding and decoding of messages.
+use minicbor::{Decode, Encode};
+
+/// Bytes that are no message of the expected kind.
+#[derive(Debug, thiserror::Error)]
+#[error("malformed message: {0}")]
+pub struct DecodeError(#[from] minicbor::decode::Error);
+
+/// The encoded form of a message.
+pub fn encode<T: Encode<()>>(message: &T) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    // Writing into a vector can't fail, and no type of this crate refuses to be encoded.
+    let written: Result<(), minicbor::encode::Error<std::convert::Infallible>> =
+        minicbor::encode(message, &mut bytes);
+    debug_assert!(written.is_ok());
+    bytes
+}
+
+/// Reads a message; bytes after its end are ignored.
+///
+/// # Errors
+/// When the bytes are cut short or of another kind.
+pub fn decode<T: for<'b> Decode<'b, ()>>(bytes: &[u8]) -> Result<T, DecodeError> {
+    Ok(minicbor::decode(bytes)?)
+}
--- /dev/null
+++ b/system/protocol/src/peer.rs
@@ -0,0 +1,226 @@
+//! Messages between coordinators.
+use crate::{Command, Entry, Fence, Position, ProposalId, Replica, View, WallMillis, WorkerEntry};
+use minicbor::{Decode, Encode};
+
+/// Messages from one coordinator to another, in the order in which they were sent.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Envelope {
+    /// The sender.
+    #[n(0)]
+    pub from: Replica,
+    /// The messages.
+    #[n(1)]
+    pub messages: Vec<PeerMessage>,
+}
+
+/// What one coordinator knows of another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct PeerReport {
+    /// The other one.
+    #[n(0)]
+    pub replica: Replica,
+    /// How long ago it was last heard, in milliseconds.
+    #[n(1)]
+    pub age_ms: u64,
+    /// Number of the newest view that it knew then.
+    #[n(2)]
+    pub view: u64,
+    /// It was at work in that view.
+    #[n(3)]
+    pub serving: bool,
+    /// It could not take part.
+    #[n(4)]
+    pub unfit: bool,
+}
+
+/// A sign of life with what the sender knows.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Heartbeat {
+    /// Number of the newest view that the sender knows.
+    #[n(0)]
+    pub view: u64,
+    /// The sender is at work in that view, or waits for the state of its predecessor there.
+    #[n(1)]
+    pub serving: bool,
+    /// The sender can't take part for now: it is ending, or its disk does not answer.
+    #[n(2)]
+    pub unfit: bool,
+    /// What the sender knows of others.
+    #[n(3)]
+    pub heard: Vec<PeerReport>,
+    /// The sender's time of day.
+    #[n(4)]
+    pub wall_ms: WallMillis,
+    /// The newest entry that the sender knows to be committed.
+    #[n(5)]
+    pub committed: u64,
+}
+
+/// A voter's answer to a proposer of the next view.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Promise {
+    /// Number of the view to be agreed.
+    #[n(0)]
+    pub number: u64,
+    /// The ballot.
+    #[n(1)]
+    pub ballot: (u64, u32),
+    /// What the voter has accepted before.
+    #[n(2)]
+    pub accepted: Option<((u64, u32), View)>,
+    /// The last entry on the voter's disk, when that has all that was committed so far.
+    #[n(3)]
+    pub complete: Option<Position>,
+}
+
+/// The platform's list as its reader last had it.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct PlatformList {
+    /// Fencing token of the reader.
+    #[n(0)]
+    pub token: u64,
+    /// Counts the lists of this reader.
+    #[n(1)]
+    pub sequence: u64,
+    /// The workers.
+    #[n(2)]
+    pub workers: Vec<WorkerEntry>,
+}
+
+/// A message between coordinators.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum PeerMessage {
+    /// A sign of life.
+    #[n(0)]
+    Heartbeat(#[n(0)] Heartbeat),
+    /// Asks a voter to take part in the agreement on the next view.
+    #[n(1)]
+    Prepare {
+        /// Number of the view to be agreed.
+        #[n(0)]
+        number: u64,
+        /// The ballot: round, then a tag of the proposer.
+        #[n(1)]
+        ballot: (u64, u32),
+    },
+    /// The voter takes part.
+    #[n(2)]
+    Promise(#[n(0)] Promise),
+    /// The voter takes part in a higher ballot.
+    #[n(3)]
+    Reject {
+        /// Number of the view to be agreed.
+        #[n(0)]
+        number: u64,
+        /// The ballot that the voter takes part in.
+        #[n(1)]
+        promised: (u64, u32),
+    },
+    /// Asks a voter to accept a view.
+    #[n(4)]
+    Accept {
+        /// The ballot.
+        #[n(0)]
+        ballot: (u64, u32),
+        /// The view.
+        #[n(1)]
+        view: View,
+    },
+    /// The voter has accepted a view.
+    #[n(5)]
+    Accepted {
+        /// Number of the view.
+        #[n(0)]
+        number: u64,
+        /// The ballot.
+        #[n(1)]
+        ballot: (u64, u32),
+    },
+    /// A view that was agreed.
+    #[n(6)]
+    Decided(#[n(0)] View),
+    /// Entries, from a replica to its successor.
+    #[n(7)]
+    Append {
+        /// The view.
+        #[n(0)]
+        view: u64,
+        /// The entry before the first one here.
+        #[n(1)]
+        after: u64,
+        /// The entries.
+        #[n(2)]
+        entries: Vec<Entry>,
+        /// All entries up to this one are on the disks of the sender and of all before it.
+        #[n(3)]
+        durable: u64,
+    },
+    /// The tail's word that all entries up to this one are committed.
+    #[n(8)]
+    Committed {
+        /// The view.
+        #[n(0)]
+        view: u64,
+        /// The entry.
+        #[n(1)]
+        index: u64,
+    },
+    /// Asks the predecessor for what is missing.
+    #[n(9)]
+    Synchronize {
+        /// The view.
+        #[n(0)]
+        view: u64,
+        /// The last entry that the sender has.
+        #[n(1)]
+        last: Position,
+    },
+    /// The entries that were missing: with them the receiver has all that the sender has.
+    #[n(10)]
+    MissingEntries {
+        /// The view.
+        #[n(0)]
+        view: u64,
+        /// The entry before the first one here.
+        #[n(1)]
+        after: u64,
+        /// The entries.
+        #[n(2)]
+        entries: Vec<Entry>,
+    },
+    /// The whole state, where entries don't do.
+    #[n(11)]
+    WholeState {
+        /// The view.
+        #[n(0)]
+        view: u64,
+        /// The last entry that the state holds.
+        #[n(1)]
+        applied: Position,
+        /// The encoded state.
+        #[cbor(n(2), with = "minicbor::bytes")]
+        state: Vec<u8>,
+        /// Entries after it.
+        #[n(3)]
+        entries: Vec<Entry>,
+    },
+    /// A proposal for the head.
+    #[n(12)]
+    Propose {
+        /// The view in which it is made; void in any other.
+        #[n(0)]
+        view: u64,
+        /// Its name.
+        #[n(1)]
+        proposal: ProposalId,
+        /// The role in which it is made.
+        #[n(2)]
+        fence: Option<Fence>,
+        /// What is proposed.
+        #[n(3)]
+        command: Command,
+    },
+    /// The platform's list.
+    #[n(13)]
+    Platform(#[n(0)] PlatformList),
+}
--- /dev/null
+++ b/system/protocol/src/requests.rs
@@ -0,0 +1,142 @@
+//! What proxies and the operator's interface ask of a coordinator.
+use crate::{Feed, FeedPoll, JobId, Submission};
+use minicbor::{Decode, Encode};
+
+/// A job's state as its client sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum JobPhase {
+    /// No task has been started yet.
+    #[n(0)]
+    Pending,
+    /// A task has been started.
+    #[n(1)]
+    Running,
+    /// Every task is done.
+    #[n(2)]
+    Succeeded,
+    /// A task has failed too often.
+    #[n(3)]
+    Failed,
+    /// Its client cancelled it.
+    #[n(4)]
+    Cancelled,
+}
+
+impl JobPhase {
+    /// The word that clients are shown.
+    pub fn word(self) -> &'static str {
+        match self {
+            JobPhase::Pending => "pending",
+            JobPhase::Running => "running",
+            JobPhase::Succeeded => "succeeded",
+            JobPhase::Failed => "failed",
+            JobPhase::Cancelled => "cancelled",
+        }
+    }
+
+    /// Whether nothing of the job is to run any more.
+    pub fn ended(self) -> bool {
+        !matches!(self, JobPhase::Pending | JobPhase::Running)
+    }
+}
+
+/// A request to a coordinator.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum CoordinatorRequest {
+    /// Accept a job.
+    #[n(0)]
+    Submit(#[n(0)] Box<Submission>),
+    /// A job's state.
+    #[n(1)]
+    Status {
+        /// The queue.
+        #[n(0)]
+        queue: String,
+        /// The job.
+        #[n(1)]
+        job: JobId,
+    },
+    /// Cancel a job.
+    #[n(2)]
+    Cancel {
+        /// The queue.
+        #[n(0)]
+        queue: String,
+        /// The job.
+        #[n(1)]
+        job: JobId,
+    },
+    /// How many jobs of a queue have not ended.
+    #[n(3)]
+    Count {
+        /// The queue.
+        #[n(0)]
+        queue: String,
+    },
+    /// What proxies need to know.
+    #[n(4)]
+    Poll(#[n(0)] FeedPoll),
+    /// Take a configuration that has been found valid.
+    #[n(5)]
+    ReplaceConfiguration {
+        /// The version that it builds on.
+        #[n(0)]
+        base: u64,
+        /// Its own version.
+        #[n(1)]
+        version: u64,
+        /// As the operator sent it.
+        #[cbor(n(2), with = "minicbor::bytes")]
+        body: Vec<u8>,
+    },
+    /// The newest configuration.
+    #[n(6)]
+    DescribeConfiguration,
+    /// The state of the cluster, for operators.
+    #[n(7)]
+    Describe,
+}
+
+/// The answer to a [`CoordinatorRequest`].
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum CoordinatorAnswer {
+    /// The job, or the cancelling, is kept.
+    #[n(0)]
+    Accepted,
+    /// The job is not kept and never will be by this request: there is no room for it now.
+    #[n(1)]
+    Full,
+    /// This coordinator can't serve the request and has done nothing; another one may.
+    #[n(2)]
+    NotServing,
+    /// It isn't known whether the request took effect or will.
+    #[n(3)]
+    Unknown,
+    /// There is no such job.
+    #[n(4)]
+    NoSuchJob,
+    /// A job's state.
+    #[n(5)]
+    Phase(#[n(0)] JobPhase),
+    /// A count.
+    #[n(6)]
+    Count(#[n(0)] u64),
+    /// The feed.
+    #[n(7)]
+    Feed(#[n(0)] Box<Feed>),
+    /// The configuration was taken, now or earlier.
+    #[n(8)]
+    ConfigurationTaken,
+    /// Another version is current.
+    #[n(9)]
+    ConfigurationConflict,
+    /// The version isn't above the current one.
+    #[n(10)]
+    ConfigurationStale,
+    /// The newest configuration; empty: there is none yet.
+    #[n(11)]
+    Configuration(#[cbor(n(0), with = "minicbor::bytes")] Vec<u8>),
+    /// A description for operators, as JSON.
+    #[n(12)]
+    Description(#[n(0)] String),
+}
--- /dev/null
+++ b/system/protocol/src/workers.rs
@@ -0,0 +1,44 @@
+//! Workers as the platform lists them.
+use crate::Resources;
+use minicbor::{Decode, Encode};
+
+/// Whether a worker takes new tasks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub enum Availability {
+    /// It takes new tasks.
+    #[n(0)]
+    #[default]
+    Ready,
+    /// It is being emptied and ends soon.
+    #[n(1)]
+    Draining,
+}
+
+/// One life of a worker, as the platform lists it.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct WorkerEntry {
+    /// Name of this life; a worker that starts again has another.
+    #[n(0)]
+    pub instance: String,
+    /// The service whose tasks it runs.
+    #[n(1)]
+    pub service: String,
+    /// Where it is called, `IP:PORT`.
+    #[n(2)]
+    pub address: String,
+    /// Its zone.
+    #[n(3)]
+    pub zone: String,
+    /// All that it has.
+    #[n(4)]
+    pub capacity: Resources,
+    /// Its kind and its rack.
+    #[n(5)]
+    pub labels: Vec<String>,
+    /// Whether it takes new tasks.
+    #[n(6)]
+    pub availability: Availability,
+    /// While it drains, the least time that it has left, in milliseconds.
+    #[n(7)]
+    pub remaining_ms: Option<u64>,
+}
--- /dev/null
+++ b/system/scheduler/src/holds.rs
@@ -0,0 +1,123 @@
+//! Keeps the holds on workers, and notices those that fall silent, stand still or go.
+use crate::{
+    calls::{Output, WorkerOrder},
+    scheduler::{CallPurpose, Scheduler},
+    worker::RunPhase,
+};
+use magpiegap_jobs::State;
+use magpiegap_protocol::{Command, Millis, TaskId};
+
+/// Longest time that a hold's answer may wait for an end.
+const HOLD_WAIT_MS: u64 = 800;
+/// Time beyond the wait that a worker has to answer a hold.
+const HOLD_TIMEOUT_MS: Millis = 400;
+/// Time between two looks at a worker that does not answer.
+const PROBE_EVERY_MS: Millis = 400;
+/// A run whose progress stands still this long is taken for stuck.
+const STUCK_MS: Millis = 1600;
+
+impl Scheduler {
+    /// How long workers are told to hold what they run.
+    fn hold_ms(&self) -> u64 {
+        self.settings.max_hold_ms * 4 / 5
+    }
+
+    /// Sends the holds that are due.
+    pub(crate) fn renew_holds(&mut self, now: Millis) {
+        let due: Vec<String> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| {
+                let wanted = !worker.runs.is_empty() || !worker.greeted || worker.unanswered > 0;
+                let noted = worker.proposed_seen == worker.last_seen;
+                let reachable = !worker.entry.address.is_empty();
+                wanted && noted && reachable && worker.hold.open.is_none() && now >= worker.hold.due
+            })
+            .map(|(instance, _)| instance.clone())
+            .collect();
+        for instance in due {
+            self.send_hold(&instance, now);
+        }
+    }
+
+    fn send_hold(&mut self, instance: &str, now: Millis) {
+        let hold_ms = self.hold_ms();
+        let Some(worker) = self.workers.get_mut(instance) else { return };
+        // A worker that does not answer is granted no more time: its runs are to end.
+        let grant = worker.greeted && worker.unanswered == 0;
+        let deadline_ms = worker.clock_now(now).filter(|_| grant).map(|clock| clock + hold_ms);
+        worker.granted_until = worker.granted_until.max(deadline_ms.unwrap_or(0));
+        let wait_ms = if grant { HOLD_WAIT_MS } else { 0 };
+        worker.hold.due = now + PROBE_EVERY_MS;
+        let order = WorkerOrder::Hold { deadline_ms, last_seen: worker.last_seen, wait_ms };
+        let id = self.call(instance, CallPurpose::Hold { sent_at: now }, order, wait_ms + HOLD_TIMEOUT_MS);
+        if let Some(worker) = self.workers.get_mut(instance) {
+            worker.hold.open = Some((id, now));
+        }
+    }
+
+    /// Looks through all workers for what is due.
+    pub(crate) fn check_workers(&mut self, now: Millis, state: &State) {
+        let instances: Vec<String> = self.workers.keys().cloned().collect();
+        for instance in instances {
+            self.check_worker(&instance, now, state);
+        }
+    }
+
+    fn check_worker(&mut self, instance: &str, now: Millis, state: &State) {
+        let Some(worker) = self.workers.get(instance) else { return };
+        if worker.runs.is_empty() {
+            let over = !worker.listed && worker.hold.open.is_none();
+            if over && (worker.silent() || worker.entry.address.is_empty()) {
+                self.forget_worker(instance, state);
+            }
+            return;
+        }
+        let pending = worker.runs.values().all(|run| run.phase == RunPhase::Proposed);
+        let out_of_reach = worker.silent() || worker.entry.address.is_empty() || !worker.listed;
+        if out_of_reach && !pending && worker.surely_lapsed(now) {
+            self.lose_lapsed(instance);
+            return;
+        }
+        self.send_orders(instance, now, state);
+        self.check_progress(instance, now);
+    }
+
+    fn forget_worker(&mut self, instance: &str, state: &State) {
+        if state.workers.contains_key(instance) {
+            let instance = instance.to_owned();
+            self.out.push(Output::Propose(Command::LoseInstance { instance, ended: true }));
+        }
+        self.workers.remove(instance);
+    }
+
+    /// Stops runs that stand still, so that they are started elsewhere.
+    fn check_progress(&mut self, instance: &str, now: Millis) {
+        let Some(worker) = self.workers.get_mut(instance) else { return };
+        let stuck: Vec<TaskId> = worker
+            .runs
+            .iter()
+            .filter(|(_, run)| {
+                let (percent, since) = run.progress;
+                let patience = STUCK_MS + run.estimated_ms / 20;
+                run.phase == RunPhase::Started
+                    && run.stop_due.is_none()
+                    && percent > 0
+                    && percent < 100
+                    && now.saturating_sub(since) > patience + HOLD_WAIT_MS
+            })
+            .map(|(task, _)| *task)
+            .collect();
+        if stuck.is_empty() || worker.unanswered > 0 {
+            return;
+        }
+        for task in &stuck {
+            if let Some(run) = worker.runs.get_mut(task) {
+                run.stop_due = Some(now);
+            }
+        }
+        worker.health.eject(now);
+        self.fresh.insert(instance.to_owned());
+        self.out.push(Output::Log(format!("{} runs on {instance} stand still and are moved", stuck.len())));
+    }
+}
--- /dev/null
+++ b/system/scheduler/src/lib.rs
@@ -0,0 +1,23 @@
+//! Places and starts the tasks of one service, as a state machine without I/O.
+//!
+//! A [`Scheduler`] exists where its role is held. It reads the replicated state, proposes commands for the log, and
+//! says which calls to make to workers. A run is in the log before its start is sent, and an end is in the log before
+//! the worker is told that it was seen.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod calls;
+mod health;
+mod holds;
+mod placement;
+mod planning;
+mod queue;
+mod replies;
+mod runs;
+mod scheduler;
+mod settings;
+mod worker;
+
+pub use calls::{ListedEnd, ListedRun, Listing, Output, RefusalReason, WorkerCall, WorkerOrder, WorkerReply};
+pub use scheduler::{Scheduler, Summary};
+pub use settings::SchedulerSettings;
--- /dev/null
+++ b/system/scheduler/src/planning.rs
@@ -0,0 +1,175 @@
+//! Decides which waiting tasks are started where.
+use crate::{
+    calls::Output,
+    placement::{choose, Demand},
+    queue::{urgency, Urgency},
+    scheduler::Scheduler,
+    worker::{Run, RunPhase},
+};
+use magpiegap_jobs::{startable, Job, Startable, State};
+use magpiegap_protocol::{Command, JobId, Millis, RunStart, StepSpec, Submission, WallMillis};
+
+/// After this many tasks that found no place, one round of planning ends.
+const MOST_MISSES: usize = 40;
+/// A task waits for its data's rack for at most this part of the time that being away would cost.
+const PATIENCE: f64 = 0.6;
+/// Kinds of work that found no place in a round; the same or more finds none either.
+#[derive(Default)]
+struct Misses {
+    shapes: Vec<StepSpec>,
+    count: usize,
+}
+
+impl Misses {
+    fn hopeless(&self, step: &StepSpec) -> bool {
+        let covers = |shape: &StepSpec| {
+            shape.resources.fits(&step.resources)
+                && shape.requirements == step.requirements
+                && shape.affinity == step.affinity
+                && shape.anti_affinity == 0
+                && !shape.gang
+        };
+        self.shapes.iter().any(covers)
+    }
+
+    fn add(&mut self, step: &StepSpec) {
+        self.count += 1;
+        self.shapes.push(step.clone());
+    }
+}
+
+impl Scheduler {
+    /// A command that accepts a job, and starts its first tasks if there is room and nothing more urgent waits.
+    pub fn submit(&mut self, now: Millis, state: &State, submission: Submission) -> Command {
+        let job = Job::new(submission.clone());
+        let mut runs = Vec::new();
+        for unit in startable(&job) {
+            let urgency = urgency(&job, unit.first);
+            if self.queue.first().is_some_and(|first| *first < urgency) {
+                break;
+            }
+            if let Some(mut placed) = self.place(&job, &unit, 0, now) {
+                runs.append(&mut placed);
+            }
+        }
+        let _ = state;
+        Command::SubmitJob { submission: Box::new(submission), runs }
+    }
+
+    /// Places what waits, most urgent first.
+    pub(crate) fn plan(&mut self, now: Millis, _wall: WallMillis, state: &State) {
+        let mut runs = Vec::new();
+        let mut misses = Misses::default();
+        let waiting: Vec<(Urgency, Startable, Millis)> =
+            self.queue.iter().map(|(key, waiting)| (*key, waiting.unit.clone(), waiting.since)).collect();
+        for (key, unit, since) in waiting {
+            if misses.count >= MOST_MISSES {
+                break;
+            }
+            let Some(job) = state.jobs.get(&key.task.job) else { continue };
+            let Some(step) = job.submission.spec.steps.get(key.task.step as usize) else { continue };
+            if misses.hopeless(step) {
+                continue;
+            }
+            match self.place(job, &unit, now.saturating_sub(since), now) {
+                Some(mut placed) => {
+                    self.queue.take(&key);
+                    runs.append(&mut placed);
+                }
+                None => misses.add(step),
+            }
+        }
+        if !runs.is_empty() {
+            self.out.push(Output::Propose(Command::StartRuns { runs }));
+        }
+    }
+
+    /// Finds places for a task or gang and takes up the room there.
+    fn place(&mut self, job: &Job, unit: &Startable, waited: Millis, now: Millis) -> Option<Vec<RunStart>> {
+        let step = job.submission.spec.steps.get(unit.first.step as usize)?;
+        let patience = step.estimated_ms as f64 * (self.settings.far_factor - 1.0) * PATIENCE;
+        let nothing = Vec::new();
+        let demand = Demand {
+            step,
+            first: unit.first,
+            count: unit.count,
+            near_only: (waited as f64) < patience,
+            avoid: self.failed_on.get(&unit.first).unwrap_or(&nothing),
+        };
+        let chosen = choose(&self.workers, &demand, now, &mut self.random)?;
+        let runs = starts(job, unit, step, chosen);
+        for start in &runs {
+            self.reserve(job, step, start, now);
+        }
+        Some(runs)
+    }
+
+    fn reserve(&mut self, job: &Job, step: &StepSpec, start: &RunStart, now: Millis) {
+        let Some(worker) = self.workers.get_mut(&start.instance) else { return };
+        worker.add_run(start.task, new_run(job, step, start, RunPhase::Proposed, now));
+        self.proposed.insert(start.task);
+    }
+
+    /// Lets times of repeated jobs fall due.
+    pub(crate) fn open_times(&mut self, wall: WallMillis, state: &State) {
+        let due: Vec<(WallMillis, JobId)> =
+            self.timed.iter().take_while(|(at, _)| *at <= wall).copied().collect();
+        for (at, id) in due {
+            let Some(job) = state.jobs.get(&id) else {
+                self.timed.remove(&(at, id));
+                continue;
+            };
+            if self.times_proposed.insert((id, job.next_time)) {
+                self.out.push(Output::Propose(Command::OpenTime { job: id, time: job.next_time }));
+            }
+        }
+    }
+
+    /// Drops ended jobs whose state need not be shown any more.
+    pub(crate) fn forget_jobs(&mut self, wall: WallMillis) {
+        const MARGIN_MS: u64 = 30_000;
+        const MOST: usize = 500;
+        let before = wall.saturating_sub(self.settings.status_ms + MARGIN_MS);
+        let over: Vec<JobId> =
+            self.ended.iter().take_while(|(at, _)| *at < before).take(MOST).map(|(_, id)| *id).collect();
+        if !over.is_empty() {
+            self.ended.retain(|(_, id)| !over.contains(id));
+            self.out.push(Output::Propose(Command::ForgetJobs { jobs: over }));
+        }
+    }
+}
+
+/// The runs of a unit on the workers chosen for it.
+fn starts(job: &Job, unit: &Startable, step: &StepSpec, chosen: Vec<String>) -> Vec<RunStart> {
+    let tasks = || unit.tasks().filter_map(|task| job.task(&task));
+    let run = tasks().map(|task| task.last_run).max().unwrap_or(0) + 1;
+    // Members of a gang all go on from the same checkpoint; any member's will do.
+    let shared = tasks().map(|task| task.checkpoint.as_str()).max().unwrap_or("").to_owned();
+    let start = |(task, instance)| RunStart {
+        task,
+        run,
+        instance,
+        checkpoint: if step.checkpoints { shared.clone() } else { String::new() },
+    };
+    unit.tasks().zip(chosen).map(start).collect()
+}
+
+/// A run as it begins.
+pub(crate) fn new_run(job: &Job, step: &StepSpec, start: &RunStart, phase: RunPhase, now: Millis) -> Run {
+    Run {
+        run: start.run,
+        resources: step.resources,
+        priority: job.submission.priority,
+        phase,
+        checkpoint: start.checkpoint.clone(),
+        saved: start.checkpoint.clone(),
+        progress: (0, now),
+        started_at: now,
+        estimated_ms: step.estimated_ms,
+        stop_due: None,
+        open_calls: 0,
+        resolved_at: now,
+        may_begin_until: 0,
+        tries: 0,
+    }
+}
--- /dev/null
+++ b/system/scheduler/src/replies.rs
@@ -0,0 +1,261 @@
+//! Takes workers' answers.
+use crate::{
+    calls::{Listing, Output, RefusalReason, WorkerOrder, WorkerReply},
+    scheduler::{CallPurpose, OpenCall, Scheduler},
+    worker::{RunPhase, Worker},
+};
+use magpiegap_jobs::State;
+use magpiegap_protocol::{Command, Millis, RunEnd, RunId, RunStart, TaskId};
+
+/// Time until a start that a worker turned down for its health or clock is sent again.
+const RETRY_MS: Millis = 60;
+/// A worker lists at most this many ends at once; with as many the listing may not be whole.
+const MOST_ENDS_LISTED: usize = 500;
+/// Time until a worker that left a call unanswered is looked at again.
+const LOOK_AGAIN_MS: Millis = 100;
+const STRAY_STOP_TIMEOUT_MS: Millis = 400;
+
+impl Scheduler {
+    /// Takes the answer to a call.
+    pub fn reply(&mut self, now: Millis, state: &State, call: u64, reply: WorkerReply) {
+        let Some(open) = self.calls.remove(&call) else { return };
+        let OpenCall { instance, purpose } = open;
+        if !self.workers.contains_key(&instance) {
+            return;
+        }
+        if reply == WorkerReply::OtherLife {
+            self.life_is_over(&instance, state);
+            return;
+        }
+        self.note_contact(&instance, call, &purpose, &reply, now);
+        match purpose {
+            CallPurpose::Hold { sent_at } => self.hold_answered(&instance, sent_at, reply, now, state),
+            CallPurpose::Start { task, run, deadline_ms } => {
+                self.start_answered(&instance, task, run, deadline_ms, reply, now);
+            }
+            CallPurpose::Stop { task, run } => self.stop_answered(&instance, task, run, &reply, now),
+            CallPurpose::StopStray => {}
+        }
+    }
+
+    /// What any answer, or none, says of the worker.
+    fn note_contact(
+        &mut self,
+        instance: &str,
+        call: u64,
+        purpose: &CallPurpose,
+        reply: &WorkerReply,
+        now: Millis,
+    ) {
+        let Some(worker) = self.workers.get_mut(instance) else { return };
+        if worker.hold.open.is_some_and(|(id, _)| id == call) {
+            worker.hold.open = None;
+        }
+        let held = matches!(purpose, CallPurpose::Hold { .. });
+        match reply {
+            WorkerReply::Unanswered => {
+                // A single order may go unanswered on a worker that is well; holds decide.
+                worker.unanswered += u32::from(held);
+                worker.hold.due = now + LOOK_AGAIN_MS;
+            }
+            WorkerReply::Done { clock_ms, .. } | WorkerReply::Refused { clock_ms, .. } => {
+                worker.read_clock(*clock_ms, now);
+                if held && worker.unanswered > 0 {
+                    worker.unanswered = 0;
+                    self.replan = true;
+                }
+            }
+            WorkerReply::Unhealthy | WorkerReply::Rejected | WorkerReply::OtherLife => {}
+        }
+    }
+
+    fn hold_answered(
+        &mut self,
+        instance: &str,
+        sent_at: Millis,
+        reply: WorkerReply,
+        now: Millis,
+        state: &State,
+    ) {
+        let max_hold_ms = self.settings.max_hold_ms;
+        let Some(worker) = self.workers.get_mut(instance) else { return };
+        match reply {
+            WorkerReply::Done { clock_ms: Some(clock), listing: Some(listing) } => {
+                if !worker.greeted {
+                    worker.greeted = true;
+                    if !worker.runs.is_empty() {
+                        worker.granted_until = worker.granted_until.max(clock + max_hold_ms);
+                    }
+                    self.replan = true;
+                }
+                worker.hold.due = now;
+                self.take_listing(instance, sent_at, clock, &listing, now);
+            }
+            WorkerReply::Refused { reason: RefusalReason::Fence, .. } => {
+                self.out.push(Output::Log(format!("{instance} has seen a higher token than {}", self.token)));
+                worker.hold.due = now + 1000;
+            }
+            _ => {}
+        }
+        let _ = state;
+    }
+
+    fn take_listing(&mut self, instance: &str, sent_at: Millis, clock: u64, listing: &Listing, now: Millis) {
+        let Some(worker) = self.workers.get_mut(instance) else { return };
+        let mut strays: Vec<(TaskId, RunId)> = Vec::new();
+        for listed in &listing.running {
+            match worker.runs.get_mut(&listed.task).filter(|run| run.run == listed.run) {
+                Some(run) => {
+                    if matches!(run.phase, RunPhase::Starting | RunPhase::Recorded { .. }) && run.tries > 0 {
+                        run.phase = RunPhase::Started;
+                        run.started_at = now;
+                    }
+                    if run.progress.0 != listed.percent {
+                        run.progress = (listed.percent, now);
+                    }
+                    if !listed.checkpoint.is_empty() {
+                        run.saved.clone_from(&listed.checkpoint);
+                    }
+                }
+                None => strays.push((listed.task, listed.run)),
+            }
+        }
+        let ends: Vec<RunEnd> = listing
+            .ended
+            .iter()
+            .filter(|end| end.number > worker.last_seen)
+            .map(|end| RunEnd {
+                task: end.task,
+                run: end.run,
+                kind: end.kind,
+                checkpoint: end.checkpoint.clone(),
+            })
+            .collect();
+        if let Some(last) =
+            listing.ended.iter().map(|end| end.number).max().filter(|&n| n > worker.proposed_seen)
+        {
+            worker.proposed_seen = last;
+            let instance = instance.to_owned();
+            self.out.push(Output::Propose(Command::NoteEnds { instance, last_seen: last, ends }));
+        }
+        let lost = missing(worker, sent_at, clock, listing);
+        if !lost.is_empty() {
+            self.lose(lost);
+        }
+        for (task, run) in strays {
+            let order = WorkerOrder::Stop { task, run };
+            self.call(instance, CallPurpose::StopStray, order, STRAY_STOP_TIMEOUT_MS);
+        }
+    }
+
+    fn start_answered(
+        &mut self,
+        instance: &str,
+        task: TaskId,
+        number: RunId,
+        deadline_ms: u64,
+        reply: WorkerReply,
+        now: Millis,
+    ) {
+        let Some(worker) = self.workers.get_mut(instance) else { return };
+        let Some(run) = worker.runs.get_mut(&task).filter(|run| run.run == number) else { return };
+        run.open_calls = run.open_calls.saturating_sub(1);
+        run.resolved_at = now;
+        let mut lost = false;
+        match reply {
+            WorkerReply::Done { .. } => {
+                if run.phase == RunPhase::Starting {
+                    run.phase = RunPhase::Started;
+                    run.started_at = now;
+                    run.progress.1 = now;
+                }
+                run.may_begin_until = 0;
+            }
+            WorkerReply::Unanswered => {
+                if run.phase == RunPhase::Starting {
+                    run.phase = RunPhase::Recorded { not_before: now };
+                }
+                self.fresh.insert(instance.to_owned());
+            }
+            WorkerReply::Refused { reason: RefusalReason::Late, .. } => {
+                run.phase = RunPhase::Recorded { not_before: now + RETRY_MS };
+            }
+            // It ended there, or was stopped: the next listing says so.
+            WorkerReply::Refused { reason: RefusalReason::Old, .. } => {
+                run.phase = RunPhase::Started;
+                run.may_begin_until = 0;
+            }
+            WorkerReply::Refused { reason: RefusalReason::Room, .. } => {
+                // An earlier try that was not answered may still come when there is room.
+                lost = run.may_begin_until <= deadline_ms && run.tries == 1;
+                if !lost {
+                    run.stop_due = Some(now);
+                }
+            }
+            WorkerReply::Unhealthy | WorkerReply::Rejected => {
+                lost = run.tries == 1;
+                if !lost {
+                    run.stop_due = Some(now);
+                }
+                worker.health.eject(now);
+            }
+            WorkerReply::Refused { reason: RefusalReason::Fence, .. } | WorkerReply::OtherLife => {
+                run.phase = RunPhase::Recorded { not_before: now + 1000 };
+            }
+        }
+        if lost {
+            let checkpoint = run.checkpoint.clone();
+            let start = RunStart { task, run: number, instance: instance.to_owned(), checkpoint };
+            self.lose(vec![start]);
+        }
+    }
+
+    fn stop_answered(
+        &mut self,
+        instance: &str,
+        task: TaskId,
+        number: RunId,
+        reply: &WorkerReply,
+        now: Millis,
+    ) {
+        let Some(worker) = self.workers.get_mut(instance) else { return };
+        let Some(run) = worker.runs.get_mut(&task).filter(|run| run.run == number) else { return };
+        run.open_calls = run.open_calls.saturating_sub(1);
+        run.resolved_at = now;
+        if matches!(reply, WorkerReply::Done { .. }) {
+            // A start of it that comes after the stop is turned down.
+            run.may_begin_until = 0;
+        }
+        worker.hold.due = worker.hold.due.min(now);
+    }
+}
+
+/// Runs that a listing, asked for after their last order was answered, does not show: they are surely not there.
+fn missing(worker: &Worker, sent_at: Millis, clock: u64, listing: &Listing) -> Vec<RunStart> {
+    if listing.ended.len() >= MOST_ENDS_LISTED {
+        return Vec::new();
+    }
+    let shown = |task: &TaskId, run: RunId| {
+        listing.running.iter().any(|listed| listed.task == *task && listed.run == run)
+            || listing.ended.iter().any(|end| end.task == *task && end.run == run)
+    };
+    worker
+        .runs
+        .iter()
+        .filter(|(task, run)| {
+            let begun = run.phase == RunPhase::Started || run.stop_due.is_some() && run.tries > 0;
+            begun
+                && run.phase != RunPhase::Proposed
+                && run.open_calls == 0
+                && sent_at > run.resolved_at
+                && clock > run.may_begin_until
+                && !shown(task, run.run)
+        })
+        .map(|(task, run)| RunStart {
+            task: *task,
+            run: run.run,
+            instance: worker.entry.instance.clone(),
+            checkpoint: run.saved.clone(),
+        })
+        .collect()
+}
--- /dev/null
+++ b/system/scheduler/src/runs.rs
@@ -0,0 +1,309 @@
+//! Keeps the runs on the workers in step with the log, and stops those that are not wanted any more.
+use crate::{
+    calls::{Output, WorkerOrder},
+    planning::new_run,
+    scheduler::{lost_runs, CallPurpose, Scheduler},
+    worker::{RunPhase, Worker},
+};
+use magpiegap_jobs::{Change, Job, State};
+use magpiegap_protocol::{Command, EndKind, JobId, Millis, RunId, RunStart, TaskId, WorkerEntry};
+
+/// How long a worker has to answer a start or a stop.
+const ORDER_TIMEOUT_MS: Millis = 350;
+/// How long a start is valid, on the worker's clock.
+const START_VALID_MS: u64 = 1500;
+/// Time between two orders to stop the same run.
+const STOP_AGAIN_MS: Millis = 300;
+/// A start that was not answered this often is given up.
+const MOST_STARTS: u32 = 8;
+
+impl Scheduler {
+    /// Takes note of an entry that was applied; `own_runs` are the runs in it that this scheduler proposed.
+    pub fn applied(&mut self, now: Millis, state: &State, changes: &[Change], own_runs: &[RunStart]) {
+        for change in changes {
+            self.apply_change(change, now, state);
+        }
+        for start in own_runs {
+            self.settle_proposal(start);
+        }
+        for id in own_runs.iter().map(|start| start.task.job) {
+            if state.jobs.get(&id).is_some_and(|job| !job.phase.ended()) {
+                self.refresh_queue(id, now, state);
+            }
+        }
+    }
+
+    fn apply_change(&mut self, change: &Change, now: Millis, state: &State) {
+        match change {
+            Change::RunOpened(start) => self.run_opened(start, now, state),
+            Change::RunClosed { task, run, instance, kind } => {
+                self.run_closed(*task, *run, instance, *kind, now)
+            }
+            Change::Job(id) => self.review_job(*id, now, state),
+            Change::JobForgotten(id) => {
+                self.queue.remove(*id);
+                self.ended.retain(|(_, other)| other != id);
+                self.failed_on.retain(|task, _| task.job != *id);
+            }
+            Change::EndsNoted { instance, last_seen } => {
+                if let Some(worker) = self.workers.get_mut(instance) {
+                    worker.last_seen = *last_seen;
+                    worker.proposed_seen = worker.proposed_seen.max(*last_seen);
+                    worker.hold.due = now;
+                }
+            }
+            Change::Configuration | Change::Role(_) => {}
+        }
+    }
+
+    fn run_opened(&mut self, start: &RunStart, now: Millis, state: &State) {
+        self.proposed.remove(&start.task);
+        if let Some(worker) = self.workers.get_mut(&start.instance) {
+            if let Some(run) = worker.runs.get_mut(&start.task).filter(|run| run.run == start.run) {
+                run.phase = RunPhase::Recorded { not_before: now };
+                run.resolved_at = now;
+                worker.hold.due = worker.hold.due.min(now);
+                self.fresh.insert(start.instance.clone());
+                return;
+            }
+        }
+        self.adopt_run(&start.instance, start.task, start.run, now, state);
+    }
+
+    /// Takes up a run of the log that this scheduler has not proposed since it holds its role.
+    pub(crate) fn adopt_run(&mut self, instance: &str, task: TaskId, run: RunId, now: Millis, state: &State) {
+        let Some(job) = state.jobs.get(&task.job) else { return };
+        if job.submission.service != self.service {
+            return;
+        }
+        let Some(step) = job.submission.spec.steps.get(task.step as usize) else { return };
+        let lapse_at = self.others_lapse_at();
+        let worker = self.workers.entry(instance.to_owned()).or_insert_with(|| {
+            let entry = WorkerEntry { instance: instance.to_owned(), ..WorkerEntry::default() };
+            let mut worker = Worker::new(entry, now, lapse_at);
+            worker.listed = false;
+            worker
+        });
+        if let Some(known) = worker.runs.get_mut(&task).filter(|known| known.run == run) {
+            // It was proposed before the view changed and is in the log now: its start was never sent.
+            if known.phase == RunPhase::Proposed {
+                known.phase = RunPhase::Recorded { not_before: now };
+                self.fresh.insert(instance.to_owned());
+            }
+            return;
+        }
+        let active = job.task(&task).and_then(|state| state.active.iter().find(|active| active.run == run));
+        let checkpoint = active.map(|active| active.checkpoint.clone()).unwrap_or_default();
+        let start = RunStart { task, run, instance: instance.to_owned(), checkpoint };
+        worker.add_run(task, new_run(job, step, &start, RunPhase::Started, now));
+    }
+
+    fn run_closed(&mut self, task: TaskId, run: RunId, instance: &str, kind: Option<EndKind>, now: Millis) {
+        self.replan = true;
+        let Some(worker) = self.workers.get_mut(instance) else { return };
+        let known = worker.remove_run(&task, run);
+        match kind {
+            Some(EndKind::Done) => worker.health.succeeded(),
+            Some(EndKind::Failed) => {
+                let failed_on = self.failed_on.entry(task).or_default();
+                // A task that has failed elsewhere too may be the one at fault.
+                let elsewhere = failed_on.iter().any(|other| other != instance);
+                if !failed_on.iter().any(|other| other == instance) {
+                    failed_on.push(instance.to_owned());
+                }
+                if known.is_some() && !elsewhere && worker.health.failed(task.job, now) {
+                    self.out.push(Output::Log(format!("worker {instance} is left alone: its runs fail")));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Releases the room of a run that was proposed and refused.
+    fn settle_proposal(&mut self, start: &RunStart) {
+        self.proposed.remove(&start.task);
+        let Some(worker) = self.workers.get_mut(&start.instance) else { return };
+        let refused = worker
+            .runs
+            .get(&start.task)
+            .is_some_and(|run| run.run == start.run && run.phase == RunPhase::Proposed);
+        if refused {
+            worker.remove_run(&start.task, start.run);
+            self.replan = true;
+        }
+    }
+
+    /// Takes up what a job needs now.
+    pub(crate) fn review_job(&mut self, id: JobId, now: Millis, state: &State) {
+        let Some(job) = state.jobs.get(&id) else { return };
+        if job.submission.service != self.service {
+            return;
+        }
+        if job.phase.ended() {
+            self.queue.remove(id);
+            self.ended.insert((job.ended_ms, id));
+            self.timed.retain(|(_, other)| *other != id);
+        } else {
+            self.note_schedule(job);
+            self.refresh_queue(id, now, state);
+        }
+        self.stop_unwanted(job, now);
+    }
+
+    fn note_schedule(&mut self, job: &Job) {
+        let id = job.submission.job;
+        if job.submission.spec.repeat_count == 0 {
+            return;
+        }
+        self.timed.retain(|(_, other)| *other != id);
+        if job.next_time < job.submission.spec.times() {
+            if let Some(at) = job.submission.spec.due_ms(job.next_time) {
+                self.timed.insert((at, id));
+            }
+        }
+    }
+
+    fn refresh_queue(&mut self, id: JobId, now: Millis, state: &State) {
+        let Some(job) = state.jobs.get(&id) else { return };
+        let proposed = &self.proposed;
+        self.queue.refresh(job, now, |task| proposed.contains(task));
+        self.replan = true;
+    }
+
+    /// Marks the runs of a job that are not wanted any more: of an ended job, of tasks that are done, and of gangs
+    /// that have lost a member.
+    fn stop_unwanted(&mut self, job: &Job, now: Millis) {
+        for time in job.times.values() {
+            for (position, step) in time.steps.iter().enumerate() {
+                let gang = job.submission.spec.steps.get(position).is_some_and(|spec| spec.gang);
+                let whole =
+                    |run: RunId| step.tasks.iter().all(|task| task.active.iter().any(|a| a.run == run));
+                for (index, task) in step.tasks.iter().enumerate() {
+                    for active in &task.active {
+                        // Where a gang is done its members end by themselves.
+                        let broken = gang && !step.is_done() && !whole(active.run);
+                        let over = task.done && !gang;
+                        if job.phase.ended() || broken || over {
+                            let id = job.submission.job;
+                            self.want_stop(&active.instance, id, position, index, active.run, now);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn want_stop(&mut self, instance: &str, job: JobId, step: usize, index: usize, run: RunId, now: Millis) {
+        let Some(worker) = self.workers.get_mut(instance) else { return };
+        let wanted = worker.runs.iter_mut().find(|(task, known)| {
+            task.job == job && task.step as usize == step && task.index as usize == index && known.run == run
+        });
+        if let Some((_, known)) = wanted {
+            known.stop_due.get_or_insert(now);
+            self.fresh.insert(instance.to_owned());
+        }
+    }
+
+    /// Sends the starts and stops that are due on the workers marked as fresh.
+    pub(crate) fn send_starts(&mut self, now: Millis, state: &State) {
+        for instance in std::mem::take(&mut self.fresh) {
+            self.send_orders(&instance, now, state);
+        }
+    }
+
+    /// Sends the starts and stops that are due on one worker.
+    pub(crate) fn send_orders(&mut self, instance: &str, now: Millis, state: &State) {
+        let Some(worker) = self.workers.get(instance) else { return };
+        let ready = worker.greeted && !worker.silent();
+        let tasks: Vec<TaskId> = worker.runs.keys().copied().collect();
+        let mut lost = Vec::new();
+        for task in tasks {
+            let Some(worker) = self.workers.get(instance) else { return };
+            let Some(run) = worker.runs.get(&task) else { continue };
+            let unsent = matches!(run.phase, RunPhase::Recorded { .. }) && run.tries == 0;
+            let refused = worker.draining || !worker.listed;
+            if unsent && (run.stop_due.is_some() || !ready || refused) {
+                // Its start was never sent, so it surely isn't there.
+                lost.push(RunStart {
+                    task,
+                    run: run.run,
+                    instance: instance.to_owned(),
+                    checkpoint: run.checkpoint.clone(),
+                });
+                continue;
+            }
+            if !ready || run.open_calls > 0 {
+                continue;
+            }
+            if let Some(due) = run.stop_due {
+                if now >= due {
+                    self.send_stop(instance, task, now);
+                }
+                continue;
+            }
+            if matches!(run.phase, RunPhase::Recorded { not_before } if now >= not_before) {
+                self.send_start(instance, task, state, now);
+            }
+        }
+        if !lost.is_empty() {
+            self.lose(lost);
+        }
+    }
+
+    /// Takes runs off the record that are surely not going on.
+    pub(crate) fn lose(&mut self, lost: Vec<RunStart>) {
+        for start in &lost {
+            // Not proposed twice while the log has it under way.
+            let worker = self.workers.get_mut(&start.instance);
+            if let Some(run) = worker.and_then(|worker| worker.runs.get_mut(&start.task)) {
+                run.phase = RunPhase::Proposed;
+            }
+        }
+        self.out.push(Output::Propose(Command::LoseRuns { runs: lost }));
+    }
+
+    fn send_start(&mut self, instance: &str, task: TaskId, state: &State, now: Millis) {
+        let Some(job) = state.jobs.get(&task.job) else { return };
+        let Some(worker) = self.workers.get_mut(instance) else { return };
+        let Some(clock) = worker.clock_now(now) else { return };
+        let deadline_ms = clock + START_VALID_MS;
+        let Some(run) = worker.runs.get_mut(&task) else { return };
+        run.tries += 1;
+        if run.tries > MOST_STARTS {
+            run.stop_due = Some(now);
+            return;
+        }
+        run.phase = RunPhase::Starting;
+        run.open_calls += 1;
+        run.may_begin_until = run.may_begin_until.max(deadline_ms);
+        worker.granted_until = worker.granted_until.max(deadline_ms);
+        let (number, checkpoint) = (run.run, run.checkpoint.clone());
+        let spec = job.submission.spec.spec.clone();
+        let purpose = CallPurpose::Start { task, run: number, deadline_ms };
+        let order = WorkerOrder::Start { task, run: number, spec, deadline_ms, checkpoint };
+        self.call(instance, purpose, order, ORDER_TIMEOUT_MS);
+    }
+
+    fn send_stop(&mut self, instance: &str, task: TaskId, now: Millis) {
+        let Some(run) = self.workers.get_mut(instance).and_then(|worker| worker.runs.get_mut(&task)) else {
+            return;
+        };
+        run.stop_due = Some(now + STOP_AGAIN_MS);
+        run.open_calls += 1;
+        let number = run.run;
+        let order = WorkerOrder::Stop { task, run: number };
+        self.call(instance, CallPurpose::Stop { task, run: number }, order, ORDER_TIMEOUT_MS);
+    }
+
+    /// Takes all runs of a worker off the record, once every hold on it has surely run out.
+    pub(crate) fn lose_lapsed(&mut self, instance: &str) {
+        let Some(worker) = self.workers.get_mut(instance) else { return };
+        let lost = lost_runs(worker);
+        for run in worker.runs.values_mut() {
+            run.phase = RunPhase::Proposed;
+        }
+        self.out
+            .push(Output::Log(format!("the holds on {instance} have run out: {} runs are lost", lost.len())));
+        self.out.push(Output::Propose(Command::LoseRuns { runs: lost }));
+    }
+}
--- /dev/null
+++ b/system/scheduler/src/scheduler.rs
@@ -0,0 +1,303 @@
+//! The scheduler's state and the ways in and out of it.
+use crate::{
+    calls::{Output, WorkerCall, WorkerOrder},
+    placement::Workers,
+    queue::Queue,
+    settings::SchedulerSettings,
+    worker::Worker,
+};
+use magpiegap_jobs::State;
+use magpiegap_protocol::{
+    Availability, Command, JobId, Millis, RunId, RunStart, TaskId, WallMillis, WorkerEntry,
+};
+use rand::{rngs::StdRng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+
+/// What a call under way was for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum CallPurpose {
+    Start {
+        task: TaskId,
+        run: RunId,
+        deadline_ms: u64,
+    },
+    Stop {
+        task: TaskId,
+        run: RunId,
+    },
+    /// A stop of a run that is on no record.
+    StopStray,
+    Hold {
+        sent_at: Millis,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct OpenCall {
+    pub instance: String,
+    pub purpose: CallPurpose,
+}
+
+/// Figures on a scheduler, for operators.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Summary {
+    /// Workers known.
+    pub workers: usize,
+    /// Workers that don't answer.
+    pub silent: usize,
+    /// Runs on record.
+    pub runs: usize,
+    /// Tasks and gangs that wait for a place.
+    pub waiting: usize,
+}
+
+/// Places and starts the tasks of one service.
+pub struct Scheduler {
+    pub(crate) service: String,
+    pub(crate) token: u64,
+    pub(crate) settings: SchedulerSettings,
+    pub(crate) random: StdRng,
+    pub(crate) workers: Workers,
+    pub(crate) queue: Queue,
+    /// Tasks with a run that is proposed and not yet in the log.
+    pub(crate) proposed: HashSet<TaskId>,
+    /// Workers that have a run whose start may be sent now.
+    pub(crate) fresh: BTreeSet<String>,
+    /// Workers on which a task has failed.
+    pub(crate) failed_on: HashMap<TaskId, Vec<String>>,
+    /// Repeated jobs by when their next time falls due.
+    pub(crate) timed: BTreeSet<(WallMillis, JobId)>,
+    pub(crate) times_proposed: HashSet<(JobId, u32)>,
+    /// Ended jobs by when they ended.
+    pub(crate) ended: BTreeSet<(WallMillis, JobId)>,
+    pub(crate) calls: BTreeMap<u64, OpenCall>,
+    pub(crate) next_call: u64,
+    pub(crate) taken_over_at: Millis,
+    /// Something has changed that may let a task be placed.
+    pub(crate) replan: bool,
+    pub(crate) next_check: Millis,
+    pub(crate) out: Vec<Output>,
+}
+
+impl Scheduler {
+    /// A scheduler whose role was just taken over.
+    pub fn new(
+        service: &str,
+        token: u64,
+        settings: SchedulerSettings,
+        now: Millis,
+        state: &State,
+        seed: u64,
+    ) -> Scheduler {
+        let mut scheduler = Scheduler {
+            service: service.to_owned(),
+            token,
+            settings,
+            random: StdRng::seed_from_u64(seed),
+            workers: Workers::new(),
+            queue: Queue::default(),
+            proposed: HashSet::new(),
+            fresh: BTreeSet::new(),
+            failed_on: HashMap::new(),
+            timed: BTreeSet::new(),
+            times_proposed: HashSet::new(),
+            ended: BTreeSet::new(),
+            calls: BTreeMap::new(),
+            next_call: 0,
+            taken_over_at: now,
+            replan: true,
+            next_check: now,
+            out: Vec::new(),
+        };
+        scheduler.resume(now, state);
+        scheduler
+    }
+
+    /// The service.
+    pub fn service(&self) -> &str {
+        &self.service
+    }
+
+    /// The fencing token of the role.
+    pub fn token(&self) -> u64 {
+        self.token
+    }
+
+    /// Figures for operators.
+    pub fn summary(&self) -> Summary {
+        Summary {
+            workers: self.workers.len(),
+            silent: self.workers.values().filter(|worker| worker.silent()).count(),
+            runs: self.workers.values().map(|worker| worker.runs.len()).sum(),
+            waiting: self.queue.len(),
+        }
+    }
+
+    /// Takes what it wants done.
+    pub fn take_outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Takes up the state after a change of the view or of the role's holder: what was proposed before and is not
+    /// in the state now never will be.
+    pub fn resume(&mut self, now: Millis, state: &State) {
+        self.proposed.clear();
+        self.times_proposed.clear();
+        self.fresh.clear();
+        self.timed.clear();
+        self.ended.clear();
+        let own = |id: &JobId| state.jobs.get(id).is_some_and(|job| job.submission.service == self.service);
+        let mut wanted: BTreeMap<&str, Vec<(TaskId, RunId)>> = BTreeMap::new();
+        for (instance, record) in &state.workers {
+            let runs = record.runs.iter().filter(|(task, _)| own(&task.job)).map(|(task, run)| (*task, *run));
+            wanted.insert(instance, runs.collect());
+        }
+        self.drop_runs_off_record(&wanted);
+        for (instance, runs) in wanted {
+            for (task, run) in runs {
+                self.adopt_run(instance, task, run, now, state);
+            }
+        }
+        for (instance, worker) in &mut self.workers {
+            let seen = state.workers.get(instance).map_or(0, |record| record.last_seen);
+            worker.last_seen = seen;
+            worker.proposed_seen = seen;
+        }
+        let ids: Vec<JobId> = state.jobs.keys().copied().collect();
+        for id in ids {
+            self.review_job(id, now, state);
+        }
+        self.replan = true;
+    }
+
+    fn drop_runs_off_record(&mut self, wanted: &BTreeMap<&str, Vec<(TaskId, RunId)>>) {
+        for (instance, worker) in &mut self.workers {
+            let on_record = wanted.get(instance.as_str()).map_or(&[][..], Vec::as_slice);
+            let gone: Vec<(TaskId, RunId)> = worker
+                .runs
+                .iter()
+                .map(|(task, run)| (*task, run.run))
+                .filter(|pair| !on_record.contains(pair))
+                .collect();
+            for (task, run) in gone {
+                worker.remove_run(&task, run);
+            }
+        }
+    }
+
+    /// When all that other holders of the role granted has surely run out.
+    pub(crate) fn others_lapse_at(&self) -> Millis {
+        let hold = self.settings.max_hold_ms + self.settings.max_hold_ms / 25;
+        self.taken_over_at + self.settings.lease_ms + hold
+    }
+
+    /// Takes the platform's list.
+    pub fn list(&mut self, now: Millis, state: &State, entries: &[WorkerEntry]) {
+        let own: Vec<&WorkerEntry> = entries.iter().filter(|entry| entry.service == self.service).collect();
+        let listed: HashSet<&str> = own.iter().map(|entry| entry.instance.as_str()).collect();
+        let addresses: HashMap<&str, &str> =
+            own.iter().map(|entry| (entry.address.as_str(), entry.instance.as_str())).collect();
+        let mut over = Vec::new();
+        for (instance, worker) in &mut self.workers {
+            if listed.contains(instance.as_str()) {
+                continue;
+            }
+            worker.listed = false;
+            let successor = addresses.get(worker.entry.address.as_str());
+            if successor.is_some_and(|other| other != instance) {
+                over.push(instance.clone());
+            }
+        }
+        for instance in over {
+            self.life_is_over(&instance, state);
+        }
+        for entry in own {
+            self.list_one(entry, now, state);
+        }
+    }
+
+    fn list_one(&mut self, entry: &WorkerEntry, now: Millis, state: &State) {
+        let draining = entry.availability == Availability::Draining;
+        if let Some(worker) = self.workers.get_mut(&entry.instance) {
+            let news = !worker.listed || worker.entry.address != entry.address || worker.draining != draining;
+            worker.entry = entry.clone();
+            worker.listed = true;
+            worker.draining = draining;
+            self.replan |= news;
+            return;
+        }
+        let mut worker = Worker::new(entry.clone(), now, self.others_lapse_at());
+        if let Some(record) = state.workers.get(&entry.instance) {
+            worker.last_seen = record.last_seen;
+            worker.proposed_seen = record.last_seen;
+        }
+        self.workers.insert(entry.instance.clone(), worker);
+        self.replan = true;
+    }
+
+    /// A worker's life is surely over.
+    pub(crate) fn life_is_over(&mut self, instance: &str, state: &State) {
+        let Some(worker) = self.workers.get_mut(instance) else { return };
+        worker.listed = false;
+        let lost = lost_runs(worker);
+        if state.workers.contains_key(instance) {
+            self.out.push(Output::Propose(Command::LoseRuns { runs: lost }));
+            let instance = instance.to_owned();
+            self.out.push(Output::Propose(Command::LoseInstance { instance, ended: true }));
+        }
+        self.workers.remove(instance);
+        self.replan = true;
+    }
+
+    /// Sends an order to a worker.
+    pub(crate) fn call(
+        &mut self,
+        instance: &str,
+        purpose: CallPurpose,
+        order: WorkerOrder,
+        timeout_ms: Millis,
+    ) -> u64 {
+        self.next_call += 1;
+        let id = self.next_call;
+        let Some(worker) = self.workers.get(instance) else { return id };
+        self.out.push(Output::Call(WorkerCall {
+            id,
+            address: worker.entry.address.clone(),
+            instance: instance.to_owned(),
+            token: self.token,
+            order,
+            timeout_ms,
+        }));
+        self.calls.insert(id, OpenCall { instance: instance.to_owned(), purpose });
+        id
+    }
+
+    /// Does what is due. To be called after all other inputs, and every few hundredths of a second.
+    pub fn run(&mut self, now: Millis, wall: WallMillis, state: &State) {
+        if now >= self.next_check {
+            self.next_check = now + CHECK_EVERY_MS;
+            self.check_workers(now, state);
+            self.open_times(wall, state);
+            self.forget_jobs(wall);
+        }
+        self.send_starts(now, state);
+        self.renew_holds(now);
+        if std::mem::take(&mut self.replan) {
+            self.plan(now, wall, state);
+        }
+    }
+}
+
+/// How often everything is looked through for what is due.
+const CHECK_EVERY_MS: Millis = 50;
+
+/// A worker's recorded runs, with the newest checkpoints that it has listed.
+pub(crate) fn lost_runs(worker: &Worker) -> Vec<RunStart> {
+    let lost = |(task, run): (&TaskId, &crate::worker::Run)| RunStart {
+        task: *task,
+        run: run.run,
+        instance: worker.entry.instance.clone(),
+        checkpoint: run.saved.clone(),
+    };
+    worker.runs.iter().map(lost).collect()
+}
--- /dev/null
+++ b/system/scheduler/src/worker.rs
@@ -0,0 +1,195 @@
+//! What the scheduler knows of one life of a worker.
+use crate::health::Health;
+use magpiegap_protocol::{Availability, Millis, Resources, RunId, TaskId, WorkerEntry};
+use std::collections::BTreeMap;
+
+/// The slowest that a worker's clock may run beside ours.
+const SLOWEST_CLOCK: f64 = 0.975;
+
+/// A reading of a worker's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ClockReading {
+    /// What the clock showed, in milliseconds.
+    pub worker_ms: u64,
+    /// When the answer that said so came.
+    pub received_at: Millis,
+}
+
+/// How far a run has come, as far as the scheduler knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunPhase {
+    /// Proposed for the log.
+    Proposed,
+    /// In the log; its start is still to be sent, not before this time.
+    Recorded { not_before: Millis },
+    /// Its start was sent and has not been answered.
+    Starting,
+    /// It was started, or may have been by an earlier holder of the role.
+    Started,
+}
+
+/// A run on a worker.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Run {
+    pub run: RunId,
+    pub resources: Resources,
+    pub priority: u32,
+    pub phase: RunPhase,
+    /// The checkpoint that it was started from.
+    pub checkpoint: String,
+    /// The newest checkpoint that the worker has listed.
+    pub saved: String,
+    /// Progress in hundredths, and since when it stands there.
+    pub progress: (u64, Millis),
+    /// When it was started.
+    pub started_at: Millis,
+    /// How long it should take, by the client's guess.
+    pub estimated_ms: u64,
+    /// It is to be stopped; the next order to do so is due at this time.
+    pub stop_due: Option<Millis>,
+    /// Orders for it that are under way.
+    pub open_calls: u32,
+    /// When the last order for it was answered; a listing asked for before says nothing of it.
+    pub resolved_at: Millis,
+    /// On the worker's clock: until when a start that was not answered may still take effect.
+    pub may_begin_until: u64,
+    /// How often its start was sent.
+    pub tries: u32,
+}
+
+/// The state of the hold on a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Hold {
+    /// The call under way and when it was sent.
+    pub open: Option<(u64, Millis)>,
+    /// When the next one is due.
+    pub due: Millis,
+}
+
+/// One life of a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Worker {
+    pub entry: WorkerEntry,
+    /// The platform still lists it.
+    pub listed: bool,
+    /// Since when it is draining.
+    pub draining: bool,
+    pub used: Resources,
+    pub runs: BTreeMap<TaskId, Run>,
+    pub clock: Option<ClockReading>,
+    /// It has answered under this scheduler's token.
+    pub greeted: bool,
+    /// On the worker's clock: the latest deadline in any order ever sent to it.
+    pub granted_until: u64,
+    /// On our clock: when all that others granted has surely run out.
+    pub others_lapse_at: Millis,
+    pub hold: Hold,
+    /// Ends up to this number are in the log.
+    pub last_seen: u64,
+    /// Ends up to this number are proposed for the log.
+    pub proposed_seen: u64,
+    /// Calls in a row that were not answered.
+    pub unanswered: u32,
+    pub health: Health,
+}
+
+impl Worker {
+    pub fn new(entry: WorkerEntry, now: Millis, others_lapse_at: Millis) -> Worker {
+        Worker {
+            draining: entry.availability == Availability::Draining,
+            entry,
+            listed: true,
+            used: Resources::default(),
+            runs: BTreeMap::new(),
+            clock: None,
+            greeted: false,
+            granted_until: 0,
+            others_lapse_at,
+            hold: Hold { open: None, due: now },
+            last_seen: 0,
+            proposed_seen: 0,
+            unanswered: 0,
+            health: Health::default(),
+        }
+    }
+
+    /// Resources that no run takes up.
+    pub fn room(&self) -> Resources {
+        self.entry.capacity.minus(&self.used)
+    }
+
+    /// Whether it has left too many calls unanswered to be given more work.
+    pub fn silent(&self) -> bool {
+        self.unanswered >= 2
+    }
+
+    /// Whether new runs may be placed here.
+    pub fn takes_work(&self, now: Millis) -> bool {
+        self.listed && self.greeted && !self.draining && self.unanswered == 0 && self.health.takes_work(now)
+    }
+
+    pub fn add_run(&mut self, task: TaskId, run: Run) {
+        if let Some(old) = self.runs.insert(task, run.clone()) {
+            self.used = self.used.minus(&old.resources);
+        }
+        self.used = self.used.plus(&run.resources);
+    }
+
+    pub fn remove_run(&mut self, task: &TaskId, run: RunId) -> Option<Run> {
+        if self.runs.get(task)?.run != run {
+            return None;
+        }
+        let removed = self.runs.remove(task)?;
+        self.used = self.used.minus(&removed.resources);
+        Some(removed)
+    }
+
+    /// The latest that the worker's clock can show now; `None` while it was never read.
+    pub fn clock_now(&self, now: Millis) -> Option<u64> {
+        let reading = self.clock?;
+        Some(reading.worker_ms + now.saturating_sub(reading.received_at))
+    }
+
+    /// The earliest that the worker's clock can show now.
+    pub fn clock_at_least(&self, now: Millis) -> Option<u64> {
+        let reading = self.clock?;
+        let passed = now.saturating_sub(reading.received_at) as f64 * SLOWEST_CLOCK;
+        Some(reading.worker_ms + passed as u64)
+    }
+
+    /// Whether every hold ever granted to it has surely run out, so that nothing runs there any more.
+    pub fn surely_lapsed(&self, now: Millis) -> bool {
+        if !self.greeted && now < self.others_lapse_at {
+            return false;
+        }
+        match self.clock_at_least(now) {
+            Some(clock) => clock > self.granted_until,
+            None => now >= self.others_lapse_at,
+        }
+    }
+
+    /// Takes a reading of the clock from an answer.
+    pub fn read_clock(&mut self, worker_ms: Option<u64>, now: Millis) {
+        let Some(worker_ms) = worker_ms else { return };
+        // Answers may overtake each other: an older reading would set the clock back.
+        let newer = self.clock_at_least(now).is_none_or(|known| worker_ms >= known);
+        if newer {
+            self.clock = Some(ClockReading { worker_ms, received_at: now });
+        }
+    }
+
+    /// Whether the worker has all of these labels.
+    pub fn has_labels(&self, wanted: &[String]) -> bool {
+        wanted.iter().all(|label| self.has_label(label))
+    }
+
+    /// Whether the worker has this label.
+    pub fn has_label(&self, label: &str) -> bool {
+        self.entry.labels.iter().any(|own| own == label)
+    }
+
+    /// The rack: the last label, as the platform lists the kind first.
+    pub fn rack(&self) -> &str {
+        self.entry.labels.last().map_or("", String::as_str)
+    }
+}
