--- a/system/scheduler/src/holds.rs
+++ b/system/scheduler/src/holds.rs
@@ -73,7 +73,8 @@
             }
             return;
         }
-        let pending = worker.runs.values().all(|run| run.phase == RunPhase::Proposed);
+        let pending =
+            worker.runs.values().all(|run| matches!(run.phase, RunPhase::Proposed | RunPhase::Losing));
         let out_of_reach = worker.silent() || worker.entry.address.is_empty() || !worker.listed;
         if out_of_reach && !pending && worker.surely_lapsed(now) {
             self.lose_lapsed(instance);
--- a/system/scheduler/src/replies.rs
+++ b/system/scheduler/src/replies.rs
@@ -243,9 +243,8 @@
         .runs
         .iter()
         .filter(|(task, run)| {
-            let begun = run.phase == RunPhase::Started || run.stop_due.is_some() && run.tries > 0;
-            begun
-                && run.phase != RunPhase::Proposed
+            let stopped = run.stop_due.is_some() && run.tries > 0 && run.phase != RunPhase::Losing;
+            (run.phase == RunPhase::Started || stopped)
                 && run.open_calls == 0
                 && sent_at > run.resolved_at
                 && clock > run.may_begin_until
--- a/system/scheduler/src/runs.rs
+++ b/system/scheduler/src/runs.rs
@@ -90,6 +90,11 @@
                 known.phase = RunPhase::Recorded { not_before: now };
                 self.fresh.insert(instance.to_owned());
             }
+            // It was to be taken off the record, and was not: the next listing decides anew.
+            if known.phase == RunPhase::Losing {
+                known.phase = RunPhase::Started;
+                known.resolved_at = now;
+            }
             return;
         }
         let active = job.task(&task).and_then(|state| state.active.iter().find(|active| active.run == run));
@@ -232,7 +237,7 @@
                 });
                 continue;
             }
-            if !ready || run.open_calls > 0 {
+            if !ready || run.open_calls > 0 || run.phase == RunPhase::Losing {
                 continue;
             }
             if let Some(due) = run.stop_due {
@@ -256,7 +261,7 @@
             // Not proposed twice while the log has it under way.
             let worker = self.workers.get_mut(&start.instance);
             if let Some(run) = worker.and_then(|worker| worker.runs.get_mut(&start.task)) {
-                run.phase = RunPhase::Proposed;
+                run.phase = RunPhase::Losing;
             }
         }
         self.out.push(Output::Propose(Command::LoseRuns { runs: lost }));
@@ -299,8 +304,8 @@
     pub(crate) fn lose_lapsed(&mut self, instance: &str) {
         let Some(worker) = self.workers.get_mut(instance) else { return };
         let lost = lost_runs(worker);
-        for run in worker.runs.values_mut() {
-            run.phase = RunPhase::Proposed;
+        for run in worker.runs.values_mut().filter(|run| run.phase != RunPhase::Proposed) {
+            run.phase = RunPhase::Losing;
         }
         self.out
             .push(Output::Log(format!("the holds on {instance} have run out: {} runs are lost", lost.len())));
--- a/system/scheduler/src/scheduler.rs
+++ b/system/scheduler/src/scheduler.rs
@@ -141,6 +141,7 @@
     /// Takes up the state after a change of the view or of the role's holder: what was proposed before and is not
     /// in the state now never will be.
     pub fn resume(&mut self, now: Millis, state: &State) {
+        self.drop_outputs();
         self.proposed.clear();
         self.times_proposed.clear();
         self.fresh.clear();
@@ -170,6 +171,15 @@
         self.replan = true;
     }
 
+    /// Drops what was not handed on yet: it was decided by the state as it was before.
+    fn drop_outputs(&mut self) {
+        for output in std::mem::take(&mut self.out) {
+            if let Output::Call(call) = output {
+                self.calls.remove(&call.id);
+            }
+        }
+    }
+
     fn drop_runs_off_record(&mut self, wanted: &BTreeMap<&str, Vec<(TaskId, RunId)>>) {
         for (instance, worker) in &mut self.workers {
             let on_record = wanted.get(instance.as_str()).map_or(&[][..], Vec::as_slice);
--- a/system/scheduler/src/worker.rs
+++ b/system/scheduler/src/worker.rs
@@ -26,6 +26,8 @@
     Starting,
     /// It was started, or may have been by an earlier holder of the role.
     Started,
+    /// It is surely not going on, and proposed for the log to be taken off the record.
+    Losing,
 }
 
 /// A run on a worker.
