--- a/system/control/src/chain.rs
+++ b/system/control/src/chain.rs
@@ -1,5 +1,6 @@
 //! The chain: entries pass down, what is on disk is told down, the tail commits.
 use crate::{
+    chain_state::Activity,
     durable::DurableRecord,
     log::Log,
     replica::{After, Replica, StateMachine},
@@ -13,60 +14,6 @@
 /// A replica tells its successor where it stands at least this often.
 const APPEND_EVERY_MS: Millis = 150;
 
-/// What a replica does in the current view.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Activity {
-    /// Nothing: it is not in the chain, or has started after the view was agreed.
-    Inactive,
-    /// It waits for its predecessor's state.
-    Joining,
-    /// It takes part.
-    Active,
-}
-
-/// The state of the chain at one replica.
-#[derive(Clone, Debug)]
-pub(crate) struct Chain {
-    pub activity: Activity,
-    pub log: Log,
-    /// The last entry applied to the state.
-    pub applied: u64,
-    pub committed: u64,
-    /// Entries up to this one are on this replica's disk.
-    pub own_durable: u64,
-    /// Entries up to this one are on the disks of all before this replica.
-    pub predecessor_durable: u64,
-    /// The last entry handed to the disk.
-    pub handed_to_disk: u64,
-    /// The last entry sent to the successor; `None` until it has asked.
-    pub sent: Option<u64>,
-    /// What the successor was last told to be on disk, and when.
-    pub told: (u64, Millis),
-    /// When the predecessor was last asked for what is missing.
-    pub asked_at: Millis,
-    /// What the others were last told to be committed.
-    pub committed_told: u64,
-}
-
-impl Chain {
-    pub fn new(log: Log, applied: Position) -> Chain {
-        let last = log.last().index;
-        Chain {
-            activity: Activity::Inactive,
-            log,
-            applied: applied.index,
-            committed: applied.index,
-            own_durable: last,
-            predecessor_durable: 0,
-            handed_to_disk: last,
-            sent: None,
-            told: (0, 0),
-            asked_at: 0,
-            committed_told: 0,
-        }
-    }
-}
-
 impl Replica {
     pub(crate) fn own_position(&self) -> Option<usize> {
         self.agreement.state.current.position(&self.settings.own)
--- a/system/control/src/lib.rs
+++ b/system/control/src/lib.rs
@@ -9,11 +9,13 @@
 
 mod agreement;
 mod chain;
+mod chain_state;
 mod durable;
 mod log;
 mod membership;
 mod replica;
 mod settings;
+mod steps;
 mod view_change;
 
 pub use durable::{DurableRecord, DurableState, Snapshot};
--- /dev/null
+++ b/system/control/src/steps.rs
@@ -0,0 +1,121 @@
+//! The ways into a replica: messages, the passing of time, and the disk's word.
+use crate::{
+    chain_state::Activity,
+    replica::{After, Replica, StateMachine},
+};
+use magpiegap_protocol::{Heartbeat, Millis, PeerMessage, Replica as ReplicaId, WallMillis};
+
+/// Records after which a checkpoint is due, in bytes.
+const CHECKPOINT_BYTES: usize = 4 << 20;
+
+impl Replica {
+    /// Does what is due. To be called every few hundredths of a second.
+    pub fn tick(&mut self, now: Millis, own_wall: WallMillis, machine: &mut dyn StateMachine) {
+        if now >= self.next_heartbeat {
+            self.next_heartbeat = now + self.settings.heartbeat_ms;
+            self.send_heartbeats(now, own_wall);
+            self.membership.forget(now);
+        }
+        self.check_view(now, machine);
+        if self.chain.activity == Activity::Joining {
+            self.ask_predecessor(now);
+        }
+        if self.bytes_since_checkpoint > CHECKPOINT_BYTES && self.tickets.is_empty() {
+            self.checkpoint(now, machine);
+        }
+        self.flush_chain(now, machine);
+    }
+
+    /// Takes a message from another replica.
+    pub fn receive(
+        &mut self,
+        now: Millis,
+        wall: WallMillis,
+        from: ReplicaId,
+        message: PeerMessage,
+        machine: &mut dyn StateMachine,
+    ) {
+        let current = self.view().number;
+        match message {
+            PeerMessage::Heartbeat(heartbeat) => self.heartbeat(from, &heartbeat, now),
+            PeerMessage::Prepare { number, ballot } => self.prepare(from, number, ballot, now),
+            PeerMessage::Promise(promise) => self.promised(from, promise, now),
+            PeerMessage::Reject { number, promised } => self.rejected(number, promised, now),
+            PeerMessage::Accept { ballot, view } => self.accept_view(from, ballot, &view, now),
+            PeerMessage::Accepted { number, ballot } => self.accepted(from, number, ballot, now, machine),
+            PeerMessage::Decided(view) => self.decided(&view, now, machine),
+            PeerMessage::Append { view, after, entries, durable } if view == current => {
+                if self.predecessor() == Some(from) {
+                    self.append(after, entries, durable, now);
+                }
+            }
+            PeerMessage::Committed { view, index } if view == current => self.learn_committed(index),
+            PeerMessage::Synchronize { view, last } if view == current => {
+                self.give_missing(from, last, machine)
+            }
+            PeerMessage::MissingEntries { view, after, entries } if view == current => {
+                if self.predecessor() == Some(from) {
+                    self.take_missing(after, entries, now);
+                }
+            }
+            PeerMessage::WholeState { view, applied, state, entries } if view == current => {
+                if self.predecessor() == Some(from) {
+                    self.take_whole_state(applied, &state, entries, now, machine);
+                }
+            }
+            PeerMessage::Propose { view, proposal, fence, command } if view == current => {
+                if self.is_head() {
+                    self.write(wall, proposal, fence, command);
+                }
+            }
+            // Of another view, or not for this layer.
+            _ => {}
+        }
+    }
+
+    /// Ends a step: hands on what has come up.
+    pub fn flush(&mut self, now: Millis, machine: &mut dyn StateMachine) {
+        self.flush_chain(now, machine);
+    }
+
+    /// Disk work up to this ticket is done.
+    pub fn persisted(&mut self, ticket: u64, now: Millis, machine: &mut dyn StateMachine) {
+        while self.tickets.front().is_some_and(|front| front.number <= ticket) {
+            let Some(done) = self.tickets.pop_front() else { break };
+            for after in done.after {
+                match after {
+                    After::Send(to, message) => self.send(to, message),
+                    After::EntriesDurable(index) => {
+                        self.chain.own_durable = self.chain.own_durable.max(index);
+                    }
+                }
+            }
+        }
+        self.flush_chain(now, machine);
+    }
+
+    fn heartbeat(&mut self, from: ReplicaId, heartbeat: &Heartbeat, now: Millis) {
+        self.membership.hear(from, heartbeat, now);
+        let current = self.view();
+        if heartbeat.view < current.number {
+            let decided = PeerMessage::Decided(current.clone());
+            self.send(from.member.address, decided);
+        } else if heartbeat.view == current.number && current.tail() == Some(from) {
+            self.learn_committed(heartbeat.committed);
+        }
+    }
+
+    fn send_heartbeats(&mut self, now: Millis, own_wall: WallMillis) {
+        let heartbeat = Heartbeat {
+            view: self.view().number,
+            serving: self.serving(),
+            unfit: self.unfit(now),
+            heard: self.membership.reports(now),
+            wall_ms: own_wall,
+            committed: self.chain.committed,
+        };
+        for address in self.membership.monitors() {
+            self.send(address, PeerMessage::Heartbeat(heartbeat.clone()));
+        }
+    }
+}
--- a/system/coordinator/src/feeds.rs
+++ b/system/coordinator/src/feeds.rs
@@ -1,16 +1,8 @@
 //! What agents and proxies are fed: long polls, answered as soon as anything has changed.
-use crate::{coordinator::Coordinator, outputs::RequestId};
-use magpiegap_protocol::{CoordinatorAnswer, Feed, FeedPoll, Millis, RoleHolder};
+use crate::{coordinator::Coordinator, outputs::RequestId, under_way::Waiter};
+use magpiegap_protocol::{CoordinatorAnswer, Feed, FeedPoll, RoleHolder};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-/// A long poll that waits.
-#[derive(Clone, Debug)]
-pub(crate) struct Waiter {
-    pub request: RequestId,
-    pub poll: FeedPoll,
-    pub until: Millis,
-}
-
 impl Coordinator {
     /// Brings the feed up to date.
     pub(crate) fn refresh_feed(&mut self) {
--- a/system/coordinator/src/lib.rs
+++ b/system/coordinator/src/lib.rs
@@ -13,6 +13,8 @@
 mod requests;
 mod roles;
 mod settings;
+mod steps;
+mod under_way;
 
 pub use coordinator::Coordinator;
 pub use machine::Machine;
--- a/system/coordinator/src/platform.rs
+++ b/system/coordinator/src/platform.rs
@@ -2,8 +2,9 @@
 use crate::{
     coordinator::Coordinator,
     outputs::{Output, PlatformReply},
+    under_way::Reader,
 };
-use magpiegap_protocol::{Millis, PeerMessage, PlatformList, WorkerEntry};
+use magpiegap_protocol::{Millis, PeerMessage, PlatformList};
 
 /// A call that was not answered for this long is given up.
 const CALL_PATIENCE_MS: Millis = 1500;
@@ -12,17 +13,6 @@
 /// An unchanged list is told to the others this often.
 const REPEAT_EVERY_MS: Millis = 1000;
 
-/// The reader of the platform's list.
-#[derive(Clone, Debug)]
-pub(crate) struct Reader {
-    pub token: u64,
-    sequence: u64,
-    next_at: Millis,
-    open: Option<(u64, Millis)>,
-    collected: Vec<WorkerEntry>,
-    told_at: Millis,
-}
-
 impl Coordinator {
     pub(crate) fn follow_reader(&mut self, token: Option<u64>) {
         if self.reader.as_ref().map(|reader| reader.token) == token {
--- a/system/coordinator/src/proposals.rs
+++ b/system/coordinator/src/proposals.rs
@@ -1,8 +1,10 @@
 //! What this coordinator has proposed and what waits for it.
-use crate::{coordinator::Coordinator, outputs::RequestId};
-use magpiegap_protocol::{
-    Command, CoordinatorAnswer, Fence, JobId, Millis, ProposalId, Role, RunStart, Submission,
+use crate::{
+    coordinator::Coordinator,
+    outputs::RequestId,
+    under_way::{Pending, Proposal, Purpose, Wish},
 };
+use magpiegap_protocol::{Command, CoordinatorAnswer, Fence, Millis, ProposalId};
 
 /// A request that was not answered for this long is answered as it stands.
 const REQUEST_PATIENCE_MS: Millis = 2000;
@@ -10,52 +12,6 @@
 /// A proposal that the head may not have got is sent again after this time.
 const PROPOSE_AGAIN_MS: Millis = 500;
 
-/// Why something was proposed.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) enum Purpose {
-    /// A scheduler needs it; these are the runs in it.
-    Scheduler { service: String, runs: Vec<RunStart> },
-    /// To take a role.
-    Claim(Role),
-    /// To prove that the view stands.
-    Lease,
-    /// The first proposal in a view: with it all that was proposed before is settled.
-    FirstOfView,
-}
-
-/// What a client or operator wants.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) enum Wish {
-    Submit(Box<Submission>),
-    Cancel(JobId),
-    ReplaceConfiguration { base: u64, version: u64, body: Vec<u8> },
-    DescribeConfiguration,
-}
-
-/// A wish that is not settled yet.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) struct Pending {
-    pub wish: Wish,
-    pub requests: Vec<RequestId>,
-    pub since: Millis,
-    /// It was proposed at least once, and so may take effect.
-    pub proposed: bool,
-}
-
-/// A proposal under way.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) struct Proposal {
-    pub purpose: Option<Purpose>,
-    /// The wish that it is to settle.
-    pub pending: Option<u64>,
-    pub proposed_at: Millis,
-    pub view: u64,
-    pub fence: Option<Fence>,
-    pub command: Command,
-    /// When it is sent to the head again, in case it was lost on its way there.
-    pub again_at: Millis,
-}
-
 impl Coordinator {
     /// Proposes a command. Returns whether it is under way.
     pub(crate) fn propose(
--- a/system/coordinator/src/requests.rs
+++ b/system/coordinator/src/requests.rs
@@ -2,7 +2,7 @@
 use crate::{
     coordinator::Coordinator,
     outputs::{Output, RequestId},
-    proposals::Wish,
+    under_way::Wish,
 };
 use magpiegap_jobs::Outcome;
 use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, JobId, JobPhase, Millis, WallMillis};
--- a/system/coordinator/src/roles.rs
+++ b/system/coordinator/src/roles.rs
@@ -1,5 +1,5 @@
 //! The roles: an election each time one is vacant, decided by whose claim comes first in the log.
-use crate::{coordinator::Coordinator, outputs::Output, proposals::Purpose};
+use crate::{coordinator::Coordinator, outputs::Output, under_way::Purpose};
 use magpiegap_jobs::Configuration;
 use magpiegap_protocol::{Command, Fence, Millis, Role, RunStart, Submission};
 use magpiegap_scheduler::{Output as SchedulerOutput, Scheduler, WorkerReply};
--- /dev/null
+++ b/system/coordinator/src/steps.rs
@@ -0,0 +1,153 @@
+//! The ways into a coordinator, and what follows from each.
+use crate::{
+    coordinator::Coordinator,
+    outputs::Output,
+    under_way::{Proposal, Purpose},
+};
+use magpiegap_control::Output as ReplicaOutput;
+use magpiegap_jobs::{Applied, Change};
+use magpiegap_protocol::{Command, Entry, Millis, PeerMessage, Replica as ReplicaId, Role, WallMillis};
+
+impl Coordinator {
+    /// Takes what it wants done. To be called after every input.
+    pub fn take_outputs(&mut self) -> Vec<Output> {
+        self.finish_step();
+        std::mem::take(&mut self.out)
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: Millis, own_wall: WallMillis) {
+        self.begin_step(now, own_wall);
+        self.replica.tick(now, own_wall, &mut self.machine);
+        self.follow_log();
+        self.claim_roles();
+        self.renew_lease();
+        self.propose_again();
+        self.read_platform();
+        self.give_up_requests();
+    }
+
+    /// Messages from another coordinator.
+    pub fn receive(
+        &mut self,
+        now: Millis,
+        own_wall: WallMillis,
+        from: ReplicaId,
+        messages: Vec<PeerMessage>,
+    ) {
+        self.begin_step(now, own_wall);
+        for message in messages {
+            match message {
+                PeerMessage::Platform(list) => self.take_list(list),
+                message => self.replica.receive(now, self.wall, from, message, &mut self.machine),
+            }
+        }
+    }
+
+    /// Disk work up to this ticket is done.
+    pub fn persisted(&mut self, now: Millis, own_wall: WallMillis, ticket: u64) {
+        self.begin_step(now, own_wall);
+        self.replica.persisted(ticket, now, &mut self.machine);
+    }
+
+    /// Follows up what the inputs have changed, until nothing more comes up.
+    fn finish_step(&mut self) {
+        self.replica.flush(self.now, &mut self.machine);
+        self.follow_log();
+        self.run_schedulers();
+        self.replica.flush(self.now, &mut self.machine);
+        self.follow_log();
+        self.answer_polls();
+        for output in self.replica.take_outputs() {
+            self.out.push(match output {
+                ReplicaOutput::Send { to, message } => Output::Send { to, message },
+                ReplicaOutput::Persist { ticket, records } => Output::Persist { ticket, records },
+                ReplicaOutput::Checkpoint { ticket, snapshot } => Output::Checkpoint { ticket, snapshot },
+                ReplicaOutput::Log(line) => Output::Log(line),
+            });
+        }
+    }
+
+    /// Takes note of a change of the view and of the entries applied since.
+    fn follow_log(&mut self) {
+        self.follow_view();
+        let restored = std::mem::take(&mut self.machine.restored);
+        let applied = std::mem::take(&mut self.machine.applied);
+        if restored {
+            self.follow_roles();
+            self.follow_configuration();
+            self.resume_schedulers();
+        }
+        let news = restored || !applied.is_empty();
+        for (entry, applied) in applied {
+            self.follow_entry(&entry, &applied);
+        }
+        if news {
+            self.refresh_feed();
+        }
+    }
+
+    fn follow_view(&mut self) {
+        let view = self.replica.view().number;
+        let active = self.replica.is_active();
+        if self.entered_view == Some(view) && active {
+            return;
+        }
+        if self.settled_in_view || self.entered_view.is_some() {
+            self.settled_in_view = false;
+            self.entered_view = None;
+            self.refresh_feed();
+        }
+        if active && self.propose(Command::Noop, None, Some(Purpose::FirstOfView), None) {
+            self.entered_view = Some(view);
+            self.refresh_feed();
+        }
+    }
+
+    fn resume_schedulers(&mut self) {
+        for scheduler in self.schedulers.values_mut() {
+            scheduler.resume(self.now, &self.machine.state);
+        }
+    }
+
+    fn follow_entry(&mut self, entry: &Entry, applied: &Applied) {
+        let own = entry.proposal.origin == self.replica.own();
+        let proposal = own.then(|| self.proposals.remove(&entry.proposal.sequence)).flatten();
+        let runs = match proposal.as_ref().and_then(|proposal| proposal.purpose.as_ref()) {
+            Some(Purpose::Scheduler { runs, .. }) => runs.clone(),
+            _ => Vec::new(),
+        };
+        for scheduler in self.schedulers.values_mut() {
+            let of_scheduler = match &entry.fence {
+                Some(fence) => fence.role == Role::Scheduler(scheduler.service().to_owned()),
+                None => true,
+            };
+            if of_scheduler {
+                scheduler.applied(self.now, &self.machine.state, &applied.changes, &runs);
+            }
+        }
+        if applied.changes.iter().any(|change| matches!(change, Change::Role(_))) {
+            self.follow_roles();
+        }
+        if applied.changes.contains(&Change::Configuration) {
+            self.follow_configuration();
+        }
+        if let Some(proposal) = proposal {
+            self.follow_proposal(&proposal, applied);
+        }
+    }
+
+    fn follow_proposal(&mut self, proposal: &Proposal, applied: &Applied) {
+        let lease = proposal.proposed_at + self.settings.lease_ms;
+        self.lease_until = self.lease_until.max(lease);
+        if proposal.purpose == Some(Purpose::FirstOfView) && Some(proposal.view) == self.entered_view {
+            self.settled_in_view = true;
+            self.vacant_since.clear();
+            self.resume_schedulers();
+            self.pursue_all();
+        }
+        if let Some(id) = proposal.pending {
+            self.settle_by(id, applied.outcome);
+        }
+    }
+}
--- /dev/null
+++ b/system/coordinator/src/under_way.rs
@@ -0,0 +1,68 @@
+//! What is under way at a coordinator: proposals, wishes, long polls, and the reading of the platform's list.
+use crate::outputs::RequestId;
+use magpiegap_protocol::{Command, FeedPoll, Fence, JobId, Millis, Role, RunStart, Submission, WorkerEntry};
+
+/// Why something was proposed.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Purpose {
+    /// A scheduler needs it; these are the runs in it.
+    Scheduler { service: String, runs: Vec<RunStart> },
+    /// To take a role.
+    Claim(Role),
+    /// To prove that the view stands.
+    Lease,
+    /// The first proposal in a view: with it all that was proposed before is settled.
+    FirstOfView,
+}
+
+/// What a client or operator wants.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Wish {
+    Submit(Box<Submission>),
+    Cancel(JobId),
+    ReplaceConfiguration { base: u64, version: u64, body: Vec<u8> },
+    DescribeConfiguration,
+}
+
+/// A wish that is not settled yet.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Pending {
+    pub wish: Wish,
+    pub requests: Vec<RequestId>,
+    pub since: Millis,
+    /// It was proposed at least once, and so may take effect.
+    pub proposed: bool,
+}
+
+/// A proposal under way.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Proposal {
+    pub purpose: Option<Purpose>,
+    /// The wish that it is to settle.
+    pub pending: Option<u64>,
+    pub proposed_at: Millis,
+    pub view: u64,
+    pub fence: Option<Fence>,
+    pub command: Command,
+    /// When it is sent to the head again, in case it was lost on its way there.
+    pub again_at: Millis,
+}
+
+/// A long poll that waits.
+#[derive(Clone, Debug)]
+pub(crate) struct Waiter {
+    pub request: RequestId,
+    pub poll: FeedPoll,
+    pub until: Millis,
+}
+
+/// The reader of the platform's list.
+#[derive(Clone, Debug)]
+pub(crate) struct Reader {
+    pub token: u64,
+    pub sequence: u64,
+    pub next_at: Millis,
+    pub open: Option<(u64, Millis)>,
+    pub collected: Vec<WorkerEntry>,
+    pub told_at: Millis,
+}
--- a/system/magpiegap/src/coordinator/control_plane.rs
+++ b/system/magpiegap/src/coordinator/control_plane.rs
@@ -1,5 +1,5 @@
 //! The operator's interface.
-use super::driver::Handle;
+use super::events::Handle;
 use crate::serving::read_body;
 use magpiegap_jobs::Configuration;
 use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest};
--- a/system/magpiegap/src/coordinator/disk.rs
+++ b/system/magpiegap/src/coordinator/disk.rs
@@ -1,5 +1,5 @@
 //! The disk, on a thread of its own: all that waits is written with one sync.
-use super::driver::Event;
+use super::events::Event;
 use magpiegap_control::{DurableRecord, Snapshot};
 use magpiegap_protocol::encode;
 use magpiegap_storage::{FolderDirectory, Store, StoreError};
--- a/system/magpiegap/src/coordinator/driver.rs
+++ b/system/magpiegap/src/coordinator/driver.rs
@@ -1,10 +1,9 @@
 //! Drives the coordinator's state machine: events in, effects out.
-use super::{disk::DiskWork, peers::Peers, platform_client, worker_client};
+use super::{disk::DiskWork, events::Event, peers::Peers, platform_client, worker_client};
 use crate::clock::Clock;
 use magpiegap_control::DurableState;
-use magpiegap_coordinator::{Coordinator, CoordinatorSettings, Output, PlatformReply, RequestId};
-use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, PeerMessage, Replica};
-use magpiegap_scheduler::WorkerReply;
+use magpiegap_coordinator::{Coordinator, CoordinatorSettings, Output, RequestId};
+use magpiegap_protocol::{CoordinatorAnswer, PeerMessage, Replica};
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 use tokio::sync::{
     mpsc::{UnboundedReceiver, UnboundedSender},
@@ -16,40 +15,6 @@
 /// Most events taken before what they have brought up is done.
 const MOST_EVENTS: usize = 64;
 
-/// Something that has happened.
-pub enum Event {
-    /// Messages from another coordinator.
-    Peer { from: Replica, messages: Vec<PeerMessage> },
-    /// Disk work is done.
-    Persisted(u64),
-    /// Somebody asks.
-    Request { what: CoordinatorRequest, answer: oneshot::Sender<CoordinatorAnswer> },
-    /// A worker has answered, or has not in time.
-    Worker { service: String, token: u64, call: u64, reply: WorkerReply },
-    /// The platform has answered, or has not in time.
-    Platform { call: u64, reply: PlatformReply },
-}
-
-/// The way for requests into the coordinator.
-#[derive(Clone)]
-pub struct Handle {
-    events: UnboundedSender<Event>,
-}
-
-impl Handle {
-    /// Requests go in here.
-    pub fn new(events: UnboundedSender<Event>) -> Handle {
-        Handle { events }
-    }
-
-    /// Asks, and waits for the answer; `None` when the coordinator is ending.
-    pub async fn ask(&self, what: CoordinatorRequest) -> Option<CoordinatorAnswer> {
-        let (answer, answered) = oneshot::channel();
-        self.events.send(Event::Request { what, answer }).ok()?;
-        answered.await.ok()
-    }
-}
-
 /// Drives a coordinator.
 pub struct Driver {
     clock: Clock,
--- a/system/magpiegap/src/coordinator/mod.rs
+++ b/system/magpiegap/src/coordinator/mod.rs
@@ -2,6 +2,7 @@
 mod control_plane;
 mod disk;
 mod driver;
+mod events;
 mod peers;
 mod platform_client;
 mod request_server;
@@ -15,7 +16,8 @@
     settings::NodeSettings,
     signals::Signals,
 };
-use driver::{Driver, Handle};
+use driver::Driver;
+use events::Handle;
 use magpiegap_control::{ControlSettings, DurableRecord, DurableState, Snapshot};
 use magpiegap_coordinator::CoordinatorSettings;
 use magpiegap_protocol::{decode, encode, Member, Replica};
--- a/system/magpiegap/src/coordinator/peers.rs
+++ b/system/magpiegap/src/coordinator/peers.rs
@@ -1,5 +1,5 @@
 //! Connections between coordinators: one each way, with framed messages.
-use super::driver::Event;
+use super::events::Event;
 use magpiegap_protocol::{decode, encode, Envelope, PeerMessage, Replica};
 use std::{
     collections::HashMap,
--- a/system/magpiegap/src/coordinator/request_server.rs
+++ b/system/magpiegap/src/coordinator/request_server.rs
@@ -1,5 +1,5 @@
 //! Requests of agents and proxies.
-use super::driver::Handle;
+use super::events::Handle;
 use crate::serving::read_body;
 use magpiegap_protocol::{decode, encode, CoordinatorRequest};
 use rocket::{
