--- a/system/control/src/steps.rs
+++ b/system/control/src/steps.rs
@@ -35,7 +35,6 @@
         message: PeerMessage,
         machine: &mut dyn StateMachine,
     ) {
-        let current = self.view().number;
         match message {
             PeerMessage::Heartbeat(heartbeat) => self.heartbeat(from, &heartbeat, now),
             PeerMessage::Prepare { number, ballot } => self.prepare(from, number, ballot, now),
@@ -44,29 +43,39 @@
             PeerMessage::Accept { ballot, view } => self.accept_view(from, ballot, &view, now),
             PeerMessage::Accepted { number, ballot } => self.accepted(from, number, ballot, now, machine),
             PeerMessage::Decided(view) => self.decided(&view, now, machine),
-            PeerMessage::Append { view, after, entries, durable } if view == current => {
-                if self.predecessor() == Some(from) {
-                    self.append(after, entries, durable, now);
-                }
+            message => self.receive_in_chain(now, wall, from, message, machine),
+        }
+    }
+
+    /// Takes a message that counts only in the view in which it was sent.
+    fn receive_in_chain(
+        &mut self,
+        now: Millis,
+        wall: WallMillis,
+        from: ReplicaId,
+        message: PeerMessage,
+        machine: &mut dyn StateMachine,
+    ) {
+        let current = self.view().number;
+        let from_predecessor = self.predecessor() == Some(from);
+        match message {
+            PeerMessage::Append { view, after, entries, durable } if view == current && from_predecessor => {
+                self.append(after, entries, durable, now);
             }
             PeerMessage::Committed { view, index } if view == current => self.learn_committed(index),
             PeerMessage::Synchronize { view, last } if view == current => {
                 self.give_missing(from, last, machine)
             }
-            PeerMessage::MissingEntries { view, after, entries } if view == current => {
-                if self.predecessor() == Some(from) {
-                    self.take_missing(after, entries, now);
-                }
+            PeerMessage::MissingEntries { view, after, entries } if view == current && from_predecessor => {
+                self.take_missing(after, entries, now);
             }
-            PeerMessage::WholeState { view, applied, state, entries } if view == current => {
-                if self.predecessor() == Some(from) {
-                    self.take_whole_state(applied, &state, entries, now, machine);
-                }
+            PeerMessage::WholeState { view, applied, state, entries }
+                if view == current && from_predecessor =>
+            {
+                self.take_whole_state(applied, &state, entries, now, machine);
             }
-            PeerMessage::Propose { view, proposal, fence, command } if view == current => {
-                if self.is_head() {
-                    self.write(wall, proposal, fence, command);
-                }
+            PeerMessage::Propose { view, proposal, fence, command } if view == current && self.is_head() => {
+                self.write(wall, proposal, fence, command);
             }
             // Of another view, or not for this layer.
             _ => {}
--- a/system/coordinator/src/platform.rs
+++ b/system/coordinator/src/platform.rs
@@ -56,7 +56,7 @@
         self.now = now;
         let every = self.settings.list_every_ms;
         let Some(reader) = self.reader.as_mut() else { return };
-        if !reader.open.is_some_and(|(open, _)| open == call) {
+        if reader.open.is_none_or(|(open, _)| open != call) {
             return;
         }
         reader.open = None;
