--- a/system/magpiegap/src/coordinator/worker_client.rs
+++ b/system/magpiegap/src/coordinator/worker_client.rs
@@ -37,13 +37,18 @@
     wait_ms: Option<u64>,
 }
 
+/// A run as listed: task, run, checkpoint, percent.
+type RunRow = (String, u32, String, f64);
+/// An end as listed: number, task, run, how, checkpoint.
+type EndRow = (u64, String, u32, String, String);
+
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "camelCase", default)]
 struct Answer {
     clock_ms: Option<f64>,
     reason: Option<String>,
-    running: Option<Vec<(String, u32, String, f64)>>,
-    ended: Option<Vec<(u64, String, u32, String, String)>>,
+    running: Option<Vec<RunRow>>,
+    ended: Option<Vec<EndRow>>,
 }
 
 /// Makes a call.
