Admit jobs by the decision module at the queues' entrance

For each service one Balancer in each proxy: a call is a job handed in, a tenant is the queue, the upstream is the coordinator that schedules the service; answers in time raise what is admitted, full answers, errors and time-outs lower it.

--- a/system/magpiegap/src/proxy/feed.rs
+++ b/system/magpiegap/src/proxy/feed.rs
@@ -37,6 +37,16 @@
         held.map(|held| held.holder.member.address)
     }
 
+    /// Names the scheduler of a service at this time: another one each time that the role passes on.
+    pub fn scheduler_tag(&self, service: &str) -> u64 {
+        let held = self
+            .feed
+            .roles
+            .iter()
+            .find(|held| matches!(&held.role, Role::Scheduler(name) if name == service));
+        held.map_or(0, |held| (u64::from(held.holder.member.address) << 24) ^ held.token)
+    }
+
     /// The coordinators, the one that reads are answered by first.
     pub fn readers(&self) -> Vec<u32> {
         self.feed.chain.iter().rev().copied().collect()
--- a/system/magpiegap/src/proxy/frontend.rs
+++ b/system/magpiegap/src/proxy/frontend.rs
@@ -1,5 +1,6 @@
 //! Clients' requests.
 use super::{
+    admission::{Admission, TurnedAway},
     calls::{Calls, Submitted},
     feed::Knowledge,
     job_body,
@@ -7,6 +8,7 @@
 use crate::serving::read_body;
 use magpiegap_jobs::{Configuration, Route};
 use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, JobId, Submission};
+use oakflow::Ending;
 use rocket::{
     data::Data,
     http::{ContentType, Header, Method, Status},
@@ -45,6 +47,11 @@
     fn refused(status: Status) -> Reply {
         Reply { status, body: String::new(), retry_after: Some(RETRY_AFTER_S) }
     }
+
+    fn turned_away(turned_away: TurnedAway) -> Reply {
+        let retry_after = Some(turned_away.retry_after_s);
+        Reply { status: Status::TooManyRequests, body: String::new(), retry_after }
+    }
 }
 
 /// Answers clients.
@@ -52,12 +59,13 @@
 pub struct FrontendHandler {
     calls: Calls,
     knowledge: Arc<Knowledge>,
+    admission: Arc<Admission>,
 }
 
 impl FrontendHandler {
     /// A handler that goes by what is known.
     pub fn new(calls: Calls, knowledge: Arc<Knowledge>) -> FrontendHandler {
-        FrontendHandler { calls, knowledge }
+        FrontendHandler { calls, knowledge, admission: Arc::new(Admission::new()) }
     }
 
     async fn answer(&self, request: &Request<'_>, data: Data<'_>) -> Reply {
@@ -108,7 +116,14 @@
             submitted_ms: 0,
             spec,
         };
-        match self.calls.submit(submission, deadline).await {
+        let scheduler = self.knowledge.now().scheduler_tag(&route.service);
+        let admitted = match self.admission.admit(&route.service, &submission.queue, scheduler, deadline) {
+            Ok(admitted) => admitted,
+            Err(turned_away) => return Reply::turned_away(turned_away),
+        };
+        let submitted = self.calls.submit(submission, deadline).await;
+        admitted.end(ending(submitted));
+        match submitted {
             Submitted::Accepted => Reply::status(Status::Ok),
             Submitted::Full => Reply::refused(Status::TooManyRequests),
             Submitted::Refused => Reply::refused(Status::ServiceUnavailable),
@@ -145,6 +160,16 @@
     }
 }
 
+/// What the decision module learns from the way in which a submission ended.
+fn ending(submitted: Submitted) -> Ending {
+    match submitted {
+        Submitted::Accepted => Ending::Ok,
+        Submitted::Full => Ending::Full,
+        Submitted::Refused => Ending::ConnectFailed,
+        Submitted::Unknown => Ending::Timeout,
+    }
+}
+
 /// When the answer must be on its way: before the client gives up and the route's time is over.
 fn deadline(request: &Request<'_>, route: &Route, arrived: Instant) -> Instant {
     let asked = request.headers().get_one("Deadline-Ms").and_then(|text| text.trim().parse::<u64>().ok());
--- a/system/magpiegap/src/proxy/mod.rs
+++ b/system/magpiegap/src/proxy/mod.rs
@@ -1,4 +1,5 @@
 //! The proxy: clients' requests, from their sockets to the coordinators and back.
+mod admission;
 mod calls;
 mod feed;
 mod frontend;
