--- a/system/magpiegap/src/agent/mod.rs
+++ b/system/magpiegap/src/agent/mod.rs
@@ -15,8 +15,8 @@
 use std::{path::PathBuf, sync::Arc, time::Duration};
 use tokio::sync::watch;
 
-/// How long the agent outlives the order to end, so that the proxy beside it is fed to its end, in seconds.
-const OUTLIVE_S: f64 = 4.5;
+/// How long before the end of its grace the agent ends, in seconds: until then the proxy beside it is fed.
+const END_EARLY_S: f64 = 0.7;
 
 /// How many coordinators are asked for news at the same time, so that the loss of one delays none.
 const LINKS: usize = 2;
@@ -46,9 +46,9 @@
             _ = signals.hangup.recv() => log::info!("the settings may have changed"),
         }
     }
-    let outlive = OUTLIVE_S.min(grace * 0.75).max(0.0);
+    let outlive = (grace - END_EARLY_S).max(0.0);
     tokio::time::sleep(Duration::from_secs_f64(outlive)).await;
     links.iter().for_each(tokio::task::JoinHandle::abort);
-    running.end().await;
+    running.abort();
     Ok(())
 }
--- a/system/magpiegap/src/proxy/admission.rs
+++ b/system/magpiegap/src/proxy/admission.rs
@@ -14,6 +14,9 @@
 
 /// Queues of one service that are told apart; further ones share the last place.
 const QUEUES: usize = 64;
+/// Jobs a second of each queue's place that a proxy may hand in before it has learned more, and the measure of the
+/// least to which failures bring it down. All places together stay below what one scheduler takes.
+const QUOTA_PER_S: f64 = 1.0;
 /// Within this time the answer to a job that is handed in is in time, in milliseconds.
 const OBJECTIVE_MS: f64 = 3000.0;
 /// Longest advice to a refused client, in milliseconds.
@@ -146,7 +149,7 @@
                 late_worth: 0.3,
                 ..Class::default()
             }],
-            tenants: vec![Tenant { share: 1.0, quota_per_s: 0.0 }; QUEUES],
+            tenants: vec![Tenant { share: 1.0, quota_per_s: QUOTA_PER_S }; QUEUES],
             // The call tries again itself: the same job may be handed in twice, and only it knows where to.
             attempts_cap: 1,
             max_retry_after: MAX_RETRY_AFTER_MS,
--- a/system/magpiegap/src/proxy/mod.rs
+++ b/system/magpiegap/src/proxy/mod.rs
@@ -18,7 +18,7 @@
 use std::{path::PathBuf, sync::Arc, time::Duration};
 
 /// After an order to end, the platform gets this long to send clients elsewhere, in seconds.
-const TURN_AWAY_S: f64 = 2.7;
+const TURN_AWAY_S: f64 = 2.3;
 /// How long requests under way may go on after that, in seconds.
 const FINISH_S: u32 = 2;
 
@@ -42,14 +42,15 @@
     knowledge.begin_to_end();
     let turn_away = TURN_AWAY_S.min(settings.bounds.grace_s / 2.0).max(0.0);
     tokio::time::sleep(Duration::from_secs_f64(turn_away)).await;
-    if let Some(server) = frontend {
-        server.end().await;
-    }
+    tokio::join!(end(frontend), end(readiness));
     follow.abort();
-    if let Some(server) = readiness {
+    Ok(())
+}
+
+async fn end(server: Option<serving::Running>) {
+    if let Some(server) = server {
         server.end().await;
     }
-    Ok(())
 }
 
 async fn start_readiness(
--- a/system/magpiegap/src/serving.rs
+++ b/system/magpiegap/src/serving.rs
@@ -69,6 +69,11 @@
 }
 
 impl Running {
+    /// Ends at once.
+    pub fn abort(self) {
+        self.task.abort();
+    }
+
     /// Takes no new requests, and waits for those under way.
     pub async fn end(self) {
         self.shutdown.notify();
