Place by what can still come of a job, and notice stuck runs and silent replicas sooner

Jobs that can be in time go before those that can only be late, and those before hopeless ones. A replica is suspected after 320 ms, a run taken for stuck by its own length, runs leave a draining worker that goes before they are done.

--- a/system/magpiegap/src/coordinator/mod.rs
+++ b/system/magpiegap/src/coordinator/mod.rs
@@ -32,9 +32,9 @@
 use tokio::sync::mpsc;
 
 /// Time between two heartbeats.
-const HEARTBEAT_MS: u64 = 80;
+const HEARTBEAT_MS: u64 = 60;
 /// A coordinator that is not heard for this long is taken for gone.
-const SUSPECT_MS: u64 = 420;
+const SUSPECT_MS: u64 = 320;
 /// How long a role is acted on after the last proof that the view stands.
 const LEASE_MS: u64 = 900;
 /// Time between two readings of the platform's list.
--- a/system/scheduler/src/holds.rs
+++ b/system/scheduler/src/holds.rs
@@ -8,13 +8,15 @@
 use magpiegap_protocol::{Command, Millis, TaskId};
 
 /// Longest time that a hold's answer may wait for an end.
-const HOLD_WAIT_MS: u64 = 800;
+const HOLD_WAIT_MS: u64 = 500;
 /// Time beyond the wait that a worker has to answer a hold.
 const HOLD_TIMEOUT_MS: Millis = 400;
 /// Time between two looks at a worker that does not answer.
 const PROBE_EVERY_MS: Millis = 400;
-/// A run whose progress stands still this long is taken for stuck.
-const STUCK_MS: Millis = 1600;
+/// A run whose progress stands still for less than this is never taken for stuck.
+const STUCK_LEAST_MS: Millis = 450;
+/// What a long run may stand still beyond a twentieth of its estimate.
+const STUCK_LONG_MS: Millis = 1600;
 
 impl Scheduler {
     /// How long workers are told to hold what they run.
@@ -80,6 +82,7 @@
             self.lose_lapsed(instance);
             return;
         }
+        self.leave_draining(instance, now);
         self.send_orders(instance, now, state);
         self.check_progress(instance, now);
     }
@@ -92,6 +95,20 @@
         self.workers.remove(instance);
     }
 
+    /// Stops runs that won't be done before their worker goes, so that they are started elsewhere at once.
+    fn leave_draining(&mut self, instance: &str, now: Millis) {
+        let Some(worker) = self.workers.get_mut(instance) else { return };
+        let Some(gone_at) = worker.gone_at.filter(|_| worker.draining) else { return };
+        let left = gone_at.saturating_sub(now);
+        for run in worker.runs.values_mut() {
+            let running = run.phase == RunPhase::Started && run.stop_due.is_none();
+            if running && (run.lasting || remaining_ms(run, now) > left) {
+                run.stop_due = Some(now);
+                self.fresh.insert(instance.to_owned());
+            }
+        }
+    }
+
     /// Stops runs that stand still, so that they are started elsewhere.
     fn check_progress(&mut self, instance: &str, now: Millis) {
         let gang_ms = self.settings.gang_ms;
@@ -121,6 +138,18 @@
 /// Whether a run has been listed with the same progress for too long.
 fn is_stuck(run: &Run, gang_ms: Millis) -> bool {
     let waits = if run.gang && run.progress.percent == 0 { gang_ms } else { 0 };
-    let patience = STUCK_MS + run.estimated_ms / 20 + waits;
-    !run.lasting && run.progress.percent < 100 && run.progress.still_ms() > patience
+    // Even on a worker that is ten times too slow progress rises by a hundredth in a tenth of the estimate.
+    let patience = (run.estimated_ms / 5).min(STUCK_LONG_MS + run.estimated_ms / 20).max(STUCK_LEAST_MS);
+    !run.lasting && run.progress.percent < 100 && run.progress.still_ms() > patience + waits
+}
+
+/// About how long a run still takes, by its progress or else by the client's guess.
+fn remaining_ms(run: &Run, now: Millis) -> Millis {
+    const TELLING_PERCENT: u64 = 10;
+    let passed = now.saturating_sub(run.started_at);
+    let percent = run.progress.percent;
+    if percent >= TELLING_PERCENT {
+        return passed * (100 - percent.min(100)) / percent;
+    }
+    run.estimated_ms.saturating_sub(passed)
 }
--- a/system/scheduler/src/planning.rs
+++ b/system/scheduler/src/planning.rs
@@ -44,7 +44,7 @@
         let job = Job::new(submission.clone());
         let mut runs = Vec::new();
         for unit in startable(&job) {
-            let urgency = urgency(&job, unit.first);
+            let urgency = urgency(&job, unit.first, submission.submitted_ms);
             if self.queue.first().is_some_and(|first| *first < urgency) {
                 break;
             }
--- a/system/scheduler/src/queue.rs
+++ b/system/scheduler/src/queue.rs
@@ -3,10 +3,11 @@
 use magpiegap_protocol::{JobId, Millis, TaskId, WallMillis};
 use std::collections::{BTreeMap, HashMap};
 
-/// Who goes first: the lower priority number, then who is due earlier.
+/// Who goes first: the lower priority number, then who can still be in time, then who is due earlier.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Urgency {
     pub priority: u32,
+    pub outlook: Outlook,
     pub due_ms: WallMillis,
     pub task: TaskId,
 }
@@ -34,13 +35,54 @@
     begin.saturating_add(work as u64).saturating_add(submission.target_latency_ms)
 }
 
-pub(crate) fn urgency(job: &Job, task: TaskId) -> Urgency {
-    Urgency { priority: job.submission.priority, due_ms: due_ms(job, task.time), task }
+/// What can still come of a job's time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Outlook {
+    /// It can be done in time.
+    InTime,
+    /// It can be done late, for a part of its worth.
+    Late,
+    /// It comes too late whatever is done.
+    TooLate,
+}
+
+/// A job done within this many times its objective still earns a part of its worth.
+const LATE_FACTOR: u64 = 3;
+
+/// What can still come of a time of a job, when no more than its last steps are to be done.
+fn outlook(job: &Job, task: TaskId, wall: WallMillis) -> Outlook {
+    let due = due_ms(job, task.time);
+    let begin = job.submission.spec.due_ms(task.time).unwrap_or(job.submission.submitted_ms);
+    let objective = due.saturating_sub(begin);
+    let step = job.submission.spec.steps.get(task.step as usize);
+    let done_at = wall + step.map_or(0, |step| step.estimated_ms);
+    if done_at <= due {
+        Outlook::InTime
+    } else if done_at <= begin.saturating_add(objective.saturating_mul(LATE_FACTOR)) {
+        Outlook::Late
+    } else {
+        Outlook::TooLate
+    }
+}
+
+pub(crate) fn urgency(job: &Job, task: TaskId, wall: WallMillis) -> Urgency {
+    Urgency {
+        priority: job.submission.priority,
+        outlook: outlook(job, task, wall),
+        due_ms: due_ms(job, task.time),
+        task,
+    }
 }
 
 impl Queue {
     /// Takes up what a job has waiting now; `passed_over` are tasks that are being placed.
-    pub fn refresh(&mut self, job: &Job, now: Millis, passed_over: impl Fn(&TaskId) -> bool) {
+    pub fn refresh(
+        &mut self,
+        job: &Job,
+        now: Millis,
+        wall: WallMillis,
+        passed_over: impl Fn(&TaskId) -> bool,
+    ) {
         let id = job.submission.job;
         let old = self.remove(id);
         let mut keys = Vec::new();
@@ -48,8 +90,9 @@
             if unit.tasks().any(|task| passed_over(&task)) {
                 continue;
             }
-            let key = urgency(job, unit.first);
-            let since = old.get(&key).map_or(now, |waiting| waiting.since);
+            let key = urgency(job, unit.first, wall);
+            let known = old.iter().find(|(other, _)| other.task == key.task);
+            let since = known.map_or(now, |(_, waiting)| waiting.since);
             self.waiting.insert(key, Waiting { unit, since });
             keys.push(key);
         }
@@ -77,6 +120,16 @@
         self.waiting.iter()
     }
 
+    /// The jobs whose outlook has changed since they were taken up.
+    pub fn outdated<'a>(&'a self, wall: WallMillis, jobs: &'a BTreeMap<JobId, Job>) -> Vec<JobId> {
+        let changed = |key: &&Urgency| {
+            jobs.get(&key.task.job).is_some_and(|job| outlook(job, key.task, wall) != key.outlook)
+        };
+        let mut changed: Vec<JobId> = self.waiting.keys().filter(changed).map(|key| key.task.job).collect();
+        changed.dedup();
+        changed
+    }
+
     /// The most urgent.
     pub fn first(&self) -> Option<&Urgency> {
         self.waiting.keys().next()
--- a/system/scheduler/src/runs.rs
+++ b/system/scheduler/src/runs.rs
@@ -168,10 +168,10 @@
         }
     }
 
-    fn refresh_queue(&mut self, id: JobId, now: Millis, state: &State) {
+    pub(crate) fn refresh_queue(&mut self, id: JobId, now: Millis, state: &State) {
         let Some(job) = state.jobs.get(&id) else { return };
         let proposed = &self.proposed;
-        self.queue.refresh(job, now, |task| proposed.contains(task));
+        self.queue.refresh(job, now, self.wall, |task| proposed.contains(task));
         self.replan = true;
     }
 
--- a/system/scheduler/src/scheduler.rs
+++ b/system/scheduler/src/scheduler.rs
@@ -72,6 +72,8 @@
     pub(crate) ended: BTreeSet<(WallMillis, JobId)>,
     pub(crate) calls: BTreeMap<u64, OpenCall>,
     pub(crate) next_call: u64,
+    /// The time of day when time last passed.
+    pub(crate) wall: WallMillis,
     pub(crate) taken_over_at: Millis,
     /// Something has changed that may let a task be placed.
     pub(crate) replan: bool,
@@ -104,6 +106,7 @@
             ended: BTreeSet::new(),
             calls: BTreeMap::new(),
             next_call: 0,
+            wall: 0,
             taken_over_at: now,
             replan: true,
             next_check: now,
@@ -233,6 +236,7 @@
             worker.entry = entry.clone();
             worker.listed = true;
             worker.draining = draining;
+            worker.gone_at = entry.remaining_ms.map(|left| now + left);
             self.replan |= news;
             return;
         }
@@ -284,11 +288,15 @@
 
     /// Does what is due. To be called after all other inputs, and every few hundredths of a second.
     pub fn run(&mut self, now: Millis, wall: WallMillis, state: &State) {
+        self.wall = wall;
         if now >= self.next_check {
             self.next_check = now + CHECK_EVERY_MS;
             self.check_workers(now, state);
             self.open_times(wall, state);
             self.forget_jobs(wall);
+            for job in self.queue.outdated(wall, &state.jobs) {
+                self.refresh_queue(job, now, state);
+            }
             // Time alone may let a task be placed: a worker's ejection ends, or a wait for a near one.
             self.replan |= self.queue.len() > 0;
         }
--- a/system/scheduler/src/worker.rs
+++ b/system/scheduler/src/worker.rs
@@ -103,8 +103,10 @@
     pub entry: WorkerEntry,
     /// The platform still lists it.
     pub listed: bool,
-    /// Since when it is draining.
+    /// It is being emptied.
     pub draining: bool,
+    /// When it goes at the earliest, while it is being emptied.
+    pub gone_at: Option<Millis>,
     pub used: Resources,
     pub runs: BTreeMap<TaskId, Run>,
     pub clock: Option<ClockReading>,
@@ -128,6 +130,7 @@
     pub fn new(entry: WorkerEntry, now: Millis, others_lapse_at: Millis) -> Worker {
         Worker {
             draining: entry.availability == Availability::Draining,
+            gone_at: entry.remaining_ms.map(|left| now + left),
             entry,
             listed: true,
             used: Resources::default(),
