Doubt a worker after one unanswered order, and look at it at once

Cause: on a worker that was cut off new tasks were placed for 0.9 s, until its hold went unanswered.

--- a/system/scheduler/src/holds.rs
+++ b/system/scheduler/src/holds.rs
@@ -10,7 +10,7 @@
 /// Longest time that a hold's answer may wait for an end.
 const HOLD_WAIT_MS: u64 = 500;
 /// Time beyond the wait that a worker has to answer a hold.
-const HOLD_TIMEOUT_MS: Millis = 400;
+const HOLD_TIMEOUT_MS: Millis = 300;
 /// Time between two looks at a worker that does not answer.
 const PROBE_EVERY_MS: Millis = 400;
 /// A run whose progress stands still for less than this is never taken for stuck.
@@ -30,7 +30,8 @@
             .workers
             .iter()
             .filter(|(_, worker)| {
-                let wanted = !worker.runs.is_empty() || !worker.greeted || worker.unanswered > 0;
+                let unsure = !worker.greeted || worker.unanswered > 0 || worker.doubted_at.is_some();
+                let wanted = !worker.runs.is_empty() || unsure;
                 let noted = worker.proposed_seen == worker.last_seen;
                 let reachable = !worker.entry.address.is_empty();
                 wanted && noted && reachable && worker.hold.open.is_none() && now >= worker.hold.due
@@ -52,12 +53,19 @@
         let wait_ms = if grant { HOLD_WAIT_MS } else { 0 };
         worker.hold.due = now + PROBE_EVERY_MS;
         let order = WorkerOrder::Hold { deadline_ms, last_seen: worker.last_seen, wait_ms };
-        let id = self.call(instance, CallPurpose::Hold { sent_at: now }, order, wait_ms + HOLD_TIMEOUT_MS);
+        let id = self.call(instance, CallPurpose::Hold, order, wait_ms + HOLD_TIMEOUT_MS);
         if let Some(worker) = self.workers.get_mut(instance) {
             worker.hold.open = Some((id, now));
         }
     }
 
+    /// Looks at a worker that has left an order unanswered.
+    pub(crate) fn probe(&mut self, instance: &str) {
+        let Some(worker) = self.workers.get(instance) else { return };
+        let order = WorkerOrder::Hold { deadline_ms: None, last_seen: worker.last_seen, wait_ms: 0 };
+        self.call(instance, CallPurpose::Probe, order, HOLD_TIMEOUT_MS);
+    }
+
     /// Looks through all workers for what is due.
     pub(crate) fn check_workers(&mut self, now: Millis, state: &State) {
         let instances: Vec<String> = self.workers.keys().cloned().collect();
--- a/system/scheduler/src/replies.rs
+++ b/system/scheduler/src/replies.rs
@@ -19,7 +19,8 @@
     /// Takes the answer to a call.
     pub fn reply(&mut self, now: Millis, state: &State, call: u64, reply: WorkerReply) {
         let Some(open) = self.calls.remove(&call) else { return };
-        let OpenCall { instance, purpose } = open;
+        let OpenCall { instance, purpose, sent_at } = open;
+        self.now = now;
         if !self.workers.contains_key(&instance) {
             return;
         }
@@ -27,9 +28,9 @@
             self.life_is_over(&instance, state);
             return;
         }
-        self.note_contact(&instance, call, &purpose, &reply, now);
+        self.note_contact(&instance, call, &purpose, sent_at, &reply, now);
         match purpose {
-            CallPurpose::Hold { sent_at } => self.hold_answered(&instance, sent_at, reply, now, state),
+            CallPurpose::Hold | CallPurpose::Probe => self.hold_answered(&instance, sent_at, reply, now),
             CallPurpose::Start { task, run, deadline_ms } => {
                 self.start_answered(&instance, task, run, deadline_ms, reply, now);
             }
@@ -44,6 +45,7 @@
         instance: &str,
         call: u64,
         purpose: &CallPurpose,
+        sent_at: Millis,
         reply: &WorkerReply,
         now: Millis,
     ) {
@@ -51,15 +53,25 @@
         if worker.hold.open.is_some_and(|(id, _)| id == call) {
             worker.hold.open = None;
         }
-        let held = matches!(purpose, CallPurpose::Hold { .. });
+        let held = matches!(purpose, CallPurpose::Hold | CallPurpose::Probe);
+        let ordered = matches!(purpose, CallPurpose::Start { .. } | CallPurpose::Stop { .. });
         match reply {
             WorkerReply::Unanswered => {
                 // A single order may go unanswered on a worker that is well; holds decide.
                 worker.unanswered += u32::from(held);
                 worker.hold.due = now + LOOK_AGAIN_MS;
+                let doubt = ordered && worker.doubted_at.is_none();
+                if doubt {
+                    worker.doubted_at = Some(now);
+                    self.probe(instance);
+                }
             }
             WorkerReply::Done { clock_ms, .. } | WorkerReply::Refused { clock_ms, .. } => {
                 worker.read_clock(*clock_ms, now);
+                if worker.doubted_at.is_some_and(|since| sent_at >= since) {
+                    worker.doubted_at = None;
+                    self.replan = true;
+                }
                 if held && worker.unanswered > 0 {
                     worker.unanswered = 0;
                     self.replan = true;
@@ -69,14 +81,7 @@
         }
     }
 
-    fn hold_answered(
-        &mut self,
-        instance: &str,
-        sent_at: Millis,
-        reply: WorkerReply,
-        now: Millis,
-        state: &State,
-    ) {
+    fn hold_answered(&mut self, instance: &str, sent_at: Millis, reply: WorkerReply, now: Millis) {
         let max_hold_ms = self.settings.max_hold_ms;
         let Some(worker) = self.workers.get_mut(instance) else { return };
         match reply {
@@ -97,7 +102,6 @@
             }
             _ => {}
         }
-        let _ = state;
     }
 
     fn take_listing(&mut self, instance: &str, sent_at: Millis, clock: u64, listing: &Listing, now: Millis) {
--- a/system/scheduler/src/scheduler.rs
+++ b/system/scheduler/src/scheduler.rs
@@ -27,15 +27,16 @@
     },
     /// A stop of a run that is on no record.
     StopStray,
-    Hold {
-        sent_at: Millis,
-    },
+    Hold,
+    /// A look beside a hold that is under way, at a worker that has left an order unanswered.
+    Probe,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct OpenCall {
     pub instance: String,
     pub purpose: CallPurpose,
+    pub sent_at: Millis,
 }
 
 /// Figures on a scheduler, for operators.
@@ -72,6 +73,8 @@
     pub(crate) ended: BTreeSet<(WallMillis, JobId)>,
     pub(crate) calls: BTreeMap<u64, OpenCall>,
     pub(crate) next_call: u64,
+    /// The steady clock at the last input.
+    pub(crate) now: Millis,
     /// The time of day when time last passed.
     pub(crate) wall: WallMillis,
     pub(crate) taken_over_at: Millis,
@@ -106,6 +109,7 @@
             ended: BTreeSet::new(),
             calls: BTreeMap::new(),
             next_call: 0,
+            now,
             wall: 0,
             taken_over_at: now,
             replan: true,
@@ -282,12 +286,14 @@
             order,
             timeout_ms,
         }));
-        self.calls.insert(id, OpenCall { instance: instance.to_owned(), purpose });
+        let sent_at = self.now;
+        self.calls.insert(id, OpenCall { instance: instance.to_owned(), purpose, sent_at });
         id
     }
 
     /// Does what is due. To be called after all other inputs, and every few hundredths of a second.
     pub fn run(&mut self, now: Millis, wall: WallMillis, state: &State) {
+        self.now = now;
         self.wall = wall;
         if now >= self.next_check {
             self.next_check = now + CHECK_EVERY_MS;
--- a/system/scheduler/src/worker.rs
+++ b/system/scheduler/src/worker.rs
@@ -121,7 +121,9 @@
     pub last_seen: u64,
     /// Ends up to this number are proposed for the log.
     pub proposed_seen: u64,
-    /// Calls in a row that were not answered.
+    /// When an order was first not answered; until a later call is answered it gets no new work.
+    pub doubted_at: Option<Millis>,
+    /// Holds in a row that were not answered.
     pub unanswered: u32,
     pub health: Health,
 }
@@ -142,6 +144,7 @@
             hold: Hold { open: None, due: now },
             last_seen: 0,
             proposed_seen: 0,
+            doubted_at: None,
             unanswered: 0,
             health: Health::default(),
         }
@@ -159,7 +162,8 @@
 
     /// Whether new runs may be placed here.
     pub fn takes_work(&self, now: Millis) -> bool {
-        self.listed && self.greeted && !self.draining && self.unanswered == 0 && self.health.takes_work(now)
+        let answers = self.greeted && self.unanswered == 0 && self.doubted_at.is_none();
+        answers && self.listed && !self.draining && self.health.takes_work(now)
     }
 
     pub fn add_run(&mut self, task: TaskId, run: Run) {
