--- a/system/scheduler/src/holds.rs
+++ b/system/scheduler/src/holds.rs
@@ -7,6 +7,9 @@
 use magpiegap_jobs::State;
 use magpiegap_protocol::{Command, Millis, TaskId};
 
+/// How long a worker holds its runs: long enough for all coordinators to be started again, and no longer, since the
+/// runs of a worker that falls silent can't be started elsewhere before.
+const HOLD_MS: u64 = 3200;
 /// Longest time that a hold's answer may wait for an end.
 const HOLD_WAIT_MS: u64 = 500;
 /// Time beyond the wait that a worker has to answer a hold.
@@ -21,7 +24,7 @@
 impl Scheduler {
     /// How long workers are told to hold what they run.
     fn hold_ms(&self) -> u64 {
-        self.settings.max_hold_ms * 4 / 5
+        HOLD_MS.min(self.settings.max_hold_ms * 9 / 10)
     }
 
     /// Sends the holds that are due.
