--- a/system/scheduler/src/holds.rs
+++ b/system/scheduler/src/holds.rs
@@ -2,7 +2,7 @@
 use crate::{
     calls::{Output, WorkerOrder},
     scheduler::{CallPurpose, Scheduler},
-    worker::{Run, RunPhase},
+    worker::{remaining_ms, Run, RunPhase},
 };
 use magpiegap_jobs::State;
 use magpiegap_protocol::{Command, Millis, TaskId};
@@ -153,14 +153,3 @@
     let patience = (run.estimated_ms / 5).min(STUCK_LONG_MS + run.estimated_ms / 20).max(STUCK_LEAST_MS);
     !run.lasting && run.progress.percent < 100 && run.progress.still_ms() > patience + waits
 }
-
-/// About how long a run still takes, by its progress or else by the client's guess.
-fn remaining_ms(run: &Run, now: Millis) -> Millis {
-    const TELLING_PERCENT: u64 = 10;
-    let passed = now.saturating_sub(run.started_at);
-    let percent = run.progress.percent;
-    if percent >= TELLING_PERCENT {
-        return passed * (100 - percent.min(100)) / percent;
-    }
-    run.estimated_ms.saturating_sub(passed)
-}
--- a/system/scheduler/src/placement.rs
+++ b/system/scheduler/src/placement.rs
@@ -1,5 +1,5 @@
 //! Chooses workers: of two random ones that fit, the less busy; packing for what needs most of a worker.
-use crate::worker::Worker;
+use crate::{reservations::Reservations, worker::Worker};
 use magpiegap_protocol::{Millis, Resources, StepSpec, TaskId};
 use rand::{rngs::StdRng, seq::SliceRandom};
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,6 +17,8 @@
     pub count: u32,
     /// Only the rack that holds the data will do for now; for a gang, only one rack.
     pub near_only: bool,
+    /// Workers kept free for others.
+    pub reservations: &'a Reservations,
     /// Workers on which these tasks have failed.
     pub avoid: &'a [String],
 }
@@ -83,7 +85,12 @@
     taken: &Taken,
     allowed: &impl Fn(&Worker) -> bool,
 ) -> Option<String> {
-    let fits = |worker: &&Worker| allowed(worker) && worker.takes_work(now) && fits(worker, demand, taken);
+    let fits = |worker: &&Worker| {
+        allowed(worker)
+            && worker.takes_work(now)
+            && demand.reservations.allow(&worker.entry.instance, &demand.first)
+            && fits(worker, demand, taken)
+    };
     let mut candidates: Vec<&Worker> = workers.values().filter(fits).collect();
     if let Some(rack) = &demand.step.affinity {
         let near: Vec<&Worker> = candidates.iter().copied().filter(|worker| worker.has_label(rack)).collect();
--- a/system/scheduler/src/planning.rs
+++ b/system/scheduler/src/planning.rs
@@ -2,17 +2,25 @@
 use crate::{
     calls::Output,
     placement::{choose, Demand},
-    queue::{urgency, Urgency},
+    preemption::{choose_victims, Victims},
+    queue::{urgency, Outlook, Urgency},
     scheduler::Scheduler,
     worker::{Progress, Run, RunPhase},
 };
 use magpiegap_jobs::{startable, Job, Startable, State};
-use magpiegap_protocol::{Command, JobId, Millis, RunStart, StepSpec, Submission, WallMillis};
+use magpiegap_protocol::{Command, JobId, Millis, RunStart, StepSpec, Submission, TaskId, WallMillis};
+use std::collections::HashSet;
 
 /// After this many tasks that found no place, one round of planning ends.
 const MOST_MISSES: usize = 40;
 /// A task waits for its data's rack for at most this part of the time that being away would cost.
 const PATIENCE: f64 = 0.6;
+/// An urgent task that has found no room for this long may have less urgent runs stopped for it.
+const PREEMPT_AFTER_MS: Millis = 100;
+/// Tasks of this priority are urgent: for others, stopping and starting again costs more than it gains.
+const URGENT_PRIORITY: u32 = 0;
+/// At most one in this many workers is kept free at a time for those that others were stopped for.
+const WORKERS_PER_PREEMPTION: usize = 12;
 /// Kinds of work that found no place in a round; the same or more finds none either.
 #[derive(Default)]
 struct Misses {
@@ -62,6 +70,8 @@
         let mut misses = Misses::default();
         let waiting: Vec<(Urgency, Startable, Millis)> =
             self.queue.iter().map(|(key, waiting)| (*key, waiting.unit.clone(), waiting.since)).collect();
+        let owners: HashSet<TaskId> = waiting.iter().map(|(key, ..)| key.task).collect();
+        self.reservations.review(&owners, &self.workers, now);
         for (key, unit, since) in waiting {
             if misses.count >= MOST_MISSES {
                 break;
@@ -76,7 +86,11 @@
                     self.queue.take(&key);
                     runs.append(&mut placed);
                 }
-                None => misses.add(step),
+                None => {
+                    misses.add(step);
+                    let waited = now.saturating_sub(since);
+                    self.preempt(&key, &unit, step, waited, now);
+                }
             }
         }
         if !runs.is_empty() {
@@ -94,6 +108,7 @@
             first: unit.first,
             count: unit.count,
             near_only: (waited as f64) < patience,
+            reservations: &self.reservations,
             avoid: self.failed_on.get(&unit.first).unwrap_or(&nothing),
         };
         let chosen = choose(&self.workers, &demand, now, &mut self.random)?;
@@ -104,6 +119,27 @@
         Some(runs)
     }
 
+    /// Stops less urgent runs for a task that has found no room, where that is worth what it loses.
+    fn preempt(&mut self, key: &Urgency, unit: &Startable, step: &StepSpec, waited: Millis, now: Millis) {
+        let urgent = key.priority == URGENT_PRIORITY && key.outlook == Outlook::InTime;
+        let may = unit.count == 1 && urgent && waited >= PREEMPT_AFTER_MS;
+        let most = self.workers.len().div_ceil(WORKERS_PER_PREEMPTION);
+        if !may || self.reservations.has(&unit.first) || self.reservations.len() >= most {
+            return;
+        }
+        let victims = choose_victims(&self.workers, &self.reservations, &unit.first, step, key.priority, now);
+        let Some(Victims { instance, tasks }) = victims else { return };
+        if let Some(worker) = self.workers.get_mut(&instance) {
+            for task in tasks {
+                if let Some(run) = worker.runs.get_mut(&task) {
+                    run.stop_due = Some(now);
+                }
+            }
+        }
+        self.fresh.insert(instance.clone());
+        self.reservations.add(instance, unit.first, now);
+    }
+
     fn reserve(&mut self, job: &Job, step: &StepSpec, start: &RunStart, now: Millis) {
         let Some(worker) = self.workers.get_mut(&start.instance) else { return };
         worker.add_run(start.task, new_run(job, step, start, RunPhase::Proposed, now));
@@ -164,6 +200,7 @@
         checkpoint: start.checkpoint.clone(),
         saved: start.checkpoint.clone(),
         progress: Progress { percent: 0, since: now, seen: now },
+        checkpoints: step.checkpoints,
         lasting: job.submission.spec.long_running,
         gang: step.gang,
         started_at: now,
--- a/system/scheduler/src/scheduler.rs
+++ b/system/scheduler/src/scheduler.rs
@@ -3,6 +3,7 @@
     calls::{Output, WorkerCall, WorkerOrder},
     placement::Workers,
     queue::Queue,
+    reservations::Reservations,
     settings::SchedulerSettings,
     worker::Worker,
 };
@@ -60,6 +61,7 @@
     pub(crate) random: StdRng,
     pub(crate) workers: Workers,
     pub(crate) queue: Queue,
+    pub(crate) reservations: Reservations,
     /// Tasks with a run that is proposed and not yet in the log.
     pub(crate) proposed: HashSet<TaskId>,
     /// Workers that have a run whose start may be sent now.
@@ -101,6 +103,7 @@
             random: StdRng::seed_from_u64(seed),
             workers: Workers::new(),
             queue: Queue::default(),
+            reservations: Reservations::default(),
             proposed: HashSet::new(),
             fresh: BTreeSet::new(),
             failed_on: HashMap::new(),
--- a/system/scheduler/src/worker.rs
+++ b/system/scheduler/src/worker.rs
@@ -68,6 +68,8 @@
     /// The newest checkpoint that the worker has listed.
     pub saved: String,
     pub progress: Progress,
+    /// It keeps its progress when it is stopped.
+    pub checkpoints: bool,
     /// It ends only when its job is cancelled.
     pub lasting: bool,
     /// It works only together with others.
@@ -231,3 +233,14 @@
         self.entry.labels.last().map_or("", String::as_str)
     }
 }
+
+/// About how long a run still takes, by its progress or else by the client's guess.
+pub(crate) fn remaining_ms(run: &Run, now: Millis) -> Millis {
+    const TELLING_PERCENT: u64 = 10;
+    let passed = now.saturating_sub(run.started_at);
+    let percent = run.progress.percent;
+    if percent >= TELLING_PERCENT {
+        return passed * (100 - percent.min(100)) / percent;
+    }
+    run.estimated_ms.saturating_sub(passed)
+}
