Go on without a replica whose disk is slow, while enough others are there

A replica is unfit after 350 ms and for 2.5 s more; where too few fit ones are left, unfit ones count.

--- a/system/control/src/membership.rs
+++ b/system/control/src/membership.rs
@@ -128,7 +128,7 @@
         self.peers.values().map(report).collect()
     }
 
-    /// The replicas that are there and can take part, without this one.
+    /// The replicas that are there, without this one.
     pub fn alive(&self, now: Millis) -> Vec<Peer> {
         let both_ways = |peer: &Peer| match peer.direct {
             Some(at) if now.saturating_sub(at) <= self.suspect_ms => {
@@ -141,7 +141,6 @@
             now.saturating_sub(peer.last_heard) <= self.suspect_ms
                 && peer.gone_at.is_none_or(|gone| peer.last_heard > gone)
                 && now.saturating_sub(peer.first_heard) >= SETTLE_MS
-                && !peer.unfit
                 && both_ways(peer)
         };
         let mut newest: BTreeMap<u32, Peer> = BTreeMap::new();
--- a/system/control/src/replica.rs
+++ b/system/control/src/replica.rs
@@ -11,8 +11,10 @@
 use rand::{rngs::StdRng, SeedableRng};
 use std::collections::VecDeque;
 
-/// A disk that has not done what it was asked to for this long makes the replica unfit.
-const DISK_PATIENCE_MS: Millis = 1200;
+/// A disk that has not done what it was asked to for this long makes the replica unfit ...
+const DISK_PATIENCE_MS: Millis = 350;
+/// ... and for this much longer, so that a slow disk does not come and go with every write.
+const UNFIT_MS: Millis = 2500;
 
 /// The replicated state.
 pub trait StateMachine {
@@ -82,6 +84,8 @@
     pub(crate) next_round_at: Millis,
     disk: u64,
     leaving: bool,
+    /// The disk was too slow a moment ago; the replica is unfit until then.
+    pub(crate) unfit_until: Millis,
     pub(crate) next_heartbeat: Millis,
     next_ticket: u64,
     pub(crate) tickets: VecDeque<Ticket>,
@@ -109,6 +113,7 @@
             next_round_at: now,
             disk: durable.disk,
             leaving: false,
+            unfit_until: 0,
             next_heartbeat: now,
             next_ticket: 0,
             tickets: VecDeque::new(),
@@ -177,7 +182,14 @@
     /// Whether this replica can't take part for now.
     pub(crate) fn unfit(&self, now: Millis) -> bool {
         let stuck = |ticket: &Ticket| now.saturating_sub(ticket.issued_at) > DISK_PATIENCE_MS;
-        self.leaving || self.tickets.front().is_some_and(stuck)
+        self.leaving || now < self.unfit_until || self.tickets.front().is_some_and(stuck)
+    }
+
+    /// Takes note of disk work that took too long.
+    pub(crate) fn judge_disk(&mut self, issued_at: Millis, now: Millis) {
+        if now.saturating_sub(issued_at) > DISK_PATIENCE_MS {
+            self.unfit_until = now + UNFIT_MS;
+        }
     }
 
     pub(crate) fn log(&mut self, line: String) {
--- a/system/control/src/steps.rs
+++ b/system/control/src/steps.rs
@@ -91,6 +91,7 @@
     pub fn persisted(&mut self, ticket: u64, now: Millis, machine: &mut dyn StateMachine) {
         while self.tickets.front().is_some_and(|front| front.number <= ticket) {
             let Some(done) = self.tickets.pop_front() else { break };
+            self.judge_disk(done.issued_at, now);
             for after in done.after {
                 match after {
                     After::Send(to, message) => self.send(to, message),
--- a/system/control/src/view_change.rs
+++ b/system/control/src/view_change.rs
@@ -24,14 +24,19 @@
         self.synchronized.is_some_and(|view| current.complete_since(view, &self.settings.own.member))
     }
 
-    /// All that are there, this replica included unless it can't take part.
+    /// All that are there and can take part, this replica included. Those that can't for now count where there would
+    /// be too few without them: a slow disk is better than none.
     fn alive(&self, now: Millis) -> Vec<ReplicaId> {
-        let mut alive: Vec<ReplicaId> = self.membership.alive(now).iter().map(|peer| peer.replica).collect();
-        if !self.unfit(now) {
-            alive.push(self.settings.own);
+        let mut there: Vec<(ReplicaId, bool)> =
+            self.membership.alive(now).iter().map(|peer| (peer.replica, peer.unfit)).collect();
+        there.push((self.settings.own, self.unfit(now)));
+        there.sort_unstable();
+        let fit: Vec<ReplicaId> =
+            there.iter().filter(|(_, unfit)| !unfit).map(|(replica, _)| *replica).collect();
+        if fit.len() >= self.settings.copies() {
+            return fit;
         }
-        alive.sort_unstable();
-        alive
+        there.into_iter().map(|(replica, _)| replica).collect()
     }
 
     /// Proposes the next view when one is needed and it is this replica's turn.
--- a/system/fleet/src/faults.rs
+++ b/system/fleet/src/faults.rs
@@ -69,6 +69,15 @@
         /// For how long.
         for_ms: u64,
     },
+    /// A disk takes long for everything.
+    SlowDisk {
+        /// Which core machine.
+        node: usize,
+        /// For each sync.
+        sync_ms: u64,
+        /// For how long.
+        for_ms: u64,
+    },
     /// The time of day jumps on a core machine.
     ClockStep {
         /// Which core machine.
@@ -84,7 +93,7 @@
         let node = random.gen_range(0..nodes);
         let worker = random.gen_range(0..workers);
         let for_ms = random.gen_range(100..5000);
-        match random.gen_range(0..12) {
+        match random.gen_range(0..14) {
             0 | 1 => Fault::Kill { node, for_ms: for_ms / 4 },
             2 => Fault::PowerLoss { node, for_ms },
             3 => Fault::Wipe { node, for_ms },
@@ -92,6 +101,8 @@
             5 | 6 => Fault::Freeze { node, for_ms },
             7 | 8 => Fault::Cut { from: node, to: (node + random.gen_range(1..nodes)) % nodes, for_ms },
             9 => Fault::WorkerCut { worker, answers_only: random.gen_bool(0.5), for_ms: for_ms * 2 },
+            11 => Fault::SlowDisk { node, sync_ms: random.gen_range(50..3000), for_ms },
+            12 => Fault::ClockStep { node, by_ms: random.gen_range(-3000..3000) },
             10 => Fault::WorkerCrash { worker, for_ms },
             _ => Fault::LateOrders { percent: random.gen_range(3..40), for_ms },
         }
--- a/system/fleet/src/fleet.rs
+++ b/system/fleet/src/fleet.rs
@@ -21,6 +21,8 @@
 const STEP_MS: u64 = 5;
 /// Time between two ticks of a coordinator.
 const TICK_MS: u64 = 20;
+/// Time that a disk takes for a sync.
+const SYNC_MS: u64 = 10;
 /// Longest hold on a worker.
 const MAX_HOLD_MS: u64 = 6000;
 /// Runs of a task that may fail.
@@ -87,6 +89,7 @@
     Node { from: usize, to: usize },
     Worker(usize),
     WorkerCut(usize),
+    Disk(usize),
     Orders,
 }
 
@@ -115,6 +118,7 @@
     workers: Vec<Option<Worker>>,
     cuts: BTreeSet<(usize, usize)>,
     workers_cut: BTreeMap<usize, bool>,
+    slow_disks: BTreeMap<usize, u64>,
     late_percent: u32,
     lives_of_workers: u64,
     clients: Vec<ClientJob>,
@@ -137,6 +141,7 @@
             workers: Vec::new(),
             cuts: BTreeSet::new(),
             workers_cut: BTreeMap::new(),
+            slow_disks: BTreeMap::new(),
             late_percent: 0,
             lives_of_workers: 0,
             clients: Vec::new(),
@@ -343,6 +348,10 @@
                 self.late_percent = percent;
                 self.schedule(for_ms, Event::Restore(Restore::Orders));
             }
+            Fault::SlowDisk { node, sync_ms, for_ms } => {
+                self.slow_disks.insert(node, sync_ms);
+                self.schedule(for_ms, Event::Restore(Restore::Disk(node)));
+            }
             Fault::ClockStep { node, by_ms } => self.nodes[node].wall_offset += by_ms,
         }
     }
@@ -356,6 +365,9 @@
             Restore::WorkerCut(worker) => {
                 self.workers_cut.remove(&worker);
             }
+            Restore::Disk(node) => {
+                self.slow_disks.remove(&node);
+            }
             Restore::Orders => self.late_percent = 0,
         }
     }
@@ -470,11 +482,13 @@
             Output::Send { to, message } => self.send(number, to, message),
             Output::Persist { ticket, records } => {
                 self.nodes[number].disk.write(ticket, DiskWork::Records(records));
-                self.schedule(10, Event::Synced { node: number, life, ticket });
+                let sync_ms = self.slow_disks.get(&number).copied().unwrap_or(SYNC_MS);
+                self.schedule(sync_ms, Event::Synced { node: number, life, ticket });
             }
             Output::Checkpoint { ticket, snapshot } => {
                 self.nodes[number].disk.write(ticket, DiskWork::Checkpoint(snapshot));
-                self.schedule(30, Event::Synced { node: number, life, ticket });
+                let sync_ms = self.slow_disks.get(&number).copied().unwrap_or(SYNC_MS);
+                self.schedule(3 * sync_ms, Event::Synced { node: number, life, ticket });
             }
             Output::Answer { request, answer } => self.answered(number, life, request, &answer),
             Output::CallWorker { service, token, call } => {
