Add the operator's commands: config, cluster, job, state, settings

Each verb is read and tested without a cluster; a configuration is checked before it is sent, and the state on disk can be looked at while its coordinator does not run.

--- a/system/magpiegap/src/command_line.rs
+++ b/system/magpiegap/src/command_line.rs
@@ -1,7 +1,14 @@
 //! The command line.
-use crate::{agent, coordinator, error::ProgramError, logging, proxy, settings::NodeSettings};
+use crate::{
+    agent, coordinator,
+    error::ProgramError,
+    logging,
+    operator::{self, Call},
+    proxy,
+    settings::NodeSettings,
+};
 use bpaf::{Bpaf, Parser};
-use std::path::PathBuf;
+use std::{future::Future, net::SocketAddr, path::PathBuf};
 
 /// A cluster scheduler for jobs.
 #[derive(Clone, Debug, Bpaf)]
@@ -25,14 +32,127 @@
         #[bpaf(external)]
         settings_file: Option<PathBuf>,
     },
-    /// Check a settings file and say what it means
-    #[bpaf(command("settings-check"))]
-    SettingsCheck {
+    /// Look at a settings file
+    #[bpaf(command)]
+    Settings(#[bpaf(external(settings_verb))] SettingsVerb),
+    /// Check, apply and read the configuration
+    #[bpaf(command)]
+    Config(#[bpaf(external(config_verb))] ConfigVerb),
+    /// Look at the cluster
+    #[bpaf(command)]
+    Cluster(#[bpaf(external(cluster_verb))] ClusterVerb),
+    /// Hand in, look at and cancel jobs
+    #[bpaf(command)]
+    Job(#[bpaf(external(job_verb))] JobVerb),
+    /// Look at a coordinator's state on disk
+    #[bpaf(command)]
+    State(#[bpaf(external(state_verb))] StateVerb),
+}
+
+/// What to do with a settings file.
+#[derive(Clone, Debug, Bpaf)]
+pub enum SettingsVerb {
+    /// Check it; the first fault is named
+    #[bpaf(command)]
+    Check {
         #[bpaf(external)]
         settings_file: Option<PathBuf>,
     },
 }
 
+/// What to do with the configuration.
+#[derive(Clone, Debug, Bpaf)]
+pub enum ConfigVerb {
+    /// Check a file; nothing is sent anywhere
+    #[bpaf(command)]
+    Check {
+        /// The configuration, as JSON
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Make a file the configuration in force
+    #[bpaf(command)]
+    Apply {
+        /// Any coordinator's control plane, IP:PORT
+        #[bpaf(long, argument("ADDRESS"))]
+        at: SocketAddr,
+        /// The version that it builds on; 0 for the first
+        #[bpaf(long, argument("VERSION"))]
+        base: u64,
+        /// The configuration, as JSON
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Print the newest one
+    #[bpaf(command)]
+    Describe {
+        /// Any coordinator's control plane, IP:PORT
+        #[bpaf(long, argument("ADDRESS"))]
+        at: SocketAddr,
+    },
+}
+
+/// What to see of the cluster.
+#[derive(Clone, Debug, Bpaf)]
+pub enum ClusterVerb {
+    /// View, chain, roles, workers and queues as one coordinator has them, as JSON
+    #[bpaf(command)]
+    Status {
+        /// The coordinator's control plane, IP:PORT
+        #[bpaf(long, argument("ADDRESS"))]
+        at: SocketAddr,
+    },
+}
+
+/// Where a job is.
+#[derive(Clone, Debug, Bpaf)]
+pub struct JobPlace {
+    /// Any proxy's address for clients, IP:PORT
+    #[bpaf(long, argument("ADDRESS"))]
+    at: SocketAddr,
+    /// The queue's host
+    #[bpaf(long, argument("HOST"))]
+    host: String,
+    /// The queue's prefix and the job's 16 hexadecimal digits
+    #[bpaf(positional("PATH"))]
+    path: String,
+}
+
+/// What to do with a job.
+#[derive(Clone, Debug, Bpaf)]
+pub enum JobVerb {
+    /// Hand it in
+    #[bpaf(command)]
+    Submit {
+        /// The job, as JSON
+        #[bpaf(long, argument("FILE"))]
+        file: PathBuf,
+        #[bpaf(external)]
+        job_place: JobPlace,
+    },
+    /// Print its state
+    #[bpaf(command)]
+    Status(#[bpaf(external(job_place))] JobPlace),
+    /// Cancel it
+    #[bpaf(command)]
+    Cancel(#[bpaf(external(job_place))] JobPlace),
+    /// Count the jobs of a queue that have not ended; PATH is its prefix
+    #[bpaf(command)]
+    Count(#[bpaf(external(job_place))] JobPlace),
+}
+
+/// What to see of a state on disk.
+#[derive(Clone, Debug, Bpaf)]
+pub enum StateVerb {
+    /// Read it whole and say what it holds; its coordinator must not run
+    #[bpaf(command)]
+    Check {
+        /// The coordinator's data folder
+        #[bpaf(positional("FOLDER"))]
+        folder: PathBuf,
+    },
+}
+
 fn settings_file() -> impl Parser<Option<PathBuf>> {
     bpaf::long("settings")
         .help("The settings file; else the one that MAGPIEGAP_BOOT names")
@@ -48,29 +168,105 @@
 /// Runs what the command line asks for, until it ends.
 ///
 /// # Errors
-/// When the program can't start or go on.
+/// When the program can't start or go on, or what was asked for has failed.
 pub fn run(command: &CommandLine) -> Result<(), ProgramError> {
-    let (CommandLine::Proxy { settings_file }
-    | CommandLine::Agent { settings_file }
-    | CommandLine::Coordinator { settings_file }
-    | CommandLine::SettingsCheck { settings_file }) = command;
-    let file = NodeSettings::file(settings_file.clone())?;
-    let settings = NodeSettings::read(&file)?;
-    if let CommandLine::SettingsCheck { .. } = command {
-        println!("{}: fine: {} on {}", file.display(), settings.role, settings.node_name);
-        return Ok(());
+    match command {
+        CommandLine::Proxy { settings_file } => {
+            let (file, settings) = process(settings_file)?;
+            block_on(proxy::run(file, settings))
+        }
+        CommandLine::Agent { settings_file } => {
+            let (file, settings) = process(settings_file)?;
+            block_on(agent::run(file, settings))
+        }
+        CommandLine::Coordinator { settings_file } => {
+            let (_, settings) = process(settings_file)?;
+            block_on(coordinator::run(settings))
+        }
+        CommandLine::Settings(SettingsVerb::Check { settings_file }) => {
+            let file = NodeSettings::file(settings_file.clone())?;
+            let settings = NodeSettings::read(&file)?;
+            println!("{}: fine: {} on {}", file.display(), settings.role, settings.node_name);
+            Ok(())
+        }
+        CommandLine::Config(verb) => config(verb),
+        CommandLine::Cluster(ClusterVerb::Status { at }) => print_call(Call {
+            method: "GET",
+            at: Some(*at),
+            path: "/-/Cluster.Describe".to_owned(),
+            ..Call::default()
+        }),
+        CommandLine::Job(verb) => job(verb),
+        CommandLine::State(StateVerb::Check { folder }) => {
+            println!("{}", operator::describe_state(folder)?);
+            Ok(())
+        }
     }
+}
+
+/// Reads the settings of a process and starts its log.
+fn process(named: &Option<PathBuf>) -> Result<(PathBuf, NodeSettings), ProgramError> {
+    let file = NodeSettings::file(named.clone())?;
+    let settings = NodeSettings::read(&file)?;
     logging::start(&settings.node_name);
+    Ok((file, settings))
+}
+
+fn block_on<T>(work: impl Future<Output = Result<T, ProgramError>>) -> Result<T, ProgramError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|source| ProgramError::System { what: "the event loop", source })?;
-    runtime.block_on(async {
-        match command {
-            CommandLine::Proxy { .. } => proxy::run(file, settings).await,
-            CommandLine::Agent { .. } => agent::run(file, settings).await,
-            CommandLine::Coordinator { .. } => coordinator::run(settings).await,
-            CommandLine::SettingsCheck { .. } => Ok(()),
+    runtime.block_on(work)
+}
+
+fn print_call(call: Call) -> Result<(), ProgramError> {
+    let text = block_on(operator::call(call))?;
+    if !text.is_empty() {
+        println!("{text}");
+    }
+    Ok(())
+}
+
+fn config(verb: &ConfigVerb) -> Result<(), ProgramError> {
+    match verb {
+        ConfigVerb::Check { file } => {
+            println!("{}", operator::check_configuration(file)?);
+            Ok(())
+        }
+        ConfigVerb::Apply { at, base, file } => {
+            operator::check_configuration(file)?;
+            print_call(Call {
+                method: "POST",
+                at: Some(*at),
+                path: "/-/Config.Replace".to_owned(),
+                headers: vec![
+                    ("Base-Version", base.to_string()),
+                    ("Content-Type", "application/json".to_owned()),
+                ],
+                body: operator::read_file(file)?,
+            })
         }
+        ConfigVerb::Describe { at } => print_call(Call {
+            method: "GET",
+            at: Some(*at),
+            path: "/-/Config.Describe".to_owned(),
+            ..Call::default()
+        }),
+    }
+}
+
+fn job(verb: &JobVerb) -> Result<(), ProgramError> {
+    let (method, place, body) = match verb {
+        JobVerb::Submit { file, job_place } => ("POST", job_place, operator::read_file(file)?),
+        JobVerb::Status(place) | JobVerb::Count(place) => ("GET", place, Vec::new()),
+        JobVerb::Cancel(place) => ("DELETE", place, Vec::new()),
+    };
+    print_call(Call {
+        method,
+        at: Some(place.at),
+        path: place.path.clone(),
+        headers: vec![("Host", place.host.clone()), ("Content-Type", "application/json".to_owned())],
+        body,
     })
 }
--- a/system/magpiegap/src/lib.rs
+++ b/system/magpiegap/src/lib.rs
@@ -8,11 +8,14 @@
 mod endpoint;
 mod error;
 mod logging;
+mod operator;
 mod proxy;
 mod serving;
 mod settings;
 mod signals;
 
-pub use command_line::{command_line, run, CommandLine};
+pub use command_line::{command_line, parser, run, CommandLine};
 pub use error::ProgramError;
+pub use operator::{check_configuration, describe_state};
+pub use proxy::{admission, job_body};
 pub use settings::{NodeSettings, SettingsError};
--- /dev/null
+++ b/system/magpiegap/src/operator.rs
@@ -0,0 +1,113 @@
+//! The operator's commands: against a coordinator, a proxy, or files.
+use crate::{endpoint, error::ProgramError};
+use magpiegap_control::{DurableRecord, Snapshot};
+use magpiegap_jobs::{Configuration, State};
+use magpiegap_protocol::decode;
+use magpiegap_storage::{FolderDirectory, Store};
+use std::{net::SocketAddr, path::Path, time::Duration};
+
+/// How long a coordinator or proxy may take to answer.
+const TIMEOUT: Duration = Duration::from_secs(5);
+/// Redirects that are followed.
+const MOST_REDIRECTS: usize = 2;
+
+/// A call to a coordinator or proxy.
+#[derive(Clone, Debug, Default)]
+pub struct Call {
+    /// The method.
+    pub method: &'static str,
+    /// Where to.
+    pub at: Option<SocketAddr>,
+    /// The path.
+    pub path: String,
+    /// Headers.
+    pub headers: Vec<(&'static str, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// Makes a call, and returns the body of its answer.
+///
+/// # Errors
+/// When there is no answer, or none with success.
+pub async fn call(call: Call) -> Result<String, ProgramError> {
+    let client = endpoint::client();
+    let failed = |what: String| ProgramError::Server(what);
+    let address = call.at.ok_or_else(|| failed("no address".to_owned()))?;
+    let mut url = format!("http://{address}{}", call.path);
+    for _ in 0..=MOST_REDIRECTS {
+        let method = reqwest::Method::from_bytes(call.method.as_bytes()).unwrap_or_default();
+        let mut request = client.request(method, &url).timeout(TIMEOUT).body(call.body.clone());
+        for (name, value) in &call.headers {
+            request = request.header(*name, value);
+        }
+        let response = request.send().await.map_err(|error| failed(format!("{url}: {error}")))?;
+        let status = response.status();
+        let location =
+            response.headers().get("Location").and_then(|value| value.to_str().ok()).map(str::to_owned);
+        if let Some(location) = location.filter(|_| status.as_u16() == 307) {
+            url = location;
+            continue;
+        }
+        let text = response.text().await.map_err(|error| failed(format!("{url}: {error}")))?;
+        if status.is_success() {
+            return Ok(text);
+        }
+        return Err(failed(format!("{url}: {} {text}", status.as_u16()).trim().to_owned()));
+    }
+    Err(failed(format!("{url}: sent on too often")))
+}
+
+/// Reads a file.
+///
+/// # Errors
+/// When it can't be read.
+pub fn read_file(file: &Path) -> Result<Vec<u8>, ProgramError> {
+    std::fs::read(file).map_err(|source| ProgramError::Server(format!("{}: {source}", file.display())))
+}
+
+/// Checks a configuration, and says what it holds.
+///
+/// # Errors
+/// When it is invalid.
+pub fn check_configuration(file: &Path) -> Result<String, ProgramError> {
+    let configuration = Configuration::parse(&read_file(file)?)
+        .map_err(|error| ProgramError::Server(format!("{}: {error}", file.display())))?;
+    let (routes, services) = (configuration.routes.len(), configuration.services.len());
+    Ok(format!("version {}: {routes} routes, {services} services", configuration.version))
+}
+
+/// Reads the state in a coordinator's folder, while that does not run, and says what it holds.
+///
+/// # Errors
+/// When it can't be read.
+pub fn describe_state(folder: &Path) -> Result<String, ProgramError> {
+    if !folder.join("slot-0").exists() && !folder.join("slot-1").exists() {
+        return Err(ProgramError::Server(format!("{}: no state of a coordinator", folder.display())));
+    }
+    let directory = FolderDirectory::new(folder)
+        .map_err(|source| ProgramError::System { what: "the state's folder", source })?;
+    let (_, recovered) = Store::open(directory)?;
+    let mut snapshot: Snapshot = decode(&recovered.snapshot.unwrap_or_default())?;
+    let records = recovered.records.len();
+    for record in recovered.records {
+        let record: DurableRecord = decode(&record)?;
+        snapshot.add(record);
+    }
+    let state: State = decode(&snapshot.state)?;
+    let view = &snapshot.agreement.current;
+    Ok(format!(
+        "disk {:016x}, view {} with {} in the chain and {} voters, {} records since the snapshot\n\
+         state up to entry {}, {} entries after it, configuration {}, {} jobs, {} workers",
+        snapshot.disk,
+        view.number,
+        view.chain.len(),
+        view.voters.len(),
+        records,
+        snapshot.applied.index,
+        snapshot.entries.len(),
+        state.configuration.version,
+        state.jobs.len(),
+        state.workers.len()
+    ))
+}
--- a/system/magpiegap/src/proxy/admission.rs
+++ b/system/magpiegap/src/proxy/admission.rs
@@ -54,6 +54,12 @@
     ended: bool,
 }
 
+impl Default for Admission {
+    fn default() -> Self {
+        Admission::new()
+    }
+}
+
 impl Admission {
     /// Nothing is learned yet.
     pub fn new() -> Admission {
--- a/system/magpiegap/src/proxy/mod.rs
+++ b/system/magpiegap/src/proxy/mod.rs
@@ -1,9 +1,9 @@
 //! The proxy: clients' requests, from their sockets to the coordinators and back.
-mod admission;
+pub mod admission;
 mod calls;
 mod feed;
 mod frontend;
-mod job_body;
+pub mod job_body;
 mod readiness;
 
 use crate::{
