Let agents wait long only at a coordinator that has just answered

Cause: while the others agreed on a view without a coordinator that stood still, they answered that they do not serve, and agents went on to the frozen one and waited 1.9 s for it; proxies had no scheduler to hand jobs to. Leaving workers by the pace of their runs was tried and left out.

--- a/system/magpiegap/src/agent/link.rs
+++ b/system/magpiegap/src/agent/link.rs
@@ -13,8 +13,11 @@
 const WAIT_MS: u64 = 1500;
 /// How much longer the agent waits for it.
 const PATIENCE_MS: u64 = 400;
+/// How long a coordinator that was not asked before, or has failed, has for a first answer: one that stands still is
+/// not waited for.
+const FIRST_ANSWER: Duration = Duration::from_millis(250);
 /// Pause after a coordinator that could not serve.
-const PAUSE: Duration = Duration::from_millis(60);
+const PAUSE: Duration = Duration::from_millis(30);
 /// The settings file is read again at most this often.
 const READ_EVERY: Duration = Duration::from_secs(1);
 
@@ -27,6 +30,8 @@
     port: u16,
     /// Where to begin among the candidates, so that agents spread over the coordinators.
     turn: usize,
+    /// The coordinator whose turn it is has served the last time that it was asked.
+    trusted: bool,
     publish: Arc<watch::Sender<Arc<Feed>>>,
 }
 
@@ -46,6 +51,7 @@
             seeds: settings.seed_addresses(),
             port: settings.request_port(),
             turn: u32::from(settings.ip) as usize + turn,
+            trusted: false,
             publish,
         }
     }
@@ -53,7 +59,8 @@
     /// Asks for news without end.
     pub async fn run(mut self) {
         loop {
-            if !self.ask().await {
+            self.trusted = self.ask().await;
+            if !self.trusted {
                 self.turn = self.turn.wrapping_add(1);
                 self.read_seeds();
                 tokio::time::sleep(PAUSE).await;
@@ -92,12 +99,14 @@
         let address = Ipv4Addr::from(candidates[self.turn % candidates.len()]);
         let address = SocketAddr::new(IpAddr::V4(address), self.port);
         let known = self.known();
+        let wait_ms = if self.trusted { WAIT_MS } else { 0 };
         let poll = FeedPoll {
             revision: known.revision,
             configuration_version: known.configuration_version,
-            wait_ms: WAIT_MS,
+            wait_ms,
         };
-        let timeout = Duration::from_millis(WAIT_MS + PATIENCE_MS);
+        let patience = Duration::from_millis(wait_ms + PATIENCE_MS);
+        let timeout = if self.trusted { patience } else { FIRST_ANSWER };
         let request = CoordinatorRequest::Poll(poll);
         match endpoint::call(&self.client, address, &request, timeout).await {
             Ok(CoordinatorAnswer::Feed(feed)) => self.take(*feed),
