--- a/system/control/src/chain.rs
+++ b/system/control/src/chain.rs
@@ -69,7 +69,6 @@
     /// Proposes a command. Returns whether it is under way: to the log, or to the head.
     pub fn propose(
         &mut self,
-        now: Millis,
         wall: WallMillis,
         proposal: ProposalId,
         fence: Option<Fence>,
@@ -83,7 +82,6 @@
         if !self.is_active() {
             return false;
         }
-        let _ = now;
         let view = self.agreement.state.current.number;
         self.send(head.member.address, PeerMessage::Propose { view, proposal, fence, command });
         true
@@ -221,7 +219,7 @@
         if self.is_active() {
             self.hand_entries_to_disk(now);
             self.tell_successor(now);
-            self.commit_at_tail(now);
+            self.commit_at_tail();
         }
         self.apply_committed(machine);
     }
@@ -249,7 +247,7 @@
         self.send(successor.member.address, PeerMessage::Append { view, after: sent, entries, durable });
     }
 
-    fn commit_at_tail(&mut self, _now: Millis) {
+    fn commit_at_tail(&mut self) {
         if self.successor().is_some() || self.agreement.state.current.chain.len() < self.settings.copies() {
             return;
         }
--- a/system/control/src/steps.rs
+++ b/system/control/src/steps.rs
@@ -16,7 +16,7 @@
             self.send_heartbeats(now, own_wall);
             self.membership.forget(now);
         }
-        self.check_view(now, machine);
+        self.check_view(now);
         if self.chain.activity == Activity::Joining {
             self.ask_predecessor(now);
         }
--- a/system/control/src/view_change.rs
+++ b/system/control/src/view_change.rs
@@ -40,8 +40,7 @@
     }
 
     /// Proposes the next view when one is needed and it is this replica's turn.
-    pub(crate) fn check_view(&mut self, now: Millis, machine: &mut dyn StateMachine) {
-        let _ = &machine;
+    pub(crate) fn check_view(&mut self, now: Millis) {
         if self.agreement.round.as_ref().is_some_and(|round| now < round.started_at + ROUND_TIMEOUT_MS) {
             self.propose_view(now);
             return;
--- a/system/coordinator/src/proposals.rs
+++ b/system/coordinator/src/proposals.rs
@@ -25,7 +25,7 @@
         let sequence = self.next_sequence;
         let proposal = ProposalId { origin: self.replica.own(), sequence };
         let wall = self.wall;
-        if !self.replica.propose(self.now, wall, proposal, fence.clone(), command.clone()) {
+        if !self.replica.propose(wall, proposal, fence.clone(), command.clone()) {
             return false;
         }
         let view = self.replica.view().number;
@@ -49,7 +49,7 @@
             }
             proposal.again_at = now + PROPOSE_AGAIN_MS;
             let id = ProposalId { origin, sequence: *sequence };
-            self.replica.propose(now, wall, id, proposal.fence.clone(), proposal.command.clone());
+            self.replica.propose(wall, id, proposal.fence.clone(), proposal.command.clone());
         }
     }
 
--- a/system/coordinator/src/roles.rs
+++ b/system/coordinator/src/roles.rs
@@ -111,7 +111,7 @@
         let service = submission.service.clone();
         let now = self.now;
         let scheduler = self.schedulers.get_mut(&service)?;
-        let command = scheduler.submit(now, &self.machine.state, submission);
+        let command = scheduler.submit(now, submission);
         let fence = Fence { role: Role::Scheduler(service.clone()), token: scheduler.token() };
         let runs = match &command {
             Command::SubmitJob { runs, .. } => runs.clone(),
--- a/system/scheduler/src/planning.rs
+++ b/system/scheduler/src/planning.rs
@@ -48,7 +48,7 @@
 
 impl Scheduler {
     /// A command that accepts a job, and starts its first tasks if there is room and nothing more urgent waits.
-    pub fn submit(&mut self, now: Millis, state: &State, submission: Submission) -> Command {
+    pub fn submit(&mut self, now: Millis, submission: Submission) -> Command {
         let job = Job::new(submission.clone());
         let mut runs = Vec::new();
         for unit in startable(&job) {
@@ -60,12 +60,11 @@
                 runs.append(&mut placed);
             }
         }
-        let _ = state;
         Command::SubmitJob { submission: Box::new(submission), runs }
     }
 
     /// Places what waits, most urgent first.
-    pub(crate) fn plan(&mut self, now: Millis, _wall: WallMillis, state: &State) {
+    pub(crate) fn plan(&mut self, now: Millis, state: &State) {
         let mut runs = Vec::new();
         let mut misses = Misses::default();
         let waiting: Vec<(Urgency, Startable, Millis)> =
--- a/system/scheduler/src/scheduler.rs
+++ b/system/scheduler/src/scheduler.rs
@@ -312,7 +312,7 @@
         self.send_starts(now, state);
         self.renew_holds(now);
         if std::mem::take(&mut self.replan) {
-            self.plan(now, wall, state);
+            self.plan(now, state);
         }
     }
 }
--- a/system/scheduler/tests/stories.rs
+++ b/system/scheduler/tests/stories.rs
@@ -128,7 +128,7 @@
             submitted_ms: 1_000_000 + self.now,
             spec: JobSpec { steps, ..JobSpec::default() },
         };
-        let command = self.scheduler.submit(self.now, &self.state, submission);
+        let command = self.scheduler.submit(self.now, submission);
         self.commit(command);
         self.pass(0);
     }
