--- a/system/control/src/chain.rs
+++ b/system/control/src/chain.rs
@@ -10,7 +10,7 @@
 };
 
 /// Time between two requests for what is missing.
-const SYNCHRONIZE_EVERY_MS: Millis = 120;
+const SYNCHRONIZE_EVERY_MS: Millis = 60;
 /// A replica tells its successor where it stands at least this often.
 const APPEND_EVERY_MS: Millis = 150;
 
@@ -53,6 +53,7 @@
         self.chain.predecessor_durable = 0;
         self.chain.told = (0, now);
         self.chain.asked_at = 0;
+        self.chain.asked_by = None;
         self.chain.activity = match self.own_position() {
             None => Activity::Inactive,
             Some(0) if self.is_complete() => Activity::Active,
@@ -131,7 +132,11 @@
 
     /// Gives the successor what it is missing.
     pub(crate) fn give_missing(&mut self, from: ReplicaId, last: Position, machine: &mut dyn StateMachine) {
-        if !self.is_active() || self.successor() != Some(from) {
+        if self.successor() != Some(from) {
+            return;
+        }
+        if !self.is_active() {
+            self.chain.asked_by = Some((from, last));
             return;
         }
         let view = self.agreement.state.current.number;
@@ -217,6 +222,9 @@
     /// Hands new entries to the disk and the successor, commits at the tail, and applies what is committed.
     pub(crate) fn flush_chain(&mut self, now: Millis, machine: &mut dyn StateMachine) {
         if self.is_active() {
+            if let Some((from, last)) = self.chain.asked_by.take() {
+                self.give_missing(from, last, machine);
+            }
             self.hand_entries_to_disk(now);
             self.tell_successor(now);
             self.commit_at_tail();
--- a/system/control/src/chain_state.rs
+++ b/system/control/src/chain_state.rs
@@ -1,6 +1,6 @@
 //! The state of the chain at one replica.
 use crate::log::Log;
-use magpiegap_protocol::{Millis, Position};
+use magpiegap_protocol::{Millis, Position, Replica as ReplicaId};
 
 /// What a replica does in the current view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,6 +31,8 @@
     pub sent: Option<u64>,
     /// What the successor was last told to be on disk, and when.
     pub told: (u64, Millis),
+    /// The successor has asked for what it is missing before this replica could give it.
+    pub asked_by: Option<(ReplicaId, Position)>,
     /// When the predecessor was last asked for what is missing.
     pub asked_at: Millis,
     /// What the others were last told to be committed.
@@ -50,6 +52,7 @@
             handed_to_disk: last,
             sent: None,
             told: (0, 0),
+            asked_by: None,
             asked_at: 0,
             committed_told: 0,
         }
