--- a/system/scheduler/src/placement.rs
+++ b/system/scheduler/src/placement.rs
@@ -1,5 +1,8 @@
 //! Chooses workers: of two random ones that fit, the less busy; packing for what needs most of a worker.
-use crate::{reservations::Reservations, worker::Worker};
+use crate::{
+    reservations::Reservations,
+    worker::{Worker, Workers},
+};
 use magpiegap_protocol::{Millis, Resources, StepSpec, TaskId};
 use rand::{rngs::StdRng, seq::SliceRandom};
 use std::collections::{BTreeMap, BTreeSet};
@@ -7,9 +10,6 @@
 /// Tasks that take at least this part of a worker are packed instead of spread.
 const WIDE_SHARE: f64 = 0.5;
 
-/// The workers of a service, by the name of their life.
-pub(crate) type Workers = BTreeMap<String, Worker>;
-
 /// What is to be placed.
 pub(crate) struct Demand<'a> {
     pub step: &'a StepSpec,
--- a/system/scheduler/src/preemption.rs
+++ b/system/scheduler/src/preemption.rs
@@ -1,8 +1,7 @@
 //! Which runs to stop so that a more urgent task finds room.
 use crate::{
-    placement::Workers,
     reservations::Reservations,
-    worker::{Run, RunPhase, Worker},
+    worker::{Run, RunPhase, Worker, Workers},
 };
 use magpiegap_protocol::{Millis, StepSpec, TaskId};
 
--- a/system/scheduler/src/reservations.rs
+++ b/system/scheduler/src/reservations.rs
@@ -1,5 +1,5 @@
 //! Workers kept free for a moment, for a task that others were stopped for.
-use crate::placement::Workers;
+use crate::worker::Workers;
 use magpiegap_protocol::{Millis, TaskId};
 use std::collections::{HashMap, HashSet};
 
--- a/system/scheduler/src/scheduler.rs
+++ b/system/scheduler/src/scheduler.rs
@@ -1,11 +1,10 @@
 //! The scheduler's state and the ways in and out of it.
 use crate::{
     calls::{Output, WorkerCall, WorkerOrder},
-    placement::Workers,
     queue::Queue,
     reservations::Reservations,
     settings::SchedulerSettings,
-    worker::Worker,
+    worker::{Worker, Workers},
 };
 use magpiegap_jobs::State;
 use magpiegap_protocol::{
--- a/system/scheduler/src/worker.rs
+++ b/system/scheduler/src/worker.rs
@@ -130,6 +130,9 @@
     pub health: Health,
 }
 
+/// The workers of a service, by the name of their life.
+pub(crate) type Workers = BTreeMap<String, Worker>;
+
 impl Worker {
     pub fn new(entry: WorkerEntry, now: Millis, others_lapse_at: Millis) -> Worker {
         Worker {
