Ask a predecessor for a large state at growing intervals

It doubles now, up to 2 s. Ruled out: the agreement (view 7 is reached 0.6 s after the machines are back).

--- a/system/control/src/chain.rs
+++ b/system/control/src/chain.rs
@@ -1,6 +1,6 @@
 //! The chain: entries pass down, what is on disk is told down, the tail commits.
 use crate::{
-    chain_state::Activity,
+    chain_state::{Activity, ASK_FIRST_MS},
     durable::DurableRecord,
     log::Log,
     replica::{After, Replica, StateMachine},
@@ -9,8 +9,8 @@
     Command, Entry, Fence, Millis, PeerMessage, Position, ProposalId, Replica as ReplicaId, View, WallMillis,
 };
 
-/// Time between two requests for what is missing.
-const SYNCHRONIZE_EVERY_MS: Millis = 60;
+/// Longest time between two requests for what is missing.
+const ASK_MOST_MS: Millis = 2000;
 /// A replica tells its successor where it stands at least this often.
 const APPEND_EVERY_MS: Millis = 150;
 
@@ -53,6 +53,7 @@
         self.chain.predecessor_durable = 0;
         self.chain.told = (0, now);
         self.chain.asked_at = 0;
+        self.chain.ask_again_ms = ASK_FIRST_MS;
         self.chain.asked_by = None;
         self.chain.activity = match self.own_position() {
             None => Activity::Inactive,
@@ -122,9 +123,10 @@
 
     /// Asks the predecessor for what is missing, not too often.
     pub(crate) fn ask_predecessor(&mut self, now: Millis) {
-        let waited = self.chain.asked_at == 0 || now >= self.chain.asked_at + SYNCHRONIZE_EVERY_MS;
+        let waited = self.chain.asked_at == 0 || now >= self.chain.asked_at + self.chain.ask_again_ms;
         let Some(predecessor) = self.predecessor().filter(|_| waited) else { return };
         self.chain.asked_at = now.max(1);
+        self.chain.ask_again_ms = (2 * self.chain.ask_again_ms).min(ASK_MOST_MS);
         let view = self.agreement.state.current.number;
         let last = self.chain.log.last();
         self.send(predecessor.member.address, PeerMessage::Synchronize { view, last });
@@ -204,6 +206,7 @@
 
     /// From now on the replica takes part. What it answers for still waits for its disk.
     fn activate(&mut self, view: u64) {
+        self.chain.ask_again_ms = ASK_FIRST_MS;
         self.synchronized = Some(view);
         self.chain.activity = Activity::Active;
         self.chain.sent = None;
--- a/system/control/src/chain_state.rs
+++ b/system/control/src/chain_state.rs
@@ -13,6 +13,9 @@
     Active,
 }
 
+/// Time until a predecessor that has not answered is asked for the second time.
+pub(crate) const ASK_FIRST_MS: Millis = 60;
+
 /// The state of the chain at one replica.
 #[derive(Clone, Debug)]
 pub(crate) struct Chain {
@@ -35,6 +38,8 @@
     pub asked_by: Option<(ReplicaId, Position)>,
     /// When the predecessor was last asked for what is missing.
     pub asked_at: Millis,
+    /// Until it is asked again: longer each time, since a whole state takes long to make and to send.
+    pub ask_again_ms: Millis,
     /// What the others were last told to be committed.
     pub committed_told: u64,
 }
@@ -54,6 +59,7 @@
             told: (0, 0),
             asked_by: None,
             asked_at: 0,
+            ask_again_ms: ASK_FIRST_MS,
             committed_told: 0,
         }
     }
