--- /dev/null
+++ b/system/fleet/src/events.rs
@@ -0,0 +1,64 @@
+//! What happens in a fleet, and who waits for what.
+use magpiegap_protocol::{CoordinatorRequest, PeerMessage, Replica};
+use magpiegap_scheduler::{WorkerCall, WorkerReply};
+
+/// Something that happens at a moment of simulated time.
+pub(crate) enum Event {
+    Peer {
+        to: usize,
+        from: Replica,
+        message: PeerMessage,
+    },
+    Synced {
+        node: usize,
+        life: u64,
+        ticket: u64,
+    },
+    Order {
+        worker: usize,
+        from: Option<Caller>,
+        call: WorkerCall,
+    },
+    /// A hold that waits for an end.
+    Waiting {
+        worker: usize,
+        from: Caller,
+        call: WorkerCall,
+        until: u64,
+    },
+    Reply {
+        to: Caller,
+        call: u64,
+        reply: WorkerReply,
+    },
+    Platform {
+        node: usize,
+        life: u64,
+        call: u64,
+    },
+    Restore(Restore),
+}
+
+/// What a fault had broken and is whole again.
+pub(crate) enum Restore {
+    Node { from: usize, to: usize },
+    Worker(usize),
+    WorkerCut(usize),
+    Disk(usize),
+    Orders,
+}
+
+/// The scheduler that has made a call.
+#[derive(Clone)]
+pub(crate) struct Caller {
+    pub node: usize,
+    pub life: u64,
+    pub service: String,
+    pub token: u64,
+}
+
+/// Who waits for an answer.
+pub(crate) enum Asker {
+    Client(usize, CoordinatorRequest),
+    Operator(u64),
+}
--- a/system/fleet/src/lib.rs
+++ b/system/fleet/src/lib.rs
@@ -5,12 +5,18 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod asking;
 mod client;
+mod delivery;
 mod disk;
+mod events;
 mod faults;
 mod fleet;
+mod jobs;
+mod machines;
 mod node;
 mod oracle;
+mod orders;
 mod worker;
 
 pub use faults::Fault;
--- /dev/null
+++ b/system/fleet/src/machines.rs
@@ -0,0 +1,130 @@
+//! Starts and stops the core machines, and brings about faults.
+use crate::{
+    disk::Disk,
+    events::{Event, Restore},
+    faults::Fault,
+    fleet::{address, Fleet, FleetSettings, MAX_HOLD_MS},
+};
+use magpiegap_control::{ControlSettings, DurableState, Snapshot};
+use magpiegap_coordinator::{Coordinator, CoordinatorSettings};
+use magpiegap_protocol::{encode, Member, Replica};
+use magpiegap_scheduler::SchedulerSettings;
+use rand::Rng;
+
+impl Fleet {
+    pub(crate) fn start_nodes(&mut self) {
+        for number in 0..self.nodes.len() {
+            if self.nodes[number].restart_at.is_some_and(|at| self.now >= at) {
+                self.start_node(number);
+            }
+        }
+    }
+
+    pub(crate) fn start_node(&mut self, number: usize) {
+        let boot = self.random.gen();
+        let disk = self.random.gen::<u64>().max(1);
+        let node = &mut self.nodes[number];
+        let empty = || {
+            let state = encode(&magpiegap_jobs::State::default());
+            Snapshot::empty(disk, None, Vec::new(), state)
+        };
+        let state: DurableState = node.disk.state().unwrap_or_else(empty);
+        node.disk = Disk::new(state.clone());
+        node.member = Member { address: node.address, disk: state.disk };
+        node.life += 1;
+        node.started = self.now;
+        node.restart_at = None;
+        let own = Replica { member: node.member, boot };
+        let settings = coordinator_settings(&self.settings, own);
+        let coordinator = Coordinator::new(settings, &state, self.nodes[number].steady(self.now));
+        self.nodes[number].coordinator = Some(coordinator);
+        self.perform(number);
+    }
+
+    pub(crate) fn stop_node(&mut self, number: usize, for_ms: u64) {
+        self.nodes[number].coordinator = None;
+        self.nodes[number].life += 1;
+        self.nodes[number].restart_at = Some(self.now + for_ms);
+    }
+
+    /// Brings about a fault.
+    pub fn strike(&mut self, fault: &Fault) {
+        match *fault {
+            Fault::Kill { node, for_ms } => {
+                self.nodes[node].disk.process_dies();
+                self.stop_node(node, for_ms);
+            }
+            Fault::PowerLoss { node, for_ms } => {
+                self.nodes[node].disk.power_is_lost(&mut self.random);
+                self.stop_node(node, for_ms);
+            }
+            Fault::Wipe { node, for_ms } => {
+                self.nodes[node].disk = Disk::default();
+                self.stop_node(node, for_ms);
+            }
+            Fault::PowerLossOfAll { for_ms } => {
+                for node in 0..self.nodes.len() {
+                    self.nodes[node].disk.power_is_lost(&mut self.random);
+                    let jitter = self.random.gen_range(0..300);
+                    self.stop_node(node, for_ms + jitter);
+                }
+            }
+            Fault::Freeze { node, for_ms } => self.nodes[node].frozen_until = self.now + for_ms,
+            Fault::Cut { from, to, for_ms } => {
+                self.cuts.insert((from, to));
+                self.schedule(for_ms, Event::Restore(Restore::Node { from, to }));
+            }
+            Fault::WorkerCut { worker, answers_only, for_ms } => {
+                self.workers_cut.insert(worker, answers_only);
+                self.schedule(for_ms, Event::Restore(Restore::WorkerCut(worker)));
+            }
+            Fault::WorkerCrash { worker, for_ms } => {
+                if let Some(old) = self.workers[worker].take() {
+                    self.oracle.life_over(&old.entry.instance);
+                    self.schedule(for_ms, Event::Restore(Restore::Worker(worker)));
+                }
+            }
+            Fault::LateOrders { percent, for_ms } => {
+                self.late_percent = percent;
+                self.schedule(for_ms, Event::Restore(Restore::Orders));
+            }
+            Fault::SlowDisk { node, sync_ms, for_ms } => {
+                self.slow_disks.insert(node, sync_ms);
+                self.schedule(for_ms, Event::Restore(Restore::Disk(node)));
+            }
+            Fault::ClockStep { node, by_ms } => self.nodes[node].wall_offset += by_ms,
+        }
+    }
+
+    pub(crate) fn restore(&mut self, what: Restore) {
+        match what {
+            Restore::Node { from, to } => {
+                self.cuts.remove(&(from, to));
+            }
+            Restore::Worker(number) => self.workers[number] = Some(self.new_worker(number)),
+            Restore::WorkerCut(worker) => {
+                self.workers_cut.remove(&worker);
+            }
+            Restore::Disk(node) => {
+                self.slow_disks.remove(&node);
+            }
+            Restore::Orders => self.late_percent = 0,
+        }
+    }
+}
+
+fn coordinator_settings(settings: &FleetSettings, own: Replica) -> CoordinatorSettings {
+    CoordinatorSettings {
+        control: ControlSettings {
+            own,
+            seeds: (0..settings.nodes).map(address).collect(),
+            tolerance: settings.tolerance,
+            heartbeat_ms: 80,
+            suspect_ms: 420,
+            seed: own.boot,
+        },
+        scheduler: SchedulerSettings { max_hold_ms: MAX_HOLD_MS, ..SchedulerSettings::default() },
+        lease_ms: 900,
+        list_every_ms: 600,
+    }
+}
--- /dev/null
+++ b/system/fleet/src/orders.rs
@@ -0,0 +1,103 @@
+//! Carries orders to the workers, and their answers back.
+use crate::{
+    events::{Caller, Event},
+    fleet::{Fleet, MAX_ATTEMPTS, STEP_MS},
+    worker::{Deed, Work},
+};
+use magpiegap_protocol::{EndKind, RunId, TaskId};
+use magpiegap_scheduler::{WorkerCall, WorkerOrder, WorkerReply};
+use rand::Rng;
+
+impl Fleet {
+    pub(crate) fn call_worker(&mut self, from: Caller, call: WorkerCall) {
+        let unanswered = Event::Reply { to: from.clone(), call: call.id, reply: WorkerReply::Unanswered };
+        self.schedule(call.timeout_ms, unanswered);
+        let Some(worker) = self
+            .workers
+            .iter()
+            .position(|worker| worker.as_ref().is_some_and(|worker| worker.entry.address == call.address))
+        else {
+            return;
+        };
+        if self.random.gen_range(0..100) < self.late_percent {
+            let delay = self.random.gen_range(2000..12_000);
+            self.schedule(delay, Event::Order { worker, from: None, call });
+            return;
+        }
+        let delay = self.random.gen_range(1..6);
+        self.schedule(delay, Event::Order { worker, from: Some(from), call });
+    }
+
+    pub(crate) fn order(&mut self, number: usize, from: Option<Caller>, call: WorkerCall) {
+        // An order that is carried out late was taken in before any cut.
+        let cut = self.workers_cut.get(&number).copied().filter(|_| from.is_some());
+        if cut == Some(false) {
+            return;
+        }
+        let work = self.work(&call);
+        let now = self.now;
+        let Some(worker) = self.workers[number].as_mut() else { return };
+        let reply = worker.take(now, &call, work);
+        self.note_deeds(number);
+        let Some(from) = from.filter(|_| cut.is_none()) else { return };
+        if let WorkerOrder::Hold { last_seen, wait_ms, .. } = call.order {
+            let news = self.workers[number].as_ref().is_none_or(|worker| worker.has_news(last_seen));
+            if wait_ms > 0 && !news && matches!(reply, WorkerReply::Done { .. }) {
+                self.schedule(STEP_MS, Event::Waiting { worker: number, from, call, until: now + wait_ms });
+                return;
+            }
+        }
+        let delay = self.random.gen_range(1..6);
+        self.schedule(delay, Event::Reply { to: from, call: call.id, reply });
+    }
+
+    pub(crate) fn wait_on(&mut self, number: usize, from: Caller, call: WorkerCall, until: u64) {
+        let WorkerOrder::Hold { last_seen, .. } = call.order else { return };
+        let Some(worker) = self.workers[number].as_mut() else { return };
+        if !worker.has_news(last_seen) && self.now < until {
+            self.schedule(STEP_MS, Event::Waiting { worker: number, from, call, until });
+            return;
+        }
+        let look =
+            WorkerCall { order: WorkerOrder::Hold { deadline_ms: None, last_seen, wait_ms: 0 }, ..call };
+        let reply = worker.take(self.now, &look, None);
+        self.note_deeds(number);
+        if !self.workers_cut.contains_key(&number) {
+            self.schedule(1, Event::Reply { to: from, call: look.id, reply });
+        }
+    }
+
+    /// What a start means: how long the task works and how it ends.
+    pub(crate) fn work(&self, call: &WorkerCall) -> Option<Work> {
+        let WorkerOrder::Start { task, run, .. } = &call.order else { return None };
+        let step = self.specs.get(&task.job)?.steps.get(task.step as usize)?;
+        let how = if self.fails(*task, *run) { EndKind::Failed } else { EndKind::Done };
+        Some(Work { resources: step.resources, duration_ms: step.estimated_ms, how })
+    }
+
+    /// Whether a run fails: as good as by chance, and the same each time that it is asked.
+    pub(crate) fn fails(&self, task: TaskId, run: RunId) -> bool {
+        let mixed =
+            task.job.0 ^ (u64::from(task.index) << 20) ^ (u64::from(task.step) << 40) ^ u64::from(run);
+        mixed.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32 & 0xffff
+            < self.settings.failing_percent * 0xffff / 100
+    }
+
+    pub(crate) fn pass_time_of_workers(&mut self) {
+        for number in 0..self.workers.len() {
+            if let Some(worker) = self.workers[number].as_mut() {
+                worker.pass_time(self.now);
+            }
+            self.note_deeds(number);
+        }
+    }
+
+    pub(crate) fn note_deeds(&mut self, number: usize) {
+        let Some(worker) = self.workers[number].as_mut() else { return };
+        let deeds: Vec<Deed> = std::mem::take(&mut worker.deeds);
+        let instance = worker.entry.instance.clone();
+        for deed in deeds {
+            self.oracle.deed(self.now, &instance, &deed, MAX_ATTEMPTS);
+        }
+    }
+}
