Hand the replica's outputs on as they are, and refresh the feed only for what it shows

Cause, found on reading the change again: the coordinator's outputs repeated the replica's four variants, and a match copied them one by one; the proxy looked a service's scheduler up in two ways; the feed, with a hash of all roles, was made anew for every committed batch, though only roles, configurations and views are in it; the scheduler carried a time to stop (stop_ms) that nothing reads (settings still check it). Ruled out: a change of what is sent or answered.

--- a/system/coordinator/src/coordinator.rs
+++ b/system/coordinator/src/coordinator.rs
@@ -5,7 +5,7 @@
     settings::CoordinatorSettings,
     under_way::{Pending, Proposal, Reader, Waiter},
 };
-use magpiegap_control::{DurableState, Replica};
+use magpiegap_control::{DurableState, Output as ControlOutput, Replica};
 use magpiegap_jobs::Configuration;
 use magpiegap_protocol::{decode, Feed, Millis, PlatformList, Role, WallMillis};
 use magpiegap_scheduler::Scheduler;
@@ -96,6 +96,10 @@
         self.replica.leave(now);
     }
 
+    pub(crate) fn log(&mut self, line: String) {
+        self.out.push(Output::Control(ControlOutput::Log(line)));
+    }
+
     pub(crate) fn begin_step(&mut self, now: Millis, own_wall: WallMillis) {
         self.now = now;
         self.wall = self.replica.median_wall(own_wall, now);
--- a/system/coordinator/src/outputs.rs
+++ b/system/coordinator/src/outputs.rs
@@ -1,6 +1,6 @@
 //! What a coordinator wants done.
-use magpiegap_control::{DurableRecord, Snapshot};
-use magpiegap_protocol::{CoordinatorAnswer, PeerMessage, WorkerEntry};
+use magpiegap_control::Output as ControlOutput;
+use magpiegap_protocol::{CoordinatorAnswer, WorkerEntry};
 use magpiegap_scheduler::WorkerCall;
 
 /// Names a request that waits for its answer.
@@ -9,27 +9,8 @@
 /// Something that a coordinator wants done. Disk work is done in order, and each ticket is answered.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
-    /// Send a message to the coordinator at an address.
-    Send {
-        /// The address.
-        to: u32,
-        /// The message.
-        message: PeerMessage,
-    },
-    /// Add records to the log on disk.
-    Persist {
-        /// Names the work.
-        ticket: u64,
-        /// The records.
-        records: Vec<DurableRecord>,
-    },
-    /// Replace all that is on disk.
-    Checkpoint {
-        /// Names the work.
-        ticket: u64,
-        /// What to keep.
-        snapshot: Box<Snapshot>,
-    },
+    /// What its replica wants done: messages to other coordinators, disk work, lines for the log.
+    Control(ControlOutput),
     /// Answer a request.
     Answer {
         /// The request.
@@ -53,8 +34,6 @@
         /// The page; `None`: the first.
         page: Option<String>,
     },
-    /// A line for the operator's log.
-    Log(String),
 }
 
 /// The platform's answer.
--- a/system/coordinator/src/platform.rs
+++ b/system/coordinator/src/platform.rs
@@ -4,6 +4,7 @@
     outputs::{Output, PlatformReply},
     under_way::Reader,
 };
+use magpiegap_control::Output as ControlOutput;
 use magpiegap_protocol::{Millis, PeerMessage, PlatformList};
 
 /// A call that was not answered for this long is given up.
@@ -90,7 +91,8 @@
         for replica in self.replica.view().chain.clone() {
             if replica != own {
                 let message = PeerMessage::Platform(list.clone());
-                self.out.push(Output::Send { to: replica.member.address, message });
+                let to = replica.member.address;
+                self.out.push(Output::Control(ControlOutput::Send { to, message }));
             }
         }
         self.take_list(list);
--- a/system/coordinator/src/roles.rs
+++ b/system/coordinator/src/roles.rs
@@ -87,7 +87,7 @@
             if let Some(list) = &self.platform {
                 scheduler.list(self.now, &self.machine.state, &list.workers);
             }
-            self.out.push(Output::Log(format!("scheduler of {service} with token {token}")));
+            self.log(format!("scheduler of {service} with token {token}"));
             self.schedulers.insert(service, scheduler);
         }
         self.follow_reader(reader);
@@ -143,7 +143,7 @@
                 SchedulerOutput::Call(call) => {
                     self.out.push(Output::CallWorker { service: service.to_owned(), token, call });
                 }
-                SchedulerOutput::Log(line) => self.out.push(Output::Log(line)),
+                SchedulerOutput::Log(line) => self.log(line),
             }
         }
     }
--- a/system/coordinator/src/steps.rs
+++ b/system/coordinator/src/steps.rs
@@ -4,7 +4,6 @@
     outputs::Output,
     under_way::{Proposal, Purpose},
 };
-use magpiegap_control::Output as ReplicaOutput;
 use magpiegap_jobs::{Applied, Change};
 use magpiegap_protocol::{Command, Entry, Millis, PeerMessage, Replica as ReplicaId, Role, WallMillis};
 
@@ -58,14 +57,7 @@
         self.replica.flush(self.now, &mut self.machine);
         self.follow_log();
         self.answer_polls();
-        for output in self.replica.take_outputs() {
-            self.out.push(match output {
-                ReplicaOutput::Send { to, message } => Output::Send { to, message },
-                ReplicaOutput::Persist { ticket, records } => Output::Persist { ticket, records },
-                ReplicaOutput::Checkpoint { ticket, snapshot } => Output::Checkpoint { ticket, snapshot },
-                ReplicaOutput::Log(line) => Output::Log(line),
-            });
-        }
+        self.out.extend(self.replica.take_outputs().into_iter().map(Output::Control));
     }
 
     /// Takes note of a change of the view and of the entries applied since.
@@ -78,7 +70,8 @@
             self.follow_configuration();
             self.resume_schedulers();
         }
-        let news = restored || !applied.is_empty();
+        let is_fed = |change: &Change| matches!(change, Change::Role(_) | Change::Configuration);
+        let news = restored || applied.iter().any(|(_, applied)| applied.changes.iter().any(is_fed));
         for (entry, applied) in applied {
             self.follow_entry(&entry, &applied);
         }
--- a/system/fleet/src/delivery.rs
+++ b/system/fleet/src/delivery.rs
@@ -4,6 +4,7 @@
     events::{Caller, Event},
     fleet::{Fleet, STEP_MS},
 };
+use magpiegap_control::Output as ControlOutput;
 use magpiegap_coordinator::{Coordinator, Output, PlatformReply};
 use magpiegap_protocol::PeerMessage;
 use rand::Rng;
@@ -124,25 +125,32 @@
     pub(crate) fn perform_one(&mut self, number: usize, output: Output) {
         let life = self.nodes[number].life;
         match output {
-            Output::Send { to, message } => self.send(number, to, message),
-            Output::Persist { ticket, records } => {
+            Output::Control(output) => self.perform_control(number, output),
+            Output::Answer { request, answer } => self.answered(number, life, request, &answer),
+            Output::CallWorker { service, token, call } => {
+                self.call_worker(Caller { node: number, life, service, token }, call);
+            }
+            Output::ListWorkers { call, .. } => {
+                self.schedule(800, Event::Platform { node: number, life, call })
+            }
+        }
+    }
+
+    fn perform_control(&mut self, number: usize, output: ControlOutput) {
+        let life = self.nodes[number].life;
+        match output {
+            ControlOutput::Send { to, message } => self.send(number, to, message),
+            ControlOutput::Persist { ticket, records } => {
                 self.nodes[number].disk.write(ticket, DiskWork::Records(records));
                 let sync_ms = self.slow_disks.get(&number).copied().unwrap_or(SYNC_MS);
                 self.schedule(sync_ms, Event::Synced { node: number, life, ticket });
             }
-            Output::Checkpoint { ticket, snapshot } => {
+            ControlOutput::Checkpoint { ticket, snapshot } => {
                 self.nodes[number].disk.write(ticket, DiskWork::Checkpoint(snapshot));
                 let sync_ms = self.slow_disks.get(&number).copied().unwrap_or(SYNC_MS);
                 self.schedule(3 * sync_ms, Event::Synced { node: number, life, ticket });
             }
-            Output::Answer { request, answer } => self.answered(number, life, request, &answer),
-            Output::CallWorker { service, token, call } => {
-                self.call_worker(Caller { node: number, life, service, token }, call);
-            }
-            Output::ListWorkers { call, .. } => {
-                self.schedule(800, Event::Platform { node: number, life, call })
-            }
-            Output::Log(_) => {}
+            ControlOutput::Log(_) => {}
         }
     }
 
--- a/system/magpiegap/src/coordinator/driver.rs
+++ b/system/magpiegap/src/coordinator/driver.rs
@@ -1,7 +1,7 @@
 //! Drives the coordinator's state machine: events in, effects out.
 use super::{disk::DiskWork, events::Event, peers::Peers, platform_client, worker_client};
 use crate::clock::Clock;
-use magpiegap_control::DurableState;
+use magpiegap_control::{DurableState, Output as ControlOutput};
 use magpiegap_coordinator::{Coordinator, CoordinatorSettings, Output, RequestId};
 use magpiegap_protocol::{CoordinatorAnswer, PeerMessage, Replica};
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
@@ -118,12 +118,7 @@
 
     fn perform(&mut self, output: Output, events: &UnboundedSender<Event>) {
         match output {
-            Output::Send { to, message } if to == self.own.member.address => self.to_self.push(message),
-            Output::Send { to, message } => self.peers.send(to, message),
-            Output::Persist { ticket, records } => self.hand_to_disk(DiskWork::Records { ticket, records }),
-            Output::Checkpoint { ticket, snapshot } => {
-                self.hand_to_disk(DiskWork::Checkpoint { ticket, snapshot });
-            }
+            Output::Control(output) => self.perform_control(output),
             Output::Answer { request, answer } => {
                 if let Some(waiting) = self.answers.remove(&request) {
                     let _ = waiting.send(answer);
@@ -145,7 +140,22 @@
                     let _ = events.send(Event::Platform { call, reply });
                 });
             }
-            Output::Log(line) => log::info!("{line}"),
+        }
+    }
+
+    fn perform_control(&mut self, output: ControlOutput) {
+        match output {
+            ControlOutput::Send { to, message } if to == self.own.member.address => {
+                self.to_self.push(message)
+            }
+            ControlOutput::Send { to, message } => self.peers.send(to, message),
+            ControlOutput::Persist { ticket, records } => {
+                self.hand_to_disk(DiskWork::Records { ticket, records });
+            }
+            ControlOutput::Checkpoint { ticket, snapshot } => {
+                self.hand_to_disk(DiskWork::Checkpoint { ticket, snapshot });
+            }
+            ControlOutput::Log(line) => log::info!("{line}"),
         }
     }
 
--- a/system/magpiegap/src/coordinator/mod.rs
+++ b/system/magpiegap/src/coordinator/mod.rs
@@ -152,7 +152,6 @@
         },
         scheduler: SchedulerSettings {
             max_hold_ms: bounds.max_hold_ms as u64,
-            stop_ms: bounds.stop_ms as u64,
             gang_ms: bounds.gang_ms as u64,
             far_factor: bounds.far_x.max(1.0),
             status_ms: (bounds.status_s * 1000.0) as u64,
--- a/system/magpiegap/src/proxy/feed.rs
+++ b/system/magpiegap/src/proxy/feed.rs
@@ -1,7 +1,7 @@
 //! What the proxy knows: the feed of the agent beside it.
 use crate::endpoint;
 use magpiegap_jobs::Configuration;
-use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, Feed, FeedPoll, Role};
+use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, Feed, FeedPoll, Role, RoleHolder};
 use std::{
     net::SocketAddr,
     sync::{
@@ -27,24 +27,20 @@
 }
 
 impl Known {
+    fn holder(&self, service: &str) -> Option<&RoleHolder> {
+        let is_scheduler =
+            |held: &&RoleHolder| matches!(&held.role, Role::Scheduler(name) if name == service);
+        self.feed.roles.iter().find(is_scheduler)
+    }
+
     /// The address of the coordinator that schedules a service.
     pub fn scheduler(&self, service: &str) -> Option<u32> {
-        let held = self
-            .feed
-            .roles
-            .iter()
-            .find(|held| matches!(&held.role, Role::Scheduler(name) if name == service));
-        held.map(|held| held.holder.member.address)
+        self.holder(service).map(|held| held.holder.member.address)
     }
 
     /// Names the scheduler of a service at this time: another one each time that the role passes on.
     pub fn scheduler_tag(&self, service: &str) -> u64 {
-        let held = self
-            .feed
-            .roles
-            .iter()
-            .find(|held| matches!(&held.role, Role::Scheduler(name) if name == service));
-        held.map_or(0, |held| (u64::from(held.holder.member.address) << 24) ^ held.token)
+        self.holder(service).map_or(0, |held| (u64::from(held.holder.member.address) << 24) ^ held.token)
     }
 
     /// The coordinators, the one that reads are answered by first.
--- a/system/scheduler/src/settings.rs
+++ b/system/scheduler/src/settings.rs
@@ -6,8 +6,6 @@
 pub struct SchedulerSettings {
     /// Longest time that a worker may hold its runs without being asked again.
     pub max_hold_ms: Millis,
-    /// Longest time that a worker takes to stop a run.
-    pub stop_ms: Millis,
     /// Longest time that members of a gang wait for each other.
     pub gang_ms: Millis,
     /// How many times as long a task takes away from its data or its gang.
@@ -22,7 +20,6 @@
     fn default() -> Self {
         SchedulerSettings {
             max_hold_ms: 6000,
-            stop_ms: 400,
             gang_ms: 3000,
             far_factor: 2.0,
             status_ms: 120_000,
