Let the node's two tests of bad input change texts with one piece of code

Cause: the generator, the values and the changes stood twice, alike but for the separator and one time. Ruled out: sharing with settings/tests, whose values are others.

--- a/node/tests/bad_input_read.rs
+++ b/node/tests/bad_input_read.rs
@@ -1,6 +1,8 @@
 //! Configuration and lists that can't be used are refused with one line; nothing panics.
+mod mutations;
 use herondock::config::Config;
 use herondock::{Listing, Names};
+use mutations::{is_one_line, mutated, Numbers};
 use oakflow::Balancer;
 
 const GOOD: &str = r#"{"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"8c1f30d27a5be964",
@@ -16,81 +18,8 @@
     {"id":"s-1","addr":"127.0.0.1:10","zone":"a","kind":"m2","cell":3,"state":"active","weight":1.0,"started_ms":5},
     {"id":"s-2","addr":"127.0.0.1:11","zone":"a","kind":"m2","cell":3,"state":"left","weight":0,"started_ms":0}]}"#;
 
-/// Messages may quote what was read; they stay this short all the same.
-const LINE_MOST: usize = 400;
-
-/// A small generator (SplitMix64): the same numbers for the same seed, always.
-struct Numbers(u64);
-
-impl Numbers {
-    fn next(&mut self) -> u64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut z = self.0;
-        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        z ^ (z >> 31)
-    }
-
-    fn below(&mut self, n: usize) -> usize {
-        (self.next() % n.max(1) as u64) as usize
-    }
-}
-
-/// What may stand where a value was.
-const VALUES: [&str; 22] = [
-    "null",
-    "true",
-    "-1",
-    "0",
-    "0.5",
-    "7",
-    "1e6",
-    "1e-320",
-    "1e300",
-    "1e999",
-    "NaN",
-    "Infinity",
-    "4294967295",
-    "18446744073709551615",
-    "18446744073709551616",
-    "\"\"",
-    "\"\\u0000\\n\"",
-    "\"127.0.0.1:0\"",
-    "\"9000000000y\"",
-    "[]",
-    "{}",
-    "[[[[[[[[",
-];
-
-/// One change or two: a value replaced, a byte changed, a span taken out, doubled or cut off.
-fn mutated(text: &str, numbers: &mut Numbers) -> Vec<u8> {
-    let mut bytes = text.as_bytes().to_vec();
-    for _ in 0..=numbers.below(2) {
-        let at = numbers.below(bytes.len());
-        let to = (at + 1 + numbers.below(30)).min(bytes.len());
-        match numbers.below(10) {
-            0 => bytes.truncate(at),
-            1 => bytes.iter_mut().skip(at).take(1).for_each(|b| *b = (numbers.next() & 0xff) as u8),
-            2 => drop(bytes.drain(at..to)),
-            3 => {
-                let again = bytes[at..to].to_vec();
-                bytes.splice(at..at, again);
-            }
-            _ => {
-                let from = bytes[at..].iter().position(|b| *b == b':').map_or(at, |p| at + p + 1);
-                let ends = |b: &u8| matches!(b, b',' | b'}' | b']' | b'\n');
-                let end = bytes[from..].iter().position(ends).map_or(bytes.len(), |p| from + p);
-                bytes.splice(from..end, VALUES[numbers.below(VALUES.len())].bytes());
-            }
-        }
-    }
-    bytes
-}
-
-fn is_one_line(error: &str) {
-    let plain = !error.is_empty() && !error.contains(char::is_control);
-    assert!(plain && error.chars().count() <= LINE_MOST, "{error:?}");
-}
+/// Longer than any time that a configuration takes.
+const TOO_LONG: &str = "\"9000000000y\"";
 
 fn names() -> Names {
     Names::of(&Config::parse(GOOD.as_bytes()).expect("good").deployment)
@@ -186,7 +115,7 @@
     let mut numbers = Numbers(1);
     let (mut taken, mut refused, mut without_list) = (0, 0, 0);
     for _ in 0..20_000 {
-        match Config::parse(&mutated(GOOD, &mut numbers)) {
+        match Config::parse(&mutated(GOOD, b':', TOO_LONG, &mut numbers)) {
             Ok(config) => {
                 taken += 1;
                 if let Some(error) = &config.known_error {
@@ -210,7 +139,7 @@
     let (mut numbers, names) = (Numbers(2), names());
     let (mut taken, mut refused) = (0, 0);
     for _ in 0..20_000 {
-        match Listing::parse(&mutated(LIST, &mut numbers), &names) {
+        match Listing::parse(&mutated(LIST, b':', TOO_LONG, &mut numbers), &names) {
             Ok(listing) => {
                 taken += 1;
                 assert!(listing.members().all(|m| (0.0..1e15).contains(&m.since)));
