--- a/system/control/src/chain.rs
+++ b/system/control/src/chain.rs
@@ -9,6 +9,8 @@
     Command, Entry, Fence, Millis, PeerMessage, Position, ProposalId, Replica as ReplicaId, View, WallMillis,
 };
 
+/// An active replica whose predecessor has told it nothing for this long asks it.
+const PREDECESSOR_SILENT_MS: Millis = 600;
 /// Longest time between two requests for what is missing.
 const ASK_MOST_MS: Millis = 2000;
 /// A replica tells its successor where it stands at least this often.
@@ -107,6 +109,7 @@
         if !self.is_active() {
             return;
         }
+        self.chain.predecessor_heard_at = now;
         let last = self.chain.log.last().index;
         if after > last {
             self.ask_predecessor(now);
@@ -121,6 +124,20 @@
         self.chain.predecessor_durable = self.chain.predecessor_durable.max(known);
     }
 
+    /// Asks the predecessor while this replica joins, and when it has heard nothing from it for a while: it may not
+    /// know that this replica takes part.
+    pub(crate) fn ask_if_needed(&mut self, now: Millis) {
+        let silent = now >= self.chain.predecessor_heard_at + PREDECESSOR_SILENT_MS;
+        let needed = match self.chain.activity {
+            Activity::Inactive => false,
+            Activity::Joining => true,
+            Activity::Active => silent && self.is_active(),
+        };
+        if needed {
+            self.ask_predecessor(now);
+        }
+    }
+
     /// Asks the predecessor for what is missing, not too often.
     pub(crate) fn ask_predecessor(&mut self, now: Millis) {
         let waited = self.chain.asked_at == 0 || now >= self.chain.asked_at + self.chain.ask_again_ms;
@@ -170,7 +187,7 @@
                 entries.into_iter().for_each(|entry| self.chain.log.push(entry));
                 self.hand_entries_to_disk(now);
                 let view = self.agreement.state.current.number;
-                self.activate(view);
+                self.activate(view, now);
                 self.persist(vec![DurableRecord::Synchronized(view)], Vec::new(), now);
             }
             Activity::Joining => {}
@@ -186,10 +203,12 @@
         now: Millis,
         machine: &mut dyn StateMachine,
     ) {
+        let newest = entries.last().map_or(applied, |entry| entry.position).index;
         let fits = match self.chain.activity {
             Activity::Inactive => false,
             Activity::Joining => true,
-            Activity::Active => applied.index >= self.chain.applied,
+            // It has come again, and brings nothing new.
+            Activity::Active => newest > self.chain.log.last().index,
         };
         if !fits || !machine.restore(state) {
             return;
@@ -197,15 +216,18 @@
         self.chain.applied = applied.index;
         self.chain.committed = self.chain.committed.max(applied.index);
         self.chain.log = Log::new(applied, entries);
-        let view = self.agreement.state.current.number;
-        self.activate(view);
+        if self.chain.activity == Activity::Joining {
+            let view = self.agreement.state.current.number;
+            self.activate(view, now);
+        }
         self.chain.own_durable = 0;
         self.chain.handed_to_disk = self.chain.log.last().index;
         self.checkpoint(now, machine);
     }
 
     /// From now on the replica takes part. What it answers for still waits for its disk.
-    fn activate(&mut self, view: u64) {
+    fn activate(&mut self, view: u64, now: Millis) {
+        self.chain.predecessor_heard_at = now;
         self.chain.ask_again_ms = ASK_FIRST_MS;
         self.synchronized = Some(view);
         self.chain.activity = Activity::Active;
--- a/system/control/src/chain_state.rs
+++ b/system/control/src/chain_state.rs
@@ -34,6 +34,8 @@
     pub sent: Option<u64>,
     /// What the successor was last told to be on disk, and when.
     pub told: (u64, Millis),
+    /// When the predecessor last told where it stands.
+    pub predecessor_heard_at: Millis,
     /// The successor has asked for what it is missing before this replica could give it.
     pub asked_by: Option<(ReplicaId, Position)>,
     /// When the predecessor was last asked for what is missing.
@@ -57,6 +59,7 @@
             handed_to_disk: last,
             sent: None,
             told: (0, 0),
+            predecessor_heard_at: 0,
             asked_by: None,
             asked_at: 0,
             ask_again_ms: ASK_FIRST_MS,
--- a/system/control/src/steps.rs
+++ b/system/control/src/steps.rs
@@ -1,8 +1,5 @@
 //! The ways into a replica: messages, the passing of time, and the disk's word.
-use crate::{
-    chain_state::Activity,
-    replica::{After, Replica, StateMachine},
-};
+use crate::replica::{After, Replica, StateMachine};
 use magpiegap_protocol::{Heartbeat, Millis, PeerMessage, Replica as ReplicaId, WallMillis};
 
 /// Records after which a checkpoint is due, in bytes.
@@ -17,9 +14,7 @@
             self.membership.forget(now);
         }
         self.check_view(now);
-        if self.chain.activity == Activity::Joining {
-            self.ask_predecessor(now);
-        }
+        self.ask_if_needed(now);
         if self.bytes_since_checkpoint > CHECKPOINT_BYTES && self.tickets.is_empty() {
             self.checkpoint(now, machine);
         }
--- a/system/control/tests/joining.rs
+++ b/system/control/tests/joining.rs
@@ -1,7 +1,9 @@
 //! A replica that joins asks its predecessor for what is missing, and does not keep it from its work.
 use googletest::prelude::*;
 use magpiegap_control::{ControlSettings, Output, Replica, Snapshot, StateMachine};
-use magpiegap_protocol::{Entry, Member, PeerMessage, Position, Replica as ReplicaId, View};
+use magpiegap_protocol::{
+    Command, Entry, Member, PeerMessage, Position, ProposalId, Replica as ReplicaId, View,
+};
 
 /// A state that nothing is done with.
 struct NoState;
@@ -23,14 +25,86 @@
     ReplicaId { member: Member { address, disk }, boot: u64::from(address) }
 }
 
+fn settings(own: ReplicaId) -> ControlSettings {
+    ControlSettings { own, seeds: vec![1], tolerance: 1, heartbeat_ms: 60, suspect_ms: 320, seed: 1 }
+}
+
+fn entry(index: u64) -> Entry {
+    Entry {
+        position: Position { view: 1, index },
+        proposal: ProposalId { origin: replica(1, 0), sequence: index },
+        fence: None,
+        command: Command::Noop,
+        wall_ms: 0,
+    }
+}
+
+/// The middle one of a chain of three, with the state of the head, and its successor served.
+fn middle_replica() -> Replica {
+    let (head, own, tail) = (replica(1, 0), replica(2, 7), replica(3, 8));
+    let mut middle = Replica::new(settings(own), &Snapshot::empty(7, None, Vec::new(), Vec::new()), 0);
+    let view = View::initial(vec![head.member]).next(vec![head.member], vec![head, own, tail]);
+    middle.receive(0, 0, head, PeerMessage::Decided(view), &mut NoState);
+    middle.receive(10, 0, head, whole_state(), &mut NoState);
+    let asks = PeerMessage::Synchronize { view: 1, last: Position::default() };
+    middle.receive(20, 0, tail, asks, &mut NoState);
+    middle.flush(20, &mut NoState);
+    middle.take_outputs();
+    middle
+}
+
+fn whole_state() -> PeerMessage {
+    PeerMessage::WholeState {
+        view: 1,
+        applied: Position::default(),
+        state: Vec::new(),
+        entries: vec![entry(1)],
+    }
+}
+
+fn appends(outputs: &[Output]) -> Vec<u64> {
+    let appended = |output: &Output| match output {
+        Output::Send { to: 3, message: PeerMessage::Append { entries, .. } } => {
+            entries.iter().map(|entry| entry.position.index).collect()
+        }
+        _ => Vec::new(),
+    };
+    outputs.iter().flat_map(appended).collect()
+}
+
+#[googletest::test]
+fn given_a_state_that_comes_twice_when_entries_follow_then_they_are_still_passed_on() {
+    // Given
+    let mut middle = middle_replica();
+    // When
+    middle.receive(30, 0, replica(1, 0), whole_state(), &mut NoState);
+    let append = PeerMessage::Append { view: 1, after: 1, entries: vec![entry(2)], durable: 2 };
+    middle.receive(40, 0, replica(1, 0), append, &mut NoState);
+    middle.flush(40, &mut NoState);
+    // Then
+    expect_that!(appends(&middle.take_outputs()), elements_are![eq(&2)]);
+}
+
+#[googletest::test]
+fn given_an_active_replica_when_its_predecessor_tells_it_nothing_then_it_asks() {
+    let mut middle = middle_replica();
+    let asks =
+        |output: &Output| matches!(output, Output::Send { to: 1, message: PeerMessage::Synchronize { .. } });
+    let mut asked = 0;
+    for now in (40..2000).step_by(20) {
+        middle.tick(now, now, &mut NoState);
+        asked += middle.take_outputs().iter().filter(|output| asks(output)).count();
+        expect_that!(asked == 0 || now >= 600, eq(true));
+    }
+    expect_that!(asked, ge(1));
+}
+
 #[googletest::test]
 fn given_a_predecessor_that_takes_long_when_a_replica_joins_then_it_asks_less_and_less_often() {
     // Given: a replica with an empty disk, in a chain behind one that does not answer
     let (head, own) = (replica(1, 0), replica(2, 7));
-    let settings =
-        ControlSettings { own, seeds: vec![1], tolerance: 1, heartbeat_ms: 60, suspect_ms: 320, seed: 1 };
     let empty = Snapshot::empty(7, None, Vec::new(), Vec::new());
-    let mut joining = Replica::new(settings, &empty, 0);
+    let mut joining = Replica::new(settings(own), &empty, 0);
     let view = View::initial(vec![head.member]).next(vec![head.member], vec![head, own]);
     joining.receive(0, 0, head, PeerMessage::Decided(view), &mut NoState);
     // When
