Keep no state in the scheduler that can be derived or that nobody reads

Found on reading the change again: a count beside the list that it counts, and the time of a hold that is never looked at.

--- a/system/scheduler/src/holds.rs
+++ b/system/scheduler/src/holds.rs
@@ -58,7 +58,7 @@
         let order = WorkerOrder::Hold { deadline_ms, last_seen: worker.last_seen, wait_ms };
         let id = self.call(instance, CallPurpose::Hold, order, wait_ms + HOLD_TIMEOUT_MS);
         if let Some(worker) = self.workers.get_mut(instance) {
-            worker.hold.open = Some((id, now));
+            worker.hold.open = Some(id);
         }
     }
 
--- a/system/scheduler/src/planning.rs
+++ b/system/scheduler/src/planning.rs
@@ -21,11 +21,11 @@
 const URGENT_PRIORITY: u32 = 0;
 /// At most one in this many workers is kept free at a time for those that others were stopped for.
 const WORKERS_PER_PREEMPTION: usize = 12;
+
 /// Kinds of work that found no place in a round; the same or more finds none either.
 #[derive(Default)]
 struct Misses {
     shapes: Vec<StepSpec>,
-    count: usize,
 }
 
 impl Misses {
@@ -41,7 +41,6 @@
     }
 
     fn add(&mut self, step: &StepSpec) {
-        self.count += 1;
         self.shapes.push(step.clone());
     }
 }
@@ -72,7 +71,7 @@
         let owners: HashSet<TaskId> = waiting.iter().map(|(key, ..)| key.task).collect();
         self.reservations.review(&owners, &self.workers, now);
         for (key, unit, since) in waiting {
-            if misses.count >= MOST_MISSES {
+            if misses.shapes.len() >= MOST_MISSES {
                 break;
             }
             let Some(job) = state.jobs.get(&key.task.job) else { continue };
--- a/system/scheduler/src/replies.rs
+++ b/system/scheduler/src/replies.rs
@@ -50,7 +50,7 @@
         now: Millis,
     ) {
         let Some(worker) = self.workers.get_mut(instance) else { return };
-        if worker.hold.open.is_some_and(|(id, _)| id == call) {
+        if worker.hold.open == Some(call) {
             worker.hold.open = None;
         }
         let held = matches!(purpose, CallPurpose::Hold | CallPurpose::Probe);
--- a/system/scheduler/src/worker.rs
+++ b/system/scheduler/src/worker.rs
@@ -93,8 +93,8 @@
 /// The state of the hold on a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Hold {
-    /// The call under way and when it was sent.
-    pub open: Option<(u64, Millis)>,
+    /// The call under way.
+    pub open: Option<u64>,
     /// When the next one is due.
     pub due: Millis,
 }
