Tell a client's end of its connection by both ports in the tests of closing

It waits until no socket with the client's local port has an empty receive queue. The system gives one local port to connections with different peers and lists closed ones (TIME_WAIT) for a minute, so a closed connection of an earlier test with the same port kept it waiting. Ruled out: the balancer (the answer had come), the patience of 20 s (TIME_WAIT lasts 60 s). Change: the client's end is the socket with both its own port and the balancer's.

--- a/node/tests/closing.rs
+++ b/node/tests/closing.rs
@@ -32,8 +32,7 @@
     let mut client = RawClient::connect_narrow(node.addr, PATIENCE);
     client.send((last("last") + &requests_for(SENT_ON)).as_bytes());
     // A part of the answer has come, or the connection is gone; the rest is with the balancer's system, which throws it away at a reset.
-    let port = client.port();
-    let has_come = |sockets: &[SystemSocket]| !sockets.iter().any(|s| s.local == port && s.unread == 0);
+    let has_come = |sockets: &[SystemSocket]| !sockets.iter().any(|s| client.is_own_end(s) && s.unread == 0);
     wait_for_system(PATIENCE, has_come, "no answer comes");
     let (bytes, in_order) = client.rest();
     assert!(in_order, "reset after {} bytes", bytes.len());
--- a/node/tests/common/raw_client.rs
+++ b/node/tests/common/raw_client.rs
@@ -44,6 +44,13 @@
         self.0.local_addr().expect("an address").port()
     }
 
+    /// Whether this is the client's end of its connection. Its port alone doesn't tell: the system gives the same one to
+    /// connections with other peers, and still lists those for a minute after they were closed.
+    pub fn is_own_end(&self, socket: &SystemSocket) -> bool {
+        let remote = self.0.peer_addr().expect("a connected client").port();
+        socket.local == self.port() && socket.remote == remote
+    }
+
     /// Shuts the side it writes to, and stays.
     pub fn half_close(&self) {
         self.0.shutdown(Shutdown::Write).expect("shuts");
