Ask soon after each gap, and count no entries as kept that a whole state has replaced

Messages overtake each other there; each gap is filled by asking the predecessor, and the time between two requests doubles up to 2 s. It was set back only when a replica joins, so that after a few gaps the chain commits once in 2 s. Ruled out by a log of all messages: agreement, roles, disks. Now it is set back whenever entries fit on. 2. Read while looking for it: entries that are still on their way to the disk when a whole state replaces the log counted as kept afterwards, also where others had taken their place; for some milliseconds more could have been acknowledged than was on disk. What is on its way is forgotten with the log.

--- a/system/control/src/chain.rs
+++ b/system/control/src/chain.rs
@@ -115,6 +115,7 @@
             self.ask_predecessor(now);
             return;
         }
+        self.chain.ask_again_ms = ASK_FIRST_MS;
         for entry in entries {
             if entry.position.index == self.chain.log.last().index + 1 {
                 self.chain.log.push(entry);
@@ -220,6 +221,7 @@
             let view = self.agreement.state.current.number;
             self.activate(view, now);
         }
+        self.forget_entries_under_way();
         self.chain.own_durable = 0;
         self.chain.handed_to_disk = self.chain.log.last().index;
         self.checkpoint(now, machine);
--- a/system/control/src/replica.rs
+++ b/system/control/src/replica.rs
@@ -213,6 +213,13 @@
         self.out.push(Output::Persist { ticket, records });
     }
 
+    /// Entries that are still on their way to the disk are not those of the log any more.
+    pub(crate) fn forget_entries_under_way(&mut self) {
+        for ticket in &mut self.tickets {
+            ticket.after.retain(|after| !matches!(after, After::EntriesDurable(_)));
+        }
+    }
+
     /// Replaces all that is on disk by what the replica has now.
     pub(crate) fn checkpoint(&mut self, now: Millis, machine: &mut dyn StateMachine) {
         self.bytes_since_checkpoint = 0;
--- a/system/control/tests/joining.rs
+++ b/system/control/tests/joining.rs
@@ -1,6 +1,6 @@
 //! A replica that joins asks its predecessor for what is missing, and does not keep it from its work.
 use googletest::prelude::*;
-use magpiegap_control::{ControlSettings, Output, Replica, Snapshot, StateMachine};
+use magpiegap_control::{ControlSettings, DurableRecord, Output, Replica, Snapshot, StateMachine};
 use magpiegap_protocol::{
     Command, Entry, Member, PeerMessage, Position, ProposalId, Replica as ReplicaId, View,
 };
@@ -99,6 +99,73 @@
     expect_that!(asked, ge(1));
 }
 
+#[googletest::test]
+fn given_a_replica_that_caught_up_slowly_when_it_misses_entries_again_then_it_asks_soon() {
+    // Given: it had to ask several times for what it missed
+    let mut middle = middle_replica();
+    let gap = |after: u64| PeerMessage::Append { view: 1, after, entries: Vec::new(), durable: after };
+    for now in (1000..4000).step_by(20) {
+        middle.receive(now, 0, replica(1, 0), gap(5), &mut NoState);
+    }
+    let missing = PeerMessage::MissingEntries { view: 1, after: 1, entries: (2..=5).map(entry).collect() };
+    middle.receive(4000, 0, replica(1, 0), missing, &mut NoState);
+    middle.take_outputs();
+    // When
+    middle.receive(4100, 0, replica(1, 0), gap(7), &mut NoState);
+    // Then
+    let asks =
+        |output: &Output| matches!(output, Output::Send { to: 1, message: PeerMessage::Synchronize { .. } });
+    expect_that!(middle.take_outputs().iter().any(asks), eq(true));
+}
+
+/// Up to where the successor was last told that entries are on disk.
+fn told_durable(outputs: &[Output]) -> u64 {
+    let told = |output: &Output| match output {
+        Output::Send { to: 3, message: PeerMessage::Append { durable, .. } } => Some(*durable),
+        _ => None,
+    };
+    outputs.iter().filter_map(told).next_back().unwrap_or(0)
+}
+
+#[googletest::test]
+fn given_entries_on_their_way_to_the_disk_when_a_whole_state_replaces_them_then_they_do_not_count_as_kept() {
+    // Given: entries of view 1 are handed to the disk, which is slow
+    let mut middle = middle_replica();
+    let append = PeerMessage::Append { view: 1, after: 1, entries: vec![entry(2), entry(3)], durable: 3 };
+    middle.receive(30, 0, replica(1, 0), append, &mut NoState);
+    middle.flush(30, &mut NoState);
+    let outputs = middle.take_outputs();
+    let ticket = outputs.iter().find_map(|output| match output {
+        Output::Persist { ticket, records } if matches!(records[..], [DurableRecord::Entries(_)]) => {
+            Some(*ticket)
+        }
+        _ => None,
+    });
+    // When: the head of the next view never had them, and others come in their place
+    let (head, own, tail) = (replica(1, 0), replica(2, 7), replica(3, 8));
+    let view = View::initial(vec![head.member])
+        .next(vec![head.member], vec![head, own, tail])
+        .next(vec![head.member], vec![head, own, tail]);
+    middle.receive(40, 0, head, PeerMessage::Decided(view), &mut NoState);
+    let whole = PeerMessage::WholeState {
+        view: 2,
+        applied: Position::default(),
+        state: Vec::new(),
+        entries: vec![entry(1)],
+    };
+    middle.receive(50, 0, head, whole, &mut NoState);
+    let asks = PeerMessage::Synchronize { view: 2, last: Position { view: 1, index: 1 } };
+    middle.receive(60, 0, tail, asks, &mut NoState);
+    let other = Entry { position: Position { view: 2, index: 2 }, ..entry(2) };
+    let append = PeerMessage::Append { view: 2, after: 1, entries: vec![other], durable: 2 };
+    middle.receive(70, 0, head, append, &mut NoState);
+    middle.take_outputs();
+    middle.persisted(ticket.unwrap_or_default(), 80, &mut NoState);
+    middle.tick(300, 300, &mut NoState);
+    // Then
+    expect_that!(told_durable(&middle.take_outputs()), eq(0));
+}
+
 #[googletest::test]
 fn given_a_predecessor_that_takes_long_when_a_replica_joins_then_it_asks_less_and_less_often() {
     // Given: a replica with an empty disk, in a chain behind one that does not answer
