Be back sooner after all coordinators or proxies have started anew

A newcomer settles for 150 ms, hears that it is heard at the next heartbeat (60 ms), and a connection to a process that has ended is tried again after up to 500 ms. Proxies start 0.3 s before the coordinators, answer 503 with Retry-After 1, and their clients are late whatever comes. Ruled out: disks (0.3 s of the outage is the start of processes, which is not ours), the platform's list, greeting workers. Change: when all voters are back and nobody serves, a view is proposed at once; a first heartbeat is answered at the next tick; a peer that is heard as a new process gets a new connection at once; claims go out with the first entry of a view; a proxy without a configuration waits for one for 0.9 s before it says 503.

--- a/system/control/src/membership.rs
+++ b/system/control/src/membership.rs
@@ -61,8 +61,10 @@
         after.chain(before).copied().take(MONITORS).collect()
     }
 
-    /// Takes a heartbeat.
-    pub fn hear(&mut self, from: Replica, heartbeat: &Heartbeat, now: Millis) {
+    /// Takes a heartbeat. Returns whether it is the first one from this life of the replica.
+    pub fn hear(&mut self, from: Replica, heartbeat: &Heartbeat, now: Millis) -> bool {
+        let known =
+            self.peers.get(&from.member).is_some_and(|peer| peer.replica == from && peer.direct.is_some());
         self.know(from.member.address);
         self.touch(from, now, heartbeat.view, heartbeat.serving, heartbeat.unfit, now);
         let own = self.own;
@@ -83,6 +85,7 @@
                 self.touch(report.replica, at, report.view, report.serving, report.unfit, now);
             }
         }
+        !known
     }
 
     fn touch(&mut self, replica: Replica, at: Millis, view: u64, serving: bool, unfit: bool, now: Millis) {
@@ -128,8 +131,14 @@
         self.peers.values().map(report).collect()
     }
 
-    /// The replicas that are there, without this one.
-    pub fn alive(&self, now: Millis) -> Vec<Peer> {
+    /// The replicas that are there and have been for a moment, without this one.
+    pub fn settled(&self, now: Millis) -> Vec<Peer> {
+        let settled = |peer: &Peer| now.saturating_sub(peer.first_heard) >= SETTLE_MS;
+        self.heard(now).into_iter().filter(settled).collect()
+    }
+
+    /// The replicas that are heard and hear this one, without this one.
+    pub fn heard(&self, now: Millis) -> Vec<Peer> {
         let both_ways = |peer: &Peer| match peer.direct {
             Some(at) if now.saturating_sub(at) <= self.suspect_ms => {
                 peer.hears_us.is_some_and(|at| now.saturating_sub(at) <= self.suspect_ms)
@@ -137,14 +146,13 @@
             // Heard of from others only: those it tells nothing itself, since it has other monitors.
             _ => self.addresses.len() > MONITORS,
         };
-        let alive = |peer: &&Peer| {
+        let heard = |peer: &&Peer| {
             now.saturating_sub(peer.last_heard) <= self.suspect_ms
                 && peer.gone_at.is_none_or(|gone| peer.last_heard > gone)
-                && now.saturating_sub(peer.first_heard) >= SETTLE_MS
                 && both_ways(peer)
         };
         let mut newest: BTreeMap<u32, Peer> = BTreeMap::new();
-        for peer in self.peers.values().filter(alive) {
+        for peer in self.peers.values().filter(heard) {
             let known = newest.entry(peer.replica.member.address).or_insert(*peer);
             if peer.last_heard > known.last_heard {
                 *known = *peer;
--- a/system/control/src/steps.rs
+++ b/system/control/src/steps.rs
@@ -100,7 +100,10 @@
     }
 
     fn heartbeat(&mut self, from: ReplicaId, heartbeat: &Heartbeat, now: Millis) {
-        self.membership.hear(from, heartbeat, now);
+        if self.membership.hear(from, heartbeat, now) {
+            // It waits to be told that it is heard.
+            self.next_heartbeat = now;
+        }
         let current = self.view();
         if heartbeat.view < current.number {
             let decided = PeerMessage::Decided(current.clone());
--- a/system/control/src/view_change.rs
+++ b/system/control/src/view_change.rs
@@ -28,7 +28,7 @@
     /// be too few without them: a slow disk is better than none.
     fn alive(&self, now: Millis) -> Vec<ReplicaId> {
         let mut there: Vec<(ReplicaId, bool)> =
-            self.membership.alive(now).iter().map(|peer| (peer.replica, peer.unfit)).collect();
+            self.peers_there(now).iter().map(|peer| (peer.replica, peer.unfit)).collect();
         there.push((self.settings.own, self.unfit(now)));
         there.sort_unstable();
         let fit: Vec<ReplicaId> =
@@ -39,6 +39,21 @@
         there.into_iter().map(|(replica, _)| replica).collect()
     }
 
+    /// The other replicas that are there. A newcomer has to settle, unless all voters are back and nobody serves: then
+    /// it disturbs nobody, and all of them wait for the view.
+    fn peers_there(&self, now: Millis) -> Vec<Peer> {
+        let heard = self.membership.heard(now);
+        let is_back = |voter: &Member| {
+            *voter == self.settings.own.member || heard.iter().any(|peer| peer.replica.member == *voter)
+        };
+        let all_back = self.agreement.state.current.voters.iter().all(is_back);
+        let served = self.serving() || heard.iter().any(|peer| peer.serving);
+        if all_back && !served {
+            return heard;
+        }
+        self.membership.settled(now)
+    }
+
     /// Proposes the next view when one is needed and it is this replica's turn.
     pub(crate) fn check_view(&mut self, now: Millis) {
         if self.agreement.round.as_ref().is_some_and(|round| now < round.started_at + ROUND_TIMEOUT_MS) {
@@ -247,7 +262,7 @@
 
     fn announce(&mut self, view: &View, now: Millis) {
         let mut addresses: BTreeSet<u32> =
-            self.membership.alive(now).iter().map(|p| p.replica.member.address).collect();
+            self.peers_there(now).iter().map(|p| p.replica.member.address).collect();
         addresses.extend(view.voters.iter().map(|voter| voter.address));
         addresses.extend(view.chain.iter().map(|replica| replica.member.address));
         addresses.remove(&self.settings.own.member.address);
--- a/system/coordinator/src/roles.rs
+++ b/system/coordinator/src/roles.rs
@@ -25,7 +25,8 @@
 
     /// Claims the roles that are vacant, where it is this coordinator's turn.
     pub(crate) fn claim_roles(&mut self) {
-        if !self.settled_in_view || !self.replica.is_active() || self.leaving {
+        // A claim by what is known before the view is settled may be void, and does no harm.
+        if self.entered_view.is_none() || !self.replica.is_active() || self.leaving {
             return;
         }
         let chain = self.replica.view().chain.clone();
--- a/system/magpiegap/src/coordinator/driver.rs
+++ b/system/magpiegap/src/coordinator/driver.rs
@@ -86,7 +86,10 @@
     fn take(&mut self, event: Event) {
         let (now, wall) = (self.clock.now(), self.clock.wall());
         match event {
-            Event::Peer { from, messages } => self.coordinator.receive(now, wall, from, messages),
+            Event::Peer { from, messages } => {
+                self.peers.heard(from);
+                self.coordinator.receive(now, wall, from, messages);
+            }
             Event::PeerGone(address) => self.coordinator.peer_gone(now, address),
             Event::Persisted(ticket) => self.coordinator.persisted(now, wall, ticket),
             Event::Request { what, answer } => {
--- a/system/magpiegap/src/coordinator/peers.rs
+++ b/system/magpiegap/src/coordinator/peers.rs
@@ -5,12 +5,16 @@
     collections::HashMap,
     io,
     net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::Arc,
     time::Duration,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    sync::mpsc::{self, Sender, UnboundedSender},
+    sync::{
+        mpsc::{self, Sender, UnboundedSender},
+        Notify,
+    },
     time::timeout,
 };
 
@@ -27,24 +31,45 @@
 /// Pause after a connection that did not come up.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// The way to one other coordinator.
+struct PeerLink {
+    messages: Sender<PeerMessage>,
+    /// Wakes the writer when the process at the other end is a new one.
+    restarted: Arc<Notify>,
+    /// The life of the process that was last heard there.
+    heard: Option<Replica>,
+}
+
 /// The way to other coordinators.
 pub struct Peers {
     own: Replica,
     port: u16,
-    senders: HashMap<u32, Sender<PeerMessage>>,
+    links: HashMap<u32, PeerLink>,
 }
 
 impl Peers {
     /// Sends a message to the coordinator at an address; it may be lost.
     pub fn send(&mut self, to: u32, message: PeerMessage) {
+        let _ = self.link(to).messages.try_send(message);
+    }
+
+    /// A coordinator was heard: if its process is a new one, the connection to the old one is of no use.
+    pub fn heard(&mut self, from: Replica) {
+        let link = self.link(from.member.address);
+        if link.heard.replace(from) != Some(from) {
+            link.restarted.notify_one();
+        }
+    }
+
+    fn link(&mut self, address: u32) -> &mut PeerLink {
         let (own, port) = (self.own, self.port);
-        let sender = self.senders.entry(to).or_insert_with(|| {
-            let (sender, receiver) = mpsc::channel(MAX_WAITING);
-            let address = SocketAddr::new(IpAddr::V4(Ipv4Addr::from(to)), port);
-            tokio::spawn(write_to(own, address, receiver));
-            sender
-        });
-        let _ = sender.try_send(message);
+        self.links.entry(address).or_insert_with(|| {
+            let (messages, inbox) = mpsc::channel(MAX_WAITING);
+            let restarted = Arc::new(Notify::new());
+            let address = SocketAddr::new(IpAddr::V4(Ipv4Addr::from(address)), port);
+            tokio::spawn(write_to(own, address, inbox, restarted.clone()));
+            PeerLink { messages, restarted, heard: None }
+        })
     }
 }
 
@@ -60,7 +85,7 @@
 ) -> io::Result<Peers> {
     let listener = TcpListener::bind(SocketAddr::new(IpAddr::V4(ip), port)).await?;
     tokio::spawn(accept(listener, port, events));
-    Ok(Peers { own, port, senders: HashMap::new() })
+    Ok(Peers { own, port, links: HashMap::new() })
 }
 
 async fn accept(listener: TcpListener, port: u16, events: UnboundedSender<Event>) {
@@ -116,21 +141,32 @@
     }
 }
 
-/// Writes what waits, on a connection that is made anew whenever it breaks.
-async fn write_to(own: Replica, address: SocketAddr, mut inbox: mpsc::Receiver<PeerMessage>) {
+/// Writes what waits, on a connection that is made anew whenever it breaks or the other end has started anew.
+async fn write_to(
+    own: Replica,
+    address: SocketAddr,
+    mut inbox: mpsc::Receiver<PeerMessage>,
+    restarted: Arc<Notify>,
+) {
     let mut connection: Option<TcpStream> = None;
-    while let Some(first) = inbox.recv().await {
+    loop {
+        let first = tokio::select! {
+            biased;
+            () = restarted.notified() => {
+                connection = None;
+                continue;
+            }
+            first = inbox.recv() => first,
+        };
+        let Some(first) = first else { return };
         let mut messages = vec![first];
         while let Ok(more) = inbox.try_recv() {
             messages.push(more);
         }
         if connection.is_none() {
-            connection = connect(address).await;
+            connection = connect_to(address, &restarted).await;
         }
-        let Some(stream) = connection.as_mut() else {
-            tokio::time::sleep(PAUSE).await;
-            continue;
-        };
+        let Some(stream) = connection.as_mut() else { continue };
         let frame = frame(own, messages);
         let written = timeout(WRITE_TIMEOUT, stream.write_all(&frame)).await;
         if !matches!(written, Ok(Ok(()))) {
@@ -139,6 +175,21 @@
     }
 }
 
+/// A connection, or none after a pause. A process that starts meanwhile is tried at once.
+async fn connect_to(address: SocketAddr, restarted: &Notify) -> Option<TcpStream> {
+    let attempt = async {
+        let connection = connect(address).await;
+        if connection.is_none() {
+            tokio::time::sleep(PAUSE).await;
+        }
+        connection
+    };
+    tokio::select! {
+        connection = attempt => connection,
+        () = restarted.notified() => connect(address).await,
+    }
+}
+
 fn frame(own: Replica, messages: Vec<PeerMessage>) -> Vec<u8> {
     let body = encode(&Envelope { from: own, messages });
     let mut frame = Vec::with_capacity(body.len() + 4);
--- a/system/magpiegap/src/lib.rs
+++ b/system/magpiegap/src/lib.rs
@@ -17,5 +17,5 @@
 pub use command_line::{command_line, parser, run, CommandLine};
 pub use error::ProgramError;
 pub use operator::{check_configuration, describe_state};
-pub use proxy::{admission, job_body};
+pub use proxy::{admission, feed, job_body};
 pub use settings::{NodeSettings, SettingsError};
--- a/system/magpiegap/src/proxy/feed.rs
+++ b/system/magpiegap/src/proxy/feed.rs
@@ -55,10 +55,16 @@
     ending: AtomicBool,
 }
 
+impl Default for Knowledge {
+    fn default() -> Knowledge {
+        Knowledge { known: watch::Sender::new(Arc::new(Known::default())), ending: AtomicBool::new(false) }
+    }
+}
+
 impl Knowledge {
     /// Nothing is known yet.
     pub fn new() -> Knowledge {
-        Knowledge { known: watch::Sender::new(Arc::new(Known::default())), ending: AtomicBool::new(false) }
+        Knowledge::default()
     }
 
     /// What is known now.
@@ -80,6 +86,15 @@
         let _ = receiver.wait_for(|known| wanted(known)).await;
     }
 
+    /// What is known as soon as there is a configuration, or after this long.
+    pub async fn configured(&self, most: Duration) -> Arc<Known> {
+        if self.known.borrow().configuration.is_none() {
+            let configured = self.until(|known| known.configuration.is_some());
+            let _ = tokio::time::timeout(most, configured).await;
+        }
+        self.now()
+    }
+
     /// The process has been told to end.
     pub fn begin_to_end(&self) {
         self.ending.store(true, Ordering::Relaxed);
@@ -96,7 +111,7 @@
     }
 
     /// Takes up a feed, unless it is older than what is known.
-    fn take(&self, feed: Feed) {
+    pub fn take(&self, feed: Feed) {
         let known = self.now();
         if !feed.supersedes(&known.feed) {
             return;
--- a/system/magpiegap/src/proxy/frontend.rs
+++ b/system/magpiegap/src/proxy/frontend.rs
@@ -24,6 +24,9 @@
 
 /// Time before a client's deadline at which the answer is sent at the latest.
 const ANSWER_BEFORE: Duration = Duration::from_millis(150);
+/// How long a request waits for the first configuration: a proxy that has just started has one within moments, while a
+/// client that is sent away comes back a second later.
+const CONFIGURATION_PATIENCE: Duration = Duration::from_millis(900);
 /// Seconds after which a refused client may come back.
 const RETRY_AFTER_S: u32 = 1;
 
@@ -70,7 +73,7 @@
 
     async fn answer(&self, request: &Request<'_>, data: Data<'_>) -> Reply {
         let arrived = Instant::now();
-        let known = self.knowledge.now();
+        let known = self.knowledge.configured(CONFIGURATION_PATIENCE).await;
         let Some(configuration) = &known.configuration else {
             return Reply::refused(Status::ServiceUnavailable);
         };
--- a/system/magpiegap/src/proxy/mod.rs
+++ b/system/magpiegap/src/proxy/mod.rs
@@ -1,7 +1,7 @@
 //! The proxy: clients' requests, from their sockets to the coordinators and back.
 pub mod admission;
 mod calls;
-mod feed;
+pub mod feed;
 mod frontend;
 pub mod job_body;
 mod readiness;
