Keep the links of an agent at different coordinators, and no member of the chain out of it

Each of an agent's two links moves on by itself, so that after a few troubles both wait at the same coordinator, 1.9 s long if it has lost power. Ruled out: agreement and election (coordinators' log), workers. The same log: 90 ms after a view with all three, the next one leaves one of them out, since it had been heard for less than 150 ms, and one more takes it in again. Members of the chain need not settle.

--- a/system/control/src/membership.rs
+++ b/system/control/src/membership.rs
@@ -119,6 +119,11 @@
         peer.unfit = unfit;
     }
 
+    /// Whether a replica has been heard for long enough that it may be taken into a view.
+    pub fn has_settled(peer: &Peer, now: Millis) -> bool {
+        now.saturating_sub(peer.first_heard) >= SETTLE_MS
+    }
+
     /// Reports for a heartbeat.
     pub fn reports(&self, now: Millis) -> Vec<PeerReport> {
         let report = |peer: &Peer| PeerReport {
@@ -131,12 +136,6 @@
         self.peers.values().map(report).collect()
     }
 
-    /// The replicas that are there and have been for a moment, without this one.
-    pub fn settled(&self, now: Millis) -> Vec<Peer> {
-        let settled = |peer: &Peer| now.saturating_sub(peer.first_heard) >= SETTLE_MS;
-        self.heard(now).into_iter().filter(settled).collect()
-    }
-
     /// The replicas that are heard and hear this one, without this one.
     pub fn heard(&self, now: Millis) -> Vec<Peer> {
         let both_ways = |peer: &Peer| match peer.direct {
--- a/system/control/src/view_change.rs
+++ b/system/control/src/view_change.rs
@@ -1,7 +1,7 @@
 //! When the next view is proposed, by whom, and with whom.
 use crate::{
     durable::DurableRecord,
-    membership::Peer,
+    membership::{Membership, Peer},
     replica::{After, Replica, StateMachine},
 };
 use magpiegap_protocol::{Member, Millis, PeerMessage, Position, Promise, Replica as ReplicaId, View};
@@ -43,15 +43,18 @@
     /// it disturbs nobody, and all of them wait for the view.
     fn peers_there(&self, now: Millis) -> Vec<Peer> {
         let heard = self.membership.heard(now);
+        let current = &self.agreement.state.current;
         let is_back = |voter: &Member| {
             *voter == self.settings.own.member || heard.iter().any(|peer| peer.replica.member == *voter)
         };
-        let all_back = self.agreement.state.current.voters.iter().all(is_back);
+        let all_back = current.voters.iter().all(is_back);
         let served = self.serving() || heard.iter().any(|peer| peer.serving);
         if all_back && !served {
             return heard;
         }
-        self.membership.settled(now)
+        let belongs =
+            |peer: &Peer| Membership::has_settled(peer, now) || current.chain.contains(&peer.replica);
+        heard.into_iter().filter(belongs).collect()
     }
 
     /// Proposes the next view when one is needed and it is this replica's turn.
--- a/system/magpiegap/src/agent/link.rs
+++ b/system/magpiegap/src/agent/link.rs
@@ -4,7 +4,7 @@
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::PathBuf,
-    sync::Arc,
+    sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
 };
 use tokio::sync::watch;
@@ -21,6 +21,33 @@
 /// The settings file is read again at most this often.
 const READ_EVERY: Duration = Duration::from_secs(1);
 
+/// The coordinators that the links of one agent are at.
+#[derive(Clone)]
+pub struct Places(Arc<Mutex<Vec<Option<u32>>>>);
+
+impl Places {
+    /// Places for so many links.
+    pub fn new(links: usize) -> Places {
+        Places(Arc::new(Mutex::new(vec![None; links])))
+    }
+
+    /// Takes a place for a link: the first candidate from its turn on where no other link is, so that the loss of one
+    /// coordinator never holds up all links.
+    pub fn take(&self, link: usize, candidates: &[u32], turn: usize) -> Option<u32> {
+        let mut places = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let taken = |address: u32| {
+            places.iter().enumerate().any(|(other, place)| other != link && *place == Some(address))
+        };
+        let first = turn.checked_rem(candidates.len())?;
+        let in_turn = || candidates[first..].iter().chain(&candidates[..first]).copied();
+        let chosen = in_turn().find(|address| !taken(*address)).or_else(|| in_turn().next());
+        if let Some(place) = places.get_mut(link) {
+            *place = chosen;
+        }
+        chosen
+    }
+}
+
 /// The link to the control plane.
 pub struct Link {
     client: reqwest::Client,
@@ -28,10 +55,13 @@
     read_at: Instant,
     seeds: Vec<u32>,
     port: u16,
+    /// Which of the agent's links this is.
+    number: usize,
+    places: Places,
     /// Where to begin among the candidates, so that agents spread over the coordinators.
     turn: usize,
-    /// The coordinator whose turn it is has served the last time that it was asked.
-    trusted: bool,
+    /// The coordinator that has just served.
+    trusted: Option<u32>,
     publish: Arc<watch::Sender<Arc<Feed>>>,
 }
 
@@ -41,7 +71,8 @@
         client: reqwest::Client,
         file: PathBuf,
         settings: &NodeSettings,
-        turn: usize,
+        number: usize,
+        places: Places,
         publish: Arc<watch::Sender<Arc<Feed>>>,
     ) -> Link {
         Link {
@@ -50,8 +81,10 @@
             read_at: Instant::now(),
             seeds: settings.seed_addresses(),
             port: settings.request_port(),
-            turn: u32::from(settings.ip) as usize + turn,
-            trusted: false,
+            number,
+            places,
+            turn: u32::from(settings.ip) as usize + number,
+            trusted: None,
             publish,
         }
     }
@@ -60,7 +93,7 @@
     pub async fn run(mut self) {
         loop {
             self.trusted = self.ask().await;
-            if !self.trusted {
+            if self.trusted.is_none() {
                 self.turn = self.turn.wrapping_add(1);
                 self.read_seeds();
                 tokio::time::sleep(PAUSE).await;
@@ -90,27 +123,25 @@
         }
     }
 
-    /// Asks one coordinator. Returns whether it could serve.
-    async fn ask(&mut self) -> bool {
+    /// Asks one coordinator. Returns its address if it could serve.
+    async fn ask(&mut self) -> Option<u32> {
         let candidates = self.candidates();
-        if candidates.is_empty() {
-            return false;
-        }
-        let address = Ipv4Addr::from(candidates[self.turn % candidates.len()]);
-        let address = SocketAddr::new(IpAddr::V4(address), self.port);
+        let coordinator = self.places.take(self.number, &candidates, self.turn)?;
+        let trusted = self.trusted == Some(coordinator);
+        let address = SocketAddr::new(IpAddr::V4(Ipv4Addr::from(coordinator)), self.port);
         let known = self.known();
-        let wait_ms = if self.trusted { WAIT_MS } else { 0 };
+        let wait_ms = if trusted { WAIT_MS } else { 0 };
         let poll = FeedPoll {
             revision: known.revision,
             configuration_version: known.configuration_version,
             wait_ms,
         };
         let patience = Duration::from_millis(wait_ms + PATIENCE_MS);
-        let timeout = if self.trusted { patience } else { FIRST_ANSWER };
+        let timeout = if trusted { patience } else { FIRST_ANSWER };
         let request = CoordinatorRequest::Poll(poll);
         match endpoint::call(&self.client, address, &request, timeout).await {
-            Ok(CoordinatorAnswer::Feed(feed)) => self.take(*feed),
-            Ok(_) | Err(_) => false,
+            Ok(CoordinatorAnswer::Feed(feed)) => self.take(*feed).then_some(coordinator),
+            Ok(_) | Err(_) => None,
         }
     }
 
--- a/system/magpiegap/src/agent/mod.rs
+++ b/system/magpiegap/src/agent/mod.rs
@@ -1,5 +1,5 @@
 //! The agent beside a proxy: keeps the link to the control plane, and feeds the proxy over loopback.
-mod link;
+pub mod link;
 mod server;
 
 use crate::{
@@ -9,7 +9,7 @@
     settings::NodeSettings,
     signals::Signals,
 };
-use link::Link;
+use link::{Link, Places};
 use magpiegap_protocol::Feed;
 use rocket::http::Method;
 use std::{path::PathBuf, sync::Arc, time::Duration};
@@ -35,8 +35,9 @@
     let grace = settings.bounds.grace_s;
     let client = endpoint::client();
     let publish = Arc::new(publish);
+    let places = Places::new(LINKS);
     let links: Vec<_> = (0..LINKS)
-        .map(|turn| Link::new(client.clone(), file.clone(), &settings, turn, publish.clone()))
+        .map(|link| Link::new(client.clone(), file.clone(), &settings, link, places.clone(), publish.clone()))
         .map(|link| tokio::spawn(link.run()))
         .collect();
     loop {
--- a/system/magpiegap/src/lib.rs
+++ b/system/magpiegap/src/lib.rs
@@ -14,6 +14,7 @@
 mod settings;
 mod signals;
 
+pub use agent::link;
 pub use command_line::{command_line, parser, run, CommandLine};
 pub use error::ProgramError;
 pub use operator::{check_configuration, describe_state};
