Ask workers again sooner, and look at runs that stand still more often

An unanswered start cost 220 ms, a hold whose answer is lost 800 ms and 100 more, of about a second that such a job has; a run that stands still was seen after 0.8 to 1.2 s. Workers answer within milliseconds, starts and holds may be repeated, and a doubt costs one look. Change: 120 ms for an order, 130 ms beyond its wait for a hold, the next look 30 ms later; a hold on a run that makes no progress waits 150 ms at most; a run stands still after 300 ms. Ruled out: shorter holds: a job of half a second whose worker is cut off is late with holds of 1.6 s as with 3.2 s. Tests: two stories of the scheduler.

--- a/system/scheduler/src/holds.rs
+++ b/system/scheduler/src/holds.rs
@@ -12,12 +12,14 @@
 const HOLD_MS: u64 = 3200;
 /// Longest time that a hold's answer may wait for an end.
 const HOLD_WAIT_MS: u64 = 500;
-/// Time beyond the wait that a worker has to answer a hold.
-const HOLD_TIMEOUT_MS: Millis = 300;
+/// Longest time that a hold's answer may wait where a run makes no progress.
+const SUSPICIOUS_WAIT_MS: u64 = 150;
+/// Time beyond the wait that a worker has to answer a hold: ends wait to be seen when an answer is lost.
+const HOLD_TIMEOUT_MS: Millis = 130;
 /// Time between two looks at a worker that does not answer.
 const PROBE_EVERY_MS: Millis = 400;
 /// A run whose progress stands still for less than this is never taken for stuck.
-const STUCK_LEAST_MS: Millis = 450;
+const STUCK_LEAST_MS: Millis = 300;
 /// What a long run may stand still beyond a twentieth of its estimate.
 const STUCK_LONG_MS: Millis = 1600;
 
@@ -53,7 +55,12 @@
         let grant = worker.greeted && worker.unanswered == 0;
         let deadline_ms = worker.clock_now(now).filter(|_| grant).map(|clock| clock + hold_ms);
         worker.granted_until = worker.granted_until.max(deadline_ms.unwrap_or(0));
-        let wait_ms = if grant { HOLD_WAIT_MS } else { 0 };
+        let suspicious = worker.runs.values().any(|run| makes_no_progress(run, now));
+        let wait_ms = match grant {
+            true if suspicious => SUSPICIOUS_WAIT_MS,
+            true => HOLD_WAIT_MS,
+            false => 0,
+        };
         worker.hold.due = now + PROBE_EVERY_MS;
         let order = WorkerOrder::Hold { deadline_ms, last_seen: worker.last_seen, wait_ms };
         let id = self.call(instance, CallPurpose::Hold, order, wait_ms + HOLD_TIMEOUT_MS);
@@ -146,6 +153,16 @@
     }
 }
 
+/// Whether a run should have moved on since it was started or last listed with other progress.
+fn makes_no_progress(run: &Run, now: Millis) -> bool {
+    let still = now.saturating_sub(run.progress.since);
+    run.phase == RunPhase::Started
+        && !run.lasting
+        && !run.gang
+        && still > SUSPICIOUS_WAIT_MS
+        && still > run.estimated_ms / 5
+}
+
 /// Whether a run has been listed with the same progress for too long.
 fn is_stuck(run: &Run, gang_ms: Millis) -> bool {
     let waits = if run.gang && run.progress.percent == 0 { gang_ms } else { 0 };
--- a/system/scheduler/src/replies.rs
+++ b/system/scheduler/src/replies.rs
@@ -12,7 +12,7 @@
 /// A worker lists at most this many ends at once; with as many the listing may not be whole.
 const MOST_ENDS_LISTED: usize = 500;
 /// Time until a worker that left a call unanswered is looked at again.
-const LOOK_AGAIN_MS: Millis = 100;
+const LOOK_AGAIN_MS: Millis = 30;
 const STRAY_STOP_TIMEOUT_MS: Millis = 400;
 
 impl Scheduler {
--- a/system/scheduler/src/runs.rs
+++ b/system/scheduler/src/runs.rs
@@ -8,8 +8,8 @@
 use magpiegap_jobs::{Change, Job, State};
 use magpiegap_protocol::{Command, EndKind, JobId, Millis, RunId, RunStart, TaskId, WorkerEntry};
 
-/// How long a worker has to answer a start or a stop.
-const ORDER_TIMEOUT_MS: Millis = 220;
+/// How long a worker has to answer a start or a stop; it does so within milliseconds, and to ask again does no harm.
+const ORDER_TIMEOUT_MS: Millis = 120;
 /// How long a start is valid, on the worker's clock.
 const START_VALID_MS: u64 = 1500;
 /// Time between two orders to stop the same run.
--- a/system/scheduler/tests/stories.rs
+++ b/system/scheduler/tests/stories.rs
@@ -384,3 +384,41 @@
     story.pass(50);
     expect_that!(story.active(task(4, 0)), container_eq(late));
 }
+
+/// A hold's wait, in milliseconds.
+fn waits(calls: &[WorkerCall]) -> Vec<u64> {
+    let wait = |call: &WorkerCall| match call.order {
+        WorkerOrder::Hold { wait_ms, .. } => Some(wait_ms),
+        _ => None,
+    };
+    calls.iter().filter_map(wait).collect()
+}
+
+#[googletest::test]
+fn given_a_run_that_makes_no_progress_when_it_is_listed_then_the_next_listing_comes_soon() {
+    let mut story = Story::new(&["w1"]);
+    story.submit(1, vec![step(1, 1000)]);
+    let start = story.starts().remove(0);
+    story.reply(&start, story.done());
+    let running = ListedRun { task: task(1, 0), run: 1, checkpoint: String::new(), percent: 0 };
+    let hold = story.take_calls().remove(0);
+    expect_that!(waits(std::slice::from_ref(&hold)), elements_are![ge(&500)]);
+    story.pass(200);
+    story.reply(&hold, story.listing(vec![running], vec![]));
+    story.pass(10);
+    expect_that!(waits(&story.take_calls()), elements_are![le(&150)]);
+}
+
+#[googletest::test]
+fn given_a_hold_whose_answer_is_lost_when_that_is_noticed_then_the_worker_is_looked_at_within_moments() {
+    let mut story = Story::new(&["w1"]);
+    story.submit(1, vec![step(1, 1000)]);
+    let start = story.starts().remove(0);
+    story.reply(&start, story.done());
+    let hold = story.take_calls().remove(0);
+    expect_that!(hold.timeout_ms, lt(700));
+    story.pass(hold.timeout_ms);
+    story.reply(&hold, WorkerReply::Unanswered);
+    story.pass(50);
+    expect_that!(waits(&story.take_calls()), elements_are![eq(&0)]);
+}
