Explain of a job what runs, what waits and why no worker takes it

Change: `magpiegap cluster explain JOB`, answered by the coordinator that schedules the job's service; any other sends on with 307. Each worker is counted under the first reason for which it does not take the first task that waits. The coordinator's interface for operators answers by one typed reply, with a place to go to where there is one. Not played: the 307 between two processes.

--- a/system/coordinator/src/describe.rs
+++ b/system/coordinator/src/describe.rs
@@ -1,6 +1,6 @@
 //! The state of the cluster, for operators.
 use crate::coordinator::Coordinator;
-use magpiegap_protocol::Role;
+use magpiegap_protocol::{CoordinatorAnswer, JobId, Role};
 use std::fmt::Write;
 
 impl Coordinator {
@@ -47,4 +47,26 @@
         );
         text
     }
+
+    /// What there is to say of a job, or who can say it.
+    pub(crate) fn explain(&self, job: JobId) -> CoordinatorAnswer {
+        let state = &self.machine.state;
+        let Some(known) = state.jobs.get(&job) else {
+            return match self.may_deny() {
+                true => CoordinatorAnswer::NoSuchJob,
+                false => CoordinatorAnswer::NotServing,
+            };
+        };
+        let service = &known.submission.service;
+        if let Some(scheduler) = self.schedulers.get(service).filter(|_| self.may_act()) {
+            let text = scheduler.explain(state, job).and_then(|said| serde_json::to_string(&said).ok());
+            return text.map_or(CoordinatorAnswer::NotServing, CoordinatorAnswer::Description);
+        }
+        match state.roles.get(&Role::Scheduler(service.clone())) {
+            Some(held) if held.holder != self.replica.own() => {
+                CoordinatorAnswer::Elsewhere(held.holder.member.address)
+            }
+            _ => CoordinatorAnswer::NotServing,
+        }
+    }
 }
--- a/system/coordinator/src/requests.rs
+++ b/system/coordinator/src/requests.rs
@@ -27,6 +27,10 @@
                 let text = self.describe();
                 self.answer(request, CoordinatorAnswer::Description(text));
             }
+            CoordinatorRequest::Explain { job } => {
+                let answer = self.explain(job);
+                self.answer(request, answer);
+            }
         }
     }
 
@@ -64,7 +68,7 @@
     }
 
     /// Whether this coordinator may say that a job isn't there: it has all that was committed up to a moment ago.
-    fn may_deny(&self) -> bool {
+    pub(crate) fn may_deny(&self) -> bool {
         self.replica.is_tail() && self.settled_in_view && self.replica.view_stands(self.now)
     }
 
--- a/system/magpiegap/src/command_line.rs
+++ b/system/magpiegap/src/command_line.rs
@@ -102,6 +102,16 @@
         #[bpaf(long, argument("ADDRESS"))]
         at: SocketAddr,
     },
+    /// Say of a job what runs, what waits and why no worker takes it, as JSON
+    #[bpaf(command)]
+    Explain {
+        /// Any coordinator's control plane, IP:PORT
+        #[bpaf(long, argument("ADDRESS"))]
+        at: SocketAddr,
+        /// The job's 16 hexadecimal digits
+        #[bpaf(positional("JOB"))]
+        job: String,
+    },
 }
 
 /// Where a job is.
@@ -190,12 +200,8 @@
             Ok(())
         }
         CommandLine::Config(verb) => config(verb),
-        CommandLine::Cluster(ClusterVerb::Status { at }) => print_call(Call {
-            method: "GET",
-            at: Some(*at),
-            path: "/-/Cluster.Describe".to_owned(),
-            ..Call::default()
-        }),
+        CommandLine::Cluster(ClusterVerb::Status { at }) => look(*at, "/-/Cluster.Describe".to_owned()),
+        CommandLine::Cluster(ClusterVerb::Explain { at, job }) => look(*at, format!("/-/Job.Explain/{job}")),
         CommandLine::Job(verb) => job(verb),
         CommandLine::State(StateVerb::Check { folder }) => {
             println!("{}", operator::describe_state(folder)?);
@@ -228,6 +234,11 @@
     Ok(())
 }
 
+/// Prints what a coordinator answers to a question.
+fn look(at: SocketAddr, path: String) -> Result<(), ProgramError> {
+    print_call(Call { method: "GET", at: Some(at), path, ..Call::default() })
+}
+
 fn config(verb: &ConfigVerb) -> Result<(), ProgramError> {
     match verb {
         ConfigVerb::Check { file } => {
@@ -247,12 +258,7 @@
                 body: operator::read_file(file)?,
             })
         }
-        ConfigVerb::Describe { at } => print_call(Call {
-            method: "GET",
-            at: Some(*at),
-            path: "/-/Config.Describe".to_owned(),
-            ..Call::default()
-        }),
+        ConfigVerb::Describe { at } => look(*at, "/-/Config.Describe".to_owned()),
     }
 }
 
--- a/system/magpiegap/src/coordinator/control_plane.rs
+++ b/system/magpiegap/src/coordinator/control_plane.rs
@@ -2,14 +2,18 @@
 use super::events::Handle;
 use crate::serving::read_body;
 use magpiegap_jobs::Configuration;
-use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest};
+use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, JobId};
 use rocket::{
     data::Data,
-    http::{ContentType, Method, Status},
+    http::{ContentType, Header, Method, Status},
+    response::{self, Responder, Response},
     route::{Handler, Outcome},
     Request,
 };
+use std::{io::Cursor, net::Ipv4Addr};
 
+/// The path of a job's explanation, before its name.
+const EXPLAIN: &str = "/-/Job.Explain/";
 /// Longest configuration, in bytes.
 const MAX_BODY: u64 = 16 << 20;
 
@@ -18,15 +22,32 @@
     status: Status,
     kind: ContentType,
     body: Vec<u8>,
+    /// Where the call is answered instead.
+    location: Option<String>,
 }
 
 impl Reply {
     fn text(status: Status, text: impl Into<String>) -> Reply {
-        Reply { status, kind: ContentType::Plain, body: text.into().into_bytes() }
+        Reply { status, kind: ContentType::Plain, body: text.into().into_bytes(), location: None }
     }
 
     fn json(body: Vec<u8>) -> Reply {
-        Reply { status: Status::Ok, kind: ContentType::JSON, body }
+        Reply { status: Status::Ok, kind: ContentType::JSON, body, location: None }
+    }
+
+    fn elsewhere(location: String) -> Reply {
+        Reply { location: Some(location), ..Reply::text(Status::TemporaryRedirect, "") }
+    }
+}
+
+impl<'r> Responder<'r, 'static> for Reply {
+    fn respond_to(self, _request: &'r Request<'_>) -> response::Result<'static> {
+        let mut response = Response::build();
+        response.status(self.status).header(self.kind);
+        if let Some(location) = self.location {
+            response.header(Header::new("Location", location));
+        }
+        response.sized_body(self.body.len(), Cursor::new(self.body)).ok()
     }
 }
 
@@ -34,12 +55,14 @@
 #[derive(Clone)]
 pub struct ControlPlaneHandler {
     handle: Handle,
+    /// The port of this interface, the same at all coordinators.
+    port: u16,
 }
 
 impl ControlPlaneHandler {
     /// A handler for this coordinator.
-    pub fn new(handle: Handle) -> ControlPlaneHandler {
-        ControlPlaneHandler { handle }
+    pub fn new(handle: Handle, port: u16) -> ControlPlaneHandler {
+        ControlPlaneHandler { handle, port }
     }
 
     async fn replace(&self, request: &Request<'_>, data: Data<'_>) -> Reply {
@@ -83,6 +106,22 @@
             _ => not_now(),
         }
     }
+
+    /// Explains a job: why its tasks wait, and where they run.
+    async fn explain(&self, name: &str) -> Reply {
+        let Some(job) = JobId::parse(name) else {
+            return Reply::text(Status::BadRequest, "a job's name has 16 hexadecimal digits");
+        };
+        match self.handle.ask(CoordinatorRequest::Explain { job }).await {
+            Some(CoordinatorAnswer::Description(text)) => Reply::json(text.into_bytes()),
+            Some(CoordinatorAnswer::NoSuchJob) => Reply::text(Status::Gone, "there is no such job"),
+            Some(CoordinatorAnswer::Elsewhere(address)) => {
+                let (ip, port) = (Ipv4Addr::from(address), self.port);
+                Reply::elsewhere(format!("http://{ip}:{port}{EXPLAIN}{name}"))
+            }
+            _ => not_now(),
+        }
+    }
 }
 
 fn not_now() -> Reply {
@@ -93,12 +132,15 @@
 impl Handler for ControlPlaneHandler {
     async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
         let path = request.uri().path().as_str();
+        if let (Method::Get, Some(job)) = (request.method(), path.strip_prefix(EXPLAIN)) {
+            return Outcome::from(request, self.explain(job).await);
+        }
         let reply = match (request.method(), path) {
             (Method::Post, "/-/Config.Replace") => self.replace(request, data).await,
             (Method::Get, "/-/Config.Describe") => self.describe().await,
             (Method::Get, "/-/Cluster.Describe") => self.cluster().await,
             _ => Reply::text(Status::NotFound, "no such call"),
         };
-        Outcome::from(request, (reply.status, (reply.kind, reply.body)))
+        Outcome::from(request, reply)
     }
 }
--- a/system/magpiegap/src/coordinator/mod.rs
+++ b/system/magpiegap/src/coordinator/mod.rs
@@ -103,7 +103,7 @@
 ) -> Result<Option<serving::Running>, ProgramError> {
     let Some(address) = settings.listen.control_plane else { return Ok(None) };
     let server = ServerSettings { address, keep_alive_s: 15, grace_s: 1 };
-    let handler = control_plane::ControlPlaneHandler::new(handle);
+    let handler = control_plane::ControlPlaneHandler::new(handle, address.port());
     let server = serving::server(server, &[Method::Get, Method::Post], handler);
     serving::start(server).await.map(Some)
 }
--- a/system/magpiegap/tests/command_line.rs
+++ b/system/magpiegap/tests/command_line.rs
@@ -17,6 +17,7 @@
     expect_that!(accepts(&["config", "apply", "--at", "127.0.0.1:1", "--base", "0", "c.json"]), eq(true));
     expect_that!(accepts(&["config", "describe", "--at", "127.0.0.1:1"]), eq(true));
     expect_that!(accepts(&["cluster", "status", "--at", "127.0.0.1:1"]), eq(true));
+    expect_that!(accepts(&["cluster", "explain", "--at", "127.0.0.1:1", "5c0e7a21d94b36f8"]), eq(true));
     expect_that!(accepts(&["state", "check", "/data"]), eq(true));
     let job = ["--at", "127.0.0.1:1", "--host", "h", "/q/5c0e7a21d94b36f8"];
     for verb in ["status", "cancel", "count"] {
--- a/system/protocol/src/requests.rs
+++ b/system/protocol/src/requests.rs
@@ -95,6 +95,13 @@
     /// The state of the cluster, for operators.
     #[n(7)]
     Describe,
+    /// What there is to say of a job, for operators.
+    #[n(8)]
+    Explain {
+        /// The job.
+        #[n(0)]
+        job: JobId,
+    },
 }
 
 /// The answer to a [`CoordinatorRequest`].
@@ -139,4 +146,7 @@
     /// A description for operators, as JSON.
     #[n(12)]
     Description(#[n(0)] String),
+    /// Another coordinator schedules the job's service; its address.
+    #[n(13)]
+    Elsewhere(#[n(0)] u32),
 }
--- /dev/null
+++ b/system/scheduler/src/explanation.rs
@@ -0,0 +1,198 @@
+//! Says of a job what runs, what waits, and why no worker takes what waits, for operators.
+use crate::{queue::urgency, scheduler::Scheduler, worker::Worker};
+use magpiegap_jobs::{startable, Job, Startable, State, StepState, TaskState};
+use magpiegap_protocol::{JobId, StepSpec, TaskId};
+use serde::Serialize;
+
+/// A job as its scheduler sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Explanation {
+    /// The job's name.
+    pub job: String,
+    /// Its state, in the word that clients are shown.
+    pub state: &'static str,
+    /// Its queue.
+    pub queue: String,
+    /// The service whose workers run it.
+    pub service: String,
+    /// What can still come of it: in time, late, too late; `None`: nothing waits.
+    pub outlook: Option<String>,
+    /// All steps at all times that have fallen due and are not done.
+    pub steps: Vec<StepExplanation>,
+}
+
+/// A step at one time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct StepExplanation {
+    /// The time, counted from zero.
+    pub time: u32,
+    /// The step's place in the job, counted from zero.
+    pub step: u32,
+    /// How many tasks it has.
+    pub tasks: usize,
+    /// How many of them are done.
+    pub done: u32,
+    /// Runs that may be going on.
+    pub running: Vec<RunExplanation>,
+    /// How many tasks wait for a place.
+    pub waiting: u32,
+    /// Earlier steps that must be done first.
+    pub waits_for_steps: Vec<u32>,
+    /// Why no worker takes the first task that waits.
+    pub workers: Option<WorkerCounts>,
+}
+
+/// A run that may be going on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct RunExplanation {
+    /// The task.
+    pub task: String,
+    /// The run's number.
+    pub run: u32,
+    /// The worker's life.
+    pub worker: String,
+    /// How far it has come, in hundredths; `None`: its worker has not said yet.
+    pub percent: Option<u64>,
+}
+
+/// The workers of the service, each under the first reason that holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct WorkerCounts {
+    /// All.
+    pub known: usize,
+    /// The platform does not list them any more.
+    pub not_listed: usize,
+    /// They are being emptied.
+    pub draining: usize,
+    /// They have left calls unanswered, or were not asked yet.
+    pub not_answering: usize,
+    /// They are left alone for a while: their runs have failed or stood still.
+    pub left_alone: usize,
+    /// They lack a label that the step requires.
+    pub without_label: usize,
+    /// They would be too small if they were empty.
+    pub too_small: usize,
+    /// Other runs take up their room.
+    pub without_room: usize,
+    /// Their room is kept for more urgent tasks.
+    pub kept_for_others: usize,
+    /// They are not in the rack that holds the data.
+    pub away_from_data: usize,
+    /// Nothing speaks against them: the task is placed in the next round.
+    pub free: usize,
+}
+
+impl Scheduler {
+    /// What there is to say of a job of this service.
+    pub fn explain(&self, state: &State, id: JobId) -> Option<Explanation> {
+        let job = state.jobs.get(&id).filter(|job| job.submission.service == self.service)?;
+        let waiting = startable(job);
+        let outlook = waiting.first().map(|unit| urgency(job, unit.first, self.wall).outlook);
+        let steps = job.times.iter().flat_map(|(time, steps)| {
+            steps.steps.iter().enumerate().map(|(step, state)| (*time, step as u32, state))
+        });
+        let open = steps.filter(|(_, _, step)| !step.is_done());
+        Some(Explanation {
+            job: id.to_string(),
+            state: job.phase.word(),
+            queue: job.submission.queue.clone(),
+            service: self.service.clone(),
+            outlook: outlook.map(|outlook| outlook.to_string()),
+            steps: open
+                .map(|(time, step, state)| self.explain_step(job, time, step, state, &waiting))
+                .collect(),
+        })
+    }
+
+    fn explain_step(
+        &self,
+        job: &Job,
+        time: u32,
+        step: u32,
+        state: &StepState,
+        waiting: &[Startable],
+    ) -> StepExplanation {
+        let spec = job.submission.spec.steps.get(step as usize);
+        let of_step = |unit: &&Startable| (unit.first.time, unit.first.step) == (time, step);
+        let units: Vec<&Startable> = waiting.iter().filter(of_step).collect();
+        let is_open = |earlier: &u32| {
+            let earlier = job.times.get(&time).and_then(|time| time.steps.get(*earlier as usize));
+            earlier.is_some_and(|earlier| !earlier.is_done())
+        };
+        let depends_on = spec.map_or(&[][..], |spec| &spec.depends_on[..]);
+        let first = units.first().zip(spec);
+        StepExplanation {
+            time,
+            step,
+            tasks: state.tasks.len(),
+            done: state.done,
+            running: self
+                .explain_runs(TaskId { job: job.submission.job, time, step, index: 0 }, &state.tasks),
+            waiting: units.iter().map(|unit| unit.count).sum(),
+            waits_for_steps: depends_on.iter().copied().filter(is_open).collect(),
+            workers: first.map(|(unit, spec)| self.count_workers(job, unit, spec)),
+        }
+    }
+
+    fn explain_runs(&self, first: TaskId, tasks: &[TaskState]) -> Vec<RunExplanation> {
+        let mut runs = Vec::new();
+        for (index, task) in tasks.iter().enumerate() {
+            let id = TaskId { index: index as u32, ..first };
+            for active in &task.active {
+                let known = self.workers.get(&active.instance).and_then(|worker| worker.runs.get(&id));
+                runs.push(RunExplanation {
+                    task: id.to_string(),
+                    run: active.run,
+                    worker: active.instance.clone(),
+                    percent: known.map(|run| run.progress.percent),
+                });
+            }
+        }
+        runs
+    }
+
+    fn count_workers(&self, job: &Job, unit: &Startable, step: &StepSpec) -> WorkerCounts {
+        let mut counts = WorkerCounts { known: self.workers.len(), ..WorkerCounts::default() };
+        for worker in self.workers.values() {
+            *self.reason(&mut counts, worker, job, unit, step) += 1;
+        }
+        counts
+    }
+
+    /// The count of the first reason for which a worker does not take a task.
+    fn reason<'a>(
+        &self,
+        counts: &'a mut WorkerCounts,
+        worker: &Worker,
+        job: &Job,
+        unit: &Startable,
+        step: &StepSpec,
+    ) -> &'a mut usize {
+        let urgency = urgency(job, unit.first, self.wall);
+        let candidate = self.candidate(job, unit, step, &urgency);
+        let nothing = magpiegap_protocol::Resources::default();
+        if !worker.listed {
+            &mut counts.not_listed
+        } else if worker.draining {
+            &mut counts.draining
+        } else if !worker.answers() {
+            &mut counts.not_answering
+        } else if !worker.health.takes_work(self.now) {
+            &mut counts.left_alone
+        } else if !worker.has_labels(&step.requirements) {
+            &mut counts.without_label
+        } else if !step.resources.fits(&worker.entry.capacity) {
+            &mut counts.too_small
+        } else if !step.resources.plus(&worker.used).fits(&worker.entry.capacity) {
+            &mut counts.without_room
+        } else if !self.reservations.allow(&worker.entry.instance, &unit.first)
+            || !self.backfill.allows(worker, &candidate, &nothing, self.now)
+        {
+            &mut counts.kept_for_others
+        } else if step.affinity.as_ref().is_some_and(|rack| !worker.has_label(rack)) {
+            &mut counts.away_from_data
+        } else {
+            &mut counts.free
+        }
+    }
+}
--- a/system/scheduler/src/lib.rs
+++ b/system/scheduler/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod backfill;
 mod calls;
+mod explanation;
 mod health;
 mod holds;
 mod outlook;
@@ -23,5 +24,6 @@
 mod worker;
 
 pub use calls::{ListedEnd, ListedRun, Listing, Output, RefusalReason, WorkerCall, WorkerOrder, WorkerReply};
+pub use explanation::{Explanation, RunExplanation, StepExplanation, WorkerCounts};
 pub use scheduler::{Scheduler, Summary};
 pub use settings::SchedulerSettings;
--- a/system/scheduler/src/outlook.rs
+++ b/system/scheduler/src/outlook.rs
@@ -1,6 +1,7 @@
 //! What can still come of a job, by how much of it is left to do.
 use magpiegap_jobs::Job;
 use magpiegap_protocol::{TaskId, WallMillis};
+use std::fmt;
 
 /// A job done within this many times its objective still earns a part of its worth.
 const LATE_FACTOR: u64 = 3;
@@ -16,6 +17,16 @@
     TooLate,
 }
 
+impl fmt::Display for Outlook {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Outlook::InTime => "in time",
+            Outlook::Late => "late",
+            Outlook::TooLate => "too late",
+        })
+    }
+}
+
 /// Until when a task may begin, if all that comes after it takes as long as the client guesses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct LatestStarts {
--- a/system/scheduler/src/planning.rs
+++ b/system/scheduler/src/planning.rs
@@ -133,7 +133,7 @@
         Some(runs)
     }
 
-    fn candidate<'a>(
+    pub(crate) fn candidate<'a>(
         &self,
         job: &Job,
         unit: &Startable,
--- a/system/scheduler/src/worker.rs
+++ b/system/scheduler/src/worker.rs
@@ -165,10 +165,14 @@
         self.unanswered >= 2
     }
 
+    /// Whether it has answered under this scheduler's token, and all calls since.
+    pub fn answers(&self) -> bool {
+        self.greeted && self.unanswered == 0 && self.doubted_at.is_none()
+    }
+
     /// Whether new runs may be placed here.
     pub fn takes_work(&self, now: Millis) -> bool {
-        let answers = self.greeted && self.unanswered == 0 && self.doubted_at.is_none();
-        answers && self.listed && !self.draining && self.health.takes_work(now)
+        self.answers() && self.listed && !self.draining && self.health.takes_work(now)
     }
 
     pub fn add_run(&mut self, task: TaskId, run: Run) {
