Wait for workers' answers as long as they usually take

A coordinator with 252 to 382 workers takes answers in late when it has just taken over, holds them for lost, asks anew on new connections, and has more to do than before; it does not get out of that. The small deployments don't show it. Also: the story of the lost hold now has quick answers first, since the wait is longer while none are known; it asserts the same.

--- a/system/scheduler/src/holds.rs
+++ b/system/scheduler/src/holds.rs
@@ -14,8 +14,6 @@
 const HOLD_WAIT_MS: u64 = 500;
 /// Longest time that a hold's answer may wait where a run makes no progress.
 const SUSPICIOUS_WAIT_MS: u64 = 150;
-/// Time beyond the wait that a worker has to answer a hold: ends wait to be seen when an answer is lost.
-const HOLD_TIMEOUT_MS: Millis = 130;
 /// Time between two looks at a worker that does not answer.
 const PROBE_EVERY_MS: Millis = 400;
 /// A run whose progress stands still for less than this is never taken for stuck.
@@ -63,7 +61,8 @@
         };
         worker.hold.due = now + PROBE_EVERY_MS;
         let order = WorkerOrder::Hold { deadline_ms, last_seen: worker.last_seen, wait_ms };
-        let id = self.call(instance, CallPurpose::Hold, order, wait_ms + HOLD_TIMEOUT_MS);
+        let id =
+            self.call(instance, CallPurpose::Hold { wait_ms }, order, wait_ms + self.answer_times.wait_ms());
         if let Some(worker) = self.workers.get_mut(instance) {
             worker.hold.open = Some(id);
         }
@@ -73,7 +72,7 @@
     pub(crate) fn probe(&mut self, instance: &str) {
         let Some(worker) = self.workers.get(instance) else { return };
         let order = WorkerOrder::Hold { deadline_ms: None, last_seen: worker.last_seen, wait_ms: 0 };
-        self.call(instance, CallPurpose::Probe, order, HOLD_TIMEOUT_MS);
+        self.call(instance, CallPurpose::Probe, order, self.answer_times.wait_ms());
     }
 
     /// Looks through all workers for what is due.
--- a/system/scheduler/src/lib.rs
+++ b/system/scheduler/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod answer_times;
 mod backfill;
 mod calls;
 mod explanation;
@@ -23,6 +24,7 @@
 mod settings;
 mod worker;
 
+pub use answer_times::AnswerTimes;
 pub use calls::{ListedEnd, ListedRun, Listing, Output, RefusalReason, WorkerCall, WorkerOrder, WorkerReply};
 pub use explanation::{Explanation, RunExplanation, StepExplanation, WorkerCounts};
 pub use scheduler::{Scheduler, Summary};
--- a/system/scheduler/src/replies.rs
+++ b/system/scheduler/src/replies.rs
@@ -21,6 +21,7 @@
         let Some(open) = self.calls.remove(&call) else { return };
         let OpenCall { instance, purpose, sent_at } = open;
         self.now = now;
+        self.note_answer_time(&purpose, &reply, now.saturating_sub(sent_at));
         if !self.workers.contains_key(&instance) {
             return;
         }
@@ -30,7 +31,9 @@
         }
         self.note_contact(&instance, call, &purpose, sent_at, &reply, now);
         match purpose {
-            CallPurpose::Hold | CallPurpose::Probe => self.hold_answered(&instance, sent_at, reply, now),
+            CallPurpose::Hold { .. } | CallPurpose::Probe => {
+                self.hold_answered(&instance, sent_at, reply, now)
+            }
             CallPurpose::Start { task, run, deadline_ms } => {
                 self.start_answered(&instance, task, run, deadline_ms, reply, now);
             }
@@ -39,6 +42,17 @@
         }
     }
 
+    /// Learns how long answers take, from calls that workers answer at once.
+    fn note_answer_time(&mut self, purpose: &CallPurpose, reply: &WorkerReply, after: Millis) {
+        if matches!(purpose, CallPurpose::Hold { wait_ms } if *wait_ms > 0) {
+            return;
+        }
+        match reply {
+            WorkerReply::Unanswered => self.answer_times.unanswered(),
+            _ => self.answer_times.answered(after),
+        }
+    }
+
     /// What any answer, or none, says of the worker.
     fn note_contact(
         &mut self,
@@ -53,7 +67,7 @@
         if worker.hold.open == Some(call) {
             worker.hold.open = None;
         }
-        let held = matches!(purpose, CallPurpose::Hold | CallPurpose::Probe);
+        let held = matches!(purpose, CallPurpose::Hold { .. } | CallPurpose::Probe);
         let ordered = matches!(purpose, CallPurpose::Start { .. } | CallPurpose::Stop { .. });
         match reply {
             WorkerReply::Unanswered => {
--- a/system/scheduler/src/runs.rs
+++ b/system/scheduler/src/runs.rs
@@ -8,8 +8,6 @@
 use magpiegap_jobs::{Change, Job, State};
 use magpiegap_protocol::{Command, EndKind, JobId, Millis, RunId, RunStart, TaskId, WorkerEntry};
 
-/// How long a worker has to answer a start or a stop; it does so within milliseconds, and to ask again does no harm.
-const ORDER_TIMEOUT_MS: Millis = 120;
 /// How long a start is valid, on the worker's clock.
 const START_VALID_MS: u64 = 1500;
 /// Time between two orders to stop the same run.
@@ -286,7 +284,7 @@
         let spec = job.submission.spec.spec.clone();
         let purpose = CallPurpose::Start { task, run: number, deadline_ms };
         let order = WorkerOrder::Start { task, run: number, spec, deadline_ms, checkpoint };
-        self.call(instance, purpose, order, ORDER_TIMEOUT_MS);
+        self.call(instance, purpose, order, self.answer_times.wait_ms());
     }
 
     fn send_stop(&mut self, instance: &str, task: TaskId, now: Millis) {
@@ -297,7 +295,8 @@
         run.open_calls += 1;
         let number = run.run;
         let order = WorkerOrder::Stop { task, run: number };
-        self.call(instance, CallPurpose::Stop { task, run: number }, order, ORDER_TIMEOUT_MS);
+        let timeout = self.answer_times.wait_ms();
+        self.call(instance, CallPurpose::Stop { task, run: number }, order, timeout);
     }
 
     /// Takes all runs of a worker off the record, once every hold on it has surely run out.
--- a/system/scheduler/src/scheduler.rs
+++ b/system/scheduler/src/scheduler.rs
@@ -1,5 +1,6 @@
 //! The scheduler's state and the ways in and out of it.
 use crate::{
+    answer_times::AnswerTimes,
     backfill::Backfill,
     calls::{Output, WorkerCall, WorkerOrder},
     queue::Queue,
@@ -28,7 +29,10 @@
     },
     /// A stop of a run that is on no record.
     StopStray,
-    Hold,
+    Hold {
+        /// How long its answer may wait for an end.
+        wait_ms: u64,
+    },
     /// A look beside a hold that is under way, at a worker that has left an order unanswered.
     Probe,
 }
@@ -75,6 +79,7 @@
     /// Ended jobs by when they ended.
     pub(crate) ended: BTreeSet<(WallMillis, JobId)>,
     pub(crate) calls: BTreeMap<u64, OpenCall>,
+    pub(crate) answer_times: AnswerTimes,
     pub(crate) next_call: u64,
     /// The steady clock at the last input.
     pub(crate) now: Millis,
@@ -113,6 +118,7 @@
             times_proposed: HashSet::new(),
             ended: BTreeSet::new(),
             calls: BTreeMap::new(),
+            answer_times: AnswerTimes::default(),
             next_call: 0,
             now,
             wall: 0,
--- a/system/scheduler/tests/stories.rs
+++ b/system/scheduler/tests/stories.rs
@@ -411,15 +411,28 @@
 
 #[googletest::test]
 fn given_a_hold_whose_answer_is_lost_when_that_is_noticed_then_the_worker_is_looked_at_within_moments() {
+    // Given: a worker that has answered at once so far
     let mut story = Story::new(&["w1"]);
-    story.submit(1, vec![step(1, 1000)]);
-    let start = story.starts().remove(0);
-    story.reply(&start, story.done());
+    for number in 1..100 {
+        story.submit(number, vec![step(1, 1000)]);
+        let start = story.starts().remove(0);
+        story.reply(&start, story.done());
+        story.commit(Command::CancelJob { job: JobId(number) });
+        story.commit(Command::LoseInstance { instance: "w1".to_owned(), ended: false });
+    }
+    story.submit(100, vec![step(1, 1000)]);
+    for call in story.take_calls() {
+        story.reply(&call, story.done());
+    }
+    story.pass(10);
     let hold = story.take_calls().remove(0);
+    expect_that!(waits(std::slice::from_ref(&hold)), elements_are![ge(&500)]);
     expect_that!(hold.timeout_ms, lt(700));
+    // When
     story.pass(hold.timeout_ms);
     story.reply(&hold, WorkerReply::Unanswered);
     story.pass(50);
+    // Then
     expect_that!(waits(&story.take_calls()), elements_are![eq(&0)]);
 }
 
