Do not take a run for unsent when an older entry is heard of after the whole state

After a loss of power a coordinator applies thousands of recovered entries and the claim of its role in one step. The scheduler was made from the state after all of them, and then heard of each: a run that the earlier holder had started was taken for one that was just recorded and never sent, so that it was given up at once and started elsewhere. Since claims go out with the first entry of a view both fall into one step where disks or processors are slow. How it was found: a trial with a log of all runs, listings and losses. Ruled out: the chain (the state never went back), holds that run out, listings. Change: a scheduler hears only of entries after the state that it took up; an opened run counts as unsent only if this scheduler proposed it and its start was not due yet.

--- a/system/coordinator/src/steps.rs
+++ b/system/coordinator/src/steps.rs
@@ -110,7 +110,7 @@
                 None => true,
             };
             if of_scheduler {
-                scheduler.applied(self.now, &self.machine.state, &applied.changes, &runs);
+                scheduler.applied(self.now, entry.position, &self.machine.state, &applied.changes, &runs);
             }
         }
         if applied.changes.iter().any(|change| matches!(change, Change::Role(_))) {
--- a/system/scheduler/src/runs.rs
+++ b/system/scheduler/src/runs.rs
@@ -6,7 +6,7 @@
     worker::{RunPhase, Worker},
 };
 use magpiegap_jobs::{Change, Job, State};
-use magpiegap_protocol::{Command, EndKind, JobId, Millis, RunId, RunStart, TaskId, WorkerEntry};
+use magpiegap_protocol::{Command, EndKind, JobId, Millis, Position, RunId, RunStart, TaskId, WorkerEntry};
 
 /// How long a start is valid, on the worker's clock.
 const START_VALID_MS: u64 = 1500;
@@ -16,8 +16,19 @@
 const MOST_STARTS: u32 = 8;
 
 impl Scheduler {
-    /// Takes note of an entry that was applied; `own_runs` are the runs in it that this scheduler proposed.
-    pub fn applied(&mut self, now: Millis, state: &State, changes: &[Change], own_runs: &[RunStart]) {
+    /// Takes note of an entry that was applied; `own_runs` are the runs in it that this scheduler proposed. What the
+    /// entry has changed is known already if the state was taken up after it.
+    pub fn applied(
+        &mut self,
+        now: Millis,
+        entry: Position,
+        state: &State,
+        changes: &[Change],
+        own_runs: &[RunStart],
+    ) {
+        if entry.index <= self.known_until.index {
+            return;
+        }
         for change in changes {
             self.apply_change(change, now, state);
         }
@@ -58,10 +69,13 @@
         self.proposed.remove(&start.task);
         if let Some(worker) = self.workers.get_mut(&start.instance) {
             if let Some(run) = worker.runs.get_mut(&start.task).filter(|run| run.run == start.run) {
-                run.phase = RunPhase::Recorded { not_before: now };
-                run.resolved_at = now;
-                worker.hold.due = worker.hold.due.min(now);
-                self.fresh.insert(start.instance.clone());
+                // In any other phase its start may have been sent, by this or by an earlier holder of the role.
+                if run.phase == RunPhase::Proposed {
+                    run.phase = RunPhase::Recorded { not_before: now };
+                    run.resolved_at = now;
+                    worker.hold.due = worker.hold.due.min(now);
+                    self.fresh.insert(start.instance.clone());
+                }
                 return;
             }
         }
--- a/system/scheduler/src/scheduler.rs
+++ b/system/scheduler/src/scheduler.rs
@@ -10,7 +10,7 @@
 };
 use magpiegap_jobs::State;
 use magpiegap_protocol::{
-    Availability, Command, JobId, Millis, RunId, RunStart, TaskId, WallMillis, WorkerEntry,
+    Availability, Command, JobId, Millis, Position, RunId, RunStart, TaskId, WallMillis, WorkerEntry,
 };
 use rand::{rngs::StdRng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -63,6 +63,8 @@
     pub(crate) token: u64,
     pub(crate) settings: SchedulerSettings,
     pub(crate) random: StdRng,
+    /// The last entry that the state held when it was last taken up whole.
+    pub(crate) known_until: Position,
     pub(crate) workers: Workers,
     pub(crate) queue: Queue,
     pub(crate) reservations: Reservations,
@@ -107,6 +109,7 @@
             token,
             settings,
             random: StdRng::seed_from_u64(seed),
+            known_until: Position::default(),
             workers: Workers::new(),
             queue: Queue::default(),
             reservations: Reservations::default(),
@@ -160,6 +163,7 @@
     /// in the state now never will be.
     pub fn resume(&mut self, now: Millis, state: &State) {
         self.drop_outputs();
+        self.known_until = state.position;
         self.proposed.clear();
         self.times_proposed.clear();
         self.fresh.clear();
--- a/system/scheduler/tests/stories.rs
+++ b/system/scheduler/tests/stories.rs
@@ -1,6 +1,6 @@
 //! A scheduler between the log and its workers: what it starts, holds, stops and gives up.
 use googletest::prelude::*;
-use magpiegap_jobs::State;
+use magpiegap_jobs::{Change, State};
 use magpiegap_protocol::{
     Availability, Command, EndKind, Entry, JobId, JobSpec, Member, Position, ProposalId, Replica, Resources,
     RunStart, StepSpec, Submission, TaskId, WorkerEntry,
@@ -90,7 +90,7 @@
             _ => Vec::new(),
         };
         let applied = self.state.apply(&entry);
-        self.scheduler.applied(self.now, &self.state, &applied.changes, &runs);
+        self.scheduler.applied(self.now, entry.position, &self.state, &applied.changes, &runs);
         self.proposed.push(command);
     }
 
@@ -462,3 +462,34 @@
     expect_that!(running.steps[0].running[0].worker, eq("w1"));
     expect_that!(story.scheduler.explain(&story.state, JobId(3)), none());
 }
+
+#[googletest::test]
+fn given_a_scheduler_that_took_up_the_whole_state_when_older_entries_follow_then_no_run_is_taken_for_unsent()
+{
+    // Given: a run that an earlier holder of the role has started
+    let mut story = Story::new(&["w1"]);
+    story.submit(1, vec![step(1, 1000)]);
+    let start = story.starts().remove(0);
+    story.reply(&start, story.done());
+    // When: the next holder begins with the state as it is after a batch of entries, and then hears of each of them
+    let mut next = Scheduler::new("s", TOKEN + 1, SchedulerSettings::default(), story.now, &story.state, 2);
+    let opened = RunStart { task: task(1, 0), run: 1, instance: "w1".to_owned(), checkpoint: String::new() };
+    let change = Change::RunOpened(opened);
+    for entry in 1..=story.state.position.index {
+        let entry = Position { view: 1, index: entry };
+        next.applied(story.now, entry, &story.state, std::slice::from_ref(&change), &[]);
+    }
+    next.list(story.now, &story.state, &[worker("w1")]);
+    let mut lost = 0;
+    for _ in 0..20 {
+        story.now += 50;
+        next.run(story.now, 1_000_000 + story.now, &story.state);
+        let outputs = next.take_outputs();
+        lost += outputs
+            .iter()
+            .filter(|output| matches!(output, Output::Propose(Command::LoseRuns { .. })))
+            .count();
+    }
+    // Then
+    expect_that!(lost, eq(0));
+}
