--- /dev/null
+++ b/system/scheduler/tests/common/mod.rs
@@ -0,0 +1,168 @@
+//! A scheduler between the log and its workers.
+#![allow(dead_code)]
+use magpiegap_jobs::State;
+use magpiegap_protocol::{
+    Command, Entry, JobId, JobSpec, Member, Position, ProposalId, Replica, Resources, RunStart, StepSpec,
+    Submission, TaskId, WorkerEntry,
+};
+use magpiegap_scheduler::{
+    ListedEnd, ListedRun, Listing, Output, Scheduler, SchedulerSettings, WorkerCall, WorkerOrder, WorkerReply,
+};
+
+pub const TOKEN: u64 = 5;
+/// What the workers' clocks show when ours shows zero.
+pub const WORKER_CLOCK: u64 = 1_000_000;
+
+/// A scheduler with its log, which commits at once.
+pub struct Story {
+    pub now: u64,
+    pub state: State,
+    pub scheduler: Scheduler,
+    pub calls: Vec<WorkerCall>,
+    pub proposed: Vec<Command>,
+}
+
+pub fn worker(name: &str) -> WorkerEntry {
+    WorkerEntry {
+        instance: name.to_owned(),
+        service: "s".to_owned(),
+        address: format!("{name}:1"),
+        capacity: Resources { cpu: 4000, memory_mb: 4000, gpu: 0 },
+        labels: vec!["a".to_owned(), "r1".to_owned()],
+        ..WorkerEntry::default()
+    }
+}
+
+pub fn step(count: u32, cpu: u64) -> StepSpec {
+    StepSpec {
+        count,
+        resources: Resources { cpu, memory_mb: 10, gpu: 0 },
+        estimated_ms: 500,
+        ..StepSpec::default()
+    }
+}
+
+impl Story {
+    pub fn new(workers: &[&str]) -> Story {
+        let state = State::default();
+        let scheduler = Scheduler::new("s", TOKEN, SchedulerSettings::default(), 1000, &state, 1);
+        let mut story = Story { now: 1000, state, scheduler, calls: Vec::new(), proposed: Vec::new() };
+        let entries: Vec<WorkerEntry> = workers.iter().map(|name| worker(name)).collect();
+        story.scheduler.list(story.now, &story.state, &entries);
+        story.pass(10);
+        story.greet();
+        story
+    }
+
+    /// All workers answer their first hold.
+    pub fn greet(&mut self) {
+        for call in self.take_calls() {
+            self.reply(&call, self.listing(vec![], vec![]));
+        }
+        self.pass(10);
+    }
+
+    pub fn clock(&self) -> u64 {
+        WORKER_CLOCK + self.now
+    }
+
+    pub fn listing(&self, running: Vec<ListedRun>, ended: Vec<ListedEnd>) -> WorkerReply {
+        WorkerReply::Done { clock_ms: Some(self.clock()), listing: Some(Listing { running, ended }) }
+    }
+
+    pub fn done(&self) -> WorkerReply {
+        WorkerReply::Done { clock_ms: Some(self.clock()), listing: None }
+    }
+
+    pub fn commit(&mut self, command: Command) {
+        let index = self.state.position.index + 1;
+        let origin = Replica { member: Member { address: 1, disk: 0 }, boot: 1 };
+        let entry = Entry {
+            position: Position { view: 1, index },
+            proposal: ProposalId { origin, sequence: index },
+            fence: None,
+            command: command.clone(),
+            wall_ms: 1_000_000 + self.now,
+        };
+        let runs: Vec<RunStart> = match &command {
+            Command::StartRuns { runs } | Command::SubmitJob { runs, .. } => runs.clone(),
+            _ => Vec::new(),
+        };
+        let applied = self.state.apply(&entry);
+        self.scheduler.applied(self.now, entry.position, &self.state, &applied.changes, &runs);
+        self.proposed.push(command);
+    }
+
+    pub fn pass(&mut self, ms: u64) {
+        self.now += ms;
+        for _ in 0..4 {
+            self.scheduler.run(self.now, 1_000_000 + self.now, &self.state);
+            for output in self.scheduler.take_outputs() {
+                match output {
+                    Output::Call(call) => self.calls.push(call),
+                    Output::Propose(command) => self.commit(command),
+                    Output::Log(_) => {}
+                }
+            }
+        }
+    }
+
+    pub fn reply(&mut self, call: &WorkerCall, reply: WorkerReply) {
+        self.scheduler.reply(self.now, &self.state, call.id, reply);
+    }
+
+    pub fn take_calls(&mut self) -> Vec<WorkerCall> {
+        std::mem::take(&mut self.calls)
+    }
+
+    pub fn submit(&mut self, job: u64, steps: Vec<StepSpec>) {
+        self.submit_with_priority(job, 0, steps);
+    }
+
+    pub fn submit_with_priority(&mut self, job: u64, priority: u32, steps: Vec<StepSpec>) {
+        let submission = Submission {
+            job: JobId(job),
+            queue: "q".to_owned(),
+            service: "s".to_owned(),
+            priority,
+            max_attempts: 3,
+            stretch: 2.0,
+            target_latency_ms: 1000,
+            submitted_ms: 1_000_000 + self.now,
+            spec: JobSpec { steps, ..JobSpec::default() },
+        };
+        let command = self.scheduler.submit(self.now, submission);
+        self.commit(command);
+        self.pass(0);
+    }
+
+    pub fn starts(&mut self) -> Vec<WorkerCall> {
+        let (starts, others) =
+            self.take_calls().into_iter().partition(|call| matches!(call.order, WorkerOrder::Start { .. }));
+        self.calls = others;
+        starts
+    }
+
+    pub fn active(&self, task: TaskId) -> Vec<String> {
+        let state = self.state.jobs.get(&task.job).and_then(|job| job.task(&task));
+        state.map(|task| task.active.iter().map(|run| run.instance.clone()).collect()).unwrap_or_default()
+    }
+}
+
+pub fn task(job: u64, index: u32) -> TaskId {
+    TaskId { job: JobId(job), time: 0, step: 0, index }
+}
+
+/// A step of one task that takes this long.
+pub fn timed_step(cpu: u64, estimated_ms: u64) -> StepSpec {
+    StepSpec { estimated_ms, ..step(1, cpu) }
+}
+
+/// A hold's wait, in milliseconds.
+pub fn waits(calls: &[WorkerCall]) -> Vec<u64> {
+    let wait = |call: &WorkerCall| match call.order {
+        WorkerOrder::Hold { wait_ms, .. } => Some(wait_ms),
+        _ => None,
+    };
+    calls.iter().filter_map(wait).collect()
+}
--- /dev/null
+++ b/system/scheduler/tests/starting.rs
@@ -0,0 +1,144 @@
+//! When a scheduler places, records and starts, and when it takes up what others have begun.
+mod common;
+
+use common::*;
+use googletest::prelude::*;
+use magpiegap_jobs::Change;
+use magpiegap_protocol::{Command, EndKind, JobId, Position, RunStart};
+use magpiegap_scheduler::{
+    ListedEnd, Output, RefusalReason, Scheduler, SchedulerSettings, WorkerOrder, WorkerReply,
+};
+
+#[googletest::test]
+fn given_a_worker_with_room_when_a_job_comes_then_its_run_is_in_the_log_before_the_start() {
+    let mut story = Story::new(&["w1"]);
+    story.submit(1, vec![step(1, 1000)]);
+    expect_that!(story.active(task(1, 0)), elements_are![eq("w1")]);
+    let starts = story.starts();
+    expect_that!(starts.len(), eq(1));
+    expect_that!(starts[0].token, eq(TOKEN));
+}
+
+#[googletest::test]
+fn given_two_workers_when_tasks_are_placed_then_none_gets_more_than_it_has() {
+    let mut story = Story::new(&["w1", "w2"]);
+    story.submit(1, vec![step(9, 1000)]);
+    let starts = story.starts();
+    expect_that!(starts.len(), eq(8));
+    let of = |name: &str| starts.iter().filter(|call| call.instance == name).count();
+    expect_that!((of("w1"), of("w2")), eq((4, 4)));
+}
+
+#[googletest::test]
+fn given_an_unanswered_start_when_time_passes_then_the_same_run_is_sent_there_again() {
+    let mut story = Story::new(&["w1", "w2"]);
+    story.submit(1, vec![step(1, 1000)]);
+    let first = story.starts().remove(0);
+    story.now += 250;
+    story.reply(&first, WorkerReply::Unanswered);
+    story.pass(10);
+    let again = story.starts();
+    expect_that!(again.len(), eq(1));
+    expect_that!(again[0].instance, eq(&first.instance));
+    expect_that!(story.active(task(1, 0)).len(), eq(1));
+}
+
+#[googletest::test]
+fn given_an_end_when_it_is_listed_then_it_is_in_the_log_before_the_worker_hears_of_it() {
+    let mut story = Story::new(&["w1"]);
+    story.submit(1, vec![step(1, 1000)]);
+    let start = story.starts().remove(0);
+    story.reply(&start, story.done());
+    let hold = story.take_calls().into_iter().find(|c| matches!(c.order, WorkerOrder::Hold { .. })).unwrap();
+    expect_that!(matches!(hold.order, WorkerOrder::Hold { last_seen: 0, .. }), eq(true));
+    let end =
+        ListedEnd { number: 1, task: task(1, 0), run: 1, kind: EndKind::Done, checkpoint: String::new() };
+    story.reply(&hold, story.listing(vec![], vec![end]));
+    story.pass(10);
+    expect_that!(story.state.workers["w1"].last_seen, eq(1));
+    story.submit(2, vec![step(1, 1000)]);
+    let holds = story.take_calls();
+    let seen = holds.iter().find_map(|call| match call.order {
+        WorkerOrder::Hold { last_seen, .. } => Some(last_seen),
+        _ => None,
+    });
+    expect_that!(seen, some(eq(1)));
+}
+
+#[googletest::test]
+fn given_a_change_of_view_when_the_scheduler_resumes_then_what_it_had_decided_is_dropped() {
+    // Given: a listing that lacks a run, just before the view changes
+    let mut story = Story::new(&["w1"]);
+    story.submit(1, vec![step(1, 1000)]);
+    let start = story.starts().remove(0);
+    story.reply(&start, story.done());
+    let hold = story.take_calls().remove(0);
+    story.reply(&hold, story.listing(vec![], vec![]));
+    story.now += 10;
+    let later = story.scheduler.take_outputs();
+    drop(later);
+    story.pass(10);
+    let hold = story.take_calls().pop().unwrap();
+    story.reply(&hold, story.listing(vec![], vec![]));
+    // When
+    story.scheduler.resume(story.now, &story.state);
+    // Then
+    let lost = story.scheduler.take_outputs();
+    expect_that!(lost.iter().filter(|output| matches!(output, Output::Propose(_))).count(), eq(0));
+}
+
+#[googletest::test]
+fn given_no_room_at_the_worker_when_a_start_is_turned_down_then_the_task_waits_again() {
+    let mut story = Story::new(&["w1"]);
+    story.submit(1, vec![step(1, 1000)]);
+    let start = story.starts().remove(0);
+    story.reply(&start, WorkerReply::Refused { clock_ms: Some(story.clock()), reason: RefusalReason::Room });
+    story.pass(10);
+    let again = story.starts();
+    expect_that!(again.len(), eq(1));
+    expect_that!(matches!(again[0].order, WorkerOrder::Start { run: 2, .. }), eq(true));
+}
+
+#[googletest::test]
+fn given_a_cancelled_job_when_its_run_goes_on_then_it_is_stopped() {
+    let mut story = Story::new(&["w1"]);
+    story.submit(1, vec![step(1, 1000)]);
+    let start = story.starts().remove(0);
+    story.reply(&start, story.done());
+    story.commit(Command::CancelJob { job: JobId(1) });
+    story.pass(10);
+    let stops =
+        story.take_calls().iter().filter(|call| matches!(call.order, WorkerOrder::Stop { .. })).count();
+    expect_that!(stops, eq(1));
+}
+
+#[googletest::test]
+fn given_a_scheduler_that_took_up_the_whole_state_when_older_entries_follow_then_no_run_is_taken_for_unsent()
+{
+    // Given: a run that an earlier holder of the role has started
+    let mut story = Story::new(&["w1"]);
+    story.submit(1, vec![step(1, 1000)]);
+    let start = story.starts().remove(0);
+    story.reply(&start, story.done());
+    // When: the next holder begins with the state as it is after a batch of entries, and then hears of each of them
+    let mut next = Scheduler::new("s", TOKEN + 1, SchedulerSettings::default(), story.now, &story.state, 2);
+    let opened = RunStart { task: task(1, 0), run: 1, instance: "w1".to_owned(), checkpoint: String::new() };
+    let change = Change::RunOpened(opened);
+    for entry in 1..=story.state.position.index {
+        let entry = Position { view: 1, index: entry };
+        next.applied(story.now, entry, &story.state, std::slice::from_ref(&change), &[]);
+    }
+    next.list(story.now, &story.state, &[worker("w1")]);
+    let mut lost = 0;
+    for _ in 0..20 {
+        story.now += 50;
+        next.run(story.now, 1_000_000 + story.now, &story.state);
+        let outputs = next.take_outputs();
+        lost += outputs
+            .iter()
+            .filter(|output| matches!(output, Output::Propose(Command::LoseRuns { .. })))
+            .count();
+    }
+    // Then
+    expect_that!(lost, eq(0));
+}
