Promise no room to what waits for something else, and look past many large tasks

Two faults of the promises that can do it were found by reading: 1. a gang that waits for one rack to take all of it was promised free workers anywhere, and kept them from others; 2. tasks like one that found no place are passed over only if they take as long; with waiting tasks of many lengths a round of planning ended after 40 of them, and those behind were not looked at. Change: no promise to a gang that waits for a rack, or where there is room now; where no worker has room at all, all tasks as large are passed over.

--- a/system/scheduler/src/backfill.rs
+++ b/system/scheduler/src/backfill.rs
@@ -90,17 +90,32 @@
         }
     }
 
-    /// Promises a task, or all tasks of a gang, the room that it gets first.
+    /// Promises a task, or all tasks of a gang, the room that it gets first. A task that has room now waits for
+    /// something else, and keeps no worker from others.
     pub fn promise(&mut self, workers: &Workers, candidate: &Candidate, now: Millis) {
-        let mut promised = false;
+        let mut promised: Vec<String> = Vec::new();
+        let mut waits_for_room = false;
         for _ in 0..candidate.count {
             let Some((from, instance)) = self.earliest(workers, candidate, now) else { break };
+            waits_for_room |= from > now;
             let owner = *candidate.urgency;
             let promise = Promise { owner, resources: candidate.step.resources, from };
+            promised.push(instance.to_owned());
             self.promises.entry(instance.to_owned()).or_default().push(promise);
-            promised = true;
         }
-        self.owners += usize::from(promised);
+        if waits_for_room {
+            self.owners += 1;
+        } else {
+            self.take_back(&promised, candidate.urgency);
+        }
+    }
+
+    fn take_back(&mut self, promised: &[String], owner: &Urgency) {
+        for instance in promised {
+            if let Some(promises) = self.promises.get_mut(instance) {
+                promises.retain(|promise| promise.owner != *owner);
+            }
+        }
     }
 
     /// The worker that has room for one task first, and when.
--- a/system/scheduler/src/planning.rs
+++ b/system/scheduler/src/planning.rs
@@ -7,7 +7,7 @@
     preemption::{choose_victims, Victims},
     queue::{urgency, Urgency},
     scheduler::Scheduler,
-    worker::{Progress, Run, RunPhase},
+    worker::{Progress, Run, RunPhase, Workers},
 };
 use magpiegap_jobs::{startable, Job, Startable, State};
 use magpiegap_protocol::{Command, JobId, Millis, RunStart, StepSpec, Submission, TaskId, WallMillis};
@@ -43,8 +43,11 @@
         self.shapes.iter().any(covers)
     }
 
-    fn add(&mut self, step: &StepSpec) {
-        self.shapes.push(step.clone());
+    /// Notes a task that found no place. Where no worker had room at all, shorter tasks find none either; else what
+    /// was promised to others kept it out, which shorter ones may not delay.
+    fn add(&mut self, step: &StepSpec, any_room: bool) {
+        let estimated_ms = if any_room { step.estimated_ms } else { 0 };
+        self.shapes.push(StepSpec { estimated_ms, ..step.clone() });
     }
 }
 
@@ -82,7 +85,7 @@
             let Some(step) = job.submission.spec.steps.get(key.task.step as usize) else { continue };
             let waited = now.saturating_sub(since);
             if misses.hopeless(step) {
-                self.promise_room(job, &unit, step, &key, now);
+                self.promise_room(job, &unit, step, &key, waited, now);
                 continue;
             }
             match self.place(job, &unit, &key, waited, now) {
@@ -92,8 +95,8 @@
                     runs.append(&mut placed);
                 }
                 None => {
-                    misses.add(step);
-                    self.promise_room(job, &unit, step, &key, now);
+                    misses.add(step, has_room(&self.workers, step, now));
+                    self.promise_room(job, &unit, step, &key, waited, now);
                     self.preempt(&key, &unit, step, waited, now);
                 }
             }
@@ -113,13 +116,12 @@
         now: Millis,
     ) -> Option<Vec<RunStart>> {
         let step = job.submission.spec.steps.get(unit.first.step as usize)?;
-        let patience = step.estimated_ms as f64 * (self.settings.far_factor - 1.0) * PATIENCE;
         let nothing = Vec::new();
         let demand = Demand {
             step,
             first: unit.first,
             count: unit.count,
-            near_only: (waited as f64) < patience,
+            near_only: self.waits_for_rack(step, waited),
             reservations: &self.reservations,
             backfill: &self.backfill,
             candidate: self.candidate(job, unit, step, urgency),
@@ -133,6 +135,11 @@
         Some(runs)
     }
 
+    /// Whether a task waits on for the rack that holds its data, or a gang for one rack that takes all of it.
+    fn waits_for_rack(&self, step: &StepSpec, waited: Millis) -> bool {
+        (waited as f64) < step.estimated_ms as f64 * (self.settings.far_factor - 1.0) * PATIENCE
+    }
+
     pub(crate) fn candidate<'a>(
         &self,
         job: &Job,
@@ -149,9 +156,19 @@
         }
     }
 
-    /// Promises a task that found no place the room that it gets first, unless it comes too late anyway.
-    fn promise_room(&mut self, job: &Job, unit: &Startable, step: &StepSpec, key: &Urgency, now: Millis) {
-        if key.outlook == Outlook::TooLate || !self.backfill.open() {
+    /// Promises a task that found no place the room that it gets first, unless it comes too late anyway, or waits for
+    /// one rack to take a whole gang.
+    fn promise_room(
+        &mut self,
+        job: &Job,
+        unit: &Startable,
+        step: &StepSpec,
+        key: &Urgency,
+        waited: Millis,
+        now: Millis,
+    ) {
+        let for_rack = unit.count > 1 && step.rack_local && self.waits_for_rack(step, waited);
+        if key.outlook == Outlook::TooLate || for_rack || !self.backfill.open() {
             return;
         }
         let candidate = self.candidate(job, unit, step, key);
@@ -214,6 +231,15 @@
     }
 }
 
+/// Whether any worker that takes work has room for one task of a step, whatever was promised to others.
+fn has_room(workers: &Workers, step: &StepSpec, now: Millis) -> bool {
+    workers.values().any(|worker| {
+        worker.takes_work(now)
+            && worker.has_labels(&step.requirements)
+            && step.resources.plus(&worker.used).fits(&worker.entry.capacity)
+    })
+}
+
 /// The runs of a unit on the workers chosen for it.
 fn starts(job: &Job, unit: &Startable, step: &StepSpec, chosen: Vec<String>) -> Vec<RunStart> {
     let tasks = || unit.tasks().filter_map(|task| job.task(&task));
