--- a/system/control/tests/joining.rs
+++ b/system/control/tests/joining.rs
@@ -1,26 +1,13 @@
 //! A replica that joins asks its predecessor for what is missing, and does not keep it from its work.
+mod common;
+
+use common::NoState;
 use googletest::prelude::*;
-use magpiegap_control::{ControlSettings, DurableRecord, Output, Replica, Snapshot, StateMachine};
+use magpiegap_control::{ControlSettings, DurableRecord, Output, Replica, Snapshot};
 use magpiegap_protocol::{
     Command, Entry, Member, PeerMessage, Position, ProposalId, Replica as ReplicaId, View,
 };
 
-/// A state that nothing is done with.
-struct NoState;
-
-impl StateMachine for NoState {
-    fn apply(&mut self, _entry: &Entry) {}
-    fn position(&self) -> Position {
-        Position::default()
-    }
-    fn encode(&self) -> Vec<u8> {
-        Vec::new()
-    }
-    fn restore(&mut self, _state: &[u8]) -> bool {
-        true
-    }
-}
-
 fn replica(address: u32, disk: u64) -> ReplicaId {
     ReplicaId { member: Member { address, disk }, boot: u64::from(address) }
 }
--- a/system/control/tests/starting.rs
+++ b/system/control/tests/starting.rs
@@ -1,25 +1,10 @@
 //! When replicas that have started propose a view.
-use googletest::prelude::*;
-use magpiegap_control::{ControlSettings, Output, Replica, Snapshot, StateMachine};
-use magpiegap_protocol::{
-    Entry, Heartbeat, Member, PeerMessage, PeerReport, Position, Replica as ReplicaId, View,
-};
-
-/// A state that nothing is done with.
-struct NoState;
+mod common;
 
-impl StateMachine for NoState {
-    fn apply(&mut self, _entry: &Entry) {}
-    fn position(&self) -> Position {
-        Position::default()
-    }
-    fn encode(&self) -> Vec<u8> {
-        Vec::new()
-    }
-    fn restore(&mut self, _state: &[u8]) -> bool {
-        true
-    }
-}
+use common::NoState;
+use googletest::prelude::*;
+use magpiegap_control::{ControlSettings, Output, Replica, Snapshot};
+use magpiegap_protocol::{Heartbeat, Member, PeerMessage, PeerReport, Replica as ReplicaId, View};
 
 fn replica(address: u32) -> ReplicaId {
     ReplicaId { member: Member { address, disk: 0 }, boot: u64::from(address) }
