Withdraw promises in one place, and say once what is to be placed

Found on reading the change again: promises were taken back by two copies of one loop, the step and number of a demand stood in it twice, and whether a worker has room beside its runs was written out in two files. One `withdraw`, one candidate, one `has_room_for`; no behaviour changes. Seen and left: `fits_beside` computes expected ends anew where the cached ones are of the last refresh, so that they differ.

--- a/system/scheduler/src/backfill.rs
+++ b/system/scheduler/src/backfill.rs
@@ -82,9 +82,12 @@
 
     /// Drops what was promised to a task that has found a place.
     pub fn release(&mut self, owner: &Urgency) {
-        if self.owners == 0 {
-            return;
+        if self.owners > 0 {
+            self.withdraw(owner);
         }
+    }
+
+    fn withdraw(&mut self, owner: &Urgency) {
         for promises in self.promises.values_mut() {
             promises.retain(|promise| promise.owner != *owner);
         }
@@ -93,28 +96,18 @@
     /// Promises a task, or all tasks of a gang, the room that it gets first. A task that has room now waits for
     /// something else, and keeps no worker from others.
     pub fn promise(&mut self, workers: &Workers, candidate: &Candidate, now: Millis) {
-        let mut promised: Vec<String> = Vec::new();
         let mut waits_for_room = false;
         for _ in 0..candidate.count {
             let Some((from, instance)) = self.earliest(workers, candidate, now) else { break };
             waits_for_room |= from > now;
             let owner = *candidate.urgency;
             let promise = Promise { owner, resources: candidate.step.resources, from };
-            promised.push(instance.to_owned());
             self.promises.entry(instance.to_owned()).or_default().push(promise);
         }
         if waits_for_room {
             self.owners += 1;
         } else {
-            self.take_back(&promised, candidate.urgency);
-        }
-    }
-
-    fn take_back(&mut self, promised: &[String], owner: &Urgency) {
-        for instance in promised {
-            if let Some(promises) = self.promises.get_mut(instance) {
-                promises.retain(|promise| promise.owner != *owner);
-            }
+            self.withdraw(candidate.urgency);
         }
     }
 
--- a/system/scheduler/src/explanation.rs
+++ b/system/scheduler/src/explanation.rs
@@ -183,7 +183,7 @@
             &mut counts.without_label
         } else if !step.resources.fits(&worker.entry.capacity) {
             &mut counts.too_small
-        } else if !step.resources.plus(&worker.used).fits(&worker.entry.capacity) {
+        } else if !worker.has_room_for(&step.resources) {
             &mut counts.without_room
         } else if !self.reservations.allow(&worker.entry.instance, &unit.first)
             || !self.backfill.allows(worker, &candidate, &nothing, self.now)
--- a/system/scheduler/src/placement.rs
+++ b/system/scheduler/src/placement.rs
@@ -4,7 +4,7 @@
     reservations::Reservations,
     worker::{Worker, Workers},
 };
-use magpiegap_protocol::{Millis, Resources, StepSpec, TaskId};
+use magpiegap_protocol::{Millis, Resources, TaskId};
 use rand::{rngs::StdRng, seq::SliceRandom};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -13,15 +13,14 @@
 
 /// What is to be placed.
 pub(crate) struct Demand<'a> {
-    pub step: &'a StepSpec,
     pub first: TaskId,
-    pub count: u32,
     /// Only the rack that holds the data will do for now; for a gang, only one rack.
     pub near_only: bool,
     /// Workers kept free for others.
     pub reservations: &'a Reservations,
     /// Room that others are to get.
     pub backfill: &'a Backfill,
+    /// The step, and how many of its tasks.
     pub candidate: Candidate<'a>,
     /// Workers on which these tasks have failed.
     pub avoid: &'a [String],
@@ -41,7 +40,7 @@
     now: Millis,
     random: &mut StdRng,
 ) -> Option<Vec<String>> {
-    if demand.count > 1 && demand.step.rack_local {
+    if demand.candidate.count > 1 && demand.candidate.step.rack_local {
         if let Some(chosen) = choose_rack(workers, demand, now, random) {
             return Some(chosen);
         }
@@ -70,11 +69,11 @@
     allowed: impl Fn(&Worker) -> bool,
 ) -> Option<Vec<String>> {
     let mut taken = Taken::default();
-    let mut chosen = Vec::with_capacity(demand.count as usize);
-    for _ in 0..demand.count {
+    let mut chosen = Vec::with_capacity(demand.candidate.count as usize);
+    for _ in 0..demand.candidate.count {
         let instance = choose_one(workers, demand, now, random, &taken, &allowed)?;
         let used = taken.resources.entry(instance.clone()).or_default();
-        *used = used.plus(&demand.step.resources);
+        *used = used.plus(&demand.candidate.step.resources);
         *taken.tasks.entry(instance.clone()).or_default() += 1;
         chosen.push(instance);
     }
@@ -97,7 +96,7 @@
             && keeps_promises(worker, demand, taken, now)
     };
     let mut candidates: Vec<&Worker> = workers.values().filter(fits).collect();
-    if let Some(rack) = &demand.step.affinity {
+    if let Some(rack) = &demand.candidate.step.affinity {
         let near: Vec<&Worker> = candidates.iter().copied().filter(|worker| worker.has_label(rack)).collect();
         if !near.is_empty() {
             candidates = near;
@@ -118,10 +117,11 @@
     }
     let busy = |worker: &Worker| {
         let more = taken.resources.get(&worker.entry.instance).copied().unwrap_or_default();
-        worker.used.plus(&more).plus(&demand.step.resources).share_of(&worker.entry.capacity)
+        worker.used.plus(&more).plus(&demand.candidate.step.resources).share_of(&worker.entry.capacity)
     };
-    let wide = candidates.iter().any(|w| demand.step.resources.share_of(&w.entry.capacity) >= WIDE_SHARE);
-    let chosen = if wide || demand.step.resources.gpu > 0 {
+    let wide =
+        candidates.iter().any(|w| demand.candidate.step.resources.share_of(&w.entry.capacity) >= WIDE_SHARE);
+    let chosen = if wide || demand.candidate.step.resources.gpu > 0 {
         candidates.into_iter().max_by(|a, b| busy(a).total_cmp(&busy(b)))
     } else {
         let two: Vec<&Worker> = candidates.choose_multiple(random, 2).copied().collect();
@@ -132,7 +132,7 @@
 
 fn fits(worker: &Worker, demand: &Demand, taken: &Taken) -> bool {
     let instance = &worker.entry.instance;
-    let step = demand.step;
+    let step = demand.candidate.step;
     let more = taken.resources.get(instance).copied().unwrap_or_default();
     step.resources.fits(&worker.room().minus(&more))
         && worker.room().cpu >= more.cpu + step.resources.cpu
--- a/system/scheduler/src/planning.rs
+++ b/system/scheduler/src/planning.rs
@@ -118,9 +118,7 @@
         let step = job.submission.spec.steps.get(unit.first.step as usize)?;
         let nothing = Vec::new();
         let demand = Demand {
-            step,
             first: unit.first,
-            count: unit.count,
             near_only: self.waits_for_rack(step, waited),
             reservations: &self.reservations,
             backfill: &self.backfill,
@@ -236,7 +234,7 @@
     workers.values().any(|worker| {
         worker.takes_work(now)
             && worker.has_labels(&step.requirements)
-            && step.resources.plus(&worker.used).fits(&worker.entry.capacity)
+            && worker.has_room_for(&step.resources)
     })
 }
 
--- a/system/scheduler/src/worker.rs
+++ b/system/scheduler/src/worker.rs
@@ -160,6 +160,11 @@
         self.entry.capacity.minus(&self.used)
     }
 
+    /// Whether this much fits beside its runs.
+    pub fn has_room_for(&self, resources: &Resources) -> bool {
+        resources.plus(&self.used).fits(&self.entry.capacity)
+    }
+
     /// Whether it has left too many calls unanswered to be given more work.
     pub fn silent(&self) -> bool {
         self.unanswered >= 2
