Let replicas catch up outside of the chain, and stop views that change while a link is cut

Ruled out: the time a state takes on its way, the disk, the election of roles.

Change: learners outside of the chain, taken in once they have caught up and hear all of the chain; urgent messages on a connection of their own; a whole state is not sent again for a second; each proposal of a view logs its reason.

--- a/system/control/src/chain.rs
+++ b/system/control/src/chain.rs
@@ -2,20 +2,12 @@
 use crate::{
     chain_state::{Activity, ASK_FIRST_MS},
     durable::DurableRecord,
-    log::Log,
     replica::{After, Replica, StateMachine},
 };
 use magpiegap_protocol::{
     Command, Entry, Fence, Millis, PeerMessage, Position, ProposalId, Replica as ReplicaId, View, WallMillis,
 };
 
-/// An active replica whose predecessor has told it nothing for this long asks it.
-const PREDECESSOR_SILENT_MS: Millis = 600;
-/// Longest time between two requests for what is missing.
-const ASK_MOST_MS: Millis = 2000;
-/// A replica tells its successor where it stands at least this often.
-const APPEND_EVERY_MS: Millis = 150;
-
 impl Replica {
     pub(crate) fn own_position(&self) -> Option<usize> {
         self.agreement.state.current.position(&self.settings.own)
@@ -51,14 +43,13 @@
 
     /// Takes up a view that was agreed.
     pub(crate) fn enter_view(&mut self, view: &View, now: Millis, machine: &mut dyn StateMachine) {
-        self.chain.sent = None;
-        self.chain.predecessor_durable = 0;
-        self.chain.told = (0, now);
+        self.chain.followers.clear();
+        self.chain.source_durable = None;
         self.chain.asked_at = 0;
         self.chain.ask_again_ms = ASK_FIRST_MS;
-        self.chain.asked_by = None;
+        self.chain.requests.clear();
         self.chain.activity = match self.own_position() {
-            None => Activity::Inactive,
+            None => Activity::Learning,
             Some(0) if self.is_complete() => Activity::Active,
             Some(0) => Activity::Inactive,
             Some(_) => Activity::Joining,
@@ -104,139 +95,7 @@
         self.chain.log.push(Entry { position, proposal, fence, command, wall_ms: wall });
     }
 
-    /// Takes entries from the predecessor.
-    pub(crate) fn append(&mut self, after: u64, entries: Vec<Entry>, durable: u64, now: Millis) {
-        if !self.is_active() {
-            return;
-        }
-        self.chain.predecessor_heard_at = now;
-        let last = self.chain.log.last().index;
-        if after > last {
-            self.ask_predecessor(now);
-            return;
-        }
-        self.chain.ask_again_ms = ASK_FIRST_MS;
-        for entry in entries {
-            if entry.position.index == self.chain.log.last().index + 1 {
-                self.chain.log.push(entry);
-            }
-        }
-        let known = durable.min(self.chain.log.last().index);
-        self.chain.predecessor_durable = self.chain.predecessor_durable.max(known);
-    }
-
-    /// Asks the predecessor while this replica joins, and when it has heard nothing from it for a while: it may not
-    /// know that this replica takes part.
-    pub(crate) fn ask_if_needed(&mut self, now: Millis) {
-        let silent = now >= self.chain.predecessor_heard_at + PREDECESSOR_SILENT_MS;
-        let needed = match self.chain.activity {
-            Activity::Inactive => false,
-            Activity::Joining => true,
-            Activity::Active => silent && self.is_active(),
-        };
-        if needed {
-            self.ask_predecessor(now);
-        }
-    }
-
-    /// Asks the predecessor for what is missing, not too often.
-    pub(crate) fn ask_predecessor(&mut self, now: Millis) {
-        let waited = self.chain.asked_at == 0 || now >= self.chain.asked_at + self.chain.ask_again_ms;
-        let Some(predecessor) = self.predecessor().filter(|_| waited) else { return };
-        self.chain.asked_at = now.max(1);
-        self.chain.ask_again_ms = (2 * self.chain.ask_again_ms).min(ASK_MOST_MS);
-        let view = self.agreement.state.current.number;
-        let last = self.chain.log.last();
-        self.send(predecessor.member.address, PeerMessage::Synchronize { view, last });
-    }
-
-    /// Gives the successor what it is missing.
-    pub(crate) fn give_missing(&mut self, from: ReplicaId, last: Position, machine: &mut dyn StateMachine) {
-        if self.successor() != Some(from) {
-            return;
-        }
-        if !self.is_active() {
-            self.chain.asked_by = Some((from, last));
-            return;
-        }
-        let view = self.agreement.state.current.number;
-        let entries = self.chain.log.contains(last).then(|| self.chain.log.after(last.index)).flatten();
-        let message = match entries {
-            Some(entries) => PeerMessage::MissingEntries { view, after: last.index, entries },
-            None => self.whole_state(view, machine),
-        };
-        self.chain.sent = Some(self.chain.log.last().index);
-        self.chain.told = (0, 0);
-        self.send(from.member.address, message);
-    }
-
-    fn whole_state(&self, view: u64, machine: &mut dyn StateMachine) -> PeerMessage {
-        PeerMessage::WholeState {
-            view,
-            applied: machine.position(),
-            state: machine.encode(),
-            entries: self.chain.log.after(self.chain.applied).unwrap_or_default(),
-        }
-    }
-
-    /// Takes the entries that were missing.
-    pub(crate) fn take_missing(&mut self, after: u64, entries: Vec<Entry>, now: Millis) {
-        match self.chain.activity {
-            Activity::Inactive => {}
-            Activity::Active => self.append(after, entries, 0, now),
-            Activity::Joining if after == self.chain.log.last().index => {
-                entries.into_iter().for_each(|entry| self.chain.log.push(entry));
-                self.hand_entries_to_disk(now);
-                let view = self.agreement.state.current.number;
-                self.activate(view, now);
-                self.persist(vec![DurableRecord::Synchronized(view)], Vec::new(), now);
-            }
-            Activity::Joining => {}
-        }
-    }
-
-    /// Takes the whole state.
-    pub(crate) fn take_whole_state(
-        &mut self,
-        applied: Position,
-        state: &[u8],
-        entries: Vec<Entry>,
-        now: Millis,
-        machine: &mut dyn StateMachine,
-    ) {
-        let newest = entries.last().map_or(applied, |entry| entry.position).index;
-        let fits = match self.chain.activity {
-            Activity::Inactive => false,
-            Activity::Joining => true,
-            // It has come again, and brings nothing new.
-            Activity::Active => newest > self.chain.log.last().index,
-        };
-        if !fits || !machine.restore(state) {
-            return;
-        }
-        self.chain.applied = applied.index;
-        self.chain.committed = self.chain.committed.max(applied.index);
-        self.chain.log = Log::new(applied, entries);
-        if self.chain.activity == Activity::Joining {
-            let view = self.agreement.state.current.number;
-            self.activate(view, now);
-        }
-        self.forget_entries_under_way();
-        self.chain.own_durable = 0;
-        self.chain.handed_to_disk = self.chain.log.last().index;
-        self.checkpoint(now, machine);
-    }
-
-    /// From now on the replica takes part. What it answers for still waits for its disk.
-    fn activate(&mut self, view: u64, now: Millis) {
-        self.chain.predecessor_heard_at = now;
-        self.chain.ask_again_ms = ASK_FIRST_MS;
-        self.synchronized = Some(view);
-        self.chain.activity = Activity::Active;
-        self.chain.sent = None;
-    }
-
-    fn hand_entries_to_disk(&mut self, now: Millis) {
+    pub(crate) fn hand_entries_to_disk(&mut self, now: Millis) {
         let last = self.chain.log.last().index;
         if last <= self.chain.handed_to_disk {
             return;
@@ -246,42 +105,28 @@
         self.persist(vec![DurableRecord::Entries(entries)], vec![After::EntriesDurable(last)], now);
     }
 
-    /// Hands new entries to the disk and the successor, commits at the tail, and applies what is committed.
+    /// Hands new entries to the disk and the followers, commits at the tail, and applies what is committed.
     pub(crate) fn flush_chain(&mut self, now: Millis, machine: &mut dyn StateMachine) {
         if self.is_active() {
-            if let Some((from, last)) = self.chain.asked_by.take() {
-                self.give_missing(from, last, machine);
-            }
+            self.answer_requests(now, machine);
             self.hand_entries_to_disk(now);
-            self.tell_successor(now);
+            self.tell_followers(now);
             self.commit_at_tail();
         }
+        if self.chain.activity == Activity::Following {
+            self.hand_entries_to_disk(now);
+        }
         self.apply_committed(machine);
     }
 
     /// Entries up to this one are on the disks of this replica and of all before it.
-    fn chain_durable(&self) -> u64 {
+    pub(crate) fn chain_durable(&self) -> u64 {
         match self.own_position() {
             Some(0) => self.chain.own_durable,
-            _ => self.chain.own_durable.min(self.chain.predecessor_durable),
+            _ => self.chain.own_durable.min(self.chain.source_durable.unwrap_or(0)),
         }
     }
 
-    fn tell_successor(&mut self, now: Millis) {
-        let (Some(successor), Some(sent)) = (self.successor(), self.chain.sent) else { return };
-        let last = self.chain.log.last().index;
-        let durable = self.chain_durable();
-        let news = last > sent || durable > self.chain.told.0;
-        if !news && now < self.chain.told.1 + APPEND_EVERY_MS {
-            return;
-        }
-        let Some(entries) = self.chain.log.after(sent) else { return };
-        self.chain.sent = Some(last);
-        self.chain.told = (durable, now);
-        let view = self.agreement.state.current.number;
-        self.send(successor.member.address, PeerMessage::Append { view, after: sent, entries, durable });
-    }
-
     fn commit_at_tail(&mut self) {
         if self.successor().is_some() || self.agreement.state.current.chain.len() < self.settings.copies() {
             return;
--- a/system/control/src/chain_state.rs
+++ b/system/control/src/chain_state.rs
@@ -1,19 +1,36 @@
 //! The state of the chain at one replica.
 use crate::log::Log;
 use magpiegap_protocol::{Millis, Position, Replica as ReplicaId};
+use std::collections::{BTreeMap, VecDeque};
 
 /// What a replica does in the current view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Activity {
-    /// Nothing: it is not in the chain, or has started after the view was agreed.
+    /// Nothing: there is no chain yet, or the replica leads one and does not have all that was committed.
     Inactive,
-    /// It waits for its predecessor's state.
+    /// It is outside of the chain, and waits for what it is missing.
+    Learning,
+    /// It is outside of the chain, and is told by the tail what is committed.
+    Following,
+    /// It is in the chain, and waits for what it is missing.
     Joining,
     /// It takes part.
     Active,
 }
 
-/// Time until a predecessor that has not answered is asked for the second time.
+/// A replica that this one passes entries on to: its successor, or at the tail one that catches up outside of the chain.
+#[derive(Clone, Debug)]
+pub(crate) struct Follower {
+    pub replica: ReplicaId,
+    /// The last entry sent to it.
+    pub sent: u64,
+    /// What it was last told to be on disk, and when.
+    pub told: (u64, Millis),
+    /// What it had when the whole state was last sent to it, and when that was.
+    pub state_sent: Option<(Position, Millis)>,
+}
+
+/// Time until a source that has not answered is asked for the second time.
 pub(crate) const ASK_FIRST_MS: Millis = 60;
 
 /// The state of the chain at one replica.
@@ -26,19 +43,20 @@
     pub committed: u64,
     /// Entries up to this one are on this replica's disk.
     pub own_durable: u64,
-    /// Entries up to this one are on the disks of all before this replica.
-    pub predecessor_durable: u64,
+    /// Entries up to this one are on the disks of the source and of all before it. The source is the predecessor; for a
+    /// replica outside of the chain, the tail. `None`: it has said nothing in this view.
+    pub source_durable: Option<u64>,
     /// The last entry handed to the disk.
     pub handed_to_disk: u64,
-    /// The last entry sent to the successor; `None` until it has asked.
-    pub sent: Option<u64>,
-    /// What the successor was last told to be on disk, and when.
-    pub told: (u64, Millis),
-    /// When the predecessor last told where it stands.
-    pub predecessor_heard_at: Millis,
-    /// The successor has asked for what it is missing before this replica could give it.
-    pub asked_by: Option<(ReplicaId, Position)>,
-    /// When the predecessor was last asked for what is missing.
+    /// Those that have asked for entries and get them as they come.
+    pub followers: Vec<Follower>,
+    /// When the source last told where it stands.
+    pub source_heard_at: Millis,
+    /// What was committed at moments up to a while ago, oldest first.
+    pub committed_at: VecDeque<(Millis, u64)>,
+    /// What others have asked for before this replica could give it, with the last entry that they have.
+    pub requests: BTreeMap<ReplicaId, Position>,
+    /// When the source was last asked for what is missing.
     pub asked_at: Millis,
     /// Until it is asked again: longer each time, since a whole state takes long to make and to send.
     pub ask_again_ms: Millis,
@@ -55,12 +73,12 @@
             applied: applied.index,
             committed: applied.index,
             own_durable: last,
-            predecessor_durable: 0,
+            source_durable: None,
             handed_to_disk: last,
-            sent: None,
-            told: (0, 0),
-            predecessor_heard_at: 0,
-            asked_by: None,
+            followers: Vec::new(),
+            source_heard_at: 0,
+            committed_at: VecDeque::new(),
+            requests: BTreeMap::new(),
             asked_at: 0,
             ask_again_ms: ASK_FIRST_MS,
             committed_told: 0,
--- a/system/control/src/lib.rs
+++ b/system/control/src/lib.rs
@@ -8,9 +8,11 @@
 #![warn(missing_docs)]
 
 mod agreement;
+mod catch_up;
 mod chain;
 mod chain_state;
 mod durable;
+mod followers;
 mod log;
 mod membership;
 mod replica;
--- a/system/control/src/membership.rs
+++ b/system/control/src/membership.rs
@@ -19,6 +19,10 @@
     pub view: u64,
     pub serving: bool,
     pub unfit: bool,
+    /// Its disk had all that was committed up to that view.
+    pub complete: bool,
+    /// The newest entry that it knew to be committed.
+    pub committed: u64,
     /// When it last said that it hears us; `None`: it tells us nothing itself.
     pub hears_us: Option<Millis>,
     /// When it last told us something itself.
@@ -29,6 +33,30 @@
     pub wall_offset: Option<i64>,
 }
 
+/// What a replica says of itself.
+#[derive(Clone, Copy, Debug)]
+struct Status {
+    view: u64,
+    serving: bool,
+    unfit: bool,
+    complete: bool,
+    committed: u64,
+}
+
+impl From<&Heartbeat> for Status {
+    fn from(heartbeat: &Heartbeat) -> Status {
+        let Heartbeat { view, serving, unfit, complete, committed, .. } = *heartbeat;
+        Status { view, serving, unfit, complete, committed }
+    }
+}
+
+impl From<&PeerReport> for Status {
+    fn from(report: &PeerReport) -> Status {
+        let PeerReport { view, serving, unfit, complete, committed, .. } = *report;
+        Status { view, serving, unfit, complete, committed }
+    }
+}
+
 /// All that is known of other replicas.
 #[derive(Clone, Debug)]
 pub(crate) struct Membership {
@@ -37,13 +65,21 @@
     /// Addresses at which replicas may be found.
     addresses: BTreeSet<u32>,
     peers: BTreeMap<Member, Peer>,
+    /// The addresses with which each member says to be connected both ways.
+    connected: BTreeMap<Member, BTreeSet<u32>>,
 }
 
 impl Membership {
     pub fn new(settings: &ControlSettings) -> Membership {
         let addresses =
             settings.seeds.iter().copied().filter(|a| *a != settings.own.member.address).collect();
-        Membership { own: settings.own, suspect_ms: settings.suspect_ms, addresses, peers: BTreeMap::new() }
+        Membership {
+            own: settings.own,
+            suspect_ms: settings.suspect_ms,
+            addresses,
+            peers: BTreeMap::new(),
+            connected: BTreeMap::new(),
+        }
     }
 
     /// Learns of an address.
@@ -66,7 +102,7 @@
         let known =
             self.peers.get(&from.member).is_some_and(|peer| peer.replica == from && peer.direct.is_some());
         self.know(from.member.address);
-        self.touch(from, now, heartbeat.view, heartbeat.serving, heartbeat.unfit, now);
+        self.touch(from, now, heartbeat.into(), now);
         let own = self.own;
         let hears_us =
             heartbeat.heard.iter().find(|report| report.replica == own).map(|report| report.age_ms);
@@ -78,18 +114,22 @@
                 peer.hears_us = Some(now);
             }
         }
+        let connected = heartbeat.heard.iter().filter(|report| report.both_ways);
+        let connected = connected.map(|report| report.replica.member.address).collect();
+        self.connected.insert(from.member, connected);
         for report in &heartbeat.heard {
             if report.replica.member != own.member && report.age_ms < suspect_ms {
                 self.know(report.replica.member.address);
                 let at = now.saturating_sub(report.age_ms);
-                self.touch(report.replica, at, report.view, report.serving, report.unfit, now);
+                self.touch(report.replica, at, report.into(), now);
             }
         }
         !known
     }
 
-    fn touch(&mut self, replica: Replica, at: Millis, view: u64, serving: bool, unfit: bool, now: Millis) {
+    fn touch(&mut self, replica: Replica, at: Millis, status: Status, now: Millis) {
         let suspect_ms = self.suspect_ms;
+        let Status { view, serving, unfit, complete, committed } = status;
         let fresh = Peer {
             replica,
             first_heard: now,
@@ -97,6 +137,8 @@
             view,
             serving,
             unfit,
+            complete,
+            committed,
             hears_us: None,
             direct: None,
             gone_at: None,
@@ -117,6 +159,8 @@
         peer.view = view;
         peer.serving = serving;
         peer.unfit = unfit;
+        peer.complete = complete;
+        peer.committed = committed;
     }
 
     /// Whether a replica has been heard for long enough that it may be taken into a view.
@@ -132,18 +176,20 @@
             view: peer.view,
             serving: peer.serving,
             unfit: peer.unfit,
+            complete: peer.complete,
+            committed: peer.committed,
+            both_ways: self.is_connected(peer, now),
         };
         self.peers.values().map(report).collect()
     }
 
     /// The replicas that are heard and hear this one, without this one.
     pub fn heard(&self, now: Millis) -> Vec<Peer> {
-        let both_ways = |peer: &Peer| match peer.direct {
-            Some(at) if now.saturating_sub(at) <= self.suspect_ms => {
-                peer.hears_us.is_some_and(|at| now.saturating_sub(at) <= self.suspect_ms)
-            }
+        let recent = |at: Option<Millis>| at.is_some_and(|at| now.saturating_sub(at) <= self.suspect_ms);
+        let both_ways = |peer: &Peer| match recent(peer.direct) {
+            true => recent(peer.hears_us),
             // Heard of from others only: those it tells nothing itself, since it has other monitors.
-            _ => self.addresses.len() > MONITORS,
+            false => !self.all_hear_each_other(),
         };
         let heard = |peer: &&Peer| {
             now.saturating_sub(peer.last_heard) <= self.suspect_ms
@@ -160,6 +206,30 @@
         newest.into_values().collect()
     }
 
+    /// Whether the ring is so small that everyone monitors everyone.
+    fn all_hear_each_other(&self) -> bool {
+        self.addresses.len() <= MONITORS
+    }
+
+    /// Whether a peer and this replica hear each other.
+    fn is_connected(&self, peer: &Peer, now: Millis) -> bool {
+        let recent = |at: Option<Millis>| at.is_some_and(|at| now.saturating_sub(at) <= self.suspect_ms);
+        recent(peer.direct) && recent(peer.hears_us)
+    }
+
+    /// Whether a member says that it and all of the others hear each other. In a large ring that can't be told.
+    pub fn says_connected(&self, member: &Member, others: &[Replica]) -> bool {
+        let connected = self.connected.get(member);
+        let hears = |other: &Replica| {
+            let address = other.member.address;
+            // That this replica and it hear each other is known here.
+            address == self.own.member.address
+                || address == member.address
+                || connected.is_some_and(|connected| connected.contains(&address))
+        };
+        !self.all_hear_each_other() || others.iter().all(hears)
+    }
+
     /// What is known of a member.
     pub fn peer(&self, member: &Member) -> Option<&Peer> {
         self.peers.get(member)
@@ -177,6 +247,13 @@
         u64::try_from(lower).unwrap_or(0)
     }
 
+    /// Whether this very process was heard lately.
+    pub fn is_heard(&self, replica: &Replica, now: Millis) -> bool {
+        self.peers.get(&replica.member).is_some_and(|peer| {
+            peer.replica == *replica && now.saturating_sub(peer.last_heard) <= self.suspect_ms
+        })
+    }
+
     /// The process at an address has ended: nobody listens there.
     pub fn gone(&mut self, address: u32, now: Millis) {
         for peer in self.peers.values_mut().filter(|peer| peer.replica.member.address == address) {
@@ -187,5 +264,6 @@
     /// Drops what is known of replicas that were not heard for long.
     pub fn forget(&mut self, now: Millis) {
         self.peers.retain(|_, peer| now.saturating_sub(peer.last_heard) < FORGET_MS);
+        self.connected.retain(|member, _| self.peers.contains_key(member));
     }
 }
--- a/system/control/src/replica.rs
+++ b/system/control/src/replica.rs
@@ -102,11 +102,16 @@
             membership.know(voter.address);
         }
         let log = Log::new(durable.applied, durable.entries.clone());
+        let mut chain = Chain::new(log, durable.applied);
+        if durable.agreement.current.number > 0 {
+            // This life of the process is in no chain yet.
+            chain.activity = Activity::Learning;
+        }
         Replica {
             random: StdRng::seed_from_u64(settings.seed),
             agreement: Agreement::new(durable.agreement.clone()),
             membership,
-            chain: Chain::new(log, durable.applied),
+            chain,
             synchronized: durable.synchronized,
             view_since: now,
             needed_since: None,
@@ -176,7 +181,7 @@
 
     /// Whether this replica is at work in its view, or waits for its predecessor there.
     pub(crate) fn serving(&self) -> bool {
-        self.chain.activity != Activity::Inactive && !self.agreement.sealed()
+        matches!(self.chain.activity, Activity::Joining | Activity::Active) && !self.agreement.sealed()
     }
 
     /// Whether this replica can't take part for now.
--- a/system/control/src/steps.rs
+++ b/system/control/src/steps.rs
@@ -11,6 +11,7 @@
         if now >= self.next_heartbeat {
             self.next_heartbeat = now + self.settings.heartbeat_ms;
             self.send_heartbeats(now, own_wall);
+            self.note_committed(now);
             self.membership.forget(now);
         }
         self.check_view(now);
@@ -52,21 +53,19 @@
         machine: &mut dyn StateMachine,
     ) {
         let current = self.view().number;
-        let from_predecessor = self.predecessor() == Some(from);
+        let from_source = self.source() == Some(from);
         match message {
-            PeerMessage::Append { view, after, entries, durable } if view == current && from_predecessor => {
+            PeerMessage::Append { view, after, entries, durable } if view == current && from_source => {
                 self.append(after, entries, durable, now);
             }
             PeerMessage::Committed { view, index } if view == current => self.learn_committed(index),
             PeerMessage::Synchronize { view, last } if view == current => {
-                self.give_missing(from, last, machine)
+                self.give_missing(from, last, now, machine)
             }
-            PeerMessage::MissingEntries { view, after, entries } if view == current && from_predecessor => {
+            PeerMessage::MissingEntries { view, after, entries } if view == current && from_source => {
                 self.take_missing(after, entries, now);
             }
-            PeerMessage::WholeState { view, applied, state, entries }
-                if view == current && from_predecessor =>
-            {
+            PeerMessage::WholeState { view, applied, state, entries } if view == current && from_source => {
                 self.take_whole_state(applied, &state, entries, now, machine);
             }
             PeerMessage::Propose { view, proposal, fence, command } if view == current && self.is_head() => {
@@ -121,6 +120,7 @@
             heard: self.membership.reports(now),
             wall_ms: own_wall,
             committed: self.chain.committed,
+            complete: self.is_complete(),
         };
         for address in self.membership.monitors() {
             self.send(address, PeerMessage::Heartbeat(heartbeat.clone()));
--- a/system/control/src/view_change.rs
+++ b/system/control/src/view_change.rs
@@ -1,12 +1,16 @@
 //! When the next view is proposed, by whom, and with whom.
 use crate::{
+    chain_state::Activity,
     durable::DurableRecord,
     membership::{Membership, Peer},
     replica::{After, Replica, StateMachine},
 };
 use magpiegap_protocol::{Member, Millis, PeerMessage, Position, Promise, Replica as ReplicaId, View};
 use rand::Rng;
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+};
 
 /// How long each further candidate waits before it proposes in place of those before it.
 const RANK_DELAY_MS: Millis = 250;
@@ -17,6 +21,30 @@
 /// A member of the chain that does not take part is replaced, or taken in anew, after this time.
 const IDLE_MEMBER_MS: Millis = 500;
 
+/// Why another view is needed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ViewReason {
+    /// A replica outside of the chain can take part.
+    Newcomer(ReplicaId),
+    /// A member of the chain is gone, or can't take part.
+    Gone(ReplicaId),
+    /// The agreement on the next view was begun by another replica and led to nothing.
+    Unfinished,
+    /// A member of the chain is there and does not take part.
+    Idle(ReplicaId),
+}
+
+impl fmt::Display for ViewReason {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ViewReason::Newcomer(replica) => write!(formatter, "{} can take part", replica.member),
+            ViewReason::Gone(replica) => write!(formatter, "{} is gone", replica.member),
+            ViewReason::Unfinished => write!(formatter, "its agreement was begun and led to nothing"),
+            ViewReason::Idle(replica) => write!(formatter, "{} does not take part", replica.member),
+        }
+    }
+}
+
 impl Replica {
     /// Whether this replica's disk has all that was committed so far.
     pub(crate) fn is_complete(&self) -> bool {
@@ -39,6 +67,29 @@
         there.into_iter().map(|(replica, _)| replica).collect()
     }
 
+    /// Those that the chain is to consist of. One that has yet to catch up stays outside of it meanwhile, unless there
+    /// would be too few without it: nothing could be committed then anyway.
+    fn wanted(&self, alive: &[ReplicaId]) -> Vec<ReplicaId> {
+        let chain = &self.agreement.state.current.chain;
+        let own = self.settings.own;
+        let caught_up = |replica: &ReplicaId| match *replica == own {
+            true => self.is_complete() || self.chain.activity == Activity::Following,
+            false => self.membership.peer(&replica.member).is_some_and(|peer| self.has_caught_up(peer)),
+        };
+        let staying: Vec<ReplicaId> =
+            alive.iter().copied().filter(|replica| chain.contains(replica)).collect();
+        // One that some of the chain does not hear would be left out again at once.
+        let connected = |replica: &ReplicaId| self.membership.says_connected(&replica.member, &staying);
+        let newcomers = alive.iter().copied().filter(|replica| !chain.contains(replica));
+        let able = newcomers.filter(|replica| caught_up(replica) && (*replica == own || connected(replica)));
+        let mut ready = staying.clone();
+        ready.extend(able);
+        if ready.len() >= self.settings.copies() {
+            return ready;
+        }
+        alive.to_vec()
+    }
+
     /// The other replicas that are there. A newcomer has to settle, unless all voters are back and nobody serves: then
     /// it disturbs nobody, and all of them wait for the view.
     fn peers_there(&self, now: Millis) -> Vec<Peer> {
@@ -65,53 +116,73 @@
         }
         self.agreement.round = None;
         let alive = self.alive(now);
-        if !self.view_needed(&alive, now) {
+        let Some(reason) = self.view_needed(&alive, now) else {
             self.needed_since = None;
             return;
-        }
+        };
         let needed_since = *self.needed_since.get_or_insert(now);
         let Some(rank) = self.proposer_rank(&alive) else { return };
         if now >= needed_since + rank * RANK_DELAY_MS && now >= self.next_round_at {
-            self.begin_round(now);
+            self.begin_round(&reason, now);
         }
     }
 
-    fn view_needed(&self, alive: &[ReplicaId], now: Millis) -> bool {
+    /// Why another view is needed; `None`: it is not.
+    fn view_needed(&self, alive: &[ReplicaId], now: Millis) -> Option<ViewReason> {
         let current = &self.agreement.state.current;
         let voters = alive.iter().filter(|replica| current.voters.contains(&replica.member)).count();
         if voters < current.majority() {
-            return false;
+            return None;
         }
-        let wanted: BTreeSet<ReplicaId> = alive.iter().copied().collect();
+        let wanted: BTreeSet<ReplicaId> = self.wanted(alive).into_iter().collect();
         let chain: BTreeSet<ReplicaId> = current.chain.iter().copied().collect();
-        wanted != chain || self.agreement.sealed() || self.idle_member(now)
+        if let Some(newcomer) = wanted.difference(&chain).next() {
+            return Some(ViewReason::Newcomer(*newcomer));
+        }
+        if let Some(gone) = chain.difference(&wanted).next() {
+            return Some(ViewReason::Gone(*gone));
+        }
+        if self.agreement.sealed() {
+            return Some(ViewReason::Unfinished);
+        }
+        self.idle_member(now).map(ViewReason::Idle)
     }
 
-    /// Whether a member of the chain is there and has not taken part for a while.
-    fn idle_member(&self, now: Millis) -> bool {
+    /// A member of the chain that is there and has not taken part for a while.
+    fn idle_member(&self, now: Millis) -> Option<ReplicaId> {
         if now < self.view_since + IDLE_MEMBER_MS {
-            return false;
+            return None;
         }
         let current = &self.agreement.state.current;
         let idle = |peer: &Peer| peer.view == current.number && !peer.serving;
-        let others = current.chain.iter().filter_map(|replica| self.membership.peer(&replica.member));
-        others.into_iter().any(idle) || (self.own_position().is_some() && !self.serving())
+        let own = self.settings.own;
+        let is_idle = |replica: &&ReplicaId| match **replica == own {
+            true => !self.serving(),
+            false => self.membership.peer(&replica.member).is_some_and(idle),
+        };
+        current.chain.iter().find(is_idle).copied()
     }
 
-    /// How many are to propose before this replica; `None` when it has no vote.
+    /// How many are to propose before this replica; `None` when it has no vote, or is outside of a chain of which
+    /// others are there: they know better who can take part.
     fn proposer_rank(&self, alive: &[ReplicaId]) -> Option<u64> {
         let current = &self.agreement.state.current;
         let mut candidates: Vec<ReplicaId> =
             alive.iter().copied().filter(|replica| current.voters.contains(&replica.member)).collect();
         candidates.sort_by_key(|replica| (current.position(replica).unwrap_or(usize::MAX), *replica));
+        let first = candidates.first()?;
+        if current.position(first).is_some() && self.own_position().is_none() {
+            return None;
+        }
         let own = candidates.iter().position(|replica| *replica == self.settings.own)?;
         Some(own as u64)
     }
 
-    fn begin_round(&mut self, now: Millis) {
+    fn begin_round(&mut self, reason: &ViewReason, now: Millis) {
         self.next_round_at = now + ROUND_TIMEOUT_MS + self.random.gen_range(0..200);
         let ballot = self.agreement.begin(self.settings.own.boot as u32, now);
         let number = self.agreement.next_number();
+        self.log(format!("proposes view {number}: {reason}"));
         let message = PeerMessage::Prepare { number, ballot };
         self.send_to_voters(&message);
     }
@@ -173,7 +244,8 @@
         if round.promises.len() < expected && now < round.started_at + PROMISE_WAIT_MS {
             return;
         }
-        let view = round.bound_view().or_else(|| self.compose_view(&current, &alive, &round.complete()));
+        let compose = || self.compose_view(&current, &alive, &round.complete());
+        let view = round.bound_view().or_else(compose);
         let Some(view) = view else { return };
         let ballot = round.ballot;
         if let Some(round) = self.agreement.round.as_mut() {
@@ -182,7 +254,7 @@
         self.send_to_voters(&PeerMessage::Accept { ballot, view });
     }
 
-    /// The next view: all that are there, led by one that has all that was committed.
+    /// The next view: all that are there and have caught up, led by one that has all that was committed.
     fn compose_view(
         &self,
         current: &View,
@@ -190,23 +262,23 @@
         complete: &BTreeMap<Member, Position>,
     ) -> Option<View> {
         let last = |replica: &ReplicaId| complete.get(&replica.member).copied();
-        let newest = alive.iter().filter_map(last).max()?;
-        let mut chain = alive.to_vec();
+        let mut chain = self.wanted(alive);
+        let newest = chain.iter().filter_map(last).max()?;
         chain.sort_by_key(|replica| {
             let can_lead = last(replica) == Some(newest);
             let place = current.chain.iter().position(|other| other.member == replica.member);
             (!can_lead, place.unwrap_or(usize::MAX), *replica)
         });
-        Some(current.next(self.next_voters(current, alive), chain))
+        Some(current.next(self.next_voters(current, alive, &chain), chain))
     }
 
     /// The voters of the next view: a machine with a new disk takes the place of its old one, a newcomer that of a
     /// voter that is gone, or one more place while there are too few.
-    fn next_voters(&self, current: &View, alive: &[ReplicaId]) -> Vec<Member> {
+    fn next_voters(&self, current: &View, alive: &[ReplicaId], chain: &[ReplicaId]) -> Vec<Member> {
         let wanted = 2 * self.settings.tolerance + 1;
         let mut voters = current.voters.clone();
         let is_alive = |member: &Member| alive.iter().any(|replica| replica.member == *member);
-        for newcomer in alive.iter().map(|replica| replica.member) {
+        for newcomer in chain.iter().map(|replica| replica.member) {
             if voters.contains(&newcomer) {
                 continue;
             }
@@ -293,6 +365,7 @@
         }
         self.view_since = now;
         self.needed_since = None;
+        self.next_heartbeat = now;
         for member in &view.voters {
             self.membership.know(member.address);
         }
--- /dev/null
+++ b/system/control/tests/common/group.rs
@@ -0,0 +1,263 @@
+//! A group of replicas with disks and a network in memory.
+use magpiegap_control::{ControlSettings, DurableState, Output, Replica, Snapshot, StateMachine};
+use magpiegap_protocol::{
+    decode, encode, Command, Entry, Member, Millis, PeerMessage, Position, ProposalId, Replica as ReplicaId,
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Length of one step of time.
+const STEP_MS: Millis = 5;
+/// How long a message takes, unless it tells a replica much that it is missing.
+const DELAY_MS: Millis = 2;
+/// So many missing entries are told as fast as anything else.
+const FEW_ENTRIES: usize = 5;
+/// How long a sync takes.
+const SYNC_MS: Millis = 9;
+
+/// Counts what was applied.
+#[derive(Default)]
+pub struct CountingState {
+    position: Position,
+}
+
+impl StateMachine for CountingState {
+    fn apply(&mut self, entry: &Entry) {
+        assert_eq!(entry.position.index, self.position.index + 1, "entries are applied in order");
+        self.position = entry.position;
+    }
+    fn position(&self) -> Position {
+        self.position
+    }
+    fn encode(&self) -> Vec<u8> {
+        encode(&self.position)
+    }
+    fn restore(&mut self, state: &[u8]) -> bool {
+        decode(state).map(|position| self.position = position).is_ok()
+    }
+}
+
+struct Running {
+    replica: Replica,
+    machine: CountingState,
+}
+
+enum Event {
+    Message { to: u32, from: ReplicaId, message: Box<PeerMessage> },
+    Persisted { address: u32, boot: u64, ticket: u64, change: Box<DiskChange> },
+}
+
+enum DiskChange {
+    Records(Vec<magpiegap_control::DurableRecord>),
+    Whole(Box<Snapshot>),
+}
+
+/// The group.
+pub struct Group {
+    pub now: Millis,
+    pub tolerance: usize,
+    /// How long it takes to tell a replica that has missed much what it is missing.
+    pub catch_up_delay_ms: Millis,
+    /// Those that neither send nor receive.
+    pub cut_off: BTreeSet<u32>,
+    /// Pairs that don't hear each other, the lower address first.
+    pub cut_links: BTreeSet<(u32, u32)>,
+    running: BTreeMap<u32, Running>,
+    disks: BTreeMap<u32, DurableState>,
+    events: BTreeMap<(Millis, u64), Event>,
+    /// When the last message on the way from one to another arrives.
+    links: BTreeMap<(u32, u32), Millis>,
+    sequence: u64,
+    boots: u64,
+    proposals: u64,
+}
+
+impl Group {
+    /// A group of this size whose members start for the first time.
+    pub fn start(size: u32, tolerance: usize) -> Group {
+        let voters: Vec<Member> = (1..=size).map(|address| Member { address, disk: 0 }).collect();
+        let mut group = Group {
+            now: 0,
+            tolerance,
+            catch_up_delay_ms: DELAY_MS,
+            cut_off: BTreeSet::new(),
+            cut_links: BTreeSet::new(),
+            running: BTreeMap::new(),
+            disks: BTreeMap::new(),
+            events: BTreeMap::new(),
+            links: BTreeMap::new(),
+            sequence: 0,
+            boots: 0,
+            proposals: 0,
+        };
+        for address in 1..=size {
+            let state = CountingState::default().encode();
+            group.disks.insert(address, Snapshot::empty(0, Some(0), voters.clone(), state));
+            group.start_replica(address);
+        }
+        group.run(1000);
+        group
+    }
+
+    /// Starts the process on a machine.
+    pub fn start_replica(&mut self, address: u32) {
+        self.boots += 1;
+        let disk = &self.disks[&address];
+        let own = ReplicaId { member: Member { address, disk: disk.disk }, boot: self.boots };
+        let settings = ControlSettings {
+            own,
+            seeds: self.disks.keys().copied().collect(),
+            tolerance: self.tolerance,
+            heartbeat_ms: 60,
+            suspect_ms: 320,
+            seed: self.boots,
+        };
+        let mut machine = CountingState::default();
+        assert!(machine.restore(&disk.state));
+        let replica = Replica::new(settings, disk, self.now);
+        self.running.insert(address, Running { replica, machine });
+    }
+
+    /// Ends the process on a machine.
+    pub fn stop_replica(&mut self, address: u32) {
+        self.running.remove(&address);
+    }
+
+    /// Empties the disk of a machine whose process does not run.
+    pub fn wipe(&mut self, address: u32) {
+        let disk = 1000 + self.boots;
+        let state = CountingState::default().encode();
+        self.disks.insert(address, Snapshot::empty(disk, None, Vec::new(), state));
+    }
+
+    /// A replica that runs.
+    pub fn replica(&self, address: u32) -> &Replica {
+        &self.running[&address].replica
+    }
+
+    /// The addresses of the chain in the newest view, head first.
+    pub fn chain(&self) -> Vec<u32> {
+        let views = self.running.values().map(|running| running.replica.view());
+        let newest = views.max_by_key(|view| view.number);
+        newest.into_iter().flat_map(|view| view.chain.iter().map(|replica| replica.member.address)).collect()
+    }
+
+    /// Number of the newest view.
+    pub fn view(&self) -> u64 {
+        self.running.values().map(|running| running.replica.view().number).max().unwrap_or(0)
+    }
+
+    /// The newest entry that any replica knows to be committed.
+    pub fn committed(&self) -> u64 {
+        self.running.values().map(|running| running.replica.committed()).max().unwrap_or(0)
+    }
+
+    /// Lets the head write an entry; `false` when there is none.
+    pub fn write(&mut self) -> bool {
+        self.proposals += 1;
+        let now = self.now;
+        let head = self.running.values_mut().find(|running| running.replica.is_head());
+        let Some(Running { replica, machine }) = head else { return false };
+        let proposal = ProposalId { origin: replica.own(), sequence: self.proposals };
+        replica.propose(now, proposal, None, Command::Noop);
+        replica.flush(now, machine);
+        true
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, for_ms: Millis) {
+        let until = self.now + for_ms;
+        while self.now < until {
+            self.now += STEP_MS;
+            self.happen();
+            for address in self.running.keys().copied().collect::<Vec<u32>>() {
+                let now = self.now;
+                if let Some(Running { replica, machine }) = self.running.get_mut(&address) {
+                    replica.tick(now, now, machine);
+                }
+                self.perform(address);
+            }
+        }
+    }
+
+    fn happen(&mut self) {
+        while let Some(first) = self.events.first_entry().filter(|first| first.key().0 <= self.now) {
+            match first.remove() {
+                Event::Message { to, from, message } => self.deliver(to, from, *message),
+                Event::Persisted { address, boot, ticket, change } => {
+                    self.persisted(address, boot, ticket, *change);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, to: u32, from: ReplicaId, message: PeerMessage) {
+        let now = self.now;
+        if let Some(Running { replica, machine }) = self.running.get_mut(&to) {
+            replica.receive(now, now, from, message, machine);
+        }
+        self.perform(to);
+    }
+
+    fn persisted(&mut self, address: u32, boot: u64, ticket: u64, change: DiskChange) {
+        let now = self.now;
+        let running = self.running.get_mut(&address).filter(|running| running.replica.own().boot == boot);
+        let Some(Running { replica, machine }) = running else { return };
+        if let Some(disk) = self.disks.get_mut(&address) {
+            match change {
+                DiskChange::Whole(snapshot) => *disk = *snapshot,
+                DiskChange::Records(records) => records.into_iter().for_each(|record| disk.add(record)),
+            }
+        }
+        replica.persisted(ticket, now, machine);
+        self.perform(address);
+    }
+
+    fn perform(&mut self, address: u32) {
+        let Some(running) = self.running.get_mut(&address) else { return };
+        let own = running.replica.own();
+        for output in running.replica.take_outputs() {
+            match output {
+                Output::Send { to, message } => self.send(own, to, message),
+                Output::Persist { ticket, records } => {
+                    self.write_disk(own, ticket, DiskChange::Records(records));
+                }
+                Output::Checkpoint { ticket, snapshot } => {
+                    self.write_disk(own, ticket, DiskChange::Whole(snapshot));
+                }
+                Output::Log(_) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: ReplicaId, to: u32, message: PeerMessage) {
+        let cut = self.cut_off.contains(&to) || self.cut_off.contains(&from.member.address);
+        let pair = (to.min(from.member.address), to.max(from.member.address));
+        if (cut || self.cut_links.contains(&pair)) && to != from.member.address {
+            return;
+        }
+        let delay = match message {
+            PeerMessage::WholeState { .. } => self.catch_up_delay_ms,
+            PeerMessage::MissingEntries { ref entries, .. } if entries.len() > FEW_ENTRIES => {
+                self.catch_up_delay_ms
+            }
+            _ => DELAY_MS,
+        };
+        // Messages from one replica to another arrive in order.
+        let link = self.links.entry((from.member.address, to)).or_default();
+        let arrival = (self.now + delay).max(*link);
+        *link = arrival;
+        let event = Event::Message { to, from, message: Box::new(message) };
+        self.schedule_at(arrival, event);
+    }
+
+    fn write_disk(&mut self, own: ReplicaId, ticket: u64, change: DiskChange) {
+        let address = own.member.address;
+        let event = Event::Persisted { address, boot: own.boot, ticket, change: Box::new(change) };
+        self.schedule_at(self.now + SYNC_MS, event);
+    }
+
+    fn schedule_at(&mut self, at: Millis, event: Event) {
+        self.sequence += 1;
+        self.events.insert((at, self.sequence), event);
+    }
+}
--- a/system/control/tests/common/mod.rs
+++ b/system/control/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! What the stories of replicas share.
 #![allow(dead_code)]
+pub mod group;
+
 use magpiegap_control::StateMachine;
 use magpiegap_protocol::{Entry, Position};
 
--- a/system/control/tests/joining.rs
+++ b/system/control/tests/joining.rs
@@ -179,3 +179,22 @@
     expect_that!(pauses.is_sorted(), eq(true), "{pauses:?}");
     expect_that!(pauses.last(), some(le(&2020)));
 }
+
+#[googletest::test]
+fn given_a_whole_state_on_its_way_when_it_is_asked_for_again_then_it_is_sent_again_only_after_a_while() {
+    // Given: a successor whose last entry the middle one does not know
+    let mut middle = middle_replica();
+    let asks = PeerMessage::Synchronize { view: 1, last: Position { view: 0, index: 9 } };
+    let mut sent_at = Vec::new();
+    // When
+    for now in [30, 90, 200, 450, 900, 1100, 1200] {
+        middle.receive(now, 0, replica(3, 8), asks.clone(), &mut NoState);
+        let states =
+            |output: &Output| matches!(output, Output::Send { message: PeerMessage::WholeState { .. }, .. });
+        if middle.take_outputs().iter().any(states) {
+            sent_at.push(now);
+        }
+    }
+    // Then
+    expect_that!(sent_at, elements_are![eq(&30), eq(&1100)]);
+}
--- a/system/control/tests/starting.rs
+++ b/system/control/tests/starting.rs
@@ -35,7 +35,16 @@
 
 /// A heartbeat of a replica that hears the first one.
 fn heartbeat(view: u64, serving: bool) -> PeerMessage {
-    let heard = PeerReport { replica: new_life(1), age_ms: 1, view, serving: false, unfit: false };
+    let heard = PeerReport {
+        replica: new_life(1),
+        age_ms: 1,
+        view,
+        serving: false,
+        unfit: false,
+        complete: true,
+        committed: 0,
+        both_ways: true,
+    };
     PeerMessage::Heartbeat(Heartbeat {
         view,
         serving,
@@ -43,6 +52,7 @@
         heard: vec![heard],
         wall_ms: 0,
         committed: 0,
+        complete: true,
     })
 }
 
--- a/system/magpiegap/src/coordinator/peers.rs
+++ b/system/magpiegap/src/coordinator/peers.rs
@@ -1,4 +1,5 @@
-//! Connections between coordinators: one each way, with framed messages.
+//! Connections between coordinators, with framed messages: each way one for entries and states, and one for what must
+//! not wait behind them.
 use super::events::Event;
 use magpiegap_protocol::{decode, encode, Envelope, PeerMessage, Replica};
 use std::{
@@ -31,11 +32,27 @@
 /// Pause after a connection that did not come up.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// The way to one other coordinator.
-struct PeerLink {
+/// One connection to another coordinator.
+struct Lane {
     messages: Sender<PeerMessage>,
     /// Wakes the writer when the process at the other end is a new one.
     restarted: Arc<Notify>,
+}
+
+impl Lane {
+    /// A connection that is made once there is something to write.
+    fn start(own: Replica, address: SocketAddr) -> Lane {
+        let (messages, inbox) = mpsc::channel(MAX_WAITING);
+        let restarted = Arc::new(Notify::new());
+        tokio::spawn(write_to(own, address, inbox, restarted.clone()));
+        Lane { messages, restarted }
+    }
+}
+
+/// The way to one other coordinator.
+struct PeerLink {
+    urgent: Lane,
+    data: Lane,
     /// The life of the process that was last heard there.
     heard: Option<Replica>,
 }
@@ -50,25 +67,25 @@
 impl Peers {
     /// Sends a message to the coordinator at an address; it may be lost.
     pub fn send(&mut self, to: u32, message: PeerMessage) {
-        let _ = self.link(to).messages.try_send(message);
+        let link = self.link(to);
+        let lane = if message.is_urgent() { &link.urgent } else { &link.data };
+        let _ = lane.messages.try_send(message);
     }
 
     /// A coordinator was heard: if its process is a new one, the connection to the old one is of no use.
     pub fn heard(&mut self, from: Replica) {
         let link = self.link(from.member.address);
         if link.heard.replace(from) != Some(from) {
-            link.restarted.notify_one();
+            link.urgent.restarted.notify_one();
+            link.data.restarted.notify_one();
         }
     }
 
     fn link(&mut self, address: u32) -> &mut PeerLink {
         let (own, port) = (self.own, self.port);
         self.links.entry(address).or_insert_with(|| {
-            let (messages, inbox) = mpsc::channel(MAX_WAITING);
-            let restarted = Arc::new(Notify::new());
             let address = SocketAddr::new(IpAddr::V4(Ipv4Addr::from(address)), port);
-            tokio::spawn(write_to(own, address, inbox, restarted.clone()));
-            PeerLink { messages, restarted, heard: None }
+            PeerLink { urgent: Lane::start(own, address), data: Lane::start(own, address), heard: None }
         })
     }
 }
--- a/system/protocol/src/peer.rs
+++ b/system/protocol/src/peer.rs
@@ -31,6 +31,18 @@
     /// It could not take part.
     #[n(4)]
     pub unfit: bool,
+    /// It said that its disk has all that was committed.
+    #[n(5)]
+    #[cbor(default)]
+    pub complete: bool,
+    /// The newest entry that it knew to be committed.
+    #[n(6)]
+    #[cbor(default)]
+    pub committed: u64,
+    /// The sender of this report and it hear each other, without others between.
+    #[n(7)]
+    #[cbor(default)]
+    pub both_ways: bool,
 }
 
 /// A sign of life with what the sender knows.
@@ -54,6 +66,10 @@
     /// The newest entry that the sender knows to be committed.
     #[n(5)]
     pub committed: u64,
+    /// The sender's disk has all that was committed up to that view.
+    #[n(6)]
+    #[cbor(default)]
+    pub complete: bool,
 }
 
 /// A voter's answer to a proposer of the next view.
@@ -224,3 +240,25 @@
     #[n(13)]
     Platform(#[n(0)] PlatformList),
 }
+
+impl PeerMessage {
+    /// Whether the message is about who is there and the views, and must not wait behind entries and states.
+    pub fn is_urgent(&self) -> bool {
+        match self {
+            PeerMessage::Heartbeat(_)
+            | PeerMessage::Prepare { .. }
+            | PeerMessage::Promise(_)
+            | PeerMessage::Reject { .. }
+            | PeerMessage::Accept { .. }
+            | PeerMessage::Accepted { .. }
+            | PeerMessage::Decided(_) => true,
+            PeerMessage::Append { .. }
+            | PeerMessage::Committed { .. }
+            | PeerMessage::Synchronize { .. }
+            | PeerMessage::MissingEntries { .. }
+            | PeerMessage::WholeState { .. }
+            | PeerMessage::Propose { .. }
+            | PeerMessage::Platform(_) => false,
+        }
+    }
+}
