--- /dev/null
+++ b/system/demo/tests/work.rs
@@ -0,0 +1,39 @@
+//! The text of a job tells the stand-in workers what each task does.
+use googletest::prelude::*;
+use magpiegap_demo::work::{of_task, to_body, to_text, StepWork, MEMORY_MB};
+use magpiegap_protocol::{JobId, Resources, TaskId};
+
+fn steps() -> Vec<StepWork> {
+    vec![
+        StepWork { count: 2, cpu: 500, duration_ms: 400, gang: false },
+        StepWork { count: 3, cpu: 1500, duration_ms: 900, gang: true },
+    ]
+}
+
+fn task(step: u32) -> TaskId {
+    TaskId { job: JobId(1), time: 0, step, index: 0 }
+}
+
+#[googletest::test]
+fn given_a_job_of_two_steps_when_a_worker_reads_its_text_then_it_finds_each_steps_work() {
+    let text = to_text(&steps());
+    let second = Resources { cpu: 1500, memory_mb: MEMORY_MB, gpu: 0 };
+    expect_that!(of_task(&text, &task(1)), some(eq((second, 900))));
+    expect_that!(of_task(&text, &task(2)), none());
+    expect_that!(of_task("no such text", &task(0)), none());
+}
+
+#[googletest::test]
+fn given_a_job_of_two_steps_when_it_is_handed_in_then_the_second_waits_for_the_first() {
+    let body = to_body(&steps());
+    expect_that!(body["steps"][0]["dependsOn"].is_null(), eq(true));
+    expect_that!(body["steps"][1]["dependsOn"][0].as_u64(), some(eq(0)));
+    expect_that!(body["steps"][1]["gang"].as_bool(), some(eq(true)));
+}
+
+#[googletest::test]
+fn given_the_body_of_a_demo_job_when_a_proxy_reads_it_then_it_is_a_job() {
+    let body = to_body(&steps()).to_string();
+    let job = magpiegap::job_body::read(body.as_bytes());
+    expect_that!(job.map(|job| job.steps.len()).ok(), some(eq(2)));
+}
--- a/system/fleet/src/lib.rs
+++ b/system/fleet/src/lib.rs
@@ -22,3 +22,4 @@
 pub use faults::Fault;
 pub use fleet::{Fleet, FleetSettings};
 pub use oracle::Violation;
+pub use worker::{Deed, Work, Worker};
--- a/system/fleet/src/worker.rs
+++ b/system/fleet/src/worker.rs
@@ -17,23 +17,45 @@
 
 /// What starting a task means to a worker; told by the fleet, as a real worker learns it from the text.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Work {
+pub struct Work {
+    /// What it takes up.
     pub resources: Resources,
+    /// How long it takes.
     pub duration_ms: u64,
+    /// How it ends.
     pub how: EndKind,
 }
 
 /// Something that a worker has done.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Deed {
-    Started { task: TaskId, run: RunId },
-    Ended { task: TaskId, run: RunId, how: EndKind },
-    Noted { last_seen: u64 },
+pub enum Deed {
+    /// A run has begun.
+    Started {
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: RunId,
+    },
+    /// A run has ended.
+    Ended {
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: RunId,
+        /// How.
+        how: EndKind,
+    },
+    /// Ends were taken note of by the caller.
+    Noted {
+        /// Up to this number.
+        last_seen: u64,
+    },
 }
 
 /// One life of a worker.
 #[derive(Clone, Debug)]
-pub(crate) struct Worker {
+pub struct Worker {
+    /// As the platform lists it.
     pub entry: WorkerEntry,
     clock_offset: u64,
     /// Thousandths: how fast its clock runs.
@@ -46,10 +68,12 @@
     number: u64,
     /// The highest run of each task that has ended or was stopped here.
     over: BTreeMap<TaskId, RunId>,
-    pub deeds: Vec<Deed>,
+    pub(crate) deeds: Vec<Deed>,
 }
 
 impl Worker {
+    /// A worker that has just started. Its clock is off by `clock_offset` milliseconds and runs at `clock_rate`
+    /// thousandths of true time.
     pub fn new(entry: WorkerEntry, clock_offset: u64, clock_rate: u64, max_hold_ms: u64) -> Worker {
         Worker {
             entry,
@@ -109,6 +133,11 @@
         self.ended.iter().any(|end| end.number > last_seen)
     }
 
+    /// Takes what it has done since this was last asked.
+    pub fn take_deeds(&mut self) -> Vec<Deed> {
+        std::mem::take(&mut self.deeds)
+    }
+
     /// Carries out an order.
     pub fn take(&mut self, now: u64, call: &WorkerCall, work: Option<Work>) -> WorkerReply {
         if call.instance != self.entry.instance {
--- a/system/magpiegap/src/settings.rs
+++ b/system/magpiegap/src/settings.rs
@@ -217,7 +217,9 @@
 
     /// Where the agent listens for the proxy beside it.
     pub fn agent_address(&self) -> SocketAddr {
-        SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), self.internal_port_range.0 + 2)
+        // Machines that are all on this host, each with a loopback address of its own, must not share one port.
+        let ip = if self.ip.is_loopback() { self.ip } else { Ipv4Addr::LOCALHOST };
+        SocketAddr::new(IpAddr::V4(ip), self.internal_port_range.0 + 2)
     }
 
     /// Addresses of the seeds, as numbers.
--- a/system/magpiegap/tests/settings.rs
+++ b/system/magpiegap/tests/settings.rs
@@ -49,3 +49,13 @@
     let missing = NodeSettings::read(&PathBuf::from("/nowhere/at-all.toml"));
     expect_that!(missing.map(|_| ()).unwrap_err().to_string(), starts_with("/nowhere/at-all.toml"));
 }
+
+#[googletest::test]
+fn given_machines_that_share_a_host_when_their_addresses_are_of_loopback_then_their_agents_do_not_share_one()
+{
+    let alone = NodeSettings::read(&file("alone", FINE)).unwrap();
+    expect_that!(alone.agent_address().to_string(), eq("127.0.0.1:7662"));
+    let shared = FINE.replace("ip = \"10.1.0.15\"", "ip = \"127.0.62.3\"");
+    let shared = NodeSettings::read(&file("shared", &shared)).unwrap();
+    expect_that!(shared.agent_address().to_string(), eq("127.0.62.3:7662"));
+}
