Call workers on lasting connections of our own, and plan less often while much waits

Change: worker_connections on hyper in place of reqwest for calls to workers; up to 20 ms between rounds of planning while much waits; newcomers to the chain one after the other.

--- a/system/control/src/view_change.rs
+++ b/system/control/src/view_change.rs
@@ -76,14 +76,16 @@
             true => self.is_complete() || self.chain.activity == Activity::Following,
             false => self.membership.peer(&replica.member).is_some_and(|peer| self.has_caught_up(peer)),
         };
-        let staying: Vec<ReplicaId> =
+        let mut ready: Vec<ReplicaId> =
             alive.iter().copied().filter(|replica| chain.contains(replica)).collect();
-        // One that some of the chain does not hear would be left out again at once.
-        let connected = |replica: &ReplicaId| self.membership.says_connected(&replica.member, &staying);
-        let newcomers = alive.iter().copied().filter(|replica| !chain.contains(replica));
-        let able = newcomers.filter(|replica| caught_up(replica) && (*replica == own || connected(replica)));
-        let mut ready = staying.clone();
-        ready.extend(able);
+        let chain_goes_on = !ready.is_empty();
+        for newcomer in alive.iter().filter(|replica| !chain.contains(replica) && caught_up(replica)) {
+            // One that some of the chain does not hear would be left out again at once.
+            let connected = *newcomer == own || self.membership.says_connected(&newcomer.member, &ready);
+            if connected || !chain_goes_on {
+                ready.push(*newcomer);
+            }
+        }
         if ready.len() >= self.settings.copies() {
             return ready;
         }
--- a/system/control/tests/learning.rs
+++ b/system/control/tests/learning.rs
@@ -153,3 +153,25 @@
     group.run(1500);
     expect_that!(group.chain().len(), eq(5));
 }
+
+#[googletest::test]
+fn given_two_replicas_that_do_not_hear_each_other_when_both_come_back_then_one_joins_and_views_stop_changing()
+{
+    let mut group = Group::start(5, 2);
+    for address in [2, 5] {
+        group.stop_replica(address);
+    }
+    group.run(1000);
+    group.cut_links.insert((2, 5));
+    for address in [2, 5] {
+        group.start_replica(address);
+    }
+    group.run(1500);
+    let view = group.view();
+    expect_that!(group.chain().len(), eq(4));
+    group.run(3000);
+    expect_that!(group.view(), eq(view));
+    group.cut_links.clear();
+    group.run(1500);
+    expect_that!(group.chain().len(), eq(5));
+}
--- a/system/magpiegap/src/coordinator/driver.rs
+++ b/system/magpiegap/src/coordinator/driver.rs
@@ -1,5 +1,8 @@
 //! Drives the coordinator's state machine: events in, effects out.
-use super::{disk::DiskWork, events::Event, peers::Peers, platform_client, worker_client};
+use super::{
+    disk::DiskWork, events::Event, peers::Peers, platform_client, worker_client,
+    worker_connections::WorkerConnections,
+};
 use crate::clock::Clock;
 use magpiegap_control::{DurableState, Output as ControlOutput};
 use magpiegap_coordinator::{Coordinator, CoordinatorSettings, Output, RequestId};
@@ -23,6 +26,7 @@
     disk: std::sync::mpsc::Sender<DiskWork>,
     peers: Peers,
     client: reqwest::Client,
+    workers: WorkerConnections,
     platform: Option<SocketAddr>,
     answers: HashMap<RequestId, oneshot::Sender<CoordinatorAnswer>>,
     next_request: RequestId,
@@ -48,6 +52,7 @@
             disk,
             peers,
             client,
+            workers: WorkerConnections::default(),
             platform,
             answers: HashMap::new(),
             next_request: 0,
@@ -128,10 +133,10 @@
                 }
             }
             Output::CallWorker { service, token, call } => {
-                let (client, events) = (self.client.clone(), events.clone());
+                let (workers, events) = (self.workers.clone(), events.clone());
                 tokio::spawn(async move {
                     let id = call.id;
-                    let reply = worker_client::call(client, call).await;
+                    let reply = worker_client::call(workers, call).await;
                     let _ = events.send(Event::Worker { service, token, call: id, reply });
                 });
             }
--- a/system/magpiegap/src/coordinator/mod.rs
+++ b/system/magpiegap/src/coordinator/mod.rs
@@ -7,6 +7,7 @@
 mod platform_client;
 mod request_server;
 mod worker_client;
+pub mod worker_connections;
 
 use crate::{
     clock::Clock,
--- a/system/magpiegap/src/coordinator/worker_client.rs
+++ b/system/magpiegap/src/coordinator/worker_client.rs
@@ -1,10 +1,17 @@
 //! Calls to workers.
+use super::worker_connections::WorkerConnections;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    header::{HeaderValue, CONTENT_TYPE, HOST},
+    Request,
+};
 use magpiegap_protocol::{EndKind, TaskId};
 use magpiegap_scheduler::{
     ListedEnd, ListedRun, Listing, RefusalReason, WorkerCall, WorkerOrder, WorkerReply,
 };
 use serde::{Deserialize, Serialize};
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 #[derive(Serialize)]
 #[serde(rename_all = "camelCase")]
@@ -52,22 +59,25 @@
 }
 
 /// Makes a call.
-pub async fn call(client: reqwest::Client, call: WorkerCall) -> WorkerReply {
-    let (path, body) = request(&call);
-    let url = format!("http://{}{path}", call.address);
-    let sent = client
-        .post(url)
-        .header("Content-Type", "application/json")
-        .header("Expected-Instance", &call.instance)
-        .timeout(Duration::from_millis(call.timeout_ms))
-        .body(body)
-        .send()
-        .await;
-    let Ok(response) = sent else { return WorkerReply::Unanswered };
-    let status = response.status().as_u16();
-    let Ok(body) = response.bytes().await else { return WorkerReply::Unanswered };
+pub async fn call(connections: WorkerConnections, call: WorkerCall) -> WorkerReply {
+    // A worker whose address can't be read, or whose name can't be sent, can't be called.
+    let Ok(address) = call.address.parse::<SocketAddr>() else { return WorkerReply::Unanswered };
+    let Ok(request) = http_request(&call) else { return WorkerReply::Unanswered };
+    let timeout = Duration::from_millis(call.timeout_ms);
+    let Ok((status, body)) = connections.call(address, request, timeout).await else {
+        return WorkerReply::Unanswered;
+    };
     let answer: Answer = serde_json::from_slice(&body).unwrap_or_default();
-    read_answer(&call, status, answer)
+    read_answer(&call, status.as_u16(), answer)
+}
+
+fn http_request(call: &WorkerCall) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+    let (path, body) = request(call);
+    Request::post(path)
+        .header(HOST, &call.address)
+        .header(CONTENT_TYPE, HeaderValue::from_static("application/json"))
+        .header("expected-instance", &call.instance)
+        .body(Full::new(Bytes::from(body)))
 }
 
 fn request(call: &WorkerCall) -> (&'static str, Vec<u8>) {
--- /dev/null
+++ b/system/magpiegap/tests/worker_connections.rs
@@ -0,0 +1,102 @@
+//! Calls to workers use lasting connections, and say when there is no answer.
+use bytes::Bytes;
+use googletest::prelude::*;
+use http_body_util::Full;
+use hyper::Request;
+use magpiegap::worker_connections::{ConnectionError, WorkerConnections};
+use std::{net::SocketAddr, time::Duration};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+/// Longer than any call here takes.
+const LONG: Duration = Duration::from_secs(20);
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+
+fn request() -> Request<Full<Bytes>> {
+    let request =
+        Request::post("/-/hold").header("host", "worker").body(Full::new(Bytes::from_static(b"{}")));
+    request.expect("a fine request")
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    (listener, address)
+}
+
+/// Reads one request: its end is that of its body.
+async fn read_request(stream: &mut TcpStream) {
+    let mut read = Vec::new();
+    while !read.ends_with(b"\r\n\r\n{}") {
+        let mut part = [0; 1024];
+        let length = stream.read(&mut part).await.expect("a request");
+        assert!(length > 0, "the connection ended");
+        read.extend_from_slice(&part[..length]);
+    }
+}
+
+#[tokio::test]
+async fn given_a_worker_that_keeps_connections_when_it_is_called_twice_then_both_calls_use_one() {
+    let (listener, address) = listen().await;
+    let worker = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        for _ in 0..2 {
+            read_request(&mut stream).await;
+            stream.write_all(ANSWER).await.expect("an open connection");
+        }
+    });
+    let connections = WorkerConnections::default();
+    for _ in 0..2 {
+        let (status, body) = connections.call(address, request(), LONG).await.expect("an answer");
+        assert_that!(status.as_u16(), eq(200));
+        assert_that!(body.as_ref(), eq(b"{}"));
+    }
+    worker.await.expect("both requests came on one connection");
+}
+
+#[tokio::test]
+async fn given_a_worker_that_closes_after_each_answer_when_it_is_called_twice_then_both_calls_are_answered() {
+    let (listener, address) = listen().await;
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            read_request(&mut stream).await;
+            stream.write_all(ANSWER).await.expect("an open connection");
+            stream.shutdown().await.expect("an open connection");
+        }
+    });
+    let connections = WorkerConnections::default();
+    for _ in 0..2 {
+        let (status, _) = connections.call(address, request(), LONG).await.expect("an answer");
+        assert_that!(status.as_u16(), eq(200));
+    }
+}
+
+#[tokio::test]
+async fn given_an_address_where_nobody_listens_when_it_is_called_then_there_is_no_connection() {
+    let (listener, address) = listen().await;
+    drop(listener);
+    let called = WorkerConnections::default().call(address, request(), LONG).await;
+    assert_that!(matches!(called, Err(ConnectionError::Connect(_))), eq(true));
+}
+
+#[tokio::test]
+async fn given_a_worker_that_does_not_answer_when_the_time_is_over_then_the_call_ends() {
+    let (_listener, address) = listen().await;
+    let called = WorkerConnections::default().call(address, request(), Duration::from_millis(20)).await;
+    assert_that!(matches!(called, Err(ConnectionError::Timeout)), eq(true));
+}
+
+#[tokio::test]
+async fn given_an_answer_that_is_cut_off_when_it_is_read_then_it_is_no_answer() {
+    let (listener, address) = listen().await;
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        read_request(&mut stream).await;
+        stream.write_all(&ANSWER[..ANSWER.len() - 1]).await.expect("an open connection");
+    });
+    let called = WorkerConnections::default().call(address, request(), LONG).await;
+    assert_that!(matches!(called, Err(ConnectionError::Body(_))), eq(true));
+}
--- a/system/scheduler/src/scheduler.rs
+++ b/system/scheduler/src/scheduler.rs
@@ -90,6 +90,8 @@
     pub(crate) taken_over_at: Millis,
     /// Something has changed that may let a task be placed.
     pub(crate) replan: bool,
+    /// No round of planning before this time.
+    pub(crate) next_plan: Millis,
     pub(crate) next_check: Millis,
     pub(crate) out: Vec<Output>,
 }
@@ -127,6 +129,7 @@
             wall: 0,
             taken_over_at: now,
             replan: true,
+            next_plan: now,
             next_check: now,
             out: Vec::new(),
         };
@@ -306,6 +309,11 @@
         id
     }
 
+    /// A round looks at all that waits, so with much waiting there is a pause before the next one.
+    fn pause_after_plan(&self) -> Millis {
+        (self.queue.len() as u64 / WAITING_PER_PAUSE_MS).min(MOST_PLAN_PAUSE_MS)
+    }
+
     /// Does what is due. To be called after all other inputs, and every few hundredths of a second.
     pub fn run(&mut self, now: Millis, wall: WallMillis, state: &State) {
         self.now = now;
@@ -323,12 +331,19 @@
         }
         self.send_starts(now, state);
         self.renew_holds(now);
-        if std::mem::take(&mut self.replan) {
+        if self.replan && now >= self.next_plan {
+            self.replan = false;
             self.plan(now, state);
+            self.next_plan = now + self.pause_after_plan();
         }
     }
 }
 
+/// Tasks left waiting for each millisecond of pause between two rounds of planning.
+const WAITING_PER_PAUSE_MS: u64 = 16;
+/// Longest pause between two rounds of planning.
+const MOST_PLAN_PAUSE_MS: Millis = 20;
+
 /// How often everything is looked through for what is due.
 const CHECK_EVERY_MS: Millis = 50;
 
