Let every waiting task have its turn in planning, however many wait in vain before it

Ruled out by reading: open calls, runs and proposals over a change of the view; promises of room.

Change: a round goes on where the last one ended, for 20 more misses; planning in smaller functions.

--- a/system/scheduler/src/planning.rs
+++ b/system/scheduler/src/planning.rs
@@ -5,7 +5,7 @@
     outlook::Outlook,
     placement::{choose, Demand},
     preemption::{choose_victims, Victims},
-    queue::{urgency, Urgency},
+    queue::{urgency, Urgency, Waiting},
     scheduler::Scheduler,
     worker::{Progress, Run, RunPhase, Workers},
 };
@@ -13,8 +13,10 @@
 use magpiegap_protocol::{Command, JobId, Millis, RunStart, StepSpec, Submission, TaskId, WallMillis};
 use std::collections::HashSet;
 
-/// After this many tasks that found no place, one round of planning ends.
+/// After this many tasks that found no place, the most urgent part of a round of planning ends ...
 const MOST_MISSES: usize = 40;
+/// ... and after this many more the part that goes on from where the last round ended, so that all have their turn.
+const MORE_MISSES: usize = 20;
 /// A task waits for its data's rack for at most this part of the time that being away would cost.
 const PATIENCE: f64 = 0.6;
 /// An urgent task that has found no room for this long may have less urgent runs stopped for it.
@@ -30,6 +32,20 @@
     shapes: Vec<StepSpec>,
 }
 
+/// A task or gang as a round of planning finds it waiting.
+struct InLine {
+    key: Urgency,
+    unit: Startable,
+    since: Millis,
+}
+
+/// What a round of planning has come to so far.
+#[derive(Default)]
+struct Round {
+    runs: Vec<RunStart>,
+    misses: Misses,
+}
+
 impl Misses {
     fn hopeless(&self, step: &StepSpec) -> bool {
         let covers = |shape: &StepSpec| {
@@ -68,42 +84,72 @@
         Command::SubmitJob { submission: Box::new(submission), runs }
     }
 
-    /// Places what waits, most urgent first.
+    /// Places what waits, most urgent first. Where much waits in vain, a round does not look at all of it: it goes on
+    /// where the last one ended.
     pub(crate) fn plan(&mut self, now: Millis, state: &State) {
-        let mut runs = Vec::new();
-        let mut misses = Misses::default();
-        let waiting: Vec<(Urgency, Startable, Millis)> =
-            self.queue.iter().map(|(key, waiting)| (*key, waiting.unit.clone(), waiting.since)).collect();
-        let owners: HashSet<TaskId> = waiting.iter().map(|(key, ..)| key.task).collect();
+        let in_line = |(key, waiting): (&Urgency, &Waiting)| InLine {
+            key: *key,
+            unit: waiting.unit.clone(),
+            since: waiting.since,
+        };
+        let line: Vec<InLine> = self.queue.iter().map(in_line).collect();
+        let owners: HashSet<TaskId> = line.iter().map(|waiting| waiting.key.task).collect();
         self.reservations.review(&owners, &self.workers, now);
         self.backfill.begin_round(now);
-        for (key, unit, since) in waiting {
-            if misses.shapes.len() >= MOST_MISSES {
-                break;
+        let mut round = Round::default();
+        let urgent = self.plan_some(&line, MOST_MISSES, &mut round, now, state);
+        if urgent < line.len() {
+            let next =
+                self.plan_next.map_or(urgent, |next| line.partition_point(|waiting| waiting.key < next));
+            let from = if next >= line.len() { urgent } else { next.max(urgent) };
+            let most = round.misses.shapes.len() + MORE_MISSES;
+            let until = from + self.plan_some(&line[from..], most, &mut round, now, state);
+            self.plan_next = line.get(until).map(|waiting| waiting.key);
+        }
+        if !round.runs.is_empty() {
+            self.out.push(Output::Propose(Command::StartRuns { runs: round.runs }));
+        }
+    }
+
+    /// Places some of those in line, until so many in all have found no place. Returns how many it has looked at.
+    fn plan_some(
+        &mut self,
+        line: &[InLine],
+        most_misses: usize,
+        round: &mut Round,
+        now: Millis,
+        state: &State,
+    ) -> usize {
+        for (position, waiting) in line.iter().enumerate() {
+            if round.misses.shapes.len() >= most_misses {
+                return position;
             }
-            let Some(job) = state.jobs.get(&key.task.job) else { continue };
-            let Some(step) = job.submission.spec.steps.get(key.task.step as usize) else { continue };
-            let waited = now.saturating_sub(since);
-            if misses.hopeless(step) {
-                self.promise_room(job, &unit, step, &key, waited, now);
-                continue;
+            self.plan_one(waiting, round, now, state);
+        }
+        line.len()
+    }
+
+    fn plan_one(&mut self, waiting: &InLine, round: &mut Round, now: Millis, state: &State) {
+        let InLine { key, unit, since } = waiting;
+        let Some(job) = state.jobs.get(&key.task.job) else { return };
+        let Some(step) = job.submission.spec.steps.get(key.task.step as usize) else { return };
+        let waited = now.saturating_sub(*since);
+        if round.misses.hopeless(step) {
+            self.promise_room(job, unit, step, key, waited, now);
+            return;
+        }
+        match self.place(job, unit, key, waited, now) {
+            Some(mut placed) => {
+                self.queue.take(key);
+                self.backfill.release(key);
+                round.runs.append(&mut placed);
             }
-            match self.place(job, &unit, &key, waited, now) {
-                Some(mut placed) => {
-                    self.queue.take(&key);
-                    self.backfill.release(&key);
-                    runs.append(&mut placed);
-                }
-                None => {
-                    misses.add(step, has_room(&self.workers, step, now));
-                    self.promise_room(job, &unit, step, &key, waited, now);
-                    self.preempt(&key, &unit, step, waited, now);
-                }
+            None => {
+                round.misses.add(step, has_room(&self.workers, step, now));
+                self.promise_room(job, unit, step, key, waited, now);
+                self.preempt(key, unit, step, waited, now);
             }
         }
-        if !runs.is_empty() {
-            self.out.push(Output::Propose(Command::StartRuns { runs }));
-        }
     }
 
     /// Finds places for a task or gang and takes up the room there.
--- a/system/scheduler/src/scheduler.rs
+++ b/system/scheduler/src/scheduler.rs
@@ -3,7 +3,7 @@
     answer_times::AnswerTimes,
     backfill::Backfill,
     calls::{Output, WorkerCall, WorkerOrder},
-    queue::Queue,
+    queue::{Queue, Urgency},
     reservations::Reservations,
     settings::SchedulerSettings,
     worker::{Worker, Workers},
@@ -92,6 +92,8 @@
     pub(crate) replan: bool,
     /// No round of planning before this time.
     pub(crate) next_plan: Millis,
+    /// Where the last round of planning ended, if it did not look at all that waits.
+    pub(crate) plan_next: Option<Urgency>,
     pub(crate) next_check: Millis,
     pub(crate) out: Vec<Output>,
 }
@@ -130,6 +132,7 @@
             taken_over_at: now,
             replan: true,
             next_plan: now,
+            plan_next: None,
             next_check: now,
             out: Vec::new(),
         };
