--- a/system/control/src/lib.rs
+++ b/system/control/src/lib.rs
@@ -20,6 +20,8 @@
 mod steps;
 mod time_of_day;
 mod view_change;
+mod view_members;
+mod view_reason;
 
 pub use durable::{DurableRecord, DurableState, Snapshot};
 pub use replica::{Output, Replica, StateMachine};
--- /dev/null
+++ b/system/control/src/view_reason.rs
@@ -0,0 +1,27 @@
+//! Why another view is needed.
+use magpiegap_protocol::Replica;
+use std::fmt;
+
+/// Why another view is needed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ViewReason {
+    /// A replica outside of the chain can take part.
+    Newcomer(Replica),
+    /// A member of the chain is gone, or can't take part.
+    Gone(Replica),
+    /// The agreement on the next view was begun by another replica and led to nothing.
+    Unfinished,
+    /// A member of the chain is there and does not take part.
+    Idle(Replica),
+}
+
+impl fmt::Display for ViewReason {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ViewReason::Newcomer(replica) => write!(formatter, "{} can take part", replica.member),
+            ViewReason::Gone(replica) => write!(formatter, "{} is gone", replica.member),
+            ViewReason::Unfinished => write!(formatter, "its agreement was begun and led to nothing"),
+            ViewReason::Idle(replica) => write!(formatter, "{} does not take part", replica.member),
+        }
+    }
+}
