Let monitoring scrape a coordinator's figures, and describe the cluster by typed values

Cause: there were no figures to scrape; the description of the cluster was JSON written by hand, in which a service's name with quotes broke it.

Ruled out: counting in the shell (the state machine counts what it applies); the library's labels as they are (it does not escape values).

Figures: none measured; counters are plain additions.

--- a/system/coordinator/src/coordinator.rs
+++ b/system/coordinator/src/coordinator.rs
@@ -1,5 +1,6 @@
 //! The coordinator: takes inputs, and says what to send, keep, call and answer.
 use crate::{
+    counters::Counters,
     machine::Machine,
     outputs::Output,
     settings::CoordinatorSettings,
@@ -39,6 +40,7 @@
     pub(crate) time_of_day: TimeOfDay,
     /// The middle one of the times of day of all coordinators.
     pub(crate) wall: WallMillis,
+    pub(crate) counters: Counters,
     pub(crate) out: Vec<Output>,
 }
 
@@ -70,6 +72,7 @@
             now,
             time_of_day: TimeOfDay::default(),
             wall: 0,
+            counters: Counters::default(),
             out: Vec::new(),
         };
         coordinator.follow_configuration();
--- a/system/coordinator/src/describe.rs
+++ b/system/coordinator/src/describe.rs
@@ -1,51 +1,114 @@
 //! The state of the cluster, for operators.
-use crate::coordinator::Coordinator;
+use crate::{coordinator::Coordinator, counters::Counters};
 use magpiegap_protocol::{CoordinatorAnswer, JobId, Role};
-use std::fmt::Write;
+use serde::{Deserialize, Serialize};
+
+/// The cluster as one coordinator sees it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClusterDescription {
+    /// Number of the newest view that it knows.
+    pub view: u64,
+    /// All that was proposed in earlier views is settled.
+    pub settled: bool,
+    /// Proposals of this coordinator that are under way.
+    pub proposals: usize,
+    /// Requests that wait for a proposal.
+    pub requests: usize,
+    /// The chain's machines, head first.
+    pub chain: Vec<String>,
+    /// How many vote on the next view.
+    pub voters: usize,
+    /// This coordinator takes part in the chain.
+    pub active: bool,
+    /// The newest entry that it knows to be committed.
+    pub committed: u64,
+    /// Version of the configuration.
+    pub configuration: u64,
+    /// Jobs in the state, with those that have ended and are still shown.
+    pub jobs: usize,
+    /// Jobs that have not ended.
+    pub open_jobs: u64,
+    /// Who holds which role.
+    pub roles: Vec<RoleDescription>,
+    /// The schedulers that this coordinator holds.
+    pub schedulers: Vec<SchedulerDescription>,
+    /// What it has counted since its start.
+    pub counters: Counters,
+}
+
+/// Who holds a role.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoleDescription {
+    /// The role.
+    pub role: String,
+    /// The holder's address.
+    pub holder: String,
+    /// Rises with each holder.
+    pub token: u64,
+}
+
+/// One scheduler.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SchedulerDescription {
+    /// The service.
+    pub service: String,
+    /// Workers known.
+    pub workers: usize,
+    /// Workers that don't answer.
+    pub silent: usize,
+    /// Runs on record.
+    pub runs: usize,
+    /// Tasks and gangs that wait for a place.
+    pub waiting: usize,
+}
 
 impl Coordinator {
-    /// The state of the cluster as this coordinator sees it, as JSON.
-    pub fn describe(&self) -> String {
+    /// The state of the cluster as this coordinator sees it.
+    pub fn describe(&self) -> ClusterDescription {
         let view = self.replica.view();
         let state = &self.machine.state;
-        let chain: Vec<String> =
-            view.chain.iter().map(|replica| format!("\"{}\"", replica.member.ip())).collect();
-        let mut roles = Vec::new();
-        for (role, held) in &state.roles {
-            let name = match role {
+        ClusterDescription {
+            view: view.number,
+            settled: self.settled_in_view,
+            proposals: self.proposals.len(),
+            requests: self.pending.len(),
+            chain: view.chain.iter().map(|replica| replica.member.ip().to_string()).collect(),
+            voters: view.voters.len(),
+            active: self.replica.is_active(),
+            committed: self.replica.committed(),
+            configuration: state.configuration.version,
+            jobs: state.jobs.len(),
+            open_jobs: state.open_jobs.values().sum(),
+            roles: self.describe_roles(),
+            schedulers: self.describe_schedulers(),
+            counters: self.counters,
+        }
+    }
+
+    fn describe_roles(&self) -> Vec<RoleDescription> {
+        let described = |(role, held): (&Role, &magpiegap_jobs::RoleState)| RoleDescription {
+            role: match role {
                 Role::PlatformReader => "platform-reader".to_owned(),
                 Role::Scheduler(service) => format!("scheduler {service}"),
-            };
-            let holder = held.holder.member.ip();
-            roles.push(format!("{{\"role\":\"{name}\",\"holder\":\"{holder}\",\"token\":{}}}", held.token));
-        }
-        let mut schedulers = Vec::new();
-        for (service, scheduler) in &self.schedulers {
+            },
+            holder: held.holder.member.ip().to_string(),
+            token: held.token,
+        };
+        self.machine.state.roles.iter().map(described).collect()
+    }
+
+    fn describe_schedulers(&self) -> Vec<SchedulerDescription> {
+        let described = |(service, scheduler): (&String, &magpiegap_scheduler::Scheduler)| {
             let sum = scheduler.summary();
-            schedulers.push(format!(
-                "{{\"service\":\"{service}\",\"workers\":{},\"silent\":{},\"runs\":{},\"waiting\":{}}}",
-                sum.workers, sum.silent, sum.runs, sum.waiting
-            ));
-        }
-        let mut text = String::new();
-        let _ = write!(
-            text,
-            "{{\"view\":{},\"settled\":{},\"proposals\":{},\"requests\":{},\"chain\":[{}],\"voters\":{},\"active\":{},\"committed\":{},\"configuration\":{},\
-             \"jobs\":{},\"roles\":[{}],\"schedulers\":[{}]}}",
-            view.number,
-            self.settled_in_view,
-            self.proposals.len(),
-            self.pending.len(),
-            chain.join(","),
-            view.voters.len(),
-            self.replica.is_active(),
-            self.replica.committed(),
-            state.configuration.version,
-            state.jobs.len(),
-            roles.join(","),
-            schedulers.join(",")
-        );
-        text
+            SchedulerDescription {
+                service: service.clone(),
+                workers: sum.workers,
+                silent: sum.silent,
+                runs: sum.runs,
+                waiting: sum.waiting,
+            }
+        };
+        self.schedulers.iter().map(described).collect()
     }
 
     /// What there is to say of a job, or who can say it.
--- a/system/coordinator/src/lib.rs
+++ b/system/coordinator/src/lib.rs
@@ -4,6 +4,7 @@
 #![warn(missing_docs)]
 
 mod coordinator;
+mod counters;
 mod describe;
 mod feeds;
 mod machine;
@@ -17,6 +18,8 @@
 mod under_way;
 
 pub use coordinator::Coordinator;
+pub use counters::Counters;
+pub use describe::{ClusterDescription, RoleDescription, SchedulerDescription};
 pub use machine::Machine;
 pub use outputs::{Output, PlatformReply, RequestId};
 pub use settings::CoordinatorSettings;
--- a/system/coordinator/src/requests.rs
+++ b/system/coordinator/src/requests.rs
@@ -24,7 +24,7 @@
                 self.wish_if_serving(request, Wish::DescribeConfiguration);
             }
             CoordinatorRequest::Describe => {
-                let text = self.describe();
+                let text = serde_json::to_string(&self.describe()).unwrap_or_default();
                 self.answer(request, CoordinatorAnswer::Description(text));
             }
             CoordinatorRequest::Explain { job } => {
--- a/system/coordinator/src/roles.rs
+++ b/system/coordinator/src/roles.rs
@@ -142,6 +142,7 @@
             match output {
                 SchedulerOutput::Propose(command) => self.propose_for_scheduler(service, token, command),
                 SchedulerOutput::Call(call) => {
+                    self.counters.worker_calls += 1;
                     self.out.push(Output::CallWorker { service: service.to_owned(), token, call });
                 }
                 SchedulerOutput::Log(line) => self.log(line),
--- a/system/coordinator/src/steps.rs
+++ b/system/coordinator/src/steps.rs
@@ -67,6 +67,7 @@
         let is_fed = |change: &Change| matches!(change, Change::Role(_) | Change::Configuration);
         let news = restored || applied.iter().any(|(_, applied)| applied.changes.iter().any(is_fed));
         for (entry, applied) in applied {
+            self.counters.note_entry(&applied);
             self.follow_entry(&entry, &applied);
         }
         if news {
@@ -87,6 +88,7 @@
         }
         if active && self.propose(Command::Noop, None, Some(Purpose::FirstOfView), None) {
             self.entered_view = Some(view);
+            self.counters.views += 1;
             self.refresh_feed();
         }
     }
--- a/system/fleet/src/fleet.rs
+++ b/system/fleet/src/fleet.rs
@@ -182,7 +182,7 @@
     /// The state of each coordinator, for whoever looks into a failure.
     pub fn describe(&self) -> Vec<String> {
         let described = |node: &Node| match &node.coordinator {
-            Some(coordinator) => format!("{} {}", node.member, coordinator.describe()),
+            Some(coordinator) => format!("{} {:?}", node.member, coordinator.describe()),
             None => format!("{} does not run", node.member),
         };
         self.nodes.iter().map(described).collect()
--- a/system/magpiegap/src/coordinator/control_plane.rs
+++ b/system/magpiegap/src/coordinator/control_plane.rs
@@ -1,5 +1,5 @@
 //! The operator's interface.
-use super::events::Handle;
+use super::{events::Handle, metrics};
 use crate::serving::read_body;
 use magpiegap_jobs::Configuration;
 use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, JobId};
@@ -35,6 +35,11 @@
         Reply { status: Status::Ok, kind: ContentType::JSON, body, location: None }
     }
 
+    fn metrics(text: String) -> Reply {
+        let kind = ContentType::parse_flexible(metrics::CONTENT_TYPE).unwrap_or(ContentType::Plain);
+        Reply { status: Status::Ok, kind, body: text.into_bytes(), location: None }
+    }
+
     fn elsewhere(location: String) -> Reply {
         Reply { location: Some(location), ..Reply::text(Status::TemporaryRedirect, "") }
     }
@@ -107,6 +112,18 @@
         }
     }
 
+    /// The figures that monitoring systems scrape.
+    async fn metrics(&self) -> Reply {
+        let description = match self.handle.ask(CoordinatorRequest::Describe).await {
+            Some(CoordinatorAnswer::Description(text)) => serde_json::from_str(&text).ok(),
+            _ => None,
+        };
+        match description {
+            Some(cluster) => Reply::metrics(metrics::to_text(cluster)),
+            None => not_now(),
+        }
+    }
+
     /// Explains a job: why its tasks wait, and where they run.
     async fn explain(&self, name: &str) -> Reply {
         let Some(job) = JobId::parse(name) else {
@@ -139,6 +156,7 @@
             (Method::Post, "/-/Config.Replace") => self.replace(request, data).await,
             (Method::Get, "/-/Config.Describe") => self.describe().await,
             (Method::Get, "/-/Cluster.Describe") => self.cluster().await,
+            (Method::Get, "/-/metrics") => self.metrics().await,
             _ => Reply::text(Status::NotFound, "no such call"),
         };
         Outcome::from(request, reply)
--- a/system/magpiegap/src/coordinator/mod.rs
+++ b/system/magpiegap/src/coordinator/mod.rs
@@ -3,6 +3,7 @@
 mod disk;
 mod driver;
 mod events;
+pub mod metrics;
 mod peers;
 mod platform_client;
 mod request_server;
--- a/system/magpiegap/src/lib.rs
+++ b/system/magpiegap/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use agent::link;
 pub use command_line::{command_line, parser, run, CommandLine};
-pub use coordinator::worker_connections;
+pub use coordinator::{metrics, worker_connections};
 pub use error::ProgramError;
 pub use operator::{check_configuration, describe_state};
 pub use proxy::{admission, feed, job_body};
--- /dev/null
+++ b/system/magpiegap/tests/metrics.rs
@@ -0,0 +1,41 @@
+//! The figures that monitoring systems scrape.
+use googletest::prelude::*;
+use magpiegap::metrics::to_text;
+use magpiegap_coordinator::{ClusterDescription, Counters, SchedulerDescription};
+
+fn cluster() -> ClusterDescription {
+    let scheduler = SchedulerDescription {
+        service: "a \"quoted\" service".to_owned(),
+        workers: 12,
+        silent: 1,
+        runs: 40,
+        waiting: 3,
+    };
+    ClusterDescription {
+        view: 7,
+        active: true,
+        schedulers: vec![scheduler],
+        counters: Counters { runs_done: 900, ..Counters::default() },
+        ..ClusterDescription::default()
+    }
+}
+
+#[googletest::test]
+fn given_a_coordinator_when_it_is_scraped_then_its_figures_are_in_the_usual_text_format() {
+    let text = to_text(cluster());
+    let lines: Vec<&str> = text.lines().collect();
+    expect_that!(lines, contains(eq(&"# TYPE magpiegap_view gauge")));
+    expect_that!(lines, contains(eq(&"magpiegap_view 7")));
+    expect_that!(lines, contains(eq(&"magpiegap_runs_done_total 900")));
+    expect_that!(lines.last(), some(eq(&"# EOF")));
+}
+
+#[googletest::test]
+fn given_a_service_with_quotes_in_its_name_when_it_is_scraped_or_described_then_they_are_escaped() {
+    let text = to_text(cluster());
+    let line = r#"magpiegap_scheduler_waiting{service="a \"quoted\" service"} 3"#;
+    expect_that!(text.lines().collect::<Vec<_>>(), contains(eq(&line)));
+    let json = serde_json::to_string(&cluster()).unwrap_or_default();
+    let read: Option<ClusterDescription> = serde_json::from_str(&json).ok();
+    expect_that!(read, some(eq(&cluster())));
+}
