Draw two workers at random instead of looking through all, and measure the scheduler's core

Cause: each start looked through all workers; at 380 workers and a thousand starts a second that is a tenth of a coordinator.

Ruled out: another choice than before (drawing until two fit gives each pair of fitting workers the same chance).

Change: up to 12 draws, then the full look as before; packed, near-to-data and GPU tasks as before; examples/throughput.

--- /dev/null
+++ b/system/scheduler/examples/throughput.rs
@@ -0,0 +1,187 @@
+//! How long the scheduler's core takes for each run, against the number of workers and of tasks that wait in vain.
+//!
+//! `cargo run --profile system -p magpiegap-scheduler --example throughput`
+//!
+//! A scheduler between a log that commits at once and workers that answer at once: jobs of two tasks come, are placed,
+//! started and listed as done. The time is that of the scheduler and of applying the log, without sockets, disks and
+//! other replicas.
+use magpiegap_jobs::State;
+use magpiegap_protocol::{
+    Command, EndKind, Entry, JobId, JobSpec, Member, Position, ProposalId, Replica, Resources, RunStart,
+    StepSpec, Submission, WorkerEntry,
+};
+use magpiegap_scheduler::{
+    ListedEnd, Listing, Output, Scheduler, SchedulerSettings, WorkerCall, WorkerOrder, WorkerReply,
+};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Instant,
+};
+
+const WORKERS: [usize; 5] = [50, 100, 200, 400, 800];
+const WAITING: [u64; 3] = [0, 200, 1000];
+/// Jobs played for each pair of sizes, of two tasks each.
+const JOBS: u64 = 4000;
+/// Time of the day at which the play begins.
+const WALL_MS: u64 = 1_000_000;
+/// Jobs handed in at the same moment, before answers are taken.
+const JOBS_AT_ONCE: u64 = 10;
+
+struct Bench {
+    now: u64,
+    state: State,
+    scheduler: Scheduler,
+    calls: Vec<WorkerCall>,
+    /// Ends that each worker has to tell, and how many it has had.
+    ends: HashMap<String, Vec<ListedEnd>>,
+    numbers: BTreeMap<String, u64>,
+}
+
+impl Bench {
+    fn new(workers: usize) -> Bench {
+        let state = State::default();
+        let scheduler = Scheduler::new("s", 1, SchedulerSettings::default(), 1000, &state, 1);
+        let mut bench = Bench {
+            now: 1000,
+            state,
+            scheduler,
+            calls: Vec::new(),
+            ends: HashMap::new(),
+            numbers: BTreeMap::new(),
+        };
+        let entries: Vec<WorkerEntry> = (0..workers).map(worker).collect();
+        bench.scheduler.list(bench.now, &bench.state, &entries);
+        bench.step();
+        bench
+    }
+
+    fn commit(&mut self, command: Command) {
+        let index = self.state.position.index + 1;
+        let origin = Replica { member: Member { address: 1, disk: 0 }, boot: 1 };
+        let runs: Vec<RunStart> = match &command {
+            Command::StartRuns { runs } | Command::SubmitJob { runs, .. } => runs.clone(),
+            _ => Vec::new(),
+        };
+        let entry = Entry {
+            position: Position { view: 1, index },
+            proposal: ProposalId { origin, sequence: index },
+            fence: None,
+            command,
+            wall_ms: WALL_MS + self.now,
+        };
+        let applied = self.state.apply(&entry);
+        self.scheduler.applied(self.now, entry.position, &self.state, &applied.changes, &runs);
+    }
+
+    /// A few milliseconds pass; all workers answer what they were asked.
+    fn step(&mut self) {
+        self.now += 5;
+        for _ in 0..4 {
+            self.scheduler.run(self.now, WALL_MS + self.now, &self.state);
+            for output in self.scheduler.take_outputs() {
+                match output {
+                    Output::Call(call) => self.calls.push(call),
+                    Output::Propose(command) => self.commit(command),
+                    Output::Log(_) => {}
+                }
+            }
+        }
+        for call in std::mem::take(&mut self.calls) {
+            let reply = self.answer(&call);
+            self.scheduler.reply(self.now, &self.state, call.id, reply);
+        }
+    }
+
+    fn answer(&mut self, call: &WorkerCall) -> WorkerReply {
+        let clock_ms = Some(WALL_MS + self.now);
+        let ends = self.ends.entry(call.instance.clone()).or_default();
+        match &call.order {
+            WorkerOrder::Start { task, run, .. } => {
+                let number = self.numbers.entry(call.instance.clone()).or_default();
+                *number += 1;
+                let checkpoint = String::new();
+                ends.push(ListedEnd {
+                    number: *number,
+                    task: *task,
+                    run: *run,
+                    kind: EndKind::Done,
+                    checkpoint,
+                });
+                WorkerReply::Done { clock_ms, listing: None }
+            }
+            WorkerOrder::Stop { .. } => WorkerReply::Done { clock_ms, listing: None },
+            WorkerOrder::Hold { last_seen, .. } => {
+                ends.retain(|end| end.number > *last_seen);
+                let listing = Listing { running: Vec::new(), ended: ends.clone() };
+                WorkerReply::Done { clock_ms, listing: Some(listing) }
+            }
+        }
+    }
+
+    fn submit(&mut self, job: u64, priority: u32, step: StepSpec) {
+        let submission = Submission {
+            job: JobId(job),
+            queue: "q".to_owned(),
+            service: "s".to_owned(),
+            priority,
+            max_attempts: 3,
+            stretch: 2.0,
+            target_latency_ms: 1000,
+            submitted_ms: WALL_MS + self.now,
+            spec: JobSpec { steps: vec![step], ..JobSpec::default() },
+        };
+        let command = self.scheduler.submit(self.now, submission);
+        self.commit(command);
+    }
+}
+
+fn worker(number: usize) -> WorkerEntry {
+    WorkerEntry {
+        instance: format!("i-{number:08}"),
+        service: "s".to_owned(),
+        address: format!("10.0.{}.{}:80", number / 250, number % 250),
+        capacity: Resources { cpu: 16_000, memory_mb: 64_000, gpu: 0 },
+        labels: vec![["a", "b"][number % 2].to_owned(), format!("r{}", number / 12)],
+        ..WorkerEntry::default()
+    }
+}
+
+fn step(count: u32, cpu: u64) -> StepSpec {
+    let resources = Resources { cpu, memory_mb: 100, gpu: 0 };
+    StepSpec { count, resources, estimated_ms: 500, ..StepSpec::default() }
+}
+
+/// Microseconds for each run.
+fn play(workers: usize, waiting: u64) -> f64 {
+    let mut bench = Bench::new(workers);
+    for number in 0..waiting {
+        // Wants a label that no worker has, and is unlike all before.
+        let wanted = StepSpec { requirements: vec!["none".to_owned()], ..step(1, 2000 - number) };
+        bench.submit(1_000_000 + number, 1, wanted);
+    }
+    bench.step();
+    let began = Instant::now();
+    for job in 0..JOBS {
+        bench.submit(job + 1, 0, step(2, 1000));
+        if job % JOBS_AT_ONCE == 0 {
+            bench.step();
+        }
+    }
+    began.elapsed().as_secs_f64() * 1e6 / (2 * JOBS) as f64
+}
+
+fn main() {
+    println!("microseconds for each run");
+    print!("{:>10}", "workers");
+    for waiting in WAITING {
+        print!("{:>18}", format!("{waiting} wait in vain"));
+    }
+    println!();
+    for workers in WORKERS {
+        print!("{workers:>10}");
+        for waiting in WAITING {
+            print!("{:>18.1}", play(workers, waiting));
+        }
+        println!();
+    }
+}
--- a/system/scheduler/src/placement.rs
+++ b/system/scheduler/src/placement.rs
@@ -10,6 +10,8 @@
 
 /// Tasks that take at least this part of a worker are packed instead of spread.
 const WIDE_SHARE: f64 = 0.5;
+/// So many workers are drawn to find two that fit, before all are looked through.
+const MOST_DRAWS: usize = 12;
 
 /// What is to be placed.
 pub(crate) struct Demand<'a> {
@@ -24,6 +26,8 @@
     pub candidate: Candidate<'a>,
     /// Workers on which these tasks have failed.
     pub avoid: &'a [String],
+    /// The names of all workers, to draw from.
+    pub names: &'a [String],
 }
 
 /// What placing several tasks has used up so far.
@@ -95,6 +99,16 @@
             && fits(worker, demand, taken)
             && keeps_promises(worker, demand, taken, now)
     };
+    let proven =
+        |worker: &Worker| !worker.health.on_trial() && !demand.avoid.contains(&worker.entry.instance);
+    let busy = |worker: &Worker| {
+        let more = taken.resources.get(&worker.entry.instance).copied().unwrap_or_default();
+        worker.used.plus(&more).plus(&demand.candidate.step.resources).share_of(&worker.entry.capacity)
+    };
+    if let Some(two) = draw_two(workers, demand, random, |worker| fits(&worker) && proven(worker)) {
+        let less_busy = two.into_iter().min_by(|a, b| busy(a).total_cmp(&busy(b)));
+        return less_busy.map(|worker| worker.entry.instance.clone());
+    }
     let mut candidates: Vec<&Worker> = workers.values().filter(fits).collect();
     if let Some(rack) = &demand.candidate.step.affinity {
         let near: Vec<&Worker> = candidates.iter().copied().filter(|worker| worker.has_label(rack)).collect();
@@ -104,23 +118,14 @@
             return None;
         }
     }
-    let proven: Vec<&Worker> = candidates
-        .iter()
-        .copied()
-        .filter(|worker| !worker.health.on_trial() && !demand.avoid.contains(&worker.entry.instance))
-        .collect();
+    let proven: Vec<&Worker> = candidates.iter().copied().filter(|worker| proven(worker)).collect();
     if !proven.is_empty() {
         candidates = proven;
     } else {
         // On trial a worker gets one run at a time.
         candidates.retain(|worker| !worker.health.on_trial() || worker.runs.is_empty());
     }
-    let busy = |worker: &Worker| {
-        let more = taken.resources.get(&worker.entry.instance).copied().unwrap_or_default();
-        worker.used.plus(&more).plus(&demand.candidate.step.resources).share_of(&worker.entry.capacity)
-    };
-    let wide =
-        candidates.iter().any(|w| demand.candidate.step.resources.share_of(&w.entry.capacity) >= WIDE_SHARE);
+    let wide = candidates.iter().any(|worker| is_wide(demand, worker));
     let chosen = if wide || demand.candidate.step.resources.gpu > 0 {
         candidates.into_iter().max_by(|a, b| busy(a).total_cmp(&busy(b)))
     } else {
@@ -130,6 +135,39 @@
     chosen.map(|worker| worker.entry.instance.clone())
 }
 
+/// Whether a task takes so much of a worker that it is packed.
+fn is_wide(demand: &Demand, worker: &Worker) -> bool {
+    demand.candidate.step.resources.share_of(&worker.entry.capacity) >= WIDE_SHARE
+}
+
+/// Two random workers that will do, drawn instead of looked for among all: the work for a start does not grow with the
+/// number of workers. `None` where a few draws do not find two, or where a task is not to be spread at random.
+fn draw_two<'w>(
+    workers: &'w Workers,
+    demand: &Demand,
+    random: &mut StdRng,
+    will_do: impl Fn(&Worker) -> bool,
+) -> Option<[&'w Worker; 2]> {
+    let step = demand.candidate.step;
+    if step.resources.gpu > 0 || step.affinity.is_some() || demand.names.len() < 2 * MOST_DRAWS {
+        return None;
+    }
+    let mut first: Option<&Worker> = None;
+    for _ in 0..MOST_DRAWS {
+        let drawn = demand.names.choose(random).and_then(|name| workers.get(name));
+        let Some(worker) = drawn.filter(|worker| will_do(worker)) else { continue };
+        if is_wide(demand, worker) {
+            return None;
+        }
+        match first {
+            None => first = Some(worker),
+            Some(first) if first.entry.instance != worker.entry.instance => return Some([first, worker]),
+            Some(_) => {}
+        }
+    }
+    None
+}
+
 fn fits(worker: &Worker, demand: &Demand, taken: &Taken) -> bool {
     let instance = &worker.entry.instance;
     let step = demand.candidate.step;
--- a/system/scheduler/src/planning.rs
+++ b/system/scheduler/src/planning.rs
@@ -170,6 +170,7 @@
             backfill: &self.backfill,
             candidate: self.candidate(job, unit, step, urgency),
             avoid: self.failed_on.get(&unit.first).unwrap_or(&nothing),
+            names: &self.names,
         };
         let chosen = choose(&self.workers, &demand, now, &mut self.random)?;
         let runs = starts(job, unit, step, chosen);
--- a/system/scheduler/src/scheduler.rs
+++ b/system/scheduler/src/scheduler.rs
@@ -66,6 +66,8 @@
     /// The last entry that the state held when it was last taken up whole.
     pub(crate) known_until: Position,
     pub(crate) workers: Workers,
+    /// The names of all workers, as they were a moment ago.
+    pub(crate) names: Vec<String>,
     pub(crate) queue: Queue,
     pub(crate) reservations: Reservations,
     pub(crate) backfill: Backfill,
@@ -115,6 +117,7 @@
             random: StdRng::seed_from_u64(seed),
             known_until: Position::default(),
             workers: Workers::new(),
+            names: Vec::new(),
             queue: Queue::default(),
             reservations: Reservations::default(),
             backfill: Backfill::default(),
@@ -312,6 +315,12 @@
         id
     }
 
+    fn refresh_names(&mut self) {
+        if !self.workers.keys().eq(self.names.iter()) {
+            self.names = self.workers.keys().cloned().collect();
+        }
+    }
+
     /// A round looks at all that waits, so with much waiting there is a pause before the next one.
     fn pause_after_plan(&self) -> Millis {
         (self.queue.len() as u64 / WAITING_PER_PAUSE_MS).min(MOST_PLAN_PAUSE_MS)
@@ -324,6 +333,7 @@
         if now >= self.next_check {
             self.next_check = now + CHECK_EVERY_MS;
             self.check_workers(now, state);
+            self.refresh_names();
             self.open_times(wall, state);
             self.forget_jobs(wall);
             for job in self.queue.outdated(wall) {
--- a/system/scheduler/tests/starting.rs
+++ b/system/scheduler/tests/starting.rs
@@ -4,7 +4,7 @@
 use common::*;
 use googletest::prelude::*;
 use magpiegap_jobs::Change;
-use magpiegap_protocol::{Command, EndKind, JobId, Position, RunStart};
+use magpiegap_protocol::{Command, EndKind, JobId, Position, RunStart, StepSpec};
 use magpiegap_scheduler::{
     ListedEnd, Output, RefusalReason, Scheduler, SchedulerSettings, WorkerOrder, WorkerReply,
 };
@@ -142,3 +142,40 @@
     // Then
     expect_that!(lost, eq(0));
 }
+
+#[googletest::test]
+fn given_many_workers_when_tasks_are_placed_then_the_less_busy_of_two_random_ones_gets_each() {
+    // Given
+    let names: Vec<String> = (0..60).map(|number| format!("w{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut story = Story::new(&names);
+    story.pass(100);
+    // When: three tasks for each worker, a quarter of a worker each
+    story.submit(1, vec![step(180, 1000)]);
+    let starts = story.starts();
+    // Then: all are placed, no worker has too many, and hardly one has none
+    expect_that!(starts.len(), eq(180));
+    let of = |name: &str| starts.iter().filter(|call| call.instance == name).count();
+    let counts: Vec<usize> = names.iter().map(|name| of(name)).collect();
+    expect_that!(counts.iter().max(), some(le(&4)));
+    expect_that!(counts.iter().filter(|count| **count == 0).count(), le(3));
+}
+
+#[googletest::test]
+fn given_many_workers_of_which_two_have_a_label_when_a_task_needs_it_then_it_is_placed_there() {
+    let names: Vec<String> = (0..60).map(|number| format!("w{number}")).collect();
+    let mut story = Story::new(&[]);
+    let mut entries: Vec<_> = names.iter().map(|name| worker(name)).collect();
+    for entry in entries.iter_mut().take(2) {
+        entry.labels.push("rare".to_owned());
+    }
+    story.scheduler.list(story.now, &story.state, &entries);
+    story.pass(10);
+    story.greet();
+    story.pass(100);
+    let rare = StepSpec { requirements: vec!["rare".to_owned()], ..step(4, 1000) };
+    story.submit(1, vec![rare]);
+    let starts = story.starts();
+    expect_that!(starts.len(), eq(4));
+    expect_that!(starts.iter().all(|call| call.instance == "w0" || call.instance == "w1"), eq(true));
+}
