--- a/system/control/src/chain.rs
+++ b/system/control/src/chain.rs
@@ -8,6 +8,9 @@
     Command, Entry, Fence, Millis, PeerMessage, Position, ProposalId, Replica as ReplicaId, View, WallMillis,
 };
 
+/// Most entries that a replica which does not take part applies at a time.
+const MOST_APPLIED_AT_ONCE: u64 = 256;
+
 impl Replica {
     pub(crate) fn own_position(&self) -> Option<usize> {
         self.agreement.state.current.position(&self.settings.own)
@@ -102,7 +105,8 @@
         }
         let Some(entries) = self.chain.log.after(self.chain.handed_to_disk) else { return };
         self.chain.handed_to_disk = last;
-        self.persist(vec![DurableRecord::Entries(entries)], vec![After::EntriesDurable(last)], now);
+        let records = vec![DurableRecord::Entries(entries), DurableRecord::Committed(self.chain.committed)];
+        self.persist(records, vec![After::EntriesDurable(last)], now);
     }
 
     /// Hands new entries to the disk and the followers, commits at the tail, and applies what is committed.
@@ -163,8 +167,12 @@
         }
     }
 
+    /// Applies what is committed. After a start that may be much: while the replica does not take part it is done in
+    /// parts, so that it is heard meanwhile, and most is done when the view is agreed.
     fn apply_committed(&mut self, machine: &mut dyn StateMachine) {
-        while self.chain.applied < self.chain.committed {
+        let most = if self.is_active() { u64::MAX } else { MOST_APPLIED_AT_ONCE };
+        let until = self.chain.committed.min(self.chain.applied.saturating_add(most));
+        while self.chain.applied < until {
             let Some(entry) = self.chain.log.get(self.chain.applied + 1) else { break };
             machine.apply(entry);
             self.chain.applied += 1;
--- a/system/control/src/durable.rs
+++ b/system/control/src/durable.rs
@@ -28,6 +28,9 @@
     /// From here on the replica has all that was committed up to this view.
     #[n(2)]
     Synchronized(#[n(0)] u64),
+    /// All entries up to this one are committed; written beside other records, so it may lie behind.
+    #[n(3)]
+    Committed(#[n(0)] u64),
 }
 
 /// All that a replica keeps, at one moment.
@@ -51,6 +54,10 @@
     /// Entries after it.
     #[n(5)]
     pub entries: Vec<Entry>,
+    /// Entries up to this one were known to be committed.
+    #[n(6)]
+    #[cbor(default)]
+    pub committed: u64,
 }
 
 /// What is found on disk at the start: a snapshot and what came after it.
@@ -65,7 +72,15 @@
         state: Vec<u8>,
     ) -> Self {
         let agreement = AgreementState { current: View::initial(voters), promised: None, accepted: None };
-        Snapshot { disk, agreement, synchronized, applied: Position::default(), state, entries: Vec::new() }
+        Snapshot {
+            disk,
+            agreement,
+            synchronized,
+            applied: Position::default(),
+            state,
+            entries: Vec::new(),
+            committed: 0,
+        }
     }
 
     /// Takes up a record that came after the snapshot.
@@ -74,6 +89,7 @@
             DurableRecord::Agreement(agreement) => self.agreement = *agreement,
             DurableRecord::Entries(entries) => self.entries.extend(entries),
             DurableRecord::Synchronized(view) => self.synchronized = Some(view),
+            DurableRecord::Committed(index) => self.committed = self.committed.max(index),
         }
     }
 }
--- a/system/control/src/replica.rs
+++ b/system/control/src/replica.rs
@@ -103,6 +103,7 @@
         }
         let log = Log::new(durable.applied, durable.entries.clone());
         let mut chain = Chain::new(log, durable.applied);
+        chain.committed = durable.committed.min(chain.log.last().index).max(durable.applied.index);
         if durable.agreement.current.number > 0 {
             // This life of the process is in no chain yet.
             chain.activity = Activity::Learning;
@@ -236,6 +237,7 @@
             applied: machine.position(),
             state: machine.encode(),
             entries: self.chain.log.after(self.chain.applied).unwrap_or_default(),
+            committed: self.chain.committed.min(last),
         };
         self.chain.handed_to_disk = last;
         let ticket = self.ticket(vec![After::EntriesDurable(last)], now);
@@ -248,7 +250,7 @@
     match record {
         DurableRecord::Entries(entries) => entries.iter().map(rough_entry_size).sum(),
         DurableRecord::Agreement(_) => 1000,
-        DurableRecord::Synchronized(_) => 20,
+        DurableRecord::Synchronized(_) | DurableRecord::Committed(_) => 20,
     }
 }
 
--- a/system/control/tests/common/group.rs
+++ b/system/control/tests/common/group.rs
@@ -151,6 +151,11 @@
         self.running.values().map(|running| running.replica.committed()).max().unwrap_or(0)
     }
 
+    /// The last entry that a replica has applied.
+    pub fn applied(&self, address: u32) -> u64 {
+        self.running[&address].machine.position.index
+    }
+
     /// Lets the head write an entry; `false` when there is none.
     pub fn write(&mut self) -> bool {
         self.proposals += 1;
--- a/system/control/tests/learning.rs
+++ b/system/control/tests/learning.rs
@@ -175,3 +175,32 @@
     group.run(1500);
     expect_that!(group.chain().len(), eq(5));
 }
+
+#[googletest::test]
+fn given_a_long_log_when_a_replica_starts_again_alone_then_it_applies_what_it_knows_to_be_committed() {
+    // Given: no checkpoint was made, so that all entries are in the log on disk
+    let mut group = Group::start(3, 1);
+    for _ in 0..900 {
+        group.write();
+        group.run(5);
+    }
+    group.run(200);
+    let committed = group.committed();
+    for address in 1..=3 {
+        group.stop_replica(address);
+    }
+    // When: the others are not there, so that no view can be agreed
+    group.start_replica(2);
+    group.run(300);
+    // Then: it has applied all but the last few, which it does not know to be committed
+    expect_that!(group.applied(2), ge(committed - 10));
+    expect_that!(group.applied(2), le(committed));
+    for address in [1, 3] {
+        group.start_replica(address);
+    }
+    group.run(1000);
+    expect_that!(group.chain().len(), eq(3));
+    expect_that!(group.write(), eq(true));
+    group.run(100);
+    expect_that!(group.committed(), gt(committed));
+}
