--- a/system/control/src/membership.rs
+++ b/system/control/src/membership.rs
@@ -185,9 +185,8 @@
 
     /// The replicas that are heard and hear this one, without this one.
     pub fn heard(&self, now: Millis) -> Vec<Peer> {
-        let recent = |at: Option<Millis>| at.is_some_and(|at| now.saturating_sub(at) <= self.suspect_ms);
-        let both_ways = |peer: &Peer| match recent(peer.direct) {
-            true => recent(peer.hears_us),
+        let both_ways = |peer: &Peer| match self.is_recent(peer.direct, now) {
+            true => self.is_connected(peer, now),
             // Heard of from others only: those it tells nothing itself, since it has other monitors.
             false => !self.all_hear_each_other(),
         };
@@ -211,10 +210,14 @@
         self.addresses.len() <= MONITORS
     }
 
+    /// Whether something happened, and not so long ago that a replica counts as gone.
+    fn is_recent(&self, at: Option<Millis>, now: Millis) -> bool {
+        at.is_some_and(|at| now.saturating_sub(at) <= self.suspect_ms)
+    }
+
     /// Whether a peer and this replica hear each other.
     fn is_connected(&self, peer: &Peer, now: Millis) -> bool {
-        let recent = |at: Option<Millis>| at.is_some_and(|at| now.saturating_sub(at) <= self.suspect_ms);
-        recent(peer.direct) && recent(peer.hears_us)
+        self.is_recent(peer.direct, now) && self.is_recent(peer.hears_us, now)
     }
 
     /// Whether a member says that it and all of the others hear each other. In a large ring that can't be told.
@@ -249,9 +252,9 @@
 
     /// Whether this very process was heard lately.
     pub fn is_heard(&self, replica: &Replica, now: Millis) -> bool {
-        self.peers.get(&replica.member).is_some_and(|peer| {
-            peer.replica == *replica && now.saturating_sub(peer.last_heard) <= self.suspect_ms
-        })
+        self.peers
+            .get(&replica.member)
+            .is_some_and(|peer| peer.replica == *replica && self.is_recent(Some(peer.last_heard), now))
     }
 
     /// The process at an address has ended: nobody listens there.
--- a/system/control/tests/learning.rs
+++ b/system/control/tests/learning.rs
@@ -23,15 +23,20 @@
     group
 }
 
+/// The head takes a write, and it is committed soon.
+fn expect_next_write_commits(group: &mut Group) {
+    let before = group.committed();
+    expect_that!(group.write(), eq(true));
+    group.run(100);
+    expect_that!(group.committed(), gt(before));
+}
+
 #[googletest::test]
 fn given_replicas_with_empty_disks_when_they_come_back_then_writes_go_on_without_them() {
     let mut group = two_of_five_wiped();
     let view = group.view();
     for _ in 0..12 {
-        let before = group.committed();
-        expect_that!(group.write(), eq(true));
-        group.run(100);
-        expect_that!(group.committed(), gt(before));
+        expect_next_write_commits(&mut group);
     }
     expect_that!(group.view(), eq(view));
     expect_that!(group.chain().len(), eq(3));
@@ -127,10 +132,7 @@
     let view = group.view();
     expect_that!(group.chain().len(), eq(4));
     for _ in 0..30 {
-        let before = group.committed();
-        group.write();
-        group.run(100);
-        expect_that!(group.committed(), gt(before));
+        expect_next_write_commits(&mut group);
     }
     expect_that!(group.view(), eq(view));
     group.cut_links.clear();
--- a/system/magpiegap/src/coordinator/worker_connections.rs
+++ b/system/magpiegap/src/coordinator/worker_connections.rs
@@ -3,6 +3,7 @@
 //! A scheduler makes a call for each start and each look, some thousands a second at size. `reqwest` parses a URL and
 //! passes its layers for redirects and retries for each, which took two fifths of the processor time of a coordinator;
 //! here calls go straight to connections of `hyper`, on which `reqwest` stands too.
+use crate::endpoint::{CONNECT_TIMEOUT, UNACKNOWLEDGED};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
@@ -22,10 +23,6 @@
     time::{timeout_at, Instant},
 };
 
-/// How long a connection may take to come up.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// A connection whose data is not acknowledged for this long is given up.
-const UNACKNOWLEDGED: Duration = Duration::from_millis(1200);
 /// A connection that was not used for this long is closed.
 const IDLE_FOR: Duration = Duration::from_secs(60);
 /// Connections kept for one worker while they are not used.
--- a/system/magpiegap/src/endpoint.rs
+++ b/system/magpiegap/src/endpoint.rs
@@ -5,9 +5,9 @@
 /// The path of all requests among the processes.
 pub const REQUEST_PATH: &str = "/request";
 /// How long a connection may take to come up.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// A connection whose data is not acknowledged for this long is given up.
-const UNACKNOWLEDGED: Duration = Duration::from_millis(1200);
+pub(crate) const UNACKNOWLEDGED: Duration = Duration::from_millis(1200);
 
 /// How a call failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
