Describe a scheduler by its summary instead of by a copy of its fields

Cause: SchedulerDescription had the four fields of the scheduler's Summary again, copied one by one. Ruled out: another form for operators (flattened, the JSON is the same; the story of metrics keeps its assertions and passes).

--- a/system/coordinator/src/describe.rs
+++ b/system/coordinator/src/describe.rs
@@ -1,6 +1,7 @@
 //! The state of the cluster, for operators.
 use crate::{coordinator::Coordinator, counters::Counters};
 use magpiegap_protocol::{CoordinatorAnswer, JobId, Role};
+use magpiegap_scheduler::{Scheduler, Summary};
 use serde::{Deserialize, Serialize};
 
 /// The cluster as one coordinator sees it.
@@ -52,14 +53,9 @@
 pub struct SchedulerDescription {
     /// The service.
     pub service: String,
-    /// Workers known.
-    pub workers: usize,
-    /// Workers that don't answer.
-    pub silent: usize,
-    /// Runs on record.
-    pub runs: usize,
-    /// Tasks and gangs that wait for a place.
-    pub waiting: usize,
+    /// Its figures.
+    #[serde(flatten)]
+    pub summary: Summary,
 }
 
 impl Coordinator {
@@ -98,15 +94,9 @@
     }
 
     fn describe_schedulers(&self) -> Vec<SchedulerDescription> {
-        let described = |(service, scheduler): (&String, &magpiegap_scheduler::Scheduler)| {
-            let sum = scheduler.summary();
-            SchedulerDescription {
-                service: service.clone(),
-                workers: sum.workers,
-                silent: sum.silent,
-                runs: sum.runs,
-                waiting: sum.waiting,
-            }
+        let described = |(service, scheduler): (&String, &Scheduler)| SchedulerDescription {
+            service: service.clone(),
+            summary: scheduler.summary(),
         };
         self.schedulers.iter().map(described).collect()
     }
--- a/system/magpiegap/src/coordinator/metrics.rs
+++ b/system/magpiegap/src/coordinator/metrics.rs
@@ -1,5 +1,6 @@
 //! The figures of a coordinator in the text format that monitoring systems scrape (OpenMetrics).
 use magpiegap_coordinator::ClusterDescription;
+use magpiegap_scheduler::Summary;
 use prometheus_client::{
     collector::Collector,
     encoding::{text, DescriptorEncoder, EncodeMetric},
@@ -53,17 +54,17 @@
 impl Figures {
     /// One line for each scheduler that this coordinator holds.
     fn encode_schedulers(&self, encoder: &mut DescriptorEncoder) -> Result<(), std::fmt::Error> {
-        type Figure = fn(&magpiegap_coordinator::SchedulerDescription) -> usize;
+        type Figure = fn(&Summary) -> usize;
         let figures: [(&str, &str, Figure); 4] = [
-            ("scheduler_workers", "Workers known", |scheduler| scheduler.workers),
-            ("scheduler_silent_workers", "Workers that do not answer", |scheduler| scheduler.silent),
-            ("scheduler_runs", "Runs on record", |scheduler| scheduler.runs),
-            ("scheduler_waiting", "Tasks and gangs that wait for a place", |scheduler| scheduler.waiting),
+            ("scheduler_workers", "Workers known", |summary| summary.workers),
+            ("scheduler_silent_workers", "Workers that do not answer", |summary| summary.silent),
+            ("scheduler_runs", "Runs on record", |summary| summary.runs),
+            ("scheduler_waiting", "Tasks and gangs that wait for a place", |summary| summary.waiting),
         ];
         for (name, help, figure) in figures {
             let mut family = encoder.encode_descriptor(name, help, None, MetricType::Gauge)?;
             for scheduler in &self.0.schedulers {
-                let gauge = ConstGauge::new(figure(scheduler) as i64);
+                let gauge = ConstGauge::new(figure(&scheduler.summary) as i64);
                 let service = escape(&scheduler.service);
                 let labels = [("service", service.as_str())];
                 gauge.encode(family.encode_family(&labels)?)?;
--- a/system/magpiegap/tests/metrics.rs
+++ b/system/magpiegap/tests/metrics.rs
@@ -2,14 +2,12 @@
 use googletest::prelude::*;
 use magpiegap::metrics::to_text;
 use magpiegap_coordinator::{ClusterDescription, Counters, SchedulerDescription};
+use magpiegap_scheduler::Summary;
 
 fn cluster() -> ClusterDescription {
     let scheduler = SchedulerDescription {
         service: "a \"quoted\" service".to_owned(),
-        workers: 12,
-        silent: 1,
-        runs: 40,
-        waiting: 3,
+        summary: Summary { workers: 12, silent: 1, runs: 40, waiting: 3 },
     };
     ClusterDescription {
         view: 7,
--- a/system/scheduler/src/scheduler.rs
+++ b/system/scheduler/src/scheduler.rs
@@ -13,6 +13,7 @@
     Availability, Command, JobId, Millis, Position, RunId, RunStart, TaskId, WallMillis, WorkerEntry,
 };
 use rand::{rngs::StdRng, SeedableRng};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 /// What a call under way was for.
@@ -45,7 +46,7 @@
 }
 
 /// Figures on a scheduler, for operators.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Summary {
     /// Workers known.
     pub workers: usize,
