Keep what is acknowledged in more zones and regions than may be lost at once

Cause: faultTolerance.zones and .regions were read and not acted on. With two coordinators in one zone a chain of both counted as enough for a tolerance of one machine, and of three seeds two may share a zone, whose loss took the majority of the voters. No known deployment asks for it; one that has not been seen may. Ruled out: more copies instead (the number of machines in a zone is not known to a process); voters chosen by hand in settings. Change: a tolerance of machines, zones and regions (control/src/tolerance.rs) decides on how many replicas in how many places a chain commits, who is taken into a view before it has caught up, and who votes; heartbeats and views say where their members stand (fields that earlier builds leave out). settings check bounds the two figures.

--- a/system/control/src/chain.rs
+++ b/system/control/src/chain.rs
@@ -132,7 +132,7 @@
     }
 
     fn commit_at_tail(&mut self) {
-        if self.successor().is_some() || self.agreement.state.current.chain.len() < self.settings.copies() {
+        if self.successor().is_some() || !self.leaves_a_copy(&self.agreement.state.current.chain) {
             return;
         }
         self.chain.committed = self.chain.committed.max(self.chain_durable());
--- a/system/control/src/membership.rs
+++ b/system/control/src/membership.rs
@@ -1,6 +1,6 @@
 //! Who is there: heartbeats to a few monitors on a ring, and what others report.
 use crate::settings::ControlSettings;
-use magpiegap_protocol::{Heartbeat, Member, Millis, PeerReport, Replica, WallMillis};
+use magpiegap_protocol::{Heartbeat, Location, Member, Millis, PeerReport, Replica, WallMillis};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How many successors on the ring hear a replica's heartbeats.
@@ -23,6 +23,8 @@
     pub complete: bool,
     /// The newest entry that it knew to be committed.
     pub committed: u64,
+    /// Where it stands.
+    pub location: Location,
     /// When it last said that it hears us; `None`: it tells us nothing itself.
     pub hears_us: Option<Millis>,
     /// When it last told us something itself.
@@ -41,19 +43,20 @@
     unfit: bool,
     complete: bool,
     committed: u64,
+    location: Location,
 }
 
 impl From<&Heartbeat> for Status {
     fn from(heartbeat: &Heartbeat) -> Status {
-        let Heartbeat { view, serving, unfit, complete, committed, .. } = *heartbeat;
-        Status { view, serving, unfit, complete, committed }
+        let Heartbeat { view, serving, unfit, complete, committed, location, .. } = *heartbeat;
+        Status { view, serving, unfit, complete, committed, location }
     }
 }
 
 impl From<&PeerReport> for Status {
     fn from(report: &PeerReport) -> Status {
-        let PeerReport { view, serving, unfit, complete, committed, .. } = *report;
-        Status { view, serving, unfit, complete, committed }
+        let PeerReport { view, serving, unfit, complete, committed, location, .. } = *report;
+        Status { view, serving, unfit, complete, committed, location }
     }
 }
 
@@ -129,7 +132,7 @@
 
     fn touch(&mut self, replica: Replica, at: Millis, status: Status, now: Millis) {
         let suspect_ms = self.suspect_ms;
-        let Status { view, serving, unfit, complete, committed } = status;
+        let Status { view, serving, unfit, complete, committed, location } = status;
         let fresh = Peer {
             replica,
             first_heard: now,
@@ -139,6 +142,7 @@
             unfit,
             complete,
             committed,
+            location,
             hears_us: None,
             direct: None,
             gone_at: None,
@@ -161,6 +165,7 @@
         peer.unfit = unfit;
         peer.complete = complete;
         peer.committed = committed;
+        peer.location = location;
     }
 
     /// Whether a replica has been heard for long enough that it may be taken into a view.
@@ -178,6 +183,7 @@
             unfit: peer.unfit,
             complete: peer.complete,
             committed: peer.committed,
+            location: peer.location,
             both_ways: self.is_connected(peer, now),
         };
         self.peers.values().map(report).collect()
--- a/system/control/src/settings.rs
+++ b/system/control/src/settings.rs
@@ -1,5 +1,6 @@
 //! What a replica is told at its start.
-use magpiegap_protocol::{Millis, Replica};
+use crate::tolerance::Tolerance;
+use magpiegap_protocol::{Location, Millis, Replica};
 
 /// Figures of the deployment that a replica needs.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -8,8 +9,10 @@
     pub own: Replica,
     /// Addresses of other coordinators, as known at the start.
     pub seeds: Vec<u32>,
-    /// How many machines may be lost at once.
-    pub tolerance: usize,
+    /// Where its machine stands.
+    pub location: Location,
+    /// What may be lost at once.
+    pub tolerance: Tolerance,
     /// Time between two heartbeats.
     pub heartbeat_ms: Millis,
     /// A replica that is not heard for this long is taken for gone.
@@ -17,10 +20,3 @@
     /// Seeds random choices.
     pub seed: u64,
 }
-
-impl ControlSettings {
-    /// On how many disks a write must be before it is committed.
-    pub fn copies(&self) -> usize {
-        self.tolerance + 1
-    }
-}
--- a/system/control/src/steps.rs
+++ b/system/control/src/steps.rs
@@ -117,6 +117,7 @@
             view: self.view().number,
             serving: self.serving(),
             unfit: self.unfit(now),
+            location: self.settings.location,
             heard: self.membership.reports(now),
             wall_ms: own_wall,
             committed: self.chain.committed,
--- a/system/control/src/view_members.rs
+++ b/system/control/src/view_members.rs
@@ -4,8 +4,11 @@
     membership::{Membership, Peer},
     replica::Replica,
 };
-use magpiegap_protocol::{Member, Millis, Position, Replica as ReplicaId, View};
-use std::collections::BTreeMap;
+use magpiegap_protocol::{Location, Member, MemberLocation, Millis, Position, Replica as ReplicaId, View};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// More voters than this make agreement slow.
+const MOST_VOTERS: usize = 9;
 
 impl Replica {
     /// Whether this replica's disk has all that was committed so far.
@@ -23,7 +26,7 @@
         there.sort_unstable();
         let fit: Vec<ReplicaId> =
             there.iter().filter(|(_, unfit)| !unfit).map(|(replica, _)| *replica).collect();
-        if fit.len() >= self.settings.copies() {
+        if self.leaves_a_copy(&fit) {
             return fit;
         }
         there.into_iter().map(|(replica, _)| replica).collect()
@@ -48,7 +51,7 @@
                 ready.push(*newcomer);
             }
         }
-        if ready.len() >= self.settings.copies() {
+        if self.leaves_a_copy(&ready) {
             return ready;
         }
         alive.to_vec()
@@ -87,28 +90,83 @@
             let place = current.chain.iter().position(|other| other.member == replica.member);
             (!can_lead, place.unwrap_or(usize::MAX), *replica)
         });
-        Some(current.next(self.next_voters(current, alive, &chain), chain))
+        let voters = self.next_voters(current, alive, &chain);
+        let locations = self.locations_of(&voters, &chain);
+        Some(View { locations, ..current.next(voters, chain) })
+    }
+
+    /// Where a member stands, as far as that is known.
+    fn location(&self, member: &Member) -> Location {
+        if *member == self.settings.own.member {
+            return self.settings.location;
+        }
+        match self.membership.peer(member) {
+            Some(peer) => peer.location,
+            None => self.agreement.state.current.location(member),
+        }
+    }
+
+    /// Whether whatever may be lost at once leaves one of these replicas.
+    pub(crate) fn leaves_a_copy(&self, replicas: &[ReplicaId]) -> bool {
+        let locations: Vec<Location> =
+            replicas.iter().map(|replica| self.location(&replica.member)).collect();
+        self.settings.tolerance.leaves_a_copy(&locations)
+    }
+
+    fn leaves_a_majority(&self, voters: &[Member]) -> bool {
+        let locations: Vec<Location> = voters.iter().map(|voter| self.location(voter)).collect();
+        self.settings.tolerance.leaves_a_majority(&locations)
+    }
+
+    fn locations_of(&self, voters: &[Member], chain: &[ReplicaId]) -> Vec<MemberLocation> {
+        let members: BTreeSet<Member> =
+            voters.iter().copied().chain(chain.iter().map(|replica| replica.member)).collect();
+        members
+            .into_iter()
+            .map(|member| MemberLocation { member, location: self.location(&member) })
+            .collect()
     }
 
     /// The voters of the next view: a machine with a new disk takes the place of its old one, a newcomer that of a
     /// voter that is gone, or one more place while there are too few.
     fn next_voters(&self, current: &View, alive: &[ReplicaId], chain: &[ReplicaId]) -> Vec<Member> {
-        let wanted = 2 * self.settings.tolerance + 1;
         let mut voters = current.voters.clone();
         let is_alive = |member: &Member| alive.iter().any(|replica| replica.member == *member);
         for newcomer in chain.iter().map(|replica| replica.member) {
             if voters.contains(&newcomer) {
                 continue;
             }
+            let too_few = self.too_few_voters(&voters);
             let same_machine = voters.iter().position(|voter| voter.address == newcomer.address);
             let gone = voters.iter().position(|voter| !is_alive(voter));
-            match same_machine.or_else(|| gone.filter(|_| voters.len() >= wanted)) {
+            match same_machine.or_else(|| gone.filter(|_| !too_few)) {
                 Some(place) => voters[place] = newcomer,
-                None if voters.len() < wanted => voters.push(newcomer),
+                None if too_few => voters.push(newcomer),
                 None => {}
             }
         }
+        self.drop_surplus_voters(&mut voters, alive);
         voters.sort_unstable();
         voters
     }
+
+    /// Whether one more voter is needed: there are few, or the loss of a zone or region would take a majority.
+    fn too_few_voters(&self, voters: &[Member]) -> bool {
+        let few = voters.len() < self.settings.tolerance.least_voters();
+        few || (voters.len() < MOST_VOTERS && !self.leaves_a_majority(voters))
+    }
+
+    /// Where one place has so many voters that its loss would take a majority, some of them give up their vote.
+    fn drop_surplus_voters(&self, voters: &mut Vec<Member>, alive: &[ReplicaId]) {
+        let least = self.settings.tolerance.least_voters();
+        while voters.len() > least && !self.leaves_a_majority(voters) {
+            let surplus = voters.iter().copied().max_by_key(|member| {
+                let zone = self.location(member).zone;
+                let beside = voters.iter().filter(|voter| self.location(voter).zone == zone).count();
+                let gone = !alive.iter().any(|replica| replica.member == *member);
+                (beside, gone)
+            });
+            voters.retain(|voter| Some(*voter) != surplus);
+        }
+    }
 }
--- a/system/control/tests/common/group.rs
+++ b/system/control/tests/common/group.rs
@@ -1,7 +1,8 @@
 //! A group of replicas with disks and a network in memory.
-use magpiegap_control::{ControlSettings, DurableState, Output, Replica, Snapshot, StateMachine};
+use magpiegap_control::{ControlSettings, DurableState, Output, Replica, Snapshot, StateMachine, Tolerance};
 use magpiegap_protocol::{
-    decode, encode, Command, Entry, Member, Millis, PeerMessage, Position, ProposalId, Replica as ReplicaId,
+    decode, encode, Command, Entry, Location, Member, Millis, PeerMessage, PlaceId, Position, ProposalId,
+    Replica as ReplicaId,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -54,7 +55,9 @@
 /// The group.
 pub struct Group {
     pub now: Millis,
-    pub tolerance: usize,
+    pub tolerance: Tolerance,
+    /// Where each machine stands; those not named stand in one unknown place.
+    pub locations: BTreeMap<u32, Location>,
     /// How long it takes to tell a replica that has missed much what it is missing.
     pub catch_up_delay_ms: Millis,
     /// Those that neither send nor receive.
@@ -74,10 +77,20 @@
 impl Group {
     /// A group of this size whose members start for the first time.
     pub fn start(size: u32, tolerance: usize) -> Group {
-        let voters: Vec<Member> = (1..=size).map(|address| Member { address, disk: 0 }).collect();
+        let places = vec![""; size as usize];
+        Group::start_in_zones(&places, size, Tolerance::of_machines(tolerance))
+    }
+
+    /// A group with a member in each of these zones that start for the first time, the first of them known to all.
+    pub fn start_in_zones(zones: &[&str], seeds: u32, tolerance: Tolerance) -> Group {
+        let voters: Vec<Member> = (1..=seeds).map(|address| Member { address, disk: 0 }).collect();
+        let location = |zone: &&str| Location { zone: PlaceId::of(zone), region: PlaceId::of("region") };
+        let locations: BTreeMap<u32, Location> = (1..).zip(zones.iter().map(location)).collect();
+        let addresses: Vec<u32> = locations.keys().copied().collect();
         let mut group = Group {
             now: 0,
             tolerance,
+            locations,
             catch_up_delay_ms: DELAY_MS,
             cut_off: BTreeSet::new(),
             cut_links: BTreeSet::new(),
@@ -89,7 +102,7 @@
             boots: 0,
             proposals: 0,
         };
-        for address in 1..=size {
+        for address in addresses {
             let state = CountingState::default().encode();
             group.disks.insert(address, Snapshot::empty(0, Some(0), voters.clone(), state));
             group.start_replica(address);
@@ -106,6 +119,7 @@
         let settings = ControlSettings {
             own,
             seeds: self.disks.keys().copied().collect(),
+            location: self.locations.get(&address).copied().unwrap_or_default(),
             tolerance: self.tolerance,
             heartbeat_ms: 60,
             suspect_ms: 320,
--- a/system/control/tests/joining.rs
+++ b/system/control/tests/joining.rs
@@ -3,9 +3,9 @@
 
 use common::NoState;
 use googletest::prelude::*;
-use magpiegap_control::{ControlSettings, DurableRecord, Output, Replica, Snapshot};
+use magpiegap_control::{ControlSettings, DurableRecord, Output, Replica, Snapshot, Tolerance};
 use magpiegap_protocol::{
-    Command, Entry, Member, PeerMessage, Position, ProposalId, Replica as ReplicaId, View,
+    Command, Entry, Location, Member, PeerMessage, Position, ProposalId, Replica as ReplicaId, View,
 };
 
 fn replica(address: u32, disk: u64) -> ReplicaId {
@@ -13,7 +13,15 @@
 }
 
 fn settings(own: ReplicaId) -> ControlSettings {
-    ControlSettings { own, seeds: vec![1], tolerance: 1, heartbeat_ms: 60, suspect_ms: 320, seed: 1 }
+    ControlSettings {
+        own,
+        seeds: vec![1],
+        location: Location::default(),
+        tolerance: Tolerance::of_machines(1),
+        heartbeat_ms: 60,
+        suspect_ms: 320,
+        seed: 1,
+    }
 }
 
 fn entry(index: u64) -> Entry {
--- a/system/control/tests/starting.rs
+++ b/system/control/tests/starting.rs
@@ -3,8 +3,8 @@
 
 use common::NoState;
 use googletest::prelude::*;
-use magpiegap_control::{ControlSettings, Output, Replica, Snapshot};
-use magpiegap_protocol::{Heartbeat, Member, PeerMessage, PeerReport, Replica as ReplicaId, View};
+use magpiegap_control::{ControlSettings, Output, Replica, Snapshot, Tolerance};
+use magpiegap_protocol::{Heartbeat, Location, Member, PeerMessage, PeerReport, Replica as ReplicaId, View};
 
 fn replica(address: u32) -> ReplicaId {
     ReplicaId { member: Member { address, disk: 0 }, boot: u64::from(address) }
@@ -25,7 +25,8 @@
     let settings = ControlSettings {
         own,
         seeds: vec![1, 2, 3],
-        tolerance: 1,
+        location: Location::default(),
+        tolerance: Tolerance::of_machines(1),
         heartbeat_ms: 60,
         suspect_ms: 320,
         seed: 1,
@@ -44,6 +45,7 @@
         complete: true,
         committed: 0,
         both_ways: true,
+        location: Location::default(),
     };
     PeerMessage::Heartbeat(Heartbeat {
         view,
@@ -53,6 +55,7 @@
         wall_ms: 0,
         committed: 0,
         complete: true,
+        location: Location::default(),
     })
 }
 
--- a/system/fleet/src/machines.rs
+++ b/system/fleet/src/machines.rs
@@ -5,9 +5,9 @@
     faults::Fault,
     fleet::{address, Fleet, FleetSettings, MAX_HOLD_MS},
 };
-use magpiegap_control::{ControlSettings, DurableState, Snapshot};
+use magpiegap_control::{ControlSettings, DurableState, Snapshot, Tolerance};
 use magpiegap_coordinator::{Coordinator, CoordinatorSettings};
-use magpiegap_protocol::{encode, Member, Replica};
+use magpiegap_protocol::{encode, Location, Member, Replica};
 use magpiegap_scheduler::SchedulerSettings;
 use rand::Rng;
 
@@ -118,7 +118,8 @@
         control: ControlSettings {
             own,
             seeds: (0..settings.nodes).map(address).collect(),
-            tolerance: settings.tolerance,
+            location: Location::default(),
+            tolerance: Tolerance::of_machines(settings.tolerance),
             heartbeat_ms: 80,
             suspect_ms: 420,
             seed: own.boot,
--- a/system/magpiegap/src/coordinator/mod.rs
+++ b/system/magpiegap/src/coordinator/mod.rs
@@ -147,7 +147,8 @@
         control: ControlSettings {
             own,
             seeds: settings.seed_addresses(),
-            tolerance: settings.fault_tolerance.machines,
+            location: settings.location(),
+            tolerance: settings.fault_tolerance.into(),
             heartbeat_ms: HEARTBEAT_MS,
             suspect_ms: SUSPECT_MS,
             seed: own.boot,
--- a/system/magpiegap/src/settings.rs
+++ b/system/magpiegap/src/settings.rs
@@ -1,6 +1,9 @@
 //! The settings of a process.
+use magpiegap_control::Tolerance;
+use magpiegap_protocol::{Location, PlaceId};
 use serde::Deserialize;
 use std::{
+    collections::BTreeMap,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
 };
@@ -66,6 +69,13 @@
     pub regions: usize,
 }
 
+impl From<FaultTolerance> for Tolerance {
+    fn from(settings: FaultTolerance) -> Tolerance {
+        let FaultTolerance { machines, zones, regions } = settings;
+        Tolerance { machines, zones, regions }
+    }
+}
+
 impl Default for FaultTolerance {
     fn default() -> Self {
         FaultTolerance { machines: 1, zones: 0, regions: 0 }
@@ -132,6 +142,9 @@
     /// The machine's zone.
     #[serde(default)]
     pub zone: String,
+    /// The region of each zone.
+    #[serde(default)]
+    pub zones: BTreeMap<String, String>,
     /// First and last port free for the processes among themselves.
     pub internal_port_range: (u16, u16),
     /// Addresses of machines that serve the control plane.
@@ -202,7 +215,15 @@
         need(time(self.bounds.grace_s), "bounds.graceS", "a time of at least 0")?;
         need(time(self.bounds.status_s), "bounds.status_s", "a time of at least 0")?;
         need(time(self.bounds.far_x), "bounds.far_x", "a number of at least 0")?;
-        need(self.fault_tolerance.machines <= 8, "faultTolerance.machines", "at most 8")
+        need(self.fault_tolerance.machines <= 8, "faultTolerance.machines", "at most 8")?;
+        need(self.fault_tolerance.zones <= 4, "faultTolerance.zones", "at most 4")?;
+        need(self.fault_tolerance.regions <= 4, "faultTolerance.regions", "at most 4")
+    }
+
+    /// Where the machine stands. Its region is the one that the table of zones names.
+    pub fn location(&self) -> Location {
+        let region = self.zones.get(&self.zone).map_or("", String::as_str);
+        Location { zone: PlaceId::of(&self.zone), region: PlaceId::of(region) }
     }
 
     /// Where coordinators listen for each other.
--- a/system/protocol/src/lib.rs
+++ b/system/protocol/src/lib.rs
@@ -9,6 +9,7 @@
 mod feed;
 mod ids;
 mod job;
+mod location;
 mod peer;
 mod requests;
 mod view;
@@ -19,6 +20,7 @@
 pub use feed::{Feed, FeedPoll, RoleHolder};
 pub use ids::{JobId, Member, Replica, RunId, TaskId};
 pub use job::{JobSpec, JobSpecError, Resources, StepSpec, MAX_SPEC_BYTES, MAX_TASKS_PER_JOB};
+pub use location::{Location, MemberLocation, PlaceId};
 pub use peer::{Envelope, Heartbeat, PeerMessage, PeerReport, PlatformList, Promise};
 pub use requests::{CoordinatorAnswer, CoordinatorRequest, JobPhase};
 pub use view::{ChainRecord, View};
--- /dev/null
+++ b/system/protocol/src/location.rs
@@ -0,0 +1,42 @@
+//! Where machines stand.
+use crate::Member;
+use minicbor::{Decode, Encode};
+
+/// A zone or region by a number that is drawn from its name, so that all machines have the same; zero is unknown.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+#[cbor(transparent)]
+pub struct PlaceId(#[n(0)] pub u64);
+
+impl PlaceId {
+    /// The number of a name (FNV-1a, 64 bits). An empty name is unknown.
+    pub fn of(name: &str) -> PlaceId {
+        const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+        const PRIME: u64 = 0x0100_0000_01b3;
+        if name.is_empty() {
+            return PlaceId::default();
+        }
+        PlaceId(name.bytes().fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME)))
+    }
+}
+
+/// The zone and the region of a machine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
+pub struct Location {
+    /// The zone.
+    #[n(0)]
+    pub zone: PlaceId,
+    /// The region.
+    #[n(1)]
+    pub region: PlaceId,
+}
+
+/// Where a member of a view stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct MemberLocation {
+    /// The member.
+    #[n(0)]
+    pub member: Member,
+    /// Its zone and region.
+    #[n(1)]
+    pub location: Location,
+}
--- a/system/protocol/src/peer.rs
+++ b/system/protocol/src/peer.rs
@@ -1,5 +1,5 @@
 //! Messages between coordinators.
-use crate::{Command, Entry, Fence, Position, ProposalId, Replica, View, WallMillis, WorkerEntry};
+use crate::{Command, Entry, Fence, Location, Position, ProposalId, Replica, View, WallMillis, WorkerEntry};
 use minicbor::{Decode, Encode};
 
 /// Messages from one coordinator to another, in the order in which they were sent.
@@ -43,6 +43,10 @@
     #[n(7)]
     #[cbor(default)]
     pub both_ways: bool,
+    /// Where it stands.
+    #[n(8)]
+    #[cbor(default)]
+    pub location: Location,
 }
 
 /// A sign of life with what the sender knows.
@@ -70,6 +74,10 @@
     #[n(6)]
     #[cbor(default)]
     pub complete: bool,
+    /// Where the sender stands.
+    #[n(7)]
+    #[cbor(default)]
+    pub location: Location,
 }
 
 /// A voter's answer to a proposer of the next view.
--- a/system/protocol/src/view.rs
+++ b/system/protocol/src/view.rs
@@ -1,5 +1,5 @@
 //! The agreed membership view of the core.
-use crate::{Member, Replica};
+use crate::{Location, Member, MemberLocation, Replica};
 use minicbor::{Decode, Encode};
 
 /// How many earlier chains a view remembers.
@@ -31,12 +31,16 @@
     /// The chains of the latest views before this one, oldest first.
     #[n(3)]
     pub history: Vec<ChainRecord>,
+    /// Where the voters and the members of the chain stand, as far as that is known.
+    #[n(4)]
+    #[cbor(default)]
+    pub locations: Vec<MemberLocation>,
 }
 
 impl View {
     /// The state before the first view: the voters are known, no chain is.
     pub fn initial(voters: Vec<Member>) -> View {
-        View { number: 0, voters, chain: Vec::new(), history: Vec::new() }
+        View { number: 0, voters, chain: Vec::new(), history: Vec::new(), locations: Vec::new() }
     }
 
     /// The view that follows this one.
@@ -45,7 +49,13 @@
         history.push(ChainRecord { number: self.number, chain: self.chain.clone() });
         let surplus = history.len().saturating_sub(HISTORY);
         history.drain(..surplus);
-        View { number: self.number + 1, voters, chain, history }
+        View { number: self.number + 1, voters, chain, history, locations: Vec::new() }
+    }
+
+    /// Where a member stands; unknown when the view does not say.
+    pub fn location(&self, member: &Member) -> Location {
+        let known = self.locations.iter().find(|known| known.member == *member);
+        known.map(|known| known.location).unwrap_or_default()
     }
 
     /// How many voters are a majority.
