Name every fault of a settings file, and say what is not used or not known

Cause: settings check named the first fault only, said nothing of fields that are ignored, and commands = "heartbeat" was taken in silence. Change: all faults with what would be right; warnings, which processes log at their start too; fields that are not used (serde_ignored). Figures: four stories in magpiegap/tests/settings.rs.

--- a/system/magpiegap/src/command_line.rs
+++ b/system/magpiegap/src/command_line.rs
@@ -6,6 +6,7 @@
     operator::{self, Call},
     proxy,
     settings::NodeSettings,
+    settings_check::{self, SettingsReport},
 };
 use bpaf::{Bpaf, Parser};
 use std::{future::Future, net::SocketAddr, path::PathBuf};
@@ -52,7 +53,7 @@
 /// What to do with a settings file.
 #[derive(Clone, Debug, Bpaf)]
 pub enum SettingsVerb {
-    /// Check it; the first fault is named
+    /// Check it: all faults, what may not be meant, and fields that are not used
     #[bpaf(command)]
     Check {
         #[bpaf(external)]
@@ -195,8 +196,10 @@
         }
         CommandLine::Settings(SettingsVerb::Check { settings_file }) => {
             let file = NodeSettings::file(settings_file.clone())?;
-            let settings = NodeSettings::read(&file)?;
-            println!("{}: fine: {} on {}", file.display(), settings.role, settings.node_name);
+            let report = SettingsReport::of(&file)?;
+            println!("{}: {report}", file.display());
+            // The first fault is the error.
+            NodeSettings::read(&file).map(drop)?;
             Ok(())
         }
         CommandLine::Config(verb) => config(verb),
@@ -215,6 +218,9 @@
     let file = NodeSettings::file(named.clone())?;
     let settings = NodeSettings::read(&file)?;
     logging::start(&settings.node_name);
+    for warning in settings_check::warnings(&settings) {
+        log::warn!("{warning}");
+    }
     Ok((file, settings))
 }
 
--- a/system/magpiegap/src/lib.rs
+++ b/system/magpiegap/src/lib.rs
@@ -12,6 +12,7 @@
 mod proxy;
 mod serving;
 mod settings;
+mod settings_check;
 mod signals;
 
 pub use agent::link;
@@ -20,4 +21,5 @@
 pub use error::ProgramError;
 pub use operator::{check_configuration, describe_state};
 pub use proxy::{admission, feed, job_body};
-pub use settings::{NodeSettings, SettingsError};
+pub use settings::{FieldFault, NodeSettings, SettingsError};
+pub use settings_check::SettingsReport;
--- a/system/magpiegap/src/settings.rs
+++ b/system/magpiegap/src/settings.rs
@@ -45,6 +45,15 @@
     },
 }
 
+/// A field with a value that can't be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FieldFault {
+    /// The field.
+    pub field: &'static str,
+    /// What it must be.
+    pub must: &'static str,
+}
+
 /// Where the process listens for what its role serves.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(rename_all = "camelCase", default)]
@@ -187,37 +196,54 @@
     /// # Errors
     /// The first fault found.
     pub fn read(file: &Path) -> Result<NodeSettings, SettingsError> {
-        let text = std::fs::read_to_string(file)
-            .map_err(|source| SettingsError::Unreadable { file: file.to_owned(), source })?;
-        let settings: NodeSettings = toml::from_str(&text).map_err(|error| SettingsError::Malformed {
+        let (settings, _) = NodeSettings::parse(file)?;
+        match settings.faults().first() {
+            None => Ok(settings),
+            Some(&FieldFault { field, must }) => {
+                Err(SettingsError::Field { file: file.to_owned(), field, must })
+            }
+        }
+    }
+
+    /// Reads a settings file without checking its values. Returns the names of fields that this program does not use,
+    /// too.
+    ///
+    /// # Errors
+    /// When it can't be read, or is no settings file.
+    pub(crate) fn parse(file: &Path) -> Result<(NodeSettings, Vec<String>), SettingsError> {
+        let malformed = |error: toml::de::Error| SettingsError::Malformed {
             file: file.to_owned(),
             problem: error.to_string().trim().replace('\n', " "),
-        })?;
-        settings.check(file)?;
-        Ok(settings)
+        };
+        let text = std::fs::read_to_string(file)
+            .map_err(|source| SettingsError::Unreadable { file: file.to_owned(), source })?;
+        let source = toml::Deserializer::parse(&text).map_err(malformed)?;
+        let mut unused = Vec::new();
+        let settings =
+            serde_ignored::deserialize(source, |path| unused.push(path.to_string())).map_err(malformed)?;
+        Ok((settings, unused))
     }
 
-    fn check(&self, file: &Path) -> Result<(), SettingsError> {
-        let need = |fine: bool, field, must| match fine {
-            true => Ok(()),
-            false => Err(SettingsError::Field { file: file.to_owned(), field, must }),
-        };
+    /// All fields with values that can't be used.
+    pub(crate) fn faults(&self) -> Vec<FieldFault> {
         let (first, last) = self.internal_port_range;
-        need(first > 0 && last >= first.saturating_add(2), "internalPortRange", "at least three ports")?;
         let time = |value: f64| (0.0..=1e9).contains(&value);
-        need(
-            time(self.bounds.max_hold_ms) && self.bounds.max_hold_ms >= 500.0,
-            "bounds.maxHoldMs",
-            "at least 500",
-        )?;
-        need(time(self.bounds.stop_ms), "bounds.stop_ms", "a time of at least 0")?;
-        need(time(self.bounds.gang_ms), "bounds.gang_ms", "a time of at least 0")?;
-        need(time(self.bounds.grace_s), "bounds.graceS", "a time of at least 0")?;
-        need(time(self.bounds.status_s), "bounds.status_s", "a time of at least 0")?;
-        need(time(self.bounds.far_x), "bounds.far_x", "a number of at least 0")?;
-        need(self.fault_tolerance.machines <= 8, "faultTolerance.machines", "at most 8")?;
-        need(self.fault_tolerance.zones <= 4, "faultTolerance.zones", "at most 4")?;
-        need(self.fault_tolerance.regions <= 4, "faultTolerance.regions", "at most 4")
+        let bounds = &self.bounds;
+        let tolerance = self.fault_tolerance;
+        let checks = [
+            (first > 0 && last >= first.saturating_add(2), "internalPortRange", "at least three ports"),
+            (time(bounds.max_hold_ms) && bounds.max_hold_ms >= 500.0, "bounds.maxHoldMs", "at least 500"),
+            (time(bounds.stop_ms), "bounds.stop_ms", "a time of at least 0"),
+            (time(bounds.gang_ms), "bounds.gang_ms", "a time of at least 0"),
+            (time(bounds.grace_s), "bounds.graceS", "a time of at least 0"),
+            (time(bounds.status_s), "bounds.status_s", "a time of at least 0"),
+            (time(bounds.far_x), "bounds.far_x", "a number of at least 0"),
+            (tolerance.machines <= 8, "faultTolerance.machines", "at most 8"),
+            (tolerance.zones <= 4, "faultTolerance.zones", "at most 4"),
+            (tolerance.regions <= 4, "faultTolerance.regions", "at most 4"),
+        ];
+        let faulty = checks.into_iter().filter(|(fine, ..)| !fine);
+        faulty.map(|(_, field, must)| FieldFault { field, must }).collect()
     }
 
     /// Where the machine stands. Its region is the one that the table of zones names.
--- a/system/magpiegap/tests/settings.rs
+++ b/system/magpiegap/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Settings files: what is read, what is ignored, and how faults are named.
 use googletest::prelude::*;
-use magpiegap::NodeSettings;
+use magpiegap::{FieldFault, NodeSettings, SettingsReport};
 use std::path::PathBuf;
 
 const FINE: &str = r#"
@@ -59,3 +59,45 @@
     let shared = NodeSettings::read(&file("shared", &shared)).unwrap();
     expect_that!(shared.agent_address().to_string(), eq("127.0.62.3:7662"));
 }
+
+#[googletest::test]
+fn given_several_faults_when_settings_are_checked_then_all_are_named() {
+    let text = FINE.replace("maxHoldMs = 6000", "maxHoldMs = -1") + "[faultTolerance]\nzones = 9\n";
+    let report = SettingsReport::of(&file("several", &text)).unwrap();
+    expect_that!(report.is_fine(), eq(false));
+    let fields: Vec<&str> = report.faults.iter().map(|FieldFault { field, .. }| *field).collect();
+    expect_that!(fields, elements_are![eq(&"bounds.maxHoldMs"), eq(&"faultTolerance.zones")]);
+    expect_that!(report.to_string(), contains_substring("fault: bounds.maxHoldMs must be at least 500"));
+}
+
+#[googletest::test]
+fn given_fields_of_others_when_settings_are_checked_then_they_are_told_and_ignored() {
+    let text = FINE.replace("[bounds]", "[bounds]\nlater_ms = 3");
+    let report = SettingsReport::of(&file("unused", &text)).unwrap();
+    expect_that!(report.is_fine(), eq(true));
+    expect_that!(report.unused, elements_are![eq("bounds.later_ms"), eq("someLaterField")]);
+    expect_that!(report.warnings.is_empty(), eq(true));
+}
+
+#[googletest::test]
+fn given_a_way_of_commands_that_is_not_known_when_settings_are_checked_then_that_is_a_warning() {
+    let text = FINE.replace("someLaterField = { a = 1 }", "commands = \"heartbeat\"\nzone = \"a\"");
+    let text = text + "[zones]\nb = \"region\"\n";
+    let report = SettingsReport::of(&file("commands", &text)).unwrap();
+    expect_that!(report.is_fine(), eq(true));
+    expect_that!(
+        report.warnings,
+        elements_are![contains_substring("commands = \"heartbeat\""), contains_substring("zone \"a\"")]
+    );
+    expect_that!(NodeSettings::read(&file("commands-read", &text)).is_ok(), eq(true));
+}
+
+#[googletest::test]
+fn given_a_table_of_zones_when_settings_are_read_then_the_machine_is_in_the_region_of_its_zone() {
+    let text = FINE.replace("someLaterField = { a = 1 }", "zone = \"a\"");
+    let text = text + "[zones]\na = \"north\"\nb = \"north\"\n";
+    let in_a = NodeSettings::read(&file("zone-a", &text)).unwrap().location();
+    let in_b = NodeSettings::read(&file("zone-b", &text.replace("zone = \"a\"", "zone = \"b\""))).unwrap();
+    expect_that!(in_a.zone, not(eq(in_b.location().zone)));
+    expect_that!(in_a.region, eq(in_b.location().region));
+}
