Settle runs that are stopped and not there; check every rule in the in-memory fleet

Single tasks escape since holds wait 150 ms where nothing moves; gangs and lasting tasks do not. Ruled out: the fleet's own new gangs (the worker had nothing, and the scheduler's record showed a stop due every 0.3 s). Change: a stop that was answered is repeated after 1.5 s only. The fleet now plays gangs, labels, limits for each worker, racks, checkpoints, copies, repeated and lasting jobs and workers that do not guard; its oracle checks capacity, order, place, time, foreign checkpoints, starts after ends taken note of, cancelled jobs and phases without cause, that coordinators with the same entries have the same state, and that a state does not contradict itself (jobs/src/consistency.rs).

--- a/system/fleet/src/asking.rs
+++ b/system/fleet/src/asking.rs
@@ -16,6 +16,9 @@
             let id = client.id();
             self.clients[number].next_at = self.now + 250;
             self.oracle.asked.insert(id);
+            if matches!(request, CoordinatorRequest::Cancel { .. }) {
+                self.oracle.asked_to_cancel.insert(id);
+            }
             if let Some(node) = self.whom_to_ask(&request) {
                 self.ask_node(node, Asker::Client(number, request.clone()), request);
             }
@@ -70,13 +73,18 @@
             Some(Asker::Client(number, asked)) => {
                 let client = &mut self.clients[number];
                 client.take(&asked, answer);
-                let (id, tasks) = (client.id(), client.tasks());
+                let (id, tasks, spec) = (client.id(), client.tasks(), &client.submission.spec);
+                if client.cancelled {
+                    self.oracle.cancelled.entry(id).or_insert(self.now);
+                }
                 if client.accepted {
                     self.oracle.accepted.entry(id).or_insert(self.now);
                 }
                 match answer {
-                    CoordinatorAnswer::Phase(phase) => self.oracle.shown(self.now, id, Some(*phase), &tasks),
-                    CoordinatorAnswer::NoSuchJob => self.oracle.shown(self.now, id, None, &tasks),
+                    CoordinatorAnswer::Phase(phase) => {
+                        self.oracle.shown(self.now, id, Some(*phase), &tasks, spec);
+                    }
+                    CoordinatorAnswer::NoSuchJob => self.oracle.shown(self.now, id, None, &tasks, spec),
                     _ => {}
                 }
             }
--- a/system/fleet/src/fleet.rs
+++ b/system/fleet/src/fleet.rs
@@ -3,13 +3,15 @@
     client::{ClientJob, Operator},
     disk::Disk,
     events::{Asker, Event},
-    node::Node,
+    node::{Node, EPOCH_MS},
     oracle::{Oracle, Violation},
     worker::Worker,
 };
 use magpiegap_control::Snapshot;
 use magpiegap_coordinator::RequestId;
-use magpiegap_protocol::{encode, JobId, JobPhase, JobSpec, Member, Resources, Submission, WorkerEntry};
+use magpiegap_protocol::{
+    encode, JobId, JobPhase, JobSpec, Member, Position, Resources, Submission, WallMillis, WorkerEntry,
+};
 use rand::{rngs::StdRng, Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -19,6 +21,13 @@
 pub(crate) const MAX_HOLD_MS: u64 = 6000;
 /// Runs of a task that may fail.
 pub(crate) const MAX_ATTEMPTS: u32 = 3;
+/// Longest time that members of a gang wait for each other.
+pub(crate) const GANG_MS: u64 = 3000;
+/// How often the states of all coordinators are compared, in milliseconds.
+const COMPARE_EVERY_MS: u64 = 500;
+
+/// Kinds of workers, by turns.
+const KINDS: [&str; 3] = ["a", "a", "b"];
 
 /// How a fleet is set up.
 #[derive(Clone, Debug)]
@@ -31,6 +40,8 @@
     pub workers: usize,
     /// Hundredths of the runs that fail.
     pub failing_percent: u64,
+    /// Workers refuse what does not fit; else they start whatever they are told.
+    pub guards: bool,
     /// How long a core machine's process takes in what happens before it follows any of it up, as a busy one does.
     pub follow_up_ms: u64,
     /// Seeds all chance.
@@ -39,7 +50,15 @@
 
 impl Default for FleetSettings {
     fn default() -> Self {
-        FleetSettings { nodes: 3, tolerance: 1, workers: 6, failing_percent: 0, follow_up_ms: 0, seed: 1 }
+        FleetSettings {
+            nodes: 3,
+            tolerance: 1,
+            workers: 6,
+            failing_percent: 0,
+            guards: true,
+            follow_up_ms: 0,
+            seed: 1,
+        }
     }
 }
 
@@ -131,12 +150,12 @@
             address: format!("w{number}"),
             zone: "z".to_owned(),
             capacity: Resources { cpu: 8000, memory_mb: 8000, gpu: 0 },
-            labels: vec!["a".to_owned(), format!("r{}", number % 2)],
+            labels: vec![KINDS[number % KINDS.len()].to_owned(), format!("r{}", number % 2)],
             ..WorkerEntry::default()
         };
         let offset = self.random.gen_range(1000..100_000_000);
         let rate = self.random.gen_range(980..=1000);
-        Worker::new(entry, offset, rate, MAX_HOLD_MS)
+        Worker::new(entry, self.settings.guards, offset, rate, MAX_HOLD_MS)
     }
 
     /// Lets a client submit a job at a time, and perhaps cancel it later.
@@ -188,6 +207,15 @@
         self.nodes.iter().map(described).collect()
     }
 
+    /// A job as its client and the first coordinator that runs have it, for whoever looks into a failure.
+    pub fn describe_job(&self, id: JobId) -> String {
+        let client = self.clients.iter().find(|client| client.id() == id);
+        let coordinators = self.nodes.iter().filter_map(|node| node.coordinator.as_ref());
+        let job =
+            coordinators.map(|coordinator| coordinator.state()).next().and_then(|state| state.jobs.get(&id));
+        format!("{client:#?}\n{job:#?}")
+    }
+
     /// Lets time pass.
     pub fn run_until(&mut self, until: u64) {
         while self.now < until {
@@ -196,10 +224,45 @@
             self.deliver();
             self.tick_nodes();
             self.pass_time_of_workers();
+            self.pass_time_of_gangs();
             self.ask();
+            if self.now % COMPARE_EVERY_MS == 0 {
+                self.compare_states();
+            }
         }
     }
 
+    /// Coordinators that have applied the same entries have the same state, and none contradicts itself.
+    fn compare_states(&mut self) {
+        let mut found = Vec::new();
+        let mut states: BTreeMap<Position, (Member, Vec<u8>)> = BTreeMap::new();
+        for node in &self.nodes {
+            let Some(coordinator) = node.coordinator.as_ref() else { continue };
+            let state = coordinator.state();
+            let contradictions = state.inconsistencies();
+            found.extend(contradictions.iter().map(|what| format!("{}: {what}", node.member)));
+            let encoded = encode(state);
+            let (first, other) =
+                states.entry(state.position).or_insert_with(|| (node.member, encoded.clone()));
+            if *other != encoded {
+                found.push(format!("{first} and {} differ at {:?}", node.member, state.position));
+            }
+        }
+        for what in found {
+            self.oracle.report(self.now, what);
+        }
+    }
+
+    /// True time of day.
+    pub fn wall(&self) -> WallMillis {
+        EPOCH_MS + self.now
+    }
+
+    /// How many members of gangs have waited for the others in vain.
+    pub fn waited_alone(&self) -> u64 {
+        self.oracle.waited_alone
+    }
+
     /// Lets time pass until all jobs are shown as ended, or up to a time.
     pub fn run_until_done(&mut self, until: u64) {
         while self.now < until && !self.open_jobs().is_empty() {
--- a/system/fleet/src/node.rs
+++ b/system/fleet/src/node.rs
@@ -3,6 +3,9 @@
 use magpiegap_coordinator::Coordinator;
 use magpiegap_protocol::Member;
 
+/// True time of day when a fleet starts, in milliseconds since 1970.
+pub(crate) const EPOCH_MS: u64 = 1_700_000_000_000;
+
 /// A core machine.
 pub(crate) struct Node {
     pub address: u32,
@@ -37,7 +40,6 @@
 
     /// Its time of day.
     pub fn wall(&self, now: u64) -> u64 {
-        const EPOCH: i64 = 1_700_000_000_000;
-        (EPOCH + now as i64 + self.wall_offset).max(0) as u64
+        (EPOCH_MS + now).saturating_add_signed(self.wall_offset)
     }
 }
--- a/system/fleet/src/orders.rs
+++ b/system/fleet/src/orders.rs
@@ -2,14 +2,22 @@
 use crate::{
     events::{Caller, Event},
     fleet::{Fleet, MAX_ATTEMPTS, STEP_MS},
-    worker::{Deed, Work},
+    node::EPOCH_MS,
+    oracle::Start,
+    worker::{checkpoint_owner, Deed, Work},
 };
 use magpiegap_protocol::{EndKind, RunId, TaskId};
 use magpiegap_scheduler::{WorkerCall, WorkerOrder, WorkerReply};
 use rand::Rng;
 
+/// How long a run of a task works that lasts until it is stopped.
+const LASTING_MS: u64 = 1_000_000_000;
+
 impl Fleet {
     pub(crate) fn call_worker(&mut self, from: Caller, call: WorkerCall) {
+        if let WorkerOrder::Start { task, .. } = call.order {
+            self.oracle.ordered(self.now, task);
+        }
         let unanswered = Event::Reply { to: from.clone(), call: call.id, reply: WorkerReply::Unanswered };
         self.schedule(call.timeout_ms, unanswered);
         let Some(worker) = self
@@ -71,8 +79,23 @@
     pub(crate) fn work(&self, call: &WorkerCall) -> Option<Work> {
         let WorkerOrder::Start { task, run, .. } = &call.order else { return None };
         let step = self.specs.get(&task.job)?.steps.get(task.step as usize)?;
-        let how = if self.fails(*task, *run) { EndKind::Failed } else { EndKind::Done };
-        Some(Work { resources: step.resources, duration_ms: step.estimated_ms, how })
+        let lasting = self.specs.get(&task.job).is_some_and(|spec| spec.long_running);
+        let owner = checkpoint_owner(*task, step.gang);
+        let fails = self.fails(owner, *run);
+        let how = if fails { EndKind::Failed } else { EndKind::Done };
+        let duration_ms = match step.estimated_ms {
+            _ if lasting && !fails => LASTING_MS,
+            // Of a gang that fails one member does, and the others end when it does.
+            estimated if fails && owner != *task => 2 * estimated + 1000,
+            estimated => estimated,
+        };
+        Some(Work {
+            resources: step.resources,
+            duration_ms,
+            how,
+            checkpoints: step.checkpoints,
+            gang: step.gang,
+        })
     }
 
     /// Whether a run fails: as good as by chance, and the same each time that it is asked.
@@ -94,10 +117,27 @@
 
     pub(crate) fn note_deeds(&mut self, number: usize) {
         let Some(worker) = self.workers[number].as_mut() else { return };
-        let deeds: Vec<Deed> = std::mem::take(&mut worker.deeds);
-        let instance = worker.entry.instance.clone();
+        let deeds = worker.take_deeds();
+        let entry = &worker.entry;
+        let (at, wall) = (self.now, EPOCH_MS + self.now);
+        let specs = &self.specs;
+        let is_gang = |task: TaskId| {
+            let step = specs.get(&task.job).and_then(|spec| spec.steps.get(task.step as usize));
+            step.is_some_and(|step| step.gang)
+        };
         for deed in deeds {
-            self.oracle.deed(self.now, &instance, &deed, MAX_ATTEMPTS);
+            match deed {
+                Deed::Started { task, run, ref checkpoint, over_capacity } => {
+                    let start = Start { at, wall, worker: entry, task, run, checkpoint, over_capacity };
+                    if let Some(spec) = specs.get(&task.job) {
+                        self.oracle.started(&start, spec, MAX_ATTEMPTS);
+                    }
+                }
+                Deed::Ended { task, run, how } => {
+                    self.oracle.ended(&entry.instance, task, run, how, is_gang(task));
+                }
+                Deed::Noted(ends) => self.oracle.noted(at, &entry.instance, &ends, is_gang),
+            }
         }
     }
 }
--- a/system/fleet/tests/calm.rs
+++ b/system/fleet/tests/calm.rs
@@ -2,6 +2,7 @@
 use googletest::prelude::*;
 use magpiegap_fleet::{Fleet, FleetSettings};
 use magpiegap_protocol::JobPhase;
+use rand::{rngs::StdRng, SeedableRng};
 
 #[googletest::test]
 fn given_a_calm_fleet_when_jobs_are_submitted_then_all_succeed() {
@@ -49,3 +50,24 @@
     expect_that!(fleet.violations(), is_empty());
     expect_that!(fleet.phase(job), some(eq(JobPhase::Failed)));
 }
+
+#[googletest::test]
+fn given_a_calm_fleet_when_jobs_of_every_kind_come_then_all_end_and_no_gang_waits_in_vain() {
+    for guards in [true, false] {
+        // Given
+        let mut fleet = Fleet::new(FleetSettings { guards, ..FleetSettings::default() });
+        let mut random = StdRng::seed_from_u64(3);
+        // When
+        for number in 0..60 {
+            let at = 3000 + number * 300;
+            let job = fleet.any_job(&mut random, at);
+            let ends_at = job.long_running.then_some(at + 5000);
+            fleet.submit_at(at, job, ends_at);
+        }
+        fleet.run_until_done(60_000);
+        // Then
+        expect_that!(fleet.violations(), is_empty());
+        expect_that!(fleet.open_jobs(), is_empty());
+        expect_that!(fleet.waited_alone(), eq(0));
+    }
+}
--- a/system/fleet/tests/faults.rs
+++ b/system/fleet/tests/faults.rs
@@ -10,6 +10,7 @@
         nodes,
         tolerance,
         failing_percent: 5,
+        guards: seed % 8 < 4,
         follow_up_ms,
         seed,
         ..FleetSettings::default()
@@ -19,11 +20,11 @@
     let mut random = StdRng::seed_from_u64(seed ^ 0x5eed);
     for number in 0..60 {
         let at = 3000 + number * 300;
-        let steps: Vec<(u32, u64, u64)> = (0..random.gen_range(1..4))
-            .map(|_| (random.gen_range(1..5), random.gen_range(500..4000), random.gen_range(100..1500)))
-            .collect();
+        let job = fleet.any_job(&mut random, at);
         let cancel_at = random.gen_bool(0.1).then(|| at + random.gen_range(100..3000));
-        fleet.submit_at(at, Fleet::chain_of_steps(&steps), cancel_at);
+        // What lasts goes on until it is cancelled.
+        let ends_at = job.long_running.then(|| at + random.gen_range(8000..20_000));
+        fleet.submit_at(at, job, cancel_at.or(ends_at));
     }
     fleet.run_until(3000);
     let mut told = Vec::new();
@@ -45,6 +46,7 @@
     let open = fleet.open_jobs();
     if !open.is_empty() {
         wrong.push(format!("{} jobs have not ended: {open:?}", open.len()));
+        wrong.extend(open.iter().map(|job| fleet.describe_job(*job)));
     }
     let acknowledged = fleet.acknowledged_configuration();
     if fleet.configurations().iter().all(|version| *version < acknowledged) {
--- a/system/jobs/src/lib.rs
+++ b/system/jobs/src/lib.rs
@@ -7,12 +7,14 @@
 
 mod apply;
 mod configuration;
+mod consistency;
 mod job;
 mod readiness;
 mod state;
 
 pub use apply::{Applied, Change, Outcome};
 pub use configuration::{Configuration, ConfigurationError, Limits, Route, Service};
+pub use consistency::Inconsistency;
 pub use job::{ActiveRun, Job, StepState, TaskState, TimeState};
 pub use readiness::{startable, Startable};
 pub use state::{ConfigurationState, RoleState, State, WorkerRecord};
