--- a/system/fleet/src/fleet.rs
+++ b/system/fleet/src/fleet.rs
@@ -226,7 +226,7 @@
             self.pass_time_of_workers();
             self.pass_time_of_gangs();
             self.ask();
-            if self.now % COMPARE_EVERY_MS == 0 {
+            if self.now.is_multiple_of(COMPARE_EVERY_MS) {
                 self.compare_states();
             }
         }
