--- a/system/demo/src/report.rs
+++ b/system/demo/src/report.rs
@@ -82,7 +82,7 @@
     let mut bars = Vec::new();
     for event in &report.worker_events {
         match &event.deed {
-            Deed::Started { task, run } => {
+            Deed::Started { task, run, .. } => {
                 open.insert((event.instance.clone(), task.to_string(), *run), event.at);
             }
             Deed::Ended { task, run, how } => {
@@ -92,7 +92,7 @@
                     bars.push(Bar { instance: key.0, from, to: event.at, how });
                 }
             }
-            Deed::Noted { .. } => {}
+            Deed::Noted(_) => {}
         }
     }
     bars.extend(open.into_iter().map(|(key, from)| Bar { instance: key.0, from, to: end, how: "lost" }));
--- a/system/demo/src/worker_server.rs
+++ b/system/demo/src/worker_server.rs
@@ -14,6 +14,8 @@
 };
 use tokio::{net::TcpListener, sync::mpsc::UnboundedSender, task::JoinHandle, time::Instant};
 
+/// Workers refuse what does not fit.
+const GUARDS: bool = true;
 /// Longest hold on a worker.
 pub const MAX_HOLD_MS: u64 = 6000;
 /// What each worker has.
@@ -81,7 +83,7 @@
             ..WorkerEntry::default()
         };
         let clock_offset = 100_000 * u64::from(number);
-        let worker = Mutex::new(Worker::new(entry.clone(), clock_offset, 1000, MAX_HOLD_MS));
+        let worker = Mutex::new(Worker::new(entry.clone(), GUARDS, clock_offset, 1000, MAX_HOLD_MS));
         let shared = Arc::new(Shared { worker, began, events });
         let server = serve(listener, move |call| answer(shared.clone(), call));
         Ok(RunningWorker { entry, server })
@@ -154,7 +156,14 @@
             WorkerOrder::Start { task, spec, .. } => work::of_task(spec, task),
             _ => None,
         };
-        let work = work.map(|(resources, duration_ms)| Work { resources, duration_ms, how: EndKind::Done });
+        // Workers of the demo do not speak with each other: members of a gang work each by itself.
+        let work = work.map(|(resources, duration_ms)| Work {
+            resources,
+            duration_ms,
+            how: EndKind::Done,
+            checkpoints: false,
+            gang: false,
+        });
         let mut worker = self.worker.lock().unwrap_or_else(PoisonError::into_inner);
         let reply = worker.take(now, call, work);
         for deed in worker.take_deeds() {
