List jobs, show and check a state on disk, print the cluster as a table or as JSON

Cause: an operator could not see which jobs there are, and of a state on disk only one line. Ruled out: asking the tail for lists (a list is for looking at; it says up to which entry it is). Figures: tests of each verb's words, of the list in parts, of a folder written as a coordinator does, and of each contradiction.

--- a/system/coordinator/src/describe.rs
+++ b/system/coordinator/src/describe.rs
@@ -1,5 +1,6 @@
 //! The state of the cluster, for operators.
 use crate::{coordinator::Coordinator, counters::Counters};
+use magpiegap_jobs::{RoleState, State};
 use magpiegap_protocol::{CoordinatorAnswer, JobId, Role};
 use magpiegap_scheduler::{Scheduler, Summary};
 use serde::{Deserialize, Serialize};
@@ -58,6 +59,21 @@
     pub summary: Summary,
 }
 
+impl RoleDescription {
+    /// All roles that were ever held.
+    pub fn all(state: &State) -> Vec<RoleDescription> {
+        let described = |(role, held): (&Role, &RoleState)| RoleDescription {
+            role: match role {
+                Role::PlatformReader => "platform-reader".to_owned(),
+                Role::Scheduler(service) => format!("scheduler {service}"),
+            },
+            holder: held.holder.member.ip().to_string(),
+            token: held.token,
+        };
+        state.roles.iter().map(described).collect()
+    }
+}
+
 impl Coordinator {
     /// The state of the cluster as this coordinator sees it.
     pub fn describe(&self) -> ClusterDescription {
@@ -75,24 +91,12 @@
             configuration: state.configuration.version,
             jobs: state.jobs.len(),
             open_jobs: state.open_jobs.values().sum(),
-            roles: self.describe_roles(),
+            roles: RoleDescription::all(state),
             schedulers: self.describe_schedulers(),
             counters: self.counters,
         }
     }
 
-    fn describe_roles(&self) -> Vec<RoleDescription> {
-        let described = |(role, held): (&Role, &magpiegap_jobs::RoleState)| RoleDescription {
-            role: match role {
-                Role::PlatformReader => "platform-reader".to_owned(),
-                Role::Scheduler(service) => format!("scheduler {service}"),
-            },
-            holder: held.holder.member.ip().to_string(),
-            token: held.token,
-        };
-        self.machine.state.roles.iter().map(described).collect()
-    }
-
     fn describe_schedulers(&self) -> Vec<SchedulerDescription> {
         let described = |(service, scheduler): (&String, &Scheduler)| SchedulerDescription {
             service: service.clone(),
--- a/system/coordinator/src/requests.rs
+++ b/system/coordinator/src/requests.rs
@@ -1,6 +1,7 @@
 //! Requests of proxies and of the operator's interface.
 use crate::{
     coordinator::Coordinator,
+    job_list::JobList,
     outputs::{Output, RequestId},
     under_way::Wish,
 };
@@ -31,6 +32,11 @@
                 let answer = self.explain(job);
                 self.answer(request, answer);
             }
+            CoordinatorRequest::ListJobs(filter) => {
+                let list = JobList::of(&self.machine.state, &filter);
+                let text = serde_json::to_string(&list).unwrap_or_default();
+                self.answer(request, CoordinatorAnswer::Description(text));
+            }
         }
     }
 
--- a/system/magpiegap/src/command_line.rs
+++ b/system/magpiegap/src/command_line.rs
@@ -7,8 +7,11 @@
     proxy,
     settings::NodeSettings,
     settings_check::{self, SettingsReport},
+    state_on_disk::StateOnDisk,
+    tables,
 };
 use bpaf::{Bpaf, Parser};
+use serde::de::DeserializeOwned;
 use std::{future::Future, net::SocketAddr, path::PathBuf};
 
 /// A cluster scheduler for jobs.
@@ -96,9 +99,12 @@
 /// What to see of the cluster.
 #[derive(Clone, Debug, Bpaf)]
 pub enum ClusterVerb {
-    /// View, chain, roles, workers and queues as one coordinator has them, as JSON
+    /// View, chain, roles, workers and queues as one coordinator has them
     #[bpaf(command)]
     Status {
+        /// As JSON
+        #[bpaf(long)]
+        json: bool,
         /// The coordinator's control plane, IP:PORT
         #[bpaf(long, argument("ADDRESS"))]
         at: SocketAddr,
@@ -147,6 +153,28 @@
     /// Cancel it
     #[bpaf(command)]
     Cancel(#[bpaf(external(job_place))] JobPlace),
+    /// List jobs as one coordinator has them
+    #[bpaf(command)]
+    List {
+        /// As JSON
+        #[bpaf(long)]
+        json: bool,
+        /// The coordinator's control plane, IP:PORT
+        #[bpaf(long, argument("ADDRESS"))]
+        at: SocketAddr,
+        /// Of this queue only, as HOST/PREFIX/
+        #[bpaf(long, argument("QUEUE"))]
+        queue: Option<String>,
+        /// In this state only: pending, running, succeeded, failed or cancelled
+        #[bpaf(long, argument("STATE"))]
+        state: Option<String>,
+        /// Of those after this one in the order of their names
+        #[bpaf(long, argument("JOB"))]
+        after: Option<String>,
+        /// At most so many; 100 if nothing is said
+        #[bpaf(long, argument("COUNT"))]
+        limit: Option<u32>,
+    },
     /// Count the jobs of a queue that have not ended; PATH is its prefix
     #[bpaf(command)]
     Count(#[bpaf(external(job_place))] JobPlace),
@@ -155,13 +183,23 @@
 /// What to see of a state on disk.
 #[derive(Clone, Debug, Bpaf)]
 pub enum StateVerb {
-    /// Read it whole and say what it holds; its coordinator must not run
+    /// Read it whole and look for contradictions; its coordinator must not run
     #[bpaf(command)]
     Check {
         /// The coordinator's data folder
         #[bpaf(positional("FOLDER"))]
         folder: PathBuf,
     },
+    /// Say what it holds; its coordinator must not run
+    #[bpaf(command)]
+    Show {
+        /// As JSON
+        #[bpaf(long)]
+        json: bool,
+        /// The coordinator's data folder
+        #[bpaf(positional("FOLDER"))]
+        folder: PathBuf,
+    },
 }
 
 fn settings_file() -> impl Parser<Option<PathBuf>> {
@@ -203,13 +241,12 @@
             Ok(())
         }
         CommandLine::Config(verb) => config(verb),
-        CommandLine::Cluster(ClusterVerb::Status { at }) => look(*at, "/-/Cluster.Describe".to_owned()),
+        CommandLine::Cluster(ClusterVerb::Status { at, json }) => {
+            show(*at, "/-/Cluster.Describe".to_owned(), *json, tables::cluster)
+        }
         CommandLine::Cluster(ClusterVerb::Explain { at, job }) => look(*at, format!("/-/Job.Explain/{job}")),
         CommandLine::Job(verb) => job(verb),
-        CommandLine::State(StateVerb::Check { folder }) => {
-            println!("{}", operator::describe_state(folder)?);
-            Ok(())
-        }
+        CommandLine::State(verb) => state(verb),
     }
 }
 
@@ -245,6 +282,45 @@
     print_call(Call { method: "GET", at: Some(at), path, ..Call::default() })
 }
 
+/// Prints what a coordinator answers to a question, as it comes or as a table.
+fn show<T: DeserializeOwned>(
+    at: SocketAddr,
+    path: String,
+    json: bool,
+    table: impl Fn(&T) -> String,
+) -> Result<(), ProgramError> {
+    let text = block_on(operator::call(Call { method: "GET", at: Some(at), path, ..Call::default() }))?;
+    if json {
+        println!("{text}");
+        return Ok(());
+    }
+    let unreadable = |error: serde_json::Error| ProgramError::Server(format!("{at}: {error}"));
+    print!("{}", table(&serde_json::from_str(&text).map_err(unreadable)?));
+    Ok(())
+}
+
+fn state(verb: &StateVerb) -> Result<(), ProgramError> {
+    match verb {
+        StateVerb::Check { folder } => {
+            let state = StateOnDisk::read(folder)?;
+            println!("{}", state.summary());
+            state.contradictions.iter().for_each(|contradiction| println!("{contradiction}"));
+            match state.contradictions.len() {
+                0 => Ok(()),
+                count => Err(ProgramError::Contradictions(count)),
+            }
+        }
+        StateVerb::Show { folder, json } => {
+            let state = StateOnDisk::read(folder)?;
+            match json {
+                true => println!("{}", serde_json::to_string(&state).unwrap_or_default()),
+                false => print!("{state}"),
+            }
+            Ok(())
+        }
+    }
+}
+
 fn config(verb: &ConfigVerb) -> Result<(), ProgramError> {
     match verb {
         ConfigVerb::Check { file } => {
@@ -270,6 +346,12 @@
 
 fn job(verb: &JobVerb) -> Result<(), ProgramError> {
     let (method, place, body) = match verb {
+        JobVerb::List { json, at, queue, state, after, limit } => {
+            let limit = limit.map(|limit| limit.to_string());
+            let fields = [("queue", queue), ("state", state), ("after", after), ("limit", &limit)];
+            let path = format!("/-/Job.List?{}", operator::query(&fields));
+            return show(*at, path, *json, tables::jobs);
+        }
         JobVerb::Submit { file, job_place } => ("POST", job_place, operator::read_file(file)?),
         JobVerb::Status(place) | JobVerb::Count(place) => ("GET", place, Vec::new()),
         JobVerb::Cancel(place) => ("DELETE", place, Vec::new()),
--- a/system/magpiegap/src/coordinator/control_plane.rs
+++ b/system/magpiegap/src/coordinator/control_plane.rs
@@ -2,10 +2,10 @@
 use super::{events::Handle, metrics};
 use crate::serving::read_body;
 use magpiegap_jobs::Configuration;
-use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, JobId};
+use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, JobFilter, JobId, JobPhase};
 use rocket::{
     data::Data,
-    http::{ContentType, Header, Method, Status},
+    http::{ContentType, Header, Method, RawStr, Status},
     response::{self, Responder, Response},
     route::{Handler, Outcome},
     Request,
@@ -14,6 +14,8 @@
 
 /// The path of a job's explanation, before its name.
 const EXPLAIN: &str = "/-/Job.Explain/";
+/// Jobs in a list where no other limit is asked for.
+const JOBS_LISTED: u32 = 100;
 /// Longest configuration, in bytes.
 const MAX_BODY: u64 = 16 << 20;
 
@@ -112,6 +114,18 @@
         }
     }
 
+    /// Lists jobs.
+    async fn jobs(&self, request: &Request<'_>) -> Reply {
+        let filter = match job_filter(request) {
+            Ok(filter) => filter,
+            Err(fault) => return Reply::text(Status::BadRequest, fault),
+        };
+        match self.handle.ask(CoordinatorRequest::ListJobs(filter)).await {
+            Some(CoordinatorAnswer::Description(text)) => Reply::json(text.into_bytes()),
+            _ => not_now(),
+        }
+    }
+
     /// The figures that monitoring systems scrape.
     async fn metrics(&self) -> Reply {
         let description = match self.handle.ask(CoordinatorRequest::Describe).await {
@@ -141,6 +155,35 @@
     }
 }
 
+/// Reads which jobs are wanted: `queue`, `state`, `after` and `limit` in the query.
+fn job_filter(request: &Request<'_>) -> Result<JobFilter, String> {
+    let mut filter = JobFilter { limit: JOBS_LISTED, ..JobFilter::default() };
+    let fields = request.uri().query().map(|query| query.segments());
+    for (name, value) in fields.into_iter().flatten() {
+        let wrong = |must: &str| format!("{name}: must be {must}");
+        match name {
+            "queue" => filter.queue = Some(percent_decoded(value)),
+            "state" => {
+                let phase = JobPhase::parse(value);
+                let words = "pending, running, succeeded, failed or cancelled";
+                filter.phase = Some(phase.ok_or_else(|| wrong(words))?);
+            }
+            "after" => {
+                let job = JobId::parse(value);
+                filter.after = Some(job.ok_or_else(|| wrong("16 hexadecimal digits"))?);
+            }
+            "limit" => filter.limit = value.parse().map_err(|_| wrong("a whole number"))?,
+            _ => return Err(format!("{name}: there is no such field")),
+        }
+    }
+    Ok(filter)
+}
+
+/// A value of a query; one that is not properly encoded stays as it is.
+fn percent_decoded(value: &str) -> String {
+    RawStr::new(value).url_decode().map_or_else(|_| value.to_owned(), |decoded| decoded.into_owned())
+}
+
 fn not_now() -> Reply {
     Reply::text(Status::ServiceUnavailable, "this coordinator can't serve now; another one may")
 }
@@ -156,6 +199,7 @@
             (Method::Post, "/-/Config.Replace") => self.replace(request, data).await,
             (Method::Get, "/-/Config.Describe") => self.describe().await,
             (Method::Get, "/-/Cluster.Describe") => self.cluster().await,
+            (Method::Get, "/-/Job.List") => self.jobs(request).await,
             (Method::Get, "/-/metrics") => self.metrics().await,
             _ => Reply::text(Status::NotFound, "no such call"),
         };
--- a/system/magpiegap/src/error.rs
+++ b/system/magpiegap/src/error.rs
@@ -1,5 +1,6 @@
 //! Why the program ends.
 use crate::settings::SettingsError;
+use std::path::PathBuf;
 
 /// Why the program can't go on.
 #[derive(Debug, thiserror::Error)]
@@ -13,6 +14,12 @@
     /// The state on disk is not one that this build can read.
     #[error("the state on disk can't be read: {0}")]
     State(#[from] magpiegap_protocol::DecodeError),
+    /// There is no state of a coordinator.
+    #[error("{0}: no state of a coordinator")]
+    NoState(PathBuf),
+    /// The state on disk contradicts itself.
+    #[error("the state contradicts itself in {0} places")]
+    Contradictions(usize),
     /// A server could not be started or has failed.
     #[error("server: {0}")]
     Server(String),
--- a/system/magpiegap/src/lib.rs
+++ b/system/magpiegap/src/lib.rs
@@ -14,12 +14,15 @@
 mod settings;
 mod settings_check;
 mod signals;
+mod state_on_disk;
+pub mod tables;
 
 pub use agent::link;
 pub use command_line::{command_line, parser, run, CommandLine};
 pub use coordinator::{metrics, worker_connections};
 pub use error::ProgramError;
-pub use operator::{check_configuration, describe_state};
+pub use operator::check_configuration;
 pub use proxy::{admission, feed, job_body};
 pub use settings::{FieldFault, NodeSettings, SettingsError};
 pub use settings_check::SettingsReport;
+pub use state_on_disk::StateOnDisk;
--- a/system/magpiegap/src/operator.rs
+++ b/system/magpiegap/src/operator.rs
@@ -1,9 +1,6 @@
 //! The operator's commands: against a coordinator, a proxy, or files.
 use crate::{endpoint, error::ProgramError};
-use magpiegap_control::{DurableRecord, Snapshot};
-use magpiegap_jobs::{Configuration, State};
-use magpiegap_protocol::decode;
-use magpiegap_storage::{FolderDirectory, Store};
+use magpiegap_jobs::Configuration;
 use std::{net::SocketAddr, path::Path, time::Duration};
 
 /// How long a coordinator or proxy may take to answer.
@@ -58,6 +55,14 @@
     Err(failed(format!("{url}: sent on too often")))
 }
 
+/// The fields of a query that are given, encoded.
+pub fn query(fields: &[(&str, &Option<String>)]) -> String {
+    let given = fields.iter().filter_map(|(name, value)| Some((*name, value.as_deref()?)));
+    let encode = |value: &str| rocket::http::RawStr::new(value).percent_encode().to_string();
+    let pairs: Vec<String> = given.map(|(name, value)| format!("{name}={}", encode(value))).collect();
+    pairs.join("&")
+}
+
 /// Reads a file.
 ///
 /// # Errors
@@ -76,38 +81,3 @@
     let (routes, services) = (configuration.routes.len(), configuration.services.len());
     Ok(format!("version {}: {routes} routes, {services} services", configuration.version))
 }
-
-/// Reads the state in a coordinator's folder, while that does not run, and says what it holds.
-///
-/// # Errors
-/// When it can't be read.
-pub fn describe_state(folder: &Path) -> Result<String, ProgramError> {
-    if !folder.join("slot-0").exists() && !folder.join("slot-1").exists() {
-        return Err(ProgramError::Server(format!("{}: no state of a coordinator", folder.display())));
-    }
-    let directory = FolderDirectory::new(folder)
-        .map_err(|source| ProgramError::System { what: "the state's folder", source })?;
-    let (_, recovered) = Store::open(directory)?;
-    let mut snapshot: Snapshot = decode(&recovered.snapshot.unwrap_or_default())?;
-    let records = recovered.records.len();
-    for record in recovered.records {
-        let record: DurableRecord = decode(&record)?;
-        snapshot.add(record);
-    }
-    let state: State = decode(&snapshot.state)?;
-    let view = &snapshot.agreement.current;
-    Ok(format!(
-        "disk {:016x}, view {} with {} in the chain and {} voters, {} records since the snapshot\n\
-         state up to entry {}, {} entries after it, configuration {}, {} jobs, {} workers",
-        snapshot.disk,
-        view.number,
-        view.chain.len(),
-        view.voters.len(),
-        records,
-        snapshot.applied.index,
-        snapshot.entries.len(),
-        state.configuration.version,
-        state.jobs.len(),
-        state.workers.len()
-    ))
-}
--- /dev/null
+++ b/system/magpiegap/src/state_on_disk.rs
@@ -0,0 +1,146 @@
+//! A coordinator's state on disk, looked at while that coordinator does not run.
+use crate::error::ProgramError;
+use magpiegap_control::{DurableRecord, Snapshot};
+use magpiegap_coordinator::RoleDescription;
+use magpiegap_jobs::{Inconsistency, State};
+use magpiegap_protocol::decode;
+use magpiegap_storage::{FolderDirectory, Store};
+use serde::Serialize;
+use std::{collections::BTreeMap, fmt, path::Path};
+
+/// What is in a coordinator's folder.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct StateOnDisk {
+    /// Names this life of the disk.
+    pub disk: String,
+    /// Number of the newest view that it knows.
+    pub view: u64,
+    /// The chain of that view, head first.
+    pub chain: Vec<String>,
+    /// Who votes on the next view.
+    pub voters: Vec<String>,
+    /// The view up to which it has all that was committed; `None`: it has nothing yet.
+    pub complete_up_to_view: Option<u64>,
+    /// Records since the snapshot.
+    pub records: usize,
+    /// The last entry that the state holds.
+    pub applied_entry: u64,
+    /// Entries after it.
+    pub entries_after: usize,
+    /// Entries up to this one were known to be committed.
+    pub committed_entry: u64,
+    /// Version of the configuration.
+    pub configuration: u64,
+    /// Who held which role.
+    pub roles: Vec<RoleDescription>,
+    /// How many jobs of each queue are in each state.
+    pub jobs: BTreeMap<String, BTreeMap<String, usize>>,
+    /// How many runs may go on on each worker.
+    pub runs: BTreeMap<String, usize>,
+    /// Parts of it that contradict each other.
+    pub contradictions: Vec<String>,
+}
+
+impl StateOnDisk {
+    /// Reads all of a coordinator's folder.
+    ///
+    /// # Errors
+    /// When there is no state, or it can't be read.
+    pub fn read(folder: &Path) -> Result<StateOnDisk, ProgramError> {
+        if !folder.join("slot-0").exists() && !folder.join("slot-1").exists() {
+            return Err(ProgramError::NoState(folder.to_owned()));
+        }
+        let directory = FolderDirectory::new(folder)
+            .map_err(|source| ProgramError::System { what: "the state's folder", source })?;
+        let (_, recovered) = Store::open(directory)?;
+        let mut snapshot: Snapshot = decode(&recovered.snapshot.unwrap_or_default())?;
+        let records = recovered.records.len();
+        for record in recovered.records {
+            let record: DurableRecord = decode(&record)?;
+            snapshot.add(record);
+        }
+        let state: State = decode(&snapshot.state)?;
+        Ok(StateOnDisk::of(&snapshot, &state, records))
+    }
+
+    fn of(snapshot: &Snapshot, state: &State, records: usize) -> StateOnDisk {
+        let view = &snapshot.agreement.current;
+        let mut jobs: BTreeMap<String, BTreeMap<String, usize>> = BTreeMap::new();
+        for job in state.jobs.values() {
+            let of_queue = jobs.entry(job.submission.queue.clone()).or_default();
+            *of_queue.entry(job.phase.word().to_owned()).or_default() += 1;
+        }
+        let runs = state.workers.iter().filter(|(_, worker)| !worker.runs.is_empty());
+        StateOnDisk {
+            disk: format!("{:016x}", snapshot.disk),
+            view: view.number,
+            chain: view.chain.iter().map(|replica| replica.member.to_string()).collect(),
+            voters: view.voters.iter().map(ToString::to_string).collect(),
+            complete_up_to_view: snapshot.synchronized,
+            records,
+            applied_entry: snapshot.applied.index,
+            entries_after: snapshot.entries.len(),
+            committed_entry: snapshot.committed,
+            configuration: state.configuration.version,
+            roles: RoleDescription::all(state),
+            jobs,
+            runs: runs.map(|(instance, worker)| (instance.clone(), worker.runs.len())).collect(),
+            contradictions: state.inconsistencies().iter().map(Inconsistency::to_string).collect(),
+        }
+    }
+
+    /// In one line.
+    pub fn summary(&self) -> String {
+        let jobs: usize = self.jobs.values().flat_map(BTreeMap::values).sum();
+        format!(
+            "disk {}, view {} with {} in the chain and {} voters, state up to entry {} and {} entries after it, \
+             configuration {}, {jobs} jobs, {} contradictions",
+            self.disk,
+            self.view,
+            self.chain.len(),
+            self.voters.len(),
+            self.applied_entry,
+            self.entries_after,
+            self.configuration,
+            self.contradictions.len()
+        )
+    }
+}
+
+impl fmt::Display for StateOnDisk {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "disk           {}", self.disk)?;
+        writeln!(f, "view           {}: chain {}", self.view, self.chain.join(" > "))?;
+        writeln!(f, "voters         {}", self.voters.join(", "))?;
+        match self.complete_up_to_view {
+            Some(view) => writeln!(f, "complete       up to view {view}")?,
+            None => writeln!(f, "complete       no: it has yet to be told the state")?,
+        }
+        writeln!(
+            f,
+            "state          up to entry {}, configuration {}",
+            self.applied_entry, self.configuration
+        )?;
+        let (after, committed) = (self.entries_after, self.committed_entry);
+        writeln!(
+            f,
+            "log            {after} entries after it, committed up to {committed}; {} records",
+            self.records
+        )?;
+        for role in &self.roles {
+            writeln!(f, "role           {} held by {} with token {}", role.role, role.holder, role.token)?;
+        }
+        for (queue, states) in &self.jobs {
+            let counts: Vec<String> =
+                states.iter().map(|(state, count)| format!("{count} {state}")).collect();
+            writeln!(f, "queue          {queue}: {}", counts.join(", "))?;
+        }
+        for (instance, runs) in &self.runs {
+            writeln!(f, "worker         {instance}: {runs} runs may go on")?;
+        }
+        for contradiction in &self.contradictions {
+            writeln!(f, "contradiction  {contradiction}")?;
+        }
+        Ok(())
+    }
+}
--- a/system/magpiegap/tests/command_line.rs
+++ b/system/magpiegap/tests/command_line.rs
@@ -1,6 +1,11 @@
 //! The command line and the commands that need no cluster.
 use googletest::prelude::*;
-use magpiegap::{check_configuration, describe_state, parser};
+use magpiegap::{check_configuration, parser, tables, StateOnDisk};
+use magpiegap_control::Snapshot;
+use magpiegap_coordinator::{ClusterDescription, JobLine, JobList};
+use magpiegap_jobs::{RoleState, State};
+use magpiegap_protocol::{encode, Member, Replica, Role};
+use magpiegap_storage::{FolderDirectory, Store};
 use std::path::{Path, PathBuf};
 
 fn accepts(words: &[&str]) -> bool {
@@ -18,7 +23,15 @@
     expect_that!(accepts(&["config", "describe", "--at", "127.0.0.1:1"]), eq(true));
     expect_that!(accepts(&["cluster", "status", "--at", "127.0.0.1:1"]), eq(true));
     expect_that!(accepts(&["cluster", "explain", "--at", "127.0.0.1:1", "5c0e7a21d94b36f8"]), eq(true));
+    expect_that!(accepts(&["cluster", "status", "--json", "--at", "127.0.0.1:1"]), eq(true));
     expect_that!(accepts(&["state", "check", "/data"]), eq(true));
+    expect_that!(accepts(&["state", "show", "--json", "/data"]), eq(true));
+    expect_that!(accepts(&["job", "list", "--at", "127.0.0.1:1"]), eq(true));
+    let filter = ["--queue", "h/q/", "--state", "running", "--after", "5c0e7a21d94b36f8", "--limit", "5"];
+    expect_that!(
+        accepts(&[&["job", "list", "--json", "--at", "127.0.0.1:1"][..], &filter[..]].concat()),
+        eq(true)
+    );
     let job = ["--at", "127.0.0.1:1", "--host", "h", "/q/5c0e7a21d94b36f8"];
     for verb in ["status", "cancel", "count"] {
         expect_that!(accepts(&[&["job", verb][..], &job[..]].concat()), eq(true));
@@ -47,6 +60,67 @@
 #[googletest::test]
 fn given_a_folder_without_state_when_it_is_looked_at_then_that_is_said_and_nothing_is_made() {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("no-state-here");
-    expect_that!(describe_state(&folder).unwrap_err().to_string(), ends_with("no state of a coordinator"));
+    expect_that!(StateOnDisk::read(&folder).unwrap_err().to_string(), ends_with("no state of a coordinator"));
     expect_that!(folder.exists(), eq(false));
 }
+
+/// Writes a state as a coordinator does, into a folder that is this test's own.
+fn write_state(name: &str, state: &State) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    let member = Member { address: 0x0a01_000f, disk: 0 };
+    let snapshot = Snapshot::empty(0, Some(0), vec![member], encode(state));
+    let (mut store, _) = Store::open(FolderDirectory::new(&folder).unwrap()).unwrap();
+    store.checkpoint(&encode(&snapshot)).unwrap();
+    folder
+}
+
+#[googletest::test]
+fn given_a_state_on_disk_when_it_is_shown_then_roles_and_voters_are_there_and_nothing_contradicts() {
+    let mut state = State::default();
+    let holder = Replica { member: Member { address: 0x0a01_000f, disk: 0 }, boot: 1 };
+    state.roles.insert(Role::Scheduler("desk".to_owned()), RoleState { holder, token: 4 });
+    let shown = StateOnDisk::read(&write_state("state-shown", &state)).unwrap();
+    expect_that!(shown.contradictions.len(), eq(0));
+    expect_that!(shown.voters, elements_are![starts_with("10.1.0.15")]);
+    expect_that!(shown.to_string(), contains_substring("scheduler desk held by 10.1.0.15 with token 4"));
+    expect_that!(shown.summary(), contains_substring("0 contradictions"));
+}
+
+#[googletest::test]
+fn given_a_state_that_contradicts_itself_when_it_is_read_then_the_place_is_named() {
+    let mut state = State::default();
+    state.open_jobs.insert("h/q/".to_owned(), 3);
+    let shown = StateOnDisk::read(&write_state("state-contradicts", &state)).unwrap();
+    expect_that!(
+        shown.contradictions,
+        elements_are![contains_substring("queue h/q/: 3 open jobs are kept, 0")]
+    );
+}
+
+#[googletest::test]
+fn given_a_list_of_jobs_when_it_is_printed_then_columns_stand_in_line() {
+    let line = |job: &str, state: &str, tasks| JobLine {
+        job: job.to_owned(),
+        queue: "h/q/".to_owned(),
+        state: state.to_owned(),
+        tasks,
+        done: 1,
+        ..JobLine::default()
+    };
+    let jobs = vec![line("0000000000000001", "running", 12), line("0000000000000002", "succeeded", 0)];
+    let text = tables::jobs(&JobList { entry: 9, jobs, next: Some("0000000000000002".to_owned()) });
+    let lines: Vec<&str> = text.lines().collect();
+    expect_that!(lines[1], eq("0000000000000001  running    0         1/12  0        h/q/"));
+    expect_that!(lines[2], eq("0000000000000002  succeeded  0         -     0        h/q/"));
+    expect_that!(lines[3], eq("there are more: --after 0000000000000002"));
+}
+
+#[googletest::test]
+fn given_the_state_of_a_cluster_when_it_is_printed_then_the_chain_is_there() {
+    let chain = vec!["10.1.0.15".to_owned(), "10.2.0.25".to_owned()];
+    let text = tables::cluster(&ClusterDescription { view: 7, chain, ..ClusterDescription::default() });
+    expect_that!(text, contains_substring("7: chain 10.1.0.15 > 10.2.0.25"));
+    expect_that!(text, contains_substring("not in the chain"));
+}
--- a/system/protocol/src/lib.rs
+++ b/system/protocol/src/lib.rs
@@ -22,7 +22,7 @@
 pub use job::{JobSpec, JobSpecError, Resources, StepSpec, MAX_SPEC_BYTES, MAX_TASKS_PER_JOB};
 pub use location::{Location, MemberLocation, PlaceId};
 pub use peer::{Envelope, Heartbeat, PeerMessage, PeerReport, PlatformList, Promise};
-pub use requests::{CoordinatorAnswer, CoordinatorRequest, JobPhase};
+pub use requests::{CoordinatorAnswer, CoordinatorRequest, JobFilter, JobPhase};
 pub use view::{ChainRecord, View};
 pub use workers::{Availability, WorkerEntry};
 
--- a/system/protocol/src/requests.rs
+++ b/system/protocol/src/requests.rs
@@ -34,12 +34,41 @@
         }
     }
 
+    /// The phase that clients are shown by this word.
+    pub fn parse(word: &str) -> Option<JobPhase> {
+        let phases = [
+            JobPhase::Pending,
+            JobPhase::Running,
+            JobPhase::Succeeded,
+            JobPhase::Failed,
+            JobPhase::Cancelled,
+        ];
+        phases.into_iter().find(|phase| phase.word() == word)
+    }
+
     /// Whether nothing of the job is to run any more.
     pub fn ended(self) -> bool {
         !matches!(self, JobPhase::Pending | JobPhase::Running)
     }
 }
 
+/// Which jobs an operator wants to see, in the order of their names.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct JobFilter {
+    /// Of this queue only, `HOST/PREFIX/`.
+    #[n(0)]
+    pub queue: Option<String>,
+    /// In this phase only.
+    #[n(1)]
+    pub phase: Option<JobPhase>,
+    /// After this one only.
+    #[n(2)]
+    pub after: Option<JobId>,
+    /// At most so many.
+    #[n(3)]
+    pub limit: u32,
+}
+
 /// A request to a coordinator.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum CoordinatorRequest {
@@ -102,6 +131,9 @@
         #[n(0)]
         job: JobId,
     },
+    /// Jobs as this coordinator has them, for operators.
+    #[n(9)]
+    ListJobs(#[n(0)] JobFilter),
 }
 
 /// The answer to a [`CoordinatorRequest`].
