Play a replica group in turmoil: what was committed is never lost or replaced

Change: control/tests/turmoil.rs: an entry every 5 ms by whoever holds itself for the head, kills, losses of power, freezes, cuts of links and machines, all at once, as many disks lost as may be; syncs of up to 60 ms, messages of up to 30 ms, by chance. No index may ever show two entries, and the group commits again at the end.

--- a/system/control/tests/common/group.rs
+++ b/system/control/tests/common/group.rs
@@ -4,6 +4,7 @@
     decode, encode, Command, Entry, Location, Member, Millis, PeerMessage, PlaceId, Position, ProposalId,
     Replica as ReplicaId,
 };
+use rand::{rngs::StdRng, Rng};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Length of one step of time.
@@ -14,17 +15,22 @@
 const FEW_ENTRIES: usize = 5;
 /// How long a sync takes.
 const SYNC_MS: Millis = 9;
+/// Where chance decides, messages and syncs take up to this long.
+const MOST_DELAY_MS: Millis = 30;
+const MOST_SYNC_MS: Millis = 60;
 
-/// Counts what was applied.
+/// Counts what was applied, and remembers what that was until it is asked.
 #[derive(Default)]
 pub struct CountingState {
     position: Position,
+    applied: Vec<(u64, ProposalId)>,
 }
 
 impl StateMachine for CountingState {
     fn apply(&mut self, entry: &Entry) {
         assert_eq!(entry.position.index, self.position.index + 1, "entries are applied in order");
         self.position = entry.position;
+        self.applied.push((entry.position.index, entry.proposal));
     }
     fn position(&self) -> Position {
         self.position
@@ -64,11 +70,21 @@
     pub cut_off: BTreeSet<u32>,
     /// Pairs that don't hear each other, the lower address first.
     pub cut_links: BTreeSet<(u32, u32)>,
+    /// Machines that stand still, and until when.
+    pub frozen: BTreeMap<u32, Millis>,
+    /// Seeds how long messages and syncs take; `None`: always the same.
+    pub chance: Option<StdRng>,
+    /// What was applied under each index, by whichever replica did it first.
+    pub history: BTreeMap<u64, ProposalId>,
+    /// Indexes under which another replica has applied something else.
+    pub contradictions: Vec<u64>,
     running: BTreeMap<u32, Running>,
     disks: BTreeMap<u32, DurableState>,
     events: BTreeMap<(Millis, u64), Event>,
     /// When the last message on the way from one to another arrives.
     links: BTreeMap<(u32, u32), Millis>,
+    /// When the last work of each disk is done.
+    syncs: BTreeMap<u32, Millis>,
     sequence: u64,
     boots: u64,
     proposals: u64,
@@ -94,10 +110,15 @@
             catch_up_delay_ms: DELAY_MS,
             cut_off: BTreeSet::new(),
             cut_links: BTreeSet::new(),
+            frozen: BTreeMap::new(),
+            chance: None,
+            history: BTreeMap::new(),
+            contradictions: Vec::new(),
             running: BTreeMap::new(),
             disks: BTreeMap::new(),
             events: BTreeMap::new(),
             links: BTreeMap::new(),
+            syncs: BTreeMap::new(),
             sequence: 0,
             boots: 0,
             proposals: 0,
@@ -131,11 +152,55 @@
         self.running.insert(address, Running { replica, machine });
     }
 
-    /// Ends the process on a machine.
+    /// Ends the process on a machine. What it had not synced is lost.
     pub fn stop_replica(&mut self, address: u32) {
         self.running.remove(&address);
     }
 
+    /// Ends the process on a machine; its disk gets all that the process had written.
+    pub fn kill_replica(&mut self, address: u32) {
+        let Some(killed) = self.running.remove(&address) else { return };
+        let own_boot = killed.replica.own().boot;
+        let of_process = |event: &Event| matches!(event, Event::Persisted { address: at, boot, .. } if *at == address && *boot == own_boot);
+        let keys: Vec<(Millis, u64)> =
+            self.events.iter().filter(|(_, event)| of_process(event)).map(|(key, _)| *key).collect();
+        let mut written: Vec<(u64, Box<DiskChange>)> = Vec::new();
+        for key in keys {
+            if let Some(Event::Persisted { ticket, change, .. }) = self.events.remove(&key) {
+                written.push((ticket, change));
+            }
+        }
+        written.sort_by_key(|(ticket, _)| *ticket);
+        for (_, change) in written {
+            self.change_disk(address, *change);
+        }
+    }
+
+    /// Whether the process on a machine runs.
+    pub fn runs(&self, address: u32) -> bool {
+        self.running.contains_key(&address)
+    }
+
+    /// All machines.
+    pub fn addresses(&self) -> Vec<u32> {
+        self.disks.keys().copied().collect()
+    }
+
+    fn is_frozen(&self, address: u32) -> bool {
+        self.frozen.get(&address).is_some_and(|until| self.now < *until)
+    }
+
+    /// Takes note of what replicas have applied.
+    fn compare(&mut self) {
+        for running in self.running.values_mut() {
+            for (index, proposal) in std::mem::take(&mut running.machine.applied) {
+                if *self.history.entry(index).or_insert(proposal) != proposal {
+                    self.contradictions.push(index);
+                }
+            }
+        }
+    }
+
     /// Empties the disk of a machine whose process does not run.
     pub fn wipe(&mut self, address: u32) {
         let disk = 1000 + self.boots;
@@ -170,6 +235,23 @@
         self.running[&address].machine.position.index
     }
 
+    /// Lets every replica that holds itself for the head write an entry.
+    pub fn write_everywhere(&mut self) {
+        let now = self.now;
+        let awake: Vec<u32> = self.running.keys().copied().filter(|at| !self.is_frozen(*at)).collect();
+        for address in awake {
+            let Some(Running { replica, machine }) = self.running.get_mut(&address) else { continue };
+            if !replica.is_head() {
+                continue;
+            }
+            self.proposals += 1;
+            let proposal = ProposalId { origin: replica.own(), sequence: self.proposals };
+            replica.propose(now, proposal, None, Command::Noop);
+            replica.flush(now, machine);
+            self.perform(address);
+        }
+    }
+
     /// Lets the head write an entry; `false` when there is none.
     pub fn write(&mut self) -> bool {
         self.proposals += 1;
@@ -190,17 +272,31 @@
             self.happen();
             for address in self.running.keys().copied().collect::<Vec<u32>>() {
                 let now = self.now;
+                if self.is_frozen(address) {
+                    continue;
+                }
                 if let Some(Running { replica, machine }) = self.running.get_mut(&address) {
                     replica.tick(now, now, machine);
                 }
                 self.perform(address);
             }
+            self.compare();
         }
     }
 
     fn happen(&mut self) {
         while let Some(first) = self.events.first_entry().filter(|first| first.key().0 <= self.now) {
-            match first.remove() {
+            let event = first.remove();
+            let at = match &event {
+                Event::Message { to, .. } => *to,
+                Event::Persisted { address, .. } => *address,
+            };
+            if self.is_frozen(at) {
+                let until = self.frozen[&at];
+                self.schedule_at(until, event);
+                continue;
+            }
+            match event {
                 Event::Message { to, from, message } => self.deliver(to, from, *message),
                 Event::Persisted { address, boot, ticket, change } => {
                     self.persisted(address, boot, ticket, *change);
@@ -221,16 +317,19 @@
         let now = self.now;
         let running = self.running.get_mut(&address).filter(|running| running.replica.own().boot == boot);
         let Some(Running { replica, machine }) = running else { return };
-        if let Some(disk) = self.disks.get_mut(&address) {
-            match change {
-                DiskChange::Whole(snapshot) => *disk = *snapshot,
-                DiskChange::Records(records) => records.into_iter().for_each(|record| disk.add(record)),
-            }
-        }
         replica.persisted(ticket, now, machine);
+        self.change_disk(address, change);
         self.perform(address);
     }
 
+    fn change_disk(&mut self, address: u32, change: DiskChange) {
+        let Some(disk) = self.disks.get_mut(&address) else { return };
+        match change {
+            DiskChange::Whole(snapshot) => *disk = *snapshot,
+            DiskChange::Records(records) => records.into_iter().for_each(|record| disk.add(record)),
+        }
+    }
+
     fn perform(&mut self, address: u32) {
         let Some(running) = self.running.get_mut(&address) else { return };
         let own = running.replica.own();
@@ -259,7 +358,7 @@
             PeerMessage::MissingEntries { ref entries, .. } if entries.len() > FEW_ENTRIES => {
                 self.catch_up_delay_ms
             }
-            _ => DELAY_MS,
+            _ => self.some_time(DELAY_MS, MOST_DELAY_MS),
         };
         // Messages from one replica to another arrive in order.
         let link = self.links.entry((from.member.address, to)).or_default();
@@ -272,7 +371,16 @@
     fn write_disk(&mut self, own: ReplicaId, ticket: u64, change: DiskChange) {
         let address = own.member.address;
         let event = Event::Persisted { address, boot: own.boot, ticket, change: Box::new(change) };
-        self.schedule_at(self.now + SYNC_MS, event);
+        // A disk does its work in order.
+        let sync = self.some_time(SYNC_MS, MOST_SYNC_MS);
+        let done = self.syncs.entry(address).or_default();
+        *done = (self.now + sync).max(*done);
+        let at = *done;
+        self.schedule_at(at, event);
+    }
+
+    fn some_time(&mut self, usual: Millis, most: Millis) -> Millis {
+        self.chance.as_mut().map_or(usual, |chance| chance.gen_range(1..=most))
     }
 
     fn schedule_at(&mut self, at: Millis, event: Event) {
--- /dev/null
+++ b/system/control/tests/turmoil.rs
@@ -0,0 +1,169 @@
+//! Whatever goes wrong within what may be lost, no committed entry is lost or replaced by another one.
+mod common;
+
+use common::group::Group;
+use rand::{rngs::StdRng, Rng, SeedableRng};
+
+/// How long things go wrong, in milliseconds.
+const TURMOIL_MS: u64 = 12_000;
+/// Longest time that one thing goes wrong.
+const MOST_MS: u64 = 1500;
+
+/// What goes wrong next.
+#[derive(Clone, Debug)]
+enum Fault {
+    /// A process is killed, and its disk has all that it wrote.
+    Kill(u32),
+    /// A machine loses power.
+    PowerLoss(u32),
+    /// All machines lose power.
+    PowerLossOfAll,
+    /// All processes are killed.
+    KillOfAll,
+    /// A machine stands still.
+    Freeze(u32),
+    /// Two machines don't hear each other.
+    CutLink(u32, u32),
+    /// A machine hears none of the others.
+    CutOff(u32),
+}
+
+impl Fault {
+    fn any(random: &mut StdRng, size: u32) -> Fault {
+        let one = random.gen_range(1..=size);
+        let other = (one + random.gen_range(0..size - 1)) % size + 1;
+        match random.gen_range(0..12) {
+            0 | 1 => Fault::Kill(one),
+            2 | 3 => Fault::PowerLoss(one),
+            4 => Fault::PowerLossOfAll,
+            5 => Fault::KillOfAll,
+            6 | 7 => Fault::Freeze(one),
+            8 | 9 => Fault::CutLink(one.min(other), one.max(other)),
+            _ => Fault::CutOff(one),
+        }
+    }
+}
+
+struct Story {
+    group: Group,
+    random: StdRng,
+    told: Vec<String>,
+}
+
+impl Story {
+    fn new(seed: u64, size: u32, tolerance: usize) -> Story {
+        let mut group = Group::start(size, tolerance);
+        group.chance = Some(StdRng::seed_from_u64(seed));
+        Story { group, random: StdRng::seed_from_u64(!seed), told: Vec::new() }
+    }
+
+    /// Lets time pass; the head, whoever holds itself for it, writes an entry every 5 ms.
+    fn pass(&mut self, for_ms: u64) {
+        for _ in 0..for_ms / 5 {
+            self.group.write_everywhere();
+            self.group.run(5);
+        }
+    }
+
+    fn strike(&mut self, fault: &Fault) {
+        self.told.push(format!("{} {fault:?}", self.group.now));
+        let until = self.group.now + self.random.gen_range(50..MOST_MS);
+        match *fault {
+            Fault::Kill(address) => self.group.kill_replica(address),
+            Fault::PowerLoss(address) => self.group.stop_replica(address),
+            Fault::PowerLossOfAll => {
+                self.group.addresses().into_iter().for_each(|at| self.group.stop_replica(at))
+            }
+            Fault::KillOfAll => self.group.addresses().into_iter().for_each(|at| self.group.kill_replica(at)),
+            Fault::Freeze(address) => {
+                self.group.frozen.insert(address, until);
+            }
+            Fault::CutLink(one, other) => {
+                self.group.cut_links.insert((one, other));
+            }
+            Fault::CutOff(address) => {
+                self.group.cut_off.insert(address);
+            }
+        }
+    }
+
+    /// Some of what is broken is mended.
+    fn mend(&mut self, all: bool) {
+        for address in self.group.addresses() {
+            if !self.group.runs(address) && (all || self.random.gen_bool(0.5)) {
+                self.group.start_replica(address);
+            }
+        }
+        let random = &mut self.random;
+        self.group.cut_links.retain(|_| !all && random.gen_bool(0.5));
+        self.group.cut_off.retain(|_| !all && random.gen_bool(0.5));
+    }
+
+    /// All is mended; then up to so many disks are lost, while the others lose power.
+    fn lose_disks(&mut self, count: usize) {
+        self.mend(true);
+        self.pass(6000);
+        let mut addresses = self.group.addresses();
+        for _ in 0..count {
+            let lost = addresses.remove(self.random.gen_range(0..addresses.len()));
+            self.told.push(format!("{} the disk of {lost} is lost", self.group.now));
+            self.group.stop_replica(lost);
+            self.group.wipe(lost);
+        }
+        let others_lose_power = self.random.gen_bool(0.5);
+        for address in addresses.into_iter().filter(|_| others_lose_power) {
+            self.group.stop_replica(address);
+        }
+        let pause = self.random.gen_range(5..600);
+        self.pass(pause);
+    }
+}
+
+/// Plays one seed; returns what was wrong.
+fn play(seed: u64, size: u32, tolerance: usize) -> Vec<String> {
+    let mut story = Story::new(seed, size, tolerance);
+    let until = story.group.now + TURMOIL_MS;
+    while story.group.now < until {
+        let fault = Fault::any(&mut story.random, size);
+        story.strike(&fault);
+        let pause = story.random.gen_range(10..800);
+        story.pass(pause);
+        story.mend(false);
+    }
+    story.lose_disks(tolerance);
+    story.mend(true);
+    story.pass(6000);
+    let mut wrong = Vec::new();
+    let committed = story.group.committed();
+    story.pass(500);
+    if story.group.committed() <= committed {
+        wrong.push(format!("nothing more is committed after {committed}"));
+    }
+    if !story.group.contradictions.is_empty() {
+        wrong.push(format!("entries were replaced: {:?}", story.group.contradictions));
+    }
+    if !wrong.is_empty() {
+        wrong.push(format!("seed {seed}: {:#?}", story.told));
+    }
+    wrong
+}
+
+/// Plays some seeds; `CONTROL_SEEDS` in the environment asks for more or fewer, `CONTROL_FIRST` for others.
+fn play_all(count: u64, size: u32, tolerance: usize) {
+    let number = |name| std::env::var(name).ok().and_then(|text| text.parse().ok());
+    let first = number("CONTROL_FIRST").unwrap_or(0);
+    for seed in first..first + number("CONTROL_SEEDS").unwrap_or(count) {
+        let wrong = play(seed, size, tolerance);
+        assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+    }
+}
+
+#[googletest::test]
+fn given_three_replicas_when_faults_strike_then_what_was_committed_stays() {
+    play_all(120, 3, 1);
+}
+
+#[googletest::test]
+fn given_five_replicas_when_faults_strike_then_what_was_committed_stays() {
+    play_all(60, 5, 2);
+}
