Look at busy workers less often where there are many, and bound open connections to workers

Connections to workers that are not called any more were never closed, so that a silent one kept its descriptor for good. Change: with more than 400 workers that have runs holds wait in proportion, up to 1.5 s, and hold as much longer; with seven tenths of maxFds open no connection is kept while it is not used; connections of no use are searched for every 10 s (all workers).

--- a/system/magpiegap/src/coordinator/driver.rs
+++ b/system/magpiegap/src/coordinator/driver.rs
@@ -18,16 +18,26 @@
 /// Most events taken before what they have brought up is done.
 const MOST_EVENTS: usize = 64;
 
+/// What a coordinator is connected with.
+pub struct Links {
+    /// The thread that does the disk's work.
+    pub disk: std::sync::mpsc::Sender<DiskWork>,
+    /// The other coordinators.
+    pub peers: Peers,
+    /// For calls to the platform.
+    pub client: reqwest::Client,
+    /// The workers.
+    pub workers: WorkerConnections,
+    /// Where the platform keeps its list.
+    pub platform: Option<SocketAddr>,
+}
+
 /// Drives a coordinator.
 pub struct Driver {
     clock: Clock,
     own: Replica,
     coordinator: Coordinator,
-    disk: std::sync::mpsc::Sender<DiskWork>,
-    peers: Peers,
-    client: reqwest::Client,
-    workers: WorkerConnections,
-    platform: Option<SocketAddr>,
+    links: Links,
     answers: HashMap<RequestId, oneshot::Sender<CoordinatorAnswer>>,
     next_request: RequestId,
     /// Messages of this coordinator to itself.
@@ -36,24 +46,12 @@
 
 impl Driver {
     /// A driver around a coordinator that has just started.
-    pub fn new(
-        clock: Clock,
-        settings: CoordinatorSettings,
-        durable: &DurableState,
-        disk: std::sync::mpsc::Sender<DiskWork>,
-        peers: Peers,
-        client: reqwest::Client,
-        platform: Option<SocketAddr>,
-    ) -> Driver {
+    pub fn new(clock: Clock, settings: CoordinatorSettings, durable: &DurableState, links: Links) -> Driver {
         Driver {
             clock,
             own: settings.control.own,
             coordinator: Coordinator::new(settings, durable, clock.now()),
-            disk,
-            peers,
-            client,
-            workers: WorkerConnections::default(),
-            platform,
+            links,
             answers: HashMap::new(),
             next_request: 0,
             to_self: Vec::new(),
@@ -92,7 +90,7 @@
         let (now, wall) = (self.clock.now(), self.clock.wall());
         match event {
             Event::Peer { from, messages } => {
-                self.peers.heard(from);
+                self.links.peers.heard(from);
                 self.coordinator.receive(now, wall, from, messages);
             }
             Event::PeerGone(address) => self.coordinator.peer_gone(now, address),
@@ -133,7 +131,7 @@
                 }
             }
             Output::CallWorker { service, token, call } => {
-                let (workers, events) = (self.workers.clone(), events.clone());
+                let (workers, events) = (self.links.workers.clone(), events.clone());
                 tokio::spawn(async move {
                     let id = call.id;
                     let reply = worker_client::call(workers, call).await;
@@ -141,8 +139,8 @@
                 });
             }
             Output::ListWorkers { call, page } => {
-                let (client, events) = (self.client.clone(), events.clone());
-                let Some(address) = self.platform else { return };
+                let (client, events) = (self.links.client.clone(), events.clone());
+                let Some(address) = self.links.platform else { return };
                 tokio::spawn(async move {
                     let reply = platform_client::list(client, address, page).await;
                     let _ = events.send(Event::Platform { call, reply });
@@ -156,7 +154,7 @@
             ControlOutput::Send { to, message } if to == self.own.member.address => {
                 self.to_self.push(message)
             }
-            ControlOutput::Send { to, message } => self.peers.send(to, message),
+            ControlOutput::Send { to, message } => self.links.peers.send(to, message),
             ControlOutput::Persist { ticket, records } => {
                 self.hand_to_disk(DiskWork::Records { ticket, records });
             }
@@ -168,7 +166,7 @@
     }
 
     fn hand_to_disk(&self, work: DiskWork) {
-        if self.disk.send(work).is_err() {
+        if self.links.disk.send(work).is_err() {
             log::error!("the disk's thread has ended");
         }
     }
--- a/system/magpiegap/src/coordinator/mod.rs
+++ b/system/magpiegap/src/coordinator/mod.rs
@@ -32,11 +32,14 @@
     time::Duration,
 };
 use tokio::sync::mpsc;
+use worker_connections::WorkerConnections;
 
 /// Time between two heartbeats.
 const HEARTBEAT_MS: u64 = 60;
 /// A coordinator that is not heard for this long is taken for gone.
 const SUSPECT_MS: u64 = 320;
+/// Hundredths of the descriptors beyond which no connection to a worker is kept while it is not used.
+const WORKERS_PERCENT: usize = 70;
 /// How long a role is acted on after the last proof that the view stands.
 const LEASE_MS: u64 = 900;
 /// Time between two readings of the platform's list.
@@ -68,8 +71,9 @@
     let requests = start_request_server(&settings, handle.clone()).await?;
     let control_plane = start_control_plane(&settings, handle).await?;
     let coordinator_settings = coordinator_settings(&settings, own);
-    let driver =
-        Driver::new(clock, coordinator_settings, &durable, disk, peers, client, settings.cloud.address);
+    let workers = WorkerConnections::new(settings.limits.max_fds.saturating_mul(WORKERS_PERCENT) / 100);
+    let platform = settings.cloud.address;
+    let driver = Driver::new(clock, coordinator_settings, &durable, disk, peers, client, workers, platform);
     let (stop, stopped) = mpsc::unbounded_channel();
     let work = tokio::spawn(driver.run(events, inbox, stopped));
     loop {
--- a/system/magpiegap/src/coordinator/worker_connections.rs
+++ b/system/magpiegap/src/coordinator/worker_connections.rs
@@ -15,7 +15,10 @@
     collections::HashMap,
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        atomic::{AtomicUsize, Ordering},
+        Arc, Mutex, PoisonError,
+    },
     time::Duration,
 };
 use tokio::{
@@ -27,6 +30,10 @@
 const IDLE_FOR: Duration = Duration::from_secs(60);
 /// Connections kept for one worker while they are not used.
 const MOST_IDLE: usize = 4;
+/// Time between two searches for connections that are to be closed, also of workers that are not called any more.
+const SEARCH_EVERY: Duration = Duration::from_secs(10);
+/// Open connections where no other limit is set.
+const MOST_OPEN: usize = 2800;
 /// Longest body of an answer, in bytes: a listing of 500 ends and all runs is far smaller.
 const MOST_BODY: usize = 4 << 20;
 
@@ -52,13 +59,39 @@
     since: Instant,
 }
 
+/// Connections that are not used now.
+struct IdleConnections {
+    of_workers: HashMap<SocketAddr, Vec<Idle>>,
+    next_search: Instant,
+}
+
 /// Connections to workers, shared by all calls.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct WorkerConnections {
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
+    idle: Arc<Mutex<IdleConnections>>,
+    open: Arc<AtomicUsize>,
+    /// With more open than this none is kept while it is not used, so that descriptors are left for others.
+    most_open: usize,
+}
+
+impl Default for WorkerConnections {
+    fn default() -> Self {
+        WorkerConnections::new(MOST_OPEN)
+    }
 }
 
 impl WorkerConnections {
+    /// No connections yet; of those not used, none are kept while more than `most_open` are open.
+    pub fn new(most_open: usize) -> WorkerConnections {
+        let idle = IdleConnections { of_workers: HashMap::new(), next_search: Instant::now() + SEARCH_EVERY };
+        WorkerConnections { idle: Arc::new(Mutex::new(idle)), open: Arc::default(), most_open }
+    }
+
+    /// How many connections are open.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
     /// Sends a request and reads the whole answer.
     ///
     /// # Errors
@@ -88,7 +121,7 @@
                 },
             }
         }
-        let mut sender = connect(to).await?;
+        let mut sender = self.connect(to).await?;
         let response = sender.send_request(request).await?;
         self.read_answer(to, sender, response).await
     }
@@ -109,37 +142,78 @@
     /// The connection that was used last, unless it has ended.
     fn take_idle(&self, to: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let of_worker = idle.get_mut(&to)?;
         let now = Instant::now();
-        of_worker.retain(|idle| !idle.sender.is_closed() && now < idle.since + IDLE_FOR);
+        idle.search(now);
+        let of_worker = idle.of_workers.get_mut(&to)?;
+        of_worker.retain(|idle| idle.is_of_use(now));
         let last = of_worker.pop();
         if of_worker.is_empty() {
-            idle.remove(&to);
+            idle.of_workers.remove(&to);
         }
         last.map(|idle| idle.sender)
     }
 
     fn keep(&self, from: SocketAddr, sender: SendRequest<Full<Bytes>>) {
-        if sender.is_closed() {
+        if sender.is_closed() || self.open() > self.most_open {
             return;
         }
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let of_worker = idle.entry(from).or_default();
+        let of_worker = idle.of_workers.entry(from).or_default();
         if of_worker.len() < MOST_IDLE {
             of_worker.push(Idle { sender, since: Instant::now() });
         }
     }
+
+    async fn connect(&self, to: SocketAddr) -> Result<SendRequest<Full<Bytes>>, ConnectionError> {
+        let until = Instant::now() + CONNECT_TIMEOUT;
+        let stream =
+            timeout_at(until, TcpStream::connect(to)).await.map_err(|_| ConnectionError::Timeout)??;
+        stream.set_nodelay(true)?;
+        socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let open = OpenConnection::new(&self.open);
+        tokio::spawn(async move {
+            // How it ended is told to whoever waits for an answer on it.
+            let _ = connection.await;
+            drop(open);
+        });
+        Ok(sender)
+    }
+}
+
+/// Counts a connection while it is open.
+struct OpenConnection(Arc<AtomicUsize>);
+
+impl OpenConnection {
+    fn new(open: &Arc<AtomicUsize>) -> OpenConnection {
+        open.fetch_add(1, Ordering::Relaxed);
+        OpenConnection(open.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
-async fn connect(to: SocketAddr) -> Result<SendRequest<Full<Bytes>>, ConnectionError> {
-    let until = Instant::now() + CONNECT_TIMEOUT;
-    let stream = timeout_at(until, TcpStream::connect(to)).await.map_err(|_| ConnectionError::Timeout)??;
-    stream.set_nodelay(true)?;
-    socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    tokio::spawn(async move {
-        // How it ended is told to whoever waits for an answer on it.
-        let _ = connection.await;
-    });
-    Ok(sender)
+impl Idle {
+    fn is_of_use(&self, now: Instant) -> bool {
+        !self.sender.is_closed() && now < self.since + IDLE_FOR
+    }
+}
+
+impl IdleConnections {
+    /// Closes what is of no use any more, now and then. Workers that have gone are not called again, and without this
+    /// their connections would stay for good.
+    fn search(&mut self, now: Instant) {
+        if now < self.next_search {
+            return;
+        }
+        self.next_search = now + SEARCH_EVERY;
+        self.of_workers.retain(|_, of_worker| {
+            of_worker.retain(|idle| idle.is_of_use(now));
+            !of_worker.is_empty()
+        });
+    }
 }
--- a/system/magpiegap/src/settings.rs
+++ b/system/magpiegap/src/settings.rs
@@ -124,6 +124,20 @@
     }
 }
 
+/// What the machine gives to the process.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct MachineLimits {
+    /// Descriptors.
+    pub max_fds: usize,
+}
+
+impl Default for MachineLimits {
+    fn default() -> Self {
+        MachineLimits { max_fds: 4096 }
+    }
+}
+
 /// The platform's list of workers.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(rename_all = "camelCase", default)]
@@ -176,6 +190,9 @@
     /// Figures of the rules.
     #[serde(default)]
     pub bounds: Bounds,
+    /// What the machine gives to the process.
+    #[serde(default)]
+    pub limits: MachineLimits,
     /// The platform's list.
     #[serde(default)]
     pub cloud: Cloud,
--- a/system/magpiegap/tests/worker_connections.rs
+++ b/system/magpiegap/tests/worker_connections.rs
@@ -100,3 +100,23 @@
     let called = WorkerConnections::default().call(address, request(), LONG).await;
     assert_that!(matches!(called, Err(ConnectionError::Body(_))), eq(true));
 }
+
+#[tokio::test]
+async fn given_as_many_open_connections_as_may_be_when_a_call_has_ended_then_its_connection_is_closed() {
+    let (listener, address) = listen().await;
+    let worker = tokio::spawn(async move {
+        for _ in 0..2 {
+            let (mut stream, _) = listener.accept().await.expect("a connection for each call");
+            read_request(&mut stream).await;
+            stream.write_all(ANSWER).await.expect("an open connection");
+            let mut rest = [0; 1];
+            assert_that!(stream.read(&mut rest).await.expect("a proper end"), eq(0));
+        }
+    });
+    let connections = WorkerConnections::new(0);
+    for _ in 0..2 {
+        connections.call(address, request(), LONG).await.expect("an answer");
+    }
+    worker.await.expect("each call had a connection of its own");
+    assert_that!(connections.open(), eq(0));
+}
--- /dev/null
+++ b/system/scheduler/src/hold_waits.rs
@@ -0,0 +1,43 @@
+//! How long holds wait for an end, and how long they hold.
+use magpiegap_protocol::Millis;
+
+/// Longest time that a hold's answer may wait for an end, where not too many workers have runs.
+const HOLD_WAIT_MS: u64 = 500;
+/// With more workers that have runs than this, waits are longer in proportion: looks then grow with the ends, not with
+/// the number of workers.
+const OFTEN_LOOKED_AT: u64 = 400;
+/// Waits are never longer than this.
+const MOST_HOLD_WAIT_MS: u64 = 1500;
+/// How long a worker holds its runs: long enough for all coordinators to be started again, and no longer, since the
+/// runs of a worker that falls silent can't be started elsewhere before.
+const HOLD_MS: u64 = 3200;
+
+/// How long holds wait and hold, by the number of workers that have runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct HoldWaits {
+    wait_ms: Millis,
+}
+
+impl Default for HoldWaits {
+    fn default() -> Self {
+        HoldWaits { wait_ms: HOLD_WAIT_MS }
+    }
+}
+
+impl HoldWaits {
+    /// For so many workers that have runs.
+    pub fn of_busy_workers(busy: usize) -> HoldWaits {
+        let proportional = HOLD_WAIT_MS.saturating_mul(busy as u64) / OFTEN_LOOKED_AT;
+        HoldWaits { wait_ms: proportional.clamp(HOLD_WAIT_MS, MOST_HOLD_WAIT_MS) }
+    }
+
+    /// How long an answer may wait for an end.
+    pub fn wait_ms(self) -> Millis {
+        self.wait_ms
+    }
+
+    /// How long workers are told to hold what they run: as much longer as the next hold may come later.
+    pub fn hold_ms(self, max_hold_ms: u64) -> u64 {
+        (HOLD_MS + self.wait_ms - HOLD_WAIT_MS).min(max_hold_ms * 9 / 10)
+    }
+}
--- a/system/scheduler/src/holds.rs
+++ b/system/scheduler/src/holds.rs
@@ -1,17 +1,13 @@
 //! Keeps the holds on workers, and notices those that fall silent, stand still or go.
 use crate::{
     calls::{Output, WorkerOrder},
+    hold_waits::HoldWaits,
     scheduler::{CallPurpose, Scheduler},
     worker::{remaining_ms, Run, RunPhase},
 };
 use magpiegap_jobs::State;
 use magpiegap_protocol::{Command, Millis, TaskId};
 
-/// How long a worker holds its runs: long enough for all coordinators to be started again, and no longer, since the
-/// runs of a worker that falls silent can't be started elsewhere before.
-const HOLD_MS: u64 = 3200;
-/// Longest time that a hold's answer may wait for an end.
-const HOLD_WAIT_MS: u64 = 500;
 /// Longest time that a hold's answer may wait where a run makes no progress.
 const SUSPICIOUS_WAIT_MS: u64 = 150;
 /// Time between two looks at a worker that does not answer.
@@ -22,9 +18,10 @@
 const STUCK_LONG_MS: Millis = 1600;
 
 impl Scheduler {
-    /// How long workers are told to hold what they run.
-    fn hold_ms(&self) -> u64 {
-        HOLD_MS.min(self.settings.max_hold_ms * 9 / 10)
+    /// Adapts how long holds wait to the number of workers that have runs.
+    fn adapt_waits(&mut self) {
+        let busy = self.workers.values().filter(|worker| !worker.runs.is_empty()).count();
+        self.hold_waits = HoldWaits::of_busy_workers(busy);
     }
 
     /// Sends the holds that are due.
@@ -47,7 +44,8 @@
     }
 
     fn send_hold(&mut self, instance: &str, now: Millis) {
-        let hold_ms = self.hold_ms();
+        let hold_ms = self.hold_waits.hold_ms(self.settings.max_hold_ms);
+        let usual_wait_ms = self.hold_waits.wait_ms();
         let Some(worker) = self.workers.get_mut(instance) else { return };
         // A worker that does not answer is granted no more time: its runs are to end.
         let grant = worker.greeted && worker.unanswered == 0;
@@ -56,7 +54,7 @@
         let suspicious = worker.runs.values().any(|run| makes_no_progress(run, now));
         let wait_ms = match grant {
             true if suspicious => SUSPICIOUS_WAIT_MS,
-            true => HOLD_WAIT_MS,
+            true => usual_wait_ms,
             false => 0,
         };
         worker.hold.due = now + PROBE_EVERY_MS;
@@ -77,6 +75,7 @@
 
     /// Looks through all workers for what is due.
     pub(crate) fn check_workers(&mut self, now: Millis, state: &State) {
+        self.adapt_waits();
         let instances: Vec<String> = self.workers.keys().cloned().collect();
         for instance in instances {
             self.check_worker(&instance, now, state);
--- a/system/scheduler/src/lib.rs
+++ b/system/scheduler/src/lib.rs
@@ -11,6 +11,7 @@
 mod calls;
 mod explanation;
 mod health;
+mod hold_waits;
 mod holds;
 mod outlook;
 mod placement;
--- a/system/scheduler/src/replies.rs
+++ b/system/scheduler/src/replies.rs
@@ -11,9 +11,9 @@
 const RETRY_MS: Millis = 60;
 /// A worker lists at most this many ends at once; with as many the listing may not be whole.
 const MOST_ENDS_LISTED: usize = 500;
-/// A stop that was answered has its effect without being repeated. In this time a hold that waits as long as any comes
-/// back, so that a listing asked for after the answer shows whether the run is there.
-const STOP_SETTLES_MS: Millis = 1500;
+/// A stop that was answered has its effect without being repeated. In this time, beyond that for which two holds wait,
+/// the one that is open comes back and another one is answered, which shows whether the run is there.
+const STOP_SETTLES_MS: Millis = 500;
 /// Time until a worker that left a call unanswered is looked at again.
 const LOOK_AGAIN_MS: Millis = 30;
 const STRAY_STOP_TIMEOUT_MS: Millis = 400;
@@ -237,6 +237,7 @@
         reply: &WorkerReply,
         now: Millis,
     ) {
+        let usual_wait_ms = self.hold_waits.wait_ms();
         let Some(worker) = self.workers.get_mut(instance) else { return };
         let Some(run) = worker.runs.get_mut(&task).filter(|run| run.run == number) else { return };
         run.open_calls = run.open_calls.saturating_sub(1);
@@ -244,7 +245,7 @@
         if matches!(reply, WorkerReply::Done { .. }) {
             // A start of it that comes after the stop is turned down.
             run.may_begin_until = 0;
-            run.stop_due = Some(now + STOP_SETTLES_MS);
+            run.stop_due = Some(now + 2 * usual_wait_ms + STOP_SETTLES_MS);
         }
         worker.hold.due = worker.hold.due.min(now);
     }
--- a/system/scheduler/src/scheduler.rs
+++ b/system/scheduler/src/scheduler.rs
@@ -3,6 +3,7 @@
     answer_times::AnswerTimes,
     backfill::Backfill,
     calls::{Output, WorkerCall, WorkerOrder},
+    hold_waits::HoldWaits,
     queue::{Queue, Urgency},
     reservations::Reservations,
     settings::SchedulerSettings,
@@ -98,6 +99,7 @@
     /// Where the last round of planning ended, if it did not look at all that waits.
     pub(crate) plan_next: Option<Urgency>,
     pub(crate) next_check: Millis,
+    pub(crate) hold_waits: HoldWaits,
     pub(crate) out: Vec<Output>,
 }
 
@@ -138,6 +140,7 @@
             next_plan: now,
             plan_next: None,
             next_check: now,
+            hold_waits: HoldWaits::default(),
             out: Vec::new(),
         };
         scheduler.resume(now, state);
