--- a/system/magpiegap/src/coordinator/mod.rs
+++ b/system/magpiegap/src/coordinator/mod.rs
@@ -18,7 +18,7 @@
     settings::NodeSettings,
     signals::Signals,
 };
-use driver::Driver;
+use driver::{Driver, Links};
 use events::Handle;
 use magpiegap_control::{ControlSettings, DurableRecord, DurableState, Snapshot};
 use magpiegap_coordinator::CoordinatorSettings;
@@ -73,7 +73,8 @@
     let coordinator_settings = coordinator_settings(&settings, own);
     let workers = WorkerConnections::new(settings.limits.max_fds.saturating_mul(WORKERS_PERCENT) / 100);
     let platform = settings.cloud.address;
-    let driver = Driver::new(clock, coordinator_settings, &durable, disk, peers, client, workers, platform);
+    let links = Links { disk, peers, client, workers, platform };
+    let driver = Driver::new(clock, coordinator_settings, &durable, links);
     let (stop, stopped) = mpsc::unbounded_channel();
     let work = tokio::spawn(driver.run(events, inbox, stopped));
     loop {
