--- a/system/magpiegap/src/state_on_disk.rs
+++ b/system/magpiegap/src/state_on_disk.rs
@@ -23,12 +23,10 @@
     pub complete_up_to_view: Option<u64>,
     /// Records since the snapshot.
     pub records: usize,
-    /// The last entry that the state holds.
+    /// The last entry that was known to be committed; what is told of jobs and roles is the state up to there.
     pub applied_entry: u64,
-    /// Entries after it.
+    /// Entries after it, which may be committed or not.
     pub entries_after: usize,
-    /// Entries up to this one were known to be committed.
-    pub committed_entry: u64,
     /// Version of the configuration.
     pub configuration: u64,
     /// Who held which role.
@@ -59,7 +57,10 @@
             let record: DurableRecord = decode(&record)?;
             snapshot.add(record);
         }
-        let state: State = decode(&snapshot.state)?;
+        let mut state: State = decode(&snapshot.state)?;
+        for entry in snapshot.entries.iter().filter(|entry| entry.position.index <= snapshot.committed) {
+            state.apply(entry);
+        }
         Ok(StateOnDisk::of(&snapshot, &state, records))
     }
 
@@ -78,9 +79,8 @@
             voters: view.voters.iter().map(ToString::to_string).collect(),
             complete_up_to_view: snapshot.synchronized,
             records,
-            applied_entry: snapshot.applied.index,
-            entries_after: snapshot.entries.len(),
-            committed_entry: snapshot.committed,
+            applied_entry: state.position.index,
+            entries_after: snapshot.entries.iter().filter(|entry| entry.position > state.position).count(),
             configuration: state.configuration.version,
             roles: RoleDescription::all(state),
             jobs,
@@ -121,12 +121,7 @@
             "state          up to entry {}, configuration {}",
             self.applied_entry, self.configuration
         )?;
-        let (after, committed) = (self.entries_after, self.committed_entry);
-        writeln!(
-            f,
-            "log            {after} entries after it, committed up to {committed}; {} records",
-            self.records
-        )?;
+        writeln!(f, "log            {} records, {} entries after it", self.records, self.entries_after)?;
         for role in &self.roles {
             writeln!(f, "role           {} held by {} with token {}", role.role, role.holder, role.token)?;
         }
--- a/system/magpiegap/tests/command_line.rs
+++ b/system/magpiegap/tests/command_line.rs
@@ -1,10 +1,10 @@
 //! The command line and the commands that need no cluster.
 use googletest::prelude::*;
 use magpiegap::{check_configuration, parser, tables, StateOnDisk};
-use magpiegap_control::Snapshot;
+use magpiegap_control::{DurableRecord, Snapshot};
 use magpiegap_coordinator::{ClusterDescription, JobLine, JobList};
 use magpiegap_jobs::{RoleState, State};
-use magpiegap_protocol::{encode, Member, Replica, Role};
+use magpiegap_protocol::{encode, Command, Entry, Member, Position, ProposalId, Replica, Role};
 use magpiegap_storage::{FolderDirectory, Store};
 use std::path::{Path, PathBuf};
 
@@ -64,7 +64,7 @@
     expect_that!(folder.exists(), eq(false));
 }
 
-/// Writes a state as a coordinator does, into a folder that is this test's own.
+/// Writes a state as a coordinator does, with claims of a role in the log, into a folder that is this test's own.
 fn write_state(name: &str, state: &State) -> PathBuf {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     let _ = std::fs::remove_dir_all(&folder);
@@ -73,6 +73,17 @@
     let snapshot = Snapshot::empty(0, Some(0), vec![member], encode(state));
     let (mut store, _) = Store::open(FolderDirectory::new(&folder).unwrap()).unwrap();
     store.checkpoint(&encode(&snapshot)).unwrap();
+    let holder = Replica { member, boot: 1 };
+    let claim = Command::ClaimRole { role: Role::PlatformReader, holder, expected: 0 };
+    let entry = |index| Entry {
+        position: Position { view: 1, index },
+        proposal: ProposalId { origin: holder, sequence: index },
+        fence: None,
+        command: claim.clone(),
+        wall_ms: 0,
+    };
+    let entries = DurableRecord::Entries(vec![entry(1), entry(2)]);
+    store.append(&[encode(&entries), encode(&DurableRecord::Committed(1))]).unwrap();
     folder
 }
 
@@ -85,6 +96,8 @@
     expect_that!(shown.contradictions.len(), eq(0));
     expect_that!(shown.voters, elements_are![starts_with("10.1.0.15")]);
     expect_that!(shown.to_string(), contains_substring("scheduler desk held by 10.1.0.15 with token 4"));
+    expect_that!(shown.to_string(), contains_substring("platform-reader held by 10.1.0.15 with token 1"));
+    expect_that!((shown.applied_entry, shown.entries_after), eq((1, 1)));
     expect_that!(shown.summary(), contains_substring("0 contradictions"));
 }
 
