Count failures against a worker only where they are rare by chance

Ruled out: a longer row everywhere (where failures are rare two are evidence, and every further one costs a run). Change: as many in a row as come by chance less often than once in 2,000, by the share of runs that fail: two or three.

--- a/system/scheduler/src/health.rs
+++ b/system/scheduler/src/health.rs
@@ -1,13 +1,38 @@
 //! Evidence on a worker that answers well and does its work badly.
 use magpiegap_protocol::{JobId, Millis};
 
-/// Failures of different jobs in a row after which a worker is left alone for a while.
-const FAILURES_TO_EJECT: usize = 2;
+/// Failures of different jobs in a row after which a worker is left alone for a while, at least ...
+const LEAST_FAILURES: usize = 2;
+/// ... and at most.
+const MOST_FAILURES: usize = 3;
+/// As many failures in a row as would come by chance, on a sound worker, less often than this.
+const RARE: f64 = 0.0005;
+/// The weight of one run in the share of runs that fail.
+const GAIN: f64 = 0.01;
 /// First time that a worker is left alone.
 const FIRST_EJECTION_MS: Millis = 4000;
 /// Longest time that a worker is left alone.
 const LONGEST_EJECTION_MS: Millis = 30_000;
 
+/// The share of runs that fail, over all workers of a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct FailureShare(f64);
+
+impl FailureShare {
+    /// A run has ended, well or not.
+    pub fn note(&mut self, failed: bool) {
+        let one = if failed { 1.0 } else { 0.0 };
+        self.0 += GAIN * (one - self.0);
+    }
+
+    /// How many failures of different jobs in a row are evidence against a worker: where many runs fail by their own
+    /// fault, two in a row come by chance.
+    pub fn failures_to_eject(self) -> usize {
+        let by_chance = |failures: usize| self.0.powi(failures as i32);
+        (LEAST_FAILURES..MOST_FAILURES).find(|failures| by_chance(*failures) < RARE).unwrap_or(MOST_FAILURES)
+    }
+}
+
 /// What a worker's runs have shown of it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Health {
@@ -36,12 +61,13 @@
         self.ejections = 0;
     }
 
-    /// A run of this job has failed. Returns whether the worker is now left alone.
-    pub fn failed(&mut self, job: JobId, now: Millis) -> bool {
+    /// A run of this job has failed; so many of different jobs in a row are evidence against the worker. Returns whether
+    /// it is now left alone.
+    pub fn failed(&mut self, job: JobId, failures_to_eject: usize, now: Millis) -> bool {
         if !self.failed.contains(&job) {
             self.failed.push(job);
         }
-        if self.failed.len() < FAILURES_TO_EJECT && !self.on_trial() {
+        if self.failed.len() < failures_to_eject && !self.on_trial() {
             return false;
         }
         self.eject(now);
--- a/system/scheduler/src/runs.rs
+++ b/system/scheduler/src/runs.rs
@@ -117,6 +117,10 @@
 
     fn run_closed(&mut self, task: TaskId, run: RunId, instance: &str, kind: Option<EndKind>, now: Millis) {
         self.replan = true;
+        if let Some(ended @ (EndKind::Done | EndKind::Failed)) = kind {
+            self.failure_share.note(ended == EndKind::Failed);
+        }
+        let failures_to_eject = self.failure_share.failures_to_eject();
         let Some(worker) = self.workers.get_mut(instance) else { return };
         let known = worker.remove_run(&task, run);
         match kind {
@@ -128,7 +132,7 @@
                 if !failed_on.iter().any(|other| other == instance) {
                     failed_on.push(instance.to_owned());
                 }
-                if known.is_some() && !elsewhere && worker.health.failed(task.job, now) {
+                if known.is_some() && !elsewhere && worker.health.failed(task.job, failures_to_eject, now) {
                     self.out.push(Output::Log(format!("worker {instance} is left alone: its runs fail")));
                 }
             }
--- a/system/scheduler/src/scheduler.rs
+++ b/system/scheduler/src/scheduler.rs
@@ -3,6 +3,7 @@
     answer_times::AnswerTimes,
     backfill::Backfill,
     calls::{Output, WorkerCall, WorkerOrder},
+    health::FailureShare,
     hold_waits::HoldWaits,
     queue::{Queue, Urgency},
     reservations::Reservations,
@@ -100,6 +101,7 @@
     pub(crate) plan_next: Option<Urgency>,
     pub(crate) next_check: Millis,
     pub(crate) hold_waits: HoldWaits,
+    pub(crate) failure_share: FailureShare,
     pub(crate) out: Vec<Output>,
 }
 
@@ -141,6 +143,7 @@
             plan_next: None,
             next_check: now,
             hold_waits: HoldWaits::default(),
+            failure_share: FailureShare::default(),
             out: Vec::new(),
         };
         scheduler.resume(now, state);
