--- a/system/magpiegap/src/coordinator/mod.rs
+++ b/system/magpiegap/src/coordinator/mod.rs
@@ -59,7 +59,8 @@
         member: Member { address: u32::from(settings.ip), disk: durable.disk },
         boot: rand::thread_rng().gen(),
     };
-    // The name of this disk must last before anyone hears of it.
+    // The name of this disk must last before anyone hears of it; and what was read may be there only because the process
+    // before was killed, not synced: from here on all of it counts as kept, so it is written anew and synced.
     store.checkpoint(&encode(&durable))?;
     let (events, inbox) = mpsc::unbounded_channel();
     let handle = Handle::new(events.clone());
