Split what applies entries by what they are about

Change: entries about runs, the types of what an entry does, and the counting of ends stand each by themselves; nothing else changes.

--- a/system/jobs/src/apply.rs
+++ b/system/jobs/src/apply.rs
@@ -1,69 +1,12 @@
 //! Applies the entries of the log.
-use crate::{ActiveRun, Job, RoleState, State};
+use crate::{
+    change::{Applied, Change, Outcome},
+    Job, RoleState, State,
+};
 use magpiegap_protocol::{
-    Command, EndKind, Entry, Fence, JobId, JobPhase, Replica, Role, RunEnd, RunId, RunStart, Submission,
-    TaskId, WallMillis,
+    Command, Entry, Fence, JobId, JobPhase, Replica, Role, RunStart, Submission, WallMillis,
 };
 
-/// What became of an entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// It took effect.
-    Done,
-    /// The same had been done before.
-    Repeated,
-    /// Its proposer's role has passed to another.
-    Fenced,
-    /// It does not apply to the state as it is.
-    Void,
-    /// The configuration builds on another version than the current one.
-    Conflict,
-    /// The configuration's version isn't above the current one.
-    Stale,
-}
-
-/// Something that an entry has changed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Change {
-    /// There is another configuration.
-    Configuration,
-    /// A role has another holder.
-    Role(Role),
-    /// A job is there, has moved on, or has ended.
-    Job(JobId),
-    /// A run may be going on from now on.
-    RunOpened(RunStart),
-    /// A run is surely not going on any more.
-    RunClosed {
-        /// The task.
-        task: TaskId,
-        /// The run.
-        run: RunId,
-        /// The worker's life.
-        instance: String,
-        /// How it ended; `None`: it was lost.
-        kind: Option<EndKind>,
-    },
-    /// Ends of a worker's life were noted up to this number.
-    EndsNoted {
-        /// The worker's life.
-        instance: String,
-        /// The number.
-        last_seen: u64,
-    },
-    /// A job was forgotten.
-    JobForgotten(JobId),
-}
-
-/// What applying an entry did.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Applied {
-    /// What became of it.
-    pub outcome: Outcome,
-    /// All that it changed.
-    pub changes: Vec<Change>,
-}
-
 /// A 64-bit FNV-1a hash: the same on every machine and in every build.
 fn fingerprint(base: u64, body: &[u8]) -> u64 {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
@@ -164,7 +107,7 @@
         }
     }
 
-    fn end_job(&mut self, id: JobId, phase: JobPhase, at: WallMillis) {
+    pub(crate) fn end_job(&mut self, id: JobId, phase: JobPhase, at: WallMillis) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if job.phase.ended() {
             return;
@@ -179,193 +122,6 @@
         }
     }
 
-    fn start_runs(&mut self, runs: &[RunStart], changes: &mut Vec<Change>) -> Outcome {
-        let mut outcome = Outcome::Void;
-        for start in runs {
-            if self.start_run(start).is_some() {
-                changes.push(Change::RunOpened(start.clone()));
-                outcome = Outcome::Done;
-            }
-        }
-        outcome
-    }
-
-    /// Opens one run, where the task may have another one.
-    fn start_run(&mut self, start: &RunStart) -> Option<()> {
-        let id = start.task;
-        let worker = self.workers.get(&start.instance);
-        if worker.is_some_and(|worker| worker.ended || worker.runs.contains_key(&id)) {
-            return None;
-        }
-        let job = self.jobs.get_mut(&id.job)?;
-        if job.phase.ended() {
-            return None;
-        }
-        let duplicates = job.submission.spec.steps.get(id.step as usize)?.allow_duplicate;
-        let step = job.step_mut(&id)?;
-        let task = step.tasks.get_mut(id.index as usize)?;
-        if task.done || start.run <= task.last_run || (!duplicates && !task.active.is_empty()) {
-            return None;
-        }
-        task.last_run = start.run;
-        task.active.push(ActiveRun {
-            run: start.run,
-            instance: start.instance.clone(),
-            checkpoint: start.checkpoint.clone(),
-        });
-        if job.phase == JobPhase::Pending {
-            job.phase = JobPhase::Running;
-        }
-        self.workers.entry(start.instance.clone()).or_default().runs.insert(id, start.run);
-        Some(())
-    }
-
-    fn note_ends(
-        &mut self,
-        instance: &str,
-        last_seen: u64,
-        ends: &[RunEnd],
-        at: WallMillis,
-        changes: &mut Vec<Change>,
-    ) -> Outcome {
-        let worker = self.workers.entry(instance.to_owned()).or_default();
-        if last_seen <= worker.last_seen {
-            return Outcome::Repeated;
-        }
-        worker.last_seen = last_seen;
-        for end in ends {
-            if self.close_run(instance, end.task, end.run, Some(end.kind), changes) {
-                self.record_end(end, at);
-                self.settle(end.task.job, at, changes);
-            }
-        }
-        changes.push(Change::EndsNoted { instance: instance.to_owned(), last_seen });
-        Outcome::Done
-    }
-
-    /// Takes a run off the books; `false` when it wasn't on them.
-    fn close_run(
-        &mut self,
-        instance: &str,
-        task: TaskId,
-        run: RunId,
-        kind: Option<EndKind>,
-        changes: &mut Vec<Change>,
-    ) -> bool {
-        let Some(worker) = self.workers.get_mut(instance) else { return false };
-        if worker.runs.get(&task) != Some(&run) {
-            return false;
-        }
-        worker.runs.remove(&task);
-        let state = self.jobs.get_mut(&task.job).and_then(|job| job.step_mut(&task));
-        if let Some(state) = state.and_then(|step| step.tasks.get_mut(task.index as usize)) {
-            state.active.retain(|active| active.run != run || active.instance != instance);
-        }
-        changes.push(Change::RunClosed { task, run, instance: instance.to_owned(), kind });
-        true
-    }
-
-    /// Counts an end for its task or gang.
-    fn record_end(&mut self, end: &RunEnd, at: WallMillis) {
-        let Some(job) = self.jobs.get_mut(&end.task.job) else { return };
-        if job.phase.ended() {
-            return;
-        }
-        let Some(spec) = job.submission.spec.steps.get(end.task.step as usize) else { return };
-        let (gang, lasting) = (spec.gang, job.submission.spec.long_running);
-        let attempts = job.submission.max_attempts;
-        let Some(step) = job.step_mut(&end.task) else { return };
-        let Some(task) = step.tasks.get_mut(end.task.index as usize) else { return };
-        if !end.checkpoint.is_empty() {
-            task.checkpoint = end.checkpoint.clone();
-        }
-        let mut failures = 0;
-        match end.kind {
-            EndKind::Done if lasting => {}
-            EndKind::Done if gang => {
-                step.tasks.iter_mut().for_each(|task| task.done = true);
-                step.done = step.tasks.len() as u32;
-            }
-            EndKind::Done => {
-                step.done += u32::from(!task.done);
-                task.done = true;
-            }
-            EndKind::Failed if gang => {
-                if step.gang_failures.1 < end.run {
-                    step.gang_failures = (step.gang_failures.0 + 1, end.run);
-                }
-                failures = step.gang_failures.0;
-            }
-            EndKind::Failed => {
-                task.failures += 1;
-                failures = task.failures;
-            }
-            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
-        }
-        let open = !step.is_done();
-        if !lasting && open && failures >= attempts.max(1) {
-            self.end_job(end.task.job, JobPhase::Failed, at);
-        }
-    }
-
-    /// Moves a job on after one of its runs was closed.
-    fn settle(&mut self, id: JobId, at: WallMillis, changes: &mut Vec<Change>) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
-        let done = job.times.values().filter(|time| time.is_done() && !time.steps.is_empty()).count() as u32;
-        let cleared = job.times_done;
-        job.clear_away();
-        if !job.phase.ended() {
-            let left = job.times.values().filter(|time| time.is_done()).count() as u32;
-            job.times_done = cleared + (done - left);
-            if cleared + done == job.submission.spec.times() {
-                self.end_job(id, JobPhase::Succeeded, at);
-            }
-        }
-        changes.push(Change::Job(id));
-    }
-
-    fn lose_runs(&mut self, runs: &[RunStart], at: WallMillis, changes: &mut Vec<Change>) -> Outcome {
-        for lost in runs {
-            if self.close_run(&lost.instance, lost.task, lost.run, None, changes) {
-                self.keep_checkpoint(lost);
-                self.settle(lost.task.job, at, changes);
-            }
-        }
-        Outcome::Done
-    }
-
-    fn keep_checkpoint(&mut self, lost: &RunStart) {
-        if lost.checkpoint.is_empty() {
-            return;
-        }
-        let job = self.jobs.get_mut(&lost.task.job);
-        let step = job.and_then(|job| job.step_mut(&lost.task));
-        if let Some(task) = step.and_then(|step| step.tasks.get_mut(lost.task.index as usize)) {
-            task.checkpoint = lost.checkpoint.clone();
-        }
-    }
-
-    fn lose_instance(
-        &mut self,
-        instance: &str,
-        ended: bool,
-        at: WallMillis,
-        changes: &mut Vec<Change>,
-    ) -> Outcome {
-        let Some(worker) = self.workers.get_mut(instance) else { return Outcome::Void };
-        worker.ended |= ended;
-        let runs: Vec<(TaskId, RunId)> = worker.runs.iter().map(|(task, run)| (*task, *run)).collect();
-        for (task, run) in runs {
-            if self.close_run(instance, task, run, None, changes) {
-                self.settle(task.job, at, changes);
-            }
-        }
-        if ended {
-            self.workers.remove(instance);
-        }
-        Outcome::Done
-    }
-
     fn open_time(&mut self, id: JobId, time: u32, changes: &mut Vec<Change>) -> Outcome {
         if !self.jobs.get_mut(&id).is_some_and(|job| job.open_time(time)) {
             return Outcome::Void;
--- a/system/jobs/src/job.rs
+++ b/system/jobs/src/job.rs
@@ -1,5 +1,5 @@
 //! A job's state: its times, steps, tasks and runs.
-use magpiegap_protocol::{JobPhase, RunId, Submission, TaskId, WallMillis};
+use magpiegap_protocol::{EndKind, JobPhase, RunEnd, RunId, Submission, TaskId, WallMillis};
 use minicbor::{Decode, Encode};
 use std::collections::BTreeMap;
 
@@ -56,6 +56,39 @@
     pub fn is_done(&self) -> bool {
         self.done as usize == self.tasks.len()
     }
+
+    /// Takes note of the end of a run. Returns how many runs of its task, or of the gang, have failed so far if this one
+    /// has; else zero.
+    pub(crate) fn note_end(&mut self, end: &RunEnd, gang: bool, lasting: bool) -> u32 {
+        let Some(task) = self.tasks.get_mut(end.task.index as usize) else { return 0 };
+        if !end.checkpoint.is_empty() {
+            task.checkpoint = end.checkpoint.clone();
+        }
+        match end.kind {
+            EndKind::Done if lasting => {}
+            EndKind::Done if gang => {
+                // The members of a gang end together: one such end counts for all.
+                self.tasks.iter_mut().for_each(|task| task.done = true);
+                self.done = self.tasks.len() as u32;
+            }
+            EndKind::Done => {
+                self.done += u32::from(!task.done);
+                task.done = true;
+            }
+            EndKind::Failed if gang => {
+                if self.gang_failures.1 < end.run {
+                    self.gang_failures = (self.gang_failures.0 + 1, end.run);
+                }
+                return self.gang_failures.0;
+            }
+            EndKind::Failed => {
+                task.failures += 1;
+                return task.failures;
+            }
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
+        }
+        0
+    }
 }
 
 /// The steps at one time of a job.
--- a/system/jobs/src/lib.rs
+++ b/system/jobs/src/lib.rs
@@ -6,13 +6,15 @@
 #![warn(missing_docs)]
 
 mod apply;
+mod apply_runs;
+mod change;
 mod configuration;
 mod consistency;
 mod job;
 mod readiness;
 mod state;
 
-pub use apply::{Applied, Change, Outcome};
+pub use change::{Applied, Change, Outcome};
 pub use configuration::{Configuration, ConfigurationError, Limits, Route, Service};
 pub use consistency::Inconsistency;
 pub use job::{ActiveRun, Job, StepState, TaskState, TimeState};
