--- /dev/null
+++ b/system/control/tests/median_time.rs
@@ -0,0 +1,63 @@
+//! The time of day that replicas go by is the middle one of all that are heard.
+mod common;
+
+use common::NoState;
+use googletest::prelude::*;
+use magpiegap_control::{ControlSettings, Replica, Snapshot, Tolerance};
+use magpiegap_protocol::{
+    Heartbeat, Location, Member, Millis, PeerMessage, Replica as ReplicaId, WallMillis,
+};
+
+/// True time of day when the replica's steady clock shows zero.
+const TRUE_MS: WallMillis = 1_700_000_000_000;
+
+fn replica(address: u32) -> ReplicaId {
+    ReplicaId { member: Member { address, disk: 0 }, boot: u64::from(address) }
+}
+
+fn one_of_three() -> Replica {
+    let voters: Vec<Member> = (1..=3).map(|address| replica(address).member).collect();
+    let settings = ControlSettings {
+        own: replica(1),
+        seeds: vec![1, 2, 3],
+        location: Location::default(),
+        tolerance: Tolerance::of_machines(1),
+        heartbeat_ms: 60,
+        suspect_ms: 320,
+        seed: 1,
+    };
+    Replica::new(settings, &Snapshot::empty(0, Some(0), voters, Vec::new()), 0)
+}
+
+fn tell_time(to: &mut Replica, from: u32, now: Millis, wall_ms: WallMillis) {
+    let heartbeat = Heartbeat {
+        view: 0,
+        serving: false,
+        unfit: false,
+        heard: Vec::new(),
+        wall_ms,
+        committed: 0,
+        complete: true,
+        location: Location::default(),
+    };
+    to.receive(now, TRUE_MS + now, replica(from), PeerMessage::Heartbeat(heartbeat), &mut NoState);
+}
+
+#[googletest::test]
+fn given_a_clock_that_is_far_ahead_when_two_others_are_heard_then_it_is_not_followed() {
+    let mut replica_1 = one_of_three();
+    tell_time(&mut replica_1, 2, 100, TRUE_MS + 100);
+    tell_time(&mut replica_1, 3, 100, TRUE_MS + 103);
+    let own_wall = TRUE_MS + 60_100;
+    expect_that!(replica_1.median_wall(own_wall, 100), eq(TRUE_MS + 103));
+    // What others told counts on with the steady clock.
+    expect_that!(replica_1.median_wall(own_wall, 300), eq(TRUE_MS + 303));
+}
+
+#[googletest::test]
+fn given_another_clock_that_is_far_behind_when_it_is_heard_then_the_middle_one_counts() {
+    let mut replica_1 = one_of_three();
+    tell_time(&mut replica_1, 2, 100, TRUE_MS - 3_600_000);
+    tell_time(&mut replica_1, 3, 100, TRUE_MS + 90);
+    expect_that!(replica_1.median_wall(TRUE_MS + 100, 100), eq(TRUE_MS + 90));
+}
