--- a/system/control/src/chain.rs
+++ b/system/control/src/chain.rs
@@ -132,14 +132,14 @@
     }
 
     fn commit_at_tail(&mut self) {
-        if self.successor().is_some() || !self.leaves_a_copy(&self.agreement.state.current.chain) {
+        let committed = self.chain.committed.max(self.chain_durable());
+        let news = committed > self.chain.committed_told;
+        if self.successor().is_some() || !news || !self.leaves_a_copy(&self.agreement.state.current.chain) {
             return;
         }
-        self.chain.committed = self.chain.committed.max(self.chain_durable());
-        if self.chain.committed > self.chain.committed_told {
-            self.chain.committed_told = self.chain.committed;
-            self.tell_committed();
-        }
+        self.chain.committed = committed;
+        self.chain.committed_told = committed;
+        self.tell_committed();
     }
 
     pub(crate) fn tell_committed(&mut self) {
--- a/system/control/src/durable.rs
+++ b/system/control/src/durable.rs
@@ -1,5 +1,5 @@
 //! What a replica keeps on disk.
-use magpiegap_protocol::{Entry, Position, View};
+use magpiegap_protocol::{decode, DecodeError, Entry, Position, View};
 use minicbor::{Decode, Encode};
 
 /// The part of the agreement that must outlast the process.
@@ -83,6 +83,18 @@
         }
     }
 
+    /// What was kept, from the bytes of a snapshot and of the records that came after it.
+    ///
+    /// # Errors
+    /// When the bytes are not of a build that this one understands.
+    pub fn recover(snapshot: &[u8], records: &[Vec<u8>]) -> Result<Snapshot, DecodeError> {
+        let mut state: Snapshot = decode(snapshot)?;
+        for record in records {
+            state.add(decode(record)?);
+        }
+        Ok(state)
+    }
+
     /// Takes up a record that came after the snapshot.
     pub fn add(&mut self, record: DurableRecord) {
         match record {
--- a/system/fleet/src/fleet.rs
+++ b/system/fleet/src/fleet.rs
@@ -225,7 +225,6 @@
             self.deliver();
             self.tick_nodes();
             self.pass_time_of_workers();
-            self.pass_time_of_gangs();
             self.ask();
             if self.now.is_multiple_of(COMPARE_EVERY_MS) {
                 self.compare_states();
--- a/system/fleet/src/gangs.rs
+++ b/system/fleet/src/gangs.rs
@@ -31,9 +31,6 @@
                 }
             }
         }
-        for number in 0..self.workers.len() {
-            self.note_deeds(number);
-        }
     }
 
     fn gang_members(&self) -> BTreeMap<GangRun, Vec<Member>> {
--- a/system/fleet/src/orders.rs
+++ b/system/fleet/src/orders.rs
@@ -113,6 +113,9 @@
             if let Some(worker) = self.workers[number].as_mut() {
                 worker.pass_time(self.now);
             }
+        }
+        self.pass_time_of_gangs();
+        for number in 0..self.workers.len() {
             self.note_deeds(number);
         }
     }
--- a/system/jobs/src/apply.rs
+++ b/system/jobs/src/apply.rs
@@ -4,16 +4,12 @@
     Job, RoleState, State,
 };
 use magpiegap_protocol::{
-    Command, Entry, Fence, JobId, JobPhase, Replica, Role, RunStart, Submission, WallMillis,
+    fnv1a, Command, Entry, Fence, JobId, JobPhase, Replica, Role, RunStart, Submission, WallMillis,
 };
 
-/// A 64-bit FNV-1a hash: the same on every machine and in every build.
+/// Tells configurations apart that came under the same number.
 fn fingerprint(base: u64, body: &[u8]) -> u64 {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
-    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(PRIME);
-    let hash = base.to_le_bytes().iter().fold(OFFSET, step);
-    body.iter().fold(hash, step)
+    fnv1a(base.to_le_bytes().iter().chain(body))
 }
 
 impl State {
--- a/system/magpiegap/examples/recovery.rs
+++ b/system/magpiegap/examples/recovery.rs
@@ -94,10 +94,7 @@
 /// Reads all, and applies what the log has beyond the snapshot, as a coordinator does.
 fn read(folder: &Path) -> Result<State, Box<dyn Error>> {
     let (_, recovered) = Store::open(FolderDirectory::new(folder)?)?;
-    let mut snapshot: Snapshot = decode(&recovered.snapshot.unwrap_or_default())?;
-    for record in recovered.records {
-        snapshot.add(decode::<DurableRecord>(&record)?);
-    }
+    let snapshot = Snapshot::recover(&recovered.snapshot.unwrap_or_default(), &recovered.records)?;
     let mut state: State = decode(&snapshot.state)?;
     for entry in &snapshot.entries {
         state.apply(entry);
--- a/system/magpiegap/src/command_line.rs
+++ b/system/magpiegap/src/command_line.rs
@@ -237,8 +237,10 @@
             let report = SettingsReport::of(&file)?;
             println!("{}: {report}", file.display());
             // The first fault is the error.
-            NodeSettings::read(&file).map(drop)?;
-            Ok(())
+            match report.faults.first() {
+                None => Ok(()),
+                Some(fault) => Err(fault.in_file(&file).into()),
+            }
         }
         CommandLine::Config(verb) => config(verb),
         CommandLine::Cluster(ClusterVerb::Status { at, json }) => {
@@ -289,11 +291,10 @@
     json: bool,
     table: impl Fn(&T) -> String,
 ) -> Result<(), ProgramError> {
-    let text = block_on(operator::call(Call { method: "GET", at: Some(at), path, ..Call::default() }))?;
     if json {
-        println!("{text}");
-        return Ok(());
+        return look(at, path);
     }
+    let text = block_on(operator::call(Call { method: "GET", at: Some(at), path, ..Call::default() }))?;
     let unreadable = |error: serde_json::Error| ProgramError::Server(format!("{at}: {error}"));
     print!("{}", table(&serde_json::from_str(&text).map_err(unreadable)?));
     Ok(())
--- a/system/magpiegap/src/coordinator/mod.rs
+++ b/system/magpiegap/src/coordinator/mod.rs
@@ -20,9 +20,9 @@
 };
 use driver::{Driver, Links};
 use events::Handle;
-use magpiegap_control::{ControlSettings, DurableRecord, DurableState, Snapshot};
+use magpiegap_control::{ControlSettings, DurableState, Snapshot};
 use magpiegap_coordinator::CoordinatorSettings;
-use magpiegap_protocol::{decode, encode, Member, Replica};
+use magpiegap_protocol::{encode, Member, Replica};
 use magpiegap_scheduler::SchedulerSettings;
 use magpiegap_storage::{FolderDirectory, Store};
 use rand::Rng;
@@ -122,14 +122,10 @@
     let directory = FolderDirectory::new(&folder)
         .map_err(|source| ProgramError::System { what: "the data folder", source })?;
     let (store, recovered) = Store::open(directory)?;
-    if recovered.snapshot.is_none() {
+    let Some(snapshot) = recovered.snapshot else {
         return Ok((store, empty_state(settings)));
-    }
-    let mut state: Snapshot = decode(&recovered.snapshot.unwrap_or_default())?;
-    for record in recovered.records {
-        let record: DurableRecord = decode(&record)?;
-        state.add(record);
-    }
+    };
+    let state = Snapshot::recover(&snapshot, &recovered.records)?;
     Ok((store, state))
 }
 
--- a/system/magpiegap/src/settings.rs
+++ b/system/magpiegap/src/settings.rs
@@ -54,6 +54,13 @@
     pub must: &'static str,
 }
 
+impl FieldFault {
+    /// The fault as an error of that file.
+    pub(crate) fn in_file(self, file: &Path) -> SettingsError {
+        SettingsError::Field { file: file.to_owned(), field: self.field, must: self.must }
+    }
+}
+
 /// Where the process listens for what its role serves.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(rename_all = "camelCase", default)]
@@ -216,9 +223,7 @@
         let (settings, _) = NodeSettings::parse(file)?;
         match settings.faults().first() {
             None => Ok(settings),
-            Some(&FieldFault { field, must }) => {
-                Err(SettingsError::Field { file: file.to_owned(), field, must })
-            }
+            Some(fault) => Err(fault.in_file(file)),
         }
     }
 
--- a/system/magpiegap/src/state_on_disk.rs
+++ b/system/magpiegap/src/state_on_disk.rs
@@ -1,6 +1,6 @@
 //! A coordinator's state on disk, looked at while that coordinator does not run.
 use crate::error::ProgramError;
-use magpiegap_control::{DurableRecord, Snapshot};
+use magpiegap_control::Snapshot;
 use magpiegap_coordinator::RoleDescription;
 use magpiegap_jobs::{Inconsistency, State};
 use magpiegap_protocol::decode;
@@ -51,12 +51,8 @@
         let directory = FolderDirectory::new(folder)
             .map_err(|source| ProgramError::System { what: "the state's folder", source })?;
         let (_, recovered) = Store::open(directory)?;
-        let mut snapshot: Snapshot = decode(&recovered.snapshot.unwrap_or_default())?;
         let records = recovered.records.len();
-        for record in recovered.records {
-            let record: DurableRecord = decode(&record)?;
-            snapshot.add(record);
-        }
+        let snapshot = Snapshot::recover(&recovered.snapshot.unwrap_or_default(), &recovered.records)?;
         let mut state: State = decode(&snapshot.state)?;
         for entry in snapshot.entries.iter().filter(|entry| entry.position.index <= snapshot.committed) {
             state.apply(entry);
--- a/system/protocol/src/lib.rs
+++ b/system/protocol/src/lib.rs
@@ -7,6 +7,7 @@
 mod codec;
 mod command;
 mod feed;
+mod hash;
 mod ids;
 mod job;
 mod location;
@@ -18,6 +19,7 @@
 pub use codec::{decode, encode, DecodeError};
 pub use command::{Command, EndKind, Entry, Fence, Position, ProposalId, Role, RunEnd, RunStart, Submission};
 pub use feed::{Feed, FeedPoll, RoleHolder};
+pub use hash::fnv1a;
 pub use ids::{JobId, Member, Replica, RunId, TaskId};
 pub use job::{JobSpec, JobSpecError, Resources, StepSpec, MAX_SPEC_BYTES, MAX_TASKS_PER_JOB};
 pub use location::{Location, MemberLocation, PlaceId};
--- a/system/protocol/src/location.rs
+++ b/system/protocol/src/location.rs
@@ -1,5 +1,5 @@
 //! Where machines stand.
-use crate::Member;
+use crate::{hash::fnv1a, Member};
 use minicbor::{Decode, Encode};
 
 /// A zone or region by a number that is drawn from its name, so that all machines have the same; zero is unknown.
@@ -10,12 +10,10 @@
 impl PlaceId {
     /// The number of a name (FNV-1a, 64 bits). An empty name is unknown.
     pub fn of(name: &str) -> PlaceId {
-        const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-        const PRIME: u64 = 0x0100_0000_01b3;
         if name.is_empty() {
             return PlaceId::default();
         }
-        PlaceId(name.bytes().fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME)))
+        PlaceId(fnv1a(name.as_bytes()))
     }
 }
 
