Let the stories of replicas share their settings

Read again at the end: three stories of control had the same settings of a replica, one of them new. Change: tests/common says them once; assertions are untouched.

--- a/system/control/tests/common/mod.rs
+++ b/system/control/tests/common/mod.rs
@@ -2,8 +2,8 @@
 #![allow(dead_code)]
 pub mod group;
 
-use magpiegap_control::StateMachine;
-use magpiegap_protocol::{Entry, Position};
+use magpiegap_control::{ControlSettings, StateMachine, Tolerance};
+use magpiegap_protocol::{Entry, Location, Position, Replica as ReplicaId};
 
 /// A state that nothing is done with.
 pub struct NoState;
@@ -20,3 +20,16 @@
         true
     }
 }
+
+/// Settings of a replica that knows these addresses; one machine may be lost.
+pub fn settings(own: ReplicaId, seeds: Vec<u32>) -> ControlSettings {
+    ControlSettings {
+        own,
+        seeds,
+        location: Location::default(),
+        tolerance: Tolerance::of_machines(1),
+        heartbeat_ms: 60,
+        suspect_ms: 320,
+        seed: 1,
+    }
+}
--- a/system/control/tests/joining.rs
+++ b/system/control/tests/joining.rs
@@ -1,29 +1,17 @@
 //! A replica that joins asks its predecessor for what is missing, and does not keep it from its work.
 mod common;
 
-use common::NoState;
+use common::{settings, NoState};
 use googletest::prelude::*;
-use magpiegap_control::{ControlSettings, DurableRecord, Output, Replica, Snapshot, Tolerance};
+use magpiegap_control::{DurableRecord, Output, Replica, Snapshot};
 use magpiegap_protocol::{
-    Command, Entry, Location, Member, PeerMessage, Position, ProposalId, Replica as ReplicaId, View,
+    Command, Entry, Member, PeerMessage, Position, ProposalId, Replica as ReplicaId, View,
 };
 
 fn replica(address: u32, disk: u64) -> ReplicaId {
     ReplicaId { member: Member { address, disk }, boot: u64::from(address) }
 }
 
-fn settings(own: ReplicaId) -> ControlSettings {
-    ControlSettings {
-        own,
-        seeds: vec![1],
-        location: Location::default(),
-        tolerance: Tolerance::of_machines(1),
-        heartbeat_ms: 60,
-        suspect_ms: 320,
-        seed: 1,
-    }
-}
-
 fn entry(index: u64) -> Entry {
     Entry {
         position: Position { view: 1, index },
@@ -37,7 +25,8 @@
 /// The middle one of a chain of three, with the state of the head, and its successor served.
 fn middle_replica() -> Replica {
     let (head, own, tail) = (replica(1, 0), replica(2, 7), replica(3, 8));
-    let mut middle = Replica::new(settings(own), &Snapshot::empty(7, None, Vec::new(), Vec::new()), 0);
+    let mut middle =
+        Replica::new(settings(own, vec![1]), &Snapshot::empty(7, None, Vec::new(), Vec::new()), 0);
     let view = View::initial(vec![head.member]).next(vec![head.member], vec![head, own, tail]);
     middle.receive(0, 0, head, PeerMessage::Decided(view), &mut NoState);
     middle.receive(10, 0, head, whole_state(), &mut NoState);
@@ -166,7 +155,7 @@
     // Given: a replica with an empty disk, in a chain behind one that does not answer
     let (head, own) = (replica(1, 0), replica(2, 7));
     let empty = Snapshot::empty(7, None, Vec::new(), Vec::new());
-    let mut joining = Replica::new(settings(own), &empty, 0);
+    let mut joining = Replica::new(settings(own, vec![1]), &empty, 0);
     let view = View::initial(vec![head.member]).next(vec![head.member], vec![head, own]);
     joining.receive(0, 0, head, PeerMessage::Decided(view), &mut NoState);
     // When
--- a/system/control/tests/median_time.rs
+++ b/system/control/tests/median_time.rs
@@ -1,9 +1,9 @@
 //! The time of day that replicas go by is the middle one of all that are heard.
 mod common;
 
-use common::NoState;
+use common::{settings, NoState};
 use googletest::prelude::*;
-use magpiegap_control::{ControlSettings, Replica, Snapshot, Tolerance};
+use magpiegap_control::{Replica, Snapshot};
 use magpiegap_protocol::{
     Heartbeat, Location, Member, Millis, PeerMessage, Replica as ReplicaId, WallMillis,
 };
@@ -17,16 +17,7 @@
 
 fn one_of_three() -> Replica {
     let voters: Vec<Member> = (1..=3).map(|address| replica(address).member).collect();
-    let settings = ControlSettings {
-        own: replica(1),
-        seeds: vec![1, 2, 3],
-        location: Location::default(),
-        tolerance: Tolerance::of_machines(1),
-        heartbeat_ms: 60,
-        suspect_ms: 320,
-        seed: 1,
-    };
-    Replica::new(settings, &Snapshot::empty(0, Some(0), voters, Vec::new()), 0)
+    Replica::new(settings(replica(1), vec![1, 2, 3]), &Snapshot::empty(0, Some(0), voters, Vec::new()), 0)
 }
 
 fn tell_time(to: &mut Replica, from: u32, now: Millis, wall_ms: WallMillis) {
--- a/system/control/tests/starting.rs
+++ b/system/control/tests/starting.rs
@@ -1,9 +1,9 @@
 //! When replicas that have started propose a view.
 mod common;
 
-use common::NoState;
+use common::{settings, NoState};
 use googletest::prelude::*;
-use magpiegap_control::{ControlSettings, Output, Replica, Snapshot, Tolerance};
+use magpiegap_control::{Output, Replica, Snapshot};
 use magpiegap_protocol::{Heartbeat, Location, Member, PeerMessage, PeerReport, Replica as ReplicaId, View};
 
 fn replica(address: u32) -> ReplicaId {
@@ -22,16 +22,7 @@
     let mut disk = Snapshot::empty(0, Some(1), voters.clone(), Vec::new());
     disk.agreement.current = View::initial(voters.clone()).next(voters, chain);
     let own = new_life(1);
-    let settings = ControlSettings {
-        own,
-        seeds: vec![1, 2, 3],
-        location: Location::default(),
-        tolerance: Tolerance::of_machines(1),
-        heartbeat_ms: 60,
-        suspect_ms: 320,
-        seed: 1,
-    };
-    Replica::new(settings, &disk, 0)
+    Replica::new(settings(own, vec![1, 2, 3]), &disk, 0)
 }
 
 /// A heartbeat of a replica that hears the first one.
