--- a/system/jobs/tests/consistency.rs
+++ b/system/jobs/tests/consistency.rs
@@ -1,26 +1,14 @@
 //! States that contradict themselves.
+mod common;
+
+use common::apply;
 use googletest::prelude::*;
 use magpiegap_jobs::{Inconsistency, State};
-use magpiegap_protocol::{
-    Command, EndKind, Entry, JobId, JobSpec, Member, Position, ProposalId, Replica, RunEnd, RunStart,
-    StepSpec, Submission, TaskId,
-};
+use magpiegap_protocol::{Command, EndKind, JobId, JobSpec, RunEnd, RunStart, StepSpec, Submission, TaskId};
 
 const JOB: JobId = JobId(7);
 const QUEUE: &str = "h/q/";
 
-fn apply(state: &mut State, command: Command) {
-    let index = state.position.index + 1;
-    let origin = Replica { member: Member { address: 1, disk: 0 }, boot: 1 };
-    state.apply(&Entry {
-        position: Position { view: 1, index },
-        proposal: ProposalId { origin, sequence: index },
-        fence: None,
-        command,
-        wall_ms: 1000 + index,
-    });
-}
-
 fn task(index: u32) -> TaskId {
     TaskId { job: JOB, time: 0, step: 0, index }
 }
--- a/system/jobs/tests/state.rs
+++ b/system/jobs/tests/state.rs
@@ -1,33 +1,15 @@
 //! The replicated state: jobs, runs, ends, roles and configurations.
+mod common;
+
+use common::{apply, apply_as, replica};
 use googletest::prelude::*;
 use magpiegap_jobs::{startable, Change, Outcome, State};
 use magpiegap_protocol::{
-    Command, EndKind, Entry, Fence, JobId, JobPhase, JobSpec, Member, Position, ProposalId, Replica, Role,
-    RunEnd, RunStart, StepSpec, Submission, TaskId,
+    Command, EndKind, Fence, JobId, JobPhase, JobSpec, Role, RunEnd, RunStart, StepSpec, Submission, TaskId,
 };
 
 const JOB: JobId = JobId(7);
 
-fn replica() -> Replica {
-    Replica { member: Member { address: 1, disk: 0 }, boot: 1 }
-}
-
-fn apply_as(state: &mut State, fence: Option<Fence>, command: Command) -> magpiegap_jobs::Applied {
-    let index = state.position.index + 1;
-    let proposal = ProposalId { origin: replica(), sequence: index };
-    state.apply(&Entry {
-        position: Position { view: 1, index },
-        proposal,
-        fence,
-        command,
-        wall_ms: 1000 + index,
-    })
-}
-
-fn apply(state: &mut State, command: Command) -> magpiegap_jobs::Applied {
-    apply_as(state, None, command)
-}
-
 fn step(count: u32) -> StepSpec {
     StepSpec { count, ..StepSpec::default() }
 }
