--- a/system/control/src/catch_up.rs
+++ b/system/control/src/catch_up.rs
@@ -5,7 +5,7 @@
     chain_state::{Activity, ASK_FIRST_MS},
     durable::DurableRecord,
     log::Log,
-    membership::Peer,
+    peer::Peer,
     replica::{Replica, StateMachine},
 };
 use magpiegap_protocol::{Entry, Millis, PeerMessage, Position, Replica as ReplicaId};
@@ -49,8 +49,8 @@
         let last = self.chain.log.last().index;
         let older = self.chain.committed_at.front().map_or(last, |(_, committed)| *committed);
         // One that knows an older view may call itself complete and be wrong.
-        let complete = peer.complete && peer.view == self.agreement.state.current.number;
-        complete || peer.committed >= older
+        let complete = peer.status.complete && peer.status.view == self.agreement.state.current.number;
+        complete || peer.status.committed >= older
     }
 
     /// Takes entries from the source.
--- a/system/control/src/chain_state.rs
+++ b/system/control/src/chain_state.rs
@@ -72,7 +72,7 @@
             log,
             applied: applied.index,
             committed: applied.index,
-            own_durable: last,
+            own_durable: 0,
             source_durable: None,
             handed_to_disk: last,
             followers: Vec::new(),
--- /dev/null
+++ b/system/control/src/contact.rs
@@ -0,0 +1,52 @@
+//! Contact with a majority of the voters: whether the view that a replica knows is still the newest one.
+//!
+//! Each heartbeat carries the time of its sending, and whoever hears it sends that time back. A voter that echoes the time
+//! `t`, knows view `v` and takes no part in the agreement on the next view had not gone on from `v` at `t`, on the clock of
+//! the replica that sent the heartbeat. Once a majority has said so, no later view can have been agreed before `t`: that
+//! takes a majority which takes part, and two majorities share a voter. It holds however late messages come and however
+//! long either side stands still, since only one clock is read.
+use magpiegap_protocol::{Member, Millis, View};
+use std::collections::BTreeMap;
+
+/// A view that a voter had not gone on from at a time of our steady clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Confirmation {
+    view: u64,
+    at: Millis,
+}
+
+/// What the voters have confirmed.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Contact {
+    confirmed: BTreeMap<Member, Confirmation>,
+}
+
+impl Contact {
+    /// A voter had not gone on from a view when it got the heartbeat that was sent at this time.
+    pub fn confirm(&mut self, voter: Member, view: u64, at: Millis) {
+        let known = self.confirmed.entry(voter).or_insert(Confirmation { view, at });
+        if view > known.view {
+            *known = Confirmation { view, at };
+        } else if view == known.view {
+            known.at = known.at.max(at);
+        }
+    }
+
+    /// Until when, on our steady clock, no later view than this one can have been agreed. This replica's own vote counts
+    /// as given now. Zero: that isn't known.
+    pub fn confirmed_at(&self, view: &View, own: Member, now: Millis) -> Millis {
+        let confirmed = |voter: &Member| match self.confirmed.get(voter) {
+            _ if *voter == own => now,
+            Some(confirmation) if confirmation.view == view.number => confirmation.at,
+            _ => 0,
+        };
+        let mut times: Vec<Millis> = view.voters.iter().map(confirmed).collect();
+        times.sort_unstable_by(|one, other| other.cmp(one));
+        times.get(view.majority() - 1).copied().unwrap_or(0)
+    }
+
+    /// Drops what members that have no vote any more have confirmed.
+    pub fn follow(&mut self, view: &View) {
+        self.confirmed.retain(|member, _| view.voters.contains(member));
+    }
+}
--- a/system/control/src/membership.rs
+++ b/system/control/src/membership.rs
@@ -1,102 +1,93 @@
 //! Who is there: heartbeats to a few monitors on a ring, and what others report.
-use crate::settings::ControlSettings;
-use magpiegap_protocol::{Heartbeat, Location, Member, Millis, PeerReport, Replica, WallMillis};
+use crate::{
+    peer::{Peer, Status},
+    settings::ControlSettings,
+};
+use magpiegap_protocol::{Heartbeat, Member, Millis, PeerReport, Replica, View, WallMillis};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// How many successors on the ring hear a replica's heartbeats.
-const MONITORS: usize = 4;
+/// How many successors on the ring hear a replica's heartbeats: in a core of up to nine, all others.
+const MONITORS: usize = 8;
 /// A newcomer must have been heard for this long.
 const SETTLE_MS: Millis = 150;
 /// Reports on replicas that were not heard for this long are dropped.
 const FORGET_MS: Millis = 30_000;
-
-/// What is known of another replica.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Peer {
-    pub replica: Replica,
-    pub first_heard: Millis,
-    pub last_heard: Millis,
-    pub view: u64,
-    pub serving: bool,
-    pub unfit: bool,
-    /// Its disk had all that was committed up to that view.
-    pub complete: bool,
-    /// The newest entry that it knew to be committed.
-    pub committed: u64,
-    /// Where it stands.
-    pub location: Location,
-    /// When it last said that it hears us; `None`: it tells us nothing itself.
-    pub hears_us: Option<Millis>,
-    /// When it last told us something itself.
-    pub direct: Option<Millis>,
-    /// When its process was found to have ended; what was heard until then counts no more.
-    pub gone_at: Option<Millis>,
-    /// Its time of day less our steady clock.
-    pub wall_offset: Option<i64>,
-}
-
-/// What a replica says of itself.
-#[derive(Clone, Copy, Debug)]
-struct Status {
-    view: u64,
-    serving: bool,
-    unfit: bool,
-    complete: bool,
-    committed: u64,
-    location: Location,
-}
-
-impl From<&Heartbeat> for Status {
-    fn from(heartbeat: &Heartbeat) -> Status {
-        let Heartbeat { view, serving, unfit, complete, committed, location, .. } = *heartbeat;
-        Status { view, serving, unfit, complete, committed, location }
-    }
-}
-
-impl From<&PeerReport> for Status {
-    fn from(report: &PeerReport) -> Status {
-        let PeerReport { view, serving, unfit, complete, committed, location, .. } = *report;
-        Status { view, serving, unfit, complete, committed, location }
-    }
-}
+/// A replica that is in no view and was not heard for this long has no place on the ring.
+const OUTSIDER_MS: Millis = 3000;
 
 /// All that is known of other replicas.
 #[derive(Clone, Debug)]
 pub(crate) struct Membership {
     own: Replica,
     suspect_ms: Millis,
-    /// Addresses at which replicas may be found.
-    addresses: BTreeSet<u32>,
+    /// Where others may be found while too few of the view are heard.
+    seeds: BTreeSet<u32>,
+    /// The addresses of the newest view: of its voters and of its chain.
+    of_view: BTreeSet<u32>,
     peers: BTreeMap<Member, Peer>,
     /// The addresses with which each member says to be connected both ways.
     connected: BTreeMap<Member, BTreeSet<u32>>,
 }
 
 impl Membership {
-    pub fn new(settings: &ControlSettings) -> Membership {
-        let addresses =
-            settings.seeds.iter().copied().filter(|a| *a != settings.own.member.address).collect();
-        Membership {
+    pub fn new(settings: &ControlSettings, view: &View) -> Membership {
+        let mut membership = Membership {
             own: settings.own,
             suspect_ms: settings.suspect_ms,
-            addresses,
+            seeds: BTreeSet::new(),
+            of_view: BTreeSet::new(),
             peers: BTreeMap::new(),
             connected: BTreeMap::new(),
-        }
+        };
+        membership.set_seeds(&settings.seeds);
+        membership.follow(view);
+        membership
+    }
+
+    /// Replaces the addresses at which others may be found.
+    pub fn set_seeds(&mut self, seeds: &[u32]) {
+        let own = self.own.member.address;
+        self.seeds = seeds.iter().copied().filter(|address| *address != own).collect();
     }
 
-    /// Learns of an address.
-    pub fn know(&mut self, address: u32) {
-        if address != self.own.member.address {
-            self.addresses.insert(address);
+    /// Takes up the addresses of a view. Those of members that it has left out are forgotten once they fall silent.
+    pub fn follow(&mut self, view: &View) {
+        let voters = view.voters.iter().map(|member| member.address);
+        let chain = view.chain.iter().map(|replica| replica.member.address);
+        let own = self.own.member.address;
+        self.of_view = voters.chain(chain).filter(|address| *address != own).collect();
+    }
+
+    /// Whether too few of the view are heard, so that the seeds are asked too.
+    pub fn is_seeking(&self, now: Millis) -> bool {
+        let heard: BTreeSet<u32> = self
+            .peers
+            .values()
+            .filter(|peer| self.is_recent(peer.direct, now))
+            .map(|peer| peer.replica.member.address)
+            .collect();
+        let of_view = self.of_view.intersection(&heard).count();
+        2 * of_view < self.of_view.len() || self.of_view.is_empty()
+    }
+
+    /// The addresses on the ring, without this replica's own.
+    fn ring(&self, now: Millis) -> BTreeSet<u32> {
+        let is_near = |peer: &&Peer| now.saturating_sub(peer.last_heard) <= OUTSIDER_MS;
+        let heard = self.peers.values().filter(is_near).map(|peer| peer.replica.member.address);
+        let mut ring: BTreeSet<u32> = self.of_view.iter().copied().chain(heard).collect();
+        if self.is_seeking(now) {
+            ring.extend(&self.seeds);
         }
+        ring.remove(&self.own.member.address);
+        ring
     }
 
     /// Those that hear this replica's heartbeats: its successors on the ring of addresses.
-    pub fn monitors(&self) -> Vec<u32> {
+    pub fn monitors(&self, now: Millis) -> Vec<u32> {
         let own = self.own.member.address;
-        let after = self.addresses.range(own..);
-        let before = self.addresses.range(..own);
+        let ring = self.ring(now);
+        let after = ring.range(own..);
+        let before = ring.range(..own);
         after.chain(before).copied().take(MONITORS).collect()
     }
 
@@ -104,14 +95,14 @@
     pub fn hear(&mut self, from: Replica, heartbeat: &Heartbeat, now: Millis) -> bool {
         let known =
             self.peers.get(&from.member).is_some_and(|peer| peer.replica == from && peer.direct.is_some());
-        self.know(from.member.address);
-        self.touch(from, now, heartbeat.into(), now);
+        self.record(from, now, heartbeat.into(), now);
         let own = self.own;
         let hears_us =
             heartbeat.heard.iter().find(|report| report.replica == own).map(|report| report.age_ms);
         let suspect_ms = self.suspect_ms;
         if let Some(peer) = self.peers.get_mut(&from.member) {
             peer.direct = Some(now);
+            peer.echo = peer.echo.max(heartbeat.sent_at);
             peer.wall_offset = Some(heartbeat.wall_ms as i64 - now as i64);
             if hears_us.is_some_and(|age| age < suspect_ms) {
                 peer.hears_us = Some(now);
@@ -122,32 +113,16 @@
         self.connected.insert(from.member, connected);
         for report in &heartbeat.heard {
             if report.replica.member != own.member && report.age_ms < suspect_ms {
-                self.know(report.replica.member.address);
                 let at = now.saturating_sub(report.age_ms);
-                self.touch(report.replica, at, report.into(), now);
+                self.record(report.replica, at, report.into(), now);
             }
         }
         !known
     }
 
-    fn touch(&mut self, replica: Replica, at: Millis, status: Status, now: Millis) {
-        let suspect_ms = self.suspect_ms;
-        let Status { view, serving, unfit, complete, committed, location } = status;
-        let fresh = Peer {
-            replica,
-            first_heard: now,
-            last_heard: at,
-            view,
-            serving,
-            unfit,
-            complete,
-            committed,
-            location,
-            hears_us: None,
-            direct: None,
-            gone_at: None,
-            wall_offset: None,
-        };
+    /// Takes note of what a replica said at a time.
+    fn record(&mut self, replica: Replica, at: Millis, status: Status, now: Millis) {
+        let fresh = Peer::new(replica, status, at, now);
         let peer = self.peers.entry(replica.member).or_insert(fresh);
         if at < peer.last_heard {
             return;
@@ -156,16 +131,11 @@
             *peer = fresh;
             return;
         }
-        if at.saturating_sub(peer.last_heard) > suspect_ms {
+        if at.saturating_sub(peer.last_heard) > self.suspect_ms {
             peer.first_heard = now;
         }
         peer.last_heard = at;
-        peer.view = view;
-        peer.serving = serving;
-        peer.unfit = unfit;
-        peer.complete = complete;
-        peer.committed = committed;
-        peer.location = location;
+        peer.status = status;
     }
 
     /// Whether a replica has been heard for long enough that it may be taken into a view.
@@ -175,16 +145,20 @@
 
     /// Reports for a heartbeat.
     pub fn reports(&self, now: Millis) -> Vec<PeerReport> {
-        let report = |peer: &Peer| PeerReport {
-            replica: peer.replica,
-            age_ms: now.saturating_sub(peer.last_heard),
-            view: peer.view,
-            serving: peer.serving,
-            unfit: peer.unfit,
-            complete: peer.complete,
-            committed: peer.committed,
-            location: peer.location,
-            both_ways: self.is_connected(peer, now),
+        let report = |peer: &Peer| {
+            let Status { view, serving, unfit, complete, committed, location } = peer.status;
+            PeerReport {
+                replica: peer.replica,
+                age_ms: now.saturating_sub(peer.last_heard),
+                view,
+                serving,
+                unfit,
+                complete,
+                committed,
+                location,
+                both_ways: self.is_connected(peer, now),
+                echo: peer.echo,
+            }
         };
         self.peers.values().map(report).collect()
     }
@@ -194,11 +168,11 @@
         let both_ways = |peer: &Peer| match self.is_recent(peer.direct, now) {
             true => self.is_connected(peer, now),
             // Heard of from others only: those it tells nothing itself, since it has other monitors.
-            false => !self.all_hear_each_other(),
+            false => !self.all_hear_each_other(now),
         };
         let heard = |peer: &&Peer| {
             now.saturating_sub(peer.last_heard) <= self.suspect_ms
-                && peer.gone_at.is_none_or(|gone| peer.last_heard > gone)
+                && peer.refused_at.is_none_or(|refused| peer.last_heard > refused)
                 && both_ways(peer)
         };
         let mut newest: BTreeMap<u32, Peer> = BTreeMap::new();
@@ -212,8 +186,8 @@
     }
 
     /// Whether the ring is so small that everyone monitors everyone.
-    fn all_hear_each_other(&self) -> bool {
-        self.addresses.len() <= MONITORS
+    fn all_hear_each_other(&self, now: Millis) -> bool {
+        self.ring(now).len() <= MONITORS
     }
 
     /// Whether something happened, and not so long ago that a replica counts as gone.
@@ -227,7 +201,7 @@
     }
 
     /// Whether a member says that it and all of the others hear each other. In a large ring that can't be told.
-    pub fn says_connected(&self, member: &Member, others: &[Replica]) -> bool {
+    pub fn says_connected(&self, member: &Member, others: &[Replica], now: Millis) -> bool {
         let connected = self.connected.get(member);
         let hears = |other: &Replica| {
             let address = other.member.address;
@@ -236,7 +210,7 @@
                 || address == member.address
                 || connected.is_some_and(|connected| connected.contains(&address))
         };
-        !self.all_hear_each_other() || others.iter().all(hears)
+        !self.all_hear_each_other(now) || others.iter().all(hears)
     }
 
     /// What is known of a member.
@@ -263,10 +237,11 @@
             .is_some_and(|peer| peer.replica == *replica && self.is_recent(Some(peer.last_heard), now))
     }
 
-    /// The process at an address has ended: nobody listens there.
-    pub fn gone(&mut self, address: u32, now: Millis) {
+    /// A connection to an address was refused: most likely the process there has ended. What was heard until now counts
+    /// no more for who is there; it proves nothing, and nothing else rests on it.
+    pub fn connection_refused(&mut self, address: u32, now: Millis) {
         for peer in self.peers.values_mut().filter(|peer| peer.replica.member.address == address) {
-            peer.gone_at = Some(now);
+            peer.refused_at = Some(now);
         }
     }
 
--- /dev/null
+++ b/system/control/src/peer.rs
@@ -0,0 +1,72 @@
+//! What is known of another replica.
+use magpiegap_protocol::{Heartbeat, Location, Millis, PeerReport, Replica};
+
+/// What a replica says of itself.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Status {
+    /// The newest view that it knows.
+    pub view: u64,
+    /// It takes part in that view.
+    pub serving: bool,
+    /// It can't take part for now.
+    pub unfit: bool,
+    /// Its disk had all that was committed up to that view.
+    pub complete: bool,
+    /// The newest entry that it knew to be committed.
+    pub committed: u64,
+    /// Where it stands.
+    pub location: Location,
+}
+
+impl From<&Heartbeat> for Status {
+    fn from(heartbeat: &Heartbeat) -> Status {
+        let Heartbeat { view, serving, unfit, complete, committed, location, .. } = *heartbeat;
+        Status { view, serving, unfit, complete, committed, location }
+    }
+}
+
+impl From<&PeerReport> for Status {
+    fn from(report: &PeerReport) -> Status {
+        let PeerReport { view, serving, unfit, complete, committed, location, .. } = *report;
+        Status { view, serving, unfit, complete, committed, location }
+    }
+}
+
+/// What is known of another replica.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Peer {
+    pub replica: Replica,
+    /// What it said last.
+    pub status: Status,
+    /// Since when it has been heard without a pause.
+    pub first_heard: Millis,
+    /// When it was last heard, by this replica or by others that told it.
+    pub last_heard: Millis,
+    /// When it last said that it hears us; `None`: it tells us nothing itself.
+    pub hears_us: Option<Millis>,
+    /// When it last told us something itself.
+    pub direct: Option<Millis>,
+    /// When a connection to its address was refused; what was heard until then counts no more.
+    pub refused_at: Option<Millis>,
+    /// Its time of day less our steady clock.
+    pub wall_offset: Option<i64>,
+    /// The newest `sent_at` in its heartbeats to us.
+    pub echo: Millis,
+}
+
+impl Peer {
+    /// A replica that is heard, or heard of, for the first time.
+    pub fn new(replica: Replica, status: Status, at: Millis, now: Millis) -> Peer {
+        Peer {
+            replica,
+            status,
+            first_heard: now,
+            last_heard: at,
+            hears_us: None,
+            direct: None,
+            refused_at: None,
+            wall_offset: None,
+            echo: 0,
+        }
+    }
+}
--- a/system/control/src/replica.rs
+++ b/system/control/src/replica.rs
@@ -2,6 +2,7 @@
 use crate::{
     agreement::Agreement,
     chain_state::{Activity, Chain},
+    contact::Contact,
     durable::{DurableRecord, DurableState, Snapshot},
     log::Log,
     membership::Membership,
@@ -15,6 +16,8 @@
 const DISK_PATIENCE_MS: Millis = 350;
 /// ... and for this much longer, so that a slow disk does not come and go with every write.
 const UNFIT_MS: Millis = 2500;
+/// A view that was the newest one this long ago is taken for the newest one where seconds matter, and not less.
+pub const CONTACT_MS: Millis = 600;
 
 /// The replicated state.
 pub trait StateMachine {
@@ -62,6 +65,8 @@
 pub(crate) enum After {
     Send(u32, PeerMessage),
     EntriesDurable(u64),
+    /// What was read at the start is surely on disk.
+    Started,
 }
 
 pub(crate) struct Ticket {
@@ -75,6 +80,7 @@
     pub(crate) settings: ControlSettings,
     pub(crate) agreement: Agreement,
     pub(crate) membership: Membership,
+    pub(crate) contact: Contact,
     pub(crate) chain: Chain,
     /// The view up to which this replica has all that was committed.
     pub(crate) synchronized: Option<u64>,
@@ -83,6 +89,8 @@
     pub(crate) needed_since: Option<Millis>,
     pub(crate) next_round_at: Millis,
     disk: u64,
+    /// What was read at the start is surely on disk, with the name of the disk: from here on others may hear of it.
+    pub(crate) started: bool,
     leaving: bool,
     /// The disk was too slow a moment ago; the replica is unfit until then.
     pub(crate) unfit_until: Millis,
@@ -96,28 +104,31 @@
 impl Replica {
     /// A replica that has just started, with what was on its disk. The state machine must have been restored from
     /// the same.
-    pub fn new(settings: ControlSettings, durable: &DurableState, now: Millis) -> Replica {
-        let mut membership = Membership::new(&settings);
-        for voter in &durable.agreement.current.voters {
-            membership.know(voter.address);
-        }
+    ///
+    /// What was read may be there only because the process before was killed, and may not outlast a loss of power. So the
+    /// first thing that the replica wants is that all of it is written anew; until that is done it keeps silent.
+    pub fn new(settings: ControlSettings, durable: DurableState, now: Millis) -> Replica {
+        let membership = Membership::new(&settings, &durable.agreement.current);
         let log = Log::new(durable.applied, durable.entries.clone());
+        let last = log.last().index;
         let mut chain = Chain::new(log, durable.applied);
         chain.committed = durable.committed.min(chain.log.last().index).max(durable.applied.index);
         if durable.agreement.current.number > 0 {
             // This life of the process is in no chain yet.
             chain.activity = Activity::Learning;
         }
-        Replica {
+        let mut replica = Replica {
             random: StdRng::seed_from_u64(settings.seed),
             agreement: Agreement::new(durable.agreement.clone()),
             membership,
+            contact: Contact::default(),
             chain,
             synchronized: durable.synchronized,
             view_since: now,
             needed_since: None,
             next_round_at: now,
             disk: durable.disk,
+            started: false,
             leaving: false,
             unfit_until: 0,
             next_heartbeat: now,
@@ -126,7 +137,10 @@
             bytes_since_checkpoint: 0,
             out: Vec::new(),
             settings,
-        }
+        };
+        let ticket = replica.ticket(vec![After::EntriesDurable(last), After::Started], now);
+        replica.out.push(Output::Checkpoint { ticket, snapshot: Box::new(durable) });
+        replica
     }
 
     /// This replica's name.
@@ -149,9 +163,19 @@
         std::mem::take(&mut self.out)
     }
 
-    /// The process at an address has ended: nobody listens there.
-    pub fn peer_gone(&mut self, address: u32, now: Millis) {
-        self.membership.gone(address, now);
+    /// A connection to the coordinator at an address was refused: most likely its process has ended.
+    pub fn connection_refused(&mut self, address: u32, now: Millis) {
+        self.membership.connection_refused(address, now);
+    }
+
+    /// Replaces the addresses at which others may be found.
+    pub fn set_seeds(&mut self, seeds: &[u32]) {
+        self.membership.set_seeds(seeds);
+    }
+
+    /// Whether so few of the view are heard that the seeds are asked too.
+    pub fn is_seeking(&self, now: Millis) -> bool {
+        self.membership.is_seeking(now)
     }
 
     /// Announces that this replica is about to end, so that the others go on without it at once.
@@ -165,19 +189,20 @@
         self.membership.median_wall(own_wall, now)
     }
 
-    /// Whether this replica was in touch with a majority of the voters just now, and all is as it should be: the view
-    /// that it knows was the newest one a moment ago.
-    pub fn view_stands(&self, now: Millis) -> bool {
-        let view = self.view();
-        let own = self.settings.own.member;
-        let agrees = |member: &magpiegap_protocol::Member| {
-            *member == own
-                || self.membership.peer(member).is_some_and(|peer| {
-                    peer.view == view.number
-                        && now.saturating_sub(peer.last_heard) <= self.settings.suspect_ms
-                })
-        };
-        self.is_active() && view.voters.iter().filter(|voter| agrees(voter)).count() >= view.majority()
+    /// Whether this replica takes part in its view, and that was the newest one at some moment of the last
+    /// [`CONTACT_MS`] milliseconds.
+    pub fn has_contact(&self, now: Millis) -> bool {
+        self.is_active() && now <= self.confirmed_at(now) + CONTACT_MS
+    }
+
+    /// Whether this replica takes part in its view, and that was the newest one at some moment after `since`.
+    pub fn has_contact_since(&self, since: Millis, now: Millis) -> bool {
+        self.is_active() && self.confirmed_at(now) > since
+    }
+
+    /// Until when this replica's view was surely the newest one; zero: that isn't known.
+    pub fn confirmed_at(&self, now: Millis) -> Millis {
+        self.contact.confirmed_at(self.view(), self.settings.own.member, now)
     }
 
     /// Whether this replica is at work in its view, or waits for its predecessor there.
--- a/system/control/src/steps.rs
+++ b/system/control/src/steps.rs
@@ -8,6 +8,10 @@
 impl Replica {
     /// Does what is due. To be called every few hundredths of a second.
     pub fn tick(&mut self, now: Millis, own_wall: WallMillis, machine: &mut dyn StateMachine) {
+        if !self.started {
+            self.flush_chain(now, machine);
+            return;
+        }
         if now >= self.next_heartbeat {
             self.next_heartbeat = now + self.settings.heartbeat_ms;
             self.send_heartbeats(now, own_wall);
@@ -92,6 +96,7 @@
                     After::EntriesDurable(index) => {
                         self.chain.own_durable = self.chain.own_durable.max(index);
                     }
+                    After::Started => self.started = true,
                 }
             }
         }
@@ -103,6 +108,7 @@
             // It waits to be told that it is heard.
             self.next_heartbeat = now;
         }
+        self.note_contact(from, heartbeat);
         let current = self.view();
         if heartbeat.view < current.number {
             let decided = PeerMessage::Decided(current.clone());
@@ -112,8 +118,20 @@
         }
     }
 
+    /// Takes note of the echo of an own heartbeat, when its sender has not gone on from the view that it knows.
+    fn note_contact(&mut self, from: ReplicaId, heartbeat: &Heartbeat) {
+        let own = self.settings.own;
+        let echo =
+            heartbeat.heard.iter().find(|report| report.replica == own).map_or(0, |report| report.echo);
+        if echo > 0 && !heartbeat.sealed {
+            self.contact.confirm(from.member, heartbeat.view, echo);
+        }
+    }
+
     fn send_heartbeats(&mut self, now: Millis, own_wall: WallMillis) {
         let heartbeat = Heartbeat {
+            sent_at: now,
+            sealed: self.agreement.sealed(),
             view: self.view().number,
             serving: self.serving(),
             unfit: self.unfit(now),
@@ -123,7 +141,7 @@
             committed: self.chain.committed,
             complete: self.is_complete(),
         };
-        for address in self.membership.monitors() {
+        for address in self.membership.monitors(now) {
             self.send(address, PeerMessage::Heartbeat(heartbeat.clone()));
         }
     }
--- a/system/control/src/view_change.rs
+++ b/system/control/src/view_change.rs
@@ -1,7 +1,7 @@
 //! When the next view is proposed and by whom, and the messages of the agreement on it.
 use crate::{
     durable::DurableRecord,
-    membership::Peer,
+    peer::Peer,
     replica::{After, Replica, StateMachine},
     view_reason::ViewReason,
 };
@@ -45,7 +45,7 @@
         if voters < current.majority() {
             return None;
         }
-        let wanted: BTreeSet<ReplicaId> = self.wanted(alive).into_iter().collect();
+        let wanted: BTreeSet<ReplicaId> = self.wanted(alive, now).into_iter().collect();
         let chain: BTreeSet<ReplicaId> = current.chain.iter().copied().collect();
         if let Some(newcomer) = wanted.difference(&chain).next() {
             return Some(ViewReason::Newcomer(*newcomer));
@@ -65,7 +65,7 @@
             return None;
         }
         let current = &self.agreement.state.current;
-        let idle = |peer: &Peer| peer.view == current.number && !peer.serving;
+        let idle = |peer: &Peer| peer.status.view == current.number && !peer.status.serving;
         let own = self.settings.own;
         let is_idle = |replica: &&ReplicaId| match **replica == own {
             true => !self.serving(),
@@ -122,6 +122,9 @@
 
     /// Whether this replica votes on that view. Tells a proposer that lies behind.
     fn takes_part(&mut self, from: ReplicaId, number: u64) -> bool {
+        if !self.started {
+            return false;
+        }
         let current = &self.agreement.state.current;
         if number <= current.number {
             let decided = PeerMessage::Decided(current.clone());
@@ -155,7 +158,7 @@
         if round.promises.len() < expected && now < round.started_at + PROMISE_WAIT_MS {
             return;
         }
-        let compose = || self.compose_view(&current, &alive, &round.complete());
+        let compose = || self.compose_view(&current, &alive, &round.complete(), now);
         let view = round.bound_view().or_else(compose);
         let Some(view) = view else { return };
         let ballot = round.ballot;
@@ -237,9 +240,8 @@
         self.view_since = now;
         self.needed_since = None;
         self.next_heartbeat = now;
-        for member in &view.voters {
-            self.membership.know(member.address);
-        }
+        self.membership.follow(view);
+        self.contact.follow(view);
         self.persist_agreement(Vec::new(), now);
         self.log(format!("view {}: {}", view.number, describe(view)));
         self.enter_view(view, now, machine);
--- a/system/control/src/view_members.rs
+++ b/system/control/src/view_members.rs
@@ -1,9 +1,5 @@
 //! With whom the next view is formed.
-use crate::{
-    chain_state::Activity,
-    membership::{Membership, Peer},
-    replica::Replica,
-};
+use crate::{chain_state::Activity, membership::Membership, peer::Peer, replica::Replica};
 use magpiegap_protocol::{Location, Member, MemberLocation, Millis, Position, Replica as ReplicaId, View};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -21,7 +17,7 @@
     /// be too few without them: a slow disk is better than none.
     pub(crate) fn alive(&self, now: Millis) -> Vec<ReplicaId> {
         let mut there: Vec<(ReplicaId, bool)> =
-            self.peers_there(now).iter().map(|peer| (peer.replica, peer.unfit)).collect();
+            self.peers_there(now).iter().map(|peer| (peer.replica, peer.status.unfit)).collect();
         there.push((self.settings.own, self.unfit(now)));
         there.sort_unstable();
         let fit: Vec<ReplicaId> =
@@ -34,7 +30,7 @@
 
     /// Those that the chain is to consist of. One that has yet to catch up stays outside of it meanwhile, unless there
     /// would be too few without it: nothing could be committed then anyway.
-    pub(crate) fn wanted(&self, alive: &[ReplicaId]) -> Vec<ReplicaId> {
+    pub(crate) fn wanted(&self, alive: &[ReplicaId], now: Millis) -> Vec<ReplicaId> {
         let chain = &self.agreement.state.current.chain;
         let own = self.settings.own;
         let caught_up = |replica: &ReplicaId| match *replica == own {
@@ -46,7 +42,7 @@
         let chain_goes_on = !ready.is_empty();
         for newcomer in alive.iter().filter(|replica| !chain.contains(replica) && caught_up(replica)) {
             // One that some of the chain does not hear would be left out again at once.
-            let connected = *newcomer == own || self.membership.says_connected(&newcomer.member, &ready);
+            let connected = *newcomer == own || self.membership.says_connected(&newcomer.member, &ready, now);
             if connected || !chain_goes_on {
                 ready.push(*newcomer);
             }
@@ -66,7 +62,7 @@
             *voter == self.settings.own.member || heard.iter().any(|peer| peer.replica.member == *voter)
         };
         let all_back = current.voters.iter().all(is_back);
-        let served = self.serving() || heard.iter().any(|peer| peer.serving);
+        let served = self.serving() || heard.iter().any(|peer| peer.status.serving);
         if all_back && !served {
             return heard;
         }
@@ -81,9 +77,10 @@
         current: &View,
         alive: &[ReplicaId],
         complete: &BTreeMap<Member, Position>,
+        now: Millis,
     ) -> Option<View> {
         let last = |replica: &ReplicaId| complete.get(&replica.member).copied();
-        let mut chain = self.wanted(alive);
+        let mut chain = self.wanted(alive, now);
         let newest = chain.iter().filter_map(last).max()?;
         chain.sort_by_key(|replica| {
             let can_lead = last(replica) == Some(newest);
@@ -101,7 +98,7 @@
             return self.settings.location;
         }
         match self.membership.peer(member) {
-            Some(peer) => peer.location,
+            Some(peer) => peer.status.location,
             None => self.agreement.state.current.location(member),
         }
     }
--- a/system/control/tests/common/group.rs
+++ b/system/control/tests/common/group.rs
@@ -135,7 +135,7 @@
     /// Starts the process on a machine.
     pub fn start_replica(&mut self, address: u32) {
         self.boots += 1;
-        let disk = &self.disks[&address];
+        let disk = self.disks[&address].clone();
         let own = ReplicaId { member: Member { address, disk: disk.disk }, boot: self.boots };
         let settings = ControlSettings {
             own,
@@ -150,6 +150,7 @@
         assert!(machine.restore(&disk.state));
         let replica = Replica::new(settings, disk, self.now);
         self.running.insert(address, Running { replica, machine });
+        self.perform(address);
     }
 
     /// Ends the process on a machine. What it had not synced is lost.
--- a/system/control/tests/common/mod.rs
+++ b/system/control/tests/common/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)]
 pub mod group;
 
-use magpiegap_control::{ControlSettings, StateMachine, Tolerance};
+use magpiegap_control::{ControlSettings, Output, Replica, Snapshot, StateMachine, Tolerance};
 use magpiegap_protocol::{Entry, Location, Position, Replica as ReplicaId};
 
 /// A state that nothing is done with.
@@ -21,6 +21,18 @@
     }
 }
 
+/// A replica with what is on its disk, all of which has been written anew.
+pub fn started(settings: ControlSettings, disk: Snapshot) -> Replica {
+    let mut replica = Replica::new(settings, disk, 0);
+    let written = replica.take_outputs();
+    let [Output::Checkpoint { ticket, .. }] = written[..] else {
+        panic!("not only a checkpoint: {written:?}")
+    };
+    replica.persisted(ticket, 0, &mut NoState);
+    replica.take_outputs();
+    replica
+}
+
 /// Settings of a replica that knows these addresses; one machine may be lost.
 pub fn settings(own: ReplicaId, seeds: Vec<u32>) -> ControlSettings {
     ControlSettings {
--- a/system/control/tests/joining.rs
+++ b/system/control/tests/joining.rs
@@ -1,7 +1,7 @@
 //! A replica that joins asks its predecessor for what is missing, and does not keep it from its work.
 mod common;
 
-use common::{settings, NoState};
+use common::{settings, started, NoState};
 use googletest::prelude::*;
 use magpiegap_control::{DurableRecord, Output, Replica, Snapshot};
 use magpiegap_protocol::{
@@ -25,8 +25,7 @@
 /// The middle one of a chain of three, with the state of the head, and its successor served.
 fn middle_replica() -> Replica {
     let (head, own, tail) = (replica(1, 0), replica(2, 7), replica(3, 8));
-    let mut middle =
-        Replica::new(settings(own, vec![1]), &Snapshot::empty(7, None, Vec::new(), Vec::new()), 0);
+    let mut middle = started(settings(own, vec![1]), Snapshot::empty(7, None, Vec::new(), Vec::new()));
     let view = View::initial(vec![head.member]).next(vec![head.member], vec![head, own, tail]);
     middle.receive(0, 0, head, PeerMessage::Decided(view), &mut NoState);
     middle.receive(10, 0, head, whole_state(), &mut NoState);
@@ -155,7 +154,7 @@
     // Given: a replica with an empty disk, in a chain behind one that does not answer
     let (head, own) = (replica(1, 0), replica(2, 7));
     let empty = Snapshot::empty(7, None, Vec::new(), Vec::new());
-    let mut joining = Replica::new(settings(own, vec![1]), &empty, 0);
+    let mut joining = started(settings(own, vec![1]), empty);
     let view = View::initial(vec![head.member]).next(vec![head.member], vec![head, own]);
     joining.receive(0, 0, head, PeerMessage::Decided(view), &mut NoState);
     // When
--- a/system/control/tests/median_time.rs
+++ b/system/control/tests/median_time.rs
@@ -1,7 +1,7 @@
 //! The time of day that replicas go by is the middle one of all that are heard.
 mod common;
 
-use common::{settings, NoState};
+use common::{settings, started, NoState};
 use googletest::prelude::*;
 use magpiegap_control::{Replica, Snapshot};
 use magpiegap_protocol::{
@@ -17,7 +17,7 @@
 
 fn one_of_three() -> Replica {
     let voters: Vec<Member> = (1..=3).map(|address| replica(address).member).collect();
-    Replica::new(settings(replica(1), vec![1, 2, 3]), &Snapshot::empty(0, Some(0), voters, Vec::new()), 0)
+    started(settings(replica(1), vec![1, 2, 3]), Snapshot::empty(0, Some(0), voters, Vec::new()))
 }
 
 fn tell_time(to: &mut Replica, from: u32, now: Millis, wall_ms: WallMillis) {
@@ -30,6 +30,8 @@
         committed: 0,
         complete: true,
         location: Location::default(),
+        sent_at: 0,
+        sealed: false,
     };
     to.receive(now, TRUE_MS + now, replica(from), PeerMessage::Heartbeat(heartbeat), &mut NoState);
 }
--- a/system/control/tests/starting.rs
+++ b/system/control/tests/starting.rs
@@ -1,7 +1,7 @@
 //! When replicas that have started propose a view.
 mod common;
 
-use common::{settings, NoState};
+use common::{settings, started, NoState};
 use googletest::prelude::*;
 use magpiegap_control::{Output, Replica, Snapshot};
 use magpiegap_protocol::{Heartbeat, Location, Member, PeerMessage, PeerReport, Replica as ReplicaId, View};
@@ -22,7 +22,7 @@
     let mut disk = Snapshot::empty(0, Some(1), voters.clone(), Vec::new());
     disk.agreement.current = View::initial(voters.clone()).next(voters, chain);
     let own = new_life(1);
-    Replica::new(settings(own, vec![1, 2, 3]), &disk, 0)
+    started(settings(own, vec![1, 2, 3]), disk)
 }
 
 /// A heartbeat of a replica that hears the first one.
@@ -37,6 +37,7 @@
         committed: 0,
         both_ways: true,
         location: Location::default(),
+        echo: 0,
     };
     PeerMessage::Heartbeat(Heartbeat {
         view,
@@ -47,6 +48,8 @@
         committed: 0,
         complete: true,
         location: Location::default(),
+        sent_at: 0,
+        sealed: false,
     })
 }
 
--- a/system/coordinator/src/coordinator.rs
+++ b/system/coordinator/src/coordinator.rs
@@ -4,11 +4,11 @@
     machine::Machine,
     outputs::Output,
     settings::CoordinatorSettings,
-    under_way::{Pending, Proposal, Reader, Waiter},
+    under_way::{Pending, Proposal, Reader, Waiter, WaitingRead},
 };
 use magpiegap_control::{DurableState, Output as ControlOutput, Replica, TimeOfDay};
 use magpiegap_jobs::Configuration;
-use magpiegap_protocol::{decode, Feed, Millis, PlatformList, Role, WallMillis};
+use magpiegap_protocol::{Feed, Millis, PlatformList, Role, WallMillis};
 use magpiegap_scheduler::Scheduler;
 use std::collections::BTreeMap;
 
@@ -26,6 +26,10 @@
     pub(crate) next_sequence: u64,
     pub(crate) last_proposed_at: Millis,
     pub(crate) pending: BTreeMap<u64, Pending>,
+    /// Questions that wait until the view is confirmed.
+    pub(crate) reads: Vec<WaitingRead>,
+    /// Since when a majority of the voters has not been heard.
+    pub(crate) contact_lost_at: Option<Millis>,
     pub(crate) next_pending: u64,
     pub(crate) feed: Feed,
     pub(crate) waiters: Vec<Waiter>,
@@ -45,14 +49,18 @@
 }
 
 impl Coordinator {
-    /// A coordinator that has just started, with what was on its disk.
-    pub fn new(settings: CoordinatorSettings, durable: &DurableState, now: Millis) -> Coordinator {
-        let state = decode(&durable.state).unwrap_or_default();
+    /// A coordinator that has just started, with what was on its disk, and with the machine recovered from that.
+    pub fn new(
+        settings: CoordinatorSettings,
+        durable: DurableState,
+        machine: Machine,
+        now: Millis,
+    ) -> Coordinator {
         let replica = Replica::new(settings.control.clone(), durable, now);
         let mut coordinator = Coordinator {
             settings,
             replica,
-            machine: Machine::new(state),
+            machine,
             configuration: None,
             schedulers: BTreeMap::new(),
             reader: None,
@@ -62,6 +70,8 @@
             next_sequence: 0,
             last_proposed_at: 0,
             pending: BTreeMap::new(),
+            reads: Vec::new(),
+            contact_lost_at: None,
             next_pending: 0,
             feed: Feed::default(),
             waiters: Vec::new(),
@@ -90,9 +100,19 @@
         &self.machine.state
     }
 
-    /// The coordinator's process at an address has ended: nobody listens there.
-    pub fn peer_gone(&mut self, now: Millis, address: u32) {
-        self.replica.peer_gone(address, now);
+    /// A connection to the coordinator at an address was refused.
+    pub fn connection_refused(&mut self, now: Millis, address: u32) {
+        self.replica.connection_refused(address, now);
+    }
+
+    /// Replaces the addresses at which other coordinators may be found.
+    pub fn set_seeds(&mut self, seeds: &[u32]) {
+        self.replica.set_seeds(seeds);
+    }
+
+    /// Whether it was told to leave, and the others go on without it.
+    pub fn has_left(&self) -> bool {
+        self.leaving && self.replica.view().position(&self.replica.own()).is_none()
     }
 
     /// Hands its roles on: the process is about to end.
--- a/system/coordinator/src/describe.rs
+++ b/system/coordinator/src/describe.rs
@@ -22,6 +22,10 @@
     pub voters: usize,
     /// This coordinator takes part in the chain.
     pub active: bool,
+    /// How long ago its view was surely the newest one, in milliseconds; `None`: it has had no contact with a majority
+    /// in this view. What is told here may be as old as that.
+    #[serde(default)]
+    pub contact_ms: Option<u64>,
     /// The newest entry that it knows to be committed.
     pub committed: u64,
     /// Version of the configuration.
@@ -87,6 +91,7 @@
             chain: view.chain.iter().map(|replica| replica.member.ip().to_string()).collect(),
             voters: view.voters.len(),
             active: self.replica.is_active(),
+            contact_ms: self.contact_age_ms(),
             committed: self.replica.committed(),
             configuration: state.configuration.version,
             jobs: state.jobs.len(),
@@ -97,6 +102,11 @@
         }
     }
 
+    fn contact_age_ms(&self) -> Option<u64> {
+        let confirmed_at = self.replica.confirmed_at(self.now);
+        (confirmed_at > 0).then(|| self.now.saturating_sub(confirmed_at))
+    }
+
     fn describe_schedulers(&self) -> Vec<SchedulerDescription> {
         let described = |(service, scheduler): (&String, &Scheduler)| SchedulerDescription {
             service: service.clone(),
@@ -109,7 +119,7 @@
     pub(crate) fn explain(&self, job: JobId) -> CoordinatorAnswer {
         let state = &self.machine.state;
         let Some(known) = state.jobs.get(&job) else {
-            return match self.may_deny() {
+            return match self.answers_reads() && self.replica.has_contact(self.now) {
                 true => CoordinatorAnswer::NoSuchJob,
                 false => CoordinatorAnswer::NotServing,
             };
--- a/system/coordinator/src/feeds.rs
+++ b/system/coordinator/src/feeds.rs
@@ -40,7 +40,7 @@
         if self.waiters.is_empty() {
             return;
         }
-        let stands = self.replica.view_stands(self.now) && !self.leaving;
+        let stands = self.replica.has_contact(self.now) && !self.leaving;
         let (now, revision) = (self.now, self.feed.revision);
         let due = |waiter: &Waiter| !stands || waiter.poll.revision != revision || now >= waiter.until;
         let (answered, waiting): (Vec<Waiter>, Vec<Waiter>) =
--- a/system/coordinator/src/lib.rs
+++ b/system/coordinator/src/lib.rs
@@ -12,6 +12,7 @@
 mod outputs;
 mod platform;
 mod proposals;
+mod reads;
 mod requests;
 mod roles;
 mod settings;
--- a/system/coordinator/src/machine.rs
+++ b/system/coordinator/src/machine.rs
@@ -1,7 +1,7 @@
 //! The replicated state, with what applying entries has changed since it was last looked at.
-use magpiegap_control::StateMachine;
+use magpiegap_control::{DurableState, StateMachine};
 use magpiegap_jobs::{Applied, State};
-use magpiegap_protocol::{decode, encode, Entry, Position};
+use magpiegap_protocol::{decode, encode, DecodeError, Entry, Position};
 
 /// The replicated state and the entries applied since they were last taken.
 #[derive(Default)]
@@ -17,6 +17,14 @@
     pub fn new(state: State) -> Machine {
         Machine { state, ..Machine::default() }
     }
+
+    /// A machine with the state that was found on disk.
+    ///
+    /// # Errors
+    /// When the bytes are no state that this build can read.
+    pub fn recover(durable: &DurableState) -> Result<Machine, DecodeError> {
+        decode(&durable.state).map(Machine::new)
+    }
 }
 
 impl StateMachine for Machine {
--- a/system/coordinator/src/proposals.rs
+++ b/system/coordinator/src/proposals.rs
@@ -2,13 +2,16 @@
 use crate::{
     coordinator::Coordinator,
     outputs::RequestId,
-    under_way::{Pending, Proposal, Purpose, Wish},
+    under_way::{Operation, Pending, Proposal, Purpose},
 };
 use magpiegap_protocol::{Command, CoordinatorAnswer, Fence, Millis, ProposalId};
 
 /// A request that was not answered for this long is answered as it stands.
 const REQUEST_PATIENCE_MS: Millis = 2000;
 
+/// Contact with a majority that is not back after this time is taken for lost: a change of the view takes less.
+const CONTACT_LOST_MS: Millis = 300;
+
 /// A proposal that the head may not have got is sent again after this time.
 const PROPOSE_AGAIN_MS: Millis = 500;
 
@@ -53,39 +56,40 @@
         }
     }
 
-    /// Takes up a wish.
-    pub(crate) fn wish(&mut self, wish: Wish, request: RequestId) {
-        let same = self.pending.iter_mut().find(|(_, pending)| same_wish(&pending.wish, &wish));
+    /// Takes up an operation.
+    pub(crate) fn begin(&mut self, operation: Operation, request: RequestId) {
+        let same =
+            self.pending.iter_mut().find(|(_, pending)| same_operation(&pending.operation, &operation));
         if let Some((_, pending)) = same {
             pending.requests.push(request);
             return;
         }
         self.next_pending += 1;
         let id = self.next_pending;
-        let pending = Pending { wish, requests: vec![request], since: self.now, proposed: false };
+        let pending = Pending { operation, requests: vec![request], since: self.now, proposed: false };
         self.pending.insert(id, pending);
         self.pursue(id);
     }
 
-    /// Proposes what settles a wish.
+    /// Proposes what settles an operation.
     pub(crate) fn pursue(&mut self, id: u64) {
         if !self.settled_in_view {
             return;
         }
-        let Some(Pending { wish, proposed, .. }) = self.pending.get(&id).cloned() else { return };
-        let (command, fence, purpose) = match wish {
-            Wish::Submit(submission) => match self.submission_command(*submission) {
+        let Some(Pending { operation, proposed, .. }) = self.pending.get(&id).cloned() else { return };
+        let (command, fence, purpose) = match operation {
+            Operation::Submit(submission) => match self.submission_command(*submission) {
                 Some((command, fence, purpose)) => (command, Some(fence), Some(purpose)),
                 None => {
                     self.settle(id, &unsettled_answer(proposed));
                     return;
                 }
             },
-            Wish::Cancel(job) => (Command::CancelJob { job }, None, None),
-            Wish::ReplaceConfiguration { base, version, body } => {
+            Operation::Cancel(job) => (Command::CancelJob { job }, None, None),
+            Operation::ReplaceConfiguration { base, version, body } => {
                 (Command::ReplaceConfiguration { base, version, body }, None, None)
             }
-            Wish::DescribeConfiguration => (Command::Noop, None, None),
+            Operation::DescribeConfiguration => (Command::Noop, None, None),
         };
         if self.propose(command, fence, purpose, Some(id)) {
             if let Some(pending) = self.pending.get_mut(&id) {
@@ -94,7 +98,7 @@
         }
     }
 
-    /// Answers all that wait for a wish.
+    /// Answers all that wait for an operation.
     pub(crate) fn settle(&mut self, id: u64, answer: &CoordinatorAnswer) {
         let Some(pending) = self.pending.remove(&id) else { return };
         for request in pending.requests {
@@ -102,12 +106,20 @@
         }
     }
 
-    /// Answers requests that have waited too long.
+    /// Answers requests that have waited too long, and all of them once this coordinator has lost its contact with the
+    /// others: a caller that hears so within a second asks another one.
     pub(crate) fn give_up_requests(&mut self) {
+        let now = self.now;
+        let lost_at = match self.replica.has_contact(now) {
+            true => None,
+            false => Some(self.contact_lost_at.unwrap_or(now)),
+        };
+        self.contact_lost_at = lost_at;
+        let is_lost = lost_at.is_some_and(|since| now >= since + CONTACT_LOST_MS);
         let old: Vec<(u64, bool)> = self
             .pending
             .iter()
-            .filter(|(_, pending)| self.now >= pending.since + REQUEST_PATIENCE_MS)
+            .filter(|(_, pending)| is_lost || now >= pending.since + REQUEST_PATIENCE_MS)
             .map(|(id, pending)| (*id, pending.proposed))
             .collect();
         for (id, proposed) in old {
@@ -117,6 +129,8 @@
 
     /// Proposes anew what a change of the view has left open.
     pub(crate) fn pursue_all(&mut self) {
+        // After standing still some may be old, and their callers long since served by others.
+        self.give_up_requests();
         let view = self.replica.view().number;
         self.proposals.retain(|_, proposal| proposal.view == view);
         let under_way: Vec<u64> = self.proposals.values().filter_map(|proposal| proposal.pending).collect();
@@ -136,11 +150,11 @@
     }
 }
 
-fn same_wish(one: &Wish, other: &Wish) -> bool {
+fn same_operation(one: &Operation, other: &Operation) -> bool {
     match (one, other) {
-        (Wish::Submit(one), Wish::Submit(other)) => one.job == other.job,
-        (Wish::Cancel(one), Wish::Cancel(other)) => one == other,
-        (one @ Wish::ReplaceConfiguration { .. }, other) => one == other,
+        (Operation::Submit(one), Operation::Submit(other)) => one.job == other.job,
+        (Operation::Cancel(one), Operation::Cancel(other)) => one == other,
+        (one @ Operation::ReplaceConfiguration { .. }, other) => one == other,
         _ => false,
     }
 }
--- a/system/coordinator/src/requests.rs
+++ b/system/coordinator/src/requests.rs
@@ -3,10 +3,10 @@
     coordinator::Coordinator,
     job_list::JobList,
     outputs::{Output, RequestId},
-    under_way::Wish,
+    under_way::{Operation, Question},
 };
 use magpiegap_jobs::Outcome;
-use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, JobId, JobPhase, Millis, WallMillis};
+use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, JobId, Millis, WallMillis};
 
 impl Coordinator {
     /// Takes a request; its answer comes as an output, now or later.
@@ -14,15 +14,17 @@
         self.begin_step(now, clock);
         match what {
             CoordinatorRequest::Submit(submission) => self.submit(request, submission),
-            CoordinatorRequest::Status { queue, job } => self.status(request, &queue, job),
+            CoordinatorRequest::Status { queue, job } => {
+                self.read(request, Question { queue, job, cancel: false });
+            }
             CoordinatorRequest::Cancel { queue, job } => self.cancel(request, &queue, job),
             CoordinatorRequest::Count { queue } => self.count(request, &queue),
             CoordinatorRequest::Poll(poll) => self.poll(request, poll),
             CoordinatorRequest::ReplaceConfiguration { base, version, body } => {
-                self.wish_if_serving(request, Wish::ReplaceConfiguration { base, version, body });
+                self.begin_in_contact(request, Operation::ReplaceConfiguration { base, version, body });
             }
             CoordinatorRequest::DescribeConfiguration => {
-                self.wish_if_serving(request, Wish::DescribeConfiguration);
+                self.begin_in_contact(request, Operation::DescribeConfiguration);
             }
             CoordinatorRequest::Describe => {
                 let text = serde_json::to_string(&self.describe()).unwrap_or_default();
@@ -44,9 +46,11 @@
         self.out.push(Output::Answer { request, answer });
     }
 
-    fn wish_if_serving(&mut self, request: RequestId, wish: Wish) {
-        if self.replica.is_active() {
-            self.wish(wish, request);
+    /// Begins what the log has to settle, where the log may still go on: a coordinator that was cut off says at once that
+    /// another one has to be asked.
+    pub(crate) fn begin_in_contact(&mut self, request: RequestId, operation: Operation) {
+        if self.replica.has_contact(self.now) {
+            self.begin(operation, request);
         } else {
             self.answer(request, CoordinatorAnswer::NotServing);
         }
@@ -57,69 +61,48 @@
             self.answer(request, CoordinatorAnswer::Accepted);
             return;
         }
-        let here = self.schedulers.contains_key(&submission.service);
+        let here = self.schedulers.get(&submission.service).is_some_and(|scheduler| !scheduler.is_deposed());
         if !here || self.leaving {
             self.answer(request, CoordinatorAnswer::NotServing);
             return;
         }
         let mut submission = submission;
         submission.submitted_ms = self.wall;
-        self.wish(Wish::Submit(submission), request);
-    }
-
-    /// A job's phase, when it is known here and was handed in at that queue.
-    fn phase(&self, queue: &str, job: JobId) -> Option<JobPhase> {
-        let job = self.machine.state.jobs.get(&job)?;
-        (job.submission.queue == queue).then_some(job.phase)
-    }
-
-    /// Whether this coordinator may say that a job isn't there: it has all that was committed up to a moment ago.
-    pub(crate) fn may_deny(&self) -> bool {
-        self.replica.is_tail() && self.settled_in_view && self.replica.view_stands(self.now)
-    }
-
-    fn status(&mut self, request: RequestId, queue: &str, job: JobId) {
-        let answer = match self.phase(queue, job) {
-            Some(phase) => CoordinatorAnswer::Phase(phase),
-            None if self.may_deny() => CoordinatorAnswer::NoSuchJob,
-            None => CoordinatorAnswer::NotServing,
-        };
-        self.answer(request, answer);
+        self.begin(Operation::Submit(submission), request);
     }
 
+    /// Cancels a job. One that is known here goes to the log at once; whether another one is there has to be read.
     fn cancel(&mut self, request: RequestId, queue: &str, job: JobId) {
         match self.phase(queue, job) {
-            Some(phase) if phase.ended() => self.answer(request, CoordinatorAnswer::Accepted),
-            Some(_) => self.wish_if_serving(request, Wish::Cancel(job)),
-            None if self.may_deny() => self.answer(request, CoordinatorAnswer::NoSuchJob),
-            None => self.answer(request, CoordinatorAnswer::NotServing),
+            Some(phase) if !phase.ended() => self.begin_in_contact(request, Operation::Cancel(job)),
+            _ => self.read(request, Question { queue: queue.to_owned(), job, cancel: true }),
         }
     }
 
     fn count(&mut self, request: RequestId, queue: &str) {
         let count = self.machine.state.open_jobs.get(queue).copied().unwrap_or(0);
-        let answer = match self.replica.is_active() {
+        let answer = match self.replica.has_contact(self.now) {
             true => CoordinatorAnswer::Count(count),
             false => CoordinatorAnswer::NotServing,
         };
         self.answer(request, answer);
     }
 
-    /// Answers a wish that an entry has settled.
+    /// Answers an operation that an entry has settled.
     pub(crate) fn settle_by(&mut self, id: u64, outcome: Outcome) {
         let Some(pending) = self.pending.get(&id) else { return };
-        let answer = match (&pending.wish, outcome) {
+        let answer = match (&pending.operation, outcome) {
             // The scheduler's role has passed on: whether another entry accepts the job isn't known here.
             (_, Outcome::Fenced) => CoordinatorAnswer::Unknown,
-            (Wish::Submit(_), _) => CoordinatorAnswer::Accepted,
-            (Wish::Cancel(_), Outcome::Void) => CoordinatorAnswer::NoSuchJob,
-            (Wish::Cancel(_), _) => CoordinatorAnswer::Accepted,
-            (Wish::ReplaceConfiguration { .. }, Outcome::Conflict) => {
+            (Operation::Submit(_), _) => CoordinatorAnswer::Accepted,
+            (Operation::Cancel(_), Outcome::Void) => CoordinatorAnswer::NoSuchJob,
+            (Operation::Cancel(_), _) => CoordinatorAnswer::Accepted,
+            (Operation::ReplaceConfiguration { .. }, Outcome::Conflict) => {
                 CoordinatorAnswer::ConfigurationConflict
             }
-            (Wish::ReplaceConfiguration { .. }, Outcome::Stale) => CoordinatorAnswer::ConfigurationStale,
-            (Wish::ReplaceConfiguration { .. }, _) => CoordinatorAnswer::ConfigurationTaken,
-            (Wish::DescribeConfiguration, _) => {
+            (Operation::ReplaceConfiguration { .. }, Outcome::Stale) => CoordinatorAnswer::ConfigurationStale,
+            (Operation::ReplaceConfiguration { .. }, _) => CoordinatorAnswer::ConfigurationTaken,
+            (Operation::DescribeConfiguration, _) => {
                 CoordinatorAnswer::Configuration(self.machine.state.configuration.body.clone())
             }
         };
--- a/system/coordinator/src/roles.rs
+++ b/system/coordinator/src/roles.rs
@@ -34,7 +34,8 @@
         let Some(place) = chain.iter().position(|replica| *replica == own) else { return };
         for (number, role) in self.wanted_roles().into_iter().enumerate() {
             let state = self.machine.state.roles.get(&role).copied();
-            if state.is_some_and(|state| chain.contains(&state.holder)) {
+            let held = state.is_some_and(|state| chain.contains(&state.holder));
+            if held && !self.is_deposed(&role) {
                 self.vacant_since.remove(&role);
                 continue;
             }
@@ -52,6 +53,15 @@
         }
     }
 
+    /// Whether a scheduler here has met a worker that has seen a higher token. It does nothing any more: either another
+    /// coordinator holds the role, and the log will say so, or the role is claimed anew with a higher token.
+    fn is_deposed(&self, role: &Role) -> bool {
+        match role {
+            Role::Scheduler(service) => self.schedulers.get(service).is_some_and(Scheduler::is_deposed),
+            Role::PlatformReader => false,
+        }
+    }
+
     /// Keeps the lease of a holder fresh.
     pub(crate) fn renew_lease(&mut self) {
         let holds = !self.schedulers.is_empty() || self.reader.is_some();
@@ -111,7 +121,7 @@
         }
         let service = submission.service.clone();
         let now = self.now;
-        let scheduler = self.schedulers.get_mut(&service)?;
+        let scheduler = self.schedulers.get_mut(&service).filter(|scheduler| !scheduler.is_deposed())?;
         let command = scheduler.submit(now, submission);
         let fence = Fence { role: Role::Scheduler(service.clone()), token: scheduler.token() };
         let runs = match &command {
--- a/system/coordinator/src/steps.rs
+++ b/system/coordinator/src/steps.rs
@@ -50,6 +50,7 @@
         self.run_schedulers();
         self.replica.flush(self.now, &mut self.machine);
         self.follow_log();
+        self.answer_reads();
         self.answer_polls();
         self.out.extend(self.replica.take_outputs().into_iter().map(Output::Control));
     }
--- a/system/coordinator/src/under_way.rs
+++ b/system/coordinator/src/under_way.rs
@@ -1,4 +1,4 @@
-//! What is under way at a coordinator: proposals, wishes, long polls, and the reading of the platform's list.
+//! What is under way at a coordinator: proposals, operations, long polls, and the reading of the platform's list.
 use crate::outputs::RequestId;
 use magpiegap_protocol::{Command, FeedPoll, Fence, JobId, Millis, Role, RunStart, Submission, WorkerEntry};
 
@@ -17,28 +17,45 @@
 
 /// What a client or operator wants.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) enum Wish {
+pub(crate) enum Operation {
     Submit(Box<Submission>),
     Cancel(JobId),
     ReplaceConfiguration { base: u64, version: u64, body: Vec<u8> },
     DescribeConfiguration,
 }
 
-/// A wish that is not settled yet.
+/// An operation that is not settled yet.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Pending {
-    pub wish: Wish,
+    pub operation: Operation,
     pub requests: Vec<RequestId>,
     pub since: Millis,
     /// It was proposed at least once, and so may take effect.
     pub proposed: bool,
 }
 
+/// A question about a job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Question {
+    pub queue: String,
+    pub job: JobId,
+    /// The job is to be cancelled, and it is asked whether it is there.
+    pub cancel: bool,
+}
+
+/// A question that waits until the view is confirmed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct WaitingRead {
+    pub request: RequestId,
+    pub question: Question,
+    pub since: Millis,
+}
+
 /// A proposal under way.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Proposal {
     pub purpose: Option<Purpose>,
-    /// The wish that it is to settle.
+    /// The operation that it is to settle.
     pub pending: Option<u64>,
     pub proposed_at: Millis,
     pub view: u64,
--- a/system/fleet/src/machines.rs
+++ b/system/fleet/src/machines.rs
@@ -6,7 +6,7 @@
     fleet::{address, Fleet, FleetSettings, MAX_HOLD_MS},
 };
 use magpiegap_control::{ControlSettings, DurableState, Snapshot, Tolerance};
-use magpiegap_coordinator::{Coordinator, CoordinatorSettings};
+use magpiegap_coordinator::{Coordinator, CoordinatorSettings, Machine};
 use magpiegap_protocol::{encode, Location, Member, Replica};
 use magpiegap_scheduler::SchedulerSettings;
 use rand::Rng;
@@ -28,15 +28,17 @@
             let state = encode(&magpiegap_jobs::State::default());
             Snapshot::empty(disk, None, Vec::new(), state)
         };
+        // What an empty disk is to hold is on it once the coordinator has had it written.
         let state: DurableState = node.disk.state().unwrap_or_else(empty);
-        node.disk = Disk::new(state.clone());
         node.member = Member { address: node.address, disk: state.disk };
         node.life += 1;
         node.started = self.now;
         node.restart_at = None;
         let own = Replica { member: node.member, boot };
         let settings = coordinator_settings(&self.settings, own);
-        let coordinator = Coordinator::new(settings, &state, self.nodes[number].steady(self.now));
+        let steady = self.nodes[number].steady(self.now);
+        let machine = Machine::recover(&state).unwrap_or_default();
+        let coordinator = Coordinator::new(settings, state, machine, steady);
         self.nodes[number].coordinator = Some(coordinator);
         self.perform(number);
     }
--- a/system/magpiegap/src/command_line.rs
+++ b/system/magpiegap/src/command_line.rs
@@ -229,8 +229,8 @@
             block_on(agent::run(file, settings))
         }
         CommandLine::Coordinator { settings_file } => {
-            let (_, settings) = process(settings_file)?;
-            block_on(coordinator::run(settings))
+            let (file, settings) = process(settings_file)?;
+            block_on(coordinator::run(file, settings))
         }
         CommandLine::Settings(SettingsVerb::Check { settings_file }) => {
             let file = NodeSettings::file(settings_file.clone())?;
--- a/system/magpiegap/src/coordinator/driver.rs
+++ b/system/magpiegap/src/coordinator/driver.rs
@@ -3,11 +3,11 @@
     disk::DiskWork, events::Event, peers::Peers, platform_client, worker_client,
     worker_connections::WorkerConnections,
 };
-use crate::clock::Clock;
-use magpiegap_control::{DurableState, Output as ControlOutput};
-use magpiegap_coordinator::{Coordinator, CoordinatorSettings, Output, RequestId};
-use magpiegap_protocol::{CoordinatorAnswer, PeerMessage, Replica};
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use crate::{clock::Clock, settings::NodeSettings};
+use magpiegap_control::Output as ControlOutput;
+use magpiegap_coordinator::{Coordinator, Output, RequestId};
+use magpiegap_protocol::{CoordinatorAnswer, Millis, PeerMessage, Replica};
+use std::{collections::HashMap, net::SocketAddr, path::PathBuf, time::Duration};
 use tokio::sync::{
     mpsc::{UnboundedReceiver, UnboundedSender},
     oneshot,
@@ -15,6 +15,8 @@
 
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(20);
+/// Time between two readings of the settings file.
+const READ_SETTINGS_MS: Millis = 2000;
 /// Most events taken before what they have brought up is done.
 const MOST_EVENTS: usize = 64;
 
@@ -42,19 +44,34 @@
     next_request: RequestId,
     /// Messages of this coordinator to itself.
     to_self: Vec<PeerMessage>,
+    /// Where the addresses of other coordinators are read anew while too few of them are heard.
+    settings_file: PathBuf,
+    read_settings_at: Millis,
+    /// Told once the others go on without this coordinator.
+    left: Option<oneshot::Sender<()>>,
 }
 
 impl Driver {
     /// A driver around a coordinator that has just started.
-    pub fn new(clock: Clock, settings: CoordinatorSettings, durable: &DurableState, links: Links) -> Driver {
+    pub fn new(
+        clock: Clock,
+        own: Replica,
+        coordinator: Coordinator,
+        links: Links,
+        settings_file: PathBuf,
+        left: oneshot::Sender<()>,
+    ) -> Driver {
         Driver {
             clock,
-            own: settings.control.own,
-            coordinator: Coordinator::new(settings, durable, clock.now()),
+            own,
+            coordinator,
             links,
             answers: HashMap::new(),
             next_request: 0,
             to_self: Vec::new(),
+            settings_file,
+            read_settings_at: 0,
+            left: Some(left),
         }
     }
 
@@ -79,10 +96,33 @@
                         }
                     }
                 }
-                _ = ticks.tick() => self.coordinator.tick(self.clock.now(), self.clock.wall()),
+                _ = ticks.tick() => self.tick(),
                 Some(()) = leave.recv() => self.coordinator.leave(self.clock.now()),
             }
             self.finish(&events);
+            if self.coordinator.has_left() {
+                if let Some(left) = self.left.take() {
+                    let _ = left.send(());
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        self.coordinator.tick(self.clock.now(), self.clock.wall());
+        self.read_seeds();
+    }
+
+    /// Reads the addresses of other coordinators anew, while too few of them are heard.
+    fn read_seeds(&mut self) {
+        let now = self.clock.now();
+        if now < self.read_settings_at + READ_SETTINGS_MS || !self.coordinator.replica().is_seeking(now) {
+            return;
+        }
+        self.read_settings_at = now;
+        match NodeSettings::read(&self.settings_file) {
+            Ok(settings) => self.coordinator.set_seeds(&settings.seed_addresses()),
+            Err(error) => log::warn!("{error}"),
         }
     }
 
@@ -93,7 +133,7 @@
                 self.links.peers.heard(from);
                 self.coordinator.receive(now, wall, from, messages);
             }
-            Event::PeerGone(address) => self.coordinator.peer_gone(now, address),
+            Event::ConnectionRefused(address) => self.coordinator.connection_refused(now, address),
             Event::Persisted(ticket) => self.coordinator.persisted(now, wall, ticket),
             Event::Request { what, answer } => {
                 self.next_request += 1;
--- a/system/magpiegap/src/coordinator/events.rs
+++ b/system/magpiegap/src/coordinator/events.rs
@@ -8,8 +8,8 @@
 pub enum Event {
     /// Messages from another coordinator.
     Peer { from: Replica, messages: Vec<PeerMessage> },
-    /// Nobody listens any more where another coordinator did.
-    PeerGone(u32),
+    /// A connection to another coordinator's address was refused.
+    ConnectionRefused(u32),
     /// Disk work is done.
     Persisted(u64),
     /// Somebody asks.
--- a/system/magpiegap/src/coordinator/mod.rs
+++ b/system/magpiegap/src/coordinator/mod.rs
@@ -7,6 +7,7 @@
 mod peers;
 mod platform_client;
 mod request_server;
+mod store;
 mod worker_client;
 pub mod worker_connections;
 
@@ -20,18 +21,19 @@
 };
 use driver::{Driver, Links};
 use events::Handle;
-use magpiegap_control::{ControlSettings, DurableState, Snapshot};
-use magpiegap_coordinator::CoordinatorSettings;
-use magpiegap_protocol::{encode, Member, Replica};
+use magpiegap_control::ControlSettings;
+use magpiegap_coordinator::{Coordinator, CoordinatorSettings};
+use magpiegap_protocol::{Member, Replica};
 use magpiegap_scheduler::SchedulerSettings;
-use magpiegap_storage::{FolderDirectory, Store};
 use rand::Rng;
 use rocket::http::Method;
 use std::{
     net::{IpAddr, SocketAddr},
+    path::PathBuf,
     time::Duration,
 };
-use tokio::sync::mpsc;
+use store::Opened;
+use tokio::sync::{mpsc, oneshot};
 use worker_connections::WorkerConnections;
 
 /// Time between two heartbeats.
@@ -44,49 +46,61 @@
 const LEASE_MS: u64 = 900;
 /// Time between two readings of the platform's list.
 const LIST_EVERY_MS: u64 = 600;
-/// After an order to end the others get this long to go on without this coordinator.
-const HAND_OVER: Duration = Duration::from_millis(700);
+/// Kept of the time that a process has to end, in seconds, for requests under way.
+const END_RESERVE_S: f64 = 2.5;
+/// After an order to end the others get at least this long to go on without this coordinator, in seconds.
+const HAND_OVER_LEAST_S: f64 = 0.7;
+/// Once they do, callers get this long to take their answers.
+const LAST_ANSWERS: Duration = Duration::from_millis(300);
 
 /// Runs a coordinator until it is told to end.
 ///
 /// # Errors
-/// When it can't start, or its state on disk can't be read.
-pub async fn run(settings: NodeSettings) -> Result<(), ProgramError> {
+/// When it can't start.
+pub async fn run(file: PathBuf, settings: NodeSettings) -> Result<(), ProgramError> {
     let mut signals = Signals::heed()?;
     let clock = Clock::start();
-    let (mut store, durable) = open_store(&settings)?;
+    let (events, mut inbox) = mpsc::unbounded_channel();
+    let handle = Handle::new(events.clone());
+    let requests = start_request_server(&settings, handle.clone()).await?;
+    let control_plane = start_control_plane(&settings, handle).await?;
+    let Some(opened) = store::open_when_readable(&settings, &mut inbox, &mut signals).await else {
+        return Ok(());
+    };
+    let Opened { store, durable, machine } = opened;
     let own = Replica {
         member: Member { address: u32::from(settings.ip), disk: durable.disk },
         boot: rand::thread_rng().gen(),
     };
-    // The name of this disk must last before anyone hears of it; and what was read may be there only because the process
-    // before was killed, not synced: from here on all of it counts as kept, so it is written anew and synced.
-    store.checkpoint(&encode(&durable))?;
-    let (events, inbox) = mpsc::unbounded_channel();
-    let handle = Handle::new(events.clone());
     let client = endpoint::client();
     let disk = disk::start(store, events.clone());
     let peers = peers::start(own, settings.ip, settings.peer_port(), events.clone())
         .await
         .map_err(|source| ProgramError::System { what: "the port for other coordinators", source })?;
-    let requests = start_request_server(&settings, handle.clone()).await?;
-    let control_plane = start_control_plane(&settings, handle).await?;
     let coordinator_settings = coordinator_settings(&settings, own);
+    let coordinator = Coordinator::new(coordinator_settings, durable, machine, clock.now());
     let workers = WorkerConnections::new(settings.limits.max_fds.saturating_mul(WORKERS_PERCENT) / 100);
     let platform = settings.cloud.address;
     let links = Links { disk, peers, client, workers, platform };
-    let driver = Driver::new(clock, coordinator_settings, &durable, links);
+    let (left, others_go_on) = oneshot::channel();
+    let driver = Driver::new(clock, own, coordinator, links, file, left);
     let (stop, stopped) = mpsc::unbounded_channel();
     let work = tokio::spawn(driver.run(events, inbox, stopped));
     loop {
         tokio::select! {
             _ = signals.terminate.recv() => break,
-            _ = signals.hangup.recv() => log::info!("settings are read at the start only"),
+            // They are read anew whenever too few of the others are heard.
+            _ = signals.hangup.recv() => log::info!("the settings may have changed"),
         }
     }
     log::info!("ends, and hands its roles on");
     let _ = stop.send(());
-    tokio::time::sleep(HAND_OVER).await;
+    // A member that the others can't do without stays as long as it may: it may hold what only one of them has.
+    let most = (settings.bounds.grace_s - END_RESERVE_S).max(HAND_OVER_LEAST_S);
+    if tokio::time::timeout(Duration::from_secs_f64(most), others_go_on).await.is_err() {
+        log::warn!("the others have not gone on without this coordinator");
+    }
+    tokio::time::sleep(LAST_ANSWERS).await;
     requests.end().await;
     if let Some(server) = control_plane {
         server.end().await;
@@ -116,33 +130,6 @@
     serving::start(server).await.map(Some)
 }
 
-/// Opens the state on disk. An empty disk gets a name of its own, unless the whole system starts for the first time.
-fn open_store(settings: &NodeSettings) -> Result<(Store<FolderDirectory>, DurableState), ProgramError> {
-    let folder = settings.data_dir.clone().unwrap_or_else(|| std::env::temp_dir().join("magpiegap"));
-    let directory = FolderDirectory::new(&folder)
-        .map_err(|source| ProgramError::System { what: "the data folder", source })?;
-    let (store, recovered) = Store::open(directory)?;
-    let Some(snapshot) = recovered.snapshot else {
-        return Ok((store, empty_state(settings)));
-    };
-    let state = Snapshot::recover(&snapshot, &recovered.records)?;
-    Ok((store, state))
-}
-
-fn empty_state(settings: &NodeSettings) -> DurableState {
-    let voter = |address: u32| Member { address, disk: 0 };
-    let mut voters: Vec<Member> = settings.seed_addresses().into_iter().map(voter).collect();
-    voters.sort_unstable();
-    voters.dedup();
-    let state = encode(&magpiegap_jobs::State::default());
-    if settings.bootstrap {
-        return Snapshot::empty(0, Some(0), voters, state);
-    }
-    // A disk that was lost has forgotten its votes: it comes back as another member, and knows nothing.
-    let disk = rand::thread_rng().gen::<u64>().max(1);
-    Snapshot::empty(disk, None, Vec::new(), state)
-}
-
 fn coordinator_settings(settings: &NodeSettings, own: Replica) -> CoordinatorSettings {
     let bounds = settings.bounds;
     CoordinatorSettings {
--- a/system/magpiegap/src/coordinator/peers.rs
+++ b/system/magpiegap/src/coordinator/peers.rs
@@ -125,7 +125,7 @@
     let IpAddr::V4(address) = ip else { return };
     let again = timeout(CONNECT_TIMEOUT, TcpStream::connect(SocketAddr::new(ip, port))).await;
     if matches!(&again, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused) {
-        let _ = events.send(Event::PeerGone(u32::from(address)));
+        let _ = events.send(Event::ConnectionRefused(u32::from(address)));
     }
 }
 
--- a/system/protocol/src/peer.rs
+++ b/system/protocol/src/peer.rs
@@ -1,5 +1,7 @@
 //! Messages between coordinators.
-use crate::{Command, Entry, Fence, Location, Position, ProposalId, Replica, View, WallMillis, WorkerEntry};
+use crate::{
+    Command, Entry, Fence, Location, Millis, Position, ProposalId, Replica, View, WallMillis, WorkerEntry,
+};
 use minicbor::{Decode, Encode};
 
 /// Messages from one coordinator to another, in the order in which they were sent.
@@ -47,6 +49,10 @@
     #[n(8)]
     #[cbor(default)]
     pub location: Location,
+    /// The newest `sent_at` in a heartbeat that the sender of this report got from it; zero: none.
+    #[n(9)]
+    #[cbor(default)]
+    pub echo: Millis,
 }
 
 /// A sign of life with what the sender knows.
@@ -78,6 +84,14 @@
     #[n(7)]
     #[cbor(default)]
     pub location: Location,
+    /// When it was sent, on the sender's steady clock. Whoever hears it sends this back as an echo.
+    #[n(8)]
+    #[cbor(default)]
+    pub sent_at: Millis,
+    /// The sender takes part in the agreement on the next view, so that the present one may be over.
+    #[n(9)]
+    #[cbor(default)]
+    pub sealed: bool,
 }
 
 /// A voter's answer to a proposer of the next view.
--- a/system/scheduler/src/replies.rs
+++ b/system/scheduler/src/replies.rs
@@ -32,6 +32,10 @@
             self.life_is_over(&instance, state);
             return;
         }
+        if matches!(reply, WorkerReply::Refused { reason: RefusalReason::Fence, .. }) {
+            self.depose(&instance);
+            return;
+        }
         self.note_contact(&instance, call, &purpose, sent_at, &reply, now);
         match purpose {
             CallPurpose::Hold { .. } | CallPurpose::Probe => {
@@ -101,24 +105,16 @@
     fn hold_answered(&mut self, instance: &str, sent_at: Millis, reply: WorkerReply, now: Millis) {
         let max_hold_ms = self.settings.max_hold_ms;
         let Some(worker) = self.workers.get_mut(instance) else { return };
-        match reply {
-            WorkerReply::Done { clock_ms: Some(clock), listing: Some(listing) } => {
-                if !worker.greeted {
-                    worker.greeted = true;
-                    if !worker.runs.is_empty() {
-                        worker.granted_until = worker.granted_until.max(clock + max_hold_ms);
-                    }
-                    self.replan = true;
-                }
-                worker.hold.due = now;
-                self.take_listing(instance, sent_at, clock, &listing, now);
+        let WorkerReply::Done { clock_ms: Some(clock), listing: Some(listing) } = reply else { return };
+        if !worker.greeted {
+            worker.greeted = true;
+            if !worker.runs.is_empty() {
+                worker.granted_until = worker.granted_until.max(clock + max_hold_ms);
             }
-            WorkerReply::Refused { reason: RefusalReason::Fence, .. } => {
-                self.out.push(Output::Log(format!("{instance} has seen a higher token than {}", self.token)));
-                worker.hold.due = now + 1000;
-            }
-            _ => {}
+            self.replan = true;
         }
+        worker.hold.due = now;
+        self.take_listing(instance, sent_at, clock, &listing, now);
     }
 
     fn take_listing(&mut self, instance: &str, sent_at: Millis, clock: u64, listing: &Listing, now: Millis) {
@@ -218,9 +214,8 @@
                 }
                 worker.health.eject(now);
             }
-            WorkerReply::Refused { reason: RefusalReason::Fence, .. } | WorkerReply::OtherLife => {
-                run.phase = RunPhase::Recorded { not_before: now + 1000 };
-            }
+            // Neither comes here: the one has given the role up, with the other the worker's life is over.
+            WorkerReply::Refused { reason: RefusalReason::Fence, .. } | WorkerReply::OtherLife => {}
         }
         if lost {
             let checkpoint = run.checkpoint.clone();
--- a/system/scheduler/src/scheduler.rs
+++ b/system/scheduler/src/scheduler.rs
@@ -102,6 +102,8 @@
     pub(crate) next_check: Millis,
     pub(crate) hold_waits: HoldWaits,
     pub(crate) failure_share: FailureShare,
+    /// A worker has seen a higher token: nothing more is called or ordered with this one.
+    pub(crate) deposed: bool,
     pub(crate) out: Vec<Output>,
 }
 
@@ -144,6 +146,7 @@
             next_check: now,
             hold_waits: HoldWaits::default(),
             failure_share: FailureShare::default(),
+            deposed: false,
             out: Vec::new(),
         };
         scheduler.resume(now, state);
@@ -160,6 +163,22 @@
         self.token
     }
 
+    /// Whether a worker has refused it for a higher token: it does nothing any more.
+    pub fn is_deposed(&self) -> bool {
+        self.deposed
+    }
+
+    /// Gives the role up at once, with all that was not handed on yet.
+    pub(crate) fn depose(&mut self, refused_by: &str) {
+        if self.deposed {
+            return;
+        }
+        self.deposed = true;
+        self.drop_outputs();
+        let line = format!("{refused_by} has seen a higher token than {}: the role is given up", self.token);
+        self.out.push(Output::Log(line));
+    }
+
     /// Figures for operators.
     pub fn summary(&self) -> Summary {
         Summary {
@@ -308,7 +327,7 @@
     ) -> u64 {
         self.next_call += 1;
         let id = self.next_call;
-        let Some(worker) = self.workers.get(instance) else { return id };
+        let Some(worker) = self.workers.get(instance).filter(|_| !self.deposed) else { return id };
         self.out.push(Output::Call(WorkerCall {
             id,
             address: worker.entry.address.clone(),
@@ -335,6 +354,9 @@
 
     /// Does what is due. To be called after all other inputs, and every few hundredths of a second.
     pub fn run(&mut self, now: Millis, wall: WallMillis, state: &State) {
+        if self.deposed {
+            return;
+        }
         self.now = now;
         self.wall = wall;
         if now >= self.next_check {
--- a/system/storage/src/format.rs
+++ b/system/storage/src/format.rs
@@ -55,6 +55,12 @@
     bytes
 }
 
+/// The generation of a log; `None` when its header isn't whole.
+pub(crate) fn log_generation(bytes: &[u8]) -> Option<u64> {
+    let generation = u64::from_le_bytes(number(bytes, 8)?);
+    (bytes.get(..LOG_HEADER)? == empty_log(generation)).then_some(generation)
+}
+
 /// Adds a record to bytes that go to the end of a log.
 pub(crate) fn push_record(bytes: &mut Vec<u8>, generation: u64, record: &[u8]) {
     bytes.extend_from_slice(&(record.len() as u32).to_le_bytes());
--- a/system/storage/src/store.rs
+++ b/system/storage/src/store.rs
@@ -16,6 +16,14 @@
         /// What the system said.
         source: io::Error,
     },
+    /// Something that was confirmed to be kept is not there any more: the disk must not be used, nor taken for an empty one.
+    #[error(
+        "{file} is damaged: it was kept once and can't be read now; the machine needs an empty data folder"
+    )]
+    Damaged {
+        /// The file.
+        file: &'static str,
+    },
     /// Nothing new was kept; the call may be tried again.
     #[error("can't write {file}: {source}")]
     Write {
@@ -48,8 +56,20 @@
     generation: u64,
     /// Where the next record goes; what lies behind it is void.
     end: u64,
-    /// Bytes behind `end` may have to be cut off before the next write.
-    dirty: bool,
+    /// What stands between the files and the next record.
+    pending: Preparation,
+}
+
+/// What has to be done before the next record can be written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Preparation {
+    /// There is no log of this generation yet.
+    start_log: bool,
+    /// Bytes behind the last record may have to be cut off.
+    cut_tail: bool,
+    /// The slot of the next generation may be on disk though the checkpoint was refused. It must not count once records
+    /// follow in the log of this generation.
+    void_next_slot: bool,
 }
 
 fn odd(generation: u64) -> bool {
@@ -61,41 +81,32 @@
 }
 
 impl<D: Directory> Store<D> {
-    /// Reads what is there and makes the store ready for more.
+    /// Reads what is there. Nothing is written, so that a full disk can be read too.
     ///
     /// # Errors
-    /// When files can't be read, or an empty log can't be made.
+    /// When files can't be read, or something that was kept is not there any more.
     pub fn open(mut directory: D) -> Result<(Store<D>, Recovered), StoreError> {
-        let mut newest: Option<(u64, Vec<u8>)> = None;
-        for file in [FileName::Slot(false), FileName::Slot(true)] {
-            let bytes = read(&mut directory, file)?;
-            if let Some((generation, snapshot)) = format::read_slot(&bytes) {
-                if newest.as_ref().is_none_or(|(best, _)| generation > *best) {
-                    newest = Some((generation, snapshot.to_vec()));
-                }
-            }
-        }
-        let (generation, snapshot) = match newest {
-            Some((generation, snapshot)) => (generation, Some(snapshot)),
-            None => (0, None),
-        };
-        let log = FileName::Log(odd(generation));
-        let bytes = read(&mut directory, log)?;
-        let found = format::read_log(generation, &bytes);
-        let mut store = Store { directory, generation, end: 0, dirty: false };
-        let records = match found {
+        let slots =
+            [read(&mut directory, FileName::Slot(false))?, read(&mut directory, FileName::Slot(true))?];
+        let logs = [read(&mut directory, FileName::Log(false))?, read(&mut directory, FileName::Log(true))?];
+        let newest = slots.iter().filter_map(|bytes| format::read_slot(bytes)).max_by_key(|slot| slot.0);
+        let generation = newest.map_or(0, |slot| slot.0);
+        find_damage(generation, &slots, &logs)?;
+        let log = &logs[usize::from(odd(generation))];
+        let mut store = Store { directory, generation, end: 0, pending: Preparation::default() };
+        let records = match format::read_log(generation, log) {
             Some((records, end)) => {
                 store.end = end as u64;
-                store.dirty = end < bytes.len();
+                store.pending.cut_tail = end < log.len();
                 records
             }
             None => {
-                store.start_log(generation)?;
                 store.end = format::LOG_HEADER as u64;
+                store.pending.start_log = true;
                 Vec::new()
             }
         };
-        store.clean()?;
+        let snapshot = newest.map(|(_, snapshot)| snapshot.to_vec());
         Ok((store, Recovered { snapshot, records }))
     }
 
@@ -104,16 +115,17 @@
     /// # Errors
     /// When the disk refuses; then none of them counts, and the call may be tried again.
     pub fn append(&mut self, records: &[Vec<u8>]) -> Result<(), StoreError> {
-        self.clean()?;
+        self.prepare()?;
         let mut bytes = Vec::new();
         for record in records {
             format::push_record(&mut bytes, self.generation, record);
         }
         let log = FileName::Log(odd(self.generation));
-        self.dirty = true;
+        // What a sync has refused once may never reach the disk, even if a later sync is confirmed: it is written anew.
+        self.pending.cut_tail = true;
         self.directory.write_at(log, self.end, &bytes).map_err(write_error(log))?;
         self.directory.sync(log).map_err(write_error(log))?;
-        self.dirty = false;
+        self.pending.cut_tail = false;
         self.end += bytes.len() as u64;
         Ok(())
     }
@@ -125,13 +137,14 @@
     pub fn checkpoint(&mut self, snapshot: &[u8]) -> Result<(), StoreError> {
         let generation = self.generation + 1;
         self.start_log(generation)?;
+        self.pending.void_next_slot = true;
         let slot = FileName::Slot(odd(generation));
         let bytes = format::slot(generation, snapshot);
         self.directory.overwrite(slot, &bytes).map_err(write_error(slot))?;
         self.directory.sync(slot).map_err(write_error(slot))?;
         self.generation = generation;
         self.end = format::LOG_HEADER as u64;
-        self.dirty = false;
+        self.pending = Preparation::default();
         Ok(())
     }
 
@@ -151,19 +164,47 @@
         self.directory.sync(log).map_err(write_error(log))
     }
 
-    /// Cuts off what a torn or refused write has left behind the last record.
-    fn clean(&mut self) -> Result<(), StoreError> {
-        if !self.dirty {
-            return Ok(());
+    /// Makes the log ready for the next record.
+    fn prepare(&mut self) -> Result<(), StoreError> {
+        if self.pending.void_next_slot {
+            let slot = FileName::Slot(odd(self.generation + 1));
+            self.directory.overwrite(slot, &[]).map_err(write_error(slot))?;
+            self.directory.sync(slot).map_err(write_error(slot))?;
+            self.pending.void_next_slot = false;
+        }
+        if self.pending.start_log {
+            self.start_log(self.generation)?;
+            self.pending.start_log = false;
+        }
+        if self.pending.cut_tail {
+            let log = FileName::Log(odd(self.generation));
+            self.directory.truncate(log, self.end).map_err(write_error(log))?;
+            self.directory.sync(log).map_err(write_error(log))?;
+            self.pending.cut_tail = false;
         }
-        let log = FileName::Log(odd(self.generation));
-        self.directory.truncate(log, self.end).map_err(write_error(log))?;
-        self.directory.sync(log).map_err(write_error(log))?;
-        self.dirty = false;
         Ok(())
     }
 }
 
+/// Looks for signs that a newer slot than the one that was found had been confirmed: records follow it, or another slot
+/// was begun, which only happens once the one before is kept.
+fn find_damage(found: u64, slots: &[Vec<u8>; 2], logs: &[Vec<u8>; 2]) -> Result<(), StoreError> {
+    for log in logs {
+        let Some(generation) = format::log_generation(log).filter(|generation| *generation > found) else {
+            continue;
+        };
+        let records = format::read_log(generation, log).map_or(0, |(records, _)| records.len());
+        if records > 0 {
+            return Err(StoreError::Damaged { file: FileName::Slot(odd(generation)).text() });
+        }
+    }
+    // The first slot to be written is the odd one.
+    if found == 0 && !slots[0].is_empty() {
+        return Err(StoreError::Damaged { file: FileName::Slot(true).text() });
+    }
+    Ok(())
+}
+
 fn read<D: Directory>(directory: &mut D, file: FileName) -> Result<Vec<u8>, StoreError> {
     let bytes = directory.read(file).map_err(|source| StoreError::Read { file: file.text(), source })?;
     Ok(bytes.unwrap_or_default())
--- a/system/storage/tests/crashes.rs
+++ b/system/storage/tests/crashes.rs
@@ -1,6 +1,6 @@
 //! Whatever is lost at a loss of power, what was confirmed is there and nothing else is.
 use googletest::prelude::*;
-use magpiegap_storage::{Directory, FileName, Recovered, Store};
+use magpiegap_storage::{Directory, FileName, Recovered, Store, StoreError};
 use std::{cell::RefCell, collections::BTreeMap, io, rc::Rc};
 
 /// A step that a disk was asked to do.
@@ -18,6 +18,8 @@
     steps: Vec<Step>,
     /// Refuses every write once so many steps are done.
     full_after: Option<usize>,
+    /// Fails so many syncs, though what they were to keep has reached the disk.
+    failing_syncs: usize,
 }
 
 /// A disk in memory that remembers all that it was asked to do.
@@ -68,6 +70,13 @@
         self.take(Step::Truncate(file, length))
     }
     fn sync(&mut self, file: FileName) -> io::Result<()> {
+        {
+            let mut recorder = self.0.borrow_mut();
+            if recorder.failing_syncs > 0 {
+                recorder.failing_syncs -= 1;
+                return Err(io::Error::other("input/output error"));
+            }
+        }
         self.take(Step::Sync(file))
     }
 }
@@ -214,3 +223,115 @@
     let expected = Recovered { snapshot: None, records: vec![b"one".to_vec(), b"three".to_vec()] };
     expect_that!(found, eq(&expected));
 }
+
+#[googletest::test]
+fn given_a_full_disk_when_the_store_is_opened_then_all_is_read_and_nothing_is_written() {
+    // Given: a log with a torn tail, on a disk that takes no more bytes
+    let disk = Disk::default();
+    let (mut store, _) = Store::open(disk.clone()).unwrap();
+    store.checkpoint(b"all").unwrap();
+    store.append(&[b"one".to_vec(), b"two".to_vec()]).unwrap();
+    let length = disk.0.borrow().files[&FileName::Log(true)].len();
+    disk.0.borrow_mut().files.get_mut(&FileName::Log(true)).unwrap()[length - 2] ^= 1;
+    let steps = disk.0.borrow().steps.len();
+    disk.0.borrow_mut().full_after = Some(steps);
+    // When
+    let (mut store, found) = Store::open(disk.clone()).unwrap();
+    // Then
+    expect_that!(found.snapshot, some(eq(b"all")));
+    expect_that!(found.records, elements_are![eq(b"one")]);
+    expect_that!(store.append(&[b"xyz".to_vec()]), err(anything()));
+    disk.0.borrow_mut().full_after = None;
+    store.append(&[b"xyz".to_vec()]).unwrap();
+    let (_, found) = Store::open(disk).unwrap();
+    expect_that!(found.records, elements_are![eq(b"one"), eq(b"xyz")]);
+}
+
+#[googletest::test]
+fn given_a_full_empty_disk_when_there_is_room_again_then_the_first_record_is_kept() {
+    let disk = Disk::default();
+    disk.0.borrow_mut().full_after = Some(0);
+    let (mut store, found) = Store::open(disk.clone()).unwrap();
+    expect_that!(found.is_empty(), eq(true));
+    expect_that!(store.append(&[b"one".to_vec()]), err(anything()));
+    disk.0.borrow_mut().full_after = None;
+    store.append(&[b"one".to_vec()]).unwrap();
+    let (_, found) = Store::open(disk).unwrap();
+    expect_that!(found.records, elements_are![eq(b"one")]);
+}
+
+#[googletest::test]
+fn given_a_checkpoint_whose_sync_fails_when_records_follow_then_they_count_and_the_checkpoint_does_not() {
+    // Given: the bytes of the slot reach the disk, but the sync is not confirmed
+    let disk = Disk::default();
+    let (mut store, _) = Store::open(disk.clone()).unwrap();
+    store.checkpoint(b"first").unwrap();
+    store.append(&[b"one".to_vec()]).unwrap();
+    let slot_synced = disk.0.borrow().steps.len();
+    for failing in 1..=2 {
+        disk.0.borrow_mut().failing_syncs = failing;
+        expect_that!(store.checkpoint(b"second"), err(anything()));
+    }
+    disk.0.borrow_mut().failing_syncs = 0;
+    expect_that!(disk.0.borrow().steps.len(), gt(slot_synced));
+    // When
+    store.append(&[b"two".to_vec()]).unwrap();
+    drop(store);
+    // Then
+    let (_, found) = Store::open(disk).unwrap();
+    expect_that!(found.snapshot, some(eq(b"first")));
+    expect_that!(found.records, elements_are![eq(b"one"), eq(b"two")]);
+}
+
+#[googletest::test]
+fn given_a_record_whose_sync_fails_when_it_is_kept_at_the_next_try_then_it_is_written_anew() {
+    let disk = Disk::default();
+    let (mut store, _) = Store::open(disk.clone()).unwrap();
+    store.append(&[b"one".to_vec()]).unwrap();
+    disk.0.borrow_mut().failing_syncs = 1;
+    expect_that!(store.append(&[b"two".to_vec()]), err(anything()));
+    // Given: the pages of the refused sync are dropped
+    let length = disk.0.borrow().files[&FileName::Log(false)].len();
+    disk.0.borrow_mut().files.get_mut(&FileName::Log(false)).unwrap()[length - 6..].fill(0);
+    // When
+    store.append(&[b"two".to_vec()]).unwrap();
+    drop(store);
+    // Then
+    let (_, found) = Store::open(disk).unwrap();
+    expect_that!(found.records, elements_are![eq(b"one"), eq(b"two")]);
+}
+
+#[googletest::test]
+fn given_a_slot_that_was_kept_when_it_is_damaged_then_the_older_one_is_not_taken_for_the_newest() {
+    let disk = Disk::default();
+    let (mut store, _) = Store::open(disk.clone()).unwrap();
+    store.checkpoint(b"first").unwrap();
+    store.checkpoint(b"second").unwrap();
+    store.append(&[b"one".to_vec()]).unwrap();
+    drop(store);
+    let damage = |file: FileName| {
+        let mut recorder = disk.0.borrow_mut();
+        let bytes = recorder.files.get_mut(&file).unwrap();
+        let last = bytes.len() - 1;
+        bytes[last] ^= 1;
+    };
+    damage(FileName::Slot(false));
+    let damaged =
+        |result: &Result<_, StoreError>| matches!(result, Err(StoreError::Damaged { file: "slot-0" }));
+    expect_that!(damaged(&Store::open(disk.clone()).map(|_| ())), eq(true));
+    damage(FileName::Slot(true));
+    expect_that!(damaged(&Store::open(disk.clone()).map(|_| ())), eq(true));
+}
+
+#[googletest::test]
+fn given_both_slots_damaged_when_no_record_follows_then_the_disk_is_not_taken_for_an_empty_one() {
+    let disk = Disk::default();
+    let (mut store, _) = Store::open(disk.clone()).unwrap();
+    store.checkpoint(b"first").unwrap();
+    store.checkpoint(b"second").unwrap();
+    drop(store);
+    for file in [FileName::Slot(false), FileName::Slot(true)] {
+        disk.0.borrow_mut().files.get_mut(&file).unwrap()[9] ^= 1;
+    }
+    expect_that!(Store::open(disk).map(|_| ()).is_err(), eq(true));
+}
