Tell states in parts and entries by bytes, and keep what a disk holds until the rest is there

Cause: by review. A state went as one frame of up to 64 MB that had to be written within 2 s, with all entries behind it; up to 4,000 missing entries went in another (300 configurations of 256 KB would be 78 MB, which no replica would have taken: it never caught up). The state was encoded at once in the coordinator's loop, also at each checkpoint.

Change: a state is frozen at one moment (a pointer for each job; jobs changed later are copied first) and offered; whoever needs it asks for parts of 128 jobs, four ahead, each with a checksum, and goes on after a break; then for the entries since, half a megabyte at a time; only then all of it takes the place of what was there, in one checkpoint, so that a disk that may be the last complete one never holds less meanwhile. Slots on disk are written part by part with the header last (format 2; format 1 is read), on the disk's thread. Entries in memory are bounded to 16 MB where they are applied. Frames take no more messages beyond 1 MB.

Ruled out: taking the state's place before the entries are there, and sending an older frozen state without them: a disk that was complete would claim so with less than it had.

--- a/system/control/src/catch_up.rs
+++ b/system/control/src/catch_up.rs
@@ -1,14 +1,15 @@
 //! Catching up: a replica asks its source for what it is missing. The source is its predecessor in the chain; outside
 //! of the chain it is the tail, and the replica is taken into a view once it has caught up, so that no write waits for
-//! a state on its way.
+//! what is on its way. Entries are told a limited number of bytes at a time.
 use crate::{
     chain_state::{Activity, ASK_FIRST_MS},
     durable::DurableRecord,
-    log::Log,
     peer::Peer,
-    replica::{Replica, StateMachine},
+    replica::Replica,
+    state_transfer::Incoming,
+    StateMachine,
 };
-use magpiegap_protocol::{Entry, Millis, PeerMessage, Position, Replica as ReplicaId};
+use magpiegap_protocol::{Entry, Millis, PeerMessage, Replica as ReplicaId};
 
 /// A replica whose source has told it nothing for this long asks it.
 const SOURCE_SILENT_MS: Millis = 600;
@@ -97,19 +98,48 @@
         let Some(source) = self.source().filter(|_| waited) else { return };
         self.chain.asked_at = now.max(1);
         self.chain.ask_again_ms = (2 * self.chain.ask_again_ms).min(ASK_MOST_MS);
+        if self.ask_for_parts(source) {
+            return;
+        }
         let view = self.agreement.state.current.number;
-        let last = self.chain.log.last();
+        let last = self.chain.incoming.as_ref().map_or(self.chain.log.last(), Incoming::last);
         self.send(source.member.address, PeerMessage::Synchronize { view, last });
     }
 
-    /// Takes the entries that were missing.
-    pub(crate) fn take_missing(&mut self, after: u64, entries: Vec<Entry>, now: Millis) {
+    /// Asks the source now: what has come just now is not all.
+    pub(crate) fn ask_again_at_once(&mut self, now: Millis) {
+        self.chain.asked_at = 0;
+        self.chain.ask_again_ms = ASK_FIRST_MS;
+        self.ask_source(now);
+    }
+
+    /// Takes entries that were missing.
+    pub(crate) fn take_missing(
+        &mut self,
+        after: u64,
+        mut entries: Vec<Entry>,
+        more: bool,
+        now: Millis,
+        machine: &mut dyn StateMachine,
+    ) {
+        if self.take_entries_of_incoming(after, &mut entries, more, now, machine) {
+            return;
+        }
         match self.chain.activity {
             Activity::Inactive => {}
-            Activity::Active | Activity::Following => self.append(after, entries, 0, now),
+            Activity::Active | Activity::Following => {
+                self.append(after, entries, 0, now);
+                if more {
+                    self.ask_again_at_once(now);
+                }
+            }
             Activity::Joining | Activity::Learning if after == self.chain.log.last().index => {
                 entries.into_iter().for_each(|entry| self.chain.log.push(entry));
                 self.hand_entries_to_disk(now);
+                if more {
+                    self.ask_again_at_once(now);
+                    return;
+                }
                 self.begin_to_take_entries(now);
                 if let Some(view) = self.synchronized.filter(|_| self.chain.activity == Activity::Active) {
                     self.persist(vec![DurableRecord::Synchronized(view)], Vec::new(), now);
@@ -119,38 +149,9 @@
         }
     }
 
-    /// Takes the whole state.
-    pub(crate) fn take_whole_state(
-        &mut self,
-        applied: Position,
-        state: &[u8],
-        entries: Vec<Entry>,
-        now: Millis,
-        machine: &mut dyn StateMachine,
-    ) {
-        let newest = entries.last().map_or(applied, |entry| entry.position).index;
-        let fits = match self.chain.activity {
-            Activity::Inactive => false,
-            Activity::Joining | Activity::Learning => true,
-            // It has come again, and brings nothing new.
-            Activity::Active | Activity::Following => newest > self.chain.log.last().index,
-        };
-        if !fits || !machine.restore(state) {
-            return;
-        }
-        self.chain.applied = applied.index;
-        self.chain.committed = self.chain.committed.max(applied.index);
-        self.chain.log = Log::new(applied, entries);
-        self.begin_to_take_entries(now);
-        self.forget_entries_under_way();
-        self.chain.own_durable = 0;
-        self.chain.handed_to_disk = self.chain.log.last().index;
-        self.checkpoint(now, machine);
-    }
-
     /// From now on the replica takes entries as they come; in the chain it takes part. What it answers for still waits
     /// for its disk.
-    fn begin_to_take_entries(&mut self, now: Millis) {
+    pub(crate) fn begin_to_take_entries(&mut self, now: Millis) {
         self.chain.activity = match self.chain.activity {
             Activity::Joining => Activity::Active,
             Activity::Learning => Activity::Following,
@@ -159,6 +160,7 @@
         if self.chain.activity == Activity::Active {
             self.synchronized = Some(self.agreement.state.current.number);
         }
+        self.chain.incoming = None;
         self.chain.source_heard_at = now;
         self.chain.ask_again_ms = ASK_FIRST_MS;
         self.chain.followers.clear();
--- a/system/control/src/chain.rs
+++ b/system/control/src/chain.rs
@@ -2,7 +2,8 @@
 use crate::{
     chain_state::{Activity, ASK_FIRST_MS},
     durable::DurableRecord,
-    replica::{After, Replica, StateMachine},
+    replica::{After, Replica},
+    StateMachine,
 };
 use magpiegap_protocol::{
     Command, Entry, Fence, Millis, PeerMessage, Position, ProposalId, Replica as ReplicaId, View, WallMillis,
@@ -51,6 +52,9 @@
         self.chain.asked_at = 0;
         self.chain.ask_again_ms = ASK_FIRST_MS;
         self.chain.requests.clear();
+        if let Some(incoming) = self.chain.incoming.as_mut() {
+            incoming.forget_entries();
+        }
         self.chain.activity = match self.own_position() {
             None => Activity::Learning,
             Some(0) if self.is_complete() => Activity::Active,
@@ -58,6 +62,7 @@
             Some(_) => Activity::Joining,
         };
         if self.chain.activity == Activity::Active {
+            self.chain.incoming = None;
             self.synchronized = Some(view.number);
             self.persist(vec![DurableRecord::Synchronized(view.number)], Vec::new(), now);
         }
@@ -177,6 +182,7 @@
             machine.apply(entry);
             self.chain.applied += 1;
         }
-        self.chain.log.trim(self.chain.applied);
+        let needed = self.chain.outgoing.as_ref().map_or(u64::MAX, |outgoing| outgoing.position().index);
+        self.chain.log.trim(self.chain.applied, needed);
     }
 }
--- a/system/control/src/chain_state.rs
+++ b/system/control/src/chain_state.rs
@@ -1,5 +1,8 @@
 //! The state of the chain at one replica.
-use crate::log::Log;
+use crate::{
+    log::Log,
+    state_transfer::{Incoming, Outgoing},
+};
 use magpiegap_protocol::{Millis, Position, Replica as ReplicaId};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -26,8 +29,6 @@
     pub sent: u64,
     /// What it was last told to be on disk, and when.
     pub told: (u64, Millis),
-    /// What it had when the whole state was last sent to it, and when that was.
-    pub state_sent: Option<(Position, Millis)>,
 }
 
 /// Time until a source that has not answered is asked for the second time.
@@ -56,6 +57,10 @@
     pub committed_at: VecDeque<(Millis, u64)>,
     /// What others have asked for before this replica could give it, with the last entry that they have.
     pub requests: BTreeMap<ReplicaId, Position>,
+    /// A state that others may ask for.
+    pub outgoing: Option<Outgoing>,
+    /// A state that is being built up, to take the place of what this replica has.
+    pub incoming: Option<Incoming>,
     /// When the source was last asked for what is missing.
     pub asked_at: Millis,
     /// Until it is asked again: longer each time, since a whole state takes long to make and to send.
@@ -79,6 +84,8 @@
             source_heard_at: 0,
             committed_at: VecDeque::new(),
             requests: BTreeMap::new(),
+            outgoing: None,
+            incoming: None,
             asked_at: 0,
             ask_again_ms: ASK_FIRST_MS,
             committed_told: 0,
--- a/system/control/src/durable.rs
+++ b/system/control/src/durable.rs
@@ -1,6 +1,8 @@
 //! What a replica keeps on disk.
-use magpiegap_protocol::{decode, DecodeError, Entry, Position, View};
+use crate::frozen::{EncodedState, FrozenState};
+use magpiegap_protocol::{decode, encode, DecodeError, Entry, Position, View};
 use minicbor::{Decode, Encode};
+use std::sync::Arc;
 
 /// The part of the agreement that must outlast the process.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
@@ -34,65 +36,105 @@
 }
 
 /// All that a replica keeps, at one moment.
-#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[derive(Clone, Debug)]
 pub struct Snapshot {
     /// Names this life of the disk.
-    #[n(0)]
     pub disk: u64,
     /// The state of the agreement.
-    #[n(1)]
     pub agreement: AgreementState,
     /// The view up to which the replica has all that was committed; `None`: it has nothing yet.
-    #[n(2)]
     pub synchronized: Option<u64>,
     /// The last entry that the state holds.
-    #[n(3)]
     pub applied: Position,
-    /// The encoded state.
-    #[cbor(n(4), with = "minicbor::bytes")]
-    pub state: Vec<u8>,
+    /// The state.
+    pub state: Arc<dyn FrozenState>,
     /// Entries after it.
-    #[n(5)]
     pub entries: Vec<Entry>,
     /// Entries up to this one were known to be committed.
-    #[n(6)]
-    #[cbor(default)]
     pub committed: u64,
 }
 
 /// What is found on disk at the start: a snapshot and what came after it.
 pub type DurableState = Snapshot;
 
+/// The first part of a snapshot on disk: all but the state.
+#[derive(Clone, Debug, Encode, Decode)]
+struct Head {
+    #[n(0)]
+    disk: u64,
+    #[n(1)]
+    agreement: AgreementState,
+    #[n(2)]
+    synchronized: Option<u64>,
+    #[n(3)]
+    applied: Position,
+    /// The state in one piece, as earlier builds kept it; empty: the parts that follow hold it.
+    #[cbor(n(4), with = "minicbor::bytes")]
+    state: Vec<u8>,
+    #[n(5)]
+    entries: Vec<Entry>,
+    #[n(6)]
+    #[cbor(default)]
+    committed: u64,
+}
+
 impl Snapshot {
-    /// A disk that was never written.
+    /// A disk that was never written, with the state that all begin with.
     pub fn empty(
         disk: u64,
         synchronized: Option<u64>,
         voters: Vec<magpiegap_protocol::Member>,
-        state: Vec<u8>,
+        state: Arc<dyn FrozenState>,
     ) -> Self {
         let agreement = AgreementState { current: View::initial(voters), promised: None, accepted: None };
         Snapshot {
             disk,
             agreement,
             synchronized,
-            applied: Position::default(),
+            applied: state.position(),
             state,
             entries: Vec::new(),
             committed: 0,
         }
     }
 
-    /// What was kept, from the bytes of a snapshot and of the records that came after it.
+    /// What goes on disk, part by part.
+    pub fn parts(&self) -> impl Iterator<Item = Vec<u8>> + '_ {
+        let head = Head {
+            disk: self.disk,
+            agreement: self.agreement.clone(),
+            synchronized: self.synchronized,
+            applied: self.applied,
+            state: Vec::new(),
+            entries: self.entries.clone(),
+            committed: self.committed,
+        };
+        std::iter::once(encode(&head)).chain((0..self.state.parts()).map(|number| self.state.part(number)))
+    }
+
+    /// What was kept, from the parts of a snapshot and the records that came after it.
     ///
     /// # Errors
     /// When the bytes are not of a build that this one understands.
-    pub fn recover(snapshot: &[u8], records: &[Vec<u8>]) -> Result<Snapshot, DecodeError> {
-        let mut state: Snapshot = decode(snapshot)?;
+    pub fn recover(mut parts: Vec<Vec<u8>>, records: &[Vec<u8>]) -> Result<Snapshot, DecodeError> {
+        let head: Head = decode(parts.first().map_or(&[], Vec::as_slice))?;
+        let state = match parts.len() {
+            0 | 1 => vec![head.state],
+            _ => parts.drain(1..).collect(),
+        };
+        let mut snapshot = Snapshot {
+            disk: head.disk,
+            agreement: head.agreement,
+            synchronized: head.synchronized,
+            applied: head.applied,
+            state: Arc::new(EncodedState::new(head.applied, state)),
+            entries: head.entries,
+            committed: head.committed,
+        };
         for record in records {
-            state.add(decode(record)?);
+            snapshot.add(decode(record)?);
         }
-        Ok(state)
+        Ok(snapshot)
     }
 
     /// Takes up a record that came after the snapshot.
--- a/system/control/src/log.rs
+++ b/system/control/src/log.rs
@@ -2,8 +2,18 @@
 use magpiegap_protocol::{Entry, Position};
 use std::collections::VecDeque;
 
-/// How many applied entries are kept for successors that lag behind.
-const APPLIED_KEPT: usize = 4000;
+/// How many applied entries are kept for others that lag behind ...
+const APPLIED_KEPT: u64 = 4000;
+/// ... as long as all entries in memory take up no more than about this many bytes.
+const BYTES_KEPT: usize = 16 << 20;
+
+/// Entries that follow each other.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Run {
+    pub entries: Vec<Entry>,
+    /// There are more after these.
+    pub more: bool,
+}
 
 /// A window of the log.
 #[derive(Clone, Debug, Default)]
@@ -11,11 +21,14 @@
     /// The place before the first entry in memory.
     before: Position,
     entries: VecDeque<Entry>,
+    /// About how many bytes the entries take up.
+    bytes: usize,
 }
 
 impl Log {
     pub fn new(before: Position, entries: Vec<Entry>) -> Log {
-        Log { before, entries: entries.into() }
+        let bytes = entries.iter().map(Entry::rough_bytes).sum();
+        Log { before, entries: entries.into(), bytes }
     }
 
     /// The last entry's place.
@@ -24,6 +37,7 @@
     }
 
     pub fn push(&mut self, entry: Entry) {
+        self.bytes += entry.rough_bytes();
         self.entries.push_back(entry);
     }
 
@@ -35,8 +49,24 @@
 
     /// All entries after this one; `None` when they are not all in memory.
     pub fn after(&self, index: u64) -> Option<Vec<Entry>> {
+        self.run_after(index, usize::MAX).map(|run| run.entries)
+    }
+
+    /// The first entries after this one, of about so many bytes, one at least; `None` when they are not all in memory.
+    pub fn run_after(&self, index: u64, most_bytes: usize) -> Option<Run> {
         let skip = usize::try_from(index.checked_sub(self.before.index)?).ok()?;
-        (skip <= self.entries.len()).then(|| self.entries.iter().skip(skip).cloned().collect())
+        if skip > self.entries.len() {
+            return None;
+        }
+        let mut bytes: usize = 0;
+        let fits = |entry: &&Entry| {
+            let is_first = bytes == 0;
+            bytes = bytes.saturating_add(entry.rough_bytes());
+            is_first || bytes <= most_bytes
+        };
+        let entries: Vec<Entry> = self.entries.iter().skip(skip).take_while(fits).cloned().collect();
+        let more = skip + entries.len() < self.entries.len();
+        Some(Run { entries, more })
     }
 
     /// Whether this very entry is, or was, at this place.
@@ -44,11 +74,17 @@
         position == self.before || self.get(position.index).is_some_and(|entry| entry.position == position)
     }
 
-    /// Lets go of entries that were applied long ago.
-    pub fn trim(&mut self, applied: u64) {
-        let keep_from = applied.saturating_sub(APPLIED_KEPT as u64);
-        while self.entries.front().is_some_and(|entry| entry.position.index <= keep_from) {
+    /// Lets go of entries that were applied long ago, and of more of them where they take up much room, but of none after
+    /// `needed`.
+    pub fn trim(&mut self, applied: u64, needed: u64) {
+        let most = applied.min(needed);
+        while let Some(index) = self.entries.front().map(|entry| entry.position.index) {
+            let surplus = applied.saturating_sub(index) >= APPLIED_KEPT || self.bytes > BYTES_KEPT;
+            if index > most || !surplus {
+                return;
+            }
             if let Some(entry) = self.entries.pop_front() {
+                self.bytes -= entry.rough_bytes();
                 self.before = entry.position;
             }
         }
--- a/system/control/src/replica.rs
+++ b/system/control/src/replica.rs
@@ -7,8 +7,9 @@
     log::Log,
     membership::Membership,
     settings::ControlSettings,
+    StateMachine,
 };
-use magpiegap_protocol::{Entry, Millis, PeerMessage, Position, Replica as ReplicaId, View, WallMillis};
+use magpiegap_protocol::{Entry, Millis, PeerMessage, Replica as ReplicaId, View, WallMillis};
 use rand::{rngs::StdRng, SeedableRng};
 use std::collections::VecDeque;
 
@@ -19,21 +20,9 @@
 /// A view that was the newest one this long ago is taken for the newest one where seconds matter, and not less.
 pub const CONTACT_MS: Millis = 600;
 
-/// The replicated state.
-pub trait StateMachine {
-    /// Applies the next entry.
-    fn apply(&mut self, entry: &Entry);
-    /// The last entry applied.
-    fn position(&self) -> Position;
-    /// The whole state, encoded.
-    fn encode(&self) -> Vec<u8>;
-    /// Replaces the state; `false`, and no change, when the bytes are no state.
-    fn restore(&mut self, state: &[u8]) -> bool;
-}
-
 /// Something that a replica wants done. Disk work is done in order, and each ticket is answered with
 /// [`Replica::persisted`].
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug)]
 pub enum Output {
     /// Send a message to the coordinator at an address.
     Send {
@@ -69,6 +58,7 @@
     Started,
 }
 
+#[derive(Clone, Debug)]
 pub(crate) struct Ticket {
     pub number: u64,
     pub issued_at: Millis,
@@ -76,6 +66,7 @@
 }
 
 /// One replica.
+#[derive(Clone, Debug)]
 pub struct Replica {
     pub(crate) settings: ControlSettings,
     pub(crate) agreement: Agreement,
@@ -260,7 +251,7 @@
             agreement: self.agreement.state.clone(),
             synchronized: self.synchronized,
             applied: machine.position(),
-            state: machine.encode(),
+            state: machine.freeze(),
             entries: self.chain.log.after(self.chain.applied).unwrap_or_default(),
             committed: self.chain.committed.min(last),
         };
@@ -273,23 +264,8 @@
 /// About how many bytes a record takes up on disk.
 fn rough_size(record: &DurableRecord) -> usize {
     match record {
-        DurableRecord::Entries(entries) => entries.iter().map(rough_entry_size).sum(),
+        DurableRecord::Entries(entries) => entries.iter().map(Entry::rough_bytes).sum(),
         DurableRecord::Agreement(_) => 1000,
         DurableRecord::Synchronized(_) | DurableRecord::Committed(_) => 20,
     }
 }
-
-fn rough_entry_size(entry: &Entry) -> usize {
-    use magpiegap_protocol::Command;
-    const HEAD: usize = 80;
-    const RUN: usize = 80;
-    HEAD + match &entry.command {
-        Command::ReplaceConfiguration { body, .. } => body.len(),
-        Command::SubmitJob { submission, runs } => {
-            submission.spec.spec.len() + 100 * submission.spec.steps.len() + RUN * runs.len()
-        }
-        Command::StartRuns { runs } | Command::LoseRuns { runs } => RUN * runs.len(),
-        Command::NoteEnds { ends, .. } => RUN * ends.len(),
-        _ => 0,
-    }
-}
--- a/system/control/src/steps.rs
+++ b/system/control/src/steps.rs
@@ -1,5 +1,9 @@
 //! The ways into a replica: messages, the passing of time, and the disk's word.
-use crate::replica::{After, Replica, StateMachine};
+use crate::{
+    replica::{After, Replica},
+    state_transfer::Part,
+    StateMachine,
+};
 use magpiegap_protocol::{Heartbeat, Millis, PeerMessage, Replica as ReplicaId, WallMillis};
 
 /// Records after which a checkpoint is due, in bytes.
@@ -17,6 +21,7 @@
             self.send_heartbeats(now, own_wall);
             self.note_committed(now);
             self.membership.forget(now);
+            self.drop_outgoing(now);
         }
         self.check_view(now);
         self.ask_if_needed(now);
@@ -66,11 +71,19 @@
             PeerMessage::Synchronize { view, last } if view == current => {
                 self.give_missing(from, last, now, machine)
             }
-            PeerMessage::MissingEntries { view, after, entries } if view == current && from_source => {
-                self.take_missing(after, entries, now);
+            PeerMessage::MissingEntries { view, after, entries, more } if view == current && from_source => {
+                self.take_missing(after, entries, more, now, machine);
             }
-            PeerMessage::WholeState { view, applied, state, entries } if view == current && from_source => {
-                self.take_whole_state(applied, &state, entries, now, machine);
+            PeerMessage::StateOffer { view, position, parts } if view == current && from_source => {
+                self.take_offer(position, parts, now, machine);
+            }
+            PeerMessage::AskPart { view, position, number } if view == current => {
+                self.give_part(from, position, number, now, machine);
+            }
+            PeerMessage::StatePart { view, position, number, checksum, bytes }
+                if view == current && from_source =>
+            {
+                self.take_part(from, &Part { position, number, checksum, bytes }, now, machine);
             }
             PeerMessage::Propose { view, proposal, fence, command } if view == current && self.is_head() => {
                 self.write(wall, proposal, fence, command);
--- a/system/control/src/view_change.rs
+++ b/system/control/src/view_change.rs
@@ -2,8 +2,9 @@
 use crate::{
     durable::DurableRecord,
     peer::Peer,
-    replica::{After, Replica, StateMachine},
+    replica::{After, Replica},
     view_reason::ViewReason,
+    StateMachine,
 };
 use magpiegap_protocol::{Member, Millis, PeerMessage, Promise, Replica as ReplicaId, View};
 use rand::Rng;
--- a/system/coordinator/src/job_list.rs
+++ b/system/coordinator/src/job_list.rs
@@ -49,7 +49,7 @@
         };
         let rest = state.jobs.range((after, std::ops::Bound::Unbounded));
         let mut found = rest.map(|(_, job)| job).filter(|job| wanted(job));
-        let jobs: Vec<JobLine> = found.by_ref().take(limit).map(JobLine::of).collect();
+        let jobs: Vec<JobLine> = found.by_ref().take(limit).map(|job| JobLine::of(job)).collect();
         let more = found.next().is_some();
         let next = jobs.last().filter(|_| more).map(|last| last.job.clone());
         JobList { entry: state.position.index, jobs, next }
--- a/system/coordinator/src/outputs.rs
+++ b/system/coordinator/src/outputs.rs
@@ -7,7 +7,7 @@
 pub type RequestId = u64;
 
 /// Something that a coordinator wants done. Disk work is done in order, and each ticket is answered.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug)]
 pub enum Output {
     /// What its replica wants done: messages to other coordinators, disk work, lines for the log.
     Control(ControlOutput),
--- a/system/fleet/src/fleet.rs
+++ b/system/fleet/src/fleet.rs
@@ -8,7 +8,7 @@
     worker::Worker,
 };
 use magpiegap_control::Snapshot;
-use magpiegap_coordinator::RequestId;
+use magpiegap_coordinator::{freeze, RequestId};
 use magpiegap_protocol::{
     encode, JobId, JobPhase, JobSpec, Member, Position, Resources, Submission, WallMillis, WorkerEntry,
 };
@@ -110,7 +110,7 @@
         let voters: Vec<Member> =
             (0..fleet.settings.nodes).map(|node| Member { address: address(node), disk: 0 }).collect();
         for node in 0..fleet.settings.nodes {
-            let state = encode(&magpiegap_jobs::State::default());
+            let state = freeze(&magpiegap_jobs::State::default());
             let empty = Snapshot::empty(0, Some(0), voters.clone(), state);
             fleet.nodes.push(Node {
                 followed_up: 0,
--- a/system/fleet/src/machines.rs
+++ b/system/fleet/src/machines.rs
@@ -6,8 +6,8 @@
     fleet::{address, Fleet, FleetSettings, MAX_HOLD_MS},
 };
 use magpiegap_control::{ControlSettings, DurableState, Snapshot, Tolerance};
-use magpiegap_coordinator::{Coordinator, CoordinatorSettings, Machine};
-use magpiegap_protocol::{encode, Location, Member, Replica};
+use magpiegap_coordinator::{freeze, Coordinator, CoordinatorSettings, Machine};
+use magpiegap_protocol::{Location, Member, Replica};
 use magpiegap_scheduler::SchedulerSettings;
 use rand::Rng;
 
@@ -25,7 +25,7 @@
         let disk = self.random.gen::<u64>().max(1);
         let node = &mut self.nodes[number];
         let empty = || {
-            let state = encode(&magpiegap_jobs::State::default());
+            let state = freeze(&magpiegap_jobs::State::default());
             Snapshot::empty(disk, None, Vec::new(), state)
         };
         // What an empty disk is to hold is on it once the coordinator has had it written.
--- a/system/jobs/src/apply.rs
+++ b/system/jobs/src/apply.rs
@@ -1,7 +1,7 @@
 //! Applies the entries of the log.
 use crate::{
     change::{Applied, Change, Outcome},
-    Job, RoleState, State,
+    Job, RoleState, Shared, State,
 };
 use magpiegap_protocol::{
     fnv1a, Command, Entry, Fence, JobId, JobPhase, Replica, Role, RunStart, Submission, WallMillis,
@@ -85,7 +85,7 @@
             return Outcome::Repeated;
         }
         *self.open_jobs.entry(submission.queue.clone()).or_default() += 1;
-        self.jobs.insert(id, Job::new(submission.clone()));
+        self.jobs.insert(id, Shared::new(Job::new(submission.clone())));
         changes.push(Change::Job(id));
         self.start_runs(runs, changes);
         Outcome::Done
@@ -104,7 +104,7 @@
     }
 
     pub(crate) fn end_job(&mut self, id: JobId, phase: JobPhase, at: WallMillis) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(job) = self.jobs.get_mut(&id).map(Shared::make_mut) else { return };
         if job.phase.ended() {
             return;
         }
@@ -119,7 +119,7 @@
     }
 
     fn open_time(&mut self, id: JobId, time: u32, changes: &mut Vec<Change>) -> Outcome {
-        if !self.jobs.get_mut(&id).is_some_and(|job| job.open_time(time)) {
+        if !self.job_mut(&id).is_some_and(|job| job.open_time(time)) {
             return Outcome::Void;
         }
         changes.push(Change::Job(id));
--- a/system/jobs/src/apply_runs.rs
+++ b/system/jobs/src/apply_runs.rs
@@ -24,7 +24,7 @@
         if worker.is_some_and(|worker| worker.ended || worker.runs.contains_key(&id)) {
             return None;
         }
-        let job = self.jobs.get_mut(&id.job)?;
+        let job = self.job_mut(&id.job)?;
         if job.phase.ended() {
             return None;
         }
@@ -84,7 +84,7 @@
             return false;
         }
         worker.runs.remove(&task);
-        let state = self.jobs.get_mut(&task.job).and_then(|job| job.step_mut(&task));
+        let state = self.job_mut(&task.job).and_then(|job| job.step_mut(&task));
         if let Some(state) = state.and_then(|step| step.tasks.get_mut(task.index as usize)) {
             state.active.retain(|active| active.run != run || active.instance != instance);
         }
@@ -94,7 +94,7 @@
 
     /// Counts an end for its task or gang; the job has failed with the last attempt.
     fn record_end(&mut self, end: &RunEnd, at: WallMillis) {
-        let Some(job) = self.jobs.get_mut(&end.task.job) else { return };
+        let Some(job) = self.job_mut(&end.task.job) else { return };
         if job.phase.ended() {
             return;
         }
@@ -111,7 +111,7 @@
 
     /// Moves a job on after one of its runs was closed.
     fn settle(&mut self, id: JobId, at: WallMillis, changes: &mut Vec<Change>) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(job) = self.job_mut(&id) else { return };
         let done = job.times.values().filter(|time| time.is_done() && !time.steps.is_empty()).count() as u32;
         let cleared = job.times_done;
         job.clear_away();
@@ -144,7 +144,7 @@
         if lost.checkpoint.is_empty() {
             return;
         }
-        let job = self.jobs.get_mut(&lost.task.job);
+        let job = self.job_mut(&lost.task.job);
         let step = job.and_then(|job| job.step_mut(&lost.task));
         if let Some(task) = step.and_then(|step| step.tasks.get_mut(lost.task.index as usize)) {
             task.checkpoint = lost.checkpoint.clone();
--- a/system/jobs/src/lib.rs
+++ b/system/jobs/src/lib.rs
@@ -10,13 +10,17 @@
 mod change;
 mod configuration;
 mod consistency;
+mod frozen;
 mod job;
 mod readiness;
+mod shared;
 mod state;
 
 pub use change::{Applied, Change, Outcome};
 pub use configuration::{Configuration, ConfigurationError, Limits, Route, Service};
 pub use consistency::Inconsistency;
+pub use frozen::{FrozenState, StateBuilder};
 pub use job::{ActiveRun, Job, StepState, TaskState, TimeState};
 pub use readiness::{startable, Startable};
+pub use shared::Shared;
 pub use state::{ConfigurationState, RoleState, State, WorkerRecord};
--- /dev/null
+++ b/system/jobs/src/shared.rs
@@ -0,0 +1,43 @@
+//! A value that a state and frozen copies of it have in common until one of them changes it.
+use minicbor::{decode, encode, Decode, Decoder, Encode, Encoder};
+use std::{ops::Deref, sync::Arc};
+
+/// A shared value; to change it copies it first, if others share it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Shared<T>(Arc<T>);
+
+impl<T: Clone> Shared<T> {
+    /// A value that is not shared yet.
+    pub fn new(value: T) -> Shared<T> {
+        Shared(Arc::new(value))
+    }
+
+    /// The value, to be changed.
+    pub fn make_mut(&mut self) -> &mut T {
+        Arc::make_mut(&mut self.0)
+    }
+}
+
+impl<T> Deref for Shared<T> {
+    type Target = T;
+
+    fn deref(&self) -> &T {
+        &self.0
+    }
+}
+
+impl<C, T: Encode<C>> Encode<C> for Shared<T> {
+    fn encode<W: encode::Write>(
+        &self,
+        encoder: &mut Encoder<W>,
+        context: &mut C,
+    ) -> Result<(), encode::Error<W::Error>> {
+        self.0.as_ref().encode(encoder, context)
+    }
+}
+
+impl<'b, C, T: Decode<'b, C>> Decode<'b, C> for Shared<T> {
+    fn decode(decoder: &mut Decoder<'b>, context: &mut C) -> Result<Self, decode::Error> {
+        T::decode(decoder, context).map(|value| Shared(Arc::new(value)))
+    }
+}
--- a/system/jobs/src/state.rs
+++ b/system/jobs/src/state.rs
@@ -1,5 +1,5 @@
 //! The whole replicated state.
-use crate::Job;
+use crate::{Job, Shared};
 use magpiegap_protocol::{JobId, Position, Replica, Role, RunId, TaskId};
 use minicbor::{Decode, Encode};
 use std::collections::BTreeMap;
@@ -69,9 +69,9 @@
     /// Roles that were ever held.
     #[n(2)]
     pub roles: BTreeMap<Role, RoleState>,
-    /// The jobs.
+    /// The jobs; a frozen state shares those that have not changed since.
     #[n(3)]
-    pub jobs: BTreeMap<JobId, Job>,
+    pub jobs: BTreeMap<JobId, Shared<Job>>,
     /// The workers that ever ran something, until their lives are over.
     #[n(4)]
     pub workers: BTreeMap<String, WorkerRecord>,
@@ -85,4 +85,9 @@
     pub fn token(&self, role: &Role) -> u64 {
         self.roles.get(role).map_or(0, |state| state.token)
     }
+
+    /// A job that is to be changed.
+    pub(crate) fn job_mut(&mut self, id: &JobId) -> Option<&mut Job> {
+        self.jobs.get_mut(id).map(Shared::make_mut)
+    }
 }
--- a/system/magpiegap/src/coordinator/disk.rs
+++ b/system/magpiegap/src/coordinator/disk.rs
@@ -43,8 +43,7 @@
     while let Some(first) = next.take() {
         let ticket = match first {
             DiskWork::Checkpoint { ticket, snapshot } => {
-                let bytes = encode(&*snapshot);
-                retry(|| store.checkpoint(&bytes));
+                retry(|| store.checkpoint(snapshot.parts()));
                 ticket
             }
             DiskWork::Records { ticket, records } => {
--- a/system/magpiegap/src/coordinator/peers.rs
+++ b/system/magpiegap/src/coordinator/peers.rs
@@ -21,6 +21,8 @@
 
 /// Longest frame, in bytes.
 const MAX_FRAME: u32 = 64 << 20;
+/// A frame of about this many bytes takes no more messages, so that it can be written in time.
+const FULL_FRAME: usize = 1 << 20;
 /// Messages that wait for one peer; more are dropped, and asked for again by those that miss them.
 const MAX_WAITING: usize = 4000;
 /// How long a connection may take to come up.
@@ -176,8 +178,11 @@
             first = inbox.recv() => first,
         };
         let Some(first) = first else { return };
+        let mut bytes = first.rough_bytes();
         let mut messages = vec![first];
-        while let Ok(more) = inbox.try_recv() {
+        while bytes < FULL_FRAME {
+            let Ok(more) = inbox.try_recv() else { break };
+            bytes += more.rough_bytes();
             messages.push(more);
         }
         if connection.is_none() {
--- a/system/magpiegap/src/coordinator/store.rs
+++ b/system/magpiegap/src/coordinator/store.rs
@@ -2,8 +2,8 @@
 use super::events::Event;
 use crate::{error::ProgramError, settings::NodeSettings, signals::Signals};
 use magpiegap_control::{DurableState, Snapshot};
-use magpiegap_coordinator::Machine;
-use magpiegap_protocol::{encode, CoordinatorAnswer, Member};
+use magpiegap_coordinator::{freeze, Machine};
+use magpiegap_protocol::{CoordinatorAnswer, Member};
 use magpiegap_storage::{FolderDirectory, Store};
 use rand::Rng;
 use std::time::Duration;
@@ -69,7 +69,7 @@
         .map_err(|source| ProgramError::System { what: "the data folder", source })?;
     let (store, recovered) = Store::open(directory)?;
     let durable = match recovered.snapshot {
-        Some(snapshot) => Snapshot::recover(&snapshot, &recovered.records)?,
+        Some(parts) => Snapshot::recover(parts, &recovered.records)?,
         None => empty_state(settings),
     };
     let machine = Machine::recover(&durable)?;
@@ -81,7 +81,7 @@
     let mut voters: Vec<Member> = settings.seed_addresses().into_iter().map(voter).collect();
     voters.sort_unstable();
     voters.dedup();
-    let state = encode(&magpiegap_jobs::State::default());
+    let state = freeze(&magpiegap_jobs::State::default());
     if settings.bootstrap {
         return Snapshot::empty(0, Some(0), voters, state);
     }
--- a/system/magpiegap/src/state_on_disk.rs
+++ b/system/magpiegap/src/state_on_disk.rs
@@ -1,9 +1,8 @@
 //! A coordinator's state on disk, looked at while that coordinator does not run.
 use crate::error::ProgramError;
 use magpiegap_control::Snapshot;
-use magpiegap_coordinator::RoleDescription;
+use magpiegap_coordinator::{Machine, RoleDescription};
 use magpiegap_jobs::{Inconsistency, State};
-use magpiegap_protocol::decode;
 use magpiegap_storage::{FolderDirectory, Store};
 use serde::Serialize;
 use std::{collections::BTreeMap, fmt, path::Path};
@@ -52,8 +51,8 @@
             .map_err(|source| ProgramError::System { what: "the state's folder", source })?;
         let (_, recovered) = Store::open(directory)?;
         let records = recovered.records.len();
-        let snapshot = Snapshot::recover(&recovered.snapshot.unwrap_or_default(), &recovered.records)?;
-        let mut state: State = decode(&snapshot.state)?;
+        let snapshot = Snapshot::recover(recovered.snapshot.unwrap_or_default(), &recovered.records)?;
+        let mut state = Machine::recover(&snapshot)?.state;
         for entry in snapshot.entries.iter().filter(|entry| entry.position.index <= snapshot.committed) {
             state.apply(entry);
         }
--- a/system/protocol/src/command.rs
+++ b/system/protocol/src/command.rs
@@ -66,6 +66,24 @@
     pub wall_ms: WallMillis,
 }
 
+impl Entry {
+    /// About how many bytes it takes up, encoded or in memory.
+    pub fn rough_bytes(&self) -> usize {
+        const HEAD: usize = 80;
+        const STEP: usize = 100;
+        const RUN: usize = 80;
+        HEAD + match &self.command {
+            Command::ReplaceConfiguration { body, .. } => body.len(),
+            Command::SubmitJob { submission, runs } => {
+                submission.spec.spec.len() + STEP * submission.spec.steps.len() + RUN * runs.len()
+            }
+            Command::StartRuns { runs } | Command::LoseRuns { runs } => RUN * runs.len(),
+            Command::NoteEnds { ends, .. } => RUN * ends.len(),
+            _ => 0,
+        }
+    }
+}
+
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Encode, Decode)]
 pub enum EndKind {
--- a/system/protocol/src/peer.rs
+++ b/system/protocol/src/peer.rs
@@ -213,7 +213,7 @@
         #[n(1)]
         last: Position,
     },
-    /// The entries that were missing: with them the receiver has all that the sender has.
+    /// Entries that were missing.
     #[n(10)]
     MissingEntries {
         /// The view.
@@ -225,22 +225,10 @@
         /// The entries.
         #[n(2)]
         entries: Vec<Entry>,
-    },
-    /// The whole state, where entries don't do.
-    #[n(11)]
-    WholeState {
-        /// The view.
-        #[n(0)]
-        view: u64,
-        /// The last entry that the state holds.
-        #[n(1)]
-        applied: Position,
-        /// The encoded state.
-        #[cbor(n(2), with = "minicbor::bytes")]
-        state: Vec<u8>,
-        /// Entries after it.
+        /// The sender has more that follow these.
         #[n(3)]
-        entries: Vec<Entry>,
+        #[cbor(default)]
+        more: bool,
     },
     /// A proposal for the head.
     #[n(12)]
@@ -261,9 +249,67 @@
     /// The platform's list.
     #[n(13)]
     Platform(#[n(0)] PlatformList),
+    /// Offers a whole state, where entries don't do. It is asked for part by part.
+    #[n(14)]
+    StateOffer {
+        /// The view.
+        #[n(0)]
+        view: u64,
+        /// The last entry that the state holds.
+        #[n(1)]
+        position: Position,
+        /// How many parts it has.
+        #[n(2)]
+        parts: u32,
+    },
+    /// Asks for a part of a state that was offered.
+    #[n(15)]
+    AskPart {
+        /// The view.
+        #[n(0)]
+        view: u64,
+        /// Which state.
+        #[n(1)]
+        position: Position,
+        /// Which part, from zero.
+        #[n(2)]
+        number: u32,
+    },
+    /// A part of a state.
+    #[n(16)]
+    StatePart {
+        /// The view.
+        #[n(0)]
+        view: u64,
+        /// Which state.
+        #[n(1)]
+        position: Position,
+        /// Which part, from zero.
+        #[n(2)]
+        number: u32,
+        /// FNV-1a of its bytes.
+        #[n(3)]
+        checksum: u64,
+        /// The encoded part.
+        #[cbor(n(4), with = "minicbor::bytes")]
+        bytes: Vec<u8>,
+    },
 }
 
 impl PeerMessage {
+    /// About how many bytes it takes up.
+    pub fn rough_bytes(&self) -> usize {
+        const SMALL: usize = 200;
+        match self {
+            PeerMessage::Append { entries, .. } | PeerMessage::MissingEntries { entries, .. } => {
+                SMALL + entries.iter().map(Entry::rough_bytes).sum::<usize>()
+            }
+            PeerMessage::StatePart { bytes, .. } => SMALL + bytes.len(),
+            PeerMessage::Platform(list) => SMALL * (1 + list.workers.len()),
+            _ => SMALL,
+        }
+    }
+
     /// Whether the message is about who is there and the views, and must not wait behind entries and states.
     pub fn is_urgent(&self) -> bool {
         match self {
@@ -278,7 +324,9 @@
             | PeerMessage::Committed { .. }
             | PeerMessage::Synchronize { .. }
             | PeerMessage::MissingEntries { .. }
-            | PeerMessage::WholeState { .. }
+            | PeerMessage::StateOffer { .. }
+            | PeerMessage::AskPart { .. }
+            | PeerMessage::StatePart { .. }
             | PeerMessage::Propose { .. }
             | PeerMessage::Platform(_) => false,
         }
--- a/system/storage/src/format.rs
+++ b/system/storage/src/format.rs
@@ -1,16 +1,21 @@
 //! The bytes of slots and logs.
 //!
-//! A slot: magic, generation, length and checksum of the snapshot, the snapshot. A log: magic, generation, checksum
+//! A slot: magic, generation, length and checksum of the rest, then the parts of the snapshot, each with its length. (In the
+//! first version of the format the rest was a snapshot in one piece; it is still read, as one part.) A log: magic, generation, checksum
 //! of both, then records, each with its length and a checksum over generation and record. Numbers are little-endian.
 
 /// First bytes of a slot; the last one counts the versions of the format.
-const SLOT_MAGIC: &[u8; 8] = b"mgslot\0\x01";
+const SLOT_MAGIC: &[u8; 8] = b"mgslot\0\x02";
+/// First bytes of a slot whose snapshot is in one piece.
+const SLOT_MAGIC_1: &[u8; 8] = b"mgslot\0\x01";
 /// First bytes of a log; the last one counts the versions of the format.
 const LOG_MAGIC: &[u8; 8] = b"mglog\0\0\x01";
-const SLOT_HEADER: usize = 8 + 8 + 8 + 4;
+/// Length of a slot's header.
+pub(crate) const SLOT_HEADER: usize = 8 + 8 + 8 + 4;
 /// Length of a log's header.
 pub(crate) const LOG_HEADER: usize = 8 + 8 + 4;
 const RECORD_HEADER: usize = 4 + 4;
+const PART_HEADER: usize = 4;
 
 fn checksum(generation: u64, bytes: &[u8]) -> u32 {
     let mut hasher = crc32fast::Hasher::new();
@@ -23,27 +28,70 @@
     bytes.get(at..at.checked_add(N)?)?.try_into().ok()
 }
 
-/// A slot's bytes.
-pub(crate) fn slot(generation: u64, snapshot: &[u8]) -> Vec<u8> {
-    let mut bytes = Vec::with_capacity(SLOT_HEADER + snapshot.len());
-    bytes.extend_from_slice(SLOT_MAGIC);
-    bytes.extend_from_slice(&generation.to_le_bytes());
-    bytes.extend_from_slice(&(snapshot.len() as u64).to_le_bytes());
-    bytes.extend_from_slice(&checksum(generation, snapshot).to_le_bytes());
-    bytes.extend_from_slice(snapshot);
-    bytes
+/// The header of a slot whose parts are added one by one.
+pub(crate) struct SlotHeader {
+    generation: u64,
+    length: u64,
+    checksum: crc32fast::Hasher,
 }
 
-/// Reads a slot; `None` when it isn't whole.
-pub(crate) fn read_slot(bytes: &[u8]) -> Option<(u64, &[u8])> {
-    if bytes.get(..8)? != SLOT_MAGIC {
+impl SlotHeader {
+    /// The header of a slot without parts.
+    pub fn new(generation: u64) -> SlotHeader {
+        let mut checksum = crc32fast::Hasher::new();
+        checksum.update(&generation.to_le_bytes());
+        SlotHeader { generation, length: 0, checksum }
+    }
+
+    /// Adds a part. Returns its bytes in the slot, and where they go.
+    pub fn add(&mut self, part: &[u8]) -> (u64, Vec<u8>) {
+        let mut bytes = Vec::with_capacity(PART_HEADER + part.len());
+        bytes.extend_from_slice(&(part.len() as u32).to_le_bytes());
+        bytes.extend_from_slice(part);
+        self.checksum.update(&bytes);
+        let place = SLOT_HEADER as u64 + self.length;
+        self.length += bytes.len() as u64;
+        (place, bytes)
+    }
+
+    /// The header's bytes: with them the slot is whole.
+    pub fn finish(self) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(SLOT_HEADER);
+        bytes.extend_from_slice(SLOT_MAGIC);
+        bytes.extend_from_slice(&self.generation.to_le_bytes());
+        bytes.extend_from_slice(&self.length.to_le_bytes());
+        bytes.extend_from_slice(&self.checksum.finalize().to_le_bytes());
+        bytes
+    }
+}
+
+/// Reads a slot: its generation and the parts of its snapshot; `None` when it isn't whole.
+pub(crate) fn read_slot(bytes: &[u8]) -> Option<(u64, Vec<Vec<u8>>)> {
+    let magic = bytes.get(..8)?;
+    if magic != SLOT_MAGIC && magic != SLOT_MAGIC_1 {
         return None;
     }
     let generation = u64::from_le_bytes(number(bytes, 8)?);
     let length = usize::try_from(u64::from_le_bytes(number(bytes, 16)?)).ok()?;
     let expected = u32::from_le_bytes(number(bytes, 24)?);
-    let snapshot = bytes.get(SLOT_HEADER..SLOT_HEADER.checked_add(length)?)?;
-    (checksum(generation, snapshot) == expected).then_some((generation, snapshot))
+    let content = bytes.get(SLOT_HEADER..SLOT_HEADER.checked_add(length)?)?;
+    if checksum(generation, content) != expected {
+        return None;
+    }
+    let parts = if magic == SLOT_MAGIC { split_parts(content)? } else { vec![content.to_vec()] };
+    Some((generation, parts))
+}
+
+fn split_parts(content: &[u8]) -> Option<Vec<Vec<u8>>> {
+    let mut parts = Vec::new();
+    let mut at = 0;
+    while at < content.len() {
+        let length = u32::from_le_bytes(number(content, at)?) as usize;
+        let end = at.checked_add(PART_HEADER)?.checked_add(length)?;
+        parts.push(content.get(at + PART_HEADER..end)?.to_vec());
+        at = end;
+    }
+    Some(parts)
 }
 
 /// The bytes of a log without records.
--- a/system/storage/src/store.rs
+++ b/system/storage/src/store.rs
@@ -37,8 +37,8 @@
 /// What was found on disk.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Recovered {
-    /// The last whole snapshot; `None` on an empty disk and before the first checkpoint.
-    pub snapshot: Option<Vec<u8>>,
+    /// The parts of the last whole snapshot; `None` on an empty disk and before the first checkpoint.
+    pub snapshot: Option<Vec<Vec<u8>>>,
     /// The records that came after it.
     pub records: Vec<Vec<u8>>,
 }
@@ -89,8 +89,9 @@
         let slots =
             [read(&mut directory, FileName::Slot(false))?, read(&mut directory, FileName::Slot(true))?];
         let logs = [read(&mut directory, FileName::Log(false))?, read(&mut directory, FileName::Log(true))?];
-        let newest = slots.iter().filter_map(|bytes| format::read_slot(bytes)).max_by_key(|slot| slot.0);
-        let generation = newest.map_or(0, |slot| slot.0);
+        let whole = slots.iter().filter_map(|bytes| format::read_slot(bytes));
+        let newest = whole.max_by_key(|(generation, _)| *generation);
+        let generation = newest.as_ref().map_or(0, |(generation, _)| *generation);
         find_damage(generation, &slots, &logs)?;
         let log = &logs[usize::from(odd(generation))];
         let mut store = Store { directory, generation, end: 0, pending: Preparation::default() };
@@ -106,7 +107,7 @@
                 Vec::new()
             }
         };
-        let snapshot = newest.map(|(_, snapshot)| snapshot.to_vec());
+        let snapshot = newest.map(|(_, parts)| parts);
         Ok((store, Recovered { snapshot, records }))
     }
 
@@ -130,17 +131,23 @@
         Ok(())
     }
 
-    /// Replaces all that was kept by a snapshot.
+    /// Replaces all that was kept by a snapshot, of which one part at a time is in memory.
     ///
     /// # Errors
     /// When the disk refuses; then all that was kept before stands, and appending goes on.
-    pub fn checkpoint(&mut self, snapshot: &[u8]) -> Result<(), StoreError> {
+    pub fn checkpoint(&mut self, parts: impl IntoIterator<Item = Vec<u8>>) -> Result<(), StoreError> {
         let generation = self.generation + 1;
         self.start_log(generation)?;
         self.pending.void_next_slot = true;
         let slot = FileName::Slot(odd(generation));
-        let bytes = format::slot(generation, snapshot);
-        self.directory.overwrite(slot, &bytes).map_err(write_error(slot))?;
+        self.directory.overwrite(slot, &[]).map_err(write_error(slot))?;
+        let mut header = format::SlotHeader::new(generation);
+        for part in parts {
+            let (place, bytes) = header.add(&part);
+            self.directory.write_at(slot, place, &bytes).map_err(write_error(slot))?;
+        }
+        // The header comes last: without it no part counts.
+        self.directory.write_at(slot, 0, &header.finish()).map_err(write_error(slot))?;
         self.directory.sync(slot).map_err(write_error(slot))?;
         self.generation = generation;
         self.end = format::LOG_HEADER as u64;
