--- a/system/control/src/replica.rs
+++ b/system/control/src/replica.rs
@@ -183,7 +183,8 @@
     /// Whether this replica takes part in its view, and that was the newest one at some moment of the last
     /// [`CONTACT_MS`] milliseconds.
     pub fn has_contact(&self, now: Millis) -> bool {
-        self.is_active() && now <= self.confirmed_at(now) + CONTACT_MS
+        let confirmed_at = self.confirmed_at(now);
+        self.is_active() && confirmed_at > 0 && now <= confirmed_at + CONTACT_MS
     }
 
     /// Whether this replica takes part in its view, and that was the newest one at some moment after `since`.
--- a/system/control/tests/common/group.rs
+++ b/system/control/tests/common/group.rs
@@ -28,7 +28,7 @@
 const PARTS: u32 = 9;
 
 /// Counts what was applied, and remembers what that was until it is asked.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct CountingState {
     position: Position,
     applied: Vec<(u64, ProposalId)>,
@@ -50,6 +50,13 @@
     }
 }
 
+impl CountingState {
+    /// Takes what was applied since this was last asked.
+    pub fn take_applied(&mut self) -> Vec<(u64, ProposalId)> {
+        std::mem::take(&mut self.applied)
+    }
+}
+
 impl StateMachine for CountingState {
     fn apply(&mut self, entry: &Entry) {
         assert_eq!(entry.position.index, self.position.index + 1, "entries are applied in order");
@@ -229,7 +236,7 @@
     /// Takes note of what replicas have applied.
     fn compare(&mut self) {
         for running in self.running.values_mut() {
-            for (index, proposal) in std::mem::take(&mut running.machine.applied) {
+            for (index, proposal) in running.machine.take_applied() {
                 if *self.history.entry(index).or_insert(proposal) != proposal {
                     self.contradictions.push(index);
                 }
--- /dev/null
+++ b/system/control/tests/contact.rs
@@ -0,0 +1,108 @@
+//! What counts as proof that a view is still the newest one.
+mod common;
+
+use common::{no_state, settings, started, NoState};
+use googletest::prelude::*;
+use magpiegap_control::{Replica, Snapshot, CONTACT_MS};
+use magpiegap_protocol::{
+    Heartbeat, Location, Member, Millis, PeerMessage, PeerReport, Replica as ReplicaId, View,
+};
+
+fn replica(address: u32) -> ReplicaId {
+    ReplicaId { member: Member { address, disk: 0 }, boot: u64::from(address) }
+}
+
+/// The first of three in view 1, at work.
+fn head() -> Replica {
+    let chain: Vec<ReplicaId> = (1..=3).map(replica).collect();
+    let voters: Vec<Member> = chain.iter().map(|replica| replica.member).collect();
+    let disk = Snapshot::empty(0, Some(0), voters.clone(), no_state());
+    let mut head = started(settings(replica(1), vec![1, 2, 3]), disk);
+    let view = View::initial(voters.clone()).next(voters, chain);
+    head.receive(0, 0, replica(2), PeerMessage::Decided(view), &mut NoState);
+    assert!(head.is_active());
+    head
+}
+
+/// A heartbeat from a voter that has got the head's heartbeat of a time.
+fn echo(view: u64, echo: Millis, sealed: bool) -> PeerMessage {
+    let heard = PeerReport {
+        replica: replica(1),
+        age_ms: 1,
+        view: 1,
+        serving: true,
+        unfit: false,
+        complete: true,
+        committed: 0,
+        both_ways: true,
+        location: Location::default(),
+        echo,
+    };
+    PeerMessage::Heartbeat(Heartbeat {
+        view,
+        serving: true,
+        unfit: false,
+        heard: vec![heard],
+        wall_ms: 0,
+        committed: 0,
+        complete: true,
+        location: Location::default(),
+        sent_at: 1,
+        sealed,
+    })
+}
+
+#[googletest::test]
+fn given_an_echo_of_a_majority_when_it_comes_then_the_view_stood_when_its_heartbeat_was_sent() {
+    let mut head = head();
+    expect_that!(head.has_contact(100), eq(false));
+    head.receive(150, 0, replica(2), echo(1, 100, false), &mut NoState);
+    expect_that!(head.confirmed_at(160), eq(100));
+    expect_that!(head.has_contact_since(99, 160), eq(true));
+    expect_that!(head.has_contact_since(100, 160), eq(false));
+    expect_that!(head.has_contact(100 + CONTACT_MS), eq(true));
+    expect_that!(head.has_contact(101 + CONTACT_MS), eq(false));
+}
+
+#[googletest::test]
+fn given_a_machine_that_stood_still_when_heartbeats_of_before_come_then_they_prove_nothing_newer() {
+    let mut head = head();
+    // They were sent before, and waited in its sockets.
+    for waited in [100, 160, 220] {
+        head.receive(20_000, 0, replica(2), echo(1, waited, false), &mut NoState);
+        head.receive(20_000, 0, replica(3), echo(1, waited, false), &mut NoState);
+    }
+    expect_that!(head.has_contact(20_000), eq(false));
+    expect_that!(head.confirmed_at(20_000), eq(220));
+}
+
+#[googletest::test]
+fn given_a_voter_that_takes_part_in_the_next_view_when_it_is_heard_then_it_confirms_nothing() {
+    let mut head = head();
+    head.receive(150, 0, replica(2), echo(1, 100, true), &mut NoState);
+    expect_that!(head.has_contact(150), eq(false));
+}
+
+#[googletest::test]
+fn given_a_voter_that_knows_another_view_when_it_is_heard_then_it_confirms_nothing_of_this_one() {
+    let mut head = head();
+    head.receive(150, 0, replica(2), echo(2, 100, false), &mut NoState);
+    head.receive(150, 0, replica(3), echo(0, 100, false), &mut NoState);
+    expect_that!(head.has_contact(150), eq(false));
+}
+
+#[googletest::test]
+fn given_a_voter_whose_disk_was_lost_when_its_machine_is_heard_then_it_confirms_nothing() {
+    let mut head = head();
+    let wiped = ReplicaId { member: Member { address: 2, disk: 77 }, boot: 9 };
+    head.receive(150, 0, wiped, echo(1, 100, false), &mut NoState);
+    expect_that!(head.has_contact(150), eq(false));
+}
+
+#[googletest::test]
+fn given_heartbeats_that_overtake_each_other_when_the_older_comes_last_then_the_newer_counts() {
+    let mut head = head();
+    head.receive(150, 0, replica(2), echo(1, 140, false), &mut NoState);
+    head.receive(160, 0, replica(2), echo(1, 100, false), &mut NoState);
+    expect_that!(head.confirmed_at(160), eq(140));
+}
