Hand out feeds only when what was acknowledged is known, and play the five faults in memory

Change: a feed and a count need the first entry of the view, and an echo of the tail not older than 600 ms; polls wait 150 ms through a change of the view before they are turned away.

Ruled out: lost or replaced entries (the states agree).

--- a/system/control/src/contact.rs
+++ b/system/control/src/contact.rs
@@ -45,8 +45,15 @@
         times.get(view.majority() - 1).copied().unwrap_or(0)
     }
 
-    /// Drops what members that have no vote any more have confirmed.
+    /// Up to when, on our steady clock, a member of the view has surely heard from us; zero: that isn't known.
+    pub fn heard_by(&self, view: &View, member: Member) -> Millis {
+        let confirmed = self.confirmed.get(&member).filter(|confirmation| confirmation.view == view.number);
+        confirmed.map_or(0, |confirmation| confirmation.at)
+    }
+
+    /// Drops what those that are not of the view any more have confirmed.
     pub fn follow(&mut self, view: &View) {
-        self.confirmed.retain(|member, _| view.voters.contains(member));
+        let in_chain = |member: &Member| view.chain.iter().any(|replica| replica.member == *member);
+        self.confirmed.retain(|member, _| view.voters.contains(member) || in_chain(member));
     }
 }
--- a/system/control/src/replica.rs
+++ b/system/control/src/replica.rs
@@ -192,6 +192,17 @@
         self.is_active() && self.confirmed_at(now) > since
     }
 
+    /// Whether this replica takes part in the newest view of at most [`CONTACT_MS`] milliseconds ago, and knows all that
+    /// was committed then: it is the tail, or the tail has told it since.
+    pub fn is_informed(&self, now: Millis) -> bool {
+        let told_at = match self.view().tail() {
+            Some(tail) if tail != self.settings.own => self.contact.heard_by(self.view(), tail.member),
+            _ => now,
+        };
+        let informed_at = self.confirmed_at(now).min(told_at);
+        self.is_active() && informed_at > 0 && now <= informed_at + CONTACT_MS
+    }
+
     /// Until when this replica's view was surely the newest one; zero: that isn't known.
     pub fn confirmed_at(&self, now: Millis) -> Millis {
         self.contact.confirmed_at(self.view(), self.settings.own.member, now)
--- a/system/control/tests/model.rs
+++ b/system/control/tests/model.rs
@@ -623,7 +623,7 @@
         depth.state_count()
     );
     for discoveries in [breadth.discoveries(), depth.discoveries()] {
-        for (property, path) in discoveries {
+        if let Some((property, path)) = discoveries.into_iter().next() {
             let wrong = path.last_state().wrong.clone();
             panic!("{name}: {property}: {wrong:?}; steps: {:#?}", path.into_actions());
         }
--- a/system/coordinator/src/coordinator.rs
+++ b/system/coordinator/src/coordinator.rs
@@ -30,6 +30,8 @@
     pub(crate) reads: Vec<WaitingRead>,
     /// Since when a majority of the voters has not been heard.
     pub(crate) contact_lost_at: Option<Millis>,
+    /// Since when this coordinator does not know what is acknowledged.
+    pub(crate) uninformed_since: Option<Millis>,
     pub(crate) next_pending: u64,
     pub(crate) feed: Feed,
     pub(crate) waiters: Vec<Waiter>,
@@ -72,6 +74,7 @@
             pending: BTreeMap::new(),
             reads: Vec::new(),
             contact_lost_at: None,
+            uninformed_since: None,
             next_pending: 0,
             feed: Feed::default(),
             waiters: Vec::new(),
--- a/system/coordinator/src/feeds.rs
+++ b/system/coordinator/src/feeds.rs
@@ -1,9 +1,18 @@
 //! What agents and proxies are fed: long polls, answered as soon as anything has changed.
 use crate::{coordinator::Coordinator, outputs::RequestId, under_way::Waiter};
-use magpiegap_protocol::{CoordinatorAnswer, Feed, FeedPoll, RoleHolder};
+use magpiegap_protocol::{CoordinatorAnswer, Feed, FeedPoll, Millis, RoleHolder};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+/// Polls are not turned away before a coordinator has been without news of the others for this long, in milliseconds.
+const VIEW_CHANGE_MS: Millis = 150;
+
 impl Coordinator {
+    /// Whether this coordinator knows what had been acknowledged up to a moment ago: after a change of the view, and after
+    /// a loss of power of all, that takes the first entry of the view.
+    pub(crate) fn is_informed(&self) -> bool {
+        self.settled_in_view && self.replica.is_informed(self.now)
+    }
+
     /// Brings the feed up to date.
     pub(crate) fn refresh_feed(&mut self) {
         let state = &self.machine.state;
@@ -40,14 +49,23 @@
         if self.waiters.is_empty() {
             return;
         }
-        let stands = self.replica.has_contact(self.now) && !self.leaving;
         let (now, revision) = (self.now, self.feed.revision);
-        let due = |waiter: &Waiter| !stands || waiter.poll.revision != revision || now >= waiter.until;
+        let is_informed = self.is_informed() && !self.leaving;
+        let lost_at = match is_informed {
+            true => None,
+            false => Some(self.uninformed_since.unwrap_or(now)),
+        };
+        self.uninformed_since = lost_at;
+        // A change of the view is over in a moment, and then there is news.
+        let is_lost = self.leaving || lost_at.is_some_and(|since| now >= since + VIEW_CHANGE_MS);
+        let is_news = |waiter: &Waiter| waiter.poll.revision != revision || now >= waiter.until;
+        let due = |waiter: &Waiter| is_lost || (is_informed && is_news(waiter));
         let (answered, waiting): (Vec<Waiter>, Vec<Waiter>) =
             std::mem::take(&mut self.waiters).into_iter().partition(due);
         self.waiters = waiting;
         for waiter in answered {
-            let answer = if stands { self.feed_for(&waiter.poll) } else { CoordinatorAnswer::NotServing };
+            let answer =
+                if is_informed { self.feed_for(&waiter.poll) } else { CoordinatorAnswer::NotServing };
             self.answer(waiter.request, answer);
         }
     }
--- a/system/coordinator/src/requests.rs
+++ b/system/coordinator/src/requests.rs
@@ -81,7 +81,7 @@
 
     fn count(&mut self, request: RequestId, queue: &str) {
         let count = self.machine.state.open_jobs.get(queue).copied().unwrap_or(0);
-        let answer = match self.replica.has_contact(self.now) {
+        let answer = match self.is_informed() {
             true => CoordinatorAnswer::Count(count),
             false => CoordinatorAnswer::NotServing,
         };
--- a/system/fleet/src/asking.rs
+++ b/system/fleet/src/asking.rs
@@ -1,12 +1,16 @@
 //! Lets clients and the operator ask, and takes their answers.
-use crate::{client::configuration, events::Asker, fleet::Fleet};
+use crate::{client::Order, events::Asker, fleet::Fleet};
 use magpiegap_coordinator::RequestId;
-use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, Role};
+use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, FeedPoll, Role};
 use rand::Rng;
 
+/// How often every coordinator is asked for what it would tell anybody, in milliseconds.
+const OBSERVE_EVERY_MS: u64 = 200;
+
 impl Fleet {
     pub(crate) fn ask(&mut self) {
-        self.ask_as_operator();
+        self.ask_as_operators();
+        self.ask_as_observer();
         for number in 0..self.clients.len() {
             let client = &self.clients[number];
             if self.now < client.next_at || client.is_over() {
@@ -25,17 +29,46 @@
         }
     }
 
-    pub(crate) fn ask_as_operator(&mut self) {
-        if self.now < self.operator.next_at {
+    /// Each operator sends its order to some coordinator, until it has a clear answer.
+    pub(crate) fn ask_as_operators(&mut self) {
+        for number in 0..self.operators.len() {
+            if self.now < self.operators[number].next_at {
+                continue;
+            }
+            self.operators[number].next_at = self.now + self.settings.order_every_ms;
+            let base = self.newest_configuration();
+            let padding = self.settings.configuration_bytes;
+            let order =
+                self.operators[number].order.take().unwrap_or_else(|| Order::new(number, base, padding));
+            self.operators[number].order = Some(order.clone());
+            let Order { base, version, body } = order.clone();
+            let request = CoordinatorRequest::ReplaceConfiguration { base, version, body };
+            let node = self.random.gen_range(0..self.nodes.len());
+            let is_lost = self.random.gen_range(0..100) < self.settings.lost_answers_percent;
+            self.ask_node(node, Asker::Operator { number, order, is_lost }, request);
+        }
+    }
+
+    /// The newest version that any coordinator has: an operator that was refused looks what to build on.
+    fn newest_configuration(&self) -> u64 {
+        self.configurations().into_iter().max().unwrap_or(0)
+    }
+
+    /// Asks every coordinator for the feed and for the state of some job.
+    pub(crate) fn ask_as_observer(&mut self) {
+        if !self.now.is_multiple_of(OBSERVE_EVERY_MS) {
             return;
         }
-        self.operator.next_at = self.now + 400;
-        let version = self.operator.acknowledged + 1;
-        self.operator.sent = self.operator.sent.max(version);
-        let body = configuration(version);
-        let request = CoordinatorRequest::ReplaceConfiguration { base: version - 1, version, body };
-        let node = self.random.gen_range(0..self.nodes.len());
-        self.ask_node(node, Asker::Operator(version), request);
+        for node in 0..self.nodes.len() {
+            let poll = CoordinatorRequest::Poll(FeedPoll::default());
+            self.ask_node(node, Asker::Observer { request: poll.clone(), at: self.now }, poll);
+            if self.clients.is_empty() {
+                continue;
+            }
+            let submission = &self.clients[self.random.gen_range(0..self.clients.len())].submission;
+            let status = CoordinatorRequest::Status { queue: submission.queue.clone(), job: submission.job };
+            self.ask_node(node, Asker::Observer { request: status.clone(), at: self.now }, status);
+        }
     }
 
     pub(crate) fn ask_node(&mut self, node: usize, asker: Asker, request: CoordinatorRequest) {
@@ -88,23 +121,27 @@
                     _ => {}
                 }
             }
-            Some(Asker::Operator(version)) => self.operator_answered(version, answer),
+            Some(Asker::Operator { number, order, is_lost }) => {
+                self.operator_answered(number, order, answer, is_lost);
+            }
+            Some(Asker::Observer { request, at }) => {
+                self.oracle.observed(self.now, at, self.nodes[node].member, &request, answer);
+            }
             None => {}
         }
     }
 
-    pub(crate) fn operator_answered(&mut self, version: u64, answer: &CoordinatorAnswer) {
+    /// What an operator is told, whether or not the answer reaches it.
+    fn operator_answered(&mut self, number: usize, order: Order, answer: &CoordinatorAnswer, is_lost: bool) {
         match answer {
-            CoordinatorAnswer::ConfigurationTaken => {
-                self.operator.acknowledged = self.operator.acknowledged.max(version);
-            }
+            CoordinatorAnswer::ConfigurationTaken => self.oracle.order_taken(self.now, &order),
             CoordinatorAnswer::ConfigurationConflict | CoordinatorAnswer::ConfigurationStale => {
-                self.oracle.report(
-                    self.now,
-                    format!("configuration {version} was refused, and nobody else sends any"),
-                );
+                self.oracle.order_refused(self.now, &order, self.operators.len() == 1);
             }
-            _ => {}
+            _ => return,
+        }
+        if !is_lost && self.operators[number].order.as_ref() == Some(&order) {
+            self.operators[number].order = None;
         }
     }
 }
--- a/system/fleet/src/client.rs
+++ b/system/fleet/src/client.rs
@@ -62,21 +62,38 @@
     }
 }
 
-/// The operator's configurations.
+/// An operator's order to replace the configuration; it is sent again unchanged until it has a clear answer.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Order {
+    pub base: u64,
+    pub version: u64,
+    pub body: Vec<u8>,
+}
+
+impl Order {
+    /// The change of an operator that builds on a version. All operators choose the same number.
+    pub fn new(operator: usize, base: u64, padding: usize) -> Order {
+        let version = base + 1;
+        Order { base, version, body: configuration(operator, version, padding) }
+    }
+}
+
+/// An operator.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Operator {
-    pub acknowledged: u64,
-    pub sent: u64,
+    /// The order that has no clear answer yet.
+    pub order: Option<Order>,
     pub next_at: u64,
 }
 
-/// A configuration with one service and one queue.
-pub(crate) fn configuration(version: u64) -> Vec<u8> {
+/// A configuration with one service and one queue, of about so many bytes; each operator's is another one.
+fn configuration(operator: usize, version: u64, padding: usize) -> Vec<u8> {
     format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"q\",\"hostname\":\"h\",\"pathPrefix\":\"/q/\",\
          \"timeoutMs\":{},\"service\":\"s\",\"maxAttempts\":3,\"stretch\":2.0}}],\
-         \"services\":[{{\"name\":\"s\",\"guards\":true}}]}}",
-        1000 + version
+         \"services\":[{{\"name\":\"s\",\"guards\":true}}],\"comment\":\"{}\"}}",
+        1000 + version + 100_000 * operator as u64,
+        "x".repeat(padding)
     )
     .into_bytes()
 }
--- a/system/fleet/src/delivery.rs
+++ b/system/fleet/src/delivery.rs
@@ -11,6 +11,8 @@
 
 /// Time between two ticks of a coordinator.
 const TICK_MS: u64 = 20;
+/// A longer message can't be written in time, in bytes.
+const MOST_MESSAGE: usize = 4 << 20;
 /// Time that a disk takes for a sync.
 const SYNC_MS: u64 = 10;
 
@@ -159,7 +161,8 @@
 
     pub(crate) fn send(&mut self, number: usize, to: u32, message: PeerMessage) {
         let Some(target) = self.nodes.iter().position(|node| node.address == to) else { return };
-        if self.cuts.contains(&(number, target)) || self.random.gen_bool(0.002) {
+        let is_lost = self.cuts.contains(&(number, target)) || self.random.gen_bool(0.002);
+        if is_lost || message.rough_bytes() > MOST_MESSAGE {
             return;
         }
         let Some(coordinator) = self.nodes[number].coordinator.as_ref() else { return };
--- a/system/fleet/src/events.rs
+++ b/system/fleet/src/events.rs
@@ -1,4 +1,5 @@
 //! What happens in a fleet, and who waits for what.
+use crate::client::Order;
 use magpiegap_protocol::{CoordinatorRequest, PeerMessage, Replica};
 use magpiegap_scheduler::{WorkerCall, WorkerReply};
 
@@ -41,11 +42,19 @@
 
 /// What a fault had broken and is whole again.
 pub(crate) enum Restore {
-    Node { from: usize, to: usize },
+    Node {
+        from: usize,
+        to: usize,
+    },
     Worker(usize),
     WorkerCut(usize),
     Disk(usize),
     Orders,
+    /// A machine that was told to leave is ended, if it has not ended yet.
+    Leaving {
+        node: usize,
+        life: u64,
+    },
 }
 
 /// The scheduler that has made a call.
@@ -60,5 +69,15 @@
 /// Who waits for an answer.
 pub(crate) enum Asker {
     Client(usize, CoordinatorRequest),
-    Operator(u64),
+    /// An operator; some answers are lost on their way to it.
+    Operator {
+        number: usize,
+        order: Order,
+        is_lost: bool,
+    },
+    /// Somebody who only looks, and when it asked.
+    Observer {
+        request: CoordinatorRequest,
+        at: u64,
+    },
 }
--- a/system/fleet/src/faults.rs
+++ b/system/fleet/src/faults.rs
@@ -78,6 +78,27 @@
         /// For how long.
         for_ms: u64,
     },
+    /// A core machine neither hears nor is heard by the other core machines; all others reach it.
+    CutOff {
+        /// Which core machine.
+        node: usize,
+        /// For how long.
+        for_ms: u64,
+    },
+    /// A process is told to end, has time to hand over, and starts again.
+    Leave {
+        /// Which core machine.
+        node: usize,
+        /// Until it starts again, after its end.
+        for_ms: u64,
+    },
+    /// A machine is gone for good; an empty one comes at another address.
+    Replace {
+        /// Which core machine.
+        node: usize,
+        /// Until the other one starts.
+        for_ms: u64,
+    },
     /// The time of day jumps on a core machine.
     ClockStep {
         /// Which core machine.
@@ -93,7 +114,7 @@
         let node = random.gen_range(0..nodes);
         let worker = random.gen_range(0..workers);
         let for_ms = random.gen_range(100..5000);
-        match random.gen_range(0..16) {
+        match random.gen_range(0..18) {
             0 | 1 => Fault::Kill { node, for_ms: for_ms / 4 },
             2 => Fault::PowerLoss { node, for_ms },
             3 => Fault::Wipe { node, for_ms },
@@ -104,6 +125,8 @@
             11 => Fault::SlowDisk { node, sync_ms: random.gen_range(50..3000), for_ms },
             12 => Fault::ClockStep { node, by_ms: random.gen_range(-3000..3000) },
             10 => Fault::WorkerCrash { worker, for_ms },
+            13 => Fault::CutOff { node, for_ms },
+            14 => Fault::Leave { node, for_ms: for_ms / 4 },
             _ => Fault::LateOrders { percent: random.gen_range(3..60), for_ms: 2 * for_ms },
         }
     }
--- a/system/fleet/src/fleet.rs
+++ b/system/fleet/src/fleet.rs
@@ -44,6 +44,14 @@
     pub guards: bool,
     /// How long a core machine's process takes in what happens before it follows any of it up, as a busy one does.
     pub follow_up_ms: u64,
+    /// Operators that change the configuration, all under the same numbers.
+    pub operators: usize,
+    /// Time between two orders of an operator, in milliseconds.
+    pub order_every_ms: u64,
+    /// Hundredths of the answers to operators that are lost; the order is sent again, to any coordinator.
+    pub lost_answers_percent: u32,
+    /// About how many bytes a configuration has beyond what it needs.
+    pub configuration_bytes: usize,
     /// Seeds all chance.
     pub seed: u64,
 }
@@ -57,6 +65,10 @@
             failing_percent: 0,
             guards: true,
             follow_up_ms: 0,
+            operators: 1,
+            order_every_ms: 400,
+            lost_answers_percent: 0,
+            configuration_bytes: 0,
             seed: 1,
         }
     }
@@ -76,8 +88,10 @@
     pub(crate) slow_disks: BTreeMap<usize, u64>,
     pub(crate) late_percent: u32,
     pub(crate) lives_of_workers: u64,
+    /// The last address that a core machine was given.
+    pub(crate) last_address: u32,
     pub(crate) clients: Vec<ClientJob>,
-    pub(crate) operator: Operator,
+    pub(crate) operators: Vec<Operator>,
     pub(crate) requests: BTreeMap<(usize, u64, RequestId), Asker>,
     pub(crate) next_request: RequestId,
     pub(crate) specs: BTreeMap<JobId, JobSpec>,
@@ -99,8 +113,9 @@
             slow_disks: BTreeMap::new(),
             late_percent: 0,
             lives_of_workers: 0,
+            last_address: address(settings.nodes),
             clients: Vec::new(),
-            operator: Operator::default(),
+            operators: vec![Operator::default(); settings.operators],
             requests: BTreeMap::new(),
             next_request: 0,
             specs: BTreeMap::new(),
@@ -121,6 +136,7 @@
                 started: 0,
                 frozen_until: 0,
                 restart_at: Some(node as u64 * 40),
+                leaves_for_ms: None,
                 wall_offset: 0,
                 member: Member { address: address(node), disk: 0 },
             });
@@ -190,7 +206,7 @@
 
     /// The newest configuration that the operator was told to be taken.
     pub fn acknowledged_configuration(&self) -> u64 {
-        self.operator.acknowledged
+        self.oracle.told.newest()
     }
 
     /// The configuration versions of all coordinators that run.
@@ -224,6 +240,7 @@
             self.start_nodes();
             self.deliver();
             self.tick_nodes();
+            self.end_those_that_left();
             self.pass_time_of_workers();
             self.ask();
             if self.now.is_multiple_of(COMPARE_EVERY_MS) {
@@ -235,10 +252,13 @@
     /// Coordinators that have applied the same entries have the same state, and none contradicts itself.
     fn compare_states(&mut self) {
         let mut found = Vec::new();
+        let mut in_force = Vec::new();
         let mut states: BTreeMap<Position, (Member, Vec<u8>)> = BTreeMap::new();
         for node in &self.nodes {
             let Some(coordinator) = node.coordinator.as_ref() else { continue };
             let state = coordinator.state();
+            let configuration = &state.configuration;
+            in_force.push((configuration.version, configuration.body.clone()));
             let contradictions = state.inconsistencies();
             found.extend(contradictions.iter().map(|what| format!("{}: {what}", node.member)));
             let encoded = encode(state);
@@ -251,6 +271,9 @@
         for what in found {
             self.oracle.report(self.now, what);
         }
+        for (version, body) in in_force {
+            self.oracle.in_force(self.now, version, &body);
+        }
     }
 
     /// True time of day.
--- a/system/fleet/src/machines.rs
+++ b/system/fleet/src/machines.rs
@@ -3,7 +3,7 @@
     disk::Disk,
     events::{Event, Restore},
     faults::Fault,
-    fleet::{address, Fleet, FleetSettings, MAX_HOLD_MS},
+    fleet::{Fleet, FleetSettings, MAX_HOLD_MS},
 };
 use magpiegap_control::{ControlSettings, DurableState, Snapshot, Tolerance};
 use magpiegap_coordinator::{freeze, Coordinator, CoordinatorSettings, Machine};
@@ -11,6 +11,9 @@
 use magpiegap_scheduler::SchedulerSettings;
 use rand::Rng;
 
+/// A process that was told to end has this long to hand over, in milliseconds.
+const MOST_HAND_OVER_MS: u64 = 3500;
+
 impl Fleet {
     pub(crate) fn start_nodes(&mut self) {
         for number in 0..self.nodes.len() {
@@ -20,6 +23,11 @@
         }
     }
 
+    /// The operator's list of core machines, as it is now.
+    fn seeds(&self) -> Vec<u32> {
+        self.nodes.iter().map(|node| node.address).collect()
+    }
+
     pub(crate) fn start_node(&mut self, number: usize) {
         let boot = self.random.gen();
         let disk = self.random.gen::<u64>().max(1);
@@ -35,7 +43,7 @@
         node.started = self.now;
         node.restart_at = None;
         let own = Replica { member: node.member, boot };
-        let settings = coordinator_settings(&self.settings, own);
+        let settings = coordinator_settings(&self.settings, self.seeds(), own);
         let steady = self.nodes[number].steady(self.now);
         let machine = Machine::recover(&state).unwrap_or_default();
         let coordinator = Coordinator::new(settings, state, machine, steady);
@@ -44,6 +52,7 @@
     }
 
     pub(crate) fn stop_node(&mut self, number: usize, for_ms: u64) {
+        self.nodes[number].leaves_for_ms = None;
         self.nodes[number].coordinator = None;
         self.nodes[number].life += 1;
         self.nodes[number].restart_at = Some(self.now + for_ms);
@@ -76,6 +85,26 @@
                 self.cuts.insert((from, to));
                 self.schedule(for_ms, Event::Restore(Restore::Node { from, to }));
             }
+            Fault::CutOff { node, for_ms } => {
+                for other in (0..self.nodes.len()).filter(|other| *other != node) {
+                    for (from, to) in [(node, other), (other, node)] {
+                        self.cuts.insert((from, to));
+                        self.schedule(for_ms, Event::Restore(Restore::Node { from, to }));
+                    }
+                }
+            }
+            Fault::Leave { node, for_ms } => {
+                self.nodes[node].leaves_for_ms = Some(for_ms);
+                let life = self.nodes[node].life;
+                self.with_node(node, None, |coordinator, now, _| coordinator.leave(now));
+                self.schedule(MOST_HAND_OVER_MS, Event::Restore(Restore::Leaving { node, life }));
+            }
+            Fault::Replace { node, for_ms } => {
+                self.last_address += 1;
+                self.nodes[node].disk = Disk::default();
+                self.nodes[node].address = self.last_address;
+                self.stop_node(node, for_ms);
+            }
             Fault::WorkerCut { worker, answers_only, for_ms } => {
                 self.workers_cut.insert(worker, answers_only);
                 self.schedule(for_ms, Event::Restore(Restore::WorkerCut(worker)));
@@ -111,15 +140,35 @@
                 self.slow_disks.remove(&node);
             }
             Restore::Orders => self.late_percent = 0,
+            Restore::Leaving { node, life } if self.nodes[node].life == life => self.end_leaving(node),
+            Restore::Leaving { .. } => {}
+        }
+    }
+
+    /// Ends a process that was told to leave.
+    fn end_leaving(&mut self, node: usize) {
+        if let Some(for_ms) = self.nodes[node].leaves_for_ms.take() {
+            self.nodes[node].disk.process_dies();
+            self.stop_node(node, for_ms);
+        }
+    }
+
+    /// Ends the processes that were told to leave, and whose others go on without them.
+    pub(crate) fn end_those_that_left(&mut self) {
+        for node in 0..self.nodes.len() {
+            let has_left = self.nodes[node].coordinator.as_ref().is_some_and(Coordinator::has_left);
+            if has_left {
+                self.end_leaving(node);
+            }
         }
     }
 }
 
-fn coordinator_settings(settings: &FleetSettings, own: Replica) -> CoordinatorSettings {
+fn coordinator_settings(settings: &FleetSettings, seeds: Vec<u32>, own: Replica) -> CoordinatorSettings {
     CoordinatorSettings {
         control: ControlSettings {
             own,
-            seeds: (0..settings.nodes).map(address).collect(),
+            seeds,
             location: Location::default(),
             tolerance: Tolerance::of_machines(settings.tolerance),
             heartbeat_ms: 80,
--- a/system/fleet/src/node.rs
+++ b/system/fleet/src/node.rs
@@ -22,6 +22,8 @@
     pub followed_up: u64,
     /// It is started again at this time.
     pub restart_at: Option<u64>,
+    /// It was told to end, and is to start again after this time.
+    pub leaves_for_ms: Option<u64>,
     /// Its time of day is off by this.
     pub wall_offset: i64,
     pub member: Member,
--- a/system/fleet/src/oracle.rs
+++ b/system/fleet/src/oracle.rs
@@ -1,5 +1,8 @@
 //! What must never happen, whatever the faults.
-use crate::worker::{checkpoint_owner, NotedEnd};
+use crate::{
+    watching::Told,
+    worker::{checkpoint_owner, NotedEnd},
+};
 use magpiegap_protocol::{
     EndKind, JobId, JobPhase, JobSpec, RunId, StepSpec, TaskId, WallMillis, WorkerEntry,
 };
@@ -57,6 +60,7 @@
     pub asked_to_cancel: BTreeSet<JobId>,
     /// How many members of gangs have waited for the others in vain.
     pub waited_alone: u64,
+    pub told: Told,
     pub violations: Vec<Violation>,
 }
 
--- a/system/fleet/tests/faults.rs
+++ b/system/fleet/tests/faults.rs
@@ -27,6 +27,7 @@
         workers: size.workers,
         follow_up_ms,
         seed,
+        ..FleetSettings::default()
     };
     let workers = settings.workers;
     let mut fleet = Fleet::new(settings);
--- a/system/magpiegap/src/lib.rs
+++ b/system/magpiegap/src/lib.rs
@@ -5,7 +5,7 @@
 mod clock;
 mod command_line;
 mod coordinator;
-mod endpoint;
+pub mod endpoint;
 mod error;
 mod logging;
 mod operator;
--- a/system/magpiegap/tests/worker_connections.rs
+++ b/system/magpiegap/tests/worker_connections.rs
@@ -120,3 +120,71 @@
     worker.await.expect("each call had a connection of its own");
     assert_that!(connections.open(), eq(0));
 }
+
+/// An answer that can be told from others.
+fn numbered(number: u8) -> Vec<u8> {
+    format!("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n{number}").into_bytes()
+}
+
+#[tokio::test]
+async fn given_an_answer_that_comes_after_the_call_has_ended_when_the_next_call_is_made_then_it_gets_its_own()
+{
+    let (listener, address) = listen().await;
+    let (ended, call_ended) = tokio::sync::oneshot::channel::<()>();
+    tokio::spawn(async move {
+        let (mut first, _) = listener.accept().await.expect("a connection");
+        read_request(&mut first).await;
+        let _ = call_ended.await;
+        // The caller may have closed the connection by now.
+        let _ = first.write_all(&numbered(1)).await;
+        let (mut second, _) = listener.accept().await.expect("another connection");
+        read_request(&mut second).await;
+        second.write_all(&numbered(2)).await.expect("an open connection");
+    });
+    let connections = WorkerConnections::default();
+    let late = connections.call(address, request(), Duration::from_millis(20)).await;
+    assert_that!(matches!(late, Err(ConnectionError::Timeout)), eq(true));
+    ended.send(()).expect("the worker waits");
+    let (_, body) = connections.call(address, request(), LONG).await.expect("an answer");
+    assert_that!(body.as_ref(), eq(b"2"));
+}
+
+#[tokio::test]
+async fn given_a_worker_that_answers_twice_when_the_next_call_is_made_then_it_gets_its_own_answer() {
+    let (listener, address) = listen().await;
+    tokio::spawn(async move {
+        let (mut first, _) = listener.accept().await.expect("a connection");
+        read_request(&mut first).await;
+        let twice = [numbered(1), numbered(9)].concat();
+        first.write_all(&twice).await.expect("an open connection");
+        let (mut second, _) = listener.accept().await.expect("another connection");
+        read_request(&mut second).await;
+        second.write_all(&numbered(2)).await.expect("an open connection");
+    });
+    let connections = WorkerConnections::default();
+    let (_, body) = connections.call(address, request(), LONG).await.expect("an answer");
+    assert_that!(body.as_ref(), eq(b"1"));
+    let (_, body) = connections.call(address, request(), LONG).await.expect("an answer");
+    assert_that!(body.as_ref(), eq(b"2"));
+}
+
+#[tokio::test]
+async fn given_a_kept_connection_that_is_reset_under_a_call_when_it_ends_then_the_call_was_sent_once() {
+    let (listener, address) = listen().await;
+    let worker = tokio::spawn(async move {
+        let (mut kept, _) = listener.accept().await.expect("a connection");
+        read_request(&mut kept).await;
+        kept.write_all(ANSWER).await.expect("an open connection");
+        read_request(&mut kept).await;
+        // A second request on the way makes the end a reset.
+        socket2::SockRef::from(&kept).set_linger(Some(Duration::ZERO)).expect("an option of sockets");
+        drop(kept);
+        let again = tokio::time::timeout(Duration::from_millis(150), listener.accept()).await;
+        again.is_err()
+    });
+    let connections = WorkerConnections::default();
+    connections.call(address, request(), LONG).await.expect("an answer");
+    let reset = connections.call(address, request(), LONG).await;
+    assert_that!(reset.is_err(), eq(true));
+    assert_that!(worker.await.expect("the worker ends"), eq(true), "the call was sent once more");
+}
