--- a/lab/days/worst.sh
+++ b/lab/days/worst.sh
@@ -128,4 +128,15 @@
   { at = 18.0, kind = "herd_kill", on = "core", share = 1.0 },
   { at = 26.0, kind = "give_up", share = 0.5, for_s = 5.0 },
 ' "$changes"
+
+# Processes that start while their disks are full, slow or silent.
+for disk in 'kind = "disk_full", count = 2' 'kind = "disk_slow", count = 2, x = 40.0' 'kind = "disk_stall", count = 2'; do
+    entries=""
+    for at in 4 14 24; do
+        entries+="  { at = $at.0, $disk, for_s = 5.0 },"$'\n'
+        entries+="  { at = $((at + 1)).0, kind = \"herd_kill\", on = \"core\", share = 1.0 },"$'\n'
+        entries+="  { at = $((at + 2)).5, kind = \"node_kill\", on = \"core\", count = 1, for_s = 1.0, how = \"power\" },"$'\n'
+    done
+    write_day "disk-at-start-$number" "$entries" "$changes"
+done
 echo "$number days in $folder"
--- a/system/scheduler/src/scheduler.rs
+++ b/system/scheduler/src/scheduler.rs
@@ -61,6 +61,7 @@
 }
 
 /// Places and starts the tasks of one service.
+#[derive(Clone, Debug)]
 pub struct Scheduler {
     pub(crate) service: String,
     pub(crate) token: u64,
