--- a/system/control/tests/common/group.rs
+++ b/system/control/tests/common/group.rs
@@ -251,6 +251,14 @@
         self.disks.insert(address, Snapshot::empty(disk, None, Vec::new(), state));
     }
 
+    /// A machine is gone for good, and an empty one starts at another address.
+    pub fn replace(&mut self, gone: u32, new: u32) {
+        self.running.remove(&gone);
+        self.disks.remove(&gone);
+        self.wipe(new);
+        self.start_replica(new);
+    }
+
     /// A replica that runs.
     pub fn replica(&self, address: u32) -> &Replica {
         &self.running[&address].replica
--- a/system/fleet/src/asking.rs
+++ b/system/fleet/src/asking.rs
@@ -24,6 +24,8 @@
                 self.oracle.asked_to_cancel.insert(id);
             }
             if let Some(node) = self.whom_to_ask(&request) {
+                let is_submission = matches!(request, CoordinatorRequest::Submit(_));
+                self.clients[number].tries += u32::from(is_submission && self.nodes[node].runs(self.now));
                 self.ask_node(node, Asker::Client(number, request.clone()), request);
             }
         }
@@ -45,7 +47,7 @@
             let request = CoordinatorRequest::ReplaceConfiguration { base, version, body };
             let node = self.random.gen_range(0..self.nodes.len());
             let is_lost = self.random.gen_range(0..100) < self.settings.lost_answers_percent;
-            self.ask_node(node, Asker::Operator { number, order, is_lost }, request);
+            self.ask_node(node, Asker::Operator { number, order, is_lost, at: self.now }, request);
         }
     }
 
@@ -106,6 +108,9 @@
             Some(Asker::Client(number, asked)) => {
                 let client = &mut self.clients[number];
                 client.take(&asked, answer);
+                if client.rejected {
+                    self.oracle.rejected.insert(client.id());
+                }
                 let (id, tasks, spec) = (client.id(), client.tasks(), &client.submission.spec);
                 if client.cancelled {
                     self.oracle.cancelled.entry(id).or_insert(self.now);
@@ -121,7 +126,8 @@
                     _ => {}
                 }
             }
-            Some(Asker::Operator { number, order, is_lost }) => {
+            Some(Asker::Operator { number, order, is_lost, at }) => {
+                self.longest_order_ms = self.longest_order_ms.max(self.now - at);
                 self.operator_answered(number, order, answer, is_lost);
             }
             Some(Asker::Observer { request, at }) => {
--- a/system/fleet/src/client.rs
+++ b/system/fleet/src/client.rs
@@ -7,6 +7,10 @@
     pub submission: Submission,
     pub cancel_at: Option<u64>,
     pub accepted: bool,
+    /// How often it was handed in.
+    pub tries: u32,
+    /// Its only try was turned away: nothing of it may ever run.
+    pub rejected: bool,
     pub cancelled: bool,
     pub phase: Option<JobPhase>,
     pub next_at: u64,
@@ -14,16 +18,30 @@
 
 impl ClientJob {
     pub fn new(submission: Submission, begins: u64, cancel_at: Option<u64>) -> ClientJob {
-        ClientJob { submission, cancel_at, accepted: false, cancelled: false, phase: None, next_at: begins }
+        ClientJob {
+            submission,
+            cancel_at,
+            accepted: false,
+            tries: 0,
+            rejected: false,
+            cancelled: false,
+            phase: None,
+            next_at: begins,
+        }
     }
 
     pub fn id(&self) -> JobId {
         self.submission.job
     }
 
+    /// Whether its client does not come back once it was turned away.
+    fn gives_up(&self) -> bool {
+        self.submission.job.0.is_multiple_of(5)
+    }
+
     /// Whether nothing more is to be asked.
     pub fn is_over(&self) -> bool {
-        self.phase.is_some_and(JobPhase::ended)
+        self.rejected || self.phase.is_some_and(JobPhase::ended)
     }
 
     /// All tasks of the job.
@@ -55,6 +73,9 @@
     pub fn take(&mut self, asked: &CoordinatorRequest, answer: &CoordinatorAnswer) {
         match (asked, answer) {
             (CoordinatorRequest::Submit(_), CoordinatorAnswer::Accepted) => self.accepted = true,
+            (CoordinatorRequest::Submit(_), CoordinatorAnswer::NotServing | CoordinatorAnswer::Full) => {
+                self.rejected = self.tries == 1 && self.gives_up();
+            }
             (CoordinatorRequest::Cancel { .. }, CoordinatorAnswer::Accepted) => self.cancelled = true,
             (CoordinatorRequest::Status { .. }, CoordinatorAnswer::Phase(phase)) => self.phase = Some(*phase),
             _ => {}
--- a/system/fleet/src/events.rs
+++ b/system/fleet/src/events.rs
@@ -74,6 +74,7 @@
         number: usize,
         order: Order,
         is_lost: bool,
+        at: u64,
     },
     /// Somebody who only looks, and when it asked.
     Observer {
--- a/system/fleet/src/fleet.rs
+++ b/system/fleet/src/fleet.rs
@@ -88,6 +88,7 @@
     pub(crate) slow_disks: BTreeMap<usize, u64>,
     pub(crate) late_percent: u32,
     pub(crate) lives_of_workers: u64,
+    pub(crate) longest_order_ms: u64,
     /// The last address that a core machine was given.
     pub(crate) last_address: u32,
     pub(crate) clients: Vec<ClientJob>,
@@ -113,6 +114,7 @@
             slow_disks: BTreeMap::new(),
             late_percent: 0,
             lives_of_workers: 0,
+            longest_order_ms: 0,
             last_address: address(settings.nodes),
             clients: Vec::new(),
             operators: vec![Operator::default(); settings.operators],
@@ -209,6 +211,11 @@
         self.oracle.told.newest()
     }
 
+    /// The longest time that a coordinator took to answer an order, whatever it answered, in milliseconds.
+    pub fn longest_order_ms(&self) -> u64 {
+        self.longest_order_ms
+    }
+
     /// The configuration versions of all coordinators that run.
     pub fn configurations(&self) -> Vec<u64> {
         let running = self.nodes.iter().filter_map(|node| node.coordinator.as_ref());
--- a/system/fleet/src/oracle.rs
+++ b/system/fleet/src/oracle.rs
@@ -56,6 +56,8 @@
     pub accepted: BTreeMap<JobId, u64>,
     /// Jobs that a client has asked for at least once, kept or not.
     pub asked: BTreeSet<JobId>,
+    /// Jobs whose only try to be handed in was turned away.
+    pub rejected: BTreeSet<JobId>,
     /// Jobs that a client has asked to cancel at least once.
     pub asked_to_cancel: BTreeSet<JobId>,
     /// How many members of gangs have waited for the others in vain.
@@ -117,6 +119,9 @@
     fn check_wanted(&mut self, start: &Start<'_>, step: &StepSpec, max_attempts: u32) {
         let (at, task) = (start.at, start.task);
         let owner = checkpoint_owner(task, step.gang);
+        if self.rejected.contains(&task.job) {
+            self.report(at, format!("{task} was started, and its job had been turned away"));
+        }
         if !self.asked.contains(&task.job) {
             self.report(at, format!("{task} was started, and no client asked for it"));
         }
--- a/system/fleet/tests/calm.rs
+++ b/system/fleet/tests/calm.rs
@@ -71,3 +71,24 @@
         expect_that!(fleet.waited_alone(), eq(0));
     }
 }
+
+#[googletest::test]
+fn given_many_jobs_that_nobody_can_run_when_others_come_after_them_then_these_are_done() {
+    // Given: more kinds of tasks than a round of planning looks at, at each priority, all of them first in line
+    let mut fleet = Fleet::new(FleetSettings::default());
+    for number in 0..180 {
+        let mut job = Fleet::chain_of_steps(&[(1, 1000, 200)]);
+        job.steps[0].requirements = vec![format!("nobody-has-{number}")];
+        fleet.submit_at(3000, job, Some(25_000));
+    }
+    // When
+    let jobs: Vec<_> = (0..9)
+        .map(|number| fleet.submit_at(5000 + number * 100, Fleet::chain_of_steps(&[(2, 1000, 300)]), None))
+        .collect();
+    fleet.run_until(20_000);
+    // Then
+    expect_that!(fleet.violations(), is_empty());
+    for job in jobs {
+        expect_that!(fleet.phase(job), some(eq(JobPhase::Succeeded)));
+    }
+}
--- a/system/fleet/tests/worst_days.rs
+++ b/system/fleet/tests/worst_days.rs
@@ -72,6 +72,11 @@
                 2 => fleet.strike(&Fault::Freeze { node, for_ms }),
                 _ => fleet.strike(&Fault::CutOff { node, for_ms }),
             }
+            if round < 2 {
+                // A caller that is told so within a second asks another coordinator.
+                fleet.run_until(fleet.now() + for_ms);
+                assert!(fleet.longest_order_ms() <= 1000, "seed {seed}: {} ms", fleet.longest_order_ms());
+            }
             fleet.run_until(fleet.now() + for_ms + CATCH_UP_MS);
         }
         end(fleet, seed);
