--- a/system/control/src/catch_up.rs
+++ b/system/control/src/catch_up.rs
@@ -6,7 +6,7 @@
     durable::DurableRecord,
     peer::Peer,
     replica::Replica,
-    state_transfer::Incoming,
+    transfers::Incoming,
     StateMachine,
 };
 use magpiegap_protocol::{Entry, Millis, PeerMessage, Replica as ReplicaId};
--- a/system/control/src/chain_state.rs
+++ b/system/control/src/chain_state.rs
@@ -1,7 +1,7 @@
 //! The state of the chain at one replica.
 use crate::{
     log::Log,
-    state_transfer::{Incoming, Outgoing},
+    transfers::{Incoming, Outgoing},
 };
 use magpiegap_protocol::{Millis, Position, Replica as ReplicaId};
 use std::collections::{BTreeMap, VecDeque};
--- a/system/control/src/lib.rs
+++ b/system/control/src/lib.rs
@@ -24,6 +24,7 @@
 mod steps;
 mod time_of_day;
 mod tolerance;
+mod transfers;
 mod view_change;
 mod view_members;
 mod view_reason;
--- a/system/control/src/state_transfer.rs
+++ b/system/control/src/state_transfer.rs
@@ -8,30 +8,16 @@
     chain_state::{Activity, ASK_FIRST_MS},
     log::Log,
     replica::Replica,
-    FrozenState, StateMachine,
+    transfers::{Incoming, Outgoing},
+    StateMachine,
 };
 use magpiegap_protocol::{fnv1a, Entry, Millis, PeerMessage, Position, Replica as ReplicaId};
-use std::sync::Arc;
 
 /// How many parts are asked for before the first of them has come.
 const PARTS_AHEAD: u32 = 4;
 /// A frozen state that nobody has asked for this long is dropped.
 const KEEP_FROZEN_MS: Millis = 5000;
 
-/// A state that others may ask for.
-#[derive(Clone, Debug)]
-pub(crate) struct Outgoing {
-    state: Arc<dyn FrozenState>,
-    asked_at: Millis,
-}
-
-impl Outgoing {
-    /// The last entry of the state; those after it must be there for whoever takes it.
-    pub fn position(&self) -> Position {
-        self.state.position()
-    }
-}
-
 /// A part of a state, as it was told.
 #[derive(Clone, Debug)]
 pub(crate) struct Part {
@@ -41,38 +27,6 @@
     pub bytes: Vec<u8>,
 }
 
-/// A state that is being built up.
-#[derive(Clone, Debug)]
-pub(crate) struct Incoming {
-    position: Position,
-    parts: u32,
-    /// The next part to come.
-    next: u32,
-    /// Entries after the state.
-    entries: Vec<Entry>,
-}
-
-impl Incoming {
-    fn new(position: Position, parts: u32) -> Incoming {
-        Incoming { position, parts, next: 0, entries: Vec::new() }
-    }
-
-    /// Whether all of the state is there.
-    pub fn is_whole(&self) -> bool {
-        self.next >= self.parts
-    }
-
-    /// The last entry that is there.
-    pub fn last(&self) -> Position {
-        self.entries.last().map_or(self.position, |entry| entry.position)
-    }
-
-    /// Forgets the entries: another source may not have those that are not committed.
-    pub fn forget_entries(&mut self) {
-        self.entries.clear();
-    }
-}
-
 impl Replica {
     /// Offers another replica the whole state.
     pub(crate) fn offer_state(&mut self, to: ReplicaId, now: Millis, machine: &mut dyn StateMachine) {
--- /dev/null
+++ b/system/control/src/transfers.rs
@@ -0,0 +1,54 @@
+//! States on their way: one that others may ask for, and one that is being built up.
+use crate::frozen::FrozenState;
+use magpiegap_protocol::{Entry, Millis, Position};
+use std::sync::Arc;
+
+/// A state that others may ask for.
+#[derive(Clone, Debug)]
+pub(crate) struct Outgoing {
+    pub state: Arc<dyn FrozenState>,
+    /// When it was last asked for.
+    pub asked_at: Millis,
+}
+
+impl Outgoing {
+    /// The last entry of the state; those after it must be there for whoever takes it.
+    pub fn position(&self) -> Position {
+        self.state.position()
+    }
+}
+
+/// A state that is being built up.
+#[derive(Clone, Debug)]
+pub(crate) struct Incoming {
+    /// The last entry that it holds.
+    pub position: Position,
+    /// How many parts it has.
+    pub parts: u32,
+    /// The next part to come.
+    pub next: u32,
+    /// Entries after the state.
+    pub entries: Vec<Entry>,
+}
+
+impl Incoming {
+    /// A state of which nothing has come yet.
+    pub fn new(position: Position, parts: u32) -> Incoming {
+        Incoming { position, parts, next: 0, entries: Vec::new() }
+    }
+
+    /// Whether all of the state is there.
+    pub fn is_whole(&self) -> bool {
+        self.next >= self.parts
+    }
+
+    /// The last entry that is there.
+    pub fn last(&self) -> Position {
+        self.entries.last().map_or(self.position, |entry| entry.position)
+    }
+
+    /// Forgets the entries: another source may not have those that are not committed.
+    pub fn forget_entries(&mut self) {
+        self.entries.clear();
+    }
+}
--- a/system/fleet/src/lib.rs
+++ b/system/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 mod node;
 mod oracle;
 mod orders;
+mod told;
 mod watching;
 mod worker;
 
--- a/system/fleet/src/oracle.rs
+++ b/system/fleet/src/oracle.rs
@@ -1,6 +1,6 @@
 //! What must never happen, whatever the faults.
 use crate::{
-    watching::Told,
+    told::Told,
     worker::{checkpoint_owner, NotedEnd},
 };
 use magpiegap_protocol::{
--- a/system/fleet/src/watching.rs
+++ b/system/fleet/src/watching.rs
@@ -1,35 +1,11 @@
 //! What operators and anybody who asks are told: nothing that was confirmed is taken back, refused or shown as it was before.
 use crate::{client::Order, oracle::Oracle};
 use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, JobId, JobPhase, Member};
-use std::collections::{BTreeMap, BTreeSet};
 
 /// A coordinator may hand out a configuration that was replaced this long ago, and not longer: it goes by contact of 0.6 s
 /// ago, and learns of what is committed a moment later than the tail.
 const OLD_FEED_MS: u64 = 1000;
 
-/// What operators were told, and what was shown of jobs.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Told {
-    /// The orders that were confirmed, by version, and when each first was.
-    taken: BTreeMap<u64, (Order, u64)>,
-    refused: BTreeSet<Order>,
-    /// Jobs that were shown as ended, and when each first was.
-    ended: BTreeMap<JobId, u64>,
-}
-
-impl Told {
-    /// The newest version that was confirmed.
-    pub fn newest(&self) -> u64 {
-        self.taken.keys().next_back().copied().unwrap_or(0)
-    }
-
-    /// The newest version that was confirmed up to a time.
-    fn newest_at(&self, at: u64) -> u64 {
-        let until_then = self.taken.iter().rev().find(|(_, (_, since))| *since <= at);
-        until_then.map_or(0, |(version, _)| *version)
-    }
-}
-
 impl Oracle {
     /// An order was confirmed.
     pub fn order_taken(&mut self, at: u64, order: &Order) {
