Let the rest of a datagram leave room for the empty lists behind it

A real fault, of earlier work, in peers/ (off unless [peers] on). Ruled out: the work on the control side, which does not touch peers/. Change: the rest is left out where it would take those bytes. Test: all sizes of view and records one by one; proptest's case is kept.

--- a/peers/src/wire/section.rs
+++ b/peers/src/wire/section.rs
@@ -21,10 +21,10 @@
         self.most.saturating_sub(self.bytes.len())
     }
 
-    /// One value, or nothing of it where it does not fit.
-    pub(crate) fn value<T: Serialize>(&mut self, value: &T) -> bool {
+    /// One value, or nothing of it where it does not fit while `reserved` bytes stay free behind it.
+    pub(crate) fn value<T: Serialize>(&mut self, value: &T, reserved: usize) -> bool {
         match postcard::to_stdvec(value) {
-            Ok(written) if written.len() <= self.remaining() => {
+            Ok(written) if written.len() + reserved <= self.remaining() => {
                 self.bytes.extend_from_slice(&written);
                 true
             }
--- a/peers/src/wire/v1.rs
+++ b/peers/src/wire/v1.rs
@@ -144,8 +144,8 @@
     /// Writes what fits, membership updates first; `records` are as many as were written.
     pub(crate) fn write(&mut self, to: &mut Writer, reserved: usize) {
         // The fixed part has 30 bytes at most and the view what its owner limits it to, so both always fit.
-        to.value(&self.head);
-        to.value(&(self.view.base, self.view.reads));
+        to.value(&self.head, 0);
+        to.value(&(self.view.base, self.view.reads), 0);
         to.list(&self.view.bits, usize::MAX >> 1, reserved + 3);
         to.list(&self.view.others, usize::MAX >> 1, reserved + 2);
         let verdicts = if self.verdicts.is_empty() { 1 } else { VERDICTS_BYTES };
--- a/peers/src/wire/v2.rs
+++ b/peers/src/wire/v2.rs
@@ -80,6 +80,8 @@
     pub totals: Vec<Totals>,
 }
 
+/// Bytes that the two lists behind the rest take when they are empty.
+const EMPTY_LISTS: usize = 2;
 /// Bytes that membership updates leave for sums: the sender's own totals and four tenants at least.
 const SUMS_RESERVE: usize = 70;
 
@@ -89,9 +91,9 @@
     // Three lists that are empty take three bytes.
     let reserved = if body.totals.is_empty() { 3 } else { SUMS_RESERVE };
     body.first.write(&mut to, reserved);
-    if !to.value(&body.rest) {
+    if !to.value(&body.rest, EMPTY_LISTS) {
         // What doesn't fit is absent, and its absence takes the byte that is reserved for it.
-        to.value(&None::<Rest>);
+        to.value(&None::<Rest>, EMPTY_LISTS);
     }
     to.list(&body.rows, usize::MAX >> 1, if body.totals.is_empty() { 1 } else { TOTALS_BYTES });
     to.list(&body.totals, usize::MAX >> 1, 0);
--- a/peers/tests/wire.rs
+++ b/peers/tests/wire.rs
@@ -77,6 +77,22 @@
     }
 }
 
+/// Whatever the length of what comes before, the rest leaves the bytes that the empty lists behind it need.
+#[test]
+fn a_rest_that_just_fits_leaves_room_for_the_lists_behind_it() {
+    for bits in 0..65 {
+        for records in 0..60 {
+            let mut body = second();
+            body.first.view.bits = vec![255; bits];
+            body.first.records = vec![Record { incarnation: u64::MAX, ..body.first.records[0] }; records];
+            (body.first.verdicts, body.rows, body.totals) = (Vec::new(), Vec::new(), Vec::new());
+            let payload = v2::write(&mut body, PAYLOAD);
+            assert!(payload.len() <= PAYLOAD, "{bits} bytes of view, {records} records: {}", payload.len());
+            v2::read(&payload).unwrap_or_else(|e| panic!("{bits}, {records}: {e:?}"));
+        }
+    }
+}
+
 proptest! {
     #[test]
     fn whatever_is_written_fits_and_is_read_as_written(
