--- a/system/scheduler/src/lib.rs
+++ b/system/scheduler/src/lib.rs
@@ -23,7 +23,9 @@
 mod runs;
 mod scheduler;
 mod settings;
+mod take_over;
 mod worker;
+mod worker_list;
 
 pub use answer_times::AnswerTimes;
 pub use calls::{ListedEnd, ListedRun, Listing, Output, RefusalReason, WorkerCall, WorkerOrder, WorkerReply};
--- a/system/scheduler/src/runs.rs
+++ b/system/scheduler/src/runs.rs
@@ -2,8 +2,9 @@
 use crate::{
     calls::{Output, WorkerOrder},
     planning::new_run,
-    scheduler::{lost_runs, CallPurpose, Scheduler},
+    scheduler::{CallPurpose, Scheduler},
     worker::{RunPhase, Worker},
+    worker_list::lost_runs,
 };
 use magpiegap_jobs::{Change, Job, State};
 use magpiegap_protocol::{Command, EndKind, JobId, Millis, Position, RunId, RunStart, TaskId, WorkerEntry};
--- a/system/scheduler/src/scheduler.rs
+++ b/system/scheduler/src/scheduler.rs
@@ -8,12 +8,10 @@
     queue::{Queue, Urgency},
     reservations::Reservations,
     settings::SchedulerSettings,
-    worker::{Worker, Workers},
+    worker::Workers,
 };
 use magpiegap_jobs::State;
-use magpiegap_protocol::{
-    Availability, Command, JobId, Millis, Position, RunId, RunStart, TaskId, WallMillis, WorkerEntry,
-};
+use magpiegap_protocol::{JobId, Millis, Position, RunId, TaskId, WallMillis};
 use rand::{rngs::StdRng, SeedableRng};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -195,129 +193,12 @@
         std::mem::take(&mut self.out)
     }
 
-    /// Takes up the state after a change of the view or of the role's holder: what was proposed before and is not
-    /// in the state now never will be.
-    pub fn resume(&mut self, now: Millis, state: &State) {
-        self.drop_outputs();
-        self.known_until = state.position;
-        self.proposed.clear();
-        self.times_proposed.clear();
-        self.fresh.clear();
-        self.timed.clear();
-        self.ended.clear();
-        let own = |id: &JobId| state.jobs.get(id).is_some_and(|job| job.submission.service == self.service);
-        let mut wanted: BTreeMap<&str, Vec<(TaskId, RunId)>> = BTreeMap::new();
-        for (instance, record) in &state.workers {
-            let runs = record.runs.iter().filter(|(task, _)| own(&task.job)).map(|(task, run)| (*task, *run));
-            wanted.insert(instance, runs.collect());
-        }
-        self.drop_runs_off_record(&wanted);
-        for (instance, runs) in wanted {
-            for (task, run) in runs {
-                self.adopt_run(instance, task, run, now, state);
-            }
-        }
-        for (instance, worker) in &mut self.workers {
-            let seen = state.workers.get(instance).map_or(0, |record| record.last_seen);
-            worker.last_seen = seen;
-            worker.proposed_seen = seen;
-        }
-        let ids: Vec<JobId> = state.jobs.keys().copied().collect();
-        for id in ids {
-            self.review_job(id, now, state);
-        }
-        self.replan = true;
-    }
-
-    /// Drops what was not handed on yet: it was decided by the state as it was before.
-    fn drop_outputs(&mut self) {
-        for output in std::mem::take(&mut self.out) {
-            if let Output::Call(call) = output {
-                self.calls.remove(&call.id);
-            }
-        }
-    }
-
-    fn drop_runs_off_record(&mut self, wanted: &BTreeMap<&str, Vec<(TaskId, RunId)>>) {
-        for (instance, worker) in &mut self.workers {
-            let on_record = wanted.get(instance.as_str()).map_or(&[][..], Vec::as_slice);
-            let gone: Vec<(TaskId, RunId)> = worker
-                .runs
-                .iter()
-                .map(|(task, run)| (*task, run.run))
-                .filter(|pair| !on_record.contains(pair))
-                .collect();
-            for (task, run) in gone {
-                worker.remove_run(&task, run);
-            }
-        }
-    }
-
     /// When all that other holders of the role granted has surely run out.
     pub(crate) fn others_lapse_at(&self) -> Millis {
         let hold = self.settings.max_hold_ms + self.settings.max_hold_ms / 25;
         self.taken_over_at + self.settings.lease_ms + hold
     }
 
-    /// Takes the platform's list.
-    pub fn list(&mut self, now: Millis, state: &State, entries: &[WorkerEntry]) {
-        let own: Vec<&WorkerEntry> = entries.iter().filter(|entry| entry.service == self.service).collect();
-        let listed: HashSet<&str> = own.iter().map(|entry| entry.instance.as_str()).collect();
-        let addresses: HashMap<&str, &str> =
-            own.iter().map(|entry| (entry.address.as_str(), entry.instance.as_str())).collect();
-        let mut over = Vec::new();
-        for (instance, worker) in &mut self.workers {
-            if listed.contains(instance.as_str()) {
-                continue;
-            }
-            worker.listed = false;
-            let successor = addresses.get(worker.entry.address.as_str());
-            if successor.is_some_and(|other| other != instance) {
-                over.push(instance.clone());
-            }
-        }
-        for instance in over {
-            self.life_is_over(&instance, state);
-        }
-        for entry in own {
-            self.list_one(entry, now, state);
-        }
-    }
-
-    fn list_one(&mut self, entry: &WorkerEntry, now: Millis, state: &State) {
-        let draining = entry.availability == Availability::Draining;
-        if let Some(worker) = self.workers.get_mut(&entry.instance) {
-            let news = !worker.listed || worker.entry.address != entry.address || worker.draining != draining;
-            worker.entry = entry.clone();
-            worker.listed = true;
-            worker.draining = draining;
-            worker.gone_at = entry.remaining_ms.map(|left| now + left);
-            self.replan |= news;
-            return;
-        }
-        let mut worker = Worker::new(entry.clone(), now, self.others_lapse_at());
-        if let Some(record) = state.workers.get(&entry.instance) {
-            worker.last_seen = record.last_seen;
-            worker.proposed_seen = record.last_seen;
-        }
-        self.workers.insert(entry.instance.clone(), worker);
-        self.replan = true;
-    }
-
-    /// A worker's life is surely over.
-    pub(crate) fn life_is_over(&mut self, instance: &str, state: &State) {
-        let Some(worker) = self.workers.get_mut(instance) else { return };
-        worker.listed = false;
-        let lost = lost_runs(worker);
-        if state.workers.contains_key(instance) {
-            self.out.push(Output::Propose(Command::LoseRuns { runs: lost }));
-            let instance = instance.to_owned();
-            self.out.push(Output::Propose(Command::LoseInstance { instance, ended: true }));
-        }
-        self.workers.remove(instance);
-        self.replan = true;
-    }
-
     /// Sends an order to a worker.
     pub(crate) fn call(
         &mut self,
@@ -389,14 +270,3 @@
 
 /// How often everything is looked through for what is due.
 const CHECK_EVERY_MS: Millis = 50;
-
-/// A worker's recorded runs, with the newest checkpoints that it has listed.
-pub(crate) fn lost_runs(worker: &Worker) -> Vec<RunStart> {
-    let lost = |(task, run): (&TaskId, &crate::worker::Run)| RunStart {
-        task: *task,
-        run: run.run,
-        instance: worker.entry.instance.clone(),
-        checkpoint: run.saved.clone(),
-    };
-    worker.runs.iter().map(lost).collect()
-}
--- /dev/null
+++ b/system/scheduler/src/take_over.rs
@@ -0,0 +1,65 @@
+//! Takes up the replicated state: when the role is taken over, and after a change of the view.
+use crate::{calls::Output, scheduler::Scheduler};
+use magpiegap_jobs::State;
+use magpiegap_protocol::{JobId, Millis, RunId, TaskId};
+use std::collections::BTreeMap;
+
+impl Scheduler {
+    /// Takes up the state after a change of the view or of the role's holder: what was proposed before and is not
+    /// in the state now never will be.
+    pub fn resume(&mut self, now: Millis, state: &State) {
+        self.drop_outputs();
+        self.known_until = state.position;
+        self.proposed.clear();
+        self.times_proposed.clear();
+        self.fresh.clear();
+        self.timed.clear();
+        self.ended.clear();
+        let own = |id: &JobId| state.jobs.get(id).is_some_and(|job| job.submission.service == self.service);
+        let mut wanted: BTreeMap<&str, Vec<(TaskId, RunId)>> = BTreeMap::new();
+        for (instance, record) in &state.workers {
+            let runs = record.runs.iter().filter(|(task, _)| own(&task.job)).map(|(task, run)| (*task, *run));
+            wanted.insert(instance, runs.collect());
+        }
+        self.drop_runs_off_record(&wanted);
+        for (instance, runs) in wanted {
+            for (task, run) in runs {
+                self.adopt_run(instance, task, run, now, state);
+            }
+        }
+        for (instance, worker) in &mut self.workers {
+            let seen = state.workers.get(instance).map_or(0, |record| record.last_seen);
+            worker.last_seen = seen;
+            worker.proposed_seen = seen;
+        }
+        let ids: Vec<JobId> = state.jobs.keys().copied().collect();
+        for id in ids {
+            self.review_job(id, now, state);
+        }
+        self.replan = true;
+    }
+
+    /// Drops what was not handed on yet: it was decided by the state as it was before.
+    pub(crate) fn drop_outputs(&mut self) {
+        for output in std::mem::take(&mut self.out) {
+            if let Output::Call(call) = output {
+                self.calls.remove(&call.id);
+            }
+        }
+    }
+
+    fn drop_runs_off_record(&mut self, wanted: &BTreeMap<&str, Vec<(TaskId, RunId)>>) {
+        for (instance, worker) in &mut self.workers {
+            let on_record = wanted.get(instance.as_str()).map_or(&[][..], Vec::as_slice);
+            let gone: Vec<(TaskId, RunId)> = worker
+                .runs
+                .iter()
+                .map(|(task, run)| (*task, run.run))
+                .filter(|pair| !on_record.contains(pair))
+                .collect();
+            for (task, run) in gone {
+                worker.remove_run(&task, run);
+            }
+        }
+    }
+}
