Split the model of replicas, and count only what is synced as kept

Found when the file was split: the property that what is acknowledged is on enough disks also counted what a disk had only been asked to keep, so it said less than docs/system/hardening.md claims.

--- /dev/null
+++ b/system/control/tests/model/beginnings.rs
@@ -0,0 +1,54 @@
+//! Worlds that the replicas have come to by themselves, from which the checker goes on.
+use crate::{
+    common::group::CountingState,
+    world::{Budget, World},
+};
+use magpiegap_control::{Replica, Snapshot, StateMachine};
+
+/// A world in which all take part and an entry is committed.
+pub fn serving(size: usize, tolerance: usize, budget: Budget) -> World {
+    let mut world = World::new(size, tolerance, budget);
+    world.settle(8);
+    let serving = world.machines.iter().filter_map(|machine| machine.process.as_ref());
+    assert_eq!(serving.filter(|(replica, _)| replica.is_active()).count(), size);
+    world.write();
+    world.settle(2);
+    assert!(!world.history.is_empty());
+    world
+}
+
+/// A world in which one machine is cut off, and the others have gone on without it.
+pub fn without_one(size: usize, tolerance: usize, budget: Budget) -> World {
+    let mut world = serving(size, tolerance, budget);
+    let tail = (0..size).find(|machine| world.replica(*machine).is_some_and(Replica::is_tail)).unwrap_or(0);
+    world.machines[tail].is_cut_off = true;
+    world.settle(8);
+    world.write();
+    world.settle(2);
+    world
+}
+
+/// A world in which a machine with an empty disk is about to come back.
+pub fn with_a_wiped_one(size: usize, tolerance: usize, budget: Budget) -> World {
+    let mut world = serving(size, tolerance, budget);
+    world.end(0);
+    let state = CountingState::default().freeze();
+    world.machines[0].disk = Snapshot::empty(77, None, Vec::new(), state);
+    world.machines[0].synced = world.machines[0].disk.clone();
+    world.machines[0].pending.clear();
+    world.settle(8);
+    world.write();
+    world.settle(1);
+    world
+}
+
+/// A world in which all have lost power.
+pub fn dark(size: usize, tolerance: usize, budget: Budget) -> World {
+    let mut world = serving(size, tolerance, budget);
+    world.write();
+    for machine in 0..size {
+        world.lose_power(machine);
+    }
+    world.links.clear();
+    world
+}
--- /dev/null
+++ b/system/control/tests/model/main.rs
@@ -0,0 +1,89 @@
+//! The replicas that run, explored by a model checker: views, the chain, learners, wiped and replaced voters, loss of
+//! power, cuts, and machines that stand still.
+//!
+//! Each step is one of: a message arrives or is lost, all that is under way arrives, a disk confirms what it was asked to
+//! keep, time passes, a write or a question comes, a process is killed, a machine loses power or its disk, starts again, is cut off or stands still. Time
+//! passes for all at once, and heartbeats arrive while it does, except at machines that stand still, where they wait. How
+//! much of each may happen is bounded (`Budget`); within that breadth-first search takes every order of steps up to a
+//! number of states, and random walks go on far beyond it.
+mod beginnings;
+#[path = "../common/mod.rs"]
+mod common;
+mod questions;
+mod running;
+mod steps;
+mod world;
+
+use beginnings::{dark, serving, with_a_wiped_one, without_one};
+use stateright::{Checker, HasDiscoveries, Model, UniformChooser};
+use steps::Core;
+use world::{Budget, World, NOTHING};
+
+/// Explores worlds: breadth first up to so many states, then by random walks. `MODEL_FACTOR` in the environment asks for
+/// more of both. Prints how much was explored.
+fn explore(name: &str, tolerance: usize, worlds: Vec<World>, states: usize, walks: usize) {
+    let factor = std::env::var("MODEL_FACTOR").ok().and_then(|text| text.parse().ok()).unwrap_or(1);
+    let core = || Core { tolerance, worlds: worlds.clone() };
+    let breadth = core()
+        .checker()
+        .target_state_count(states * factor)
+        .finish_when(HasDiscoveries::AnyFailures)
+        .spawn_bfs()
+        .join();
+    let depth = core()
+        .checker()
+        .target_state_count(walks * factor)
+        .target_max_depth(400)
+        .finish_when(HasDiscoveries::AnyFailures)
+        .spawn_simulation(7, UniformChooser)
+        .join();
+    println!(
+        "{name}: {} states breadth first, {} deep; {} states on random walks",
+        breadth.unique_state_count(),
+        breadth.max_depth(),
+        depth.state_count()
+    );
+    for discoveries in [breadth.discoveries(), depth.discoveries()] {
+        if let Some((property, path)) = discoveries.into_iter().next() {
+            let wrong = path.last_state().wrong.clone();
+            panic!("{name}: {property}: {wrong:?}; steps: {:#?}", path.into_actions());
+        }
+    }
+}
+
+#[test]
+fn given_a_serving_core_when_one_is_cut_off_or_stands_still_then_nothing_is_lost_or_hidden() {
+    let budget =
+        Budget { ticks: 14, writes: 3, questions: 2, cuts: 1, freezes: 1, lost_messages: 1, ..NOTHING };
+    explore("cut off", 1, vec![serving(3, 1, budget)], 30_000, 60_000);
+}
+
+#[test]
+fn given_one_that_is_cut_off_when_it_is_back_and_another_one_goes_then_nothing_is_lost_or_hidden() {
+    let budget = Budget { ticks: 14, writes: 2, questions: 2, kills: 1, power_losses: 1, ..NOTHING };
+    explore("back", 1, vec![without_one(3, 1, budget)], 30_000, 60_000);
+}
+
+#[test]
+fn given_a_wiped_disk_when_its_machine_comes_back_and_others_lose_power_then_nothing_is_lost() {
+    let budget = Budget { ticks: 16, writes: 2, questions: 1, power_losses: 2, ..NOTHING };
+    explore("wiped", 1, vec![with_a_wiped_one(3, 1, budget)], 30_000, 60_000);
+}
+
+#[test]
+fn given_a_serving_core_when_a_disk_and_the_power_of_the_others_are_lost_then_nothing_is_lost() {
+    let budget = Budget { ticks: 16, writes: 2, wipes: 1, power_losses: 2, ..NOTHING };
+    explore("disk and power", 1, vec![serving(3, 1, budget)], 30_000, 60_000);
+}
+
+#[test]
+fn given_a_loss_of_power_by_all_when_they_start_in_any_order_then_nothing_is_lost() {
+    let budget = Budget { ticks: 12, writes: 2, questions: 1, kills: 1, lost_messages: 1, ..NOTHING };
+    explore("dark", 1, vec![dark(3, 1, budget), dark(5, 2, budget)], 20_000, 40_000);
+}
+
+#[test]
+fn given_five_when_two_disks_and_the_power_of_the_others_are_lost_then_nothing_is_lost() {
+    let budget = Budget { ticks: 16, writes: 2, wipes: 2, power_losses: 3, ..NOTHING };
+    explore("two disks of five", 2, vec![serving(5, 2, budget)], 8_000, 40_000);
+}
--- /dev/null
+++ b/system/control/tests/model/steps.rs
@@ -0,0 +1,175 @@
+//! The steps that the checker takes, and what must hold after each.
+use crate::{
+    common::group::CountingState,
+    world::{World, MOST_QUESTIONS},
+};
+use magpiegap_control::{Replica, Snapshot, StateMachine};
+use stateright::{Model, Property};
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    Tick,
+    /// All messages arrive in order, and all disks confirm.
+    Run,
+    Deliver {
+        from: usize,
+        to: usize,
+    },
+    Lose {
+        from: usize,
+        to: usize,
+    },
+    Sync(usize),
+    Write,
+    Ask(usize),
+    Kill(usize),
+    LosePower(usize),
+    Wipe(usize),
+    Start(usize),
+    CutOff(usize),
+    Mend(usize),
+    Freeze(usize),
+    Thaw(usize),
+}
+
+/// What is explored, from worlds that the replicas have come to by themselves.
+pub struct Core {
+    pub tolerance: usize,
+    pub worlds: Vec<World>,
+}
+
+impl Core {
+    /// Steps that the budget leaves.
+    fn faults(world: &World, machine: usize) -> Vec<Step> {
+        let budget = world.budget;
+        let known = &world.machines[machine];
+        if known.process.is_none() {
+            return vec![Step::Start(machine)];
+        }
+        let possible = [
+            (budget.kills, Step::Kill(machine)),
+            (budget.power_losses, Step::LosePower(machine)),
+            (budget.wipes, Step::Wipe(machine)),
+            (budget.cuts * u8::from(!known.is_cut_off), Step::CutOff(machine)),
+            (u8::from(known.is_cut_off), Step::Mend(machine)),
+            (budget.freezes * u8::from(!known.is_frozen), Step::Freeze(machine)),
+            (u8::from(known.is_frozen), Step::Thaw(machine)),
+        ];
+        possible.into_iter().filter(|(left, _)| *left > 0).map(|(_, step)| step).collect()
+    }
+}
+
+impl Model for Core {
+    type State = World;
+    type Action = Step;
+
+    fn init_states(&self) -> Vec<World> {
+        self.worlds.clone()
+    }
+
+    fn actions(&self, world: &World, steps: &mut Vec<Step>) {
+        for (from, to) in world.links.keys().copied() {
+            if world.is_awake(to) {
+                steps.push(Step::Deliver { from, to });
+            }
+            if world.budget.lost_messages > 0 {
+                steps.push(Step::Lose { from, to });
+            }
+        }
+        for machine in 0..world.machines.len() {
+            if world.is_awake(machine) && !world.machines[machine].pending.is_empty() {
+                steps.push(Step::Sync(machine));
+            }
+            steps.extend(Core::faults(world, machine));
+            let is_tail = world.is_awake(machine) && world.replica(machine).is_some_and(Replica::is_tail);
+            if is_tail && world.budget.questions > 0 && world.questions.len() < MOST_QUESTIONS {
+                steps.push(Step::Ask(machine));
+            }
+        }
+        if world.budget.ticks > 0 {
+            steps.push(Step::Tick);
+        }
+        if world.budget.writes > 0 {
+            steps.push(Step::Write);
+        }
+        let is_busy = |machine| world.is_awake(machine) && !world.machines[machine].pending.is_empty();
+        if !world.links.is_empty() || (0..world.machines.len()).any(is_busy) {
+            steps.push(Step::Run);
+        }
+    }
+
+    fn next_state(&self, last: &World, step: Step) -> Option<World> {
+        let mut world = last.clone();
+        match step {
+            Step::Tick => {
+                world.budget.ticks -= 1;
+                world.tick();
+            }
+            Step::Run => world.run_links(),
+            Step::Deliver { from, to } => world.deliver(from, to),
+            Step::Lose { from, to } => {
+                world.budget.lost_messages -= 1;
+                world.links.get_mut(&(from, to))?.pop_front();
+                world.links.retain(|_, queue| !queue.is_empty());
+            }
+            Step::Sync(machine) => world.sync(machine),
+            Step::Write => {
+                world.budget.writes -= 1;
+                world.write();
+            }
+            Step::Ask(machine) => {
+                world.budget.questions -= 1;
+                world.ask(machine);
+            }
+            Step::Kill(machine) => {
+                world.budget.kills -= 1;
+                let pending = std::mem::take(&mut world.machines[machine].pending);
+                world.write_through(machine, pending);
+                world.end(machine);
+            }
+            Step::LosePower(machine) => {
+                world.budget.power_losses -= 1;
+                world.lose_power(machine);
+            }
+            Step::Wipe(machine) => {
+                world.budget.wipes -= 1;
+                world.machines[machine].pending.clear();
+                world.end(machine);
+                let name = 1000 + world.boots;
+                let state = CountingState::default().freeze();
+                world.machines[machine].disk = Snapshot::empty(name, None, Vec::new(), state);
+                world.machines[machine].synced = world.machines[machine].disk.clone();
+            }
+            Step::Start(machine) => world.start(machine, self.tolerance),
+            Step::CutOff(machine) => {
+                world.budget.cuts -= 1;
+                world.machines[machine].is_cut_off = true;
+            }
+            Step::Mend(machine) => world.machines[machine].is_cut_off = false,
+            Step::Freeze(machine) => {
+                world.budget.freezes -= 1;
+                world.machines[machine].is_frozen = true;
+            }
+            Step::Thaw(machine) => world.machines[machine].is_frozen = false,
+        }
+        world.answer_questions();
+        Some(world)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always(
+                "nothing acknowledged is replaced or hidden from a question",
+                |_, world: &World| world.wrong.is_none(),
+            ),
+            Property::always(
+                "what is acknowledged is on as many disks as no loss takes",
+                |core: &Core, world: &World| {
+                    let lost = core.worlds[0].budget.wipes - world.budget.wipes;
+                    let least = (core.tolerance + 1).saturating_sub(usize::from(lost));
+                    world.history.iter().all(|(index, proposal)| world.copies(*index, *proposal) >= least)
+                },
+            ),
+        ]
+    }
+}
--- /dev/null
+++ b/system/control/tests/model/world.rs
@@ -0,0 +1,158 @@
+//! Everything at one moment: machines with their disks and processes, links, what may still happen, and what was wrong.
+use crate::common::group::CountingState;
+use magpiegap_control::{DurableRecord, DurableState, Replica, Snapshot, StateMachine};
+use magpiegap_protocol::{Member, Millis, PeerMessage, ProposalId, Replica as ReplicaId};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    fmt,
+    hash::{DefaultHasher, Hash, Hasher},
+};
+
+/// How much time passes at once.
+pub const TICK_MS: Millis = 110;
+/// Questions are asked of the machine that is the tail in its own eyes.
+pub const MOST_QUESTIONS: usize = 2;
+
+/// How often each thing may still happen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Budget {
+    pub ticks: u8,
+    pub writes: u8,
+    pub questions: u8,
+    pub lost_messages: u8,
+    pub kills: u8,
+    pub power_losses: u8,
+    pub wipes: u8,
+    pub cuts: u8,
+    pub freezes: u8,
+}
+
+pub const NOTHING: Budget = Budget {
+    ticks: 0,
+    writes: 0,
+    questions: 0,
+    lost_messages: 0,
+    kills: 0,
+    power_losses: 0,
+    wipes: 0,
+    cuts: 0,
+    freezes: 0,
+};
+
+#[derive(Clone, Debug)]
+pub enum DiskChange {
+    Records(Vec<DurableRecord>),
+    Whole(Box<Snapshot>),
+}
+
+/// A machine with its disk and, while it runs, its process.
+#[derive(Clone)]
+pub struct Machine {
+    /// What a process that starts now reads.
+    pub disk: DurableState,
+    /// What of that outlasts a loss of power.
+    pub synced: DurableState,
+    /// Asked of the disk and not confirmed.
+    pub pending: VecDeque<(u64, DiskChange)>,
+    pub process: Option<(Replica, CountingState)>,
+    pub is_cut_off: bool,
+    pub is_frozen: bool,
+}
+
+/// A question that waits for the tail's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Question {
+    pub machine: usize,
+    pub since: Millis,
+    /// The newest entry that anybody had been told to be kept when it came.
+    pub acknowledged: u64,
+}
+
+/// Everything at one moment.
+#[derive(Clone)]
+pub struct World {
+    pub now: Millis,
+    pub machines: Vec<Machine>,
+    pub links: BTreeMap<(usize, usize), VecDeque<(ReplicaId, PeerMessage)>>,
+    pub budget: Budget,
+    pub boots: u64,
+    pub proposals: u64,
+    /// What was applied under each index by whichever replica did it first: from then on it is acknowledged.
+    pub history: BTreeMap<u64, ProposalId>,
+    pub questions: Vec<Question>,
+    pub wrong: Option<String>,
+}
+
+pub fn address(machine: usize) -> u32 {
+    machine as u32 + 1
+}
+
+impl World {
+    pub fn new(size: usize, tolerance: usize, budget: Budget) -> World {
+        let voters: Vec<Member> =
+            (0..size).map(|machine| Member { address: address(machine), disk: 0 }).collect();
+        let empty = Snapshot::empty(0, Some(0), voters.clone(), CountingState::default().freeze());
+        let machine = |_| Machine {
+            disk: empty.clone(),
+            synced: empty.clone(),
+            pending: VecDeque::new(),
+            process: None,
+            is_cut_off: false,
+            is_frozen: false,
+        };
+        let mut world = World {
+            now: 0,
+            machines: (0..size).map(machine).collect(),
+            links: BTreeMap::new(),
+            budget,
+            boots: 0,
+            proposals: 0,
+            history: BTreeMap::new(),
+            questions: Vec::new(),
+            wrong: None,
+        };
+        for machine in 0..size {
+            world.start(machine, tolerance);
+        }
+        world
+    }
+
+    pub fn is_awake(&self, machine: usize) -> bool {
+        self.machines[machine].process.is_some() && !self.machines[machine].is_frozen
+    }
+
+    pub fn replica(&self, machine: usize) -> Option<&Replica> {
+        self.machines[machine].process.as_ref().map(|(replica, _)| replica)
+    }
+
+    /// What tells two worlds apart.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        format!("{self:?}").hash(&mut hasher);
+        hasher.finish()
+    }
+}
+
+impl fmt::Debug for World {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for machine in &self.machines {
+            let process = machine.process.as_ref().map(|(replica, state)| (replica, state.position()));
+            write!(f, "{:?} {process:?} ", (&machine.pending, machine.is_cut_off, machine.is_frozen))?;
+            write!(f, "{:?} {:?} ", machine.disk.agreement, machine.disk.entries)?;
+            write!(f, "{:?} {:?} ", machine.synced.agreement, machine.synced.entries)?;
+        }
+        write!(f, "{} {:?} {:?} {:?} {:?}", self.now, self.links, self.budget, self.questions, self.wrong)
+    }
+}
+
+impl PartialEq for World {
+    fn eq(&self, other: &World) -> bool {
+        self.digest() == other.digest()
+    }
+}
+
+impl Hash for World {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.digest().hash(state);
+    }
+}
