Split the group of replicas in memory, and say once what a change of a disk does

The model of replicas had the same type for changes of a disk and the same way of making them; both use common/disk_change.rs now. Moved only otherwise; the stories and their numbers are as before.

--- /dev/null
+++ b/system/control/tests/common/group/delivery.rs
@@ -0,0 +1,114 @@
+//! Messages arrive, disks confirm, and what replicas want is done.
+use super::{Event, Group, Running, DELAY_MS};
+use crate::common::disk_change::DiskChange;
+use magpiegap_control::Output;
+use magpiegap_protocol::{Millis, PeerMessage, Replica as ReplicaId};
+use rand::Rng;
+
+/// So many missing entries are told as fast as anything else.
+const FEW_ENTRIES: usize = 5;
+/// How long a sync takes.
+const SYNC_MS: Millis = 9;
+/// Where chance decides, messages and syncs take up to this long.
+const MOST_DELAY_MS: Millis = 30;
+const MOST_SYNC_MS: Millis = 60;
+
+impl Group {
+    pub(super) fn happen(&mut self) {
+        while let Some(first) = self.events.first_entry().filter(|first| first.key().0 <= self.now) {
+            let event = first.remove();
+            let at = match &event {
+                Event::Message { to, .. } => *to,
+                Event::Persisted { address, .. } => *address,
+            };
+            if self.is_frozen(at) {
+                let until = self.frozen[&at];
+                self.schedule_at(until, event);
+                continue;
+            }
+            match event {
+                Event::Message { to, from, message } => self.deliver(to, from, *message),
+                Event::Persisted { address, boot, ticket, change } => {
+                    self.persisted(address, boot, ticket, *change);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, to: u32, from: ReplicaId, message: PeerMessage) {
+        let now = self.now;
+        if let Some(Running { replica, machine }) = self.running.get_mut(&to) {
+            replica.receive(now, now, from, message, machine);
+        }
+        self.perform(to);
+    }
+
+    fn persisted(&mut self, address: u32, boot: u64, ticket: u64, change: DiskChange) {
+        let now = self.now;
+        let running = self.running.get_mut(&address).filter(|running| running.replica.own().boot == boot);
+        let Some(Running { replica, machine }) = running else { return };
+        replica.persisted(ticket, now, machine);
+        if let Some(disk) = self.disks.get_mut(&address) {
+            change.apply(disk);
+        }
+        self.perform(address);
+    }
+
+    pub(super) fn perform(&mut self, address: u32) {
+        let Some(running) = self.running.get_mut(&address) else { return };
+        let own = running.replica.own();
+        for output in running.replica.take_outputs() {
+            match output {
+                Output::Send { to, message } => self.send(own, to, message),
+                Output::Persist { ticket, records } => {
+                    self.write_disk(own, ticket, DiskChange::Records(records));
+                }
+                Output::Checkpoint { ticket, snapshot } => {
+                    self.write_disk(own, ticket, DiskChange::Whole(snapshot));
+                }
+                Output::Log(_) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: ReplicaId, to: u32, message: PeerMessage) {
+        let cut = self.cut_off.contains(&to) || self.cut_off.contains(&from.member.address);
+        let pair = (to.min(from.member.address), to.max(from.member.address));
+        if (cut || self.cut_links.contains(&pair)) && to != from.member.address {
+            return;
+        }
+        let delay = match message {
+            PeerMessage::StatePart { .. } => self.catch_up_delay_ms,
+            PeerMessage::MissingEntries { ref entries, .. } if entries.len() > FEW_ENTRIES => {
+                self.catch_up_delay_ms
+            }
+            _ => self.some_time(DELAY_MS, MOST_DELAY_MS),
+        };
+        // Messages from one replica to another arrive in order.
+        let link = self.links.entry((from.member.address, to)).or_default();
+        let arrival = (self.now + delay).max(*link);
+        *link = arrival;
+        let event = Event::Message { to, from, message: Box::new(message) };
+        self.schedule_at(arrival, event);
+    }
+
+    fn write_disk(&mut self, own: ReplicaId, ticket: u64, change: DiskChange) {
+        let address = own.member.address;
+        let event = Event::Persisted { address, boot: own.boot, ticket, change: Box::new(change) };
+        // A disk does its work in order.
+        let sync = self.some_time(SYNC_MS, MOST_SYNC_MS);
+        let done = self.syncs.entry(address).or_default();
+        *done = (self.now + sync).max(*done);
+        let at = *done;
+        self.schedule_at(at, event);
+    }
+
+    fn some_time(&mut self, usual: Millis, most: Millis) -> Millis {
+        self.chance.as_mut().map_or(usual, |chance| chance.gen_range(1..=most))
+    }
+
+    pub(super) fn schedule_at(&mut self, at: Millis, event: Event) {
+        self.sequence += 1;
+        self.events.insert((at, self.sequence), event);
+    }
+}
--- /dev/null
+++ b/system/control/tests/common/group/machines.rs
@@ -0,0 +1,69 @@
+//! Machines start, end, lose their disks and are replaced.
+use super::{Event, Group, Running};
+use crate::common::{counting_state::CountingState, disk_change::DiskChange};
+use magpiegap_control::{restore, ControlSettings, Replica, Snapshot, StateMachine};
+use magpiegap_protocol::{Member, Millis, Replica as ReplicaId};
+
+impl Group {
+    /// Starts the process on a machine.
+    pub fn start_replica(&mut self, address: u32) {
+        self.boots += 1;
+        let disk = self.disks[&address].clone();
+        let own = ReplicaId { member: Member { address, disk: disk.disk }, boot: self.boots };
+        let settings = ControlSettings {
+            own,
+            seeds: self.disks.keys().copied().collect(),
+            location: self.locations.get(&address).copied().unwrap_or_default(),
+            tolerance: self.tolerance,
+            heartbeat_ms: 60,
+            suspect_ms: 320,
+            seed: self.boots,
+        };
+        let mut machine = CountingState::default();
+        assert!(restore(&mut machine, &*disk.state));
+        let replica = Replica::new(settings, disk, self.now);
+        self.running.insert(address, Running { replica, machine });
+        self.perform(address);
+    }
+
+    /// Ends the process on a machine. What it had not synced is lost.
+    pub fn stop_replica(&mut self, address: u32) {
+        self.running.remove(&address);
+    }
+
+    /// Ends the process on a machine; its disk gets all that the process had written.
+    pub fn kill_replica(&mut self, address: u32) {
+        let Some(killed) = self.running.remove(&address) else { return };
+        let own_boot = killed.replica.own().boot;
+        let of_process = |event: &Event| matches!(event, Event::Persisted { address: at, boot, .. } if *at == address && *boot == own_boot);
+        let keys: Vec<(Millis, u64)> =
+            self.events.iter().filter(|(_, event)| of_process(event)).map(|(key, _)| *key).collect();
+        let mut written: Vec<(u64, Box<DiskChange>)> = Vec::new();
+        for key in keys {
+            if let Some(Event::Persisted { ticket, change, .. }) = self.events.remove(&key) {
+                written.push((ticket, change));
+            }
+        }
+        written.sort_by_key(|(ticket, _)| *ticket);
+        for (_, change) in written {
+            if let Some(disk) = self.disks.get_mut(&address) {
+                change.apply(disk);
+            }
+        }
+    }
+
+    /// Empties the disk of a machine whose process does not run.
+    pub fn wipe(&mut self, address: u32) {
+        let disk = 1000 + self.boots;
+        let state = CountingState::default().freeze();
+        self.disks.insert(address, Snapshot::empty(disk, None, Vec::new(), state));
+    }
+
+    /// A machine is gone for good, and an empty one starts at another address.
+    pub fn replace(&mut self, gone: u32, new: u32) {
+        self.running.remove(&gone);
+        self.disks.remove(&gone);
+        self.wipe(new);
+        self.start_replica(new);
+    }
+}
--- a/system/control/tests/common/mod.rs
+++ b/system/control/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! What the stories of replicas share.
 #![allow(dead_code)]
+pub mod counting_state;
+pub mod disk_change;
 pub mod group;
 
 use magpiegap_control::{
--- a/system/control/tests/model/beginnings.rs
+++ b/system/control/tests/model/beginnings.rs
@@ -1,6 +1,6 @@
 //! Worlds that the replicas have come to by themselves, from which the checker goes on.
 use crate::{
-    common::group::CountingState,
+    common::counting_state::CountingState,
     world::{Budget, World},
 };
 use magpiegap_control::{Replica, Snapshot, StateMachine};
--- a/system/control/tests/model/running.rs
+++ b/system/control/tests/model/running.rs
@@ -1,7 +1,7 @@
 //! What happens to the machines: processes start and end, disks confirm, messages arrive, time passes.
 use crate::{
-    common::group::CountingState,
-    world::{address, DiskChange, World, TICK_MS},
+    common::{counting_state::CountingState, disk_change::DiskChange},
+    world::{address, World, TICK_MS},
 };
 use magpiegap_control::{restore, ControlSettings, Output, Replica, Tolerance};
 use magpiegap_protocol::{Command, Location, Member, Millis, PeerMessage, ProposalId, Replica as ReplicaId};
@@ -117,12 +117,7 @@
 
     pub fn write_through(&mut self, machine: usize, pending: VecDeque<(u64, DiskChange)>) {
         let disk = &mut self.machines[machine].disk;
-        for (_, change) in pending {
-            match change {
-                DiskChange::Whole(snapshot) => *disk = *snapshot,
-                DiskChange::Records(records) => records.into_iter().for_each(|record| disk.add(record)),
-            }
-        }
+        pending.into_iter().for_each(|(_, change)| change.apply(disk));
     }
 
     pub fn tick(&mut self) {
--- a/system/control/tests/model/steps.rs
+++ b/system/control/tests/model/steps.rs
@@ -1,6 +1,6 @@
 //! The steps that the checker takes, and what must hold after each.
 use crate::{
-    common::group::CountingState,
+    common::counting_state::CountingState,
     world::{World, MOST_QUESTIONS},
 };
 use magpiegap_control::{Replica, Snapshot, StateMachine};
--- a/system/control/tests/model/world.rs
+++ b/system/control/tests/model/world.rs
@@ -1,6 +1,6 @@
 //! Everything at one moment: machines with their disks and processes, links, what may still happen, and what was wrong.
-use crate::common::group::CountingState;
-use magpiegap_control::{DurableRecord, DurableState, Replica, Snapshot, StateMachine};
+use crate::common::{counting_state::CountingState, disk_change::DiskChange};
+use magpiegap_control::{DurableState, Replica, Snapshot, StateMachine};
 use magpiegap_protocol::{Member, Millis, PeerMessage, ProposalId, Replica as ReplicaId};
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -39,12 +39,6 @@
     freezes: 0,
 };
 
-#[derive(Clone, Debug)]
-pub enum DiskChange {
-    Records(Vec<DurableRecord>),
-    Whole(Box<Snapshot>),
-}
-
 /// A machine with its disk and, while it runs, its process.
 #[derive(Clone)]
 pub struct Machine {
