Say once since when something is lost, what a voter confirms, and what a heartbeat is

Found on reading the whole change once more: two trackers of a loss side by side in the coordinator (lapse.rs serves both); two ways to look up what a member has confirmed; a log entry copied only to see whether it is there; heartbeats built by hand in three test files; a lost disk written out twice in the model.

--- a/system/control/src/contact.rs
+++ b/system/control/src/contact.rs
@@ -35,11 +35,7 @@
     /// Until when, on our steady clock, no later view than this one can have been agreed. This replica's own vote counts
     /// as given now. Zero: that isn't known.
     pub fn confirmed_at(&self, view: &View, own: Member, now: Millis) -> Millis {
-        let confirmed = |voter: &Member| match self.confirmed.get(voter) {
-            _ if *voter == own => now,
-            Some(confirmation) if confirmation.view == view.number => confirmation.at,
-            _ => 0,
-        };
+        let confirmed = |voter: &Member| if *voter == own { now } else { self.heard_by(view, *voter) };
         let mut times: Vec<Millis> = view.voters.iter().map(confirmed).collect();
         times.sort_unstable_by(|one, other| other.cmp(one));
         times.get(view.majority() - 1).copied().unwrap_or(0)
--- a/system/control/src/followers.rs
+++ b/system/control/src/followers.rs
@@ -30,13 +30,13 @@
             self.chain.requests.insert(from, last);
             return;
         }
-        let known = self.chain.log.contains(last).then_some(());
-        let Some(run) = known.and_then(|()| self.chain.log.run_after(last.index, MOST_BYTES)) else {
+        let log = &self.chain.log;
+        let run = log.contains(last).then(|| log.run_after(last.index, MOST_BYTES)).flatten();
+        let Some(Run { entries, more }) = run else {
             self.offer_state(from, now, machine);
             return;
         };
         let view = self.agreement.state.current.number;
-        let Run { entries, more } = run;
         if !more {
             // From now on it is told what is new, and soon what is on disk.
             let told = (0, now.saturating_sub(APPEND_EVERY_MS));
--- a/system/control/src/log.rs
+++ b/system/control/src/log.rs
@@ -69,6 +69,11 @@
         Some(Run { entries, more })
     }
 
+    /// Whether the log comes as far as this entry and has all that follow it in memory.
+    pub fn has_all_after(&self, index: u64) -> bool {
+        (self.before.index..=self.last().index).contains(&index)
+    }
+
     /// Whether this very entry is, or was, at this place.
     pub fn contains(&self, position: Position) -> bool {
         position == self.before || self.get(position.index).is_some_and(|entry| entry.position == position)
--- a/system/control/src/state_transfer.rs
+++ b/system/control/src/state_transfer.rs
@@ -30,7 +30,7 @@
 impl Replica {
     /// Offers another replica the whole state.
     pub(crate) fn offer_state(&mut self, to: ReplicaId, now: Millis, machine: &mut dyn StateMachine) {
-        let of_use = |outgoing: &Outgoing| self.chain.log.run_after(outgoing.position().index, 0).is_some();
+        let of_use = |outgoing: &Outgoing| self.chain.log.has_all_after(outgoing.position().index);
         let state = match self.chain.outgoing.take().filter(of_use) {
             Some(outgoing) => outgoing.state,
             None => machine.freeze(),
--- a/system/control/tests/common/mod.rs
+++ b/system/control/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use magpiegap_control::{
     ControlSettings, EncodedState, FrozenState, Output, Replica, Snapshot, StateMachine, Tolerance,
 };
-use magpiegap_protocol::{Entry, Location, Position, Replica as ReplicaId};
+use magpiegap_protocol::{Entry, Heartbeat, Location, PeerReport, Position, Replica as ReplicaId};
 use std::sync::Arc;
 
 /// A state that nothing is done with.
@@ -47,6 +47,38 @@
     replica
 }
 
+/// What a replica at work in a view tells of another one that it hears.
+pub fn report(of: ReplicaId, view: u64) -> PeerReport {
+    PeerReport {
+        replica: of,
+        age_ms: 1,
+        view,
+        serving: false,
+        unfit: false,
+        complete: true,
+        committed: 0,
+        both_ways: true,
+        location: Location::default(),
+        echo: 0,
+    }
+}
+
+/// A heartbeat of a replica that has all that was committed up to a view, and hears nobody.
+pub fn heartbeat(view: u64) -> Heartbeat {
+    Heartbeat {
+        view,
+        serving: false,
+        unfit: false,
+        heard: Vec::new(),
+        wall_ms: 0,
+        committed: 0,
+        complete: true,
+        location: Location::default(),
+        sent_at: 0,
+        sealed: false,
+    }
+}
+
 /// Settings of a replica that knows these addresses; one machine may be lost.
 pub fn settings(own: ReplicaId, seeds: Vec<u32>) -> ControlSettings {
     ControlSettings {
--- a/system/control/tests/contact.rs
+++ b/system/control/tests/contact.rs
@@ -1,12 +1,10 @@
 //! What counts as proof that a view is still the newest one.
 mod common;
 
-use common::{no_state, settings, started, NoState};
+use common::{heartbeat, no_state, report, settings, started, NoState};
 use googletest::prelude::*;
 use magpiegap_control::{Replica, Snapshot, CONTACT_MS};
-use magpiegap_protocol::{
-    Heartbeat, Location, Member, Millis, PeerMessage, PeerReport, Replica as ReplicaId, View,
-};
+use magpiegap_protocol::{Heartbeat, Member, Millis, PeerMessage, PeerReport, Replica as ReplicaId, View};
 
 fn replica(address: u32) -> ReplicaId {
     ReplicaId { member: Member { address, disk: 0 }, boot: u64::from(address) }
@@ -26,30 +24,8 @@
 
 /// A heartbeat from a voter that has got the head's heartbeat of a time.
 fn echo(view: u64, echo: Millis, sealed: bool) -> PeerMessage {
-    let heard = PeerReport {
-        replica: replica(1),
-        age_ms: 1,
-        view: 1,
-        serving: true,
-        unfit: false,
-        complete: true,
-        committed: 0,
-        both_ways: true,
-        location: Location::default(),
-        echo,
-    };
-    PeerMessage::Heartbeat(Heartbeat {
-        view,
-        serving: true,
-        unfit: false,
-        heard: vec![heard],
-        wall_ms: 0,
-        committed: 0,
-        complete: true,
-        location: Location::default(),
-        sent_at: 1,
-        sealed,
-    })
+    let heard = vec![PeerReport { serving: true, echo, ..report(replica(1), 1) }];
+    PeerMessage::Heartbeat(Heartbeat { serving: true, heard, sent_at: 1, sealed, ..heartbeat(view) })
 }
 
 #[googletest::test]
--- a/system/control/tests/median_time.rs
+++ b/system/control/tests/median_time.rs
@@ -1,12 +1,10 @@
 //! The time of day that replicas go by is the middle one of all that are heard.
 mod common;
 
-use common::{no_state, settings, started, NoState};
+use common::{heartbeat, no_state, settings, started, NoState};
 use googletest::prelude::*;
 use magpiegap_control::{Replica, Snapshot};
-use magpiegap_protocol::{
-    Heartbeat, Location, Member, Millis, PeerMessage, Replica as ReplicaId, WallMillis,
-};
+use magpiegap_protocol::{Heartbeat, Member, Millis, PeerMessage, Replica as ReplicaId, WallMillis};
 
 /// True time of day when the replica's steady clock shows zero.
 const TRUE_MS: WallMillis = 1_700_000_000_000;
@@ -21,18 +19,7 @@
 }
 
 fn tell_time(to: &mut Replica, from: u32, now: Millis, wall_ms: WallMillis) {
-    let heartbeat = Heartbeat {
-        view: 0,
-        serving: false,
-        unfit: false,
-        heard: Vec::new(),
-        wall_ms,
-        committed: 0,
-        complete: true,
-        location: Location::default(),
-        sent_at: 0,
-        sealed: false,
-    };
+    let heartbeat = Heartbeat { wall_ms, ..heartbeat(0) };
     to.receive(now, TRUE_MS + now, replica(from), PeerMessage::Heartbeat(heartbeat), &mut NoState);
 }
 
--- a/system/control/tests/model/beginnings.rs
+++ b/system/control/tests/model/beginnings.rs
@@ -1,9 +1,6 @@
 //! Worlds that the replicas have come to by themselves, from which the checker goes on.
-use crate::{
-    common::counting_state::CountingState,
-    world::{Budget, World},
-};
-use magpiegap_control::{Replica, Snapshot, StateMachine};
+use crate::world::{Budget, World};
+use magpiegap_control::Replica;
 
 /// A world in which all take part and an entry is committed.
 pub fn serving(size: usize, tolerance: usize, budget: Budget) -> World {
@@ -31,11 +28,7 @@
 /// A world in which a machine with an empty disk is about to come back.
 pub fn with_a_wiped_one(size: usize, tolerance: usize, budget: Budget) -> World {
     let mut world = serving(size, tolerance, budget);
-    world.end(0);
-    let state = CountingState::default().freeze();
-    world.machines[0].disk = Snapshot::empty(77, None, Vec::new(), state);
-    world.machines[0].synced = world.machines[0].disk.clone();
-    world.machines[0].pending.clear();
+    world.wipe(0);
     world.settle(8);
     world.write();
     world.settle(1);
--- a/system/control/tests/model/running.rs
+++ b/system/control/tests/model/running.rs
@@ -3,7 +3,7 @@
     common::{counting_state::CountingState, disk_change::DiskChange},
     world::{address, World, TICK_MS},
 };
-use magpiegap_control::{restore, ControlSettings, Output, Replica, Tolerance};
+use magpiegap_control::{restore, ControlSettings, Output, Replica, Snapshot, StateMachine, Tolerance};
 use magpiegap_protocol::{Command, Location, Member, Millis, PeerMessage, ProposalId, Replica as ReplicaId};
 use std::collections::VecDeque;
 
@@ -43,6 +43,17 @@
         self.end(machine);
     }
 
+    /// Ends a machine's process and empties its disk, which gets another name.
+    pub fn wipe(&mut self, machine: usize) {
+        self.end(machine);
+        let name = 1000 + self.boots;
+        let empty = Snapshot::empty(name, None, Vec::new(), CountingState::default().freeze());
+        let wiped = &mut self.machines[machine];
+        wiped.pending.clear();
+        wiped.disk = empty.clone();
+        wiped.synced = empty;
+    }
+
     /// Takes a step at a process, and does what it wants done.
     pub fn with(&mut self, machine: usize, step: impl FnOnce(&mut Replica, Millis, &mut CountingState)) {
         let now = self.now;
--- a/system/control/tests/model/steps.rs
+++ b/system/control/tests/model/steps.rs
@@ -1,9 +1,6 @@
 //! The steps that the checker takes, and what must hold after each.
-use crate::{
-    common::counting_state::CountingState,
-    world::{World, MOST_QUESTIONS},
-};
-use magpiegap_control::{Replica, Snapshot, StateMachine};
+use crate::world::{World, MOST_QUESTIONS};
+use magpiegap_control::Replica;
 use stateright::{Model, Property};
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -133,12 +130,7 @@
             }
             Step::Wipe(machine) => {
                 world.budget.wipes -= 1;
-                world.machines[machine].pending.clear();
-                world.end(machine);
-                let name = 1000 + world.boots;
-                let state = CountingState::default().freeze();
-                world.machines[machine].disk = Snapshot::empty(name, None, Vec::new(), state);
-                world.machines[machine].synced = world.machines[machine].disk.clone();
+                world.wipe(machine);
             }
             Step::Start(machine) => world.start(machine, self.tolerance),
             Step::CutOff(machine) => {
--- a/system/control/tests/starting.rs
+++ b/system/control/tests/starting.rs
@@ -1,10 +1,10 @@
 //! When replicas that have started propose a view.
 mod common;
 
-use common::{no_state, settings, started, NoState};
+use common::{heartbeat, no_state, report, settings, started, NoState};
 use googletest::prelude::*;
 use magpiegap_control::{Output, Replica, Snapshot};
-use magpiegap_protocol::{Heartbeat, Location, Member, PeerMessage, PeerReport, Replica as ReplicaId, View};
+use magpiegap_protocol::{Heartbeat, Member, PeerMessage, Replica as ReplicaId, View};
 
 fn replica(address: u32) -> ReplicaId {
     ReplicaId { member: Member { address, disk: 0 }, boot: u64::from(address) }
@@ -26,31 +26,9 @@
 }
 
 /// A heartbeat of a replica that hears the first one.
-fn heartbeat(view: u64, serving: bool) -> PeerMessage {
-    let heard = PeerReport {
-        replica: new_life(1),
-        age_ms: 1,
-        view,
-        serving: false,
-        unfit: false,
-        complete: true,
-        committed: 0,
-        both_ways: true,
-        location: Location::default(),
-        echo: 0,
-    };
-    PeerMessage::Heartbeat(Heartbeat {
-        view,
-        serving,
-        unfit: false,
-        heard: vec![heard],
-        wall_ms: 0,
-        committed: 0,
-        complete: true,
-        location: Location::default(),
-        sent_at: 0,
-        sealed: false,
-    })
+fn heard_heartbeat(view: u64, serving: bool) -> PeerMessage {
+    let heard = vec![report(new_life(1), view)];
+    PeerMessage::Heartbeat(Heartbeat { serving, heard, ..heartbeat(view) })
 }
 
 fn proposes(outputs: &[Output]) -> bool {
@@ -63,7 +41,7 @@
 fn given_a_start_of_all_when_all_voters_are_heard_then_a_view_is_proposed_at_once() {
     let mut replica_1 = restarted();
     for other in [2, 3] {
-        replica_1.receive(10, 0, new_life(other), heartbeat(1, false), &mut NoState);
+        replica_1.receive(10, 0, new_life(other), heard_heartbeat(1, false), &mut NoState);
     }
     replica_1.tick(20, 20, &mut NoState);
     expect_that!(proposes(&replica_1.take_outputs()), eq(true));
@@ -74,7 +52,7 @@
     let mut replica_1 = restarted();
     let mut proposed_at = None;
     for now in (0..1000).step_by(20) {
-        replica_1.receive(now, 0, new_life(2), heartbeat(1, false), &mut NoState);
+        replica_1.receive(now, 0, new_life(2), heard_heartbeat(1, false), &mut NoState);
         replica_1.tick(now, now, &mut NoState);
         let proposed = proposes(&replica_1.take_outputs());
         proposed_at = proposed_at.or(proposed.then_some(now));
@@ -86,7 +64,7 @@
 fn given_others_that_serve_when_a_replica_starts_then_it_disturbs_them_only_once_it_has_settled() {
     let mut replica_1 = restarted();
     for other in [2, 3] {
-        replica_1.receive(10, 0, new_life(other), heartbeat(1, true), &mut NoState);
+        replica_1.receive(10, 0, new_life(other), heard_heartbeat(1, true), &mut NoState);
     }
     replica_1.tick(20, 20, &mut NoState);
     expect_that!(proposes(&replica_1.take_outputs()), eq(false));
@@ -97,7 +75,7 @@
     let mut replica_1 = restarted();
     replica_1.tick(0, 0, &mut NoState);
     replica_1.take_outputs();
-    replica_1.receive(10, 0, new_life(2), heartbeat(1, false), &mut NoState);
+    replica_1.receive(10, 0, new_life(2), heard_heartbeat(1, false), &mut NoState);
     replica_1.tick(20, 20, &mut NoState);
     let heartbeats =
         |output: &Output| matches!(output, Output::Send { to: 2, message: PeerMessage::Heartbeat(_) });
@@ -109,9 +87,9 @@
     // Given: a view with this life of all three, agreed a moment after the last of them was first heard
     let mut replica_1 = restarted();
     for now in (0..100).step_by(20) {
-        replica_1.receive(now, 0, new_life(2), heartbeat(1, false), &mut NoState);
+        replica_1.receive(now, 0, new_life(2), heard_heartbeat(1, false), &mut NoState);
     }
-    replica_1.receive(100, 0, new_life(3), heartbeat(1, false), &mut NoState);
+    replica_1.receive(100, 0, new_life(3), heard_heartbeat(1, false), &mut NoState);
     let chain: Vec<ReplicaId> = (1..=3).map(new_life).collect();
     let voters: Vec<Member> = chain.iter().map(|replica| replica.member).collect();
     let view = View::initial(voters.clone()).next(voters.clone(), chain.clone()).next(voters, chain);
@@ -120,7 +98,7 @@
     let mut proposed = false;
     for now in (120..400).step_by(20) {
         for other in [2, 3] {
-            replica_1.receive(now, 0, new_life(other), heartbeat(2, true), &mut NoState);
+            replica_1.receive(now, 0, new_life(other), heard_heartbeat(2, true), &mut NoState);
         }
         replica_1.tick(now, now, &mut NoState);
         proposed |= proposes(&replica_1.take_outputs());
--- a/system/coordinator/src/coordinator.rs
+++ b/system/coordinator/src/coordinator.rs
@@ -1,6 +1,7 @@
 //! The coordinator: takes inputs, and says what to send, keep, call and answer.
 use crate::{
     counters::Counters,
+    lapse::Lapse,
     machine::Machine,
     outputs::Output,
     settings::CoordinatorSettings,
@@ -28,10 +29,10 @@
     pub(crate) pending: BTreeMap<u64, Pending>,
     /// Questions that wait until the view is confirmed.
     pub(crate) reads: Vec<WaitingRead>,
-    /// Since when a majority of the voters has not been heard.
-    pub(crate) contact_lost_at: Option<Millis>,
-    /// Since when this coordinator does not know what is acknowledged.
-    pub(crate) uninformed_since: Option<Millis>,
+    /// How long there has been no contact with a majority of the voters.
+    pub(crate) without_contact: Lapse,
+    /// How long this coordinator has not known what is acknowledged.
+    pub(crate) uninformed: Lapse,
     pub(crate) next_pending: u64,
     pub(crate) feed: Feed,
     pub(crate) waiters: Vec<Waiter>,
@@ -73,8 +74,8 @@
             last_proposed_at: 0,
             pending: BTreeMap::new(),
             reads: Vec::new(),
-            contact_lost_at: None,
-            uninformed_since: None,
+            without_contact: Lapse::default(),
+            uninformed: Lapse::default(),
             next_pending: 0,
             feed: Feed::default(),
             waiters: Vec::new(),
--- a/system/coordinator/src/feeds.rs
+++ b/system/coordinator/src/feeds.rs
@@ -51,13 +51,9 @@
         }
         let (now, revision) = (self.now, self.feed.revision);
         let is_informed = self.is_informed() && !self.leaving;
-        let lost_at = match is_informed {
-            true => None,
-            false => Some(self.uninformed_since.unwrap_or(now)),
-        };
-        self.uninformed_since = lost_at;
+        self.uninformed.note(is_informed, now);
         // A change of the view is over in a moment, and then there is news.
-        let is_lost = self.leaving || lost_at.is_some_and(|since| now >= since + VIEW_CHANGE_MS);
+        let is_lost = self.leaving || self.uninformed.lasts(VIEW_CHANGE_MS, now);
         let is_news = |waiter: &Waiter| waiter.poll.revision != revision || now >= waiter.until;
         let due = |waiter: &Waiter| is_lost || (is_informed && is_news(waiter));
         let (answered, waiting): (Vec<Waiter>, Vec<Waiter>) =
--- a/system/coordinator/src/lib.rs
+++ b/system/coordinator/src/lib.rs
@@ -8,6 +8,7 @@
 mod describe;
 mod feeds;
 mod job_list;
+mod lapse;
 mod machine;
 mod outputs;
 mod platform;
--- a/system/coordinator/src/proposals.rs
+++ b/system/coordinator/src/proposals.rs
@@ -110,12 +110,8 @@
     /// others: a caller that hears so within a second asks another one.
     pub(crate) fn give_up_requests(&mut self) {
         let now = self.now;
-        let lost_at = match self.replica.has_contact(now) {
-            true => None,
-            false => Some(self.contact_lost_at.unwrap_or(now)),
-        };
-        self.contact_lost_at = lost_at;
-        let is_lost = lost_at.is_some_and(|since| now >= since + CONTACT_LOST_MS);
+        self.without_contact.note(self.replica.has_contact(now), now);
+        let is_lost = self.without_contact.lasts(CONTACT_LOST_MS, now);
         let old: Vec<(u64, bool)> = self
             .pending
             .iter()
