Share the stand-ins on sockets between the stories of calls

tests/endpoint.rs and tests/worker_connections.rs had the same listener, reader of requests and reset (found on reading the change once more). Assertions as before.

--- a/system/magpiegap/tests/endpoint.rs
+++ b/system/magpiegap/tests/endpoint.rs
@@ -1,38 +1,17 @@
 //! Calls to coordinators and agents: what is known of a call without an answer, and that none is sent twice.
+mod common;
+
+use common::{listen, read_request, reset, stays_quiet, LONG};
 use googletest::prelude::*;
 use magpiegap::endpoint::{call, client, CallError};
 use magpiegap_protocol::{encode, CoordinatorAnswer, CoordinatorRequest};
-use std::{net::SocketAddr, time::Duration};
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
-};
-
-/// Longer than any call here takes.
-const LONG: Duration = Duration::from_secs(20);
+use std::time::Duration;
+use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 fn question() -> CoordinatorRequest {
     CoordinatorRequest::Count { queue: "h/q/".to_owned() }
 }
 
-async fn listen() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let address = listener.local_addr().expect("an address");
-    (listener, address)
-}
-
-/// Reads one request: its end is that of its body.
-async fn read_request(stream: &mut TcpStream) {
-    let body = encode(&question());
-    let mut read = Vec::new();
-    while !read.ends_with(&body) {
-        let mut part = [0; 1024];
-        let length = stream.read(&mut part).await.expect("a request");
-        assert!(length > 0, "the connection ended");
-        read.extend_from_slice(&part[..length]);
-    }
-}
-
 async fn answer(stream: &mut TcpStream, count: u64) {
     let body = encode(&CoordinatorAnswer::Count(count));
     let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
@@ -53,12 +32,11 @@
     let (listener, address) = listen().await;
     let coordinator = tokio::spawn(async move {
         let (mut kept, _) = listener.accept().await.expect("a connection");
-        read_request(&mut kept).await;
+        read_request(&mut kept, &encode(&question())).await;
         answer(&mut kept, 1).await;
-        read_request(&mut kept).await;
-        socket2::SockRef::from(&kept).set_linger(Some(Duration::ZERO)).expect("an option of sockets");
-        drop(kept);
-        tokio::time::timeout(Duration::from_millis(150), listener.accept()).await.is_err()
+        read_request(&mut kept, &encode(&question())).await;
+        reset(kept);
+        stays_quiet(&listener).await
     });
     let client = client();
     assert_that!(call(&client, address, &question(), LONG).await, ok(eq(&CoordinatorAnswer::Count(1))));
@@ -72,11 +50,11 @@
     let (ended, call_ended) = tokio::sync::oneshot::channel::<()>();
     tokio::spawn(async move {
         let (mut first, _) = listener.accept().await.expect("a connection");
-        read_request(&mut first).await;
+        read_request(&mut first, &encode(&question())).await;
         let _ = call_ended.await;
         answer(&mut first, 1).await;
         let (mut second, _) = listener.accept().await.expect("another connection");
-        read_request(&mut second).await;
+        read_request(&mut second, &encode(&question())).await;
         answer(&mut second, 2).await;
     });
     let client = client();
--- a/system/magpiegap/tests/worker_connections.rs
+++ b/system/magpiegap/tests/worker_connections.rs
@@ -1,49 +1,31 @@
 //! Calls to workers use lasting connections, and say when there is no answer.
+mod common;
+
 use bytes::Bytes;
+use common::{listen, read_request, reset, stays_quiet, LONG};
 use googletest::prelude::*;
 use http_body_util::Full;
 use hyper::Request;
 use magpiegap::worker_connections::{ConnectionError, WorkerConnections};
-use std::{net::SocketAddr, time::Duration};
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
-};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-/// Longer than any call here takes.
-const LONG: Duration = Duration::from_secs(20);
+/// The body of every request.
+const BODY: &[u8] = b"{}";
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
 
 fn request() -> Request<Full<Bytes>> {
-    let request =
-        Request::post("/-/hold").header("host", "worker").body(Full::new(Bytes::from_static(b"{}")));
+    let request = Request::post("/-/hold").header("host", "worker").body(Full::new(Bytes::from_static(BODY)));
     request.expect("a fine request")
 }
 
-async fn listen() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let address = listener.local_addr().expect("an address");
-    (listener, address)
-}
-
-/// Reads one request: its end is that of its body.
-async fn read_request(stream: &mut TcpStream) {
-    let mut read = Vec::new();
-    while !read.ends_with(b"\r\n\r\n{}") {
-        let mut part = [0; 1024];
-        let length = stream.read(&mut part).await.expect("a request");
-        assert!(length > 0, "the connection ended");
-        read.extend_from_slice(&part[..length]);
-    }
-}
-
 #[tokio::test]
 async fn given_a_worker_that_keeps_connections_when_it_is_called_twice_then_both_calls_use_one() {
     let (listener, address) = listen().await;
     let worker = tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.expect("a connection");
         for _ in 0..2 {
-            read_request(&mut stream).await;
+            read_request(&mut stream, BODY).await;
             stream.write_all(ANSWER).await.expect("an open connection");
         }
     });
@@ -62,7 +44,7 @@
     tokio::spawn(async move {
         loop {
             let (mut stream, _) = listener.accept().await.expect("a connection");
-            read_request(&mut stream).await;
+            read_request(&mut stream, BODY).await;
             stream.write_all(ANSWER).await.expect("an open connection");
             stream.shutdown().await.expect("an open connection");
         }
@@ -94,7 +76,7 @@
     let (listener, address) = listen().await;
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.expect("a connection");
-        read_request(&mut stream).await;
+        read_request(&mut stream, BODY).await;
         stream.write_all(&ANSWER[..ANSWER.len() - 1]).await.expect("an open connection");
     });
     let called = WorkerConnections::default().call(address, request(), LONG).await;
@@ -107,7 +89,7 @@
     let worker = tokio::spawn(async move {
         for _ in 0..2 {
             let (mut stream, _) = listener.accept().await.expect("a connection for each call");
-            read_request(&mut stream).await;
+            read_request(&mut stream, BODY).await;
             stream.write_all(ANSWER).await.expect("an open connection");
             let mut rest = [0; 1];
             assert_that!(stream.read(&mut rest).await.expect("a proper end"), eq(0));
@@ -133,12 +115,12 @@
     let (ended, call_ended) = tokio::sync::oneshot::channel::<()>();
     tokio::spawn(async move {
         let (mut first, _) = listener.accept().await.expect("a connection");
-        read_request(&mut first).await;
+        read_request(&mut first, BODY).await;
         let _ = call_ended.await;
         // The caller may have closed the connection by now.
         let _ = first.write_all(&numbered(1)).await;
         let (mut second, _) = listener.accept().await.expect("another connection");
-        read_request(&mut second).await;
+        read_request(&mut second, BODY).await;
         second.write_all(&numbered(2)).await.expect("an open connection");
     });
     let connections = WorkerConnections::default();
@@ -154,11 +136,11 @@
     let (listener, address) = listen().await;
     tokio::spawn(async move {
         let (mut first, _) = listener.accept().await.expect("a connection");
-        read_request(&mut first).await;
+        read_request(&mut first, BODY).await;
         let twice = [numbered(1), numbered(9)].concat();
         first.write_all(&twice).await.expect("an open connection");
         let (mut second, _) = listener.accept().await.expect("another connection");
-        read_request(&mut second).await;
+        read_request(&mut second, BODY).await;
         second.write_all(&numbered(2)).await.expect("an open connection");
     });
     let connections = WorkerConnections::default();
@@ -173,14 +155,12 @@
     let (listener, address) = listen().await;
     let worker = tokio::spawn(async move {
         let (mut kept, _) = listener.accept().await.expect("a connection");
-        read_request(&mut kept).await;
+        read_request(&mut kept, BODY).await;
         kept.write_all(ANSWER).await.expect("an open connection");
-        read_request(&mut kept).await;
+        read_request(&mut kept, BODY).await;
         // A second request on the way makes the end a reset.
-        socket2::SockRef::from(&kept).set_linger(Some(Duration::ZERO)).expect("an option of sockets");
-        drop(kept);
-        let again = tokio::time::timeout(Duration::from_millis(150), listener.accept()).await;
-        again.is_err()
+        reset(kept);
+        stays_quiet(&listener).await
     });
     let connections = WorkerConnections::default();
     connections.call(address, request(), LONG).await.expect("an answer");
