Carry configurations as differences in parts, so that slow links get every one

Cause: an agent gave a coordinator 250 ms for a whole answer with the whole configuration in it, and asked again without end. An edge of 2 Mbit/s takes 62 kB in that time; after a loss of power, a storm or a large configuration none ever got one again, and the failing transfers filled its link, so that jobs and questions of clients waited too. Ruled out: only longer times (the same at slower links), parts bounded as a whole. Change: news stay small; a configuration travels as the difference by routes to the version that the receiver has, compressed, in parts of 16 kB that one fetch asks for one after the other. Silence is judged by bytes that come, patience doubles with each answer that stayed away; a transfer goes on elsewhere where it was, ends before a newer one is begun, and skips those between. The agent is a state machine without I/O (system/distribution); the proxy follows it in the same way. Routes are found by host. An agent on a simulated link is in distribution/tests: storms at 2 Mbit/s, 64 kbit/s, all coordinators gone, a link whose queue takes 1.1 s; two of these failed with a patience that fell at once after each answer.

--- a/system/coordinator/src/coordinator.rs
+++ b/system/coordinator/src/coordinator.rs
@@ -8,7 +8,7 @@
     under_way::{Pending, Proposal, Reader, Waiter, WaitingRead},
 };
 use magpiegap_control::{DurableState, Output as ControlOutput, Replica, TimeOfDay};
-use magpiegap_jobs::Configuration;
+use magpiegap_distribution::ConfigurationSource;
 use magpiegap_protocol::{Feed, Millis, PlatformList, Role, WallMillis};
 use magpiegap_scheduler::Scheduler;
 use std::collections::BTreeMap;
@@ -18,7 +18,8 @@
     pub(crate) settings: CoordinatorSettings,
     pub(crate) replica: Replica,
     pub(crate) machine: Machine,
-    pub(crate) configuration: Option<Configuration>,
+    /// The configuration in force, and those before it.
+    pub(crate) configurations: ConfigurationSource,
     pub(crate) schedulers: BTreeMap<String, Scheduler>,
     pub(crate) reader: Option<Reader>,
     pub(crate) platform: Option<PlatformList>,
@@ -64,7 +65,7 @@
             settings,
             replica,
             machine,
-            configuration: None,
+            configurations: ConfigurationSource::default(),
             schedulers: BTreeMap::new(),
             reader: None,
             platform: None,
--- a/system/coordinator/src/feeds.rs
+++ b/system/coordinator/src/feeds.rs
@@ -1,6 +1,6 @@
 //! What agents and proxies are fed: long polls, answered as soon as anything has changed.
 use crate::{coordinator::Coordinator, outputs::RequestId, under_way::Waiter};
-use magpiegap_protocol::{CoordinatorAnswer, Feed, FeedPoll, Millis, RoleHolder};
+use magpiegap_protocol::{ConfigurationFetch, CoordinatorAnswer, Feed, FeedPoll, Millis, RoleHolder};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// Polls are not turned away before a coordinator has been without news of the others for this long, in milliseconds.
@@ -27,8 +27,8 @@
             chain: view.chain.iter().map(|replica| replica.member.address).collect(),
             roles: roles.collect(),
             configuration_version: state.configuration.version,
-            configuration: Vec::new(),
             revision: 0,
+            change: None,
         };
         let mut hasher = DefaultHasher::new();
         (feed.view, &feed.chain, feed.configuration_version).hash(&mut hasher);
@@ -66,11 +66,19 @@
         }
     }
 
-    fn feed_for(&self, poll: &FeedPoll) -> CoordinatorAnswer {
-        let mut feed = self.feed.clone();
-        if poll.configuration_version != feed.configuration_version {
-            feed.configuration = self.machine.state.configuration.body.clone();
-        }
-        CoordinatorAnswer::Feed(Box::new(feed))
+    fn feed_for(&mut self, poll: &FeedPoll) -> CoordinatorAnswer {
+        let change = self.configurations.small_change(poll.configuration_version);
+        CoordinatorAnswer::Feed(Box::new(Feed { change, ..self.feed.clone() }))
+    }
+
+    /// Answers with a part of what leads to the newest configuration.
+    pub(crate) fn fetch_configuration(&mut self, request: RequestId, fetch: &ConfigurationFetch) {
+        let is_informed = self.is_informed() && !self.leaving;
+        let part = is_informed.then(|| self.configurations.part(fetch)).flatten();
+        let answer = match part {
+            Some(part) => CoordinatorAnswer::ConfigurationPart(Box::new(part)),
+            None => CoordinatorAnswer::NotServing,
+        };
+        self.answer(request, answer);
     }
 }
--- a/system/coordinator/src/requests.rs
+++ b/system/coordinator/src/requests.rs
@@ -20,6 +20,7 @@
             CoordinatorRequest::Cancel { queue, job } => self.cancel(request, &queue, job),
             CoordinatorRequest::Count { queue } => self.count(request, &queue),
             CoordinatorRequest::Poll(poll) => self.poll(request, poll),
+            CoordinatorRequest::FetchConfiguration(fetch) => self.fetch_configuration(request, &fetch),
             CoordinatorRequest::ReplaceConfiguration { base, version, body } => {
                 self.begin_in_contact(request, Operation::ReplaceConfiguration { base, version, body });
             }
--- a/system/coordinator/src/roles.rs
+++ b/system/coordinator/src/roles.rs
@@ -18,7 +18,7 @@
 
     /// All roles that there should be, in a fixed order.
     fn wanted_roles(&self) -> Vec<Role> {
-        let services = self.configuration.as_ref().map(|configuration| configuration.services.keys());
+        let services = self.configurations.newest().map(|configuration| configuration.services.keys());
         let schedulers = services.into_iter().flatten().map(|service| Role::Scheduler(service.clone()));
         schedulers.chain([Role::PlatformReader]).collect()
     }
@@ -107,11 +107,13 @@
     /// Takes up the newest configuration.
     pub(crate) fn follow_configuration(&mut self) {
         let state = &self.machine.state.configuration;
-        if state.version == self.configuration.as_ref().map_or(0, |configuration| configuration.version) {
+        if state.version == self.configurations.newest().map_or(0, |configuration| configuration.version) {
             return;
         }
         // Only valid ones get into the log.
-        self.configuration = Configuration::parse(&state.body).ok();
+        if let Ok(configuration) = Configuration::parse(&state.body) {
+            self.configurations.push(configuration);
+        }
     }
 
     /// What accepts a job, if its service's scheduler is here.
--- /dev/null
+++ b/system/distribution/tests/agents.rs
@@ -0,0 +1,138 @@
+//! Agents on links of any rate get every configuration, and roles never wait behind one.
+mod common;
+mod slow_link;
+
+use common::configuration;
+use googletest::prelude::*;
+use magpiegap_distribution::{Agent, AgentSettings, CallFailure, CallId};
+use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, Feed};
+use slow_link::{whole_body_bytes, World, COORDINATORS};
+
+/// Routes of a large configuration.
+const MANY: u64 = 2000;
+/// A link of 2 Mbit/s, in bytes a second.
+const SLOW: u64 = 250_000;
+/// A link of 64 kbit/s.
+const VERY_SLOW: u64 = 8_000;
+
+#[googletest::test]
+fn given_a_slow_link_when_a_large_configuration_comes_then_it_arrives_in_time() {
+    let mut world = World::new(SLOW);
+    world.push(configuration(1, 0..MANY));
+    world.run_until(3000);
+    expect_that!(world.version(), eq(1));
+    // A body as the operator sent it would not have come within the patience of one answer.
+    expect_that!(whole_body_bytes(&configuration(1, 0..MANY)), gt(SLOW / 4));
+}
+
+#[googletest::test]
+fn given_a_very_slow_link_when_a_large_configuration_comes_then_it_arrives_however_long_that_takes() {
+    let mut world = World::new(VERY_SLOW);
+    world.push(configuration(1, 0..MANY));
+    world.run_until(60_000);
+    expect_that!(world.version(), eq(1));
+    // Nothing is sent twice.
+    let whole = world.source_bytes();
+    expect_that!(world.bytes_of_parts(), eq(whole));
+}
+
+#[googletest::test]
+fn given_a_storm_of_large_configurations_when_the_link_is_slow_then_the_newest_is_in_force_soon_after() {
+    let mut world = World::new(SLOW);
+    world.push(configuration(1, 0..MANY));
+    world.run_until(3000);
+    for version in 2..20 {
+        world.push(configuration(version, 0..MANY + version));
+        world.run_for(330);
+        expect_that!(world.version(), ge(version - 1));
+    }
+    world.run_for(400);
+    expect_that!(world.version(), eq(19));
+}
+
+#[googletest::test]
+fn given_a_configuration_on_its_way_when_a_role_passes_on_then_the_news_do_not_wait_behind_it() {
+    let mut world = World::new(SLOW);
+    world.push(configuration(1, 0..10 * MANY));
+    world.run_until(400);
+    expect_that!(world.version(), eq(0), "it is still on its way");
+    world.pass_role_on();
+    let at = world.now();
+    while world.token() < 2 {
+        world.run_for(10);
+        assert_that!(world.now(), lt(at + 300));
+    }
+    expect_that!(world.version(), eq(0), "it is still on its way");
+    world.run_for(6000);
+    expect_that!(world.version(), eq(1));
+}
+
+#[googletest::test]
+fn given_all_coordinators_gone_for_a_while_when_they_are_back_with_a_large_change_then_it_arrives() {
+    let mut world = World::new(SLOW);
+    world.push(configuration(1, 0..MANY));
+    world.run_until(3000);
+    world.set_down(COORDINATORS);
+    world.run_for(9500);
+    // They remember no other version after their start.
+    world.restart_with(configuration(9, MANY..2 * MANY));
+    world.set_down(0);
+    world.run_for(2500);
+    expect_that!(world.version(), eq(9));
+}
+
+#[googletest::test]
+fn given_clients_that_fill_the_link_when_answers_take_a_second_then_the_agent_is_served_all_the_same() {
+    let mut world = World::new(SLOW);
+    world.queue_delay_ms(1100);
+    world.push(configuration(1, 0..10));
+    world.run_until(8000);
+    expect_that!(world.version(), eq(1));
+    world.push(configuration(2, 0..MANY));
+    world.run_for(25_000);
+    expect_that!(world.version(), eq(2));
+}
+
+#[googletest::test]
+fn given_one_coordinator_that_gives_no_configurations_when_it_is_asked_then_another_one_is() {
+    let mut world = World::new(SLOW);
+    world.push(configuration(1, 0..MANY));
+    world.refuse_fetches_at(0);
+    world.run_until(5000);
+    expect_that!(world.version(), eq(1));
+}
+
+#[googletest::test]
+fn given_an_agent_that_knows_nothing_when_it_is_asked_then_it_tells_nothing_and_is_lost() {
+    let mut agent = Agent::new(AgentSettings { own_address: 5, seeds: vec![1, 2, 3], links: 2 });
+    expect_that!(agent.feed(), eq(&Feed::default()));
+    expect_that!(agent.is_lost(), eq(true));
+    let calls = agent.due_calls(0);
+    expect_that!(calls.len(), eq(2));
+    expect_that!(calls[0].coordinator, not(eq(calls[1].coordinator)));
+    expect_that!(agent.next_due(), none());
+    expect_that!(agent.answered(1, CallId::Poll(0), Err(CallFailure::NotConnected)), eq(false));
+    // It moves on after a pause.
+    expect_that!(agent.due_calls(1).len(), eq(0));
+    let due = agent.next_due().unwrap_or_default();
+    expect_that!(agent.due_calls(due)[0].coordinator, not(eq(calls[0].coordinator)));
+}
+
+#[googletest::test]
+fn given_news_that_are_older_when_they_come_then_that_coordinator_is_not_trusted() {
+    let mut agent = Agent::new(AgentSettings { own_address: 5, seeds: vec![1, 2, 3], links: 1 });
+    agent.due_calls(0);
+    let feed = |view, revision| Feed { view, revision, chain: vec![1, 2, 3], ..Feed::default() };
+    let told = |agent: &mut Agent, now, feed| {
+        agent.answered(now, CallId::Poll(0), Ok(CoordinatorAnswer::Feed(Box::new(feed))))
+    };
+    expect_that!(told(&mut agent, 1, feed(4, 40)), eq(true));
+    let waits = |agent: &mut Agent, now| match &agent.due_calls(now)[..] {
+        [call] => matches!(&call.request, CoordinatorRequest::Poll(poll) if poll.wait_ms > 0),
+        _ => false,
+    };
+    expect_that!(waits(&mut agent, 2), eq(true), "one that has served is asked to wait for news");
+    expect_that!(told(&mut agent, 3, feed(3, 30)), eq(false));
+    expect_that!(agent.feed().view, eq(4));
+    expect_that!(waits(&mut agent, 1000), eq(false));
+}
--- /dev/null
+++ b/system/distribution/tests/common/mod.rs
@@ -0,0 +1,66 @@
+//! Configurations for the stories.
+#![allow(dead_code)]
+use magpiegap_distribution::{ConfigurationReceiver, ConfigurationSource, Received};
+use magpiegap_jobs::{Configuration, Route, Service};
+use magpiegap_protocol::{fnv1a, ConfigurationPart};
+use std::sync::Arc;
+
+/// A name that looks like an operator's: not to be guessed from the one before.
+fn random_name(seed: u64) -> String {
+    format!("{:016x}", fnv1a(&seed.to_le_bytes()))
+}
+
+/// A route whose name and place follow from its number.
+pub fn route(number: u64) -> Route {
+    let name = random_name(number);
+    Route {
+        name: format!("r-{}", &name[..8]),
+        hostname: format!("{}.example", &name[4..10]),
+        path_prefix: format!("/{}/", &name[8..]),
+        timeout_ms: 3000,
+        target_latency_ms: 250,
+        priority: 0,
+        service: "s".to_owned(),
+        max_attempts: 3,
+        stretch: 1.5,
+    }
+}
+
+/// A configuration with these routes.
+pub fn configuration(version: u64, routes: impl IntoIterator<Item = u64>) -> Configuration {
+    let service = Service {
+        name: "s".to_owned(),
+        health_path: "/health".to_owned(),
+        max_connections: 64,
+        guards: true,
+    };
+    Configuration {
+        version,
+        routes: routes.into_iter().map(|number| Arc::new(route(number))).collect(),
+        services: [("s".to_owned(), service)].into(),
+        ..Configuration::default()
+    }
+}
+
+/// A source that has taken these configurations one after the other.
+pub fn source(configurations: impl IntoIterator<Item = Configuration>) -> ConfigurationSource {
+    let mut source = ConfigurationSource::default();
+    configurations.into_iter().for_each(|configuration| source.push(configuration));
+    source
+}
+
+/// Fetches parts until the receiver has what the source has. Returns how many bytes that took.
+pub fn fetch_all(source: &mut ConfigurationSource, receiver: &mut ConfigurationReceiver) -> usize {
+    let mut bytes = 0;
+    while let Some(part) = source.part(&receiver.fetch()) {
+        bytes += part.bytes.len();
+        let received = receiver.take(part);
+        assert!(matches!(received, Received::Configuration(_) | Received::More), "{received:?}");
+    }
+    bytes
+}
+
+/// The next part, which has to be there.
+pub fn next_part(source: &mut ConfigurationSource, receiver: &ConfigurationReceiver) -> ConfigurationPart {
+    source.part(&receiver.fetch()).expect("a part")
+}
--- /dev/null
+++ b/system/distribution/tests/transfers.rs
@@ -0,0 +1,121 @@
+//! Configurations reach receivers whole, by differences and in parts, whatever breaks off on the way.
+mod common;
+
+use common::{configuration, fetch_all, next_part, source};
+use googletest::prelude::*;
+use magpiegap_distribution::{ConfigurationReceiver, Received, PART_BYTES};
+use magpiegap_jobs::Service;
+use magpiegap_protocol::fnv1a;
+
+/// Routes of a large configuration: several parts even when compressed.
+const MANY: u64 = 3000;
+
+#[googletest::test]
+fn given_an_empty_receiver_when_it_fetches_then_it_gets_the_whole_in_parts() {
+    let mut source = source([configuration(3, 0..MANY)]);
+    let mut receiver = ConfigurationReceiver::default();
+    let bytes = fetch_all(&mut source, &mut receiver);
+    expect_that!(bytes, gt(2 * PART_BYTES));
+    expect_that!(**receiver.configuration(), eq(&configuration(3, 0..MANY)));
+}
+
+#[googletest::test]
+fn given_a_receiver_with_an_older_version_when_it_fetches_then_it_gets_the_difference_only() {
+    let mut source = source([configuration(3, 0..MANY)]);
+    let mut receiver = ConfigurationReceiver::default();
+    fetch_all(&mut source, &mut receiver);
+    // One route goes, one comes, one service changes.
+    let mut newer = configuration(5, 1..=MANY);
+    let service = Service { max_connections: 7, ..newer.services["s"].clone() };
+    newer.services.insert("s".to_owned(), service);
+    source.push(newer.clone());
+    let bytes = fetch_all(&mut source, &mut receiver);
+    expect_that!(bytes, lt(300));
+    expect_that!(**receiver.configuration(), eq(&newer));
+}
+
+#[googletest::test]
+fn given_a_small_difference_when_news_are_told_then_it_goes_with_them() {
+    let mut source = source([configuration(3, 0..MANY), configuration(4, 0..MANY + 2)]);
+    expect_that!(source.small_change(3).is_some(), eq(true));
+    expect_that!(source.small_change(4), none());
+    // From nothing it is too much.
+    expect_that!(source.small_change(0), none());
+}
+
+#[googletest::test]
+fn given_a_version_that_is_not_remembered_when_it_is_built_on_then_the_whole_comes() {
+    let mut source = source((1..40).map(|version| configuration(version, 0..version)));
+    let mut receiver = ConfigurationReceiver::default();
+    let mut old = common::source([configuration(1, 0..1)]);
+    fetch_all(&mut old, &mut receiver);
+    expect_that!(next_part(&mut source, &receiver).transfer.base, eq(0));
+    fetch_all(&mut source, &mut receiver);
+    expect_that!(**receiver.configuration(), eq(&configuration(39, 0..39)));
+}
+
+#[googletest::test]
+fn given_a_transfer_under_way_when_another_source_is_asked_then_it_goes_on_there() {
+    let mut first = source([configuration(3, 0..MANY)]);
+    let mut second = source([configuration(2, 0..10), configuration(3, 0..MANY)]);
+    let mut receiver = ConfigurationReceiver::default();
+    receiver.take(next_part(&mut first, &receiver));
+    let had = receiver.bytes_so_far();
+    expect_that!(had, eq(PART_BYTES as u64));
+    // The other one has not been asked for this transfer before.
+    let next = next_part(&mut second, &receiver);
+    expect_that!(next.offset, eq(PART_BYTES as u64));
+    receiver.take(next);
+    fetch_all(&mut first, &mut receiver);
+    expect_that!(receiver.version(), eq(3));
+}
+
+#[googletest::test]
+fn given_newer_versions_faster_than_a_transfer_when_it_goes_on_then_it_ends_and_those_between_are_skipped() {
+    let mut source = source([configuration(1, 0..MANY)]);
+    let mut receiver = ConfigurationReceiver::default();
+    let mut seen = Vec::new();
+    // With each part comes a newer version.
+    for version in 2..14 {
+        if let Some(part) = source.part(&receiver.fetch()) {
+            if let Received::Configuration(configuration) = receiver.take(part) {
+                seen.push(configuration.version);
+            }
+        }
+        source.push(configuration(version, 0..MANY + version));
+    }
+    expect_that!(seen.first(), some(eq(&1)), "the transfer that was begun ends");
+    expect_that!(receiver.version(), ge(12));
+    expect_that!(seen.len(), lt(12));
+    fetch_all(&mut source, &mut receiver);
+    expect_that!(**receiver.configuration(), eq(&configuration(13, 0..MANY + 13)));
+}
+
+#[googletest::test]
+fn given_damaged_or_misplaced_parts_when_they_come_then_the_version_in_place_stays_and_the_whole_is_asked_for(
+) {
+    let mut source = source([configuration(1, 0..2), configuration(2, 0..3)]);
+    let mut receiver = ConfigurationReceiver::default();
+    let mut damaged = next_part(&mut source, &receiver);
+    damaged.bytes[3] ^= 1;
+    expect_that!(matches!(receiver.take(damaged), Received::Faulty(_)), eq(true));
+    expect_that!(receiver.version(), eq(0));
+    // Sound as a transfer, and no change of a configuration.
+    let mut foreign = next_part(&mut source, &receiver);
+    foreign.bytes = vec![9, 9, 9];
+    foreign.length = 3;
+    foreign.transfer.checksum = fnv1a(&foreign.bytes);
+    expect_that!(matches!(receiver.take(foreign), Received::Faulty(Some(_))), eq(true));
+    let mut misplaced = next_part(&mut source, &receiver);
+    misplaced.offset = 7;
+    expect_that!(matches!(receiver.take(misplaced), Received::Unusable), eq(true));
+    fetch_all(&mut source, &mut receiver);
+    expect_that!(receiver.version(), eq(2));
+    // An older one, or one that builds on another version, is not taken.
+    let older = common::source([configuration(1, 0..2)]).part(&Default::default()).expect("a part");
+    expect_that!(matches!(receiver.take(older), Received::Unusable), eq(true));
+    let mut elsewhere = common::source([configuration(7, 0..2), configuration(8, 0..4)]);
+    let building_on_seven = elsewhere.small_change(7).expect("a small difference");
+    expect_that!(matches!(receiver.take(building_on_seven), Received::Unusable), eq(true));
+    expect_that!(receiver.version(), eq(2));
+}
--- a/system/jobs/src/configuration.rs
+++ b/system/jobs/src/configuration.rs
@@ -1,5 +1,10 @@
 //! The operator's configuration: read by hand, and checked whole.
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use crate::RouteTable;
+use minicbor::{Decode, Encode};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+};
 use tinyjson::JsonValue;
 
 /// Why a configuration is invalid.
@@ -38,25 +43,34 @@
 }
 
 /// One route: a queue.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Route {
     /// Its name.
+    #[n(0)]
     pub name: String,
     /// Host that clients name.
+    #[n(1)]
     pub hostname: String,
     /// What a path begins with.
+    #[n(2)]
     pub path_prefix: String,
     /// Longest time that a call may take, in milliseconds.
+    #[n(3)]
     pub timeout_ms: u64,
     /// Part of the time in which a job is to be done, in milliseconds.
+    #[n(4)]
     pub target_latency_ms: u64,
     /// Zero goes first.
+    #[n(5)]
     pub priority: u32,
     /// The service that runs its jobs.
+    #[n(6)]
     pub service: String,
     /// A task fails its job when this many of its runs have failed.
+    #[n(7)]
     pub max_attempts: u32,
     /// Part of the time in which a job is to be done, as a multiple of its work.
+    #[n(8)]
     pub stretch: f64,
 }
 
@@ -68,26 +82,33 @@
 }
 
 /// One service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Service {
     /// Its name.
+    #[n(0)]
     pub name: String,
     /// Where its workers answer for their health.
+    #[n(1)]
     pub health_path: String,
     /// Most connections to one worker.
+    #[n(2)]
     pub max_connections: u64,
     /// Its workers turn down what does not fit.
+    #[n(3)]
     pub guards: bool,
 }
 
 /// Limits on clients' requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Limits {
     /// Longest body, in bytes.
+    #[n(0)]
     pub max_body_bytes: u64,
     /// Longest head, in bytes.
+    #[n(1)]
     pub max_header_bytes: u64,
     /// Longest time without a request on an open connection, in milliseconds.
+    #[n(2)]
     pub idle_timeout_ms: u64,
 }
 
@@ -97,13 +118,13 @@
     }
 }
 
-/// A valid configuration.
+/// A valid configuration. Copies of it, and other versions made from it, share the routes.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Configuration {
     /// Its version.
     pub version: u64,
     /// Its routes.
-    pub routes: Vec<Route>,
+    pub routes: RouteTable,
     /// Its services, by name.
     pub services: BTreeMap<String, Service>,
     /// Its limits.
@@ -202,15 +223,12 @@
         let services = read_services(&fields)?;
         let routes = read_routes(&fields, &services)?;
         let limits = read_limits(&fields)?;
-        Ok(Configuration { version, routes, services, limits })
+        Ok(Configuration { version, routes: routes.into_iter().collect(), services, limits })
     }
 
     /// The route of a host and path: the longest prefix counts.
     pub fn route(&self, hostname: &str, path: &str) -> Option<&Route> {
-        let fits = |route: &&Route| {
-            route.hostname.eq_ignore_ascii_case(hostname) && path.starts_with(&route.path_prefix)
-        };
-        self.routes.iter().filter(fits).max_by_key(|route| route.path_prefix.len())
+        self.routes.find(hostname, path)
     }
 }
 
@@ -234,7 +252,7 @@
 fn read_routes(
     fields: &Fields,
     services: &BTreeMap<String, Service>,
-) -> Result<Vec<Route>, ConfigurationError> {
+) -> Result<Vec<Arc<Route>>, ConfigurationError> {
     let mut routes = Vec::new();
     let mut names = BTreeSet::new();
     let mut places: BTreeMap<(String, String), String> = BTreeMap::new();
@@ -250,7 +268,7 @@
         if let Some(first) = places.insert(place, route.name.clone()) {
             return Err(ConfigurationError::SamePlace { first, second: route.name });
         }
-        routes.push(route);
+        routes.push(Arc::new(route));
     }
     Ok(routes)
 }
--- a/system/jobs/src/lib.rs
+++ b/system/jobs/src/lib.rs
@@ -13,6 +13,7 @@
 mod frozen;
 mod job;
 mod readiness;
+mod route_table;
 mod shared;
 mod state;
 
@@ -22,5 +23,6 @@
 pub use frozen::{FrozenState, StateBuilder};
 pub use job::{ActiveRun, Job, StepState, TaskState, TimeState};
 pub use readiness::{startable, Startable};
+pub use route_table::RouteTable;
 pub use shared::Shared;
 pub use state::{ConfigurationState, RoleState, State, WorkerRecord};
--- a/system/magpiegap/src/agent/link.rs
+++ b/system/magpiegap/src/agent/link.rs
@@ -1,68 +1,75 @@
-//! The link to the control plane: a long poll with what is known, at one coordinator after the other.
-use crate::{endpoint, settings::NodeSettings};
-use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, Feed, FeedPoll};
+//! Drives the agent's state machine: makes the calls that are due, and publishes what they bring.
+use crate::{
+    endpoint::{self, CallError},
+    settings::NodeSettings,
+};
+use magpiegap_distribution::{Agent, AgentSettings, Call, CallFailure, CallId, ConfigurationSource};
+use magpiegap_jobs::Configuration;
+use magpiegap_protocol::{CoordinatorAnswer, Feed, Millis};
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::PathBuf,
     sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
 };
-use tokio::sync::watch;
+use tokio::{sync::watch, task::JoinSet, time::sleep};
 
-/// How long a coordinator may wait with its answer.
-const WAIT_MS: u64 = 1500;
-/// How much longer the agent waits for it.
-const PATIENCE_MS: u64 = 400;
-/// How long a coordinator that was not asked before, or has failed, has for a first answer: one that stands still is
-/// not waited for.
-const FIRST_ANSWER: Duration = Duration::from_millis(250);
-/// Pause after a coordinator that could not serve.
-const PAUSE: Duration = Duration::from_millis(30);
+/// How many coordinators are asked for news at the same time, so that the loss of one delays none.
+const LINKS: usize = 2;
 /// The settings file is read again at most this often.
 const READ_EVERY: Duration = Duration::from_secs(1);
 
-/// The coordinators that the links of one agent are at.
+/// What the agent tells the proxy beside it.
 #[derive(Clone)]
-pub struct Places(Arc<Mutex<Vec<Option<u32>>>>);
+pub struct Published {
+    feed: watch::Sender<Arc<Feed>>,
+    configurations: Arc<Mutex<ConfigurationSource>>,
+}
+
+impl Default for Published {
+    fn default() -> Published {
+        Published { feed: watch::Sender::new(Arc::new(Feed::default())), configurations: Arc::default() }
+    }
+}
+
+impl Published {
+    /// Nothing is known yet.
+    pub fn new() -> Published {
+        Published::default()
+    }
+
+    /// The news, and word when there are others.
+    pub fn feed(&self) -> watch::Receiver<Arc<Feed>> {
+        self.feed.subscribe()
+    }
 
-impl Places {
-    /// Places for so many links.
-    pub fn new(links: usize) -> Places {
-        Places(Arc::new(Mutex::new(vec![None; links])))
+    /// Asks what leads to the newest configuration.
+    pub fn with_configurations<T>(&self, ask: impl FnOnce(&mut ConfigurationSource) -> T) -> T {
+        ask(&mut self.configurations.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Takes a place for a link: the first candidate from its turn on where no other link is, so that the loss of one
-    /// coordinator never holds up all links.
-    pub fn take(&self, link: usize, candidates: &[u32], turn: usize) -> Option<u32> {
-        let mut places = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let taken = |address: u32| {
-            places.iter().enumerate().any(|(other, place)| other != link && *place == Some(address))
-        };
-        let first = turn.checked_rem(candidates.len())?;
-        let in_turn = || candidates[first..].iter().chain(&candidates[..first]).copied();
-        let chosen = in_turn().find(|address| !taken(*address)).or_else(|| in_turn().next());
-        if let Some(place) = places.get_mut(link) {
-            *place = chosen;
+    /// Publishes news with the configuration in place.
+    fn publish(&self, feed: Feed, configuration: &Configuration) {
+        if configuration.version > 0 {
+            self.with_configurations(|configurations| configurations.push(configuration.clone()));
         }
-        chosen
+        self.feed.send_replace(Arc::new(feed));
     }
 }
 
+/// The outcome of a call.
+type Outcome = (CallId, Result<CoordinatorAnswer, CallFailure>);
+
 /// The link to the control plane.
 pub struct Link {
     client: reqwest::Client,
     file: PathBuf,
     read_at: Instant,
-    seeds: Vec<u32>,
     port: u16,
-    /// Which of the agent's links this is.
-    number: usize,
-    places: Places,
-    /// Where to begin among the candidates, so that agents spread over the coordinators.
-    turn: usize,
-    /// The coordinator that has just served.
-    trusted: Option<u32>,
-    publish: Arc<watch::Sender<Arc<Feed>>>,
+    start: Instant,
+    agent: Agent,
+    published: Published,
+    calls: JoinSet<Outcome>,
 }
 
 impl Link {
@@ -71,45 +78,63 @@
         client: reqwest::Client,
         file: PathBuf,
         settings: &NodeSettings,
-        number: usize,
-        places: Places,
-        publish: Arc<watch::Sender<Arc<Feed>>>,
+        published: Published,
     ) -> Link {
-        Link {
-            client,
-            file,
-            read_at: Instant::now(),
+        let agent = Agent::new(AgentSettings {
+            own_address: u32::from(settings.ip),
             seeds: settings.seed_addresses(),
-            port: settings.request_port(),
-            number,
-            places,
-            turn: u32::from(settings.ip) as usize + number,
-            trusted: None,
-            publish,
-        }
+            links: LINKS,
+        });
+        let now = Instant::now();
+        let port = settings.request_port();
+        Link { client, file, read_at: now, port, start: now, agent, published, calls: JoinSet::new() }
     }
 
     /// Asks for news without end.
     pub async fn run(mut self) {
         loop {
-            self.trusted = self.ask().await;
-            if self.trusted.is_none() {
-                self.turn = self.turn.wrapping_add(1);
-                self.read_seeds();
-                tokio::time::sleep(PAUSE).await;
+            for call in self.agent.due_calls(self.now()) {
+                self.begin(call);
+            }
+            let pause = self.agent.next_due().map(|due| due.saturating_sub(self.now()).max(1));
+            tokio::select! {
+                Some(ended) = self.calls.join_next() => {
+                    if let Ok((id, answer)) = ended {
+                        self.take(id, answer);
+                    }
+                }
+                () = sleep(Duration::from_millis(pause.unwrap_or_default())), if pause.is_some() => {}
             }
         }
     }
 
-    fn known(&self) -> Arc<Feed> {
-        self.publish.borrow().clone()
+    fn now(&self) -> Millis {
+        self.start.elapsed().as_millis() as Millis
     }
 
-    fn candidates(&self) -> Vec<u32> {
-        let feed = self.known();
-        let mut candidates = feed.chain.clone();
-        candidates.extend(self.seeds.iter().filter(|seed| !feed.chain.contains(seed)));
-        candidates
+    fn begin(&mut self, call: Call) {
+        let client = self.client.clone();
+        let address = SocketAddr::new(IpAddr::V4(Ipv4Addr::from(call.coordinator)), self.port);
+        self.calls.spawn(async move {
+            let first_byte = Duration::from_millis(call.first_byte_ms);
+            let silence = Duration::from_millis(call.silence_ms);
+            let answer =
+                endpoint::call_while_bytes_come(&client, address, &call.request, first_byte, silence).await;
+            let failure = |error| match error {
+                CallError::NotSent => CallFailure::NotConnected,
+                CallError::Unanswered => CallFailure::Unanswered,
+            };
+            (call.id, answer.map_err(failure))
+        });
+    }
+
+    fn take(&mut self, id: CallId, answer: Result<CoordinatorAnswer, CallFailure>) {
+        if self.agent.answered(self.now(), id, answer) {
+            self.published.publish(self.agent.feed(), self.agent.configuration());
+        }
+        if self.agent.is_lost() {
+            self.read_seeds();
+        }
     }
 
     fn read_seeds(&mut self) {
@@ -118,45 +143,8 @@
         }
         self.read_at = Instant::now();
         match NodeSettings::read(&self.file) {
-            Ok(settings) => self.seeds = settings.seed_addresses(),
+            Ok(settings) => self.agent.set_seeds(settings.seed_addresses()),
             Err(error) => log::warn!("{error}"),
         }
     }
-
-    /// Asks one coordinator. Returns its address if it could serve.
-    async fn ask(&mut self) -> Option<u32> {
-        let candidates = self.candidates();
-        let coordinator = self.places.take(self.number, &candidates, self.turn)?;
-        let trusted = self.trusted == Some(coordinator);
-        let address = SocketAddr::new(IpAddr::V4(Ipv4Addr::from(coordinator)), self.port);
-        let known = self.known();
-        let wait_ms = if trusted { WAIT_MS } else { 0 };
-        let poll = FeedPoll {
-            revision: known.revision,
-            configuration_version: known.configuration_version,
-            wait_ms,
-        };
-        let patience = Duration::from_millis(wait_ms + PATIENCE_MS);
-        let timeout = if trusted { patience } else { FIRST_ANSWER };
-        let request = CoordinatorRequest::Poll(poll);
-        match endpoint::call(&self.client, address, &request, timeout).await {
-            Ok(CoordinatorAnswer::Feed(feed)) => self.take(*feed).then_some(coordinator),
-            Ok(_) | Err(_) => None,
-        }
-    }
-
-    /// Takes up a feed, unless it is older than what is known.
-    fn take(&self, mut feed: Feed) -> bool {
-        let known = self.known();
-        if !feed.supersedes(&known) {
-            return false;
-        }
-        if feed.configuration_version == known.configuration_version {
-            feed.configuration.clone_from(&known.configuration);
-        }
-        if feed != *known {
-            self.publish.send_replace(Arc::new(feed));
-        }
-        true
-    }
 }
--- a/system/magpiegap/src/agent/server.rs
+++ b/system/magpiegap/src/agent/server.rs
@@ -1,6 +1,10 @@
 //! What the agent tells the proxy beside it.
+use super::link::Published;
 use crate::serving::read_body;
-use magpiegap_protocol::{decode, encode, CoordinatorAnswer, CoordinatorRequest, Feed, FeedPoll};
+use magpiegap_distribution::ConfigurationSource;
+use magpiegap_protocol::{
+    decode, encode, ConfigurationFetch, CoordinatorAnswer, CoordinatorRequest, Feed, FeedPoll,
+};
 use rocket::{
     data::Data,
     http::Status,
@@ -8,31 +12,45 @@
     Request,
 };
 use std::{sync::Arc, time::Duration};
-use tokio::sync::watch;
 
 /// Longest request.
 const MAX_BODY: u64 = 4096;
 
-/// Answers the proxy's long polls.
+/// Answers the proxy's long polls, and hands it configurations.
 #[derive(Clone)]
 pub struct FeedHandler {
-    feed: watch::Receiver<Arc<Feed>>,
+    published: Published,
 }
 
 impl FeedHandler {
     /// A handler that tells what is published here.
-    pub fn new(feed: watch::Receiver<Arc<Feed>>) -> FeedHandler {
-        FeedHandler { feed }
+    pub fn new(published: Published) -> FeedHandler {
+        FeedHandler { published }
+    }
+
+    async fn feed(&self, poll: &FeedPoll) -> CoordinatorAnswer {
+        let feed = self.wait(poll).await;
+        let small_change = |configurations: &mut ConfigurationSource| {
+            configurations.small_change(poll.configuration_version)
+        };
+        let change = self.published.with_configurations(small_change);
+        CoordinatorAnswer::Feed(Box::new(Feed { change, ..(*feed).clone() }))
+    }
+
+    fn configuration(&self, fetch: &ConfigurationFetch) -> CoordinatorAnswer {
+        match self.published.with_configurations(|configurations| configurations.part(fetch)) {
+            Some(part) => CoordinatorAnswer::ConfigurationPart(Box::new(part)),
+            None => CoordinatorAnswer::NotServing,
+        }
     }
 
     async fn wait(&self, poll: &FeedPoll) -> Arc<Feed> {
-        let mut feed = self.feed.clone();
+        let mut feed = self.published.feed();
         let news = feed.wait_for(|feed| feed.revision != poll.revision);
-        let waited = tokio::time::timeout(Duration::from_millis(poll.wait_ms), news).await;
-        match waited {
-            Ok(Ok(feed)) => feed.clone(),
-            _ => self.feed.borrow().clone(),
-        }
+        // Without news the caller is told what it knows, as a sign of life.
+        let _ = tokio::time::timeout(Duration::from_millis(poll.wait_ms), news).await;
+        let latest = feed.borrow();
+        latest.clone()
     }
 }
 
@@ -43,11 +61,11 @@
             Ok(body) => body,
             Err(status) => return Outcome::from(request, status),
         };
-        let Ok(CoordinatorRequest::Poll(poll)) = decode(&body) else {
-            return Outcome::from(request, Status::BadRequest);
+        let answer = match decode(&body) {
+            Ok(CoordinatorRequest::Poll(poll)) => self.feed(&poll).await,
+            Ok(CoordinatorRequest::FetchConfiguration(fetch)) => self.configuration(&fetch),
+            _ => return Outcome::from(request, Status::BadRequest),
         };
-        let feed = self.wait(&poll).await;
-        let answer = CoordinatorAnswer::Feed(Box::new((*feed).clone()));
         Outcome::from(request, encode(&answer))
     }
 }
--- a/system/magpiegap/src/endpoint.rs
+++ b/system/magpiegap/src/endpoint.rs
@@ -1,6 +1,7 @@
 //! Calls to coordinators and agents.
 use magpiegap_protocol::{decode, encode, CoordinatorAnswer, CoordinatorRequest};
 use std::{net::SocketAddr, time::Duration};
+use tokio::time::timeout;
 
 /// The path of all requests among the processes.
 pub const REQUEST_PATH: &str = "/request";
@@ -31,7 +32,7 @@
     builder.build().unwrap_or_default()
 }
 
-/// Calls a coordinator or agent.
+/// Calls a coordinator or agent; the whole call may take so long at most. For short answers only.
 ///
 /// # Errors
 /// When there is no answer that can be read.
@@ -39,14 +40,38 @@
     client: &reqwest::Client,
     address: SocketAddr,
     request: &CoordinatorRequest,
-    timeout: Duration,
+    most: Duration,
+) -> Result<CoordinatorAnswer, CallError> {
+    let whole = call_while_bytes_come(client, address, request, most, most);
+    timeout(most, whole).await.unwrap_or(Err(CallError::Unanswered))
+}
+
+/// Calls a coordinator or agent, and waits for its answer as long as bytes come: up to `first_byte` for the first, and up
+/// to `silence` for each that follows. A long answer on a slow link may take any time.
+///
+/// # Errors
+/// When there is no answer that can be read.
+pub async fn call_while_bytes_come(
+    client: &reqwest::Client,
+    address: SocketAddr,
+    request: &CoordinatorRequest,
+    first_byte: Duration,
+    silence: Duration,
 ) -> Result<CoordinatorAnswer, CallError> {
     let url = format!("http://{address}{REQUEST_PATH}");
-    let sent = client.post(url).body(encode(request)).timeout(timeout).send().await;
-    let response = sent.map_err(|error| match error.is_connect() {
+    let sending = client.post(url).body(encode(request)).send();
+    let sent = timeout(first_byte, sending).await.map_err(|_| CallError::Unanswered)?;
+    let mut response = sent.map_err(|error| match error.is_connect() {
         true => CallError::NotSent,
         false => CallError::Unanswered,
     })?;
-    let body = response.bytes().await.map_err(|_| CallError::Unanswered)?;
+    let mut body = Vec::new();
+    loop {
+        let chunk = timeout(silence, response.chunk()).await.map_err(|_| CallError::Unanswered)?;
+        match chunk.map_err(|_| CallError::Unanswered)? {
+            Some(bytes) => body.extend_from_slice(&bytes),
+            None => break,
+        }
+    }
     decode(&body).map_err(|_| CallError::Unanswered)
 }
--- a/system/magpiegap/src/proxy/feed.rs
+++ b/system/magpiegap/src/proxy/feed.rs
@@ -1,7 +1,10 @@
 //! What the proxy knows: the feed of the agent beside it.
 use crate::endpoint;
+use magpiegap_distribution::{ConfigurationReceiver, Received};
 use magpiegap_jobs::Configuration;
-use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, Feed, FeedPoll, Role, RoleHolder};
+use magpiegap_protocol::{
+    ConfigurationPart, CoordinatorAnswer, CoordinatorRequest, Feed, FeedPoll, Role, RoleHolder,
+};
 use std::{
     net::SocketAddr,
     sync::{
@@ -14,6 +17,8 @@
 
 /// How long the agent may wait with its answer.
 const WAIT_MS: u64 = 20_000;
+/// How long bytes of an answer may stay away.
+const SILENCE: Duration = Duration::from_secs(1);
 /// Pause after an agent that did not answer.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -23,7 +28,7 @@
     /// The feed.
     pub feed: Feed,
     /// The configuration; `None`: there is none yet.
-    pub configuration: Option<Configuration>,
+    pub configuration: Option<Arc<Configuration>>,
 }
 
 impl Known {
@@ -110,41 +115,98 @@
         !self.is_ending() && self.known.borrow().configuration.is_some()
     }
 
-    /// Takes up a feed, unless it is older than what is known.
-    pub fn take(&self, feed: Feed) {
+    /// Takes up a feed, unless it is older than what is known. Returns whether it is not.
+    pub fn take(&self, feed: Feed) -> bool {
         let known = self.now();
-        if !feed.supersedes(&known.feed) {
-            return;
+        let is_newer = feed.supersedes(&known.feed);
+        if is_newer {
+            let configuration = known.configuration.clone();
+            self.known.send_replace(Arc::new(Known { feed, configuration }));
         }
-        let configuration = match feed.configuration_version == known.feed.configuration_version {
-            true => known.configuration.clone(),
-            false => Configuration::parse(&feed.configuration).ok(),
-        };
-        if configuration.is_none() && feed.configuration_version > 0 {
-            log::error!("configuration {} can't be read", feed.configuration_version);
+        is_newer
+    }
+
+    /// Takes up a configuration, unless it is older than the one in force.
+    pub fn configure(&self, configuration: Arc<Configuration>) {
+        let known = self.now();
+        if known.configuration.as_ref().is_some_and(|old| old.version >= configuration.version) {
             return;
         }
-        self.known.send_replace(Arc::new(Known { feed, configuration }));
+        let feed = known.feed.clone();
+        self.known.send_replace(Arc::new(Known { feed, configuration: Some(configuration) }));
     }
 }
 
 /// Follows the agent's feed without end.
 pub async fn follow(client: reqwest::Client, agent: SocketAddr, knowledge: Arc<Knowledge>) {
+    let mut follower = Follower { client, agent, knowledge, receiver: ConfigurationReceiver::default() };
     loop {
-        let known = knowledge.now();
+        if follower.step().await.is_none() {
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+}
+
+/// What follows the agent.
+struct Follower {
+    client: reqwest::Client,
+    agent: SocketAddr,
+    knowledge: Arc<Knowledge>,
+    receiver: ConfigurationReceiver,
+}
+
+impl Follower {
+    /// Fetches a part of the configuration where a newer one is known, or else waits for news. `None`: the agent did not
+    /// answer, or with nothing of use.
+    async fn step(&mut self) -> Option<()> {
+        let known = self.knowledge.now();
+        if self.receiver.version() < known.feed.configuration_version {
+            return self.fetch().await;
+        }
         let poll = FeedPoll {
             revision: known.feed.revision,
-            configuration_version: known.feed.configuration_version,
+            configuration_version: self.receiver.version(),
             wait_ms: WAIT_MS,
         };
-        let timeout = Duration::from_millis(WAIT_MS + 1000);
-        match endpoint::call(&client, agent, &CoordinatorRequest::Poll(poll), timeout).await {
-            Ok(CoordinatorAnswer::Feed(feed)) => {
-                if feed.revision != known.feed.revision {
-                    knowledge.take(*feed);
-                }
+        let patience = Duration::from_millis(WAIT_MS) + SILENCE;
+        let answer = self.call(&CoordinatorRequest::Poll(poll), patience).await?;
+        let CoordinatorAnswer::Feed(mut feed) = answer else { return None };
+        if feed.revision == known.feed.revision {
+            return Some(());
+        }
+        if let Some(part) = feed.change.take() {
+            // Where it is of no use the fetch that follows brings what is.
+            let _ = self.take(part);
+        }
+        self.knowledge.take(*feed).then_some(())
+    }
+
+    /// Fetches one part of the configuration.
+    async fn fetch(&mut self) -> Option<()> {
+        let request = CoordinatorRequest::FetchConfiguration(self.receiver.fetch());
+        match self.call(&request, SILENCE).await? {
+            CoordinatorAnswer::ConfigurationPart(part) => self.take(*part),
+            _ => None,
+        }
+    }
+
+    /// Takes a part of the configuration. `None`: it is of no use.
+    fn take(&mut self, part: ConfigurationPart) -> Option<()> {
+        match self.receiver.take(part) {
+            Received::Configuration(configuration) => {
+                self.knowledge.configure(configuration);
+                Some(())
+            }
+            Received::More => Some(()),
+            Received::Unusable => None,
+            Received::Faulty(error) => {
+                log::error!("a change of the configuration can't be used, the whole is asked for: {error:?}");
+                None
             }
-            Ok(_) | Err(_) => tokio::time::sleep(PAUSE).await,
         }
     }
+
+    async fn call(&self, request: &CoordinatorRequest, first_byte: Duration) -> Option<CoordinatorAnswer> {
+        endpoint::call_while_bytes_come(&self.client, self.agent, request, first_byte, SILENCE).await.ok()
+    }
 }
--- a/system/magpiegap/tests/endpoint.rs
+++ b/system/magpiegap/tests/endpoint.rs
@@ -3,7 +3,7 @@
 
 use common::{listen, read_request, reset, stays_quiet, LONG};
 use googletest::prelude::*;
-use magpiegap::endpoint::{call, client, CallError};
+use magpiegap::endpoint::{call, call_while_bytes_come, client, CallError};
 use magpiegap_protocol::{encode, CoordinatorAnswer, CoordinatorRequest};
 use std::time::Duration;
 use tokio::{io::AsyncWriteExt, net::TcpStream};
@@ -63,3 +63,40 @@
     ended.send(()).expect("the coordinator waits");
     assert_that!(call(&client, address, &question(), LONG).await, ok(eq(&CoordinatorAnswer::Count(2))));
 }
+
+/// How long the caller of the next stories waits for each further byte.
+const SILENCE: Duration = Duration::from_millis(20);
+
+#[tokio::test]
+async fn given_an_answer_in_pieces_when_all_of_them_come_then_it_is_whole() {
+    let (listener, address) = listen().await;
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        read_request(&mut stream, &encode(&question())).await;
+        let body = encode(&CoordinatorAnswer::Description("x".repeat(300_000)));
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+        stream.write_all(head.as_bytes()).await.expect("the caller reads");
+        for piece in body.chunks(10_000) {
+            stream.write_all(piece).await.expect("the caller reads");
+        }
+        std::future::pending::<()>().await;
+    });
+    let called = call_while_bytes_come(&client(), address, &question(), LONG, LONG).await;
+    assert_that!(called, ok(eq(&CoordinatorAnswer::Description("x".repeat(300_000)))));
+}
+
+#[tokio::test]
+async fn given_an_answer_that_stops_halfway_when_no_byte_comes_then_the_call_is_given_up() {
+    let (listener, address) = listen().await;
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        read_request(&mut stream, &encode(&question())).await;
+        stream
+            .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 90\r\n\r\nabc")
+            .await
+            .expect("the caller reads");
+        std::future::pending::<()>().await;
+    });
+    let called = call_while_bytes_come(&client(), address, &question(), LONG, SILENCE).await;
+    assert_that!(called, err(eq(&CallError::Unanswered)));
+}
--- a/system/magpiegap/tests/knowledge.rs
+++ b/system/magpiegap/tests/knowledge.rs
@@ -1,6 +1,7 @@
 //! What a proxy does until it knows a configuration. The clock stands still but for what is waited for.
 use googletest::prelude::*;
 use magpiegap::feed::Knowledge;
+use magpiegap_jobs::Configuration;
 use magpiegap_protocol::Feed;
 use std::{sync::Arc, time::Duration};
 use tokio::time::Instant;
@@ -9,13 +10,8 @@
 const CONFIGURATION: &str = r#"{"version":1,"routes":[],"services":[],
     "limits":{"maxHeaderBytes":1,"maxBodyBytes":1,"headerTimeoutMs":1,"idleTimeoutMs":1}}"#;
 
-fn feed() -> Feed {
-    Feed {
-        revision: 1,
-        configuration_version: 1,
-        configuration: CONFIGURATION.as_bytes().to_vec(),
-        ..Feed::default()
-    }
+fn configuration() -> Arc<Configuration> {
+    Arc::new(Configuration::parse(CONFIGURATION.as_bytes()).unwrap_or_default())
 }
 
 #[googletest::test]
@@ -28,7 +24,7 @@
     });
     tokio::task::yield_now().await;
     let before = Instant::now();
-    knowledge.take(feed());
+    knowledge.configure(configuration());
     let known = waiting.await.or_fail()?;
     expect_that!(known.configuration.is_some(), eq(true));
     expect_that!(before.elapsed(), eq(Duration::ZERO));
@@ -49,8 +45,22 @@
 #[tokio::test(start_paused = true)]
 async fn given_a_configuration_when_a_request_comes_then_it_does_not_wait() {
     let knowledge = Knowledge::new();
-    knowledge.take(feed());
+    knowledge.configure(configuration());
     let before = Instant::now();
     expect_that!(knowledge.configured(PATIENCE).await.configuration.is_some(), eq(true));
     expect_that!(before.elapsed(), eq(Duration::ZERO));
 }
+
+#[googletest::test]
+fn given_a_newer_configuration_when_an_older_one_or_older_news_come_then_they_are_not_taken() {
+    let knowledge = Knowledge::new();
+    let newer = Configuration { version: 3, ..Configuration::default() };
+    knowledge.configure(Arc::new(newer));
+    knowledge.configure(configuration());
+    expect_that!(knowledge.now().configuration.as_ref().map(|found| found.version), some(eq(3)));
+    expect_that!(knowledge.take(Feed { view: 4, revision: 7, ..Feed::default() }), eq(true));
+    expect_that!(knowledge.take(Feed { view: 3, revision: 8, ..Feed::default() }), eq(false));
+    expect_that!(knowledge.now().feed.revision, eq(7));
+    // News of roles leave the configuration in force.
+    expect_that!(knowledge.now().configuration.as_ref().map(|found| found.version), some(eq(3)));
+}
--- a/system/protocol/src/lib.rs
+++ b/system/protocol/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use codec::{decode, encode, DecodeError};
 pub use command::{Command, EndKind, Entry, Fence, Position, ProposalId, Role, RunEnd, RunStart, Submission};
-pub use feed::{Feed, FeedPoll, RoleHolder};
+pub use feed::{ConfigurationFetch, ConfigurationPart, Feed, FeedPoll, RoleHolder, TransferId};
 pub use hash::fnv1a;
 pub use ids::{JobId, Member, Replica, RunId, TaskId};
 pub use job::{JobSpec, JobSpecError, Resources, StepSpec, MAX_SPEC_BYTES, MAX_TASKS_PER_JOB};
--- a/system/protocol/src/requests.rs
+++ b/system/protocol/src/requests.rs
@@ -1,5 +1,5 @@
 //! What proxies and the operator's interface ask of a coordinator.
-use crate::{Feed, FeedPoll, JobId, Submission};
+use crate::{ConfigurationFetch, ConfigurationPart, Feed, FeedPoll, JobId, Submission};
 use minicbor::{Decode, Encode};
 
 /// A job's state as its client sees it.
@@ -134,6 +134,9 @@
     /// Jobs as this coordinator has them, for operators.
     #[n(9)]
     ListJobs(#[n(0)] JobFilter),
+    /// A part of what leads to the newest configuration.
+    #[n(10)]
+    FetchConfiguration(#[n(0)] ConfigurationFetch),
 }
 
 /// The answer to a [`CoordinatorRequest`].
@@ -181,4 +184,7 @@
     /// Another coordinator schedules the job's service; its address.
     #[n(13)]
     Elsewhere(#[n(0)] u32),
+    /// A part of a configuration.
+    #[n(14)]
+    ConfigurationPart(#[n(0)] Box<ConfigurationPart>),
 }
