Let planning look only at workers with room, so that a backlog does not feed itself

With tasks waiting each round of planning looked at all workers for each task that found no place, searched all of them for runs to stop, and made promises on all of them every 40 ms: 80 steps a second where there were 1,000, ends noted late, more runs on record, less room, more waiting. Change: a round goes by an index of free processor; at most three searches for runs to stop find none; promises are made anew the more seldom the more workers that looks at; holds are sent by news of a worker and by time, instead of a search at each step. Fewer heartbeats in a core of more than six, peers' frames read at once and written as long as bytes go (2 s for the whole of a frame bounded it before).

--- a/system/control/src/steps.rs
+++ b/system/control/src/steps.rs
@@ -9,6 +9,11 @@
 /// Records after which a checkpoint is due, in bytes.
 const CHECKPOINT_BYTES: usize = 4 << 20;
 
+/// A replica sends about so many heartbeats a second at most, over all that it tells them to.
+const MOST_HEARTBEATS_PER_S: u64 = 90;
+/// At least so many heartbeats fit into the time after which a replica is taken for gone.
+const LEAST_HEARTBEATS_PER_SUSPICION: Millis = 3;
+
 impl Replica {
     /// Does what is due. To be called every few hundredths of a second.
     pub fn tick(&mut self, now: Millis, own_wall: WallMillis, machine: &mut dyn StateMachine) {
@@ -17,7 +22,7 @@
             return;
         }
         if now >= self.next_heartbeat {
-            self.next_heartbeat = now + self.settings.heartbeat_ms;
+            self.next_heartbeat = now + self.heartbeat_interval(now);
             self.send_heartbeats(now, own_wall);
             self.note_committed(now);
             self.membership.forget(now);
@@ -141,6 +146,14 @@
         }
     }
 
+    /// Time until the next heartbeats: with many to tell them to longer, so that they don't take up the processors of a
+    /// large core, and short enough that several fit into the time after which a replica is taken for gone.
+    fn heartbeat_interval(&self, now: Millis) -> Millis {
+        let told = self.membership.monitors(now).len() as u64;
+        let spread = told * 1000 / MOST_HEARTBEATS_PER_S;
+        spread.min(self.settings.suspect_ms / LEAST_HEARTBEATS_PER_SUSPICION).max(self.settings.heartbeat_ms)
+    }
+
     fn send_heartbeats(&mut self, now: Millis, own_wall: WallMillis) {
         let heartbeat = Heartbeat {
             sent_at: now,
--- a/system/magpiegap/src/coordinator/peers.rs
+++ b/system/magpiegap/src/coordinator/peers.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncReadExt, AsyncWriteExt, BufReader},
     net::{TcpListener, TcpStream},
     sync::{
         mpsc::{self, Sender, UnboundedSender},
@@ -23,12 +23,14 @@
 const MAX_FRAME: u32 = 64 << 20;
 /// A frame of about this many bytes takes no more messages, so that it can be written in time.
 const FULL_FRAME: usize = 1 << 20;
+/// Bytes read from a connection at once: most frames come whole.
+const READ_BUFFER: usize = 64 << 10;
 /// Messages that wait for one peer; more are dropped, and asked for again by those that miss them.
 const MAX_WAITING: usize = 4000;
 /// How long a connection may take to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// How long a frame may take to be written.
-const WRITE_TIMEOUT: Duration = Duration::from_millis(2000);
+/// How long a peer may take no byte of a frame.
+const WRITE_SILENCE: Duration = Duration::from_millis(2000);
 /// Data that is not acknowledged for this long breaks the connection.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(1000);
 /// Pause after a connection that did not come up.
@@ -132,8 +134,9 @@
 }
 
 /// Reads frames until the connection ends or brings something else.
-async fn read_from(mut stream: TcpStream, events: &UnboundedSender<Event>) {
+async fn read_from(stream: TcpStream, events: &UnboundedSender<Event>) {
     set_options(&stream);
+    let mut stream = BufReader::with_capacity(READ_BUFFER, stream);
     while let Ok(length) = stream.read_u32().await {
         if length > MAX_FRAME {
             log::warn!("a peer's frame of {length} bytes is too long");
@@ -190,13 +193,26 @@
         }
         let Some(stream) = connection.as_mut() else { continue };
         let frame = frame(own, messages);
-        let written = timeout(WRITE_TIMEOUT, stream.write_all(&frame)).await;
-        if !matches!(written, Ok(Ok(()))) {
+        if write_while_bytes_go(stream, &frame).await.is_err() {
             connection = None;
         }
     }
 }
 
+/// Writes a frame as long as the other end takes bytes of it: a large one may take any time.
+async fn write_while_bytes_go(stream: &mut TcpStream, frame: &[u8]) -> io::Result<()> {
+    let mut left = frame;
+    while !left.is_empty() {
+        let written =
+            timeout(WRITE_SILENCE, stream.write(left)).await.map_err(|_| io::ErrorKind::TimedOut)??;
+        if written == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        left = &left[written..];
+    }
+    Ok(())
+}
+
 /// A connection, or none after a pause. A process that starts meanwhile is tried at once.
 async fn connect_to(address: SocketAddr, restarted: &Notify) -> Option<TcpStream> {
     let attempt = async {
--- a/system/scheduler/src/backfill.rs
+++ b/system/scheduler/src/backfill.rs
@@ -9,8 +9,10 @@
 
 /// How long a run that is being stopped still takes up its room.
 const STOPPING_MS: Millis = 300;
-/// Promises are made anew this often.
+/// Promises are made anew at most this often ...
 const REFRESH_EVERY_MS: Millis = 40;
+/// ... and less often where making them means to look at many workers: once in a millisecond for so many looks.
+const LOOKS_PER_MS: u64 = 100;
 /// At most so many tasks are promised room at a time: for later ones a forecast says little.
 const MOST_OWNERS: usize = 40;
 /// A run that has outlived its estimate is expected to go on for this part of the time that it has run.
@@ -36,8 +38,9 @@
     ends: BTreeMap<String, Ends>,
     /// How many tasks have a promise.
     owners: usize,
-    /// When the promises are to be made anew.
-    refresh_at: Millis,
+    /// When they were last made, and how many workers were looked at for that.
+    refreshed_at: Millis,
+    looks: u64,
     /// Promises are being made.
     refreshing: bool,
 }
@@ -66,9 +69,11 @@
 impl Backfill {
     /// Begins a round of planning: from time to time all promises are dropped, to be made anew in it.
     pub fn begin_round(&mut self, now: Millis) {
-        self.refreshing = now >= self.refresh_at;
+        let pause = REFRESH_EVERY_MS.max(self.looks / LOOKS_PER_MS);
+        self.refreshing = now >= self.refreshed_at + pause;
         if self.refreshing {
-            self.refresh_at = now + REFRESH_EVERY_MS;
+            self.refreshed_at = now;
+            self.looks = 0;
             self.promises.clear();
             self.ends.clear();
             self.owners = 0;
@@ -118,6 +123,7 @@
         candidate: &Candidate,
         now: Millis,
     ) -> Option<(Millis, &'w str)> {
+        self.looks += workers.len() as u64;
         let step = candidate.step;
         let suits = |worker: &Worker| {
             worker.takes_work(now)
@@ -139,12 +145,15 @@
         if !wanted.fits(&worker.entry.capacity) {
             return None;
         }
-        let ends =
-            self.ends.entry(worker.entry.instance.clone()).or_insert_with(|| expected_ends(worker, now));
         let mut used = worker.used.plus(&wanted);
         if used.fits(&worker.entry.capacity) {
             return Some(now);
         }
+        let instance = &worker.entry.instance;
+        if !self.ends.contains_key(instance) {
+            self.ends.insert(instance.clone(), expected_ends(worker, now));
+        }
+        let ends = self.ends.get(instance).map_or(&[][..], Vec::as_slice);
         for (end, freed) in ends {
             used = used.minus(freed);
             if used.fits(&worker.entry.capacity) {
--- a/system/scheduler/src/holds.rs
+++ b/system/scheduler/src/holds.rs
@@ -3,13 +3,15 @@
     calls::{Output, WorkerOrder},
     hold_waits::HoldWaits,
     scheduler::{CallPurpose, Scheduler},
-    worker::{remaining_ms, Run, RunPhase},
+    worker::{remaining_ms, Run, RunPhase, Worker},
 };
 use magpiegap_jobs::State;
 use magpiegap_protocol::{Command, Millis, TaskId};
 
 /// Longest time that a hold's answer may wait where a run makes no progress.
 const SUSPICIOUS_WAIT_MS: u64 = 150;
+/// Longest time between two searches through all workers for holds that are due.
+const HOLD_SEARCH_EVERY_MS: Millis = 50;
 /// Time between two looks at a worker that does not answer.
 const PROBE_EVERY_MS: Millis = 400;
 /// A run whose progress stands still for less than this is never taken for stuck.
@@ -24,20 +26,25 @@
         self.hold_waits = HoldWaits::of_busy_workers(busy);
     }
 
-    /// Sends the holds that are due.
+    /// Sends the holds that are due. All workers are searched when one may be due by time alone; meanwhile only those of
+    /// which there was news are looked at.
     pub(crate) fn renew_holds(&mut self, now: Millis) {
-        let due: Vec<String> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| {
-                let unsure = !worker.greeted || worker.unanswered > 0 || worker.doubted_at.is_some();
-                let wanted = !worker.runs.is_empty() || unsure;
-                let noted = worker.proposed_seen == worker.last_seen;
-                let reachable = !worker.entry.address.is_empty();
-                wanted && noted && reachable && worker.hold.open.is_none() && now >= worker.hold.due
-            })
-            .map(|(instance, _)| instance.clone())
-            .collect();
+        let news = std::mem::take(&mut self.hold_news);
+        let mut due = Vec::new();
+        let mut next_search = now + HOLD_SEARCH_EVERY_MS;
+        let mut look = |instance: &String, worker: &Worker| match next_hold(worker) {
+            Some(at) if now >= at => due.push(instance.clone()),
+            Some(at) => next_search = next_search.min(at),
+            None => {}
+        };
+        if now >= self.next_hold_search {
+            self.workers.iter().for_each(|(instance, worker)| look(instance, worker));
+            self.next_hold_search = next_search;
+        } else {
+            let known = news.iter().filter_map(|instance| Some((instance, self.workers.get(instance)?)));
+            known.for_each(|(instance, worker)| look(instance, worker));
+            self.next_hold_search = self.next_hold_search.min(next_search);
+        }
         for instance in due {
             self.send_hold(&instance, now);
         }
@@ -151,6 +158,15 @@
     }
 }
 
+/// When the next hold on a worker is to be sent; `None`: not before there is news of it.
+fn next_hold(worker: &Worker) -> Option<Millis> {
+    let unsure = !worker.greeted || worker.unanswered > 0 || worker.doubted_at.is_some();
+    let wanted = !worker.runs.is_empty() || unsure;
+    let noted = worker.proposed_seen == worker.last_seen;
+    let reachable = !worker.entry.address.is_empty();
+    (wanted && noted && reachable && worker.hold.open.is_none()).then_some(worker.hold.due)
+}
+
 /// Whether a run should have moved on since it was started or last listed with other progress.
 fn makes_no_progress(run: &Run, now: Millis) -> bool {
     let still = now.saturating_sub(run.progress.since);
--- a/system/scheduler/src/lib.rs
+++ b/system/scheduler/src/lib.rs
@@ -20,6 +20,7 @@
 mod queue;
 mod replies;
 mod reservations;
+mod room_index;
 mod runs;
 mod scheduler;
 mod settings;
--- a/system/scheduler/src/placement.rs
+++ b/system/scheduler/src/placement.rs
@@ -2,6 +2,7 @@
 use crate::{
     backfill::{Backfill, Candidate},
     reservations::Reservations,
+    room_index::RoomIndex,
     worker::{Worker, Workers},
 };
 use magpiegap_protocol::{Millis, Resources, TaskId};
@@ -26,8 +27,44 @@
     pub candidate: Candidate<'a>,
     /// Workers on which these tasks have failed.
     pub avoid: &'a [String],
-    /// The names of all workers, to draw from.
-    pub names: &'a [String],
+    /// The workers to look at.
+    pub pool: Pool<'a>,
+}
+
+/// The workers that a task may be placed on.
+#[derive(Clone, Copy)]
+pub(crate) enum Pool<'a> {
+    /// All of them, by name.
+    All(&'a [String]),
+    /// Those that had room when the round of planning began.
+    WithRoom(&'a RoomIndex),
+}
+
+impl<'a> Pool<'a> {
+    /// Those that may have room for a task that takes this much processor.
+    fn may_take(self, workers: &'a Workers, cpu: u64) -> Box<dyn Iterator<Item = &'a Worker> + 'a> {
+        match self {
+            Pool::All(_) => Box::new(workers.values()),
+            Pool::WithRoom(index) => index.may_take(workers, cpu),
+        }
+    }
+
+    /// One of them at random.
+    fn draw(self, workers: &'a Workers, cpu: u64, random: &mut StdRng) -> Option<&'a Worker> {
+        let name = match self {
+            Pool::All(names) => names.choose(random),
+            Pool::WithRoom(index) => index.with_cpu(cpu).choose(random).map(|(_, name)| name),
+        };
+        workers.get(name?)
+    }
+
+    /// How many there are.
+    fn len(self, cpu: u64) -> usize {
+        match self {
+            Pool::All(names) => names.len(),
+            Pool::WithRoom(index) => index.with_cpu(cpu).len(),
+        }
+    }
 }
 
 /// What placing several tasks has used up so far.
@@ -38,9 +75,9 @@
 }
 
 /// A worker for each task, or none when they don't all fit.
-pub(crate) fn choose(
-    workers: &Workers,
-    demand: &Demand,
+pub(crate) fn choose<'w>(
+    workers: &'w Workers,
+    demand: &Demand<'w>,
     now: Millis,
     random: &mut StdRng,
 ) -> Option<Vec<String>> {
@@ -56,7 +93,12 @@
 }
 
 /// One rack that takes all tasks: the one that they leave fullest.
-fn choose_rack(workers: &Workers, demand: &Demand, now: Millis, random: &mut StdRng) -> Option<Vec<String>> {
+fn choose_rack<'w>(
+    workers: &'w Workers,
+    demand: &Demand<'w>,
+    now: Millis,
+    random: &mut StdRng,
+) -> Option<Vec<String>> {
     let racks: BTreeSet<&str> = workers.values().map(Worker::rack).collect();
     let mut racks: Vec<&str> = racks.into_iter().collect();
     racks.shuffle(random);
@@ -65,9 +107,9 @@
         .find_map(|rack| choose_all(workers, demand, now, random, |worker| worker.rack() == rack))
 }
 
-fn choose_all(
-    workers: &Workers,
-    demand: &Demand,
+fn choose_all<'w>(
+    workers: &'w Workers,
+    demand: &Demand<'w>,
     now: Millis,
     random: &mut StdRng,
     allowed: impl Fn(&Worker) -> bool,
@@ -84,9 +126,9 @@
     Some(chosen)
 }
 
-fn choose_one(
-    workers: &Workers,
-    demand: &Demand,
+fn choose_one<'w>(
+    workers: &'w Workers,
+    demand: &Demand<'w>,
     now: Millis,
     random: &mut StdRng,
     taken: &Taken,
@@ -94,9 +136,9 @@
 ) -> Option<String> {
     let fits = |worker: &&Worker| {
         allowed(worker)
+            && fits(worker, demand, taken)
             && worker.takes_work(now)
             && demand.reservations.allow(&worker.entry.instance, &demand.first)
-            && fits(worker, demand, taken)
             && keeps_promises(worker, demand, taken, now)
     };
     let proven =
@@ -109,7 +151,8 @@
         let less_busy = two.into_iter().min_by(|a, b| busy(a).total_cmp(&busy(b)));
         return less_busy.map(|worker| worker.entry.instance.clone());
     }
-    let mut candidates: Vec<&Worker> = workers.values().filter(fits).collect();
+    let cpu = demand.candidate.step.resources.cpu;
+    let mut candidates: Vec<&Worker> = demand.pool.may_take(workers, cpu).filter(fits).collect();
     if let Some(rack) = &demand.candidate.step.affinity {
         let near: Vec<&Worker> = candidates.iter().copied().filter(|worker| worker.has_label(rack)).collect();
         if !near.is_empty() {
@@ -144,17 +187,18 @@
 /// number of workers. `None` where a few draws do not find two, or where a task is not to be spread at random.
 fn draw_two<'w>(
     workers: &'w Workers,
-    demand: &Demand,
+    demand: &Demand<'w>,
     random: &mut StdRng,
     will_do: impl Fn(&Worker) -> bool,
 ) -> Option<[&'w Worker; 2]> {
     let step = demand.candidate.step;
-    if step.resources.gpu > 0 || step.affinity.is_some() || demand.names.len() < 2 * MOST_DRAWS {
+    let cpu = step.resources.cpu;
+    if step.resources.gpu > 0 || step.affinity.is_some() || demand.pool.len(cpu) < 2 * MOST_DRAWS {
         return None;
     }
     let mut first: Option<&Worker> = None;
     for _ in 0..MOST_DRAWS {
-        let drawn = demand.names.choose(random).and_then(|name| workers.get(name));
+        let drawn = demand.pool.draw(workers, cpu, random);
         let Some(worker) = drawn.filter(|worker| will_do(worker)) else { continue };
         if is_wide(demand, worker) {
             return None;
--- a/system/scheduler/src/planning.rs
+++ b/system/scheduler/src/planning.rs
@@ -3,9 +3,10 @@
     backfill::Candidate,
     calls::Output,
     outlook::Outlook,
-    placement::{choose, Demand},
+    placement::{choose, Demand, Pool},
     preemption::{choose_victims, Victims},
     queue::{urgency, Urgency, Waiting},
+    room_index::RoomIndex,
     scheduler::Scheduler,
     worker::{Progress, Run, RunPhase, Workers},
 };
@@ -23,6 +24,8 @@
 const PREEMPT_AFTER_MS: Millis = 100;
 /// Tasks of this priority are urgent: for others, stopping and starting again costs more than it gains.
 const URGENT_PRIORITY: u32 = 0;
+/// Searches for runs to stop that may find none in one round: each looks at all workers.
+const MOST_VAIN_PREEMPTIONS: usize = 3;
 /// At most one in this many workers is kept free at a time for those that others were stopped for.
 const WORKERS_PER_PREEMPTION: usize = 12;
 
@@ -44,6 +47,10 @@
 struct Round {
     runs: Vec<RunStart>,
     misses: Misses,
+    /// The workers as they were when it began.
+    room: RoomIndex,
+    /// Searches for less urgent runs to stop that found none.
+    vain_preemptions: usize,
 }
 
 impl Misses {
@@ -77,7 +84,7 @@
             if self.queue.first().is_some_and(|first| *first < urgency) {
                 break;
             }
-            if let Some(mut placed) = self.place(&job, &unit, &urgency, 0, now) {
+            if let Some(mut placed) = self.place(&job, &unit, &urgency, 0, None, now) {
                 runs.append(&mut placed);
             }
         }
@@ -96,7 +103,10 @@
         let owners: HashSet<TaskId> = line.iter().map(|waiting| waiting.key.task).collect();
         self.reservations.review(&owners, &self.workers, now);
         self.backfill.begin_round(now);
-        let mut round = Round::default();
+        if line.is_empty() {
+            return;
+        }
+        let mut round = Round { room: RoomIndex::of(&self.workers, now), ..Round::default() };
         let urgent = self.plan_some(&line, MOST_MISSES, &mut round, now, state);
         if urgent < line.len() {
             let next =
@@ -138,27 +148,32 @@
             self.promise_room(job, unit, step, key, waited, now);
             return;
         }
-        match self.place(job, unit, key, waited, now) {
+        match self.place(job, unit, key, waited, Some(&round.room), now) {
             Some(mut placed) => {
                 self.queue.take(key);
                 self.backfill.release(key);
                 round.runs.append(&mut placed);
             }
             None => {
-                round.misses.add(step, has_room(&self.workers, step, now));
+                round.misses.add(step, has_room(&self.workers, &round.room, step, now));
                 self.promise_room(job, unit, step, key, waited, now);
-                self.preempt(key, unit, step, waited, now);
+                if round.vain_preemptions < MOST_VAIN_PREEMPTIONS {
+                    let is_vain = !self.preempt(key, unit, step, waited, now);
+                    round.vain_preemptions += usize::from(is_vain);
+                }
             }
         }
     }
 
-    /// Finds places for a task or gang and takes up the room there.
+    /// Finds places for a task or gang and takes up the room there; in a round of planning among those that had room when
+    /// it began.
     fn place(
         &mut self,
         job: &Job,
         unit: &Startable,
         urgency: &Urgency,
         waited: Millis,
+        room: Option<&RoomIndex>,
         now: Millis,
     ) -> Option<Vec<RunStart>> {
         let step = job.submission.spec.steps.get(unit.first.step as usize)?;
@@ -170,7 +185,7 @@
             backfill: &self.backfill,
             candidate: self.candidate(job, unit, step, urgency),
             avoid: self.failed_on.get(&unit.first).unwrap_or(&nothing),
-            names: &self.names,
+            pool: room.map_or(Pool::All(&self.names), Pool::WithRoom),
         };
         let chosen = choose(&self.workers, &demand, now, &mut self.random)?;
         let runs = starts(job, unit, step, chosen);
@@ -220,16 +235,24 @@
         self.backfill.promise(&self.workers, &candidate, now);
     }
 
-    /// Stops less urgent runs for a task that has found no room, where that is worth what it loses.
-    fn preempt(&mut self, key: &Urgency, unit: &Startable, step: &StepSpec, waited: Millis, now: Millis) {
+    /// Stops less urgent runs for a task that has found no room, where that is worth what it loses. Returns whether none
+    /// were looked for in vain.
+    fn preempt(
+        &mut self,
+        key: &Urgency,
+        unit: &Startable,
+        step: &StepSpec,
+        waited: Millis,
+        now: Millis,
+    ) -> bool {
         let urgent = key.priority == URGENT_PRIORITY && key.outlook == Outlook::InTime;
         let may = unit.count == 1 && urgent && waited >= PREEMPT_AFTER_MS;
         let most = self.workers.len().div_ceil(WORKERS_PER_PREEMPTION);
         if !may || self.reservations.has(&unit.first) || self.reservations.len() >= most {
-            return;
+            return true;
         }
         let victims = choose_victims(&self.workers, &self.reservations, &unit.first, step, key.priority, now);
-        let Some(Victims { instance, tasks }) = victims else { return };
+        let Some(Victims { instance, tasks }) = victims else { return false };
         if let Some(worker) = self.workers.get_mut(&instance) {
             for task in tasks {
                 if let Some(run) = worker.runs.get_mut(&task) {
@@ -239,12 +262,14 @@
         }
         self.fresh.insert(instance.clone());
         self.reservations.add(instance, unit.first, now);
+        true
     }
 
     fn reserve(&mut self, job: &Job, step: &StepSpec, start: &RunStart, now: Millis) {
         let Some(worker) = self.workers.get_mut(&start.instance) else { return };
         worker.add_run(start.task, new_run(job, step, start, RunPhase::Proposed, now));
         self.proposed.insert(start.task);
+        self.hold_news.insert(start.instance.clone());
     }
 
     /// Lets times of repeated jobs fall due.
@@ -277,11 +302,11 @@
 }
 
 /// Whether any worker that takes work has room for one task of a step, whatever was promised to others.
-fn has_room(workers: &Workers, step: &StepSpec, now: Millis) -> bool {
-    workers.values().any(|worker| {
-        worker.takes_work(now)
+fn has_room(workers: &Workers, room: &RoomIndex, step: &StepSpec, now: Millis) -> bool {
+    room.may_take(workers, step.resources.cpu).any(|worker| {
+        worker.has_room_for(&step.resources)
+            && worker.takes_work(now)
             && worker.has_labels(&step.requirements)
-            && worker.has_room_for(&step.resources)
     })
 }
 
--- a/system/scheduler/src/replies.rs
+++ b/system/scheduler/src/replies.rs
@@ -36,6 +36,7 @@
             self.depose(&instance);
             return;
         }
+        self.hold_news.insert(instance.clone());
         self.note_contact(&instance, call, &purpose, sent_at, &reply, now);
         match purpose {
             CallPurpose::Hold { .. } | CallPurpose::Probe => {
--- a/system/scheduler/src/runs.rs
+++ b/system/scheduler/src/runs.rs
@@ -60,6 +60,7 @@
                     worker.last_seen = *last_seen;
                     worker.proposed_seen = worker.proposed_seen.max(*last_seen);
                     worker.hold.due = now;
+                    self.hold_news.insert(instance.clone());
                 }
             }
             Change::Configuration | Change::Role(_) => {}
@@ -76,6 +77,7 @@
                     run.resolved_at = now;
                     worker.hold.due = worker.hold.due.min(now);
                     self.fresh.insert(start.instance.clone());
+                    self.hold_news.insert(start.instance.clone());
                 }
                 return;
             }
@@ -91,6 +93,7 @@
         }
         let Some(step) = job.submission.spec.steps.get(task.step as usize) else { return };
         let lapse_at = self.others_lapse_at();
+        self.hold_news.insert(instance.to_owned());
         let worker = self.workers.entry(instance.to_owned()).or_insert_with(|| {
             let entry = WorkerEntry { instance: instance.to_owned(), ..WorkerEntry::default() };
             let mut worker = Worker::new(entry, now, lapse_at);
--- a/system/scheduler/src/scheduler.rs
+++ b/system/scheduler/src/scheduler.rs
@@ -77,6 +77,10 @@
     pub(crate) proposed: HashSet<TaskId>,
     /// Workers that have a run whose start may be sent now.
     pub(crate) fresh: BTreeSet<String>,
+    /// Workers of which there was news, so that a hold may be due there.
+    pub(crate) hold_news: BTreeSet<String>,
+    /// When all workers are next searched for holds that are due.
+    pub(crate) next_hold_search: Millis,
     /// Workers on which a task has failed.
     pub(crate) failed_on: HashMap<TaskId, Vec<String>>,
     /// Repeated jobs by when their next time falls due.
@@ -129,6 +133,8 @@
             backfill: Backfill::default(),
             proposed: HashSet::new(),
             fresh: BTreeSet::new(),
+            hold_news: BTreeSet::new(),
+            next_hold_search: now,
             failed_on: HashMap::new(),
             timed: BTreeSet::new(),
             times_proposed: HashSet::new(),
--- a/system/scheduler/src/take_over.rs
+++ b/system/scheduler/src/take_over.rs
@@ -37,6 +37,7 @@
             self.review_job(id, now, state);
         }
         self.replan = true;
+        self.next_hold_search = now;
     }
 
     /// Drops what was not handed on yet: it was decided by the state as it was before.
--- a/system/scheduler/src/worker_list.rs
+++ b/system/scheduler/src/worker_list.rs
@@ -31,6 +31,7 @@
     }
 
     fn list_one(&mut self, entry: &WorkerEntry, now: Millis, state: &State) {
+        self.hold_news.insert(entry.instance.clone());
         let draining = entry.availability == Availability::Draining;
         if let Some(worker) = self.workers.get_mut(&entry.instance) {
             let news = !worker.listed || worker.entry.address != entry.address || worker.draining != draining;
