Read a configuration once, and let replicas follow it by its difference

Change: the coordinator that gets an order checks it and puts what leads to it from the version in force into the log beside the body; replicas that have that version apply the difference, others read the body.

--- a/system/coordinator/src/coordinator.rs
+++ b/system/coordinator/src/coordinator.rs
@@ -9,6 +9,7 @@
 };
 use magpiegap_control::{DurableState, Output as ControlOutput, Replica, TimeOfDay};
 use magpiegap_distribution::ConfigurationSource;
+use magpiegap_jobs::Configuration;
 use magpiegap_protocol::{Feed, Millis, PlatformList, Role, WallMillis};
 use magpiegap_scheduler::Scheduler;
 use std::collections::BTreeMap;
@@ -105,6 +106,11 @@
         &self.machine.state
     }
 
+    /// The configuration that it goes by; `None`: there is none yet.
+    pub fn configuration(&self) -> Option<&Configuration> {
+        self.configurations.newest().map(AsRef::as_ref)
+    }
+
     /// A connection to the coordinator at an address was refused.
     pub fn connection_refused(&mut self, now: Millis, address: u32) {
         self.replica.connection_refused(address, now);
--- a/system/coordinator/src/proposals.rs
+++ b/system/coordinator/src/proposals.rs
@@ -86,8 +86,8 @@
                 }
             },
             Operation::Cancel(job) => (Command::CancelJob { job }, None, None),
-            Operation::ReplaceConfiguration { base, version, body } => {
-                (Command::ReplaceConfiguration { base, version, body }, None, None)
+            Operation::ReplaceConfiguration { base, version, body, change } => {
+                (Command::ReplaceConfiguration { base, version, body, change }, None, None)
             }
             Operation::DescribeConfiguration => (Command::Noop, None, None),
         };
--- a/system/coordinator/src/requests.rs
+++ b/system/coordinator/src/requests.rs
@@ -5,7 +5,7 @@
     outputs::{Output, RequestId},
     under_way::{Operation, Question},
 };
-use magpiegap_jobs::Outcome;
+use magpiegap_jobs::{Configuration, Outcome};
 use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, JobId, Millis, WallMillis};
 
 impl Coordinator {
@@ -21,8 +21,8 @@
             CoordinatorRequest::Count { queue } => self.count(request, &queue),
             CoordinatorRequest::Poll(poll) => self.poll(request, poll),
             CoordinatorRequest::FetchConfiguration(fetch) => self.fetch_configuration(request, &fetch),
-            CoordinatorRequest::ReplaceConfiguration { base, version, body } => {
-                self.begin_in_contact(request, Operation::ReplaceConfiguration { base, version, body });
+            CoordinatorRequest::ReplaceConfiguration { base, body } => {
+                self.replace_configuration(request, base, body);
             }
             CoordinatorRequest::DescribeConfiguration => {
                 self.begin_in_contact(request, Operation::DescribeConfiguration);
@@ -57,6 +57,22 @@
         }
     }
 
+    /// Checks a configuration whole, and hands it to the log with what leads to it from the version in force here.
+    fn replace_configuration(&mut self, request: RequestId, base: u64, body: Vec<u8>) {
+        if !self.replica.has_contact(self.now) {
+            self.answer(request, CoordinatorAnswer::NotServing);
+            return;
+        }
+        match Configuration::parse(&body) {
+            Ok(configuration) => {
+                let version = configuration.version;
+                let change = self.configurations.change_to(base, &configuration);
+                self.begin(Operation::ReplaceConfiguration { base, version, body, change }, request);
+            }
+            Err(error) => self.answer(request, CoordinatorAnswer::ConfigurationInvalid(error.to_string())),
+        }
+    }
+
     fn submit(&mut self, request: RequestId, submission: Box<magpiegap_protocol::Submission>) {
         if self.machine.state.jobs.contains_key(&submission.job) {
             self.answer(request, CoordinatorAnswer::Accepted);
--- a/system/coordinator/src/roles.rs
+++ b/system/coordinator/src/roles.rs
@@ -110,6 +110,9 @@
         if state.version == self.configurations.newest().map_or(0, |configuration| configuration.version) {
             return;
         }
+        if self.configurations.follow(state.version, &state.change) {
+            return;
+        }
         // Only valid ones get into the log.
         if let Ok(configuration) = Configuration::parse(&state.body) {
             self.configurations.push(configuration);
--- a/system/coordinator/src/under_way.rs
+++ b/system/coordinator/src/under_way.rs
@@ -20,7 +20,7 @@
 pub(crate) enum Operation {
     Submit(Box<Submission>),
     Cancel(JobId),
-    ReplaceConfiguration { base: u64, version: u64, body: Vec<u8> },
+    ReplaceConfiguration { base: u64, version: u64, body: Vec<u8>, change: Vec<u8> },
     DescribeConfiguration,
 }
 
--- a/system/distribution/src/source.rs
+++ b/system/distribution/src/source.rs
@@ -1,5 +1,8 @@
 //! The sending side: the newest configuration, and what leads to it from those before.
-use crate::{change::ConfigurationChange, encoding::encode_change};
+use crate::{
+    change::ConfigurationChange,
+    encoding::{decode_change, encode_change},
+};
 use magpiegap_jobs::{Configuration, Route};
 use magpiegap_protocol::{fnv1a, ConfigurationFetch, ConfigurationPart, TransferId};
 use std::{collections::VecDeque, sync::Arc};
@@ -44,12 +47,35 @@
             Some(newest) => share_routes(newest, newer),
             None => newer,
         };
+        self.add(newer);
+    }
+
+    fn add(&mut self, newer: Configuration) {
         self.recent.push_back(Arc::new(newer));
         if self.recent.len() > REMEMBERED {
             self.recent.pop_front();
         }
     }
 
+    /// What leads to a configuration from the newest one, encoded; empty where that does not have the version wanted.
+    pub fn change_to(&self, base: u64, newer: &Configuration) -> Vec<u8> {
+        match self.newest().filter(|newest| newest.version == base) {
+            Some(newest) => encode_change(&ConfigurationChange::between(newest, newer)),
+            None => Vec::new(),
+        }
+    }
+
+    /// Takes a newer configuration by what leads to it from the newest one. Returns whether that could be done.
+    pub fn follow(&mut self, version: u64, change: &[u8]) -> bool {
+        let Some(newest) = self.newest().cloned() else { return false };
+        let Ok(change) = decode_change(change) else { return false };
+        if change.base != newest.version || change.version != version || version <= newest.version {
+            return false;
+        }
+        self.add(change.apply_to(&newest));
+        true
+    }
+
     /// What leads to the newest configuration from a version, where it is small enough to go with the news.
     pub fn small_change(&mut self, base: u64) -> Option<ConfigurationPart> {
         if self.newest()?.version <= base {
--- a/system/distribution/tests/transfers.rs
+++ b/system/distribution/tests/transfers.rs
@@ -119,3 +119,20 @@
     expect_that!(matches!(receiver.take(building_on_seven), Received::Unusable), eq(true));
     expect_that!(receiver.version(), eq(2));
 }
+
+#[googletest::test]
+fn given_a_difference_that_came_with_an_order_when_it_fits_then_a_replica_need_not_read_the_whole() {
+    let newer = configuration(7, 1..6);
+    let mut proposer = source([configuration(3, 0..5)]);
+    let change = proposer.change_to(3, &newer);
+    expect_that!(proposer.change_to(2, &newer), is_empty(), "it builds on another version");
+    let mut replica = source([configuration(3, 0..5)]);
+    expect_that!(replica.follow(8, &change), eq(false), "it leads to another version");
+    expect_that!(replica.follow(7, &change), eq(true));
+    expect_that!(**replica.newest().expect("it is there"), eq(&newer));
+    expect_that!(replica.follow(7, &change), eq(false), "it is in place");
+    // One that has another version, or none, reads the whole.
+    expect_that!(source([configuration(4, 0..5)]).follow(7, &change), eq(false));
+    expect_that!(source([]).follow(7, &change), eq(false));
+    expect_that!(proposer.follow(7, &[]), eq(false));
+}
--- a/system/fleet/src/asking.rs
+++ b/system/fleet/src/asking.rs
@@ -43,8 +43,8 @@
             let order =
                 self.operators[number].order.take().unwrap_or_else(|| Order::new(number, base, padding));
             self.operators[number].order = Some(order.clone());
-            let Order { base, version, body } = order.clone();
-            let request = CoordinatorRequest::ReplaceConfiguration { base, version, body };
+            let Order { base, body, .. } = order.clone();
+            let request = CoordinatorRequest::ReplaceConfiguration { base, body };
             let node = self.random.gen_range(0..self.nodes.len());
             let is_lost = self.random.gen_range(0..100) < self.settings.lost_answers_percent;
             self.ask_node(node, Asker::Operator { number, order, is_lost, at: self.now }, request);
--- a/system/fleet/src/fleet.rs
+++ b/system/fleet/src/fleet.rs
@@ -8,7 +8,8 @@
     worker::Worker,
 };
 use magpiegap_control::Snapshot;
-use magpiegap_coordinator::{freeze, RequestId};
+use magpiegap_coordinator::{freeze, Coordinator, RequestId};
+use magpiegap_jobs::Configuration;
 use magpiegap_protocol::{
     encode, JobId, JobPhase, JobSpec, Member, Position, Resources, Submission, WallMillis, WorkerEntry,
 };
@@ -266,6 +267,9 @@
             let state = coordinator.state();
             let configuration = &state.configuration;
             in_force.push((configuration.version, configuration.body.clone()));
+            if !goes_by_state(coordinator) {
+                found.push(format!("{} goes by another configuration than its state has", node.member));
+            }
             let contradictions = state.inconsistencies();
             found.extend(contradictions.iter().map(|what| format!("{}: {what}", node.member)));
             let encoded = encode(state);
@@ -301,6 +305,16 @@
     }
 }
 
+/// Whether a coordinator goes by what the operator sent, however it has come to it: by reading the whole or by differences.
+fn goes_by_state(coordinator: &Coordinator) -> bool {
+    let kept = &coordinator.state().configuration;
+    match coordinator.configuration().filter(|known| known.version == kept.version) {
+        Some(known) => Configuration::parse(&kept.body).is_ok_and(|read| read == *known),
+        // It has not followed what was applied yet.
+        None => true,
+    }
+}
+
 /// The address of a core machine.
 pub(crate) fn address(node: usize) -> u32 {
     0x0a00_0001 + node as u32
--- a/system/jobs/src/apply.rs
+++ b/system/jobs/src/apply.rs
@@ -31,8 +31,8 @@
     fn run(&mut self, command: &Command, at: WallMillis, changes: &mut Vec<Change>) -> Outcome {
         match command {
             Command::Noop => Outcome::Done,
-            Command::ReplaceConfiguration { base, version, body } => {
-                self.replace_configuration(*base, *version, body, changes)
+            Command::ReplaceConfiguration { base, version, body, change } => {
+                self.replace_configuration(*base, *version, body, change, changes)
             }
             Command::ClaimRole { role, holder, expected } => self.claim(role, *holder, *expected, changes),
             Command::SubmitJob { submission, runs } => self.submit(submission, runs, changes),
@@ -53,6 +53,7 @@
         base: u64,
         version: u64,
         body: &[u8],
+        change: &[u8],
         changes: &mut Vec<Change>,
     ) -> Outcome {
         let fingerprint = fingerprint(base, body);
@@ -65,7 +66,7 @@
         if version <= self.configuration.version {
             return Outcome::Stale;
         }
-        self.configuration.take(version, body, fingerprint);
+        self.configuration.take(version, body, change, fingerprint);
         changes.push(Change::Configuration);
         Outcome::Done
     }
--- a/system/jobs/src/state.rs
+++ b/system/jobs/src/state.rs
@@ -19,12 +19,16 @@
     /// Fingerprints of the configurations taken, by version.
     #[n(2)]
     pub taken: BTreeMap<u64, u64>,
+    /// What led to it from the version that it builds on, encoded; empty: that isn't known.
+    #[cbor(n(3), with = "minicbor::bytes", default)]
+    pub change: Vec<u8>,
 }
 
 impl ConfigurationState {
-    pub(crate) fn take(&mut self, version: u64, body: &[u8], fingerprint: u64) {
+    pub(crate) fn take(&mut self, version: u64, body: &[u8], change: &[u8], fingerprint: u64) {
         self.version = version;
         self.body = body.to_vec();
+        self.change = change.to_vec();
         self.taken.insert(version, fingerprint);
         while self.taken.len() > REMEMBERED_CONFIGURATIONS {
             self.taken.pop_first();
--- a/system/jobs/tests/state.rs
+++ b/system/jobs/tests/state.rs
@@ -249,6 +249,7 @@
         base,
         version,
         body: body.as_bytes().to_vec(),
+        change: Vec::new(),
     };
     expect_that!(apply(&mut state, replace(0, 3, "one")).outcome, eq(Outcome::Done));
     expect_that!(apply(&mut state, replace(0, 3, "other")).outcome, eq(Outcome::Conflict));
--- a/system/magpiegap/src/coordinator/control_plane.rs
+++ b/system/magpiegap/src/coordinator/control_plane.rs
@@ -1,7 +1,6 @@
 //! The operator's interface.
 use super::{events::Handle, metrics};
 use crate::serving::read_body;
-use magpiegap_jobs::Configuration;
 use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, JobFilter, JobId, JobPhase};
 use rocket::{
     data::Data,
@@ -81,11 +80,8 @@
         let Ok(base) = base else {
             return Reply::text(Status::BadRequest, "Base-Version: must be a whole number of at least 0");
         };
-        let version = match Configuration::parse(&body) {
-            Ok(configuration) => configuration.version,
-            Err(error) => return Reply::text(Status::BadRequest, error.to_string()),
-        };
-        match self.handle.ask(CoordinatorRequest::ReplaceConfiguration { base, version, body }).await {
+        match self.handle.ask(CoordinatorRequest::ReplaceConfiguration { base, body }).await {
+            Some(CoordinatorAnswer::ConfigurationInvalid(fault)) => Reply::text(Status::BadRequest, fault),
             Some(CoordinatorAnswer::ConfigurationTaken) => Reply::text(Status::Ok, ""),
             Some(CoordinatorAnswer::ConfigurationConflict) => {
                 Reply::text(Status::PreconditionFailed, "another version is in place")
--- a/system/protocol/src/command.rs
+++ b/system/protocol/src/command.rs
@@ -73,7 +73,7 @@
         const STEP: usize = 100;
         const RUN: usize = 80;
         HEAD + match &self.command {
-            Command::ReplaceConfiguration { body, .. } => body.len(),
+            Command::ReplaceConfiguration { body, change, .. } => body.len() + change.len(),
             Command::SubmitJob { submission, runs } => {
                 submission.spec.spec.len() + STEP * submission.spec.steps.len() + RUN * runs.len()
             }
@@ -191,6 +191,10 @@
         /// The configuration as the operator sent it.
         #[cbor(n(2), with = "minicbor::bytes")]
         body: Vec<u8>,
+        /// What leads to it from the version that it builds on, encoded; empty: that isn't known. It saves each replica the
+        /// reading of the whole body.
+        #[cbor(n(3), with = "minicbor::bytes", default)]
+        change: Vec<u8>,
     },
     /// Takes a vacant role, when its token is still `expected`.
     #[n(2)]
--- a/system/protocol/src/requests.rs
+++ b/system/protocol/src/requests.rs
@@ -105,15 +105,12 @@
     /// What proxies need to know.
     #[n(4)]
     Poll(#[n(0)] FeedPoll),
-    /// Take a configuration that has been found valid.
+    /// Take a configuration.
     #[n(5)]
     ReplaceConfiguration {
         /// The version that it builds on.
         #[n(0)]
         base: u64,
-        /// Its own version.
-        #[n(1)]
-        version: u64,
         /// As the operator sent it.
         #[cbor(n(2), with = "minicbor::bytes")]
         body: Vec<u8>,
@@ -187,4 +184,7 @@
     /// A part of a configuration.
     #[n(14)]
     ConfigurationPart(#[n(0)] Box<ConfigurationPart>),
+    /// The configuration is invalid: its first fault.
+    #[n(15)]
+    ConfigurationInvalid(#[n(0)] String),
 }
