--- a/system/distribution/tests/common/mod.rs
+++ b/system/distribution/tests/common/mod.rs
@@ -12,11 +12,12 @@
 
 /// A route whose name and place follow from its number.
 pub fn route(number: u64) -> Route {
-    let name = random_name(number);
+    const HOSTS: u64 = 1 << 40;
+    const PLACES: u64 = 1 << 41;
     Route {
-        name: format!("r-{}", &name[..8]),
-        hostname: format!("{}.example", &name[4..10]),
-        path_prefix: format!("/{}/", &name[8..]),
+        name: format!("r-{}", &random_name(number)[8..]),
+        hostname: format!("{}.example", &random_name(HOSTS + number)[10..]),
+        path_prefix: format!("/{}/", &random_name(PLACES + number)[8..]),
         timeout_ms: 3000,
         target_latency_ms: 250,
         priority: 0,
--- a/system/distribution/tests/slow_link/mod.rs
+++ b/system/distribution/tests/slow_link/mod.rs
@@ -1,4 +1,5 @@
 //! One agent and its coordinators, with a link of a certain rate between: simulated time, nothing sleeps.
+#![allow(dead_code)]
 use magpiegap_distribution::{Agent, AgentSettings, Call, CallFailure, CallId, ConfigurationSource};
 use magpiegap_jobs::Configuration;
 use magpiegap_protocol::{
