Bound large requests by their size, say once who is left alone, and scrape what agents have

Cause: what the look through all bounds of transfers left: a job's body was given 1.5 s on any link and a configuration on its way to the head was sent again after 0.5 s, whatever its size; 60 lines in half a millisecond said that workers were left alone; nothing told whether agents had the newest configuration.

--- a/system/coordinator/src/coordinator.rs
+++ b/system/coordinator/src/coordinator.rs
@@ -50,6 +50,8 @@
     /// The middle one of the times of day of all coordinators.
     pub(crate) wall: WallMillis,
     pub(crate) counters: Counters,
+    /// About how long a proposal takes until it is applied here.
+    pub(crate) commit_ms: Millis,
     pub(crate) out: Vec<Output>,
 }
 
@@ -89,6 +91,7 @@
             time_of_day: TimeOfDay::default(),
             wall: 0,
             counters: Counters::default(),
+            commit_ms: 0,
             out: Vec::new(),
         };
         coordinator.follow_configuration();
--- a/system/coordinator/src/counters.rs
+++ b/system/coordinator/src/counters.rs
@@ -1,6 +1,6 @@
 //! What a coordinator counts, for operators.
 use magpiegap_jobs::{Applied, Change};
-use magpiegap_protocol::EndKind;
+use magpiegap_protocol::{ConfigurationPart, EndKind};
 use serde::{Deserialize, Serialize};
 
 /// What a coordinator has counted since its start, over all entries that it has applied.
@@ -20,9 +20,21 @@
     pub views: u64,
     /// Calls to workers.
     pub worker_calls: u64,
+    /// Parts of configurations handed to agents, with those that went with the news.
+    #[serde(default)]
+    pub configuration_parts: u64,
+    /// Bytes of these parts.
+    #[serde(default)]
+    pub configuration_bytes: u64,
 }
 
 impl Counters {
+    /// Counts a part of a configuration that is handed to an agent.
+    pub(crate) fn note_part(&mut self, part: &ConfigurationPart) {
+        self.configuration_parts += 1;
+        self.configuration_bytes += part.bytes.len() as u64;
+    }
+
     /// Counts an entry and what it has changed.
     pub(crate) fn note_entry(&mut self, applied: &Applied) {
         self.entries += 1;
--- a/system/coordinator/src/describe.rs
+++ b/system/coordinator/src/describe.rs
@@ -28,6 +28,15 @@
     pub contact_ms: Option<u64>,
     /// The newest entry that it knows to be committed.
     pub committed: u64,
+    /// About how long a proposal of this coordinator takes until it is applied here, in milliseconds.
+    #[serde(default)]
+    pub commit_ms: u64,
+    /// Agents that wait for news here.
+    #[serde(default)]
+    pub agents: usize,
+    /// Those of them that do not have the newest configuration yet.
+    #[serde(default)]
+    pub agents_behind: usize,
     /// Version of the configuration.
     pub configuration: u64,
     /// Jobs in the state, with those that have ended and are still shown.
@@ -93,6 +102,9 @@
             active: self.replica.is_active(),
             contact_ms: self.contact_age_ms(),
             committed: self.replica.committed(),
+            commit_ms: self.commit_ms,
+            agents: self.waiters.len(),
+            agents_behind: self.agents_behind(),
             configuration: state.configuration.version,
             jobs: state.jobs.len(),
             open_jobs: state.open_jobs.values().sum(),
@@ -102,6 +114,11 @@
         }
     }
 
+    fn agents_behind(&self) -> usize {
+        let newest = self.machine.state.configuration.version;
+        self.waiters.iter().filter(|waiter| waiter.poll.configuration_version != newest).count()
+    }
+
     fn contact_age_ms(&self) -> Option<u64> {
         let confirmed_at = self.replica.confirmed_at(self.now);
         (confirmed_at > 0).then(|| self.now.saturating_sub(confirmed_at))
--- a/system/coordinator/src/feeds.rs
+++ b/system/coordinator/src/feeds.rs
@@ -68,6 +68,7 @@
 
     fn feed_for(&mut self, poll: &FeedPoll) -> CoordinatorAnswer {
         let change = self.configurations.small_change(poll.configuration_version);
+        change.iter().for_each(|part| self.counters.note_part(part));
         CoordinatorAnswer::Feed(Box::new(Feed { change, ..self.feed.clone() }))
     }
 
@@ -75,6 +76,7 @@
     pub(crate) fn fetch_configuration(&mut self, request: RequestId, fetch: &ConfigurationFetch) {
         let is_informed = self.is_informed() && !self.leaving;
         let part = is_informed.then(|| self.configurations.part(fetch)).flatten();
+        part.iter().for_each(|part| self.counters.note_part(part));
         let answer = match part {
             Some(part) => CoordinatorAnswer::ConfigurationPart(Box::new(part)),
             None => CoordinatorAnswer::NotServing,
--- a/system/coordinator/src/proposals.rs
+++ b/system/coordinator/src/proposals.rs
@@ -12,8 +12,10 @@
 /// Contact with a majority that is not back after this time is taken for lost: a change of the view takes less.
 const CONTACT_LOST_MS: Millis = 300;
 
-/// A proposal that the head may not have got is sent again after this time.
+/// A proposal that the head may not have got is sent again after this time ...
 const PROPOSE_AGAIN_MS: Millis = 500;
+/// ... and after as much longer as a link that takes so many bytes in a millisecond needs for it: 1.6 Mbit/s.
+const LEAST_BYTES_PER_MS: u64 = 200;
 
 impl Coordinator {
     /// Proposes a command. Returns whether it is under way.
@@ -32,7 +34,7 @@
             return false;
         }
         let view = self.replica.view().number;
-        let again_at = self.now + PROPOSE_AGAIN_MS;
+        let again_at = self.now + propose_again_ms(&command);
         let proposal = Proposal { purpose, pending, proposed_at: self.now, view, fence, command, again_at };
         self.proposals.insert(sequence, proposal);
         self.last_proposed_at = self.now;
@@ -50,7 +52,7 @@
             if now < proposal.again_at || proposal.view != view {
                 continue;
             }
-            proposal.again_at = now + PROPOSE_AGAIN_MS;
+            proposal.again_at = now + propose_again_ms(&proposal.command);
             let id = ProposalId { origin, sequence: *sequence };
             self.replica.propose(wall, id, proposal.fence.clone(), proposal.command.clone());
         }
@@ -137,6 +139,11 @@
     }
 }
 
+/// After how long a command that is not in the log is sent to the head again.
+fn propose_again_ms(command: &Command) -> Millis {
+    PROPOSE_AGAIN_MS + command.rough_bytes() as u64 / LEAST_BYTES_PER_MS
+}
+
 /// The answer to a request that could not be settled: it may take effect only where it was proposed.
 fn unsettled_answer(proposed: bool) -> CoordinatorAnswer {
     if proposed {
--- a/system/coordinator/src/steps.rs
+++ b/system/coordinator/src/steps.rs
@@ -8,6 +8,9 @@
 use magpiegap_jobs::{Applied, Change};
 use magpiegap_protocol::{Command, Millis, PeerMessage, Replica as ReplicaId, Role, WallMillis};
 
+/// The time of a commit that is told to operators is an average over about so many.
+const COMMITS_AVERAGED: u64 = 16;
+
 impl Coordinator {
     /// Takes what it wants done. To be called after every input.
     pub fn take_outputs(&mut self) -> Vec<Output> {
@@ -130,6 +133,8 @@
     }
 
     fn follow_proposal(&mut self, proposal: &Proposal, applied: &Applied) {
+        let took_ms = self.now.saturating_sub(proposal.proposed_at);
+        self.commit_ms = (self.commit_ms * (COMMITS_AVERAGED - 1) + took_ms) / COMMITS_AVERAGED;
         let lease = proposal.proposed_at + self.settings.lease_ms;
         self.lease_until = self.lease_until.max(lease);
         if proposal.purpose == Some(Purpose::FirstOfView) && Some(proposal.view) == self.entered_view {
--- a/system/magpiegap/src/proxy/calls.rs
+++ b/system/magpiegap/src/proxy/calls.rs
@@ -8,8 +8,10 @@
     time::{Duration, Instant},
 };
 
-/// Longest wait for one coordinator's answer.
+/// Longest wait for one coordinator's answer, beside the time that the request may take on its way.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// A link takes at least so many bytes of a request in a millisecond: 128 kbit/s.
+const LEAST_BYTES_PER_MS: u64 = 16;
 /// Longest wait for one coordinator's answer to a question that another one can answer as well.
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause before another try, unless there is news before.
@@ -17,6 +19,16 @@
 /// A request that could be offered to nobody is refused after this time.
 const UNOFFERED: Duration = Duration::from_millis(900);
 
+/// How long an answer to a request is waited for: as much longer as a slow link takes for a large one, so that it is not
+/// broken off and sent again and again.
+fn patience(request: &CoordinatorRequest) -> Duration {
+    let bytes = match request {
+        CoordinatorRequest::Submit(submission) => submission.rough_bytes() as u64,
+        _ => 0,
+    };
+    CALL_TIMEOUT + Duration::from_millis(bytes / LEAST_BYTES_PER_MS)
+}
+
 /// How a submission ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Submitted {
@@ -52,7 +64,7 @@
     ) -> Result<CoordinatorAnswer, CallError> {
         let address = SocketAddr::new(IpAddr::V4(Ipv4Addr::from(address)), self.port);
         let left = deadline.saturating_duration_since(Instant::now());
-        endpoint::call(&self.client, address, request, left.min(CALL_TIMEOUT)).await
+        endpoint::call(&self.client, address, request, left.min(patience(request))).await
     }
 
     /// Waits until another coordinator schedules a service.
--- a/system/magpiegap/tests/metrics.rs
+++ b/system/magpiegap/tests/metrics.rs
@@ -7,13 +7,16 @@
 fn cluster() -> ClusterDescription {
     let scheduler = SchedulerDescription {
         service: "a \"quoted\" service".to_owned(),
-        summary: Summary { workers: 12, silent: 1, runs: 40, waiting: 3 },
+        summary: Summary { workers: 12, silent: 1, runs: 40, waiting: 3, waiting_urgent: 2 },
     };
     ClusterDescription {
         view: 7,
         active: true,
         schedulers: vec![scheduler],
-        counters: Counters { runs_done: 900, ..Counters::default() },
+        agents: 32,
+        agents_behind: 5,
+        commit_ms: 41,
+        counters: Counters { runs_done: 900, configuration_bytes: 70_000, ..Counters::default() },
         ..ClusterDescription::default()
     }
 }
@@ -25,6 +28,10 @@
     expect_that!(lines, contains(eq(&"# TYPE magpiegap_view gauge")));
     expect_that!(lines, contains(eq(&"magpiegap_view 7")));
     expect_that!(lines, contains(eq(&"magpiegap_runs_done_total 900")));
+    expect_that!(lines, contains(eq(&"magpiegap_agents 32")));
+    expect_that!(lines, contains(eq(&"magpiegap_agents_behind 5")));
+    expect_that!(lines, contains(eq(&"magpiegap_commit_milliseconds 41")));
+    expect_that!(lines, contains(eq(&"magpiegap_configuration_bytes_total 70000")));
     expect_that!(lines.last(), some(eq(&"# EOF")));
 }
 
--- a/system/protocol/src/command.rs
+++ b/system/protocol/src/command.rs
@@ -70,13 +70,17 @@
     /// About how many bytes it takes up, encoded or in memory.
     pub fn rough_bytes(&self) -> usize {
         const HEAD: usize = 80;
-        const STEP: usize = 100;
+        HEAD + self.command.rough_bytes()
+    }
+}
+
+impl Command {
+    /// About how many bytes it takes up, encoded or in memory.
+    pub fn rough_bytes(&self) -> usize {
         const RUN: usize = 80;
-        HEAD + match &self.command {
+        match self {
             Command::ReplaceConfiguration { body, change, .. } => body.len() + change.len(),
-            Command::SubmitJob { submission, runs } => {
-                submission.spec.spec.len() + STEP * submission.spec.steps.len() + RUN * runs.len()
-            }
+            Command::SubmitJob { submission, runs } => submission.rough_bytes() + RUN * runs.len(),
             Command::StartRuns { runs } | Command::LoseRuns { runs } => RUN * runs.len(),
             Command::NoteEnds { ends, .. } => RUN * ends.len(),
             _ => 0,
@@ -84,6 +88,14 @@
     }
 }
 
+impl Submission {
+    /// About how many bytes it takes up, encoded or in memory.
+    pub fn rough_bytes(&self) -> usize {
+        const STEP: usize = 100;
+        self.spec.spec.len() + STEP * self.spec.steps.len()
+    }
+}
+
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Encode, Decode)]
 pub enum EndKind {
--- a/system/scheduler/src/runs.rs
+++ b/system/scheduler/src/runs.rs
@@ -137,7 +137,7 @@
                     failed_on.push(instance.to_owned());
                 }
                 if known.is_some() && !elsewhere && worker.health.failed(task.job, failures_to_eject, now) {
-                    self.out.push(Output::Log(format!("worker {instance} is left alone: its runs fail")));
+                    self.left_alone_untold.insert(instance.to_owned());
                 }
             }
             _ => {}
--- a/system/scheduler/src/scheduler.rs
+++ b/system/scheduler/src/scheduler.rs
@@ -5,6 +5,7 @@
     calls::{Output, WorkerCall, WorkerOrder},
     health::FailureShare,
     hold_waits::HoldWaits,
+    planning::URGENT_PRIORITY,
     queue::{Queue, Urgency},
     reservations::Reservations,
     settings::SchedulerSettings,
@@ -56,6 +57,9 @@
     pub runs: usize,
     /// Tasks and gangs that wait for a place.
     pub waiting: usize,
+    /// Those of them that are of the most urgent priority.
+    #[serde(default)]
+    pub waiting_urgent: usize,
 }
 
 /// Places and starts the tasks of one service.
@@ -81,6 +85,9 @@
     pub(crate) hold_news: BTreeSet<String>,
     /// When all workers are next searched for holds that are due.
     pub(crate) next_hold_search: Millis,
+    /// Workers that are left alone since that was last told, and when it was.
+    pub(crate) left_alone_untold: BTreeSet<String>,
+    pub(crate) left_alone_told_at: Millis,
     /// Workers on which a task has failed.
     pub(crate) failed_on: HashMap<TaskId, Vec<String>>,
     /// Repeated jobs by when their next time falls due.
@@ -134,6 +141,8 @@
             proposed: HashSet::new(),
             fresh: BTreeSet::new(),
             hold_news: BTreeSet::new(),
+            left_alone_untold: BTreeSet::new(),
+            left_alone_told_at: 0,
             next_hold_search: now,
             failed_on: HashMap::new(),
             timed: BTreeSet::new(),
@@ -191,6 +200,7 @@
             silent: self.workers.values().filter(|worker| worker.silent()).count(),
             runs: self.workers.values().map(|worker| worker.runs.len()).sum(),
             waiting: self.queue.len(),
+            waiting_urgent: self.queue.iter().filter(|(key, _)| key.priority == URGENT_PRIORITY).count(),
         }
     }
 
@@ -229,6 +239,20 @@
         id
     }
 
+    /// Says which workers are left alone, once for many.
+    fn tell_left_alone(&mut self, now: Millis) {
+        if self.left_alone_untold.is_empty() || now < self.left_alone_told_at + TELL_LEFT_ALONE_EVERY_MS {
+            return;
+        }
+        self.left_alone_told_at = now;
+        let untold = std::mem::take(&mut self.left_alone_untold);
+        let named: Vec<&str> = untold.iter().take(MOST_NAMED).map(String::as_str).collect();
+        let more = untold.len() - named.len();
+        let more = if more > 0 { format!(" and {more} more") } else { String::new() };
+        let line = format!("workers left alone, since their runs fail: {}{more}", named.join(", "));
+        self.out.push(Output::Log(line));
+    }
+
     fn refresh_names(&mut self) {
         if !self.workers.keys().eq(self.names.iter()) {
             self.names = self.workers.keys().cloned().collect();
@@ -250,6 +274,7 @@
         if now >= self.next_check {
             self.next_check = now + CHECK_EVERY_MS;
             self.check_workers(now, state);
+            self.tell_left_alone(now);
             self.refresh_names();
             self.open_times(wall, state);
             self.forget_jobs(wall);
@@ -274,5 +299,10 @@
 /// Longest pause between two rounds of planning.
 const MOST_PLAN_PAUSE_MS: Millis = 20;
 
+/// Time between two lines on workers that are left alone.
+const TELL_LEFT_ALONE_EVERY_MS: Millis = 1000;
+/// Workers named in such a line.
+const MOST_NAMED: usize = 5;
+
 /// How often everything is looked through for what is due.
 const CHECK_EVERY_MS: Millis = 50;
--- a/system/scheduler/tests/common/mod.rs
+++ b/system/scheduler/tests/common/mod.rs
@@ -20,6 +20,7 @@
     pub scheduler: Scheduler,
     pub calls: Vec<WorkerCall>,
     pub proposed: Vec<Command>,
+    pub logs: Vec<String>,
 }
 
 pub fn worker(name: &str) -> WorkerEntry {
@@ -46,7 +47,8 @@
     pub fn new(workers: &[&str]) -> Story {
         let state = State::default();
         let scheduler = Scheduler::new("s", TOKEN, SchedulerSettings::default(), 1000, &state, 1);
-        let mut story = Story { now: 1000, state, scheduler, calls: Vec::new(), proposed: Vec::new() };
+        let mut story =
+            Story { now: 1000, state, scheduler, calls: Vec::new(), proposed: Vec::new(), logs: Vec::new() };
         let entries: Vec<WorkerEntry> = workers.iter().map(|name| worker(name)).collect();
         story.scheduler.list(story.now, &story.state, &entries);
         story.pass(10);
@@ -101,7 +103,7 @@
                 match output {
                     Output::Call(call) => self.calls.push(call),
                     Output::Propose(command) => self.commit(command),
-                    Output::Log(_) => {}
+                    Output::Log(line) => self.logs.push(line),
                 }
             }
         }
