--- a/system/fleet/src/asking.rs
+++ b/system/fleet/src/asking.rs
@@ -1,5 +1,9 @@
 //! Lets clients and the operator ask, and takes their answers.
-use crate::{client::Order, events::Asker, fleet::Fleet};
+use crate::{
+    client::{ConfigurationSize, Order},
+    events::Asker,
+    fleet::Fleet,
+};
 use magpiegap_coordinator::RequestId;
 use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, FeedPoll, Role};
 use rand::Rng;
@@ -39,9 +43,11 @@
             }
             self.operators[number].next_at = self.now + self.settings.order_every_ms;
             let base = self.newest_configuration();
-            let padding = self.settings.configuration_bytes;
-            let order =
-                self.operators[number].order.take().unwrap_or_else(|| Order::new(number, base, padding));
+            let size = ConfigurationSize {
+                padding: self.settings.configuration_bytes,
+                routes: self.settings.configuration_routes,
+            };
+            let order = self.operators[number].order.take().unwrap_or_else(|| Order::new(number, base, size));
             self.operators[number].order = Some(order.clone());
             let Order { base, body, .. } = order.clone();
             let request = CoordinatorRequest::ReplaceConfiguration { base, body };
@@ -130,6 +136,7 @@
                 self.longest_order_ms = self.longest_order_ms.max(self.now - at);
                 self.operator_answered(number, order, answer, is_lost);
             }
+            Some(Asker::Edge { number, id }) => self.answered_edge(number, id, answer),
             Some(Asker::Observer { request, at }) => {
                 self.oracle.observed(self.now, at, self.nodes[node].member, &request, answer);
             }
--- a/system/fleet/src/client.rs
+++ b/system/fleet/src/client.rs
@@ -1,5 +1,5 @@
 //! Clients and the operator: what they want, and how far they have got.
-use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, JobId, JobPhase, Submission, TaskId};
+use magpiegap_protocol::{fnv1a, CoordinatorAnswer, CoordinatorRequest, JobId, JobPhase, Submission, TaskId};
 
 /// One job, from a client's side.
 #[derive(Clone, Debug)]
@@ -93,10 +93,10 @@
 
 impl Order {
     /// The change of an operator that builds on a version. Sometimes all operators choose the same number.
-    pub fn new(operator: usize, base: u64, padding: usize) -> Order {
+    pub fn new(operator: usize, base: u64, size: ConfigurationSize) -> Order {
         let own_number = if base.is_multiple_of(3) { 0 } else { operator as u64 };
         let version = base + 1 + own_number;
-        Order { base, version, body: configuration(operator, base, version, padding) }
+        Order { base, version, body: configuration(operator, base, version, size) }
     }
 }
 
@@ -108,14 +108,33 @@
     pub next_at: u64,
 }
 
-/// A configuration with one service and one queue, of about so many bytes; each order has another one.
-fn configuration(operator: usize, base: u64, version: u64, padding: usize) -> Vec<u8> {
+/// How large the configurations of operators are.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConfigurationSize {
+    /// Bytes that mean nothing.
+    pub padding: usize,
+    /// Routes beside the one that is used.
+    pub routes: u64,
+}
+
+/// A route that no client uses; some of them differ from version to version.
+fn idle_route(number: u64, version: u64) -> String {
+    let name = fnv1a(&number.to_le_bytes());
+    let timeout_ms = if number.is_multiple_of(50) { 1000 + version } else { 1000 };
+    format!(
+        ",{{\"name\":\"r-{name:x}\",\"hostname\":\"h\",\"pathPrefix\":\"/{name:x}/\",\"timeoutMs\":{timeout_ms},\"service\":\"s\"}}"
+    )
+}
+
+/// A configuration with one service and one queue that is used; each order has another one.
+fn configuration(operator: usize, base: u64, version: u64, size: ConfigurationSize) -> Vec<u8> {
+    let idle: String = (0..size.routes).map(|number| idle_route(number, version)).collect();
     format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"q\",\"hostname\":\"h\",\"pathPrefix\":\"/q/\",\
-         \"timeoutMs\":{},\"service\":\"s\",\"maxAttempts\":3,\"stretch\":2.0}}],\
+         \"timeoutMs\":{},\"service\":\"s\",\"maxAttempts\":3,\"stretch\":2.0}}{idle}],\
          \"services\":[{{\"name\":\"s\",\"guards\":true}}],\"comment\":\"on {base} {}\"}}",
         1000 + version + 100_000 * operator as u64,
-        "x".repeat(padding)
+        "x".repeat(size.padding)
     )
     .into_bytes()
 }
--- a/system/fleet/src/events.rs
+++ b/system/fleet/src/events.rs
@@ -1,5 +1,6 @@
 //! What happens in a fleet, and who waits for what.
 use crate::client::Order;
+use magpiegap_distribution::CallId;
 use magpiegap_protocol::{CoordinatorRequest, PeerMessage, Replica};
 use magpiegap_scheduler::{WorkerCall, WorkerReply};
 
@@ -76,6 +77,11 @@
         is_lost: bool,
         at: u64,
     },
+    /// The agent of an edge.
+    Edge {
+        number: usize,
+        id: CallId,
+    },
     /// Somebody who only looks, and when it asked.
     Observer {
         request: CoordinatorRequest,
--- a/system/fleet/src/fleet.rs
+++ b/system/fleet/src/fleet.rs
@@ -2,6 +2,7 @@
 use crate::{
     client::{ClientJob, Operator},
     disk::Disk,
+    edges::Edge,
     events::{Asker, Event},
     node::{Node, EPOCH_MS},
     oracle::{Oracle, Violation},
@@ -53,6 +54,12 @@
     pub lost_answers_percent: u32,
     /// About how many bytes a configuration has beyond what it needs.
     pub configuration_bytes: usize,
+    /// Routes of a configuration beside the one that is used.
+    pub configuration_routes: u64,
+    /// Edges, each with an agent that follows the configuration.
+    pub edges: usize,
+    /// What the link of an edge carries, in bytes a second.
+    pub edge_bytes_a_second: u64,
     /// Seeds all chance.
     pub seed: u64,
 }
@@ -70,6 +77,9 @@
             order_every_ms: 400,
             lost_answers_percent: 0,
             configuration_bytes: 0,
+            configuration_routes: 0,
+            edges: 0,
+            edge_bytes_a_second: 250_000,
             seed: 1,
         }
     }
@@ -94,6 +104,7 @@
     pub(crate) last_address: u32,
     pub(crate) clients: Vec<ClientJob>,
     pub(crate) operators: Vec<Operator>,
+    pub(crate) edges: Vec<Edge>,
     pub(crate) requests: BTreeMap<(usize, u64, RequestId), Asker>,
     pub(crate) next_request: RequestId,
     pub(crate) specs: BTreeMap<JobId, JobSpec>,
@@ -119,6 +130,9 @@
             last_address: address(settings.nodes),
             clients: Vec::new(),
             operators: vec![Operator::default(); settings.operators],
+            edges: (0..settings.edges)
+                .map(|number| Edge::new(number, (0..settings.nodes).map(address).collect()))
+                .collect(),
             requests: BTreeMap::new(),
             next_request: 0,
             specs: BTreeMap::new(),
@@ -251,6 +265,7 @@
             self.end_those_that_left();
             self.pass_time_of_workers();
             self.ask();
+            self.run_edges();
             if self.now.is_multiple_of(COMPARE_EVERY_MS) {
                 self.compare_states();
             }
--- a/system/fleet/src/lib.rs
+++ b/system/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 mod client;
 mod delivery;
 mod disk;
+mod edges;
 mod events;
 mod faults;
 mod fleet;
