--- a/system/fleet/src/fleet.rs
+++ b/system/fleet/src/fleet.rs
@@ -2,7 +2,7 @@
 use crate::{
     client::{ClientJob, Operator},
     disk::Disk,
-    edges::Edge,
+    edge::Edge,
     events::{Asker, Event},
     node::{Node, EPOCH_MS},
     oracle::{Oracle, Violation},
--- a/system/fleet/src/lib.rs
+++ b/system/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 mod client;
 mod delivery;
 mod disk;
+mod edge;
 mod edges;
 mod events;
 mod faults;
--- a/system/jobs/src/route_table.rs
+++ b/system/jobs/src/route_table.rs
@@ -1,5 +1,5 @@
 //! The routes of a configuration, found by name and by the place that a client asks for.
-use crate::Route;
+use crate::route::Route;
 use std::{
     collections::{BTreeMap, HashMap},
     sync::Arc,
--- a/system/scheduler/src/planning.rs
+++ b/system/scheduler/src/planning.rs
@@ -5,7 +5,7 @@
     outlook::Outlook,
     placement::{choose, Demand, Pool},
     preemption::{choose_victims, Victims},
-    queue::{urgency, Urgency, Waiting},
+    queue::{urgency, Urgency, Waiting, URGENT_PRIORITY},
     room_index::RoomIndex,
     scheduler::Scheduler,
     worker::{Progress, Run, RunPhase, Workers},
@@ -22,8 +22,6 @@
 const PATIENCE: f64 = 0.6;
 /// An urgent task that has found no room for this long may have less urgent runs stopped for it.
 const PREEMPT_AFTER_MS: Millis = 100;
-/// Tasks of this priority are urgent: for others, stopping and starting again costs more than it gains.
-pub(crate) const URGENT_PRIORITY: u32 = 0;
 /// Searches for runs to stop that may find none in one round: each looks at all workers.
 const MOST_VAIN_PREEMPTIONS: usize = 3;
 /// At most one in this many workers is kept free at a time for those that others were stopped for.
--- a/system/scheduler/src/queue.rs
+++ b/system/scheduler/src/queue.rs
@@ -4,6 +4,9 @@
 use magpiegap_protocol::{JobId, Millis, TaskId, WallMillis};
 use std::collections::{BTreeMap, HashMap};
 
+/// Tasks of this priority are urgent: for others, stopping and starting again costs more than it gains.
+pub(crate) const URGENT_PRIORITY: u32 = 0;
+
 /// Who goes first: the lower priority number, then who can still be in time, then who is due earlier.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Urgency {
