Give each file that the lab replaces one under way of its own

Traced by reading from the line that the drill does not exist; forced by a story with four writers, which fails with the old names (No such file or directory) and passes with the new ones.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -33,4 +33,5 @@
 pub mod state;
 pub mod tally;
 pub mod upstream;
+pub mod whole_file;
 pub mod world;
--- a/lab/src/process/balancer.rs
+++ b/lab/src/process/balancer.rs
@@ -8,6 +8,7 @@
 use crate::guard::Guard;
 use crate::net::lock;
 use crate::oracle::Rule;
+use crate::whole_file;
 use crate::world::World;
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
@@ -123,11 +124,7 @@
         let (name, agent) = (self.name.as_str(), self.agent.as_ref());
         let who = Who { index: self.index, name, listen: self.listen, agent, seed };
         let text = config(&who, world).to_string();
-        // Whole or not at all: it may be read at any moment.
-        let fresh = self.config.with_extension("new");
-        std::fs::write(&fresh, text)
-            .and_then(|()| std::fs::rename(&fresh, &self.config))
-            .map_err(|e| format!("{}: {e}", self.config.display()))
+        whole_file::replace(&self.config, &text)
     }
 
     /// Writes its options, if the experiment has any; its own folder is there from then on.
@@ -142,10 +139,7 @@
 
     /// Its disk has these faults from now on, or its default ones.
     pub fn disk(&self, does: Option<&str>) -> Result<(), String> {
-        let fresh = self.drill.with_extension("new");
-        std::fs::write(&fresh, does.unwrap_or(self.usually))
-            .and_then(|()| std::fs::rename(&fresh, &self.drill))
-            .map_err(|e| format!("{}: {e}", self.drill.display()))
+        whole_file::replace(&self.drill, does.unwrap_or(self.usually))
     }
 
     fn now_runs(&self) -> &Runs {
--- a/lab/tests/parts/main.rs
+++ b/lab/tests/parts/main.rs
@@ -7,3 +7,4 @@
 mod net;
 mod oracle;
 mod state;
+mod whole_file;
