Tell a change that can't be used, and never let an agent's link end

Cause: reading the change again. The agent asked for the whole after a faulty change without a word; its loop had no branch for the moment in which nothing is due and no call is under way, which a call that panics could bring about. Both are told or waited for now; a story for the first.

--- a/system/distribution/src/agent.rs
+++ b/system/distribution/src/agent.rs
@@ -112,6 +112,8 @@
     places: Places,
     links: Vec<Link>,
     fetch: Fetch,
+    /// What was wrong with a change that could not be used, until it is told.
+    fault: Option<String>,
 }
 
 impl Agent {
@@ -134,9 +136,15 @@
                 patience: Patience::of_at_least(PART_SILENCE_MS),
                 failed: None,
             },
+            fault: None,
         }
     }
 
+    /// What was wrong with a change of the configuration that could not be used: told once.
+    pub fn take_fault(&mut self) -> Option<String> {
+        self.fault.take()
+    }
+
     /// Replaces the addresses at which coordinators may be found.
     pub fn set_seeds(&mut self, seeds: Vec<u32>) {
         self.seeds = seeds;
@@ -293,6 +301,11 @@
                 self.fetch.activity = Activity::Resting { until: now };
             }
             Received::Unusable | Received::Faulty(_) => {
+                if let Received::Faulty(error) = received {
+                    let error =
+                        error.map_or_else(|| "its checksum differs".to_owned(), |error| error.to_string());
+                    self.fault = Some(error);
+                }
                 if is_slow {
                     self.fetch.patience.unanswered();
                 }
--- a/system/distribution/tests/agents.rs
+++ b/system/distribution/tests/agents.rs
@@ -4,8 +4,10 @@
 
 use common::configuration;
 use googletest::prelude::*;
-use magpiegap_distribution::{Agent, AgentSettings, CallFailure, CallId};
-use magpiegap_protocol::{CoordinatorAnswer, CoordinatorRequest, Feed};
+use magpiegap_distribution::{Agent, AgentSettings, Call, CallFailure, CallId};
+use magpiegap_protocol::{
+    ConfigurationFetch, ConfigurationPart, CoordinatorAnswer, CoordinatorRequest, Feed, TransferId,
+};
 use slow_link::{whole_body_bytes, World, COORDINATORS};
 
 /// Routes of a large configuration.
@@ -118,6 +120,24 @@
     expect_that!(agent.due_calls(due)[0].coordinator, not(eq(calls[0].coordinator)));
 }
 
+#[googletest::test]
+fn given_a_change_that_can_not_be_read_when_it_comes_then_that_is_told_once_and_the_whole_is_asked_for() {
+    let mut agent = Agent::new(AgentSettings { own_address: 5, seeds: vec![1], links: 1 });
+    agent.due_calls(0);
+    let news = Feed { view: 1, configuration_version: 4, revision: 1, chain: vec![1], ..Feed::default() };
+    agent.answered(1, CallId::Poll(0), Ok(CoordinatorAnswer::Feed(Box::new(news))));
+    let is_fetch = |call: &Call| call.id == CallId::Fetch;
+    expect_that!(agent.due_calls(1).iter().filter(|call| is_fetch(call)).count(), eq(1));
+    let transfer = TransferId { base: 0, version: 4, checksum: 7 };
+    let part = ConfigurationPart { transfer, length: 3, offset: 0, bytes: vec![1, 2, 3] };
+    agent.answered(2, CallId::Fetch, Ok(CoordinatorAnswer::ConfigurationPart(Box::new(part))));
+    expect_that!(agent.take_fault(), some(contains_substring("checksum")));
+    expect_that!(agent.take_fault(), none());
+    let again = agent.due_calls(1000).into_iter().find(is_fetch).map(|call| call.request);
+    let whole = CoordinatorRequest::FetchConfiguration(ConfigurationFetch::default());
+    expect_that!(again, some(eq(&whole)));
+}
+
 #[googletest::test]
 fn given_news_that_are_older_when_they_come_then_that_coordinator_is_not_trusted() {
     let mut agent = Agent::new(AgentSettings { own_address: 5, seeds: vec![1, 2, 3], links: 1 });
--- a/system/magpiegap/src/agent/link.rs
+++ b/system/magpiegap/src/agent/link.rs
@@ -16,6 +16,8 @@
 
 /// How many coordinators are asked for news at the same time, so that the loss of one delays none.
 const LINKS: usize = 2;
+/// Pause where nothing is due and no call is under way.
+const IDLE_PAUSE: Duration = Duration::from_millis(100);
 /// The settings file is read again at most this often.
 const READ_EVERY: Duration = Duration::from_secs(1);
 
@@ -104,6 +106,7 @@
                     }
                 }
                 () = sleep(Duration::from_millis(pause.unwrap_or_default())), if pause.is_some() => {}
+                else => sleep(IDLE_PAUSE).await,
             }
         }
     }
@@ -132,6 +135,9 @@
         if self.agent.answered(self.now(), id, answer) {
             self.published.publish(self.agent.feed(), self.agent.configuration());
         }
+        if let Some(fault) = self.agent.take_fault() {
+            log::error!("a change of the configuration can't be used, the whole is asked for: {fault}");
+        }
         if self.agent.is_lost() {
             self.read_seeds();
         }
