Hand a configuration on to the proxy without a copy of its routes

Cause: reading the change again. The agent cloned the whole route table for each piece of news, also where only a role had passed on, and rebuilt it to share routes that are shared already. It hands on the shared object now, once a version. preempt says whether it searched in vain, instead of the opposite that its only caller negated.

--- a/system/distribution/src/source.rs
+++ b/system/distribution/src/source.rs
@@ -47,11 +47,18 @@
             Some(newest) => share_routes(newest, newer),
             None => newer,
         };
-        self.add(newer);
+        self.add(Arc::new(newer));
     }
 
-    fn add(&mut self, newer: Configuration) {
-        self.recent.push_back(Arc::new(newer));
+    /// Takes a newer configuration that shares its routes with those before already. Others than a newer one are ignored.
+    pub fn push_shared(&mut self, newer: &Arc<Configuration>) {
+        if self.newest().is_none_or(|newest| newest.version < newer.version) {
+            self.add(newer.clone());
+        }
+    }
+
+    fn add(&mut self, newer: Arc<Configuration>) {
+        self.recent.push_back(newer);
         if self.recent.len() > REMEMBERED {
             self.recent.pop_front();
         }
@@ -72,7 +79,7 @@
         if change.base != newest.version || change.version != version || version <= newest.version {
             return false;
         }
-        self.add(change.apply_to(&newest));
+        self.add(Arc::new(change.apply_to(&newest)));
         true
     }
 
--- a/system/distribution/tests/transfers.rs
+++ b/system/distribution/tests/transfers.rs
@@ -91,6 +91,22 @@
     expect_that!(**receiver.configuration(), eq(&configuration(13, 0..MANY + 13)));
 }
 
+#[googletest::test]
+fn given_a_receiver_that_hands_on_what_it_has_when_that_is_told_again_then_it_counts_once() {
+    let mut origin = source([configuration(3, 0..4)]);
+    let mut receiver = ConfigurationReceiver::default();
+    let mut handed_on = source([]);
+    fetch_all(&mut origin, &mut receiver);
+    handed_on.push_shared(receiver.configuration());
+    origin.push(configuration(5, 0..5));
+    fetch_all(&mut origin, &mut receiver);
+    handed_on.push_shared(receiver.configuration());
+    handed_on.push_shared(receiver.configuration());
+    handed_on.push_shared(&std::sync::Arc::new(configuration(4, 0..1)));
+    expect_that!(**handed_on.newest().expect("it is there"), eq(&configuration(5, 0..5)));
+    expect_that!(handed_on.small_change(3).map(|part| part.transfer.base), some(eq(3)));
+}
+
 #[googletest::test]
 fn given_damaged_or_misplaced_parts_when_they_come_then_the_version_in_place_stays_and_the_whole_is_asked_for(
 ) {
--- a/system/magpiegap/src/agent/link.rs
+++ b/system/magpiegap/src/agent/link.rs
@@ -51,9 +51,9 @@
     }
 
     /// Publishes news with the configuration in place.
-    fn publish(&self, feed: Feed, configuration: &Configuration) {
+    fn publish(&self, feed: Feed, configuration: &Arc<Configuration>) {
         if configuration.version > 0 {
-            self.with_configurations(|configurations| configurations.push(configuration.clone()));
+            self.with_configurations(|configurations| configurations.push_shared(configuration));
         }
         self.feed.send_replace(Arc::new(feed));
     }
--- a/system/scheduler/src/planning.rs
+++ b/system/scheduler/src/planning.rs
@@ -156,7 +156,7 @@
                 round.misses.add(step, has_room(&self.workers, &round.room, step, now));
                 self.promise_room(job, unit, step, key, waited, now);
                 if round.vain_preemptions < MOST_VAIN_PREEMPTIONS {
-                    let is_vain = !self.preempt(key, unit, step, waited, now);
+                    let is_vain = self.preempt(key, unit, step, waited, now);
                     round.vain_preemptions += usize::from(is_vain);
                 }
             }
@@ -233,7 +233,7 @@
         self.backfill.promise(&self.workers, &candidate, now);
     }
 
-    /// Stops less urgent runs for a task that has found no room, where that is worth what it loses. Returns whether none
+    /// Stops less urgent runs for a task that has found no room, where that is worth what it loses. Returns whether such
     /// were looked for in vain.
     fn preempt(
         &mut self,
@@ -247,10 +247,10 @@
         let may = unit.count == 1 && urgent && waited >= PREEMPT_AFTER_MS;
         let most = self.workers.len().div_ceil(WORKERS_PER_PREEMPTION);
         if !may || self.reservations.has(&unit.first) || self.reservations.len() >= most {
-            return true;
+            return false;
         }
         let victims = choose_victims(&self.workers, &self.reservations, &unit.first, step, key.priority, now);
-        let Some(Victims { instance, tasks }) = victims else { return false };
+        let Some(Victims { instance, tasks }) = victims else { return true };
         if let Some(worker) = self.workers.get_mut(&instance) {
             for task in tasks {
                 if let Some(run) = worker.runs.get_mut(&task) {
@@ -260,7 +260,7 @@
         }
         self.fresh.insert(instance.clone());
         self.reservations.add(instance, unit.first, now);
-        true
+        false
     }
 
     fn reserve(&mut self, job: &Job, step: &StepSpec, start: &RunStart, now: Millis) {
