Stop the run of the task that is meant, not that of another occurrence

Cause: request_stop compared job, step, index and run number, and not the occurrence, so that a broken gang of one occurrence had the complete gang of an earlier one stopped, and a cancelled job's occurrences were stopped one by one. Change: runs are looked up by task and run. The in-memory fleet checks stops: a complete gang is stopped only when its job has ended or is being cancelled, and a cancelled job has no runs left 2 s after that. Random jobs overlap more.

--- a/system/fleet/src/faults.rs
+++ b/system/fleet/src/faults.rs
@@ -118,6 +118,26 @@
 }
 
 impl Fault {
+    /// How long the fault itself lasts, in milliseconds; what it brings about may last longer.
+    pub fn duration_ms(&self) -> u64 {
+        match *self {
+            Fault::Kill { for_ms, .. }
+            | Fault::PowerLoss { for_ms, .. }
+            | Fault::Wipe { for_ms, .. }
+            | Fault::PowerLossOfAll { for_ms }
+            | Fault::Freeze { for_ms, .. }
+            | Fault::Partition { for_ms, .. }
+            | Fault::WorkerPartition { for_ms, .. }
+            | Fault::WorkerCrash { for_ms, .. }
+            | Fault::DelayedOrders { for_ms, .. }
+            | Fault::SlowDisk { for_ms, .. }
+            | Fault::Isolate { for_ms, .. }
+            | Fault::Drain { for_ms, .. }
+            | Fault::Replace { for_ms, .. } => for_ms,
+            Fault::ClockStep { .. } => 0,
+        }
+    }
+
     /// Draws a fault for a fleet of this size.
     pub fn random(random: &mut StdRng, nodes: usize, workers: usize) -> Fault {
         let node = random.gen_range(0..nodes);
--- a/system/fleet/src/fleet.rs
+++ b/system/fleet/src/fleet.rs
@@ -65,6 +65,8 @@
     /// `None` while a worker has crashed.
     workers: Vec<Option<Worker>>,
     active_faults: ActiveFaults,
+    /// When the effects of all faults so far are over, in milliseconds.
+    calm_since: u64,
     /// How many incarnations of workers there have been.
     worker_incarnations: u64,
     /// The longest time that a coordinator took to respond to a change, in milliseconds.
@@ -90,6 +92,7 @@
             nodes: new_nodes(&addresses),
             workers: Vec::new(),
             active_faults: ActiveFaults::default(),
+            calm_since: 0,
             worker_incarnations: 0,
             longest_change_ms: 0,
             last_address: address(settings.nodes),
@@ -133,6 +136,7 @@
             self.run_edges();
             if self.now.is_multiple_of(COMPARE_INTERVAL_MS) {
                 self.compare_states();
+                self.oracle.check_cancelled_runs(self.now, self.calm_since);
             }
         }
     }
--- a/system/fleet/src/fleet/fault_injection.rs
+++ b/system/fleet/src/fleet/fault_injection.rs
@@ -13,9 +13,18 @@
 /// After a loss of power of all machines each starts up to this much later, in milliseconds.
 const MAX_START_JITTER_MS: u64 = 300;
 
+/// The effects of a fault are over this long after it: the longest lease has expired, and every role has its owner.
+const RECOVERY_MS: u64 = 8000;
+
 impl Fleet {
     /// Injects a fault.
     pub fn inject(&mut self, fault: &Fault) {
+        let drain_ms = match fault {
+            Fault::Drain { .. } => MAX_DRAIN_MS,
+            _ => 0,
+        };
+        let calm_at = self.now + drain_ms + fault.duration_ms() + RECOVERY_MS;
+        self.calm_since = self.calm_since.max(calm_at);
         match *fault {
             Fault::Kill { node, for_ms } => {
                 self.nodes[node].disk.kill_process();
--- a/system/fleet/src/fleet/job_specs.rs
+++ b/system/fleet/src/fleet/job_specs.rs
@@ -36,7 +36,7 @@
     }
 
     /// Draws a job with steps of any kind: gangs, labels, limits for each worker, racks, checkpoints, duplicates, several
-    /// occurrences, or one that lasts until it is cancelled. Clients submit it at this simulated time.
+    /// occurrences, tasks that last until the job is cancelled, or both. Clients submit it at this simulated time.
     pub fn random_job(&self, random: &mut StdRng, at: u64) -> JobSpec {
         let count = random.gen_range(1..MAX_STEPS);
         let mut job = JobSpec {
@@ -51,20 +51,29 @@
             job.steps.push(step);
         }
         match random.gen_range(0..10) {
-            0 => {
-                job.repeat_count = random.gen_range(1..4);
-                job.start_at_ms = self.wall() - self.now() + at + random.gen_range(0..4000);
-                job.interval_ms = random.gen_range(200..3000);
-            }
-            1 => {
-                job.long_running = true;
-                job.steps.truncate(1);
-                job.steps.iter_mut().for_each(|step| step.gang = false);
+            0 => self.repeat(&mut job, random, at),
+            1 => last_until_cancelled(&mut job),
+            2 => {
+                last_until_cancelled(&mut job);
+                self.repeat(&mut job, random, at);
             }
             _ => {}
         }
         job
     }
+
+    /// Gives a job several occurrences, which overlap where its tasks take longer than the time between.
+    fn repeat(&self, job: &mut JobSpec, random: &mut StdRng, at: u64) {
+        job.repeat_count = random.gen_range(1..4);
+        job.start_at_ms = self.wall() - self.now() + at + random.gen_range(0..4000);
+        job.interval_ms = random.gen_range(50..2000);
+    }
+}
+
+fn last_until_cancelled(job: &mut JobSpec) {
+    job.long_running = true;
+    job.steps.truncate(1);
+    job.steps.iter_mut().for_each(|step| step.gang = false);
 }
 
 fn random_step(random: &mut StdRng) -> StepSpec {
--- a/system/fleet/src/fleet/worker_calls.rs
+++ b/system/fleet/src/fleet/worker_calls.rs
@@ -211,6 +211,7 @@
         let mixed = task.job.0
             ^ (u64::from(task.index) << 20)
             ^ (u64::from(task.step) << 40)
+            ^ (u64::from(task.occurrence) << 52)
             ^ u64::from(run);
         mixed.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32 & 0xffff
             < self.settings.failing_percent * 0xffff / 100
@@ -263,6 +264,10 @@
                 }
                 RunEvent::Completed(completion) => {
                     let owner = owner_of(completion.task);
+                    if let Some(spec) = specs.get(&completion.task.job) {
+                        self.oracle
+                            .check_stop(self.now, completion, spec, MAX_ATTEMPTS);
+                    }
                     self.oracle
                         .run_completed(&entry.incarnation, completion, owner);
                 }
--- a/system/fleet/src/oracle.rs
+++ b/system/fleet/src/oracle.rs
@@ -3,6 +3,7 @@
 mod history;
 mod response_checks;
 mod start_checks;
+mod stop_checks;
 
 pub(crate) use response_checks::{Observation, Operators};
 pub(crate) use start_checks::Start;
@@ -52,6 +53,8 @@
     rejected: BTreeSet<JobId>,
     /// Jobs that a client has requested to cancel at least once.
     cancel_requested: BTreeSet<JobId>,
+    /// Cancelled jobs whose runs were reported as going on.
+    reported_cancelled: BTreeSet<JobId>,
     /// How many members of gangs have timed out while they waited for the others.
     gang_timeouts: u64,
     history: ResponseHistory,
--- a/system/fleet/tests/calm.rs
+++ b/system/fleet/tests/calm.rs
@@ -111,3 +111,22 @@
         expect_that!(fleet.phase(job), some(eq(JobPhase::Succeeded)));
     }
 }
+
+#[googletest::test]
+fn given_a_repeated_job_whose_runs_overlap_when_it_is_cancelled_then_all_its_runs_end() {
+    // Given: one worker has the same step, index and run number of several occurrences
+    let mut fleet = Fleet::new(FleetSettings {
+        workers: 1,
+        ..FleetSettings::default()
+    });
+    let mut job = Fleet::chain_of_steps(vec![Fleet::step(2, 1000, 100_000)]);
+    job.repeat_count = 3;
+    job.start_at_ms = fleet.wall() + 3000;
+    job.interval_ms = 300;
+    // When
+    let id = fleet.submit_at(3000, job, Some(6000));
+    fleet.run_until(10_000);
+    // Then
+    expect_that!(fleet.violations(), is_empty());
+    expect_that!(fleet.phase(id), some(eq(JobPhase::Cancelled)));
+}
--- a/system/fleet/tests/fault_scenarios.rs
+++ b/system/fleet/tests/fault_scenarios.rs
@@ -1,5 +1,5 @@
-//! Five fault scenarios of the control plane, each in simulated runs: an isolated machine, operators that change the
-//! configuration at once, a loss right after a repair, hundreds of changes, and delayed orders.
+//! Six fault scenarios, each in simulated runs: an isolated machine, operators that change the configuration at once, a
+//! loss right after a repair, hundreds of changes, delayed orders, and workers that crash under repeated gangs.
 use magpiegap_fleet::{Fault, Fleet, FleetSettings, WorkerPartitionScope};
 use rand::{rngs::StdRng, Rng, SeedableRng};
 
@@ -257,3 +257,34 @@
         expect_sound_end(fleet, seed);
     }
 }
+
+#[googletest::test]
+fn given_repeated_gangs_that_overlap_when_workers_crash_then_no_complete_gang_is_stopped() {
+    for seed in seeds(12) {
+        // Given: workers have the same member of several occurrences
+        let mut fleet = Fleet::new(FleetSettings {
+            seed,
+            ..FleetSettings::default()
+        });
+        for number in 0..6 {
+            let at = BEGIN_MS + number * 1500;
+            let mut job = Fleet::chain_of_steps(vec![Fleet::step(3, 1200, 2500)]);
+            job.steps[0].gang = true;
+            job.repeat_count = 4;
+            job.start_at_ms = fleet.wall() + at;
+            job.interval_ms = 200;
+            fleet.submit_at(at, job, None);
+        }
+        // When
+        for number in 0..6 {
+            fleet.run_until(BEGIN_MS + 1300 + number * 1500);
+            let fault = Fault::WorkerCrash {
+                worker: (seed as usize + number as usize) % 6,
+                for_ms: 600,
+            };
+            fleet.inject(&fault);
+        }
+        // Then
+        expect_sound_end(fleet, seed);
+    }
+}
--- a/system/fleet/tests/faults.rs
+++ b/system/fleet/tests/faults.rs
@@ -23,6 +23,9 @@
     every_ms: 20,
 };
 
+/// How long a fleet is watched once all jobs are shown as ended, in milliseconds.
+const AFTERWARDS_MS: u64 = 3000;
+
 /// Runs a fleet with faults drawn from a seed; returns what went wrong.
 fn run_seed(seed: u64, nodes: usize, tolerance: usize, size: Size) -> Vec<String> {
     // Some fleets are busy: their coordinators take many messages in before they carry out any output.
@@ -44,6 +47,8 @@
     let injected = inject_faults(&mut fleet, &mut random, nodes, size.workers);
     fleet.run_until(34_000);
     fleet.run_until_done(90_000);
+    // What was cancelled last has ended by then.
+    fleet.run_until(fleet.now() + AFTERWARDS_MS);
     let mut wrong = find_wrong(&fleet);
     if !wrong.is_empty() {
         wrong.extend(fleet.describe());
--- a/system/scheduler/src/job_review.rs
+++ b/system/scheduler/src/job_review.rs
@@ -78,18 +78,12 @@
         }
     }
 
-    /// Marks a run to be stopped; the occurrence of its task is not compared.
+    /// Marks a run to be stopped.
     fn request_stop(&mut self, incarnation: &str, task: TaskId, run: RunId, now: Millis) {
         let Some(worker) = self.table.workers.get_mut(incarnation) else {
             return;
         };
-        let found = worker.runs.iter_mut().find(|(other, known)| {
-            other.job == task.job
-                && other.step == task.step
-                && other.index == task.index
-                && known.id == run
-        });
-        if let Some((_, known)) = found {
+        if let Some(known) = worker.run_mut(&task, run) {
             known.next_stop_at.get_or_insert(now);
             self.table.mark_order_due(incarnation);
         }
--- a/system/scheduler/tests/common/mod.rs
+++ b/system/scheduler/tests/common/mod.rs
@@ -172,6 +172,14 @@
     }
 
     pub(crate) fn submit_with_priority(&mut self, job: u64, priority: u32, steps: Vec<StepSpec>) {
+        let spec = JobSpec {
+            steps,
+            ..JobSpec::default()
+        };
+        self.submit_spec(job, priority, spec);
+    }
+
+    pub(crate) fn submit_spec(&mut self, job: u64, priority: u32, spec: JobSpec) {
         let submission = Submission {
             job: JobId(job),
             queue: "q".to_owned(),
@@ -181,10 +189,7 @@
             stretch: 2.0,
             target_latency_ms: 1000,
             submitted_ms: WallMillis(1_000_000 + self.now),
-            spec: JobSpec {
-                steps,
-                ..JobSpec::default()
-            },
+            spec,
         };
         let command = self.scheduler.submit(self.now, submission);
         self.commit(command);
--- a/system/scheduler/tests/stopping.rs
+++ b/system/scheduler/tests/stopping.rs
@@ -3,7 +3,9 @@
 
 use common::*;
 use googletest::prelude::*;
-use magpiegap_protocol::{Command, JobId, StepSpec};
+use magpiegap_protocol::{
+    Command, CompletionKind, JobId, JobSpec, RunCompletion, RunId, StepSpec, TaskId, WallMillis,
+};
 use magpiegap_scheduler::{RefusalReason, WorkerCall, WorkerOrder, WorkerReply};
 
 /// How long a reply takes on the network.
@@ -148,3 +150,93 @@
     // By then it is void, and the task was started anew.
     expect_that!(last_run(&harness), some(gt(1)));
 }
+
+/// Submits job 1 with two occurrences that are due at once, and acknowledges their starts: the worker has the same
+/// step, index and run number of both.
+fn start_two_occurrences(harness: &mut Harness, step: StepSpec) {
+    let spec = JobSpec {
+        steps: vec![step],
+        repeat_count: 2,
+        start_at_ms: WallMillis(1),
+        interval_ms: 1,
+        ..JobSpec::default()
+    };
+    harness.submit_spec(1, 0, spec);
+    for _ in 0..50 {
+        harness.advance(10);
+        for start in harness.starts() {
+            harness.reply(&start, harness.done());
+        }
+    }
+}
+
+/// A run that a worker is ordered to start or to stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct OrderedRun {
+    task: TaskId,
+    run: RunId,
+}
+
+/// The runs that workers are ordered to stop within half a second, each once.
+fn stopped_runs(harness: &mut Harness) -> Vec<OrderedRun> {
+    let mut stopped = Vec::new();
+    for _ in 0..50 {
+        harness.advance(10);
+        for call in harness.take_calls() {
+            if let WorkerOrder::Stop { task, run } = call.order {
+                stopped.push(OrderedRun { task, run });
+                harness.reply(&call, harness.done());
+            }
+        }
+    }
+    stopped.sort_unstable();
+    stopped.dedup();
+    stopped
+}
+
+/// The first run of a task of job 1.
+fn first_run(occurrence: u32, index: u32) -> OrderedRun {
+    let task = TaskId {
+        occurrence,
+        ..task(1, index)
+    };
+    OrderedRun { task, run: 1 }
+}
+
+#[googletest::test]
+fn given_runs_alike_of_two_occurrences_when_the_job_is_cancelled_then_both_are_stopped() {
+    let mut harness = Harness::new(&["w1"]);
+    start_two_occurrences(&mut harness, step(1, 1000));
+    harness.commit(Command::CancelJob { job: JobId(1) });
+    expect_that!(
+        stopped_runs(&mut harness),
+        elements_are![eq(&first_run(0, 0)), eq(&first_run(1, 0))]
+    );
+}
+
+#[googletest::test]
+fn given_gangs_of_two_occurrences_when_one_loses_a_member_then_the_other_goes_on() {
+    for broken in [0, 1] {
+        let mut harness = Harness::new(&["w1"]);
+        let gang = StepSpec {
+            gang: true,
+            ..step(2, 1000)
+        };
+        start_two_occurrences(&mut harness, gang);
+        let lost = first_run(broken, 1);
+        harness.commit(Command::RecordCompletions {
+            incarnation: "w1".to_owned(),
+            acknowledged_completion: 1,
+            completions: vec![RunCompletion {
+                task: lost.task,
+                run: lost.run,
+                kind: CompletionKind::GangEnded,
+                checkpoint: String::new(),
+            }],
+        });
+        expect_that!(
+            stopped_runs(&mut harness),
+            elements_are![eq(&first_run(broken, 0))]
+        );
+    }
+}
