Bound the counts of restored upstreams, and count on from the largest without overflow

Cause: Health.ejections + 1 and outcomes += 1 overflow for a record that holds u32::MAX, which Learned::validate let through: a panic in debug builds, a wrap in release (an outcome count of zero, an ejection of no length). Change: a record with more than a billion of either is refused whole, as other bad numbers are; counting stops at a billion. The property test over arbitrary records draws such counts and lets upstreams fail. Result: the new table of counts failed with 'attempt to add with overflow' before; all tests of core, simulator and proxy pass.

--- a/balancer/core/src/interface/learned.rs
+++ b/balancer/core/src/interface/learned.rs
@@ -7,6 +7,9 @@
 /// Least response time that is valid, in milliseconds: one that took no time would never be grown from again.
 const MIN_RESPONSE_TIME: Millis = 1e-3;
 
+/// The largest count of an upstream's outcomes or ejections: counting stops there.
+const MAX_COUNT: u32 = 1_000_000_000;
+
 /// What an instance has learned of the load. Rates are calls per cycle, of a second.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -85,17 +88,35 @@
         }
     }
 
+    /// Counts an attempt that has ended.
+    pub(crate) fn count_outcome(&mut self) {
+        self.outcomes = counted(self.outcomes);
+    }
+
+    /// Counts an ejection.
+    pub(crate) fn count_ejection(&mut self) {
+        self.ejections = counted(self.ejections);
+    }
+
     fn is_valid(&self) -> bool {
+        let counts = [self.outcomes, self.ejections];
         let amounts = [
             self.slowness,
             self.last_used,
             self.ejected_until,
             self.lost_until,
         ];
-        amounts.into_iter().all(is_amount) && is_part(self.fails)
+        amounts.into_iter().all(is_amount)
+            && is_part(self.fails)
+            && counts.into_iter().all(|count| count <= MAX_COUNT)
     }
 }
 
+/// One more than this count, or the largest one.
+fn counted(count: u32) -> u32 {
+    count.saturating_add(1).min(MAX_COUNT)
+}
+
 /// What an instance has learned, as [`Balancer::learned`](crate::Balancer::learned) hands it out and
 /// [`Event::Restored`](crate::Event::Restored) returns it to a later one.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -151,7 +172,7 @@
                 .iter()
                 .all(|(_, since, health)| is_amount(*since) && health.is_valid()),
             "learned.upstreams",
-            "numbers of at least 0",
+            "numbers of at least 0, counts of a billion at most",
         )
     }
 
--- a/balancer/core/src/policy/ejection.rs
+++ b/balancer/core/src/policy/ejection.rs
@@ -152,7 +152,7 @@
         } else {
             health.fails + FAILURE_GAIN * (failure - health.fails)
         };
-        health.outcomes += 1;
+        health.count_outcome();
         // The fleet's rate counts all: where most fail, it is no fault of each one's own.
         self.failure_rate += FLEET_FAILURE_GAIN * (failure - self.failure_rate);
         // Others observe the same: one's own first failure will do, unless it responded here of late.
@@ -241,9 +241,9 @@
 
 /// Ejects an upstream. One that fails fast has few calls in flight and would win every comparison.
 fn eject(health: &mut Health, ending: Ending, now: Millis, rng: &mut Rng) {
-    let length = (BASE_EJECTION * f64::from(health.ejections + 1)).min(MAX_EJECTION);
+    health.count_ejection();
+    let length = (BASE_EJECTION * f64::from(health.ejections)).min(MAX_EJECTION);
     health.ejected_until = now + length * (0.75 + 0.5 * random_unit(rng));
-    health.ejections += 1;
     if ending != Ending::Error {
         health.lost_until = health.ejected_until;
     }
--- a/balancer/core/tests/restored.rs
+++ b/balancer/core/tests/restored.rs
@@ -236,6 +236,54 @@
     );
 }
 
+/// Longest time that an upstream may stay ejected from now on, in milliseconds.
+const MAX_EJECTION_MS: f64 = 20_000.0;
+/// The largest count that a record may hold.
+const MAX_COUNT: u32 = 1_000_000_000;
+
+/// A record with these counts of an upstream that has just failed too often and is not ejected.
+fn learned_with_counts(outcomes: u32, ejections: u32) -> Learned {
+    let health = Health {
+        slowness: 1.0,
+        fails: 1.0,
+        outcomes,
+        ejections,
+        ..Health::default()
+    };
+    Learned {
+        upstreams: vec![(UpstreamId(1), 0.0, health)],
+        demands: vec![Some(40.0), None, None],
+        ..learned_with_thirty_upstreams()
+    }
+}
+
+#[test]
+fn the_largest_counts_are_counted_on_and_larger_ones_are_refused() {
+    for (outcomes, ejections, is_valid) in [
+        (u32::MAX, 0, false),
+        (0, u32::MAX, false),
+        (0, 0, true),
+        (MAX_COUNT, MAX_COUNT, true),
+        (MAX_COUNT + 1, 0, false),
+        (0, MAX_COUNT + 1, false),
+    ] {
+        let saved = learned_with_counts(outcomes, ejections);
+        let case = format!("{outcomes} outcomes, {ejections} ejections");
+        let mut harness = restarted(&saved, 0.0, endpoints());
+        harness.traffic(3000.0, 80.0, &[0, 1], &|id| match id.0 {
+            1 => Some((Ending::ConnectFailed, 1.0)),
+            _ => Some((Ending::Ok, 50.0)),
+        });
+        let later = harness.balancer.learned(harness.now);
+        assert_eq!(later.validate(&settings()), Ok(()), "{case}");
+        let ejected = |(id, _, health): &(UpstreamId, f64, Health)| {
+            *id == UpstreamId(1) && health.ejections > 0 && health.outcomes > 0
+        };
+        assert!(later.upstreams.iter().any(ejected), "{case}: {later:?}");
+        assert_eq!(saved.validate(&settings()).is_ok(), is_valid, "{case}");
+    }
+}
+
 /// Any figure that a file could hold.
 fn any_number() -> impl Strategy<Value = f64> {
     prop_oneof![
@@ -247,6 +295,16 @@
     ]
 }
 
+/// Any count that a file could hold, the largest ones often.
+fn any_count() -> impl Strategy<Value = u32> {
+    prop_oneof![
+        2 => any::<u32>(),
+        1 => 0..10u32,
+        1 => (u32::MAX - 2)..=u32::MAX,
+        1 => MAX_COUNT - 2..=MAX_COUNT + 1,
+    ]
+}
+
 fn part() -> impl Strategy<Value = f64> {
     prop_oneof![9 => 0.0..=1.0f64, 1 => prop::num::f64::ANY]
 }
@@ -259,7 +317,7 @@
         demands in prop::collection::vec(prop::option::of(any_number()), 2..=4),
         kinds in prop::collection::vec((any::<u8>(), 0.0..4.5f64, any_number()), 0..3),
         rest_lost in prop::collection::vec(part(), 0..12),
-        upstreams in prop::collection::vec((0u64..12, prop::collection::vec(any_number(), 4), part(), any::<u32>()), 0..6),
+        upstreams in prop::collection::vec((0u64..12, prop::collection::vec(any_number(), 4), part(), any_count(), any_count()), 0..6),
     ) -> Learned {
         Learned {
             at: times[3],
@@ -272,9 +330,9 @@
             demands,
             kinds: kinds.into_iter().map(|(kind, usual, answers)| (kind, (usual, answers))).collect(),
             rest_lost,
-            upstreams: upstreams.into_iter().map(|(id, f, fails, ejections)| {
+            upstreams: upstreams.into_iter().map(|(id, f, fails, ejections, outcomes)| {
                 let (slowness, last_used, ejected_until, lost_until) = (f[0], f[1], f[2], f[3]);
-                let health = Health { slowness, fails, last_used, ejected_until, lost_until, ejections, outcomes: 1 };
+                let health = Health { slowness, fails, last_used, ejected_until, lost_until, ejections, outcomes };
                 (UpstreamId(id), 0.0, health)
             }).collect(),
         }
@@ -299,8 +357,15 @@
         if saved.validate(&settings()).is_err() {
             prop_assert_eq!(now, fresh);
         }
-        harness.traffic(1500.0, 40.0, &[0, 1], &|_| Some((Ending::Ok, 50.0)));
+        // Some upstreams fail, so that ejections and outcomes are counted on from what was restored.
+        harness.traffic(1500.0, 40.0, &[0, 1], &|id| match id.0 % 4 {
+            0 => Some((Ending::ConnectFailed, 1.0)),
+            1 => Some((Ending::Error, 20.0)),
+            _ => Some((Ending::Ok, 50.0)),
+        });
         let later = harness.balancer.learned(harness.now);
         prop_assert_eq!(later.validate(&settings()), Ok(()));
+        let is_sane = |health: &Health| health.ejected_until <= harness.now + MAX_EJECTION_MS;
+        prop_assert!(later.upstreams.iter().all(|(.., health)| is_sane(health)), "{:?}", later);
     }
 }
