Bound the numbers of clients, workers and the platform where they are read

Cause: numbers of JSON bodies were cast from doubles, so that 1e300 became the largest integer: a job's estimates overflowed in its critical path and its memory wrapped to a small one when it was added to what a worker has in use; a worker's clock or remaining time wrapped the deadlines derived from it. A panic in debug builds, nonsense in release. Change: a job with an amount over 1e12 is refused with one line that names step and field; a clock beyond 2^53 ms is no reading; capacities and remaining times are cut to 2^53, progress to 100. Views, log indices, tokens and rounds of ballots, sums of resources and critical paths stop at the largest number instead of wrapping.

--- a/system/control/src/agreement.rs
+++ b/system/control/src/agreement.rs
@@ -77,7 +77,7 @@
 
     /// Starts a round as proposer. The tag is of this incarnation of the process, so that no two rounds share a ballot.
     pub(crate) fn start_round(&mut self, own_tag: u32, now: Millis) -> Ballot {
-        self.highest_round_seen += 1;
+        self.highest_round_seen = self.highest_round_seen.saturating_add(1);
         let ballot = Ballot {
             round: self.highest_round_seen,
             proposer: own_tag,
--- a/system/control/src/catch_up.rs
+++ b/system/control/src/catch_up.rs
@@ -64,7 +64,7 @@
         }
         self.chain.catch_up_backoff.shorten();
         for entry in entries {
-            if entry.position.index == self.chain.log.last().index + 1 {
+            if entry.position.index == self.chain.log.last().index.next() {
                 self.chain.log.push(entry);
             }
         }
--- a/system/fleet/src/worker.rs
+++ b/system/fleet/src/worker.rs
@@ -218,7 +218,7 @@
             .runs
             .values()
             .fold(Resources::default(), |sum, active| {
-                sum.add(&active.resources())
+                sum.saturating_add(&active.resources())
             });
         self.entry.capacity.saturating_sub(&used)
     }
--- a/system/magpiegap/src/coordinator/platform_client.rs
+++ b/system/magpiegap/src/coordinator/platform_client.rs
@@ -1,4 +1,5 @@
 //! Calls to the platform for its list of workers. The names of fields are those of the platform's page.
+use crate::json_number::clamped_integer;
 use magpiegap_coordinator::PlatformReply;
 use magpiegap_protocol::{Availability, Resources, WorkerEntry};
 use serde::Deserialize;
@@ -100,12 +101,12 @@
         address: instance.address,
         zone: instance.zone,
         capacity: Resources {
-            cpu: instance.capacity.cpu as u64,
-            memory_mb: instance.capacity.mem_mb as u64,
-            gpu: instance.capacity.gpu as u64,
+            cpu: clamped_integer(instance.capacity.cpu),
+            memory_mb: clamped_integer(instance.capacity.mem_mb),
+            gpu: clamped_integer(instance.capacity.gpu),
         },
         labels: instance.labels,
         availability,
-        remaining_ms: instance.remaining_ms.map(|ms| ms as u64),
+        remaining_ms: instance.remaining_ms.map(clamped_integer),
     }
 }
--- a/system/magpiegap/src/coordinator/worker_client.rs
+++ b/system/magpiegap/src/coordinator/worker_client.rs
@@ -1,6 +1,7 @@
 //! Calls to workers: orders as the bodies of requests, and responses as replies. The names of fields are those of the
 //! workers' page; what is a `hold` there grants or renews a lease, or waits as a long poll.
 use super::worker_connections::WorkerConnections;
+use crate::json_number::{clamped_integer, exact_integer};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
@@ -14,6 +15,9 @@
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
 
+/// What a complete run is listed with.
+const MAX_PERCENT: u64 = 100;
+
 /// The body of an order to start a run.
 #[derive(Serialize)]
 #[serde(rename_all = "camelCase")]
@@ -180,7 +184,8 @@
 }
 
 fn reply(call: &WorkerCall, status: u16, response: &ResponseBody) -> WorkerReply {
-    let clock_ms = response.clock_ms.map(|clock| clock as u64);
+    // Deadlines are counted from the clock: one that can't be is no reading.
+    let clock_ms = response.clock_ms.and_then(exact_integer);
     match status {
         200..=299 => success(call, response, clock_ms),
         409 => match response.reason.as_deref().and_then(refusal_reason) {
@@ -249,7 +254,7 @@
         task: TaskId::parse(&row.task)?,
         run: row.run,
         checkpoint: row.checkpoint.clone(),
-        percent: row.percent as u64,
+        percent: clamped_integer(row.percent).min(MAX_PERCENT),
     })
 }
 
--- a/system/magpiegap/src/lib.rs
+++ b/system/magpiegap/src/lib.rs
@@ -11,6 +11,7 @@
 mod coordinator;
 pub mod endpoint;
 mod error;
+pub mod json_number;
 mod logging;
 mod operator;
 mod operator_call;
--- a/system/magpiegap/src/proxy/job_body.rs
+++ b/system/magpiegap/src/proxy/job_body.rs
@@ -1,4 +1,5 @@
 //! Jobs as clients write them: the JSON body of a submission.
+use crate::json_number::clamped_integer;
 use magpiegap_protocol::{JobSpec, Resources, StepSpec, WallMillis};
 use serde::Deserialize;
 
@@ -89,35 +90,30 @@
         long_running: schedule.long_running
             || body.steps.iter().any(|step| step.schedule.long_running),
         repeat_count: schedule.repeat_count,
-        start_at_ms: WallMillis(integer(schedule.start_at_ms)),
-        interval_ms: integer(schedule.interval_ms),
+        start_at_ms: WallMillis(clamped_integer(schedule.start_at_ms)),
+        interval_ms: clamped_integer(schedule.interval_ms),
         steps: body.steps.into_iter().map(step_spec).collect(),
     };
     spec.validate()?;
     Ok(spec)
 }
 
-/// A number without its fraction; zero for negative ones.
-fn integer(number: f64) -> u64 {
-    number.max(0.0) as u64
-}
-
 fn step_spec(step: Step) -> StepSpec {
     StepSpec {
         count: step.count,
         resources: Resources {
-            cpu: integer(step.cpu),
-            memory_mb: integer(step.mem_mb),
-            gpu: integer(step.gpu),
+            cpu: clamped_integer(step.cpu),
+            memory_mb: clamped_integer(step.mem_mb),
+            gpu: clamped_integer(step.gpu),
         },
-        estimated_ms: integer(step.estimated_ms),
+        estimated_ms: clamped_integer(step.estimated_ms),
         depends_on: step.depends_on,
         checkpoints: step.checkpoints,
         gang: step.gang,
         rack_local: step.rack_local,
         requirements: step.requirements.into_vec(),
         affinity: step.affinity.filter(|rack| !rack.is_empty()),
-        anti_affinity: integer(step.anti_affinity).min(u64::from(u32::MAX)) as u32,
+        anti_affinity: clamped_integer(step.anti_affinity).min(u64::from(u32::MAX)) as u32,
         allow_duplicate: step.allow_duplicate,
     }
 }
--- a/system/protocol/src/job.rs
+++ b/system/protocol/src/job.rs
@@ -6,6 +6,9 @@
 pub const MAX_SPEC_BYTES: usize = 4000;
 /// Maximum number of tasks of one job, over all steps of one occurrence.
 pub const MAX_TASKS_PER_JOB: u64 = 20_000;
+/// Maximum of each resource that a task requests, in thousandths of a core, megabytes or graphics processors, and of its
+/// estimated duration in milliseconds. No worker is as large, and sums over all tasks of a job stay far from overflow.
+pub const MAX_AMOUNT: u64 = 1_000_000_000_000;
 
 /// One step of a job: a number of tasks of the same kind.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
@@ -45,6 +48,22 @@
     pub allow_duplicate: bool,
 }
 
+impl StepSpec {
+    /// The first amount that is too large, by the name that clients know; `None`: there is none.
+    fn too_large_amount(&self) -> Option<&'static str> {
+        let amounts = [
+            ("cpu", self.resources.cpu),
+            ("memMb", self.resources.memory_mb),
+            ("gpu", self.resources.gpu),
+            ("estimatedMs", self.estimated_ms),
+        ];
+        amounts
+            .into_iter()
+            .find(|(_, amount)| *amount > MAX_AMOUNT)
+            .map(|(field, _)| field)
+    }
+}
+
 /// A job as its client submits it.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct JobSpec {
@@ -83,6 +102,9 @@
     /// There are too many tasks: their number.
     #[error("the job has {0} tasks, {MAX_TASKS_PER_JOB} at most")]
     TooManyTasks(u64),
+    /// A resource or estimate is too large: the position of the step, and the field by the name that clients know.
+    #[error("step {0} has too large a number for {1}, {MAX_AMOUNT} at most")]
+    AmountTooLarge(usize, &'static str),
     /// A step depends on itself, a later step or none that exists: the positions of both.
     #[error("step {0} depends on step {1}, which is not before it")]
     BadDependency(usize, u32),
@@ -104,6 +126,9 @@
             if step.count == 0 {
                 return Err(JobSpecError::EmptyStep(position));
             }
+            if let Some(field) = step.too_large_amount() {
+                return Err(JobSpecError::AmountTooLarge(position, field));
+            }
             let bad_dependency = step
                 .depends_on
                 .iter()
@@ -141,7 +166,11 @@
                 .filter_map(|position| chains.get(*position as usize))
                 .max()
                 .copied();
-            chains.push(longest_before.unwrap_or(0) + step.estimated_ms);
+            chains.push(
+                longest_before
+                    .unwrap_or(0)
+                    .saturating_add(step.estimated_ms),
+            );
         }
         chains.into_iter().max().unwrap_or(0)
     }
@@ -151,7 +180,7 @@
         let mut chains = vec![0_u64; self.steps.len()];
         // Steps depend on earlier ones only, so that those after a step are known when it is reached.
         for (position, step) in self.steps.iter().enumerate().rev() {
-            chains[position] += step.estimated_ms;
+            chains[position] = chains[position].saturating_add(step.estimated_ms);
             let chain = chains[position];
             for dependency in &step.depends_on {
                 if let Some(longest_after) = chains.get_mut(*dependency as usize) {
--- a/system/protocol/src/lib.rs
+++ b/system/protocol/src/lib.rs
@@ -29,7 +29,7 @@
 pub use feed::{ConfigurationChunk, ConfigurationFetch, Feed, FeedPoll, RoleHolder, TransferId};
 pub use hash::fnv1a;
 pub use ids::{JobId, Member, ReplicaId, RunId, TaskId};
-pub use job::{JobSpec, JobSpecError, StepSpec, MAX_SPEC_BYTES, MAX_TASKS_PER_JOB};
+pub use job::{JobSpec, JobSpecError, StepSpec, MAX_AMOUNT, MAX_SPEC_BYTES, MAX_TASKS_PER_JOB};
 pub use location::{FailureDomainId, Location, MemberLocation};
 pub use numbers::{Ballot, FencingToken, LogIndex, Millis, ViewNumber, WallMillis};
 pub use peer::{AcceptedView, Envelope, Heartbeat, PeerMessage, PeerReport, Promise, WorkerList};
--- a/system/protocol/src/numbers.rs
+++ b/system/protocol/src/numbers.rs
@@ -55,10 +55,10 @@
 pub struct ViewNumber(#[n(0)] pub u64);
 
 impl ViewNumber {
-    /// The number of the view after this one.
+    /// The number of the view after this one. The highest one has none after it: no view follows.
     #[must_use]
     pub fn next(self) -> ViewNumber {
-        ViewNumber(self.0 + 1)
+        ViewNumber(self.0.saturating_add(1))
     }
 }
 
@@ -88,10 +88,10 @@
         self.0.checked_sub(earlier.0)
     }
 
-    /// The index after this one.
+    /// The index after this one, or the highest that there is.
     #[must_use]
     pub fn next(self) -> LogIndex {
-        LogIndex(self.0 + 1)
+        LogIndex(self.0.saturating_add(1))
     }
 
     /// How many entries follow `earlier` up to this one; zero if it is not earlier.
@@ -129,10 +129,10 @@
 pub struct FencingToken(#[n(0)] pub u64);
 
 impl FencingToken {
-    /// The token of the next owner.
+    /// The token of the next owner, or the highest that there is.
     #[must_use]
     pub fn next(self) -> FencingToken {
-        FencingToken(self.0 + 1)
+        FencingToken(self.0.saturating_add(1))
     }
 }
 
--- a/system/protocol/src/resources.rs
+++ b/system/protocol/src/resources.rs
@@ -21,12 +21,12 @@
         self.cpu <= capacity.cpu && self.memory_mb <= capacity.memory_mb && self.gpu <= capacity.gpu
     }
 
-    /// The sum of both.
-    pub fn add(&self, other: &Resources) -> Resources {
+    /// The sum of both, or the largest number that there is: what is too much for any worker stays so.
+    pub fn saturating_add(&self, other: &Resources) -> Resources {
         Resources {
-            cpu: self.cpu + other.cpu,
-            memory_mb: self.memory_mb + other.memory_mb,
-            gpu: self.gpu + other.gpu,
+            cpu: self.cpu.saturating_add(other.cpu),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            gpu: self.gpu.saturating_add(other.gpu),
         }
     }
 
--- a/system/protocol/tests/messages.rs
+++ b/system/protocol/tests/messages.rs
@@ -1,8 +1,8 @@
 //! Identities, jobs, views, feeds and their encodings.
 use googletest::prelude::*;
 use magpiegap_protocol::{
-    decode, encode, CoordinatorRequest, Feed, FencingToken, JobId, JobSpec, JobSpecError, Member,
-    ReplicaId, Resources, Role, RoleHolder, StepSpec, TaskId, View, ViewNumber,
+    decode, encode, CoordinatorRequest, Feed, FencingToken, JobId, JobSpec, JobSpecError, LogIndex,
+    Member, ReplicaId, Resources, Role, RoleHolder, StepSpec, TaskId, View, ViewNumber, MAX_AMOUNT,
 };
 
 fn replica(address: u32) -> ReplicaId {
@@ -84,6 +84,71 @@
     expect_that!(long.validate(), err(eq(&JobSpecError::SpecTooLong(4001))));
 }
 
+#[googletest::test]
+fn given_amounts_at_and_above_the_largest_when_a_job_is_validated_then_only_the_largest_passes() {
+    let amounts = |cpu, memory_mb, gpu, estimated_ms| JobSpec {
+        steps: vec![StepSpec {
+            count: 1,
+            resources: Resources {
+                cpu,
+                memory_mb,
+                gpu,
+            },
+            estimated_ms,
+            ..StepSpec::default()
+        }],
+        ..JobSpec::default()
+    };
+    let max = MAX_AMOUNT;
+    expect_that!(amounts(max, max, max, max).validate(), ok(anything()));
+    for (job, field) in [
+        (amounts(max + 1, 0, 0, 0), "cpu"),
+        (amounts(0, max + 1, 0, 0), "memMb"),
+        (amounts(0, 0, u64::MAX, 0), "gpu"),
+        (amounts(0, 0, 0, u64::MAX), "estimatedMs"),
+    ] {
+        expect_that!(
+            job.validate(),
+            err(eq(&JobSpecError::AmountTooLarge(0, field)))
+        );
+    }
+}
+
+#[googletest::test]
+fn given_the_largest_numbers_when_they_are_counted_on_then_none_wraps() {
+    expect_that!(ViewNumber(u64::MAX).next(), eq(ViewNumber(u64::MAX)));
+    expect_that!(LogIndex::MAX.next(), eq(LogIndex::MAX));
+    expect_that!(FencingToken(u64::MAX).next(), eq(FencingToken(u64::MAX)));
+    let largest = Resources {
+        cpu: u64::MAX,
+        memory_mb: u64::MAX,
+        gpu: u64::MAX,
+    };
+    let one = Resources {
+        cpu: 1,
+        memory_mb: 1,
+        gpu: 1,
+    };
+    expect_that!(largest.saturating_add(&one), eq(largest));
+    expect_that!(one.saturating_add(&largest).fits_in(&one), eq(false));
+    // A job of a proxy that did not check it.
+    let long = StepSpec {
+        count: 1,
+        estimated_ms: u64::MAX,
+        ..StepSpec::default()
+    };
+    let after = StepSpec {
+        depends_on: vec![0],
+        ..long.clone()
+    };
+    let job = JobSpec {
+        steps: vec![long, after],
+        ..JobSpec::default()
+    };
+    expect_that!(job.critical_path_ms(), eq(u64::MAX));
+    expect_that!(job.critical_path_from_ms(0), eq(u64::MAX));
+}
+
 #[googletest::test]
 fn given_resources_when_they_are_compared_then_each_of_them_counts() {
     let capacity = Resources {
--- a/system/scheduler/src/backfill.rs
+++ b/system/scheduler/src/backfill.rs
@@ -167,12 +167,12 @@
             .get(&worker.entry.incarnation)
             .map_or(&[][..], Vec::as_slice);
         let wanted = reserved.iter().fold(step.resources, |sum, reservation| {
-            sum.add(&reservation.resources)
+            sum.saturating_add(&reservation.resources)
         });
         if !wanted.fits_in(&worker.entry.capacity) {
             return None;
         }
-        let mut used = worker.used.add(&wanted);
+        let mut used = worker.used.saturating_add(&wanted);
         if used.fits_in(&worker.entry.capacity) {
             return Some(now);
         }
@@ -229,9 +229,10 @@
     let reserved = reservations
         .iter()
         .filter(|other| other.owner < *candidate.urgency);
-    let wanted = reserved.fold(candidate.step.resources.add(taken), |sum, reservation| {
-        sum.add(&reservation.resources)
-    });
+    let wanted = reserved.fold(
+        candidate.step.resources.saturating_add(taken),
+        |sum, reservation| sum.saturating_add(&reservation.resources),
+    );
     let still_running = |run: &&Run| {
         expected_completion_at(run, now)
             .is_none_or(|completion_at| completion_at > reservation.available_at)
@@ -240,7 +241,7 @@
         .runs
         .values()
         .filter(still_running)
-        .fold(wanted, |sum, run| sum.add(&run.resources));
+        .fold(wanted, |sum, run| sum.saturating_add(&run.resources));
     used.fits_in(&worker.entry.capacity)
 }
 
--- a/system/scheduler/src/placement.rs
+++ b/system/scheduler/src/placement.rs
@@ -87,7 +87,7 @@
 impl Taken {
     fn add(&mut self, incarnation: &str, resources: &Resources) {
         let used = self.resources.entry(incarnation.to_owned()).or_default();
-        *used = used.add(resources);
+        *used = used.saturating_add(resources);
         *self.tasks.entry(incarnation.to_owned()).or_default() += 1;
     }
 
@@ -284,8 +284,8 @@
     fn load_on(&self, worker: &Worker, taken: &Taken) -> f64 {
         worker
             .used
-            .add(&taken.resources_on(worker))
-            .add(&self.demand.candidate.step.resources)
+            .saturating_add(&taken.resources_on(worker))
+            .saturating_add(&self.demand.candidate.step.resources)
             .dominant_share(&worker.entry.capacity)
     }
 
--- a/system/scheduler/src/preemption.rs
+++ b/system/scheduler/src/preemption.rs
@@ -72,14 +72,14 @@
         loss: 0,
     };
     for (task, run) in candidates {
-        if wanted.add(&used).fits_in(capacity) {
+        if wanted.saturating_add(&used).fits_in(capacity) {
             break;
         }
         used = used.saturating_sub(&run.resources);
         victims.loss += loss_of(run, now);
         victims.tasks.push(*task);
     }
-    let suffices = wanted.add(&used).fits_in(capacity) && !victims.tasks.is_empty();
+    let suffices = wanted.saturating_add(&used).fits_in(capacity) && !victims.tasks.is_empty();
     (suffices && victims.loss <= MAX_LOSS).then_some(victims)
 }
 
--- a/system/scheduler/src/worker.rs
+++ b/system/scheduler/src/worker.rs
@@ -110,7 +110,9 @@
 
     /// Whether so much fits beside its runs.
     pub(crate) fn has_capacity_for(&self, resources: &Resources) -> bool {
-        resources.add(&self.used).fits_in(&self.entry.capacity)
+        resources
+            .saturating_add(&self.used)
+            .fits_in(&self.entry.capacity)
     }
 
     /// Whether it has left too many renewals unanswered to be sent orders.
@@ -146,7 +148,7 @@
         if let Some(old) = self.runs.insert(task, run.clone()) {
             self.used = self.used.saturating_sub(&old.resources);
         }
-        self.used = self.used.add(&run.resources);
+        self.used = self.used.saturating_add(&run.resources);
     }
 
     pub(crate) fn remove_run(&mut self, task: &TaskId, run: RunId) -> Option<Run> {
