Give errors of restoring and of configuration changes types that say the cause

Change: StateMachine returns a RestoreError in place of false; the agent and the proxy report the same ChangeError (checksum, versions, encoding), where one had a text and the other an Option; the failures of a gang are a struct in place of a tuple, with the same bytes.

--- a/system/control/src/lib.rs
+++ b/system/control/src/lib.rs
@@ -40,6 +40,6 @@
 pub use durable_state::{DurableRecord, DurableState};
 pub use replica::{Output, Replica, QUORUM_CONTACT_TIMEOUT_MS};
 pub use settings::ControlSettings;
-pub use state_machine::{restore, EncodedSnapshot, StateMachine, StateSnapshot};
+pub use state_machine::{restore, EncodedSnapshot, RestoreError, StateMachine, StateSnapshot};
 pub use time_of_day::TimeOfDay;
 pub use tolerance::Tolerance;
--- a/system/control/src/snapshot_transfer.rs
+++ b/system/control/src/snapshot_transfer.rs
@@ -12,6 +12,7 @@
     StateMachine,
 };
 use magpiegap_protocol::{fnv1a, LogIndex, LogPosition, Millis, PeerMessage, ReplicaId};
+use std::fmt;
 
 /// How many chunks are requested before the first of them has come.
 const MAX_CHUNKS_IN_FLIGHT: u32 = 4;
@@ -178,12 +179,12 @@
         if incoming.position != position || incoming.next != number || incoming.has_all_chunks() {
             return;
         }
-        if fnv1a(bytes) != checksum || !machine.add_chunk(bytes) {
-            self.chain.incoming = None;
-            self.log(format!(
-                "snapshot chunk {number} of {} can't be read",
-                from.member
-            ));
+        if fnv1a(bytes) != checksum {
+            self.reject_snapshot(from, number, "its checksum differs");
+            return;
+        }
+        if let Err(error) = machine.add_chunk(bytes) {
+            self.reject_snapshot(from, number, error);
             return;
         }
         incoming.next += 1;
@@ -226,13 +227,22 @@
         }
     }
 
+    /// Gives up an incoming snapshot for one of its chunks; it is offered again.
+    fn reject_snapshot(&mut self, from: ReplicaId, number: u32, error: impl fmt::Display) {
+        self.chain.incoming = None;
+        self.log(format!(
+            "snapshot chunk {number} of {} is rejected: {error}",
+            from.member
+        ));
+    }
+
     /// Replaces what this replica had by the incoming snapshot and the entries after it.
     fn install_snapshot(&mut self, now: Millis, machine: &mut dyn StateMachine) {
         let Some(incoming) = self.chain.incoming.take() else {
             return;
         };
-        if !machine.finish_restore(incoming.position) {
-            self.log("the incoming snapshot is not complete".to_owned());
+        if let Err(error) = machine.finish_restore(incoming.position) {
+            self.log(format!("the incoming snapshot can't be used: {error}"));
             return;
         }
         self.chain.applied = incoming.position.index;
--- a/system/control/src/state_machine.rs
+++ b/system/control/src/state_machine.rs
@@ -1,6 +1,6 @@
 //! The replicated state as the replica below it sees it: something that entries are applied to, of which snapshots can be
 //! taken, and that can be restored from the chunks of one.
-use magpiegap_protocol::{Entry, LogPosition};
+use magpiegap_protocol::{DecodeError, Entry, LogPosition};
 use std::{fmt, sync::Arc};
 
 /// A state at one moment, which does not change any more. Its chunks are encoded one at a time, when they are needed.
@@ -23,10 +23,35 @@
     fn snapshot(&self) -> Arc<dyn StateSnapshot>;
     /// Begins to restore another state. The present one stays until that is complete.
     fn begin_restore(&mut self);
-    /// Adds the next chunk; `false` when the bytes are none.
-    fn add_chunk(&mut self, chunk: &[u8]) -> bool;
-    /// Replaces the present state by the restored one; `false`, and no change, when it is not that of this position.
-    fn finish_restore(&mut self, position: LogPosition) -> bool;
+    /// Adds the next chunk.
+    ///
+    /// # Errors
+    /// When the bytes are none.
+    fn add_chunk(&mut self, chunk: &[u8]) -> Result<(), RestoreError>;
+    /// Replaces the present state by the restored one.
+    ///
+    /// # Errors
+    /// When that is not complete, or not the state at this position; the present one stays.
+    fn finish_restore(&mut self, position: LogPosition) -> Result<(), RestoreError>;
+}
+
+/// Why a state could not be restored from a snapshot.
+#[derive(Debug, thiserror::Error)]
+pub enum RestoreError {
+    /// A chunk can't be read.
+    #[error("a chunk can't be read: {0}")]
+    Chunk(#[from] DecodeError),
+    /// Chunks are missing.
+    #[error("it is not complete")]
+    Incomplete,
+    /// The chunks are those of a state at another position.
+    #[error("it is the state at {found:?}, and not at {expected:?}")]
+    OtherPosition {
+        /// Where the snapshot was said to be.
+        expected: LogPosition,
+        /// Where it is.
+        found: LogPosition,
+    },
 }
 
 /// A snapshot as its encoded chunks.
@@ -60,9 +85,17 @@
     }
 }
 
-/// Restores a machine from a snapshot; `false`, and no change, when that can't be read.
-pub fn restore(machine: &mut dyn StateMachine, state: &dyn StateSnapshot) -> bool {
+/// Restores a machine from a snapshot.
+///
+/// # Errors
+/// When that can't be read; the machine keeps its state.
+pub fn restore(
+    machine: &mut dyn StateMachine,
+    state: &dyn StateSnapshot,
+) -> Result<(), RestoreError> {
     machine.begin_restore();
-    let read = (0..state.chunks()).all(|number| machine.add_chunk(&state.chunk(number)));
-    read && machine.finish_restore(state.position())
+    for number in 0..state.chunks() {
+        machine.add_chunk(&state.chunk(number))?;
+    }
+    machine.finish_restore(state.position())
 }
--- a/system/control/tests/common/counting_state.rs
+++ b/system/control/tests/common/counting_state.rs
@@ -1,5 +1,5 @@
 //! A state that counts what was applied to it.
-use magpiegap_control::{StateMachine, StateSnapshot};
+use magpiegap_control::{RestoreError, StateMachine, StateSnapshot};
 use magpiegap_protocol::{decode, encode, Entry, LogPosition, ProposalId};
 use std::sync::Arc;
 
@@ -55,18 +55,18 @@
     fn begin_restore(&mut self) {
         self.restoring.clear();
     }
-    fn add_chunk(&mut self, chunk: &[u8]) -> bool {
-        decode(chunk)
-            .map(|position| self.restoring.push(position))
-            .is_ok()
+    fn add_chunk(&mut self, chunk: &[u8]) -> Result<(), RestoreError> {
+        self.restoring.push(decode(chunk)?);
+        Ok(())
     }
-    fn finish_restore(&mut self, position: LogPosition) -> bool {
+    fn finish_restore(&mut self, position: LogPosition) -> Result<(), RestoreError> {
         let built = std::mem::take(&mut self.restoring);
         let is_complete =
             built.len() == CHUNKS as usize && built.iter().all(|chunk| *chunk == position);
-        if is_complete {
-            self.position = position;
+        if !is_complete {
+            return Err(RestoreError::Incomplete);
         }
-        is_complete
+        self.position = position;
+        Ok(())
     }
 }
--- a/system/control/tests/common/group/machines.rs
+++ b/system/control/tests/common/group/machines.rs
@@ -26,7 +26,7 @@
             seed: self.incarnations,
         };
         let mut machine = CountingState::default();
-        assert!(restore(&mut machine, &*disk.state));
+        restore(&mut machine, &*disk.state).expect("the disk holds a state");
         let replica = Replica::new(settings, disk, self.now);
         self.running.insert(address, Running { replica, machine });
         self.perform(address);
--- a/system/control/tests/common/mod.rs
+++ b/system/control/tests/common/mod.rs
@@ -5,8 +5,8 @@
 pub(crate) mod group;
 
 use magpiegap_control::{
-    ControlSettings, DurableState, EncodedSnapshot, Output, Replica, StateMachine, StateSnapshot,
-    Tolerance,
+    ControlSettings, DurableState, EncodedSnapshot, Output, Replica, RestoreError, StateMachine,
+    StateSnapshot, Tolerance,
 };
 use magpiegap_protocol::{
     Entry, Heartbeat, Location, LogIndex, LogPosition, PeerReport, ReplicaId, ViewNumber,
@@ -26,11 +26,11 @@
         no_state()
     }
     fn begin_restore(&mut self) {}
-    fn add_chunk(&mut self, _chunk: &[u8]) -> bool {
-        true
+    fn add_chunk(&mut self, _chunk: &[u8]) -> Result<(), RestoreError> {
+        Ok(())
     }
-    fn finish_restore(&mut self, _position: LogPosition) -> bool {
-        true
+    fn finish_restore(&mut self, _position: LogPosition) -> Result<(), RestoreError> {
+        Ok(())
     }
 }
 
--- a/system/control/tests/model/running.rs
+++ b/system/control/tests/model/running.rs
@@ -32,7 +32,7 @@
             seed: 1,
         };
         let mut state = CountingState::default();
-        assert!(restore(&mut state, &*disk.state));
+        restore(&mut state, &*disk.state).expect("the disk holds a state");
         let replica = Replica::new(settings, disk, self.now);
         self.machines[machine].process = Some((replica, state));
         self.perform(machine);
--- a/system/coordinator/src/machine.rs
+++ b/system/coordinator/src/machine.rs
@@ -1,5 +1,5 @@
 //! The replicated state as the state machine of the log, with what the entries applied since the last step have changed.
-use magpiegap_control::{DurableState, StateMachine, StateSnapshot};
+use magpiegap_control::{DurableState, RestoreError, StateMachine, StateSnapshot};
 use magpiegap_jobs::{Applied, JobsSnapshot, SnapshotBuilder, State};
 use magpiegap_protocol::{DecodeError, Entry, LogPosition, ProposalId, RoleToken};
 use std::sync::Arc;
@@ -92,17 +92,21 @@
         self.restoring = SnapshotBuilder::default();
     }
 
-    fn add_chunk(&mut self, chunk: &[u8]) -> bool {
-        self.restoring.add(chunk).is_ok()
+    fn add_chunk(&mut self, chunk: &[u8]) -> Result<(), RestoreError> {
+        Ok(self.restoring.add(chunk)?)
     }
 
-    fn finish_restore(&mut self, position: LogPosition) -> bool {
+    fn finish_restore(&mut self, position: LogPosition) -> Result<(), RestoreError> {
         let built = std::mem::take(&mut self.restoring).finish();
-        let Some(state) = built.filter(|state| state.position == position) else {
-            return false;
-        };
+        let state = built.ok_or(RestoreError::Incomplete)?;
+        if state.position != position {
+            return Err(RestoreError::OtherPosition {
+                expected: position,
+                found: state.position,
+            });
+        }
         self.state = state;
         self.was_restored = true;
-        true
+        Ok(())
     }
 }
--- a/system/distribution/src/agent.rs
+++ b/system/distribution/src/agent.rs
@@ -4,10 +4,9 @@
 use crate::{
     call::{Call, CallFailure, CallId},
     configuration_fetcher::ConfigurationFetcher,
-    encoding::EncodingError,
     feed_link::FeedLink,
     link_assignments::LinkAssignments,
-    receiver::{ConfigurationReceiver, Received},
+    receiver::{ChangeError, ConfigurationReceiver, Received},
 };
 use magpiegap_jobs::Configuration;
 use magpiegap_protocol::{CoordinatorRequest, CoordinatorResponse, Feed, FeedPoll, Millis};
@@ -27,15 +26,6 @@
     pub links: usize,
 }
 
-/// Why a change of the configuration could not be applied.
-#[derive(Debug, thiserror::Error)]
-enum ChangeError {
-    #[error("its checksum differs")]
-    Checksum,
-    #[error(transparent)]
-    Encoding(EncodingError),
-}
-
 /// What an agent knows of the control plane, and the calls by which it learns more.
 pub struct Agent {
     seeds: Vec<u32>,
@@ -66,9 +56,9 @@
         }
     }
 
-    /// Takes the text of the latest change of the configuration that could not be applied: each is reported once.
-    pub fn take_fault(&mut self) -> Option<String> {
-        self.change_error.take().map(|error| error.to_string())
+    /// Takes why the latest change of the configuration could not be applied: each error is reported once.
+    pub fn take_change_error(&mut self) -> Option<ChangeError> {
+        self.change_error.take()
     }
 
     /// Replaces the addresses at which coordinators may be found.
@@ -230,8 +220,7 @@
         match received {
             Received::Configuration(_) | Received::More => self.fetcher.handle_response(now),
             Received::Unusable => self.fetcher.handle_failure(now, has_timed_out),
-            Received::Faulty(error) => {
-                let error = error.map_or(ChangeError::Checksum, ChangeError::Encoding);
+            Received::Rejected(error) => {
                 self.change_error = Some(error);
                 self.fetcher.handle_failure(now, has_timed_out);
             }
--- a/system/distribution/src/receiver.rs
+++ b/system/distribution/src/receiver.rs
@@ -13,9 +13,22 @@
     More,
     /// The chunk does not fit; what is missing is to be requested again.
     Unusable,
-    /// The change is complete and can't be applied: the complete configuration is to be requested. `None`: its checksum or
-    /// versions differ.
-    Faulty(Option<EncodingError>),
+    /// The change is complete and can't be applied: the complete configuration is to be requested.
+    Rejected(ChangeError),
+}
+
+/// Why a change of the configuration could not be applied.
+#[derive(Debug, thiserror::Error)]
+pub enum ChangeError {
+    /// Its bytes are not those that were offered.
+    #[error("its checksum differs")]
+    Checksum,
+    /// It is another change than the transfer says.
+    #[error("it is not between the versions of its transfer")]
+    Versions,
+    /// Its bytes are no change.
+    #[error(transparent)]
+    Encoding(#[from] EncodingError),
 }
 
 /// A change that is incomplete.
@@ -98,14 +111,14 @@
     fn apply(&mut self, received: &PartialChange) -> Received {
         let transfer = received.transfer;
         if fnv1a(&received.bytes) != transfer.checksum {
-            return self.reject(None);
+            return self.reject(ChangeError::Checksum);
         }
         let change = match decode_change(&received.bytes) {
             Ok(change) => change,
-            Err(error) => return self.reject(Some(error)),
+            Err(error) => return self.reject(error.into()),
         };
         if change.base != transfer.base || change.version != transfer.version {
-            return self.reject(None);
+            return self.reject(ChangeError::Versions);
         }
         let configuration = if change.base == 0 {
             change.apply_to(&Configuration::default())
@@ -117,8 +130,8 @@
         Received::Configuration(self.configuration.clone())
     }
 
-    fn reject(&mut self, error: Option<EncodingError>) -> Received {
+    fn reject(&mut self, error: ChangeError) -> Received {
         self.needs_complete = true;
-        Received::Faulty(error)
+        Received::Rejected(error)
     }
 }
--- a/system/distribution/tests/agents.rs
+++ b/system/distribution/tests/agents.rs
@@ -181,8 +181,9 @@
         CallId::Fetch,
         Ok(CoordinatorResponse::ConfigurationChunk(Box::new(chunk))),
     );
-    expect_that!(agent.take_fault(), some(contains_substring("checksum")));
-    expect_that!(agent.take_fault(), none());
+    let error = agent.take_change_error().map(|error| error.to_string());
+    expect_that!(error, some(contains_substring("checksum")));
+    expect_that!(agent.take_change_error().is_none(), eq(true));
     let again = agent
         .poll_calls(1000)
         .into_iter()
--- a/system/distribution/tests/transfers.rs
+++ b/system/distribution/tests/transfers.rs
@@ -3,7 +3,7 @@
 
 use common::{configuration, fetch_all, next_chunk, source};
 use googletest::prelude::*;
-use magpiegap_distribution::{ConfigurationReceiver, Received, CHUNK_BYTES};
+use magpiegap_distribution::{ChangeError, ConfigurationReceiver, Received, CHUNK_BYTES};
 use magpiegap_jobs::Service;
 use magpiegap_protocol::fnv1a;
 
@@ -134,7 +134,10 @@
     let mut damaged = next_chunk(&mut source, &receiver);
     damaged.bytes[3] ^= 1;
     expect_that!(
-        matches!(receiver.take(damaged), Received::Faulty(_)),
+        matches!(
+            receiver.take(damaged),
+            Received::Rejected(ChangeError::Checksum)
+        ),
         eq(true)
     );
     expect_that!(receiver.version(), eq(0));
@@ -144,7 +147,10 @@
     foreign.length = 3;
     foreign.transfer.checksum = fnv1a(&foreign.bytes);
     expect_that!(
-        matches!(receiver.take(foreign), Received::Faulty(Some(_))),
+        matches!(
+            receiver.take(foreign),
+            Received::Rejected(ChangeError::Encoding(_))
+        ),
         eq(true)
     );
     let mut misplaced = next_chunk(&mut source, &receiver);
--- a/system/jobs/src/job.rs
+++ b/system/jobs/src/job.rs
@@ -41,6 +41,17 @@
     pub active_runs: Vec<ActiveRun>,
 }
 
+/// The failed runs of a gang. Several members may report the same run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct GangFailures {
+    /// How many there are.
+    #[n(0)]
+    pub count: u32,
+    /// The highest of them.
+    #[n(1)]
+    pub last_run: RunId,
+}
+
 /// The state of one step in one occurrence.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct StepState {
@@ -50,9 +61,9 @@
     /// How many of the tasks are done.
     #[n(1)]
     pub done: u32,
-    /// For a gang: how many of its runs have failed, and the highest of those.
+    /// For a gang: its failed runs.
     #[n(2)]
-    pub gang_failures: (u32, RunId),
+    pub gang_failures: GangFailures,
 }
 
 impl StepState {
@@ -98,11 +109,14 @@
 
     /// Counts a failed run of a gang once, however many members report it. Returns how many have failed so far.
     fn record_gang_failure(&mut self, run: RunId) -> u32 {
-        let (failures, last_failed) = self.gang_failures;
-        if last_failed < run {
-            self.gang_failures = (failures + 1, run);
+        let GangFailures { count, last_run } = self.gang_failures;
+        if last_run < run {
+            self.gang_failures = GangFailures {
+                count: count + 1,
+                last_run: run,
+            };
         }
-        self.gang_failures.0
+        self.gang_failures.count
     }
 }
 
--- a/system/jobs/src/lib.rs
+++ b/system/jobs/src/lib.rs
@@ -29,7 +29,7 @@
 pub use configuration::{Configuration, Limits, Service};
 pub use configuration_error::ConfigurationError;
 pub use consistency::Inconsistency;
-pub use job::{ActiveRun, Job, OccurrenceState, StepState, TaskState};
+pub use job::{ActiveRun, GangFailures, Job, OccurrenceState, StepState, TaskState};
 pub use readiness::{startable_units, StartableUnit};
 pub use route::Route;
 pub use route_table::RouteTable;
--- a/system/jobs/tests/golden/samples.rs
+++ b/system/jobs/tests/golden/samples.rs
@@ -45,7 +45,10 @@
     StepState {
         tasks: vec![task_state(), TaskState::default()],
         done: 8,
-        gang_failures: (9, 10),
+        gang_failures: GangFailures {
+            count: 9,
+            last_run: 10,
+        },
     }
 }
 
--- a/system/magpiegap/src/agent/link.rs
+++ b/system/magpiegap/src/agent/link.rs
@@ -169,8 +169,8 @@
             self.published
                 .publish(self.agent.feed(), self.agent.configuration());
         }
-        if let Some(fault) = self.agent.take_fault() {
-            log::error!("configuration change is faulty, fetching all of it error={fault}");
+        if let Some(error) = self.agent.take_change_error() {
+            log::error!("configuration change is faulty, fetching all of it error={error}");
         }
         if self.agent.is_disconnected() {
             self.read_seeds();
--- a/system/magpiegap/src/proxy/feed_follower.rs
+++ b/system/magpiegap/src/proxy/feed_follower.rs
@@ -88,8 +88,8 @@
             }
             Received::More => Some(()),
             Received::Unusable => None,
-            Received::Faulty(error) => {
-                log::error!("configuration change is faulty, fetching all of it error={error:?}");
+            Received::Rejected(error) => {
+                log::error!("configuration change is faulty, fetching all of it error={error}");
                 None
             }
         }
--- a/system/magpiegap/tests/data_folder.rs
+++ b/system/magpiegap/tests/data_folder.rs
@@ -8,7 +8,7 @@
 use magpiegap::StateOnDisk;
 use magpiegap_control::{DurableRecord, DurableState};
 use magpiegap_coordinator::{take_snapshot, Machine, RoleDescription};
-use magpiegap_jobs::State;
+use magpiegap_jobs::{GangFailures, State};
 use magpiegap_protocol::{
     encode, AcceptedView, Ballot, ChainRecord, Command, CompletionKind, Entry, FailureDomainId,
     FencingToken, JobId, JobSpec, Location, LogIndex, LogPosition, Member, MemberLocation,
@@ -621,7 +621,11 @@
         eq(&["cancelled", "failed", "running", "running", "succeeded"])
     );
     let steps = &state.jobs[&LONG].occurrences[&0].steps;
-    expect_that!(steps[1].gang_failures, eq((1, 1)));
+    let failures = GangFailures {
+        count: 1,
+        last_run: 1,
+    };
+    expect_that!(steps[1].gang_failures, eq(failures));
     expect_that!(steps[0].done, eq(1));
     let tasks = &steps[0].tasks;
     expect_that!(
