--- a/system/fleet/src/oracle/stop_checks.rs
+++ b/system/fleet/src/oracle/stop_checks.rs
@@ -16,8 +16,8 @@
             let Some(cancelled_at) = self.cancelled.get(&task.job) else {
                 continue;
             };
-            let gone_by = (*cancelled_at).max(calm_since) + CANCELLED_RUNS_END_WITHIN_MS;
-            if now > gone_by && !runs.is_empty() {
+            let deadline = (*cancelled_at).max(calm_since) + CANCELLED_RUNS_END_WITHIN_MS;
+            if now > deadline && !runs.is_empty() {
                 left.insert(task.job, *task);
             }
         }
--- /dev/null
+++ b/system/jobs/tests/fencing_tokens.rs
@@ -0,0 +1,133 @@
+//! What the replicated state does with fencing tokens: claims of roles, and entries that are made in a role.
+mod common;
+
+use common::*;
+use googletest::prelude::*;
+use magpiegap_jobs::{Outcome, State};
+use magpiegap_protocol::{
+    Command, FencingToken, JobId, JobSpec, Role, RoleToken, StepSpec, Submission, WallMillis,
+};
+
+/// The token of the role in these tests.
+const CURRENT: FencingToken = FencingToken(3);
+
+fn role() -> Role {
+    Role::Scheduler("s".to_owned())
+}
+
+fn claim(role: &Role, expected: FencingToken) -> Command {
+    Command::ClaimRole {
+        role: role.clone(),
+        holder: replica(),
+        expected,
+    }
+}
+
+/// A state in which the role has been claimed three times.
+fn claimed() -> State {
+    let mut state = State::default();
+    for expected in 0..CURRENT.0 {
+        apply(&mut state, claim(&role(), FencingToken(expected)));
+    }
+    state
+}
+
+#[googletest::test]
+fn a_claim_counts_only_on_the_current_token_and_raises_it_by_one() {
+    for (expected, outcome, token) in [
+        (0, Outcome::Void, CURRENT),
+        (2, Outcome::Void, CURRENT),
+        (3, Outcome::Done, FencingToken(4)),
+        (4, Outcome::Void, CURRENT),
+        (u64::MAX, Outcome::Void, CURRENT),
+    ] {
+        let mut state = claimed();
+        let applied = apply(&mut state, claim(&role(), FencingToken(expected)));
+        expect_that!(applied.outcome, eq(outcome), "{expected}");
+        expect_that!(state.fencing_token(&role()), eq(token), "{expected}");
+    }
+}
+
+#[googletest::test]
+fn an_entry_changes_something_only_with_the_current_token_of_its_role_or_with_none() {
+    let token = |role: Role, token| {
+        Some(RoleToken {
+            role,
+            token: FencingToken(token),
+        })
+    };
+    let unclaimed = Role::Scheduler("other".to_owned());
+    for (role_token, is_fenced) in [
+        (token(role(), 0), true),
+        (token(role(), 2), true),
+        (token(role(), 3), false),
+        (token(role(), 4), true),
+        (token(role(), u64::MAX), true),
+        (token(unclaimed.clone(), 3), true),
+        (token(unclaimed, 0), false),
+        (None, false),
+    ] {
+        for command in commands() {
+            let mut state = claimed();
+            let before = state.clone();
+            let case = format!("{role_token:?} {command:?}");
+            let applied = apply_as(&mut state, role_token.clone(), command);
+            expect_that!(applied.outcome == Outcome::Fenced, eq(is_fenced), "{case}");
+            if is_fenced {
+                expect_that!(applied.changes, is_empty(), "{case}");
+                expect_that!(state.roles, eq(&before.roles), "{case}");
+                expect_that!(state.jobs.len(), eq(before.jobs.len()), "{case}");
+                expect_that!(state.workers.len(), eq(before.workers.len()), "{case}");
+            }
+        }
+    }
+}
+
+/// A command of each kind that a scheduler proposes.
+fn commands() -> Vec<Command> {
+    vec![
+        Command::SubmitJob {
+            submission: Box::new(submission()),
+            runs: Vec::new(),
+        },
+        Command::CancelJob { job: JobId(1) },
+        Command::StartRuns { runs: Vec::new() },
+        Command::RecordCompletions {
+            incarnation: "a".to_owned(),
+            acknowledged_completion: 1,
+            completions: Vec::new(),
+        },
+        Command::LoseRuns { runs: Vec::new() },
+        Command::LoseIncarnation {
+            incarnation: "a".to_owned(),
+            ended: true,
+        },
+        Command::OpenOccurrence {
+            job: JobId(1),
+            occurrence: 0,
+        },
+        Command::ForgetJobs { jobs: Vec::new() },
+    ]
+}
+
+/// A job of one task.
+fn submission() -> Submission {
+    let step = StepSpec {
+        count: 1,
+        ..StepSpec::default()
+    };
+    Submission {
+        job: JobId(1),
+        queue: "q".to_owned(),
+        service: "s".to_owned(),
+        priority: 0,
+        max_attempts: 3,
+        stretch: 2.0,
+        target_latency_ms: 1000,
+        submitted_ms: WallMillis(0),
+        spec: JobSpec {
+            steps: vec![step],
+            ..JobSpec::default()
+        },
+    }
+}
--- a/system/magpiegap/tests/json_numbers.rs
+++ b/system/magpiegap/tests/json_numbers.rs
@@ -6,7 +6,7 @@
 };
 
 #[googletest::test]
-fn numbers_are_whole_and_within_what_a_double_holds_exactly() {
+fn numbers_are_integers_within_what_a_double_holds_exactly() {
     let max = MAX_EXACT_INTEGER;
     for (number, exact, clamped) in [
         (0.0, Some(0), 0),
