--- a/lab/src/agent/serve.rs
+++ b/lab/src/agent/serve.rs
@@ -162,9 +162,9 @@
         let mut current = self.moves.subscribe();
         loop {
             let has_moved = *current.borrow_and_update() > moves;
-            let mode = match (has_moved, self.link.is_silent()) {
+            let mode = match (has_moved, self.link.is_unresponsive()) {
                 (true, _) => Manner::Refusing,
-                (false, true) => Manner::Silent,
+                (false, true) => Manner::Unresponsive,
                 (false, false) => Manner::Open,
             };
             port_mode.send_if_modified(|now| std::mem::replace(now, mode) != mode);
--- a/lab/src/audit.rs
+++ b/lab/src/audit.rs
@@ -3,7 +3,7 @@
 use serde::Deserialize;
 use std::collections::BTreeMap;
 
-/// The part of a balancer's figures that the lab can check.
+/// The part of a balancer's metrics that the lab can check.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct Counted {
     /// When they were taken: Unix time, in milliseconds.
@@ -31,8 +31,8 @@
     up: u32,
     #[serde(default)]
     suspected: u64,
-    #[serde(default)]
-    gone: u64,
+    #[serde(default, rename = "gone")]
+    departed: u64,
     #[serde(default)]
     steps: u64,
     #[serde(default)]
@@ -51,14 +51,14 @@
 /// What it reports of its tier.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tier {
-    /// Balancers that are up, and those whose figures are in its sums.
+    /// Balancers that are up, and those whose metrics are in its sums.
     pub up: u32,
     /// See there.
     pub in_sums: u32,
     /// Others that it has newly suspected, and taken for gone.
     pub suspected: u64,
     /// See there.
-    pub gone: u64,
+    pub departed: u64,
     /// Changes of the version that it speaks.
     pub steps: u64,
 }
@@ -72,7 +72,7 @@
             up: p.up,
             in_sums,
             suspected: p.suspected,
-            gone: p.gone,
+            departed: p.departed,
             steps: p.steps,
         })
     }
@@ -124,8 +124,10 @@
     let perhaps = sum(&counted.attempts_ended, &|n| {
         matches!(n, "timed_out" | "cancelled" | "reset")
     });
-    let whole = counted.attempts.saturating_sub(never);
-    let nearest = seen.attempts.clamp(whole.saturating_sub(perhaps), whole);
+    let completed = counted.attempts.saturating_sub(never);
+    let nearest = seen
+        .attempts
+        .clamp(completed.saturating_sub(perhaps), completed);
     set("attempts", nearest, seen.attempts, open);
     (!wrong.is_empty()).then(|| wrong.join("; "))
 }
--- a/lab/src/call.rs
+++ b/lab/src/call.rs
@@ -4,7 +4,7 @@
 use crate::net::{connect, lock, Link, LinkedStream};
 use crate::oracle::{Final, ANSWER_GRACE};
 use crate::pool::Conn;
-use crate::world::{Asked, World};
+use crate::world::{RequestProfile, World};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
@@ -27,7 +27,7 @@
     /// One-way delay to it.
     pub delay: Millis,
     /// What it asks for.
-    pub asked: Asked,
+    pub profile: RequestProfile,
     /// When it counts as sent.
     pub sent: Millis,
     /// How long its client waits, counted from then.
@@ -50,7 +50,7 @@
     /// Answered as failed, or with what is not whole.
     Failed,
     /// No answer came in its time.
-    Silence,
+    TimedOut,
     /// The connection ended with no answer.
     Ended,
     /// No connection came up: nothing was sent.
@@ -100,7 +100,7 @@
     async fn carry(&self, world: &World) -> CallResult {
         pause(self.delay).await;
         let gives_up = world.clock.instant(self.sent + self.timeout);
-        let id = world.ask(self.asked);
+        let id = world.ask(self.profile);
         let mut pending = PendingCall {
             world,
             id,
@@ -126,14 +126,14 @@
                 return CallResult::Unreached;
             };
             let (deadline, written) = (self.sent + self.timeout, world.now());
-            lock(&world.oracle).taken(written, id, self.asked.class, self.balancer, deadline);
+            lock(&world.oracle).taken(written, id, self.profile.class, self.balancer, deadline);
             pending.reported = false;
             let latest = world.clock.instant(deadline + ANSWER_GRACE);
             let answer = match timeout_at(latest, conn.sender.try_send_request(request)).await {
                 Ok(Ok(answer)) => answer,
                 // An idle connection may be closed just when it is used: where the balancer can't have read the
                 // request, it is sent once more.
-                Ok(Err(_)) if !fresh && !lock(&world.oracle).sent_on(id) => {
+                Ok(Err(_)) if !fresh && !lock(&world.oracle).was_forwarded(id) => {
                     fresh = true;
                     continue;
                 }
@@ -142,28 +142,28 @@
                     return CallResult::Ended;
                 }
                 Err(_) => {
-                    pending.ends(Final::Silence);
-                    return CallResult::Silence;
+                    pending.ends(Final::TimedOut);
+                    return CallResult::TimedOut;
                 }
             };
             let (how, mut got) = match timeout_at(latest, read(answer)).await {
                 Ok(read) => read,
-                Err(_) => (Final::Silence, CallResult::Silence),
+                Err(_) => (Final::TimedOut, CallResult::TimedOut),
             };
             if let CallResult::Served(added) = &mut got {
                 let now = world.now();
-                *added = now - written - world.asked(id).map_or(0.0, |a| a.at_upstreams);
+                *added = now - written - world.profile(id).map_or(0.0, |a| a.at_upstreams);
                 lock(&world.tally).served(self.balancer, now);
             }
             pause(self.delay).await;
             pending.ends(how);
-            let whole = !matches!(how, Final::Partial | Final::Silence);
-            if let (true, Some(most)) = (whole, flood) {
-                let mut held = lock(&world.floods[self.asked.tenant]);
-                held.push_back(conn);
-                let over = held.len().saturating_sub(most);
-                held.drain(..over);
-            } else if whole
+            let is_complete = !matches!(how, Final::Partial | Final::TimedOut);
+            if let (true, Some(most)) = (is_complete, flood) {
+                let mut open = lock(&world.floods[self.profile.tenant]);
+                open.push_back(conn);
+                let over = open.len().saturating_sub(most);
+                open.drain(..over);
+            } else if is_complete
                 && timeout(std::time::Duration::from_millis(5), conn.sender.ready())
                     .await
                     .is_ok_and(|r| r.is_ok())
@@ -191,7 +191,7 @@
     }
 
     fn request(&self, world: &World, id: u64) -> Option<Request<Full<Bytes>>> {
-        let class = &world.experiment.classes[self.asked.class];
+        let class = &world.experiment.classes[self.profile.class];
         let left = (self.sent + self.timeout - world.now()).max(1.0);
         let mut request = Request::builder()
             .uri("/api")
@@ -200,7 +200,7 @@
             .header("req-kind", &class.name)
             .header(
                 "req-owner",
-                &world.experiment.tenants[self.asked.tenant].name,
+                &world.experiment.tenants[self.profile.tenant].name,
             )
             .header("req-deadline", format!("{}u", (left * 1000.0) as u64));
         if self.retry {
@@ -209,7 +209,7 @@
         let body = match class.effect {
             Effect::Safe => Bytes::new(),
             Effect::Keyed => {
-                request = request.header("idempotency-key", format!("{:032x}", self.asked.key));
+                request = request.header("idempotency-key", format!("{:032x}", self.profile.key));
                 Bytes::from_static(BODY)
             }
             Effect::Once => Bytes::from_static(BODY),
--- a/lab/src/capacity/accounting.rs
+++ b/lab/src/capacity/accounting.rs
@@ -26,10 +26,10 @@
         let disk = std::fs::read_to_string(folder.join("io"))?;
         Ok(Usage {
             processor_ns: processor_ns(&folder)?,
-            resident_kb: figure(&memory, "Rss:")?,
-            proportional_kb: figure(&memory, "Pss:")?,
+            resident_kb: metric(&memory, "Rss:")?,
+            proportional_kb: metric(&memory, "Pss:")?,
             descriptors: std::fs::read_dir(folder.join("fd"))?.count() as u64,
-            written: figure(&disk, "write_bytes:")?,
+            written: metric(&disk, "write_bytes:")?,
         })
     }
 }
@@ -56,7 +56,7 @@
         .ok_or_else(|| missing("the time on a core"))
 }
 
-fn figure(text: &str, name: &str) -> io::Result<u64> {
+fn metric(text: &str, name: &str) -> io::Result<u64> {
     let line = text.lines().find_map(|line| line.strip_prefix(name));
     let value = line.and_then(|rest| rest.split_whitespace().next());
     value
--- a/lab/src/capacity/balancer.rs
+++ b/lab/src/capacity/balancer.rs
@@ -115,7 +115,7 @@
     if scenario.members.is_some() {
         text.push_str("[peers]\non = true\n");
     }
-    if scenario.kept {
+    if scenario.persisted {
         text.push_str(&format!(
             "[recovery]\ndir = {:?}\n",
             state.display().to_string()
--- a/lab/src/capacity/clients.rs
+++ b/lab/src/capacity/clients.rs
@@ -14,7 +14,7 @@
 /// The pause between calls that are to be held: a peak of 57 starts a second is under it.
 const START_PAUSE: Duration = Duration::from_millis(2);
 /// How long a client waits for its answer, in milliseconds: longer than any trial.
-const PATIENCE_MS: u64 = 600_000;
+const DEADLINE_MS: u64 = 600_000;
 
 /// The clients of one balancer.
 pub(super) struct Clients {
@@ -93,7 +93,7 @@
         let tenant = number as usize % self.tenants;
         let request = format!(
             "GET /api HTTP/1.1\r\nHost: service.internal\r\nReq-Id: {number:016x}\r\nReq-Kind: task\r\n\
-             Req-Owner: team-{tenant}\r\nReq-Deadline: {PATIENCE_MS}m\r\n\r\n"
+             Req-Owner: team-{tenant}\r\nReq-Deadline: {DEADLINE_MS}m\r\n\r\n"
         );
         stream.write_all(request.as_bytes()).await.ok()?;
         let answer = http::read(&mut stream).await?;
--- a/lab/src/capacity/discovery.rs
+++ b/lab/src/capacity/discovery.rs
@@ -94,8 +94,8 @@
     pub(super) fn lags(&self) -> (Vec<f64>, Vec<f64>) {
         let heard = lock(&self.heard);
         let each = heard.iter().flat_map(|h| h.lags.iter().copied()).collect();
-        let whole = heard.iter().map(|h| h.lags.len()).min().unwrap_or(0);
-        let last = (0..whole)
+        let complete = heard.iter().map(|h| h.lags.len()).min().unwrap_or(0);
+        let last = (0..complete)
             .map(|change| heard.iter().map(|h| h.lags[change]).fold(0.0, f64::max))
             .collect();
         (each, last)
--- a/lab/src/capacity/hollow/member.rs
+++ b/lab/src/capacity/hollow/member.rs
@@ -12,7 +12,7 @@
 use tokio::time::{sleep_until, Instant};
 
 /// How often the node reads what the tier knows, and how often it tells what it observes.
-const WORD_EVERY: Millis = 100.0;
+const STATE_INTERVAL: Millis = 100.0;
 const OBSERVE_EVERY: Millis = 200.0;
 /// Datagrams taken at a time, and the node's pause between two turns.
 const TAKEN_MOST: usize = 32;
@@ -52,7 +52,7 @@
     pub unsent: u64,
     /// Members up, as last read.
     pub up: u32,
-    /// Members whose figures are in the sums; none without sums.
+    /// Members whose metrics are in the sums; none without sums.
     pub summed: Option<u32>,
     /// Whether it knows of evidence of others.
     pub evidence: bool,
@@ -114,7 +114,7 @@
 
     /// Speaks with the others until it is stopped.
     pub(super) async fn run(self: Rc<Self>) {
-        let (mut word_at, mut observe_at) = (WORD_EVERY, 0.0);
+        let (mut state_due_at, mut observe_at) = (STATE_INTERVAL, 0.0);
         while !self.stopped.get() {
             let more = self.take();
             let now = self.now();
@@ -133,12 +133,12 @@
                 self.peers.borrow_mut().on_timeout(now);
             }
             self.send();
-            if now >= word_at {
-                word_at = now + WORD_EVERY;
-                self.read_word(now);
+            if now >= state_due_at {
+                state_due_at = now + STATE_INTERVAL;
+                self.read_tier_state(now);
             }
             let due = self.peers.borrow().next_timeout().unwrap_or(f64::INFINITY);
-            let due = due.min(word_at).min(observe_at);
+            let due = due.min(state_due_at).min(observe_at);
             let wake = self.start + Duration::from_secs_f64(due.max(0.0) / 1000.0);
             let wake = wake.max(Instant::now() + PAUSE);
             tokio::select! {
@@ -153,7 +153,7 @@
         self.start.elapsed().as_secs_f64() * 1000.0
     }
 
-    /// Figures of the size that a busy balancer tells.
+    /// Metrics of the size that a busy balancer tells.
     fn observed(&self) -> Observations {
         let tenant = |number: u16| TenantLoad {
             demand: f64::from(number % 7),
@@ -224,12 +224,12 @@
         self.counted.set(counted);
     }
 
-    fn read_word(&self, now: Millis) {
-        let word = self.peers.borrow_mut().tier_state(now);
+    fn read_tier_state(&self, now: Millis) {
+        let state = self.peers.borrow_mut().tier_state(now);
         let mut counted = self.counted.get();
-        counted.up = word.up;
-        counted.summed = word.sums.map(|sums| sums.heard);
-        counted.evidence = !word.evidence.is_empty();
+        counted.up = state.up;
+        counted.summed = state.sums.map(|sums| sums.heard);
+        counted.evidence = !state.evidence.is_empty();
         self.counted.set(counted);
     }
 }
--- a/lab/src/capacity/hollow/tier.rs
+++ b/lab/src/capacity/hollow/tier.rs
@@ -9,7 +9,7 @@
 use std::sync::mpsc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
-use tokio::sync::mpsc as asked;
+use tokio::sync::mpsc as questions;
 use tokio::task::LocalSet;
 
 /// Where a datagram's header has the deployment, as `balancer_gossip::HEADER_LEN` tells.
@@ -91,14 +91,14 @@
 
 /// A tier that runs.
 pub struct Running {
-    ask: Option<asked::UnboundedSender<Question>>,
+    ask: Option<questions::UnboundedSender<Question>>,
     thread: Option<JoinHandle<()>>,
 }
 
 impl Tier {
     /// Starts the thread.
     pub fn start(self) -> Result<Running, String> {
-        let (ask, asked) = asked::unbounded_channel();
+        let (ask, questions) = questions::unbounded_channel();
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build();
@@ -111,7 +111,7 @@
                 // Whoever started it may have given up.
                 let _ = tell.send(failed);
                 if let Ok(members) = members {
-                    answer(&members, asked).await;
+                    answer(&members, questions).await;
                 }
             });
         });
@@ -155,11 +155,11 @@
 }
 
 /// Answers until nobody asks any more.
-async fn answer(members: &[Rc<Hollow>], mut asked: asked::UnboundedReceiver<Question>) {
+async fn answer(members: &[Rc<Hollow>], mut questions: questions::UnboundedReceiver<Question>) {
     let start = Instant::now();
     let late = Rc::new(Cell::new(Duration::ZERO));
     tokio::task::spawn_local(watch_lateness(late.clone()));
-    while let Some(question) = asked.recv().await {
+    while let Some(question) = questions.recv().await {
         match question {
             Question::Snapshot(tell) => {
                 let _ = tell.send(Snapshot {
@@ -245,9 +245,9 @@
 impl Running {
     /// What was counted so far.
     pub fn snapshot(&self) -> Result<Snapshot, String> {
-        let (tell, told) = mpsc::channel();
+        let (tell, reply) = mpsc::channel();
         self.ask(Question::Snapshot(tell))?;
-        told.recv().map_err(|e| e.to_string())
+        reply.recv().map_err(|e| e.to_string())
     }
 
     /// Waits until every hollow member knows as many up as this; the time it took, or none if it takes too long.
@@ -273,9 +273,9 @@
     }
 
     fn until(&self, until: Until, most: Duration) -> Result<Option<Duration>, String> {
-        let (tell, told) = mpsc::channel();
+        let (tell, reply) = mpsc::channel();
         self.ask(Question::Await(until, Instant::now() + most, tell))?;
-        told.recv().map_err(|e| e.to_string())
+        reply.recv().map_err(|e| e.to_string())
     }
 
     fn ask(&self, question: Question) -> Result<(), String> {
--- a/lab/src/capacity/http.rs
+++ b/lab/src/capacity/http.rs
@@ -18,7 +18,7 @@
         self.start.split(' ').nth(1)?.parse().ok()
     }
 
-    /// A figure of a request's query.
+    /// A metric of a request's query.
     pub(super) fn query(&self, name: &str) -> Option<u64> {
         let query = self.start.split(' ').nth(1)?.split_once('?')?.1;
         let pair = query
--- a/lab/src/capacity/sample.rs
+++ b/lab/src/capacity/sample.rs
@@ -1,4 +1,4 @@
-//! What one trial measured: named figures at a size.
+//! What one trial measured: named metrics at a size.
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -7,8 +7,8 @@
 pub struct Sample {
     /// The size asked for.
     pub size: usize,
-    /// Figures by name; the name ends with the unit.
-    pub figures: BTreeMap<String, f64>,
+    /// Metrics by name; the name ends with the unit.
+    pub metrics: BTreeMap<String, f64>,
 }
 
 impl Sample {
@@ -16,14 +16,14 @@
     pub fn new(size: usize) -> Sample {
         Sample {
             size,
-            figures: BTreeMap::new(),
+            metrics: BTreeMap::new(),
         }
     }
 
-    /// Adds a figure. One that is not finite was not measured and is left out.
+    /// Adds a metric. One that is not finite was not measured and is left out.
     pub fn add(&mut self, name: &str, value: f64) {
         if value.is_finite() {
-            self.figures.insert(name.into(), value);
+            self.metrics.insert(name.into(), value);
         }
     }
 
--- a/lab/src/capacity/scenario.rs
+++ b/lab/src/capacity/scenario.rs
@@ -13,7 +13,8 @@
     /// Requests a second.
     Requests,
     /// Calls in flight that are held open.
-    Held,
+    #[value(name = "held")]
+    InFlight,
     /// Tenants, with the same requests.
     Tenants,
     /// Clients' idle connections.
@@ -40,7 +41,7 @@
     /// Requests a second, answered at once.
     pub requests: f64,
     /// Calls in flight, held open.
-    pub held: usize,
+    pub calls_in_flight: usize,
     /// Tenants.
     pub tenants: usize,
     /// Clients' idle connections.
@@ -48,7 +49,7 @@
     /// Members of the tier, the measured balancer among them; none: peers are off.
     pub members: Option<usize>,
     /// Whether state is kept on a disk.
-    pub kept: bool,
+    pub persisted: bool,
 }
 
 /// The target's list, where something else grows.
@@ -68,11 +69,11 @@
             upstreams: TARGET_LIST,
             changes: 0.0,
             requests: 0.0,
-            held: 0,
+            calls_in_flight: 0,
             tenants: TARGET_TENANTS,
             clients: 0,
             members: None,
-            kept: false,
+            persisted: false,
         };
         let answering = Scenario {
             upstreams: ANSWERING,
@@ -85,7 +86,7 @@
             },
             Dimension::Store => Scenario {
                 upstreams: size,
-                kept: true,
+                persisted: true,
                 ..idle
             },
             Dimension::Changes => Scenario {
@@ -96,8 +97,8 @@
                 requests: size as f64,
                 ..answering
             },
-            Dimension::Held => Scenario {
-                held: size,
+            Dimension::InFlight => Scenario {
+                calls_in_flight: size,
                 ..answering
             },
             Dimension::Tenants => Scenario {
--- a/lab/src/capacity/table.rs
+++ b/lab/src/capacity/table.rs
@@ -4,40 +4,40 @@
 use std::collections::BTreeSet;
 use std::fmt::Write;
 
-/// All samples, a row each, and under them the line through each figure.
+/// All samples, a row each, and under them the line through each metric.
 pub fn markdown(name: &str, samples: &[Sample]) -> String {
     let names: BTreeSet<&String> = samples
         .iter()
-        .flat_map(|sample| sample.figures.keys())
+        .flat_map(|sample| sample.metrics.keys())
         .collect();
     let mut text = format!("| {name} |");
-    for figure in &names {
-        let _ = write!(text, " {figure} |");
+    for metric in &names {
+        let _ = write!(text, " {metric} |");
     }
     text.push_str("\n| --- |");
     text.push_str(&" --- |".repeat(names.len()));
     for sample in samples {
         let _ = write!(text, "\n| {} |", sample.size);
-        for figure in &names {
+        for metric in &names {
             let value = sample
-                .figures
-                .get(*figure)
+                .metrics
+                .get(*metric)
                 .map_or("-".into(), |value| rounded(*value));
             let _ = write!(text, " {value} |");
         }
     }
     text.push_str("\n\n| figure | at 0 | slope | slope's error | residual, rms | residual, most |");
     text.push_str("\n| --- | --- | --- | --- | --- | --- |\n");
-    for figure in &names {
-        text.push_str(&line(figure, samples));
+    for metric in &names {
+        text.push_str(&line(metric, samples));
     }
     text
 }
 
-fn line(figure: &str, samples: &[Sample]) -> String {
+fn line(metric: &str, samples: &[Sample]) -> String {
     let points: Vec<(f64, f64)> = samples
         .iter()
-        .filter_map(|s| Some((s.size as f64, *s.figures.get(figure)?)))
+        .filter_map(|s| Some((s.size as f64, *s.metrics.get(metric)?)))
         .collect();
     match fit(&points) {
         Ok(fit) => {
@@ -48,9 +48,9 @@
                 fit.residual,
                 fit.residual_most,
             ];
-            format!("| {figure} | {} |\n", columns.map(rounded).join(" | "))
+            format!("| {metric} | {} |\n", columns.map(rounded).join(" | "))
         }
-        Err(error) => format!("| {figure} | {error} | | | | |\n"),
+        Err(error) => format!("| {metric} | {error} | | | | |\n"),
     }
 }
 
--- a/lab/src/capacity/trial.rs
+++ b/lab/src/capacity/trial.rs
@@ -18,9 +18,9 @@
 /// Upstreams that listen: requests go nowhere else, since longer lists are measured without any.
 const LISTENING_MOST: usize = 8;
 /// Between the start and the measured span.
-const SETTLE: Duration = Duration::from_secs(2);
+const STABILIZATION_TIME: Duration = Duration::from_secs(2);
 /// A tier needs longer until all have met.
-const SETTLE_TIER: Duration = Duration::from_secs(6);
+const TIER_STABILIZATION_TIME: Duration = Duration::from_secs(6);
 /// Members of the tier of which some are lost: a balancer beside each of the target's upstreams.
 const TARGET_MEMBERS: usize = 550;
 /// How long the real member may take until its first datagram.
@@ -65,9 +65,9 @@
     let block = Block::claim()?;
     let stage = Stage::start(scenario, setting, &block).await?;
     sleep(if scenario.members.is_some() {
-        SETTLE_TIER
+        TIER_STABILIZATION_TIME
     } else {
-        SETTLE
+        STABILIZATION_TIME
     })
     .await;
     let before = stage.read()?;
@@ -98,7 +98,7 @@
     ) -> Result<Stage, String> {
         let discovery = Discovery::start(block, scenario.upstreams, scenario.balancers).await?;
         let listening = scenario.upstreams.min(LISTENING_MOST);
-        let upstreams = Upstreams::start(block, listening, scenario.held > 0).await?;
+        let upstreams = Upstreams::start(block, listening, scenario.calls_in_flight > 0).await?;
         let addresses: Vec<SocketAddr> = (0..scenario.members.unwrap_or(0))
             .map(|member| block.peer(member))
             .collect();
@@ -133,10 +133,10 @@
         };
         let clients = Clients::new(block.balancer(0), scenario.tenants);
         clients.rest(scenario.clients).await?;
-        clients.hold(scenario.held).await;
+        clients.hold(scenario.calls_in_flight).await;
         wait_until(|| {
             let refused = clients.refused.load(Ordering::SeqCst);
-            upstreams.held.load(Ordering::SeqCst) + refused >= scenario.held
+            upstreams.calls_in_flight.load(Ordering::SeqCst) + refused >= scenario.calls_in_flight
         })
         .await;
         if scenario.requests > 0.0 {
@@ -179,7 +179,7 @@
         })
     }
 
-    /// Puts what happened between two readings into figures, the mean of a balancer where there are several.
+    /// Puts what happened between two readings into metrics, the mean of a balancer where there are several.
     fn put(&self, scenario: &Scenario, before: &Reading, after: &Reading, sample: &mut Sample) {
         let seconds = after.at.duration_since(before.at).as_secs_f64();
         let count = after.usage.len() as f64;
@@ -210,7 +210,7 @@
             "discovery, bytes/s",
             said(&|traffic| traffic.bytes_in + traffic.bytes_out),
         );
-        if scenario.kept {
+        if scenario.persisted {
             sample.add("written, bytes/s", rate(&|usage| usage.written));
         }
         if scenario.requests > 0.0 {
@@ -219,11 +219,14 @@
                 (after.served - before.served) as f64 / seconds,
             );
         }
-        if scenario.requests > 0.0 || scenario.held > 0 {
+        if scenario.requests > 0.0 || scenario.calls_in_flight > 0 {
             sample.add("refused", after.refused as f64);
         }
-        if scenario.held > 0 {
-            sample.add("held", self.upstreams.held.load(Ordering::SeqCst) as f64);
+        if scenario.calls_in_flight > 0 {
+            sample.add(
+                "held",
+                self.upstreams.calls_in_flight.load(Ordering::SeqCst) as f64,
+            );
         }
         if scenario.changes > 0.0 {
             let (mut each, mut last) = self.discovery.lags();
@@ -304,7 +307,7 @@
         "all know all, ms",
         milliseconds(tier.until_up(count, KNOWN_WITHIN)?),
     );
-    std::thread::sleep(SETTLE_TIER);
+    std::thread::sleep(TIER_STABILIZATION_TIME);
     let before = tier.snapshot()?;
     std::thread::sleep(span);
     let after = tier.snapshot()?;
@@ -326,7 +329,7 @@
     let count = u32::try_from(TARGET_MEMBERS).map_err(|e| e.to_string())?;
     let left = u32::try_from(TARGET_MEMBERS.saturating_sub(lost)).map_err(|e| e.to_string())?;
     tier.until_up(count, KNOWN_WITHIN)?;
-    std::thread::sleep(SETTLE_TIER);
+    std::thread::sleep(TIER_STABILIZATION_TIME);
     for number in 0..lost {
         tier.stop(number * TARGET_MEMBERS / lost)?;
     }
--- a/lab/src/capacity/upstreams.rs
+++ b/lab/src/capacity/upstreams.rs
@@ -13,7 +13,7 @@
     /// Whether calls are held.
     holds: bool,
     /// Calls held now.
-    pub held: AtomicUsize,
+    pub calls_in_flight: AtomicUsize,
     /// Calls answered.
     pub answered: AtomicUsize,
 }
@@ -49,10 +49,10 @@
         let mut stream = BufReader::new(stream);
         while http::read(&mut stream).await.is_some() {
             if self.holds {
-                self.held.fetch_add(1, Ordering::SeqCst);
+                self.calls_in_flight.fetch_add(1, Ordering::SeqCst);
                 // Whatever comes, it is the end: the balancer writes nothing while it waits.
                 let _ = stream.read_u8().await;
-                self.held.fetch_sub(1, Ordering::SeqCst);
+                self.calls_in_flight.fetch_sub(1, Ordering::SeqCst);
                 return;
             }
             self.answered.fetch_add(1, Ordering::Relaxed);
--- a/lab/src/clients.rs
+++ b/lab/src/clients.rs
@@ -5,7 +5,7 @@
 use crate::experiment::{Effect, Group, Millis};
 use crate::net::lock;
 use crate::tally::{Done, How};
-use crate::world::{Asked, World};
+use crate::world::{RequestProfile, World};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use tokio::sync::Notify;
@@ -57,7 +57,7 @@
     let deadline = world.plan.spans[a.class].1;
     let clients = &world.experiment.clients;
     let mut drawn = Calls::new(a.seed);
-    let asked = Asked {
+    let profile = RequestProfile {
         class: a.class,
         tenant: a.tenant,
         size: a.size,
@@ -65,16 +65,16 @@
         key: a.seed,
         at_upstreams: 0.0,
     };
-    let (mut tries, mut backoff) = (0, a.backoff);
+    let (mut attempts, mut backoff) = (0, a.backoff);
     let mut due = a.at;
     let mut added = None;
     let how = loop {
-        tries += 1;
+        attempts += 1;
         let left = a.at + deadline - due;
         let try_timeout = (deadline * a.try_share).min(left);
-        let leaves = a
-            .leaves
-            .filter(|_| tries == 1)
+        let abandons_after = a
+            .abandons_after
+            .filter(|_| attempts == 1)
             .map(|part| try_timeout * part);
         let got = match pick(world, a, due, &mut drawn) {
             Some(balancer) => {
@@ -83,11 +83,11 @@
                     balancer,
                     link: links[a.zone].clone(),
                     delay: world.delay(a.zone, world.plan.balancers[balancer].zone),
-                    asked,
+                    profile,
                     sent: due,
                     timeout: try_timeout,
-                    cancels_after: leaves,
-                    retry: tries > 1,
+                    cancels_after: abandons_after,
+                    retry: attempts > 1,
                     flood: world.experiment.tenants[a.tenant].connections,
                 };
                 call.make(world).await
@@ -104,11 +104,11 @@
             CallResult::Unreached => (How::Unreached, true, None),
             CallResult::Failed => (How::Failed, may_repeat(world, a.class), None),
             CallResult::Ended => (How::Failed, may_repeat(world, a.class), None),
-            CallResult::Silence => (How::Silent, may_repeat(world, a.class), None),
+            CallResult::TimedOut => (How::TimedOut, may_repeat(world, a.class), None),
         };
         let waits = advice.filter(|_| a.honours).unwrap_or(0.0).max(backoff);
         let next = world.now() + waits;
-        if !again || tries > clients.retries || next >= a.at + deadline {
+        if !again || attempts > clients.retries || next >= a.at + deadline {
             break how;
         }
         pause(waits).await;
@@ -122,7 +122,7 @@
         zone: a.zone,
         how,
         took,
-        tries,
+        client_attempts: attempts,
         added,
     }
 }
--- a/lab/src/convergence.rs
+++ b/lab/src/convergence.rs
@@ -1,6 +1,6 @@
-//! How long it takes from a change of who runs until every balancer of the tier knows, as their figures report.
+//! How long it takes from a change of who runs until every balancer of the tier knows, as their metrics report.
 //!
-//! Sans-I/O. A change is who runs where before somebody else did; what a balancer reports counts from the figures that
+//! Sans-I/O. A change is who runs where before somebody else did; what a balancer reports counts from the metrics that
 //! show it, so that their period adds to each time.
 use crate::audit::Tier;
 use crate::clock::histogram;
@@ -99,7 +99,7 @@
         }
     }
 
-    /// Takes what a balancer's figures of this time report.
+    /// Takes what a balancer's metrics of this time report.
     pub fn observe(&mut self, balancer: usize, at: Millis, tier: Tier) {
         let Some(changed) = self.changed.filter(|changed| at >= *changed) else {
             return;
--- a/lab/src/draw/calls.rs
+++ b/lab/src/draw/calls.rs
@@ -20,8 +20,8 @@
 
     /// Calls to the next tier, for this mean.
     pub fn count(&mut self, mean: f64) -> usize {
-        let whole = mean.floor();
-        whole as usize + usize::from(self.rng.gen::<f64>() < mean - whole)
+        let base = mean.floor();
+        base as usize + usize::from(self.rng.gen::<f64>() < mean - base)
     }
 
     /// Noise on the work of one attempt.
--- a/lab/src/draw/faults.rs
+++ b/lab/src/draw/faults.rs
@@ -6,19 +6,19 @@
 use rand_pcg::Pcg64Mcg;
 
 /// Everybody in a run that something can meet.
-pub(super) struct Crowd<'a> {
+pub(super) struct Population<'a> {
     e: &'a Experiment,
     upstreams: &'a [Upstream],
     balancers: &'a [Balancer],
 }
 
-impl<'a> Crowd<'a> {
+impl<'a> Population<'a> {
     pub(super) fn new(
         e: &'a Experiment,
         upstreams: &'a [Upstream],
         balancers: &'a [Balancer],
-    ) -> Crowd<'a> {
-        Crowd {
+    ) -> Population<'a> {
+        Population {
             e,
             upstreams,
             balancers,
@@ -101,10 +101,10 @@
             .everyone()
             .filter(|p| can(*p) && self.fits(*p, target))
             .collect();
-        let kept = target.share.map_or(met.len(), |s| {
+        let target_count = target.share.map_or(met.len(), |s| {
             ((met.len() as f64 * s).round() as usize).max(1)
         });
-        while met.len() > kept {
+        while met.len() > target_count {
             met.swap_remove(rng.gen_range(0..met.len()));
         }
         met.sort();
@@ -118,12 +118,16 @@
 }
 
 /// The build that each balancer starts as.
-pub(super) fn draw_builds(e: &Experiment, seed: u64, crowd: &Crowd<'_>) -> Vec<Option<usize>> {
+pub(super) fn draw_builds(
+    e: &Experiment,
+    seed: u64,
+    population: &Population<'_>,
+) -> Vec<Option<usize>> {
     let rng = &mut stream(seed, Stream::Builds);
-    let mut builds = vec![None; crowd.balancers.len()];
+    let mut builds = vec![None; population.balancers.len()];
     for (i, build) in e.builds.iter().enumerate() {
         let Some(on) = &build.on else { continue };
-        for party in crowd.members(on, |p| matches!(p, Party::Balancer(_)), rng) {
+        for party in population.members(on, |p| matches!(p, Party::Balancer(_)), rng) {
             if let Party::Balancer(b) = party {
                 builds[b] = Some(i);
             }
@@ -135,7 +139,7 @@
 pub(super) fn draw_faults(
     e: &Experiment,
     seed: u64,
-    crowd: &Crowd<'_>,
+    population: &Population<'_>,
     length: Millis,
 ) -> Vec<PlannedFault> {
     let rng = &mut stream(seed, Stream::Faults);
@@ -153,11 +157,11 @@
         for _ in 0..fault.times {
             let lasts = fault.lasts.map_or(0.0, |s| draw_span(rng, s));
             let size = fault.size.map_or(1.0, |s| draw(rng, s));
-            let on = crowd.members(&fault.on, can, rng);
+            let on = population.members(&fault.on, can, rng);
             let to = fault
                 .to
                 .as_ref()
-                .map(|t| crowd.members(t, can, rng))
+                .map(|t| population.members(t, can, rng))
                 .unwrap_or_default();
             let pace = fault.pace.map_or(0.0, |s| draw_span(rng, s));
             let rolls = pace * on.len().saturating_sub(1) as f64;
@@ -191,7 +195,7 @@
         Cut => true,
         Slow | Errors | Die | Lose | Replace | Reset => matches!(party, Party::Upstream(_)),
         Burst | Outage | DatagramLoss | DatagramRepeat | DatagramDelay | DatagramGarbage => false,
-        DiscoverySilent | DiscoveryGarbled | DiscoveryStale | DiscoveryMove => {
+        DiscoveryUnresponsive | DiscoveryGarbled | DiscoveryStale | DiscoveryMove => {
             matches!(party, Party::Agent(_))
         }
     }
--- a/lab/src/draw/machines.rs
+++ b/lab/src/draw/machines.rs
@@ -1,5 +1,5 @@
 //! The machines: upstreams of each tier, and balancers.
-use super::parts::{Balancer, Choke, Upstream};
+use super::parts::{Balancer, OverloadModel, Upstream};
 use super::streams::{draw, draw_span};
 use crate::experiment::{Experiment, Kind};
 use rand_pcg::Pcg64Mcg;
@@ -31,8 +31,8 @@
             speed: draw(rng, k.speed),
             slots: (draw(rng, k.slots) * k.cores as f64).round().max(1.0) as usize,
             queue: (draw(rng, k.queue) * k.cores as f64).round() as usize,
-            cold_from: draw(rng, k.cold_from),
-            cold_for: draw_span(rng, k.cold_for),
+            slow_start_from: draw(rng, k.slow_start_from),
+            slow_start_time: draw_span(rng, k.slow_start_time),
             errors: draw(rng, k.errors),
             cancel_stops: k.cancel_stops,
             connections: (draw(rng, c.cap) * k.cores as f64).round().max(1.0) as usize,
@@ -41,7 +41,7 @@
             full_tax: draw(rng, c.full_tax),
             report_period: draw_span(rng, tier.report.period).max(1.0),
             report_delay: draw_span(rng, tier.report.delay),
-            choke: tier.choke.as_ref().map(|c| Choke {
+            overload: tier.overload.as_ref().map(|c| OverloadModel {
                 at: c.at,
                 over: draw_span(rng, c.over),
                 slower: draw(rng, c.slower).max(1.0),
--- a/lab/src/draw/mod.rs
+++ b/lab/src/draw/mod.rs
@@ -6,10 +6,10 @@
 mod faults;
 mod machines;
 mod parts;
+mod planner;
 mod requests;
 mod streams;
-mod whole;
 
 pub use calls::Calls;
-pub use parts::{Arrival, Balancer, Choke, Party, Plan, PlannedFault, Upstream};
-pub use whole::plan;
+pub use parts::{Arrival, Balancer, OverloadModel, Party, Plan, PlannedFault, Upstream};
+pub use planner::plan;
--- a/lab/src/draw/parts.rs
+++ b/lab/src/draw/parts.rs
@@ -24,9 +24,9 @@
     /// Requests that wait for a slot.
     pub queue: usize,
     /// Part of its capacity when it starts.
-    pub cold_from: f64,
+    pub slow_start_from: f64,
     /// Time until it is warm.
-    pub cold_for: Millis,
+    pub slow_start_time: Millis,
     /// Part of requests answered with an error.
     pub errors: f64,
     /// Whether a cancel stops work that runs.
@@ -44,12 +44,12 @@
     /// How long after that they show.
     pub report_delay: Millis,
     /// When and how it gets slow, if its tier does.
-    pub choke: Option<Choke>,
+    pub overload: Option<OverloadModel>,
 }
 
 /// [`crate::experiment::Choke`], drawn for one upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
-pub struct Choke {
+pub struct OverloadModel {
     /// Requests held for each core.
     pub at: f64,
     /// Time until it gets slow.
@@ -101,7 +101,7 @@
     /// Whether the client heeds `Retry-After`.
     pub honours: bool,
     /// The client leaves after this part of its try, if it leaves early.
-    pub leaves: Option<f64>,
+    pub abandons_after: Option<f64>,
     /// Feeds what is drawn for its calls.
     pub seed: u64,
 }
--- a/lab/src/draw/whole.rs
+++ b/lab/src/draw/planner.rs
@@ -1,12 +1,12 @@
 //! The whole plan of a seed.
-use super::faults::{draw_builds, draw_faults, Crowd};
+use super::faults::{draw_builds, draw_faults, Population};
 use super::machines::{balancers, draw_tier};
 use super::parts::{Plan, Upstream};
 use super::requests::{draw_requests, Rates};
 use super::streams::{draw, draw_span, stream, Stream};
 use crate::experiment::Experiment;
 
-/// Draws a plan. The error says what the figures together do not allow.
+/// Draws a plan. The error says what the metrics together do not allow.
 #[expect(clippy::too_many_lines, reason = "not split yet: docs/OPEN.md")]
 pub fn plan(e: &Experiment, seed: u64) -> Result<Plan, String> {
     let machines = &mut stream(seed, Stream::Machines);
@@ -77,15 +77,18 @@
         .classes
         .iter()
         .map(|c| {
-            let aim = draw_span(load, c.aim);
-            (aim, draw_span(load, c.deadline).max(aim))
+            let latency_target = draw_span(load, c.latency_target);
+            (
+                latency_target,
+                draw_span(load, c.deadline).max(latency_target),
+            )
         })
         .collect();
     let length = draw_span(load, e.length);
 
-    let crowd = Crowd::new(e, &upstreams, &balancers);
-    let faults = draw_faults(e, seed, &crowd, length);
-    let builds = draw_builds(e, seed, &crowd);
+    let population = Population::new(e, &upstreams, &balancers);
+    let faults = draw_faults(e, seed, &population, length);
+    let builds = draw_builds(e, seed, &population);
     balancers
         .iter_mut()
         .zip(builds)
--- a/lab/src/draw/requests.rs
+++ b/lab/src/draw/requests.rs
@@ -26,11 +26,11 @@
     /// The same, of these tenants, classes and zones only; and the part of the whole that this is.
     fn of(&self, [tenant, class, zone]: [Option<usize>; 3]) -> (Demand<'a>, f64) {
         let only = |weights: &[f64], at: Option<usize>| {
-            let kept = |i: usize| at.is_none_or(|at| at == i);
+            let is_selected = |i: usize| at.is_none_or(|at| at == i);
             let some: Vec<f64> = weights
                 .iter()
                 .enumerate()
-                .map(|(i, w)| if kept(i) { *w } else { 0.0 })
+                .map(|(i, w)| if is_selected(i) { *w } else { 0.0 })
                 .collect();
             let part = some.iter().sum::<f64>() / weights.iter().sum::<f64>();
             (some, part)
@@ -77,7 +77,8 @@
                 try_share: draw(rng, clients.try_share),
                 backoff: draw_span(rng, clients.backoff),
                 honours: rng.gen::<f64>() < clients.honour,
-                leaves: Some(rng.gen::<f64>()).filter(|_| rng.gen::<f64>() < clients.impatient),
+                abandons_after: Some(rng.gen::<f64>())
+                    .filter(|_| rng.gen::<f64>() < clients.impatient),
                 seed: rng.gen(),
             });
         }
@@ -221,16 +222,16 @@
         .filter(|a| (outage.at..outage.until).contains(&a.at));
     let mut back = Vec::new();
     for a in met {
-        let (kept, later, seed) = (
+        let (is_selected, later, seed) = (
             rng.gen::<f64>() < outage.size,
             rng.gen::<f64>() * within,
             rng.gen(),
         );
-        if kept {
+        if is_selected {
             back.push(Arrival {
                 at: outage.until + later,
                 seed,
-                leaves: None,
+                abandons_after: None,
                 ..a.clone()
             });
         }
--- a/lab/src/draw/streams.rs
+++ b/lab/src/draw/streams.rs
@@ -38,7 +38,7 @@
 }
 
 pub(super) fn draw(rng: &mut Pcg64Mcg, range: Range) -> f64 {
-    // Drawn even where the range is a point, so that an edit of one figure leaves the draws after it alone.
+    // Drawn even where the range is a point, so that an edit of one metric leaves the draws after it alone.
     let unit: f64 = rng.gen();
     range.least + unit * (range.most - range.least)
 }
--- a/lab/src/experiment/bounds.rs
+++ b/lab/src/experiment/bounds.rs
@@ -1,8 +1,8 @@
-//! Figures for rules that depend on what an experiment does: a rule whose figure is not stated is not judged.
+//! Metrics for rules that depend on what an experiment does: a rule whose metric is not stated is not judged.
 use super::units::Span;
 use serde::Deserialize;
 
-/// The figures.
+/// The metrics.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Bounds {
--- a/lab/src/experiment/check/bounds.rs
+++ b/lab/src/experiment/check/bounds.rs
@@ -1,8 +1,8 @@
-//! Builds and the figures of rules.
+//! Builds and the metrics of rules.
 use super::names::{distinct, Wrong};
 use super::target::check_target;
+use crate::experiment::schema::Experiment;
 use crate::experiment::units::Span;
-use crate::experiment::whole::Experiment;
 
 pub(super) fn check_builds(e: &Experiment) -> Result<(), Wrong> {
     distinct("build", e.builds.iter().map(|b| &b.name))?;
--- a/lab/src/experiment/check/fault.rs
+++ b/lab/src/experiment/check/fault.rs
@@ -2,7 +2,7 @@
 use super::names::Wrong;
 use super::target::check_target;
 use crate::experiment::fault::{Fault, FaultKind};
-use crate::experiment::whole::Experiment;
+use crate::experiment::schema::Experiment;
 
 #[expect(clippy::too_many_lines, reason = "not split yet: docs/OPEN.md")]
 pub(super) fn check_fault(key: &str, fault: &Fault, e: &Experiment) -> Result<(), Wrong> {
--- a/lab/src/experiment/check/load.rs
+++ b/lab/src/experiment/check/load.rs
@@ -10,10 +10,10 @@
     if class.work.least <= 0.0 {
         return wrong("work", "must be above 0");
     }
-    if class.aim.0.least <= 0.0 {
+    if class.latency_target.0.least <= 0.0 {
         return wrong("aim", "must be above 0");
     }
-    if class.deadline.0.least < class.aim.0.most {
+    if class.deadline.0.least < class.latency_target.0.most {
         return wrong("deadline", "must be at least the aim");
     }
     Ok(())
--- a/lab/src/experiment/check/mod.rs
+++ b/lab/src/experiment/check/mod.rs
@@ -6,7 +6,7 @@
 mod target;
 mod tier;
 
-use super::whole::Experiment;
+use super::schema::Experiment;
 use bounds::{check_bounds, check_builds};
 use fault::check_fault;
 use load::{check_class, check_clients, check_tenants};
--- a/lab/src/experiment/check/target.rs
+++ b/lab/src/experiment/check/target.rs
@@ -1,7 +1,7 @@
 //! Whom something meets.
 use super::names::Wrong;
 use crate::experiment::fault::Target;
-use crate::experiment::whole::Experiment;
+use crate::experiment::schema::Experiment;
 
 pub(super) fn check_target(key: &str, target: &Target, e: &Experiment) -> Result<(), Wrong> {
     let wrong = |part: &str, what: String| Err((format!("{key}.{part}"), what));
--- a/lab/src/experiment/check/tier.rs
+++ b/lab/src/experiment/check/tier.rs
@@ -33,7 +33,7 @@
                 "cores, speed and slots must be above 0",
             );
         }
-        if kind.cold_from.least <= 0.0 || kind.cold_from.most > 1.0 {
+        if kind.slow_start_from.least <= 0.0 || kind.slow_start_from.most > 1.0 {
             return wrong(
                 &format!("kind[{i}].cold_from"),
                 "must be above 0 and at most 1",
--- a/lab/src/experiment/expect.rs
+++ b/lab/src/experiment/expect.rs
@@ -1,19 +1,20 @@
-//! What the figures of a run must hold.
+//! What the metrics of a run must be.
 use super::fault::Part;
 use super::units::Span;
 use serde::Deserialize;
 
-/// A figure that an `expect` line can hold.
+/// A metric that an `expect` entry can bound.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Figure {
-    /// First tries answered within the aim, over all that were due.
+pub enum Metric {
+    /// Requests with a response within the latency target, over all that were due.
     InTime,
-    /// Worth earned over worth asked for.
-    Worth,
-    /// First tries that ended refused.
+    /// Value earned over value requested.
+    #[serde(rename = "worth")]
+    Value,
+    /// Requests that ended refused.
     Refused,
-    /// First tries that ended failed, or with no answer.
+    /// Requests that ended failed, or without a response.
     Failed,
     /// The 50th percentile of the time to the answer, in milliseconds.
     P50Ms,
@@ -27,12 +28,13 @@
     Jain,
 }
 
-/// What a figure must hold, over the whole run or a part of it.
+/// The bounds of a metric, over the complete run or a part of it.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Expect {
     /// Which.
-    pub figure: Figure,
+    #[serde(rename = "figure")]
+    pub metric: Metric,
     /// At least this.
     #[serde(default)]
     pub least: Option<f64>,
@@ -48,7 +50,7 @@
     /// Only of these requests.
     #[serde(default)]
     pub of: Part,
-    /// The bounds are parts of the same figure over this stretch: `["2s", "8s"]`.
+    /// The bounds are parts of the same metric over this stretch: `["2s", "8s"]`.
     #[serde(default)]
     pub part_of: Option<Span>,
 }
--- a/lab/src/experiment/fault.rs
+++ b/lab/src/experiment/fault.rs
@@ -52,7 +52,8 @@
     /// Every access to the disks of balancers takes `delay` longer.
     DiskSlow,
     /// Discovery sends nothing to balancers.
-    DiscoverySilent,
+    #[serde(rename = "discovery-silent")]
+    DiscoveryUnresponsive,
     /// Discovery answers with what is no list.
     DiscoveryGarbled,
     /// Discovery answers with the list as it was at the start.
--- a/lab/src/experiment/fleet.rs
+++ b/lab/src/experiment/fleet.rs
@@ -113,8 +113,9 @@
     pub add: Span,
     /// One that drains or died is listed as such after this time.
     pub notice: Span,
-    /// One that fell silent is dropped after this time.
-    pub silent_notice: Span,
+    /// One that became unresponsive is dropped after this time.
+    #[serde(rename = "silent_notice")]
+    pub unresponsive_notice: Span,
     /// Each balancer is notified of a change this much later.
     pub spread: Span,
 }
@@ -126,7 +127,7 @@
             known: true,
             add: Span::ms(300.0, 1700.0),
             notice: Span::ms(560.0, 3300.0),
-            silent_notice: Span::ms(4500.0, 14_000.0),
+            unresponsive_notice: Span::ms(4500.0, 14_000.0),
             spread: Span::ms(20.0, 400.0),
         }
     }
--- a/lab/src/experiment/load.rs
+++ b/lab/src/experiment/load.rs
@@ -41,16 +41,17 @@
     /// Time spent waiting on others, for which no core is held.
     #[serde(default = "no_time")]
     pub waits: Span,
-    /// An answer within this time earns the full worth.
-    pub aim: Span,
+    /// The latency target: a response within this time earns the full value.
+    #[serde(rename = "aim")]
+    pub latency_target: Span,
     /// A client gives up after this time, over all its tries.
     pub deadline: Span,
-    /// What an answer in time is worth.
-    #[serde(default = "unit")]
-    pub worth: f64,
-    /// The part of it that an answer between aim and deadline earns.
-    #[serde(default = "half")]
-    pub late_worth: f64,
+    /// What a response in time earns.
+    #[serde(default = "unit", rename = "worth")]
+    pub value: f64,
+    /// The part of it that a response between the latency target and the deadline earns.
+    #[serde(default = "half", rename = "late_worth")]
+    pub late_value: f64,
     /// What a repeat may do.
     #[serde(default = "safe")]
     pub effect: Effect,
--- a/lab/src/experiment/read.rs
+++ b/lab/src/experiment/read.rs
@@ -1,6 +1,6 @@
 //! Reads an experiment file: every key checked, every error on one line with file, line and key.
 use super::check::check;
-use super::whole::Experiment;
+use super::schema::Experiment;
 use std::path::Path;
 
 /// Reads and checks an experiment file. The error is one line: file, line, key, what is wrong.
--- a/lab/src/experiment/whole.rs
+++ b/lab/src/experiment/schema.rs
@@ -56,13 +56,13 @@
     /// Other builds of the balancer, or the same with other options, that part of the fleet runs.
     #[serde(default, rename = "build")]
     pub builds: Vec<Build>,
-    /// Figures for rules that have none of their own.
+    /// Metrics for rules that have none of their own.
     #[serde(default)]
     pub bounds: Bounds,
     /// What goes wrong, and when.
     #[serde(default, rename = "fault")]
     pub faults: Vec<Fault>,
-    /// What the figures must hold.
+    /// What the metrics must hold.
     #[serde(default, rename = "expect")]
     pub expects: Vec<Expect>,
 }
@@ -82,8 +82,8 @@
 impl Experiment {
     /// Whether balancers are configured to have the faults of their disks from the lab.
     pub(super) fn drills(&self) -> bool {
-        let drill = self.options.get("recovery").and_then(|r| r.get("drill"));
-        drill
+        let fault_file = self.options.get("recovery").and_then(|r| r.get("drill"));
+        fault_file
             .and_then(toml::Value::as_str)
             .is_some_and(|d| d.contains("{drill}"))
     }
--- a/lab/src/experiment/tier.rs
+++ b/lab/src/experiment/tier.rs
@@ -22,8 +22,8 @@
     #[serde(rename = "kind")]
     pub kinds: Vec<Kind>,
     /// What happens to a machine whose requests pile up.
-    #[serde(default)]
-    pub choke: Option<Choke>,
+    #[serde(default, rename = "choke")]
+    pub overload: Option<OverloadModel>,
     /// What connections cost.
     #[serde(default)]
     pub connections: Connections,
@@ -61,11 +61,11 @@
     #[serde(default = "queue")]
     pub queue: Range,
     /// A machine that starts does this part of what it can do when warm.
-    #[serde(default = "cold")]
-    pub cold_from: Range,
+    #[serde(default = "slow_start_share", rename = "cold_from")]
+    pub slow_start_from: Range,
     /// And is warm after this time at the latest.
-    #[serde(default = "cold_for")]
-    pub cold_for: Span,
+    #[serde(default = "slow_start_time", rename = "cold_for")]
+    pub slow_start_time: Span,
     /// The part of requests that it answers with an error.
     #[serde(default = "none")]
     pub errors: Range,
@@ -92,28 +92,28 @@
     }
 }
 
-fn cold() -> Range {
+fn slow_start_share() -> Range {
     Range {
         least: 0.15,
         most: 0.3,
     }
 }
 
-fn cold_for() -> Span {
+fn slow_start_time() -> Span {
     Span::ms(10_000.0, 20_000.0)
 }
 
-/// A machine that holds far more requests than it has cores gets slow, and stays so until it has been mostly idle.
+/// A machine that has far more requests in flight than it has cores gets slow, and stays so until it has been mostly idle.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Choke {
-    /// Requests held for each core from which it counts as overloaded.
+pub struct OverloadModel {
+    /// Requests in flight for each core from which it counts as overloaded.
     pub at: f64,
     /// It gets slow when overloaded for this long.
     pub over: Span,
     /// Times slower.
     pub slower: Range,
-    /// It recovers once it has held fewer than `below` for each core for this long.
+    /// It recovers once it has had fewer in flight than `below` for each core for this long.
     pub rest: Span,
     /// See `rest`.
     pub below: f64,
@@ -165,7 +165,7 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Report {
-    /// How often the figures are taken anew.
+    /// How often the metrics are taken anew.
     pub period: Span,
     /// How long after that they show.
     pub delay: Span,
--- a/lab/src/experiment/units.rs
+++ b/lab/src/experiment/units.rs
@@ -1,4 +1,4 @@
-//! Figures and times as experiment files state them: fixed, or drawn from a range. Holds the defaults that several
+//! Metrics and times as experiment files state them: fixed, or drawn from a range. Holds the defaults that several
 //! tables share.
 use serde::de::{self, Deserializer, SeqAccess, Visitor};
 use serde::Deserialize;
@@ -7,7 +7,7 @@
 /// Milliseconds: a point of a run, counted from its start, or a span.
 pub type Millis = f64;
 
-/// A figure that is fixed, or drawn evenly between two: `0.2` or `[0.1, 0.3]`.
+/// A metric that is fixed, or drawn evenly between two: `0.2` or `[0.1, 0.3]`.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Range {
     /// The least.
@@ -21,7 +21,7 @@
 pub struct Span(pub Range);
 
 impl Range {
-    /// The same figure every time.
+    /// The same metric every time.
     pub const fn fixed(value: f64) -> Range {
         Range {
             least: value,
@@ -29,7 +29,7 @@
         }
     }
 
-    /// The figure in the middle.
+    /// The metric in the middle.
     pub fn mean(&self) -> f64 {
         (self.least + self.most) / 2.0
     }
--- a/lab/src/faults/schedule.rs
+++ b/lab/src/faults/schedule.rs
@@ -77,7 +77,7 @@
             FaultKind::DatagramLoss | FaultKind::DatagramRepeat | FaultKind::DatagramDelay => {
                 self.degrade_datagrams(fault).await;
             }
-            FaultKind::DiscoverySilent => {
+            FaultKind::DiscoveryUnresponsive => {
                 self.discovery_mode(fault, DiscoveryMode::Unresponsive)
                     .await;
             }
--- a/lab/src/faults/upstreams.rs
+++ b/lab/src/faults/upstreams.rs
@@ -97,7 +97,7 @@
             }
             FaultKind::Lose => {
                 upstream.vanish();
-                announce(State::Removed, discovery.silent_notice);
+                announce(State::Removed, discovery.unresponsive_notice);
             }
             _ => {
                 upstream.end();
--- a/lab/src/machine.rs
+++ b/lab/src/machine.rs
@@ -146,17 +146,17 @@
             return 1.0;
         };
         // Capacity rises with time, or with the work done if that is more.
-        let all = self.plan.cold_for * self.plan.cores as f64 * self.plan.speed;
-        let by_time = (now - slow_start.since) / self.plan.cold_for.max(1.0);
+        let all = self.plan.slow_start_time * self.plan.cores as f64 * self.plan.speed;
+        let by_time = (now - slow_start.since) / self.plan.slow_start_time.max(1.0);
         let by_work = slow_start.done / all.max(1.0);
         let progress = by_time.max(by_work);
-        (self.plan.cold_from + (1.0 - self.plan.cold_from) * progress).min(1.0)
+        (self.plan.slow_start_from + (1.0 - self.plan.slow_start_from) * progress).min(1.0)
     }
 
     /// What each core does in a millisecond.
     fn rate(&self, now: Millis) -> f64 {
-        let degradation = match (self.degraded_since, self.plan.choke) {
-            (Some(_), Some(choke)) => choke.slower,
+        let degradation = match (self.degraded_since, self.plan.overload) {
+            (Some(_), Some(overload)) => overload.slower,
             _ => 1.0,
         };
         let capacity = 1.0 - self.plan.full_tax * self.connections;
@@ -280,7 +280,7 @@
     /// When [`Machine::on_timeout`] is to be called next.
     pub fn next_timeout(&self) -> Option<Millis> {
         let work = self.running.keys().next().map(|&(at, _)| millis(at));
-        let overload = self.plan.choke.and_then(|c| {
+        let overload = self.plan.overload.and_then(|c| {
             let slow = self
                 .overloaded_since
                 .filter(|_| self.degraded_since.is_none())
@@ -321,14 +321,16 @@
     }
 
     fn update_overload(&mut self, now: Millis) {
-        let Some(choke) = self.plan.choke else { return };
+        let Some(overload) = self.plan.overload else {
+            return;
+        };
         let in_flight_per_core = self.in_flight() as f64 / self.plan.cores as f64;
-        self.overloaded_since = if in_flight_per_core >= choke.at {
+        self.overloaded_since = if in_flight_per_core >= overload.at {
             self.overloaded_since.or(Some(now))
         } else {
             None
         };
-        self.idle_since = if in_flight_per_core < choke.below {
+        self.idle_since = if in_flight_per_core < overload.below {
             self.idle_since.or(Some(now))
         } else {
             None
@@ -336,14 +338,14 @@
         match self.degraded_since {
             None if self
                 .overloaded_since
-                .is_some_and(|at| now - at >= choke.over) =>
+                .is_some_and(|at| now - at >= overload.over) =>
             {
                 self.degraded_since = Some(now);
                 self.idle_since = None;
             }
             Some(since) => {
-                let idle = self.idle_since.is_some_and(|at| now - at >= choke.rest);
-                if idle || now - since >= choke.most {
+                let idle = self.idle_since.is_some_and(|at| now - at >= overload.rest);
+                if idle || now - since >= overload.most {
                     self.degraded_since = None;
                     self.overloaded_since = None;
                 }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -7,7 +7,7 @@
 use balancer_lab::experiment::{self, Experiment};
 use balancer_lab::guard::{stand_guard, Guard};
 use balancer_lab::programs::{builds, deploy, programs, with_options};
-use balancer_lab::results::{compare, summary, Asked, Results};
+use balancer_lab::results::{compare, summary, Results, RunArguments};
 use balancer_lab::run::{play, Stage};
 use balancer_lab::stand_in::{self, Misbehavior, Policy};
 use clap::{Parser, Subcommand};
@@ -53,7 +53,7 @@
         files: Vec<PathBuf>,
     },
     /// Measure what a balancer costs as one thing grows, and print samples and lines as markdown. docs/CAPACITY.md
-    /// has its figures from here. The program is not built first: name a release build's.
+    /// has its metrics from here. The program is not built first: name a release build's.
     Capacity(Capacity),
     /// Be a pass-through balancer, as the platform would start one. The lab starts these itself.
     #[command(hide = true)]
@@ -128,8 +128,8 @@
 
 /// How a verb ended.
 enum End {
-    Held,
-    NotHeld,
+    Passed,
+    Failed,
 }
 
 fn main() -> ExitCode {
@@ -146,12 +146,12 @@
         } => run_stand_in(policy, misbehavior),
         Verb::Guard => {
             stand_guard(std::io::stdin().lock());
-            Ok(End::Held)
+            Ok(End::Passed)
         }
     };
     match done {
-        Ok(End::Held) => ExitCode::SUCCESS,
-        Ok(End::NotHeld) => ExitCode::from(1),
+        Ok(End::Passed) => ExitCode::SUCCESS,
+        Ok(End::Failed) => ExitCode::from(1),
         Err(message) => {
             eprintln!("balancer-lab: {}", message.replace('\n', " "));
             ExitCode::from(2)
@@ -162,7 +162,7 @@
 fn run_stand_in(policy: Policy, misbehavior: Option<Misbehavior>) -> Result<End, String> {
     let runtime = runtime(2)?;
     let done = runtime.block_on(stand_in::run(policy, misbehavior));
-    done.map(|()| End::Held).map_err(|e| e.to_string())
+    done.map(|()| End::Passed).map_err(|e| e.to_string())
 }
 
 fn runtime(threads: usize) -> Result<tokio::runtime::Runtime, String> {
@@ -215,13 +215,13 @@
         build(&root, &deploy.build)?;
     }
     let plays = usize::from(run.plays);
-    let asked = Asked {
+    let arguments = RunArguments {
         seed,
         programs: programs.iter().map(|p| p.name.clone()).collect(),
         plays,
         new_draws: run.new_draws,
     };
-    let results = Results::create(&root, run.out.as_deref(), &run.file, &asked)?;
+    let results = Results::create(&root, run.out.as_deref(), &run.file, &arguments)?;
     println!("{}", e.title);
     println!(
         "seed {seed}: {} balancers, {} upstreams, {} requests in {:.0} s, {} faults",
@@ -281,38 +281,38 @@
     }
     let report = results.report(&e, &plan, &all)?;
     println!("report: {}", report.display());
-    let held = !stopped && all.iter().all(|p| p.held());
-    Ok(if held { End::Held } else { End::NotHeld })
+    let passed = !stopped && all.iter().all(|p| p.passed());
+    Ok(if passed { End::Passed } else { End::Failed })
 }
 
-fn capacity_it(asked: Capacity) -> Result<End, String> {
+fn capacity_it(arguments: Capacity) -> Result<End, String> {
     let own = std::env::current_exe().map_err(|e| e.to_string())?;
     let sweep = Sweep {
-        dimension: asked.dimension,
-        sizes: asked.sizes,
-        runs: usize::from(asked.runs),
-        span: asked.span,
-        program: asked
+        dimension: arguments.dimension,
+        sizes: arguments.sizes,
+        runs: usize::from(arguments.runs),
+        span: arguments.span,
+        program: arguments
             .program
             .unwrap_or_else(|| own.with_file_name("balancer-proxy")),
-        folder: asked.out,
+        folder: arguments.out,
     };
     let samples = sweep.measure(|sample| eprintln!("{sample:?}"))?;
     print!("{}", markdown(&sweep.dimension.name(), &samples));
-    Ok(End::Held)
+    Ok(End::Passed)
 }
 
 fn opened(folder: &Path) -> Result<(Results, Experiment, Plan), String> {
     let results = Results::open(folder)?;
-    let (asked, e) = results.asked()?;
-    let plan = draw::plan(&e, asked.seed)?;
+    let (arguments, e) = results.arguments()?;
+    let plan = draw::plan(&e, arguments.seed)?;
     Ok((results, e, plan))
 }
 
 fn compare_it(folder: &Path) -> Result<End, String> {
     let plays = Results::open(folder)?.plays()?;
     print!("{}", compare(&plays));
-    Ok(End::Held)
+    Ok(End::Passed)
 }
 
 fn report_it(folder: &Path) -> Result<End, String> {
@@ -321,7 +321,7 @@
         "{}",
         results.report(&e, &plan, &results.plays()?)?.display()
     );
-    Ok(End::Held)
+    Ok(End::Passed)
 }
 
 fn list_it(folder: &Path) -> Result<End, String> {
@@ -335,7 +335,7 @@
             Err(message) => println!("{:<40} unusable: {message}", file.display()),
         }
     }
-    Ok(End::Held)
+    Ok(End::Passed)
 }
 
 fn check_them(files: &[PathBuf]) -> Result<End, String> {
@@ -351,5 +351,5 @@
             plan.faults.len()
         );
     }
-    Ok(End::Held)
+    Ok(End::Passed)
 }
--- a/lab/src/figures/expected.rs
+++ b/lab/src/metrics/expected.rs
@@ -1,9 +1,9 @@
-//! What an experiment expects of its figures.
+//! What an experiment expects of its metrics.
 use super::played::name_of;
-use super::requests::figures;
+use super::requests::request_metrics;
 use super::traffic::{attempts, jain};
 use crate::draw::Plan;
-use crate::experiment::{Expect, Experiment, Figure, Millis, Part};
+use crate::experiment::{Expect, Experiment, Metric, Millis, Part};
 use crate::tally::{Done, How, Tally};
 
 /// Whether a request is one of these.
@@ -18,7 +18,7 @@
         && of.zone.as_ref().is_none_or(|z| e.fleet.zones[d.zone] == *z)
 }
 
-/// A figure over a stretch of the run.
+/// A metric over a stretch of the run.
 fn value(
     e: &Experiment,
     plan: &Plan,
@@ -27,25 +27,25 @@
     (from, to): (Millis, Millis),
 ) -> f64 {
     let within = |d: &Done| (from..to).contains(&d.at) && is_of(e, d, &expect.of);
-    let f = || figures(e, plan, &tally.done, within);
+    let f = || request_metrics(e, plan, &tally.done, within);
     let seconds = || {
-        let whole = |s: &usize| {
+        let is_within = |s: &usize| {
             (*s as f64) * 1000.0 >= from && ((s + 1) as f64) * 1000.0 <= to.min(plan.length)
         };
         (0..tally.seconds.len())
-            .filter(whole)
+            .filter(is_within)
             .map(|s| &tally.seconds[s])
     };
-    match expect.figure {
-        Figure::InTime => f().in_time,
-        Figure::Worth => f().worth,
-        Figure::Refused => f().refused,
-        Figure::Failed => f().failed,
-        Figure::P50Ms => f().p50_ms,
-        Figure::P99Ms => f().p99_ms,
-        Figure::Attempts => attempts(seconds()),
-        Figure::Jain => jain(e, seconds()),
-        Figure::Goodput => {
+    match expect.metric {
+        Metric::InTime => f().in_time,
+        Metric::Value => f().value,
+        Metric::Refused => f().refused,
+        Metric::Failed => f().failed,
+        Metric::P50Ms => f().p50_ms,
+        Metric::P99Ms => f().p99_ms,
+        Metric::Attempts => attempts(seconds()),
+        Metric::Jain => jain(e, seconds()),
+        Metric::Goodput => {
             // By when it came, as a machine that catches up serves what was due before.
             let to = to.min(plan.length);
             let served = tally.done.iter().filter(|d| {
@@ -59,7 +59,7 @@
 }
 
 /// The worth of a tenant's requests that were due in a stretch, as a part of what was asked for.
-pub fn worth_of(
+pub fn value_of(
     e: &Experiment,
     plan: &Plan,
     done: &[Done],
@@ -70,10 +70,10 @@
         tenant: Some(tenant.into()),
         ..Part::default()
     };
-    figures(e, plan, done, |d| {
+    request_metrics(e, plan, done, |d| {
         (from..to).contains(&d.at) && is_of(e, d, &of)
     })
-    .worth
+    .value
 }
 
 /// Which expectations a run misses, each in one line.
@@ -85,12 +85,12 @@
         let (value, part) = match expect.part_of {
             Some(s) => {
                 let (from, to) = (s.0.least, s.0.most);
-                let words = format!(" of that from {:.0} to {:.0} s", from / 1000.0, to / 1000.0);
-                (own / value(e, plan, tally, expect, (from, to)), words)
+                let stretch = format!(" of that from {:.0} to {:.0} s", from / 1000.0, to / 1000.0);
+                (own / value(e, plan, tally, expect, (from, to)), stretch)
             }
             None => (own, String::new()),
         };
-        let mut name = name_of(expect.figure);
+        let mut name = name_of(expect.metric);
         for (what, of) in [
             ("tenant", &expect.of.tenant),
             ("class", &expect.of.class),
@@ -108,13 +108,13 @@
             .least
             .filter(|&least| value.is_nan() || value < least);
         let high = expect.most.filter(|&most| value.is_nan() || value > most);
-        let (bound, word) = match (low, high) {
+        let (bound, bound_name) = match (low, high) {
             (Some(least), _) => (least, "least"),
             (None, Some(most)) => (most, "most"),
             (None, None) => return None,
         };
         Some(format!(
-            "{name} from {over} is {value:.3}{part}, expected at {word} {bound}"
+            "{name} from {over} is {value:.3}{part}, expected at {bound_name} {bound}"
         ))
     };
     e.expects.iter().filter_map(check).collect()
--- a/lab/src/figures/played.rs
+++ b/lab/src/metrics/played.rs
@@ -1,6 +1,6 @@
 //! One play of one program, as it is stored.
-use super::comeback::Comeback;
-use super::requests::Figures;
+use super::recovery::Recovery;
+use super::requests::RequestMetrics;
 use super::traffic::{Datagrams, Tier, Traffic};
 use crate::experiment::Millis;
 use crate::oracle::{Rule, Violation};
@@ -23,9 +23,9 @@
     pub counts: bool,
 }
 
-/// What one balancer held at the most.
+/// What one balancer used at most.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Held {
+pub struct ResourceUsage {
     /// Its name.
     pub name: String,
     /// Memory, in kilobytes.
@@ -47,10 +47,11 @@
     pub play: usize,
     /// The seed.
     pub seed: u64,
-    /// Figures of the whole run.
-    pub figures: Figures,
+    /// Metrics of the complete run.
+    #[serde(rename = "figures")]
+    pub metrics: RequestMetrics,
     /// By class, tenant and zone.
-    pub by: BTreeMap<String, Figures>,
+    pub by: BTreeMap<String, RequestMetrics>,
     /// What passed.
     pub traffic: Traffic,
     /// What balancers sent to each other.
@@ -60,8 +61,8 @@
     #[serde(default)]
     pub tier: Option<Tier>,
     /// How the fleet came back, if anything stopped balancers.
-    #[serde(default)]
-    pub comeback: Option<Comeback>,
+    #[serde(default, rename = "comeback")]
+    pub recovery: Option<Recovery>,
     /// The lab's own lateness.
     pub lateness: Lateness,
     /// Violations of rules, the first of each.
@@ -74,8 +75,9 @@
     pub effects_twice: u64,
     /// Expectations that were missed.
     pub missed: Vec<String>,
-    /// What each balancer held.
-    pub held: Vec<Held>,
+    /// What each balancer used at most.
+    #[serde(rename = "held")]
+    pub usage: Vec<ResourceUsage>,
     /// It was stopped by hand before its end.
     pub stopped: bool,
     /// Every request and every second.
@@ -119,12 +121,12 @@
 
 impl Played {
     /// Whether all rules were kept, all expectations met, and the run counts.
-    pub fn held(&self) -> bool {
+    pub fn passed(&self) -> bool {
         self.counts.is_empty() && self.missed.is_empty() && self.lateness.counts && !self.stopped
     }
 }
 
-/// Mean of some figures, and half the distance from the least to the most.
+/// Mean of some metrics, and half the distance from the least to the most.
 pub fn mean_and_spread(values: &[f64]) -> (f64, f64) {
     let mean = values.iter().sum::<f64>() / values.len().max(1) as f64;
     let least = values.iter().copied().fold(f64::INFINITY, f64::min);
--- a/lab/src/figures/comeback.rs
+++ b/lab/src/metrics/recovery.rs
@@ -1,5 +1,5 @@
 //! How a fleet came back from the first fault that stops balancers.
-use super::requests::figures;
+use super::requests::request_metrics;
 use crate::draw::Plan;
 use crate::experiment::{Experiment, FaultKind, Millis};
 use crate::tally::Tally;
@@ -7,16 +7,18 @@
 
 /// How a fleet came back from the first fault that stops balancers.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Comeback {
+pub struct Recovery {
     /// From a process's being begun to its first answer that was served: the median, and the longest, over all that
     /// were begun again, in milliseconds. Those that never served count as infinite, which is written as nothing.
     pub served_ms: Option<f64>,
     /// See there.
     pub served_most_ms: Option<f64>,
     /// Worth before the fault, and over the time after it began that is looked at, as a part of what was asked for.
-    pub worth_before: f64,
+    #[serde(rename = "worth_before")]
+    pub value_before: f64,
     /// See there.
-    pub worth_after: f64,
+    #[serde(rename = "worth_after")]
+    pub value_after: f64,
     /// From the first of them being begun again to the first half second whose worth is 95 of 100 of that before the
     /// fault, in milliseconds; nothing if there is none.
     pub back_ms: Option<f64>,
@@ -33,7 +35,7 @@
 const BACK: f64 = 0.95;
 
 /// How the fleet came back, if anything stopped balancers.
-pub fn comeback(e: &Experiment, plan: &Plan, tally: &Tally) -> Option<Comeback> {
+pub fn recovery(e: &Experiment, plan: &Plan, tally: &Tally) -> Option<Recovery> {
     let stops = |kind| {
         matches!(
             kind,
@@ -56,19 +58,19 @@
     took.sort_by(f64::total_cmp);
     let finite = |t: Option<&f64>| t.copied().filter(|t| t.is_finite());
     let first = again.map(|s| s.at).fold(f64::INFINITY, f64::min);
-    let worth = |from: Millis, to: Millis| {
-        figures(e, plan, &tally.done, |d| (from..to).contains(&d.at)).worth
+    let value = |from: Millis, to: Millis| {
+        request_metrics(e, plan, &tally.done, |d| (from..to).contains(&d.at)).value
     };
-    let before = worth(0.0, fault.at);
+    let before = value(0.0, fault.at);
     let mut windows = (0..)
         .map(|n| first + STEP * f64::from(n))
         .take_while(|t| t + WINDOW <= plan.length);
-    let back = windows.find(|&t| worth(t, t + WINDOW) >= BACK * before);
-    Some(Comeback {
+    let back = windows.find(|&t| value(t, t + WINDOW) >= BACK * before);
+    Some(Recovery {
         served_ms: finite(took.get(took.len() / 2)),
         served_most_ms: finite(took.last()),
-        worth_before: before,
-        worth_after: worth(fault.at, fault.at + AFTER),
+        value_before: before,
+        value_after: value(fault.at, fault.at + AFTER),
         back_ms: back.map(|t| t - first),
     })
 }
--- a/lab/src/figures/traffic.rs
+++ b/lab/src/metrics/traffic.rs
@@ -47,13 +47,14 @@
 /// Jain's index of the time that tenants' attempts spent at upstreams, each over its share: 1 where all have the same
 /// for their share, and one over their number where one has everything.
 pub fn jain<'a>(e: &Experiment, seconds: impl Iterator<Item = &'a Second>) -> f64 {
-    let mut held = vec![0.0; e.tenants.len()];
+    let mut upstream_time = vec![0.0; e.tenants.len()];
     for second in seconds {
-        held.iter_mut()
-            .zip(&second.held)
+        upstream_time
+            .iter_mut()
+            .zip(&second.upstream_time)
             .for_each(|(sum, ms)| *sum += ms);
     }
-    let each: Vec<f64> = held
+    let each: Vec<f64> = upstream_time
         .iter()
         .zip(&e.tenants)
         .map(|(ms, t)| ms / t.share)
@@ -83,7 +84,8 @@
     /// Others newly suspected, and taken for gone, and changes of the version spoken, over all balancers' last starts.
     pub suspected: u64,
     /// See there.
-    pub gone: u64,
+    #[serde(rename = "gone")]
+    pub departed: u64,
     /// See there.
     pub steps: u64,
 }
--- a/lab/src/net/link.rs
+++ b/lab/src/net/link.rs
@@ -78,7 +78,7 @@
     }
 
     /// Whether nothing new comes up on it.
-    pub fn is_silent(&self) -> bool {
+    pub fn is_unresponsive(&self) -> bool {
         self.is_cut(Direction::Inward) || self.is_cut(Direction::Outward)
     }
 
--- a/lab/src/net/port.rs
+++ b/lab/src/net/port.rs
@@ -16,7 +16,7 @@
     /// Refuses them, as a machine does on which nobody listens.
     Refusing,
     /// Lets them hang, as a network does that drops packets.
-    Silent,
+    Unresponsive,
 }
 
 /// Listens at an address.
@@ -65,7 +65,7 @@
             return Ok(());
         };
         match mode {
-            Manner::Silent if self.fillers.is_empty() => {
+            Manner::Unresponsive if self.fillers.is_empty() => {
                 // The queue takes one more than its stated length; what comes after that is dropped unanswered.
                 SockRef::from(listener).listen(0)?;
                 for _ in 0..2 {
--- a/lab/src/net/stream.rs
+++ b/lab/src/net/stream.rs
@@ -76,7 +76,7 @@
 /// Connects to a balancer on a link. While it is silent nothing comes up.
 pub async fn connect(to: SocketAddr, link: &Arc<Link>) -> io::Result<LinkedStream> {
     let mut changes = link.changes();
-    while link.is_silent() {
+    while link.is_unresponsive() {
         if changes.changed().await.is_err() {
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
--- a/lab/src/oracle/tries.rs
+++ b/lab/src/oracle/client_calls.rs
@@ -14,7 +14,7 @@
     }
 }
 
-pub(super) struct Try {
+pub(super) struct ClientCall {
     pub class: usize,
     pub balancer: usize,
     pub deadline: Millis,
@@ -24,7 +24,7 @@
     pub served: Vec<u64>,
 }
 
-impl Try {
+impl ClientCall {
     /// Whether an attempt of it may have run.
     pub(super) fn ran(&self) -> bool {
         self.attempts.iter().any(Attempt::may_have_run)
--- a/lab/src/oracle/facts.rs
+++ b/lab/src/oracle/facts.rs
@@ -18,7 +18,7 @@
     /// So did a new one, on its first request.
     Turned,
     /// Nothing came, and the client waits no longer.
-    Silence,
+    TimedOut,
     /// The client left by itself.
     Left,
 }
@@ -91,7 +91,7 @@
     pub drain_grace: Millis,
     /// Tier and place in its list of each balancer.
     pub members: Vec<(usize, usize)>,
-    /// Figures of the rules that have none of their own.
+    /// Metrics of the rules that have none of their own.
     pub limits: Limits,
 }
 
@@ -111,14 +111,14 @@
             Final::Served(_) => self.served += 1,
             Final::Refused => self.refused += 1,
             Final::Failed => self.failed += 1,
-            Final::Partial | Final::Ended | Final::Turned | Final::Silence | Final::Left => {
+            Final::Partial | Final::Ended | Final::Turned | Final::TimedOut | Final::Left => {
                 self.unclear += 1
             }
         }
     }
 }
 
-/// Figures of rules that depend on the experiment.
+/// Metrics of rules that depend on the experiment.
 #[derive(Clone, Debug, Default)]
 pub struct Limits {
     /// How long an announcement of a member's versions may be in transit.
--- a/lab/src/oracle/judge.rs
+++ b/lab/src/oracle/judge.rs
@@ -1,5 +1,6 @@
 //! The oracle itself: takes what the stand-ins saw and hands it to the rules. Owns the tries that are remembered and
 //! when each balancer could not act.
+use super::client_calls::{Attempt, ClientCall};
 use super::facts::{ClassRules, End, Final, Parts, Place, Seen};
 use super::findings::{Findings, Suspect, Violation};
 use super::peers::Peers;
@@ -8,11 +9,10 @@
 use super::rules::lost::{Case, Turned, ANSWER_GRACE};
 use super::rules::trials::Counts;
 use super::rules::{
-    after_end, attempts, drained::Notifications, effects::Effects, invented, refused, repeated,
-    two_out, SLACK,
+    after_end, attempts, concurrent_attempts, drained::Notifications, effects::Effects, invented,
+    refused, repeated, SLACK,
 };
 use super::rules::{in_share, stale};
-use super::tries::{Attempt, Try};
 use crate::experiment::Millis;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
@@ -26,7 +26,7 @@
     names: Vec<String>,
     upstreams: Vec<String>,
     attempts_most: usize,
-    tries: HashMap<u64, Try>,
+    client_calls: HashMap<u64, ClientCall>,
     old: VecDeque<(Millis, u64)>,
     notified: Notifications,
     /// When each balancer could not act, or could not be reached.
@@ -51,7 +51,7 @@
             names: parts.balancers,
             upstreams: parts.upstreams,
             attempts_most: parts.attempts_most,
-            tries: HashMap::new(),
+            client_calls: HashMap::new(),
             old: VecDeque::new(),
             notified: Notifications::new(parts.drain_grace),
             excused: HashMap::new(),
@@ -106,7 +106,7 @@
 
     /// A client has written a request whole to a balancer.
     pub fn taken(&mut self, now: Millis, id: u64, class: usize, balancer: usize, deadline: Millis) {
-        let fresh = Try {
+        let fresh = ClientCall {
             class,
             balancer,
             deadline,
@@ -115,7 +115,7 @@
             served: Vec::new(),
         };
         // An attempt may have been seen a moment before the client's own note of its last byte.
-        let known = self.tries.entry(id).or_insert_with(|| {
+        let known = self.client_calls.entry(id).or_insert_with(|| {
             self.seen[balancer].taken += 1;
             fresh
         });
@@ -126,7 +126,7 @@
             .is_some_and(|&(at, _)| at < now - REMEMBERED)
         {
             if let Some((_, id)) = self.old.pop_front() {
-                self.tries.remove(&id);
+                self.client_calls.remove(&id);
             }
         }
     }
@@ -163,13 +163,15 @@
     }
 
     /// Whether an attempt of a request has reached an upstream.
-    pub fn sent_on(&self, id: u64) -> bool {
-        self.tries.get(&id).is_some_and(|t| !t.attempts.is_empty())
+    pub fn was_forwarded(&self, id: u64) -> bool {
+        self.client_calls
+            .get(&id)
+            .is_some_and(|t| !t.attempts.is_empty())
     }
 
     /// How a request ended for its client.
     pub fn ended(&mut self, now: Millis, id: u64, how: Final) {
-        let Some(t) = self.tries.get_mut(&id) else {
+        let Some(t) = self.client_calls.get_mut(&id) else {
             return;
         };
         if t.over.is_some() {
@@ -181,7 +183,7 @@
         let balancer = t.balancer;
         self.seen[balancer].ended(how);
         let excused = self.is_excused(balancer, now - ANSWER_GRACE - SLACK, now + SLACK);
-        let (Some(t), name) = (self.tries.get(&id), &self.names[balancer]) else {
+        let (Some(t), name) = (self.client_calls.get(&id), &self.names[balancer]) else {
             return;
         };
         // The first that is wrong names the case.
@@ -261,7 +263,7 @@
         if let Some(case) = self.notified.case(now, &route, id, balancer, upstream) {
             self.suspects(now, Rule::Drained, case);
         }
-        let Some(t) = self.tries.get_mut(&id) else {
+        let Some(t) = self.client_calls.get_mut(&id) else {
             self.breaks(
                 now,
                 Rule::Foreign,
@@ -311,7 +313,7 @@
     /// An attempt is over at its upstream. `hidden`: the link to it was cut meanwhile, so that an earlier end could
     /// not be seen.
     pub fn attempt_ended(&mut self, now: Millis, id: u64, number: usize, end: End, hidden: bool) {
-        let Some(t) = self.tries.get_mut(&id) else {
+        let Some(t) = self.client_calls.get_mut(&id) else {
             return;
         };
         let Some(attempt) = t.attempts.get_mut(number) else {
@@ -324,10 +326,10 @@
         let two = if hidden {
             None
         } else {
-            two_out::case(now, &self.names[t.balancer], id, t, number)
+            concurrent_attempts::case(now, &self.names[t.balancer], id, t, number)
         };
         if let Some(case) = two {
-            self.suspects(now, Rule::TwoOut, case);
+            self.suspects(now, Rule::ConcurrentAttempts, case);
         }
     }
 
@@ -346,13 +348,13 @@
     /// Everything is over: what has no end by now never gets one.
     pub fn finish(&mut self, now: Millis) {
         let open: Vec<u64> = self
-            .tries
+            .client_calls
             .iter()
             .filter(|(_, t)| t.over.is_none())
             .map(|(&id, _)| id)
             .collect();
         for id in open {
-            self.ended(now, id, Final::Silence);
+            self.ended(now, id, Final::TimedOut);
         }
         if let Some(case) = self.turned.too_many(self.checked) {
             self.breaks(now, Rule::Lost, case);
--- a/lab/src/oracle/members.rs
+++ b/lab/src/oracle/members.rs
@@ -92,7 +92,7 @@
     }
 
     /// It sends this.
-    pub(super) fn speaks(&mut self, b: usize, header: &Header, now: Millis) {
+    pub(super) fn record_version(&mut self, b: usize, header: &Header, now: Millis) {
         let m = &mut self.all[b];
         // What it sent before it was ended may be read after.
         if !m.runs {
--- a/lab/src/oracle/mod.rs
+++ b/lab/src/oracle/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Sans-I/O: every stand-in reports to it what it saw and when. A violation of a rule is recorded with its case, and
 //! the run goes on.
+mod client_calls;
 mod facts;
 mod findings;
 mod header;
@@ -10,7 +11,6 @@
 mod peers;
 mod rule;
 mod rules;
-mod tries;
 
 pub use facts::{ClassRules, End, Final, Limits, Parts, Place, Seen};
 pub use findings::Violation;
--- a/lab/src/oracle/peers.rs
+++ b/lab/src/oracle/peers.rs
@@ -50,7 +50,7 @@
             ..
         } = header;
         let mut found = Vec::new();
-        self.members.speaks(from, &header, now);
+        self.members.record_version(from, &header, now);
         if let Some((other, (least, most))) = self.versions.sent(now, from, version, &self.members)
         {
             let case = format!(
--- a/lab/src/oracle/rule.rs
+++ b/lab/src/oracle/rule.rs
@@ -14,7 +14,8 @@
     /// A refusal promises that nothing ran.
     Refused,
     /// One attempt is out at a time.
-    TwoOut,
+    #[serde(rename = "two-out")]
+    ConcurrentAttempts,
     /// No more attempts than the settings allow.
     Attempts,
     /// Nothing is sent for a request after its end.
@@ -22,7 +23,8 @@
     /// Nothing new goes to an upstream that drains, after the grace.
     Drained,
     /// No cold upstream is pushed over by all balancers together.
-    Tipped,
+    #[serde(rename = "tipped")]
+    Overloaded,
     /// What reaches an upstream was sent by a client.
     Foreign,
     /// Memory stays within its limit.
@@ -52,7 +54,8 @@
     /// Nothing shared is acted on beyond its stated age.
     Stale,
     /// What a balancer counts of itself is what others saw of it.
-    Figures,
+    #[serde(rename = "figures")]
+    Metrics,
     /// The number of a balancer's start grows with each, whatever becomes of its folder.
     Numbered,
 }
@@ -64,11 +67,11 @@
         Rule::Invented,
         Rule::Repeated,
         Rule::Refused,
-        Rule::TwoOut,
+        Rule::ConcurrentAttempts,
         Rule::Attempts,
         Rule::AfterEnd,
         Rule::Drained,
-        Rule::Tipped,
+        Rule::Overloaded,
         Rule::Foreign,
         Rule::Memory,
         Rule::Descriptors,
@@ -83,7 +86,7 @@
         Rule::Trials,
         Rule::InShare,
         Rule::Stale,
-        Rule::Figures,
+        Rule::Metrics,
         Rule::Numbered,
     ];
 
@@ -94,11 +97,11 @@
             Rule::Invented => "what is served was made by an upstream for this request",
             Rule::Repeated => "sent again only as its class allows",
             Rule::Refused => "a refusal promises that nothing ran",
-            Rule::TwoOut => "one attempt out at a time",
+            Rule::ConcurrentAttempts => "one attempt out at a time",
             Rule::Attempts => "no more attempts than the settings allow",
             Rule::AfterEnd => "nothing sent for a request after its end",
             Rule::Drained => "nothing new to an upstream that drains, after the grace",
-            Rule::Tipped => "no cold upstream pushed over by all together",
+            Rule::Overloaded => "no cold upstream pushed over by all together",
             Rule::Foreign => "what reaches an upstream was sent by a client",
             Rule::Memory => "memory within its limit",
             Rule::Descriptors => "descriptors within their limit",
@@ -113,7 +116,7 @@
             Rule::Trials => "trials of a zone that does no good within their number",
             Rule::InShare => "a tenant within its share keeps its worth",
             Rule::Stale => "nothing shared is acted on beyond its age",
-            Rule::Figures => "what a balancer counts is what others saw",
+            Rule::Metrics => "what a balancer counts is what others saw",
             Rule::Numbered => "the number of a start grows with each",
         }
     }
--- a/lab/src/oracle/rules/budget.rs
+++ b/lab/src/oracle/rules/budget.rs
@@ -5,7 +5,7 @@
 
 /// What is counted together, in seconds.
 const WINDOW: usize = 5;
-/// A window may have so many in any case: a part of next to nothing is no figure.
+/// A window may have so many in any case: a part of next to nothing is no metric.
 const SPARE: f64 = 20.0;
 
 /// First and further attempts of one second.
@@ -34,12 +34,12 @@
         let mut case = None;
         if seconds.back().is_none_or(|s| s.0 < second) {
             // One that is over is judged once.
-            let (firsts, further) = seconds
+            let (firsts, retries) = seconds
                 .iter()
                 .fold((0, 0), |sum, s| (sum.0 + s.1, sum.1 + s.2));
-            if further as f64 > part * firsts as f64 + SPARE {
+            if retries as f64 > part * firsts as f64 + SPARE {
                 case = Some(format!(
-                    "{further} further attempts beside {firsts} first ones in {WINDOW} s"
+                    "{retries} further attempts beside {firsts} first ones in {WINDOW} s"
                 ));
             }
             seconds.push_back((second, 0, 0));
--- a/lab/src/oracle/rules/invented.rs
+++ b/lab/src/oracle/rules/invented.rs
@@ -1,8 +1,8 @@
 //! What is served was made by an upstream for this request.
+use crate::oracle::client_calls::ClientCall;
 use crate::oracle::facts::Final;
-use crate::oracle::tries::Try;
 
-pub(crate) fn case(name: &str, id: u64, t: &Try, how: Final) -> Option<String> {
+pub(crate) fn case(name: &str, id: u64, t: &ClientCall, how: Final) -> Option<String> {
     let Final::Served(mark) = how else {
         return None;
     };
--- a/lab/src/oracle/rules/lost.rs
+++ b/lab/src/oracle/rules/lost.rs
@@ -2,8 +2,8 @@
 //! were closed on their first request, of which a few may be.
 use super::SLACK;
 use crate::experiment::Millis;
+use crate::oracle::client_calls::ClientCall;
 use crate::oracle::facts::Final;
-use crate::oracle::tries::Try;
 
 /// An answer may come this long after its time; it earns nothing then, and one that comes later is lost.
 pub const ANSWER_GRACE: Millis = 500.0;
@@ -29,7 +29,7 @@
         now: Millis,
         name: &str,
         id: u64,
-        t: &Try,
+        t: &ClientCall,
         how: Final,
     ) -> Option<Case> {
         match how {
@@ -37,8 +37,8 @@
                 self.0 += 1;
                 None
             }
-            Final::Ended | Final::Turned | Final::Silence => {
-                let what = if how == Final::Silence {
+            Final::Ended | Final::Turned | Final::TimedOut => {
+                let what = if how == Final::TimedOut {
                     "said nothing in its time"
                 } else {
                     "ended its connection"
--- a/lab/src/oracle/rules/mod.rs
+++ b/lab/src/oracle/rules/mod.rs
@@ -3,6 +3,7 @@
 pub(super) mod agreed;
 pub(super) mod attempts;
 pub(super) mod budget;
+pub(super) mod concurrent_attempts;
 pub(super) mod drained;
 pub(super) mod effects;
 pub(super) mod epoch;
@@ -13,7 +14,6 @@
 pub(super) mod repeated;
 pub(super) mod stale;
 pub(super) mod trials;
-pub(super) mod two_out;
 pub(super) mod version;
 
 use crate::experiment::Millis;
--- a/lab/src/oracle/rules/repeated.rs
+++ b/lab/src/oracle/rules/repeated.rs
@@ -1,13 +1,13 @@
 //! A request that may have run is sent again only as its class allows.
 use super::SLACK;
 use crate::experiment::{Effect, Millis};
+use crate::oracle::client_calls::ClientCall;
 use crate::oracle::facts::{group, ClassRules, Place};
-use crate::oracle::tries::Try;
 
 /// The upstream at which a request may have run, so that it must not go to this one now.
 pub(crate) fn ran_at(
     now: Millis,
-    t: &Try,
+    t: &ClientCall,
     class: ClassRules,
     places: &[Place],
     upstream: usize,
--- a/lab/src/oracle/rules/stale.rs
+++ b/lab/src/oracle/rules/stale.rs
@@ -1,4 +1,4 @@
-//! Nothing shared is acted on beyond its stated age, as far as a balancer's figures report what it acts on.
+//! Nothing shared is acted on beyond its stated age, as far as a balancer's metrics report what it acts on.
 use crate::experiment::Millis;
 
 pub(crate) fn case(name: &str, what: &str, age: Millis, most: Millis) -> Option<String> {
--- a/lab/src/process/config.rs
+++ b/lab/src/process/config.rs
@@ -98,8 +98,8 @@
                 "effect": effect,
                 "dedup_scope": scope,
                 "repeat_window": class.window.0.mean(),
-                "late_worth": class.late_worth,
-                "importance": class.worth,
+                "late_worth": class.late_value,
+                "importance": class.value,
                 "streaming": false
             })
         })
@@ -155,11 +155,11 @@
     let rules = &experiment.balancer;
     let slow_start_from = kinds
         .iter()
-        .map(|kind| kind.cold_from.least)
+        .map(|kind| kind.slow_start_from.least)
         .fold(1.0, f64::min);
     let slow_start_time: Millis = kinds
         .iter()
-        .map(|kind| kind.cold_for.0.most)
+        .map(|kind| kind.slow_start_time.0.most)
         .fold(0.0, f64::max);
     json!({
         "ask_within": 10000.0,
--- a/lab/src/report/page.rs
+++ b/lab/src/report/page.rs
@@ -5,7 +5,7 @@
 use super::tables::{write_details, write_summary, write_verdicts};
 use crate::draw::Plan;
 use crate::experiment::Experiment;
-use crate::figures::Played;
+use crate::metrics::Played;
 use std::fmt::Write;
 
 const STYLE: &str = "body{font:15px/1.5 system-ui,sans-serif;max-width:960px;margin:2em auto;padding:0 1em;color:#222}\
@@ -36,7 +36,7 @@
 }
 
 fn write_head(html: &mut String, experiment: &Experiment, plays: &[Played]) {
-    let (class, verdict) = if plays.iter().all(Played::held) {
+    let (class, verdict) = if plays.iter().all(Played::passed) {
         ("good", "Every rule was kept and every expectation met.")
     } else {
         ("bad", "Not held: see below what was broken.")
--- a/lab/src/report/plot.rs
+++ b/lab/src/report/plot.rs
@@ -56,8 +56,8 @@
 }
 
 impl Plot<'_> {
-    /// Draws the plot as an HTML figure.
-    pub(super) fn figure(&self) -> Result<String, PlotError> {
+    /// Draws the plot as an HTML metric.
+    pub(super) fn metric(&self) -> Result<String, PlotError> {
         let mut svg = String::new();
         {
             let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
--- a/lab/src/report/plots.rs
+++ b/lab/src/report/plots.rs
@@ -3,7 +3,7 @@
 use crate::clock::histogram;
 use crate::draw::Plan;
 use crate::experiment::Experiment;
-use crate::figures::{figures, Figures, Played};
+use crate::metrics::{request_metrics, Played, RequestMetrics};
 use crate::tally::{Done, How, Second};
 
 /// A metric over the requests that were due in each second.
@@ -12,7 +12,7 @@
     unit: &'static str,
     /// The highest value that the metric can have, if there is one.
     top: Option<f64>,
-    value: fn(&Figures) -> f64,
+    value: fn(&RequestMetrics) -> f64,
 }
 
 const METRIC_PLOTS: [MetricPlot; 5] = [
@@ -20,7 +20,7 @@
         title: "Worth served, of what was asked for",
         unit: "part",
         top: Some(1.0),
-        value: |metrics| metrics.worth,
+        value: |metrics| metrics.value,
     },
     MetricPlot {
         title: "Answered in time",
@@ -119,7 +119,7 @@
             lines: &lines,
             faults: self.faults,
         }
-        .figure()
+        .metric()
     }
 
     fn percentiles(&self) -> Result<String, PlotError> {
@@ -132,7 +132,7 @@
             lines: &lines,
             faults: &[],
         }
-        .figure()
+        .metric()
     }
 
     /// Attempts at the upstreams of each zone, for one program.
@@ -155,7 +155,7 @@
             lines: &lines,
             faults: self.faults,
         }
-        .figure()
+        .metric()
     }
 
     fn count(&self, count: &CountPlot) -> Result<String, PlotError> {
@@ -172,7 +172,7 @@
             lines: &lines,
             faults: self.faults,
         }
-        .figure()
+        .metric()
     }
 
     /// The points of a count. The second in which the last responses come is no full one, and left out.
@@ -185,7 +185,11 @@
     }
 
     /// The points of a metric, over the requests that were due in each second.
-    fn metric_by_second(&self, play: &Played, value: fn(&Figures) -> f64) -> Vec<(f64, f64)> {
+    fn metric_by_second(
+        &self,
+        play: &Played,
+        value: fn(&RequestMetrics) -> f64,
+    ) -> Vec<(f64, f64)> {
         let seconds = (self.plan.length / 1000.0).ceil() as usize;
         let mut by_second: Vec<Vec<Done>> = vec![Vec::new(); seconds];
         for done in &play.tally.done {
@@ -193,7 +197,7 @@
                 second.push(done.clone());
             }
         }
-        let metrics = |done: &[Done]| figures(self.experiment, self.plan, done, |_| true);
+        let metrics = |done: &[Done]| request_metrics(self.experiment, self.plan, done, |_| true);
         // A second in which nothing was due has no share of anything.
         by_second
             .iter()
--- a/lab/src/report/tables.rs
+++ b/lab/src/report/tables.rs
@@ -1,19 +1,19 @@
 //! The tables of the page, and the list of what was broken.
 use super::html::{escape, percent};
-use crate::figures::{Figures, Held, Played};
+use crate::metrics::{Played, RequestMetrics, ResourceUsage};
 use std::fmt::Write;
 
 /// Cases written for each rule that was broken.
 const CASES_SHOWN: usize = 5;
 
 /// Writes one row: a name, and its metrics.
-fn write_row(html: &mut String, name: &str, metrics: &Figures) {
+fn write_row(html: &mut String, name: &str, metrics: &RequestMetrics) {
     let _ = write!(
         html,
         "<tr><td>{}</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td><td>{:.0}</td><td>{:.0}</td></tr>",
         escape(name),
         metrics.due,
-        percent(metrics.worth),
+        percent(metrics.value),
         percent(metrics.in_time),
         percent(metrics.late),
         percent(metrics.refused),
@@ -35,7 +35,7 @@
         write_row(
             html,
             &format!("{}, {}", play.program, play.play + 1),
-            &play.figures,
+            &play.metrics,
         );
     }
     html.push_str(
@@ -53,8 +53,8 @@
             traffic.crossings,
             traffic.connections,
             traffic.declined,
-            play.figures.tries,
-            percent(traffic.wasted), play.figures.added_p50_ms, play.figures.added_p99_ms, play.lateness.p99_ms
+            play.metrics.client_attempts,
+            percent(traffic.wasted), play.metrics.added_p50_ms, play.metrics.added_p99_ms, play.lateness.p99_ms
         );
     }
     html.push_str("</table>");
@@ -62,7 +62,7 @@
 
 /// Writes what was broken or missed in each play that did not hold.
 pub(super) fn write_verdicts(html: &mut String, plays: &[Played]) {
-    for play in plays.iter().filter(|play| !play.held()) {
+    for play in plays.iter().filter(|play| !play.passed()) {
         let _ = write!(
             html,
             "<h2>{}, play {}</h2><ul>",
@@ -125,7 +125,7 @@
     for (name, metrics) in &play.by {
         write_row(html, name, metrics);
     }
-    let max = |of: fn(&Held) -> f64| play.held.iter().map(of).fold(0.0, f64::max);
+    let max = |of: fn(&ResourceUsage) -> f64| play.usage.iter().map(of).fold(0.0, f64::max);
     let _ = write!(
         html,
         "</table><p>{} requests and calls were checked to their end. Keyed requests whose effect came about more than once: {}. \
@@ -135,6 +135,6 @@
         max(|h| h.memory_kb as f64 / 1024.0),
         max(|h| h.descriptors as f64),
         max(|h| h.cpu_s),
-        play.held.iter().map(|h| h.cpu_s).sum::<f64>()
+        play.usage.iter().map(|h| h.cpu_s).sum::<f64>()
     );
 }
--- a/lab/src/results/compare.rs
+++ b/lab/src/results/compare.rs
@@ -1,22 +1,22 @@
 //! Programs set side by side.
-use crate::figures::{mean_and_spread, Comeback, Played, Tier};
+use crate::metrics::{mean_and_spread, Played, Recovery, Tier};
 use std::fmt::Write;
 
-/// Figures set side by side: a name, and where it stands.
+/// Metrics set side by side: a name, and where it stands.
 type Column = (&'static str, fn(&Played) -> f64);
 
 const COMPARED: [Column; 25] = [
-    ("worth", |p| p.figures.worth),
-    ("in time", |p| p.figures.in_time),
-    ("late", |p| p.figures.late),
-    ("refused", |p| p.figures.refused),
-    ("failed", |p| p.figures.failed),
-    ("p50 ms", |p| p.figures.p50_ms),
-    ("p99 ms", |p| p.figures.p99_ms),
-    ("added p50 ms", |p| p.figures.added_p50_ms),
-    ("added p99 ms", |p| p.figures.added_p99_ms),
+    ("worth", |p| p.metrics.value),
+    ("in time", |p| p.metrics.in_time),
+    ("late", |p| p.metrics.late),
+    ("refused", |p| p.metrics.refused),
+    ("failed", |p| p.metrics.failed),
+    ("p50 ms", |p| p.metrics.p50_ms),
+    ("p99 ms", |p| p.metrics.p99_ms),
+    ("added p50 ms", |p| p.metrics.added_p50_ms),
+    ("added p99 ms", |p| p.metrics.added_p99_ms),
     ("busiest CPU s", |p| {
-        p.held.iter().map(|h| h.cpu_s).fold(0.0, f64::max)
+        p.usage.iter().map(|h| h.cpu_s).fold(0.0, f64::max)
     }),
     ("attempts/first", |p| p.traffic.attempts_a_first),
     ("datagrams/s", |p| p.datagrams.a_second),
@@ -29,34 +29,34 @@
     ("crossings", |p| p.traffic.crossings),
     ("connections", |p| p.traffic.connections),
     ("work wasted", |p| p.traffic.wasted),
-    ("exec to served", |p| of_comeback(p, |c| c.served_ms)),
-    ("  longest, ms", |p| of_comeback(p, |c| c.served_most_ms)),
+    ("exec to served", |p| of_recovery(p, |c| c.served_ms)),
+    ("  longest, ms", |p| of_recovery(p, |c| c.served_most_ms)),
     ("worth, 15 s on", |p| {
-        of_comeback(p, |c| Some(c.worth_after))
+        of_recovery(p, |c| Some(c.value_after))
     }),
-    ("back after ms", |p| of_comeback(p, |c| c.back_ms)),
+    ("back after ms", |p| of_recovery(p, |c| c.back_ms)),
 ];
 
-/// A figure that is not known beforehand.
+/// A metric that is not known beforehand.
 type Value = Box<dyn Fn(&Played) -> f64>;
 
-/// Figures whose differences are shown play by play.
+/// Metrics whose differences are shown play by play.
 const SHOWN: [Column; 5] = [
-    ("worth", |p| p.figures.worth),
-    ("refused", |p| p.figures.refused),
-    ("failed", |p| p.figures.failed),
-    ("p99 ms", |p| p.figures.p99_ms),
+    ("worth", |p| p.metrics.value),
+    ("refused", |p| p.metrics.refused),
+    ("failed", |p| p.metrics.failed),
+    ("p99 ms", |p| p.metrics.p99_ms),
     ("attempts/first", |p| p.traffic.attempts_a_first),
 ];
 
-/// A figure of what balancers reported of their tier; no number where they do not speak with it.
+/// A metric of what balancers reported of their tier; no number where they do not speak with it.
 fn of_tier(p: &Played, of: fn(&Tier) -> f64) -> f64 {
     p.tier.as_ref().map_or(f64::NAN, of)
 }
 
-/// A figure of how the fleet came back; no number where nothing stopped balancers, or it never did.
-fn of_comeback(p: &Played, of: fn(&Comeback) -> Option<f64>) -> f64 {
-    p.comeback.as_ref().and_then(of).unwrap_or(f64::NAN)
+/// A metric of how the fleet came back; no number where nothing stopped balancers, or it never did.
+fn of_recovery(p: &Played, of: fn(&Recovery) -> Option<f64>) -> f64 {
+    p.recovery.as_ref().and_then(of).unwrap_or(f64::NAN)
 }
 
 /// Each program against the first: the mean of the differences, play by play, and half their range.
@@ -87,21 +87,21 @@
     }
     text.push('\n');
     let mut rows: Vec<(String, Value)> = Vec::new();
-    for (figure, value) in COMPARED {
-        rows.push((figure.into(), Box::new(value)));
+    for (metric, value) in COMPARED {
+        rows.push((metric.into(), Box::new(value)));
     }
     let parts = plays
         .first()
         .map(|p| p.by.keys().cloned().collect::<Vec<_>>())
         .unwrap_or_default();
     for part in parts.into_iter().filter(|p| p.starts_with("tenant ")) {
-        let worth = part.clone();
+        let value = part.clone();
         rows.push((
             part,
-            Box::new(move |p| p.by.get(&worth).map_or(f64::NAN, |f| f.worth)),
+            Box::new(move |p| p.by.get(&value).map_or(f64::NAN, |f| f.value)),
         ));
     }
-    for (figure, value) in rows {
+    for (metric, value) in rows {
         if plays.iter().all(|p| value(p).is_nan()) {
             continue;
         }
@@ -118,7 +118,7 @@
             ((mean, spread), false) => format!("{mean:.3} +- {spread:.3}"),
         };
         let all = |of: &[&Played]| show(known(of.iter().map(|p| value(p)).collect()), false);
-        let _ = write!(text, "{figure:<14} {:>22}", all(&base));
+        let _ = write!(text, "{metric:<14} {:>22}", all(&base));
         for name in others {
             let other = of(name);
             let differences: Vec<f64> = pairs(&base, &other)
@@ -163,7 +163,7 @@
     );
     SHOWN
         .iter()
-        .for_each(|(figure, _)| _ = write!(text, " {figure:>15}"));
+        .for_each(|(metric, _)| _ = write!(text, " {metric:>15}"));
     text.push('\n');
     let mut signs = [(0, 0); SHOWN.len()];
     for (b, o) in pairs(base, other) {
--- a/lab/src/results/folder.rs
+++ b/lab/src/results/folder.rs
@@ -1,7 +1,7 @@
 //! The folder that a run leaves: its experiment, every play, the report.
 use crate::draw::Plan;
 use crate::experiment::{self, Experiment};
-use crate::figures::Played;
+use crate::metrics::Played;
 use crate::report;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -9,7 +9,7 @@
 
 /// What was asked for, beside the experiment file.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Asked {
+pub struct RunArguments {
     /// The seed.
     pub seed: u64,
     /// Names of the programs, in order.
@@ -28,7 +28,7 @@
 
 const EXPERIMENT: &str = "experiment.toml";
 
-const ASKED: &str = "asked.json";
+const ARGUMENTS: &str = "asked.json";
 
 fn write(path: &Path, text: &str) -> Result<(), String> {
     std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))
@@ -49,7 +49,7 @@
         root: &Path,
         named: Option<&Path>,
         file: &Path,
-        asked: &Asked,
+        arguments: &RunArguments,
     ) -> Result<Results, String> {
         let folder = match named {
             Some(folder) => folder.to_path_buf(),
@@ -64,7 +64,7 @@
                 free.ok_or("no name is free")?
             }
         };
-        if folder.join(ASKED).exists() {
+        if folder.join(ARGUMENTS).exists() {
             return Err(format!(
                 "{}: holds the results of another run",
                 folder.display()
@@ -76,13 +76,13 @@
             .map_err(|e| format!("{}: {e}", folder.display()))?;
         std::fs::copy(file, folder.join(EXPERIMENT))
             .map_err(|e| format!("{}: {e}", file.display()))?;
-        write(&folder.join(ASKED), &json(asked)?)?;
+        write(&folder.join(ARGUMENTS), &json(arguments)?)?;
         Ok(Results { folder })
     }
 
     /// Opens the folder of an earlier run.
     pub fn open(folder: &Path) -> Result<Results, String> {
-        if !folder.join(ASKED).is_file() {
+        if !folder.join(ARGUMENTS).is_file() {
             return Err(format!("{}: no results of a run", folder.display()));
         }
         Ok(Results {
@@ -109,19 +109,19 @@
     }
 
     /// What was asked for, and the experiment as it was then.
-    pub fn asked(&self) -> Result<(Asked, Experiment), String> {
+    pub fn arguments(&self) -> Result<(RunArguments, Experiment), String> {
         Ok((
-            read(&self.folder.join(ASKED))?,
+            read(&self.folder.join(ARGUMENTS))?,
             experiment::load(&self.folder.join(EXPERIMENT))?,
         ))
     }
 
     /// Every play that was kept, in the order in which they were made.
     pub fn plays(&self) -> Result<Vec<Played>, String> {
-        let asked: Asked = read(&self.folder.join(ASKED))?;
+        let arguments: RunArguments = read(&self.folder.join(ARGUMENTS))?;
         let mut plays = Vec::new();
-        for play in 0..asked.plays {
-            for program in &asked.programs {
+        for play in 0..arguments.plays {
+            for program in &arguments.programs {
                 let path = self.play(program, play).join("play.json");
                 // A run that was stopped has fewer plays than were asked for.
                 if path.is_file() {
--- a/lab/src/results/mod.rs
+++ b/lab/src/results/mod.rs
@@ -4,5 +4,5 @@
 mod summary;
 
 pub use compare::compare;
-pub use folder::{Asked, Results};
+pub use folder::{Results, RunArguments};
 pub use summary::summary;
--- a/lab/src/results/summary.rs
+++ b/lab/src/results/summary.rs
@@ -1,6 +1,6 @@
 //! The summary of all plays.
 use crate::convergence::Known;
-use crate::figures::Played;
+use crate::metrics::Played;
 use std::fmt::Write;
 
 /// The summary of all plays, as lines for a terminal.
@@ -19,7 +19,7 @@
         "p99 ms"
     );
     for p in plays {
-        let f = &p.figures;
+        let f = &p.metrics;
         let rules: u64 = p.counts.values().sum();
         let rules = if rules == 0 {
             "kept".to_string()
@@ -31,7 +31,7 @@
             "{:<18} {:>8} {:>7.3} {:>7.3} {:>6.3} {:>8.3} {:>7.3} {:>7.0} {:>7.0}  {rules}",
             format!("{}, {}", p.program, p.play + 1),
             f.due,
-            f.worth,
+            f.value,
             f.in_time,
             f.late,
             f.refused,
--- a/lab/src/run/play.rs
+++ b/lab/src/run/play.rs
@@ -5,9 +5,9 @@
 use crate::draw::Plan;
 use crate::experiment::{merged, Build, Experiment, Span};
 use crate::faults;
-use crate::figures::{worth_of, Played};
 use crate::fleet::Fleet;
 use crate::guard::Guard;
+use crate::metrics::{value_of, Played};
 use crate::net::lock;
 use crate::oracle::Oracle;
 use crate::process::LaunchSpec;
@@ -99,9 +99,9 @@
     };
     let tally = lock(&world.tally);
     for tenant in &bound.tenants {
-        let worth =
-            |over: Span| worth_of(e, plan, &tally.done, tenant, (over.0.least, over.0.most));
-        let (before, during) = (worth(bound.before), worth(bound.during));
+        let value =
+            |over: Span| value_of(e, plan, &tally.done, tenant, (over.0.least, over.0.most));
+        let (before, during) = (value(bound.before), value(bound.during));
         oracle.in_share(world.now(), tenant, before, during, bound.least);
     }
 }
@@ -129,16 +129,16 @@
     let world = &fleet.world;
     fleet.listen()?;
     let length = world.plan.length / 1000.0;
-    let bar = if stage.progress {
+    let progress = if stage.progress {
         ProgressBar::new(length.ceil() as u64)
     } else {
         ProgressBar::hidden()
     };
     let style = ProgressStyle::with_template("{prefix:>14} {bar:30} {pos:>3}/{len} s  {msg}");
-    bar.set_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
-    bar.set_prefix(name.to_string());
-    bar.set_message(format!("starting {} balancers", fleet.balancers.len()));
-    bar.tick();
+    progress.set_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
+    progress.set_prefix(name.to_string());
+    progress.set_message(format!("starting {} balancers", fleet.balancers.len()));
+    progress.tick();
     let mut stop = stage.stop.clone();
     let mut starts = tokio::task::JoinSet::new();
     for process in &fleet.balancers {
@@ -159,7 +159,7 @@
     world.clock.begin_in(BREATH);
     faults::schedule(fleet, stage.guard);
     let open = Arc::new(Open::default());
-    let watched = tokio::spawn(watch_over(fleet.clone(), open.clone(), bar.clone()));
+    let watched = tokio::spawn(watch_over(fleet.clone(), open.clone(), progress.clone()));
     let tiers = tokio::spawn(follow_tiers(fleet.clone()));
     let sent = send_all(world.clone(), open.clone());
     let all = async {
@@ -180,6 +180,6 @@
     }
     watched.abort();
     tiers.abort();
-    bar.finish_and_clear();
+    progress.finish_and_clear();
     Ok(stopped)
 }
--- a/lab/src/run/sum_up.rs
+++ b/lab/src/run/sum_up.rs
@@ -1,9 +1,10 @@
 //! What a play comes to.
 use crate::experiment::FaultKind;
-use crate::figures::{
-    comeback, figures, missed, name_of, traffic, Case, Datagrams, Held, Lateness, Played, Tier,
-};
 use crate::fleet::Fleet;
+use crate::metrics::{
+    missed, name_of, recovery, request_metrics, traffic, Case, Datagrams, Lateness, Played,
+    ResourceUsage, Tier,
+};
 use crate::net::lock;
 use crate::world::World;
 use std::collections::BTreeMap;
@@ -41,7 +42,7 @@
         members,
         sums,
         suspected: reports.iter().map(|t| t.suspected).sum(),
-        gone: reports.iter().map(|t| t.gone).sum(),
+        departed: reports.iter().map(|t| t.departed).sum(),
         steps: reports.iter().map(|t| t.steps).sum(),
     })
 }
@@ -74,26 +75,26 @@
     for (i, class) in e.classes.iter().enumerate() {
         by.insert(
             format!("class {}", class.name),
-            figures(e, plan, &tally.done, |d| d.class == i),
+            request_metrics(e, plan, &tally.done, |d| d.class == i),
         );
     }
     for (i, tenant) in e.tenants.iter().enumerate() {
         by.insert(
             format!("tenant {}", tenant.name),
-            figures(e, plan, &tally.done, |d| d.tenant == i),
+            request_metrics(e, plan, &tally.done, |d| d.tenant == i),
         );
     }
     for (i, zone) in e.fleet.zones.iter().enumerate() {
         by.insert(
             format!("zone {zone}"),
-            figures(e, plan, &tally.done, |d| d.zone == i),
+            request_metrics(e, plan, &tally.done, |d| d.zone == i),
         );
     }
-    let held = fleet
+    let usage = fleet
         .balancers
         .iter()
         .zip(&plan.balancers)
-        .map(|(p, b)| Held {
+        .map(|(p, b)| ResourceUsage {
             name: b.name.clone(),
             memory_kb: p.max_memory_kb.load(Ordering::Relaxed),
             descriptors: p.max_descriptors.load(Ordering::Relaxed),
@@ -112,12 +113,12 @@
         command: command.into(),
         play: number,
         seed: plan.seed,
-        figures: figures(e, plan, &tally.done, |_| true),
+        metrics: request_metrics(e, plan, &tally.done, |_| true),
         by,
         traffic: traffic(&tally),
         datagrams: peer_traffic(world),
         tier: tier(fleet),
-        comeback: comeback(e, plan, &tally),
+        recovery: recovery(e, plan, &tally),
         lateness,
         broken: broken.iter().map(Case::from).collect(),
         counts: counts
@@ -131,7 +132,7 @@
         } else {
             missed(e, plan, &tally)
         },
-        held: held.collect(),
+        usage: usage.collect(),
         stopped,
         faults: faults.collect(),
         tally,
--- a/lab/src/run/watch.rs
+++ b/lab/src/run/watch.rs
@@ -1,4 +1,4 @@
-//! Looks at the processes while they run, and at their figures when all is over.
+//! Looks at the processes while they run, and at their metrics when all is over.
 use crate::audit::differs;
 use crate::clients::Open;
 use crate::experiment::{FaultKind, Millis};
@@ -12,17 +12,17 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-/// Figures of after the run must be written within this, and are asked for this often.
-const FIGURES_WITHIN: Duration = Duration::from_secs(10);
-const FIGURES_ASK: Duration = Duration::from_millis(50);
+/// Metrics of after the run must be written within this, and are asked for this often.
+const METRICS_TIMEOUT: Duration = Duration::from_secs(10);
+const METRICS_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// How often processes are looked at.
 const LOOK: Duration = Duration::from_millis(1000);
-/// How often figures are looked at for what a tier knows.
+/// How often metrics are looked at for what a tier knows.
 const FOLLOW: Duration = Duration::from_millis(100);
 /// What cuts and pauses have done to what a tier knows is over after this.
-const SETTLED: Millis = 5000.0;
+const RECOVERY_TIME: Millis = 5000.0;
 
-/// Sets the figures of every balancer that has run through, and writes some, against what was seen of it.
+/// Sets the metrics of every balancer that has run through, and writes some, against what was seen of it.
 pub(super) async fn audit(fleet: &Fleet) {
     let world = &fleet.world;
     let over = world.clock.unix(world.now());
@@ -40,32 +40,32 @@
             loop {
                 match process.read_metrics() {
                     Some(counted) if counted.at_ms > over => return Some(counted),
-                    Some(_) => tokio::time::sleep(FIGURES_ASK).await,
+                    Some(_) => tokio::time::sleep(METRICS_POLL_INTERVAL).await,
                     None => return None,
                 }
             }
         };
         let name = &world.plan.balancers[b].name;
-        let counted = match timeout(FIGURES_WITHIN, fresh).await {
+        let counted = match timeout(METRICS_TIMEOUT, fresh).await {
             Ok(Some(counted)) => counted,
             Ok(None) => continue,
             Err(_) => {
                 world.breaks(
-                    Rule::Figures,
-                    format!("{name} has written no figures for {FIGURES_WITHIN:?}"),
+                    Rule::Metrics,
+                    format!("{name} has written no figures for {METRICS_TIMEOUT:?}"),
                 );
                 continue;
             }
         };
         let seen = lock(&world.oracle).seen(b);
         if let Some(what) = differs(&counted, &seen) {
-            world.breaks(Rule::Figures, format!("{name}: {what}"));
+            world.breaks(Rule::Metrics, format!("{name}: {what}"));
         }
     }
 }
 
 /// Looks at the processes once a second and shows how it goes.
-pub(super) async fn watch_over(fleet: Arc<Fleet>, open: Arc<Open>, bar: ProgressBar) {
+pub(super) async fn watch_over(fleet: Arc<Fleet>, open: Arc<Open>, progress: ProgressBar) {
     let world = &fleet.world;
     let mut every = tokio::time::interval(LOOK);
     loop {
@@ -82,13 +82,13 @@
             oracle.judge(now);
             oracle.found().1.values().sum()
         };
-        bar.set_position((now.max(0.0) / 1000.0) as u64);
+        progress.set_position((now.max(0.0) / 1000.0) as u64);
         let rules = if broken == 0 {
             "rules kept".into()
         } else {
             format!("{broken} times a rule broken")
         };
-        bar.set_message(format!(
+        progress.set_message(format!(
             "{done} requests ended, {} open, {rules}",
             open.count()
         ));
@@ -154,5 +154,5 @@
         .plan
         .faults
         .iter()
-        .any(|f| parts(f.kind) && (f.at..f.until + SETTLED).contains(&now))
+        .any(|f| parts(f.kind) && (f.at..f.until + RECOVERY_TIME).contains(&now))
 }
--- a/lab/src/stand_in/misbehavior.rs
+++ b/lab/src/stand_in/misbehavior.rs
@@ -61,7 +61,7 @@
     /// Sends its peers more than a datagram may hold.
     #[value(name = "shouts")]
     OversizeDatagram,
-    /// Writes figures of twice what it took.
+    /// Writes metrics of twice what it took.
     #[value(name = "boasts")]
     OverstateMetrics,
     /// Writes the same number of its start each time.
--- a/lab/src/tally.rs
+++ b/lab/src/tally.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 
-/// How a request ended for its client, over all its tries.
+/// How a request ended for its client, over all attempts of the client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum How {
@@ -13,8 +13,9 @@
     Refused,
     /// Answered as failed, or with what is not whole.
     Failed,
-    /// No answer in its time.
-    Silent,
+    /// No response in its time.
+    #[serde(rename = "silent")]
+    TimedOut,
     /// No balancer could be reached.
     Unreached,
     /// The client left.
@@ -36,8 +37,9 @@
     pub how: How,
     /// From when it was due to the last byte of its answer.
     pub took: Millis,
-    /// Tries.
-    pub tries: u32,
+    /// Attempts of the client.
+    #[serde(rename = "tries")]
+    pub client_attempts: u32,
     /// Time that the balancer added to what upstreams took, if it was served.
     pub added: Option<Millis>,
 }
@@ -62,8 +64,8 @@
     #[serde(default)]
     pub firsts: u64,
     /// Time that the attempts of each tenant have spent at upstreams, in milliseconds, counted at their end.
-    #[serde(default)]
-    pub held: Vec<f64>,
+    #[serde(default, rename = "held")]
+    pub upstream_time: Vec<f64>,
     /// Of the attempts, those that came from a balancer of another zone.
     pub crossings: u64,
     /// New connections to upstreams.
@@ -133,7 +135,7 @@
         while self.seconds.len() <= n {
             self.seconds.push(Second {
                 attempts: vec![0; self.zones],
-                held: vec![0.0; self.tenants],
+                upstream_time: vec![0.0; self.tenants],
                 ..Second::default()
             });
         }
--- a/lab/src/upstream/attempt.rs
+++ b/lab/src/upstream/attempt.rs
@@ -61,7 +61,8 @@
 
     fn record_end(&mut self, end: End) {
         let now = self.world.now();
-        let hidden = self.link.is_silent() || *self.link.changes().borrow() != self.link_changes;
+        let hidden =
+            self.link.is_unresponsive() || *self.link.changes().borrow() != self.link_changes;
         lock(&self.world.oracle).attempt_ended(now, self.id, self.number, end, hidden);
         self.count_work(now, end);
         if let Some(token) = self.token.take() {
@@ -74,7 +75,7 @@
         let mut tally = lock(&self.world.tally);
         let second = tally.second(now);
         second.worked += self.work;
-        second.held[self.tenant] += now - self.began;
+        second.upstream_time[self.tenant] += now - self.began;
         if !matches!(end, End::Served(_)) {
             second.wasted += self.work;
         }
--- a/lab/src/upstream/ports.rs
+++ b/lab/src/upstream/ports.rs
@@ -107,8 +107,8 @@
 ) {
     let mut changes = link.changes();
     loop {
-        let mode = match (link.is_silent(), *listens.borrow_and_update()) {
-            (true, _) => Manner::Silent,
+        let mode = match (link.is_unresponsive(), *listens.borrow_and_update()) {
+            (true, _) => Manner::Unresponsive,
             (false, true) => Manner::Open,
             (false, false) => Manner::Refusing,
         };
--- a/lab/src/upstream/respond.rs
+++ b/lab/src/upstream/respond.rs
@@ -6,7 +6,7 @@
 use crate::experiment::Millis;
 use crate::net::{lock, Link};
 use crate::oracle::Rule;
-use crate::world::{Asked, World};
+use crate::world::{RequestProfile, World};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -57,7 +57,7 @@
             return empty_response(StatusCode::BAD_REQUEST);
         };
         // One that has ended is no work any more; what is sent for it is the oracle's case.
-        let Some(asked) = world.asked(id) else {
+        let Some(profile) = world.profile(id) else {
             return empty_response(StatusCode::BAD_REQUEST);
         };
         self.count_attempt(world, balancer, number, now);
@@ -71,11 +71,11 @@
             token: None,
             work: 0.0,
             began: now,
-            tenant: asked.tenant,
+            tenant: profile.tenant,
             ended: false,
         };
         let deadline = remaining(&head.headers).map_or(f64::INFINITY, |left| now + left);
-        self.serve_attempt(world, asked, balancer, deadline, attempt)
+        self.serve_attempt(world, profile, balancer, deadline, attempt)
             .await
     }
 
@@ -83,7 +83,7 @@
     async fn serve_attempt(
         &self,
         world: &World,
-        asked: Asked,
+        profile: RequestProfile,
         balancer: usize,
         deadline: Millis,
         mut attempt: ActiveAttempt<'_>,
@@ -92,7 +92,7 @@
         let delay = world.delay(world.plan.balancers[balancer].zone, self.plan.zone);
         pause(delay).await;
         let outcome = self
-            .serve(world, asked, balancer, deadline, &mut attempt)
+            .serve(world, profile, balancer, deadline, &mut attempt)
             .await;
         let mark = attempt.finish(outcome);
         pause(delay).await;
--- a/lab/src/upstream/serve.rs
+++ b/lab/src/upstream/serve.rs
@@ -8,7 +8,7 @@
 use crate::machine::{Admission, Collapse, Token};
 use crate::net::lock;
 use crate::oracle::Rule;
-use crate::world::{Asked, World};
+use crate::world::{RequestProfile, World};
 use hyper::StatusCode;
 use std::sync::atomic::Ordering;
 use tokio::sync::oneshot;
@@ -23,14 +23,14 @@
     pub(super) async fn serve(
         &self,
         world: &World,
-        asked: Asked,
+        profile: RequestProfile,
         balancer: usize,
         deadline: Millis,
         attempt: &mut ActiveAttempt<'_>,
     ) -> Outcome {
         let tier = &world.experiment.tiers[self.plan.tier];
-        let mut draws = Calls::new(asked.seed ^ attempt.number as u64);
-        let work = asked.size * tier.work * draws.noise();
+        let mut draws = Calls::new(profile.seed ^ attempt.number as u64);
+        let work = profile.size * tier.work * draws.noise();
         let token = self.next_token();
         if !self.admit(world, balancer, token, work, attempt).await {
             lock(&world.tally).second(world.now()).declined += 1;
@@ -49,11 +49,11 @@
         let work_before_calls = if calls > 0 { work / 2.0 } else { work };
         self.work(world, token, work_before_calls).await;
         attempt.work += work_before_calls;
-        let class = &world.experiment.classes[asked.class];
+        let class = &world.experiment.classes[profile.class];
         pause(class.waits.0.mean() * tier.work).await;
         for number in 0..calls {
             let seed = draws.seed();
-            if !self.call(world, asked, seed, number, deadline).await {
+            if !self.call(world, profile, seed, number, deadline).await {
                 return Outcome::ran(StatusCode::INTERNAL_SERVER_ERROR);
             }
         }
@@ -64,7 +64,7 @@
         let took = world.now() - began;
         lock(&self.state).load_report.record_served(took);
         if class.effect == Effect::Keyed && self.plan.tier == 0 {
-            lock(&world.oracle).effect(world.now(), asked.key, asked.class, self.index);
+            lock(&world.oracle).effect(world.now(), profile.key, profile.class, self.index);
         }
         Outcome::ran(StatusCode::OK)
     }
@@ -121,7 +121,7 @@
             collapse.limit,
             collapse.informed_share * 100.0
         );
-        world.breaks(Rule::Tipped, case);
+        world.breaks(Rule::Overloaded, case);
     }
 
     /// Draws how many calls an attempt makes to the next tier.
@@ -137,7 +137,7 @@
     async fn call(
         &self,
         world: &World,
-        asked: Asked,
+        profile: RequestProfile,
         seed: u64,
         number: usize,
         deadline: Millis,
@@ -146,21 +146,21 @@
             return false;
         };
         let now = world.now();
-        let timeout = (deadline - now).min(world.plan.spans[asked.class].1);
+        let timeout = (deadline - now).min(world.plan.spans[profile.class].1);
         if timeout <= 1.0 {
             return false;
         }
         // A repeat of the request makes the same calls: they carry the same keys.
-        let key = asked.key.wrapping_mul(31).wrapping_add(number as u64 + 1);
+        let key = profile.key.wrapping_mul(31).wrapping_add(number as u64 + 1);
         let call = Call {
             balancer,
             link: world.client_links[balancer][0].clone(),
             delay: 0.0,
-            asked: Asked {
+            profile: RequestProfile {
                 seed,
                 key,
                 at_upstreams: 0.0,
-                ..asked
+                ..profile
             },
             sent: now,
             timeout,
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -15,11 +15,11 @@
 use tokio::sync::watch;
 
 /// Lateness that is more than what timers are good to: it is reported to the oracle.
-const LATE_TOLD: Millis = 4.0;
+const MIN_REPORTED_LATENESS: Millis = 4.0;
 
 /// What the lab remembers of a request or call that is out, for whoever gets it next.
 #[derive(Clone, Copy, Debug)]
-pub struct Asked {
+pub struct RequestProfile {
     /// Position of its class.
     pub class: usize,
     /// Position of its tenant.
@@ -67,7 +67,7 @@
     /// The link from the clients of each zone, or the upstream beside, to each balancer.
     pub client_links: Vec<Vec<Arc<Link>>>,
     /// Requests and calls that are out.
-    asked: Mutex<HashMap<u64, Asked>>,
+    profile: Mutex<HashMap<u64, RequestProfile>>,
     next_id: AtomicU64,
     /// Set when everything is to end.
     pub over: watch::Sender<bool>,
@@ -75,7 +75,7 @@
     pub folder: PathBuf,
 }
 
-/// Figures of the rules that depend on the experiment.
+/// Metrics of the rules that depend on the experiment.
 fn limits(e: &Experiment) -> Limits {
     let bound = |t: &crate::experiment::Trials| Bound {
         // The names were checked when the file was read.
@@ -149,13 +149,13 @@
         let datagrams = Arc::new(Datagrams::open(&tiers, &block, conditions, plan.seed)?);
         let front = || (0..plan.balancers.len()).filter(|&b| plan.balancers[b].owner.is_none());
         let of_zone = |zone: usize| {
-            let near: Vec<usize> = front()
+            let local: Vec<usize> = front()
                 .filter(|&b| plan.balancers[b].zone == zone)
                 .collect();
-            if near.is_empty() {
+            if local.is_empty() {
                 front().collect()
             } else {
-                near
+                local
             }
         };
         let beside = |u: usize| plan.balancers.iter().position(|b| b.owner == Some(u));
@@ -185,7 +185,7 @@
                 .collect(),
             pools: plan.balancers.iter().map(|_| Pool::default()).collect(),
             client_links: plan.balancers.iter().map(|b| links(b).collect()).collect(),
-            asked: Mutex::default(),
+            profile: Mutex::default(),
             next_id: AtomicU64::new(1),
             over: watch::channel(false).0,
             experiment: experiment.clone(),
@@ -202,31 +202,31 @@
     }
 
     /// A new id for a request, and what it asks for.
-    pub fn ask(&self, asked: Asked) -> u64 {
+    pub fn ask(&self, profile: RequestProfile) -> u64 {
         // Spread over all 64 bits, so that ids look as they do in service.
         let id = self
             .next_id
             .fetch_add(1, Ordering::Relaxed)
             .wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        lock(&self.asked).insert(id, asked);
+        lock(&self.profile).insert(id, profile);
         id
     }
 
     /// What a request asked for.
-    pub fn asked(&self, id: u64) -> Option<Asked> {
-        lock(&self.asked).get(&id).copied()
+    pub fn profile(&self, id: u64) -> Option<RequestProfile> {
+        lock(&self.profile).get(&id).copied()
     }
 
     /// An attempt of a request has spent this time at an upstream.
     pub fn spent(&self, id: u64, time: Millis) {
-        if let Some(asked) = lock(&self.asked).get_mut(&id) {
-            asked.at_upstreams += time;
+        if let Some(profile) = lock(&self.profile).get_mut(&id) {
+            profile.at_upstreams += time;
         }
     }
 
     /// Nothing more is wanted of a request.
     pub fn forget(&self, id: u64) {
-        lock(&self.asked).remove(&id);
+        lock(&self.profile).remove(&id);
     }
 
     /// Records a violation.
@@ -264,7 +264,7 @@
         self.clock.until(at).await;
         let late = self.now() - at;
         self.clock.note_late(late);
-        if late > LATE_TOLD {
+        if late > MIN_REPORTED_LATENESS {
             lock(&self.oracle).lab_late(at + late, late);
         }
     }
--- a/lab/tests/capacity/hollow.rs
+++ b/lab/tests/capacity/hollow.rs
@@ -3,7 +3,7 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
 
-const PATIENCE: Duration = Duration::from_secs(60);
+const TIMEOUT: Duration = Duration::from_secs(60);
 
 fn tier(members: u16) -> Running {
     let sockets: Vec<UdpSocket> = (0..members)
@@ -28,10 +28,10 @@
 #[test]
 fn members_meet_learn_of_evidence_and_of_an_end() {
     let tier = tier(6);
-    assert!(tier.until_up(6, PATIENCE).expect("runs").is_some());
-    assert!(tier.until_evidence(2, PATIENCE).expect("runs").is_some());
+    assert!(tier.until_up(6, TIMEOUT).expect("runs").is_some());
+    assert!(tier.until_evidence(2, TIMEOUT).expect("runs").is_some());
     tier.stop(3).expect("runs");
-    assert!(tier.until_up(5, PATIENCE).expect("runs").is_some());
+    assert!(tier.until_up(5, TIMEOUT).expect("runs").is_some());
     let counted = tier.snapshot().expect("runs");
     assert_eq!((counted.running, counted.up_least), (5, 5));
     assert!(
@@ -58,11 +58,11 @@
 #[test]
 fn the_loss_of_several_at_once_is_known_to_the_rest() {
     let tier = tier(8);
-    assert!(tier.until_up(8, PATIENCE).expect("runs").is_some());
+    assert!(tier.until_up(8, TIMEOUT).expect("runs").is_some());
     for lost in [1, 4] {
         tier.stop(lost).expect("runs");
     }
-    assert!(tier.until_up(6, PATIENCE).expect("runs").is_some());
+    assert!(tier.until_up(6, TIMEOUT).expect("runs").is_some());
     let counted = tier.snapshot().expect("runs");
     assert_eq!(
         (counted.running, counted.up_least, counted.up_mean),
@@ -88,8 +88,5 @@
         watched: None,
     };
     let _running = tier.start().expect("starts");
-    assert_eq!(
-        learn_deployment(&[(1, listening)], PATIENCE),
-        Ok(deployment)
-    );
+    assert_eq!(learn_deployment(&[(1, listening)], TIMEOUT), Ok(deployment));
 }
--- a/lab/tests/capacity/sweep.rs
+++ b/lab/tests/capacity/sweep.rs
@@ -50,15 +50,15 @@
         program: balancer_proxy(),
         folder: folder.path().to_path_buf(),
     };
-    let mut told = 0;
-    let samples = sweep.measure(|_| told += 1).expect("measures");
-    assert_eq!((told, samples.len()), (sizes.len(), sizes.len()));
+    let mut reported = 0;
+    let samples = sweep.measure(|_| reported += 1).expect("measures");
+    assert_eq!((reported, samples.len()), (sizes.len(), sizes.len()));
     samples
 }
 
-fn figure(sample: &Sample, name: &str) -> f64 {
+fn metric(sample: &Sample, name: &str) -> f64 {
     *sample
-        .figures
+        .metrics
         .get(name)
         .unwrap_or_else(|| panic!("no {name} in {sample:?}"))
 }
@@ -67,23 +67,23 @@
 fn a_list_costs_memory_and_calls_of_discovery() {
     let samples = measured(Dimension::List, &[10, 40], SHORT);
     for sample in &samples {
-        assert!(figure(sample, "processor, ms/s") > 0.0);
-        assert!(figure(sample, "resident, kB") >= figure(sample, "proportional, kB"));
-        assert!(figure(sample, "descriptors") > 3.0);
-        assert!(figure(sample, "discovery, bytes/s") > 0.0);
+        assert!(metric(sample, "processor, ms/s") > 0.0);
+        assert!(metric(sample, "resident, kB") >= metric(sample, "proportional, kB"));
+        assert!(metric(sample, "descriptors") > 3.0);
+        assert!(metric(sample, "discovery, bytes/s") > 0.0);
     }
 }
 
 #[test]
-fn held_calls_take_two_descriptors_each() {
-    let samples = measured(Dimension::Held, &[10, 60], SHORT);
+fn calls_in_flight_take_two_descriptors_each() {
+    let samples = measured(Dimension::InFlight, &[10, 60], SHORT);
     for sample in &samples {
         assert_eq!(
-            (figure(sample, "held"), figure(sample, "refused")),
+            (metric(sample, "held"), metric(sample, "refused")),
             (sample.size as f64, 0.0)
         );
     }
-    let grown = figure(&samples[1], "descriptors") - figure(&samples[0], "descriptors");
+    let grown = metric(&samples[1], "descriptors") - metric(&samples[0], "descriptors");
     assert_eq!(grown, 100.0);
 }
 
@@ -99,9 +99,9 @@
         folder: folder.path().to_path_buf(),
     };
     let samples = sweep.measure(|_| ()).expect("measures");
-    assert!(figure(&samples[0], "written, bytes/s") >= 0.0);
-    let kept = folder.path().join("store-10-0/balancer-0.state/state.redb");
-    assert!(kept.is_file(), "{}", kept.display());
+    assert!(metric(&samples[0], "written, bytes/s") >= 0.0);
+    let state_file = folder.path().join("store-10-0/balancer-0.state/state.redb");
+    assert!(state_file.is_file(), "{}", state_file.display());
 }
 
 /// Beside the clients' it holds some descriptors of its own, and connections to as many upstreams as it has called.
@@ -109,7 +109,7 @@
 fn idle_clients_take_a_descriptor_each_for_as_long_as_the_trial() {
     for sample in measured(Dimension::Clients, &[60, 120], SHORT) {
         assert!(
-            figure(&sample, "descriptors") >= sample.size as f64,
+            metric(&sample, "descriptors") >= sample.size as f64,
             "{sample:?}"
         );
     }
@@ -119,18 +119,18 @@
 fn changes_are_seen_to_be_taken_in() {
     let samples = measured(Dimension::Changes, &[4], SHORT);
     let (median, most) = (
-        figure(&samples[0], "taken in by one, median ms"),
-        figure(&samples[0], "taken in by one, most ms"),
+        metric(&samples[0], "taken in by one, median ms"),
+        metric(&samples[0], "taken in by one, most ms"),
     );
     assert!(0.0 < median && median <= most, "{samples:?}");
-    assert_eq!(figure(&samples[0], "taken in by all, most ms"), most);
-    assert_eq!(figure(&samples[0], "not taken in"), 0.0);
+    assert_eq!(metric(&samples[0], "taken in by all, most ms"), most);
+    assert_eq!(metric(&samples[0], "not taken in"), 0.0);
 }
 
 #[test]
 fn a_real_member_is_one_of_a_hollow_tier() {
     let samples = measured(Dimension::Peers, &[5], LONG);
     for name in ["peers, sent bytes/s", "peers, read bytes/s"] {
-        assert!(figure(&samples[0], name) > 0.0, "{samples:?}");
+        assert!(metric(&samples[0], name) > 0.0, "{samples:?}");
     }
 }
--- a/lab/tests/capacity/table.rs
+++ b/lab/tests/capacity/table.rs
@@ -2,16 +2,16 @@
 use balancer_lab::capacity::sample::Sample;
 use balancer_lab::capacity::table::markdown;
 
-fn sample(size: usize, figures: &[(&str, f64)]) -> Sample {
+fn sample(size: usize, metrics: &[(&str, f64)]) -> Sample {
     let mut sample = Sample::new(size);
-    for (name, value) in figures {
+    for (name, value) in metrics {
         sample.add(name, *value);
     }
     sample
 }
 
 #[test]
-fn each_sample_has_a_row_and_each_figure_a_line() {
+fn each_sample_has_a_row_and_each_metric_a_line() {
     let samples = [10, 20, 30].map(|size| sample(size, &[("bytes/s", 5.0 + 2.0 * size as f64)]));
     let text = markdown("list", &samples);
     let wanted = "| list | bytes/s |\n| --- | --- |\n| 10 | 25 |\n| 20 | 45 |\n| 30 | 65 |\n\n\
@@ -27,7 +27,7 @@
         sample(10, &[("lag, ms", f64::NAN)]),
         sample(20, &[("lag, ms", 0.012345)]),
     ];
-    assert_eq!(samples[0].figures.len(), 0);
+    assert_eq!(samples[0].metrics.len(), 0);
     let text = markdown("fleet", &samples);
     assert!(text.contains("| 10 | - |"), "{text}");
     assert!(text.contains("| 20 | 0.01235 |"), "{text}");
@@ -38,11 +38,11 @@
 }
 
 #[test]
-fn times_are_told_by_their_median_and_their_greatest() {
-    let mut told = Sample::new(1);
-    told.add_times("lag", &mut [9.0, 1.0, 5.0]);
-    told.add_times("none", &mut []);
-    assert_eq!(told.figures.get("lag, median ms"), Some(&5.0));
-    assert_eq!(told.figures.get("lag, most ms"), Some(&9.0));
-    assert_eq!(told.figures.len(), 2);
+fn times_are_reported_by_their_median_and_maximum() {
+    let mut sample = Sample::new(1);
+    sample.add_times("lag", &mut [9.0, 1.0, 5.0]);
+    sample.add_times("none", &mut []);
+    assert_eq!(sample.metrics.get("lag, median ms"), Some(&5.0));
+    assert_eq!(sample.metrics.get("lag, most ms"), Some(&9.0));
+    assert_eq!(sample.metrics.len(), 2);
 }
--- a/lab/tests/fleet/fleets.rs
+++ b/lab/tests/fleet/fleets.rs
@@ -6,7 +6,7 @@
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
-const PATIENCE: Duration = Duration::from_secs(60);
+const TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Six processes of the real program: two at the front, four beside upstreams.
 #[test]
@@ -42,7 +42,7 @@
         &["--program", &real, "--program", "round-robin"],
     );
     let play = played.play("real");
-    // Its own figures are among the rules: they are set against what the stand-ins saw.
+    // Its own metrics are among the rules: they are set against what the stand-ins saw.
     assert_eq!(play["counts"], serde_json::json!({}), "{}", played.said());
     assert!(played
         .out()
@@ -115,7 +115,7 @@
         let mut pids = Vec::new();
         let started = Instant::now();
         while pids.len() < 2 {
-            assert!(started.elapsed() < PATIENCE, "no balancers");
+            assert!(started.elapsed() < TIMEOUT, "no balancers");
             pids = with_config(&config);
             std::thread::sleep(Duration::from_millis(20));
         }
@@ -123,7 +123,7 @@
         let status = lab.wait().expect("ends");
         while !with_config(&config).is_empty() {
             assert!(
-                started.elapsed() < PATIENCE,
+                started.elapsed() < TIMEOUT,
                 "{:?} are left",
                 with_config(&config)
             );
@@ -234,27 +234,27 @@
 
 each_rule_is_broken_by! {
     a_request_that_is_dropped_is_seen: "loses" breaks "lost" in small("");
-    a_request_that_is_held_is_seen: "holds" breaks "lost" in small("").replace("8s", "1s").replace("5s", "1s");
+    a_request_without_a_response_is_detected: "holds" breaks "lost" in small("").replace("8s", "1s").replace("5s", "1s");
     an_invented_answer_is_seen: "invents" breaks "invented" in small("");
     a_forbidden_repeat_is_seen: "repeats" breaks "repeated" in small("");
     a_false_refusal_is_seen: "refuses" breaks "refused" in small("");
     two_attempts_at_once_are_seen: "doubles" breaks "two-out" in small("");
     too_many_attempts_are_seen: "insists" breaks "attempts" in small("");
     what_is_sent_after_the_end_is_seen: "lingers" breaks "after-end" in small("");
-    a_drain_that_is_not_kept_is_seen: "deaf" breaks "drained" in small(REPLACED).replace("8s", "1s").replace("5s", "1s");
-    a_cold_upstream_that_is_tipped_is_seen: "crowds" breaks "tipped" in
+    a_violated_drain_is_detected: "deaf" breaks "drained" in small(REPLACED).replace("8s", "1s").replace("5s", "1s");
+    an_upstream_overloaded_in_slow_start_is_detected: "crowds" breaks "tipped" in
         fleet(1, 1, "6s", &format!("[clients]\nrate = 900\n{REPLACED}")).replace("8s", "1s").replace("5s", "1s");
     a_forged_request_is_seen: "forges" breaks "foreign" in small("");
     memory_over_its_limit_is_seen: "swells" breaks "memory" in small("[balancer]\nmemory_mb = 48\n");
     descriptors_over_their_limit_are_seen: "hoards" breaks "descriptors" in small("[balancer]\nsockets = 64\n");
     a_balancer_that_ends_is_seen: "dies" breaks "crashed" in small("");
-    figures_that_are_not_so_are_seen: "boasts" breaks "figures" in small("");
+    false_metrics_are_detected: "boasts" breaks "figures" in small("");
     a_number_that_comes_again_is_seen: "stutters" breaks "numbered" in small(KILLED);
     a_datagram_that_is_too_long_is_seen: "shouts" breaks "datagram" in small("");
     a_datagram_that_cannot_be_read_is_seen: "mumbles" breaks "header" in small("");
     an_agreement_that_goes_back_is_seen: "rewinds" breaks "epoch" in small("");
-    a_version_that_is_kept_too_long_is_seen: "clings" breaks "agreed" in small("[bounds]\nagree = \"300ms\"\n");
-    too_many_further_attempts_of_all_are_seen: "repeats" breaks "budget" in small("[bounds]\nretries = 0.05\n");
+    a_version_used_too_long_is_detected: "clings" breaks "agreed" in small("[bounds]\nagree = \"300ms\"\n");
+    too_many_retries_of_all_are_detected: "repeats" breaks "budget" in small("[bounds]\nretries = 0.05\n");
     too_many_trials_of_a_zone_are_seen: "speaks-old" breaks "trials" in
         small("[[bounds.trials]]\nzone = \"a\"\nduring = [\"0s\", \"2s\"]\nmost = 1\n");
     a_tenant_in_its_share_that_loses_is_seen: "favours" breaks "in-share" in small(BESIDE);
--- a/lab/tests/fleet/tier.rs
+++ b/lab/tests/fleet/tier.rs
@@ -140,7 +140,7 @@
             log.rfind("version 1 instead of 2"),
         );
         assert!(up.is_some() && down > up, "{name}: {log}");
-        let dropped = &figures(&played, "real-1", &name)["peers"]["dropped"];
+        let dropped = &request_metrics(&played, "real-1", &name)["peers"]["dropped"];
         assert!(
             dropped["broken"].as_u64().is_some_and(|n| n > 50),
             "{name}: {dropped}"
@@ -164,7 +164,7 @@
 }
 
 /// What a balancer wrote of itself last.
-fn figures(played: &Played, play: &str, name: &str) -> serde_json::Value {
+fn request_metrics(played: &Played, play: &str, name: &str) -> serde_json::Value {
     let path = played
         .out()
         .join(play)
@@ -213,7 +213,7 @@
         played.said()
     );
     for name in (1..=4).map(|n| format!("front-{n}")) {
-        let peers = &figures(&played, "real-1", &name)["peers"];
+        let peers = &request_metrics(&played, "real-1", &name)["peers"];
         assert_eq!(
             (&peers["up"], &peers["sums"]["heard"]),
             (&4.into(), &4.into()),
@@ -248,7 +248,7 @@
     let said = played.said();
     assert_eq!(played.output.status.code(), Some(0), "{said}");
     assert_eq!(played.play("plain")["seed"], played.play("quiet")["seed"]);
-    let figures = |name: &str| {
+    let has_metrics = |name: &str| {
         played
             .out()
             .join(name)
@@ -256,7 +256,11 @@
             .is_file()
     };
     assert_eq!(
-        (figures("plain-1"), figures("quiet-1"), figures("plain-2")),
+        (
+            has_metrics("plain-1"),
+            has_metrics("quiet-1"),
+            has_metrics("plain-2")
+        ),
         (true, false, true)
     );
     assert!(
--- a/lab/tests/parts/atomic_file.rs
+++ b/lab/tests/parts/atomic_file.rs
@@ -21,16 +21,16 @@
 #[test]
 fn files_that_differ_by_their_ending_are_replaced_at_once_without_a_mix() {
     let folder = tempfile::tempdir().expect("a folder");
-    let (config, drill) = (
+    let (config, fault_file) = (
         folder.path().join("front-1.json"),
         folder.path().join("front-1.drill"),
     );
     std::thread::scope(|scope| {
         let writers = [
             (&config, "{}"),
-            (&drill, "failing"),
+            (&fault_file, "failing"),
             (&config, "{}"),
-            (&drill, "failing"),
+            (&fault_file, "failing"),
         ];
         let threads = writers.map(|(path, own)| scope.spawn(move || write_and_read(path, own)));
         for thread in threads {
--- a/lab/tests/parts/audit.rs
+++ b/lab/tests/parts/audit.rs
@@ -1,8 +1,8 @@
-//! The figures of a balancer against what the stand-ins saw.
+//! The metrics of a balancer against what the stand-ins saw.
 use balancer_lab::audit::{differs, Counted};
 use balancer_lab::oracle::Seen;
 
-/// Figures as a balancer writes them.
+/// Metrics as a balancer writes them.
 fn counted(requests: u64, served: u64, attempts: u64) -> Counted {
     let text = format!(
         r#"{{"at_ms": 1, "requests": {requests},
@@ -13,7 +13,7 @@
 }
 
 #[test]
-fn a_figure_that_differs_is_named_and_what_may_differ_is_not() {
+fn a_metric_that_differs_is_named_and_one_that_may_differ_is_not() {
     let seen = Seen {
         taken: 10,
         served: 6,
--- a/lab/tests/parts/convergence.rs
+++ b/lab/tests/parts/convergence.rs
@@ -1,4 +1,4 @@
-//! Times from a change of who runs until the figures of the balancers show it.
+//! Times from a change of who runs until the metrics of the balancers show it.
 use balancer_lab::audit::Tier;
 use balancer_lab::convergence::Convergence;
 use std::collections::BTreeSet;
@@ -8,19 +8,19 @@
         up,
         in_sums,
         suspected: 0,
-        gone: 0,
+        departed: 0,
         steps: 0,
     }
 }
 
 #[test]
-fn times_count_from_a_change_to_the_figures_that_show_it() {
+fn times_count_from_a_change_to_the_metrics_that_show_it() {
     let mut c = Convergence::default();
     let set = |of: &[usize]| of.iter().copied().collect::<BTreeSet<_>>();
     c.runs(0.0, &set(&[0, 1, 2]), false);
     c.observe(0, 50.0, says(3, 3));
     c.runs(1000.0, &set(&[0, 1]), false);
-    // Figures of before the change count for nothing, and those that are wrong neither.
+    // Metrics of before the change count for nothing, and those that are wrong neither.
     c.observe(0, 990.0, says(2, 2));
     c.observe(0, 1300.0, says(3, 2));
     c.observe(0, 1500.0, says(2, 2));
--- a/lab/tests/parts/datagrams.rs
+++ b/lab/tests/parts/datagrams.rs
@@ -7,7 +7,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::timeout;
 
-const PATIENCE: Duration = Duration::from_secs(20);
+const TIMEOUT: Duration = Duration::from_secs(20);
 
 #[tokio::test]
 async fn a_peer_is_named_by_its_address_and_heard_from_it() {
@@ -23,7 +23,7 @@
     own.send_to(b"hello", network.peer(0, 2))
         .await
         .expect("sends");
-    let (named, bytes) = timeout(PATIENCE, network.next(0))
+    let (named, bytes) = timeout(TIMEOUT, network.next(0))
         .await
         .expect("in time")
         .expect("a datagram");
@@ -34,7 +34,7 @@
 
     network.deliver(Some(0), 2, &bytes).expect("sends");
     let mut read = [0; 16];
-    let (length, from) = timeout(PATIENCE, other.recv_from(&mut read))
+    let (length, from) = timeout(TIMEOUT, other.recv_from(&mut read))
         .await
         .expect("in time")
         .expect("reads");
@@ -42,7 +42,7 @@
     own.send_to(&[7; LONGEST + 9], network.all(0))
         .await
         .expect("sends");
-    let (named, bytes) = timeout(PATIENCE, network.next(0))
+    let (named, bytes) = timeout(TIMEOUT, network.next(0))
         .await
         .expect("in time")
         .expect("a datagram");
@@ -53,7 +53,7 @@
 }
 
 #[tokio::test]
-async fn datagrams_are_lost_repeated_and_cut_as_told() {
+async fn datagrams_are_lost_repeated_and_partitioned_as_configured() {
     let block = Block::claim().expect("a block");
     let conditions = Conditions {
         delay: Range {
--- a/lab/tests/parts/machine.rs
+++ b/lab/tests/parts/machine.rs
@@ -1,5 +1,5 @@
 //! An emulated machine: its slots, its queue, its cores, and how overload and a cold start slow it down.
-use balancer_lab::draw::{Choke, Upstream};
+use balancer_lab::draw::{OverloadModel, Upstream};
 use balancer_lab::experiment::Millis;
 use balancer_lab::machine::{Admission, CollapseLimit, Machine, Token};
 
@@ -14,8 +14,8 @@
         speed: 1.0,
         slots: 4,
         queue: 1,
-        cold_from: 0.25,
-        cold_for: 10_000.0,
+        slow_start_from: 0.25,
+        slow_start_time: 10_000.0,
         errors: 0.0,
         cancel_stops: false,
         connections: 10,
@@ -24,7 +24,7 @@
         full_tax: 0.0,
         report_period: 100.0,
         report_delay: 10.0,
-        choke: Some(Choke {
+        overload: Some(OverloadModel {
             at: 2.0,
             over: 1000.0,
             slower: 2.0,
--- a/lab/tests/parts/main.rs
+++ b/lab/tests/parts/main.rs
@@ -8,3 +8,4 @@
 mod net;
 mod oracle;
 mod state;
+mod stored_play;
--- a/lab/tests/parts/net.rs
+++ b/lab/tests/parts/net.rs
@@ -8,10 +8,10 @@
 use tokio::time::timeout;
 
 const SOON: Duration = Duration::from_millis(200);
-const PATIENCE: Duration = Duration::from_secs(20);
+const TIMEOUT: Duration = Duration::from_secs(20);
 
 #[tokio::test]
-async fn a_port_takes_refuses_and_stays_silent_and_comes_back() {
+async fn a_port_accepts_refuses_is_unresponsive_and_recovers() {
     let block = Block::claim().expect("a block");
     let at = block.upstream(1, 2);
     let (mode, watched) = watch::channel(Manner::Open);
@@ -25,13 +25,13 @@
         }
     });
     for round in 0..3 {
-        let up = timeout(PATIENCE, TcpStream::connect(at))
+        let up = timeout(TIMEOUT, TcpStream::connect(at))
             .await
             .expect("in time")
             .expect("connects");
         taken.recv().await.expect("accepted");
         drop(up);
-        mode.send_replace(Manner::Silent);
+        mode.send_replace(Manner::Unresponsive);
         // Once it is silent, connections neither come up nor fail.
         while timeout(SOON, TcpStream::connect(at)).await.is_ok() {}
         assert!(
@@ -60,21 +60,21 @@
 }
 
 #[tokio::test]
-async fn a_cut_way_is_silent_one_way_or_both_and_a_reset_is_seen() {
+async fn a_partitioned_link_is_unresponsive_one_way_or_both_and_a_reset_is_seen() {
     let block = Block::claim().expect("a block");
     let at = block.balancer(1);
     let server = listener(at).expect("listens");
     let link = Link::open();
-    let mut near = connect(at, &link).await.expect("connects");
+    let mut client = connect(at, &link).await.expect("connects");
     let (mut far, _) = server.accept().await.expect("accepts");
     let mut byte = [0];
     link.cut(Direction::Inward);
-    near.write_all(b"x").await.expect("writes");
+    client.write_all(b"x").await.expect("writes");
     far.read_exact(&mut byte)
         .await
         .expect("what goes out is not cut");
     far.write_all(b"y").await.expect("writes");
-    assert!(timeout(SOON, near.read_exact(&mut byte)).await.is_err());
+    assert!(timeout(SOON, client.read_exact(&mut byte)).await.is_err());
     assert!(
         timeout(SOON, connect(at, &link)).await.is_err(),
         "nothing new comes up"
@@ -82,17 +82,17 @@
     link.cut(Direction::Inward);
     link.heal(Direction::Inward);
     assert!(
-        timeout(SOON, near.read_exact(&mut byte)).await.is_err(),
+        timeout(SOON, client.read_exact(&mut byte)).await.is_err(),
         "one of two cuts is left"
     );
     link.heal(Direction::Inward);
-    timeout(PATIENCE, near.read_exact(&mut byte))
+    timeout(TIMEOUT, client.read_exact(&mut byte))
         .await
         .expect("in time")
         .expect("reads");
     assert_eq!(&byte, b"y");
     link.reset();
-    drop(near);
+    drop(client);
     let end = far.read(&mut byte).await;
     assert_eq!(
         end.map_err(|e| e.kind()),
--- a/lab/tests/parts/oracle.rs
+++ b/lab/tests/parts/oracle.rs
@@ -67,12 +67,16 @@
         let first = o.attempt(1.0, 7, 0, 0).expect("known");
         o.attempt(50.0, 7, 0, 2);
         o.attempt_ended(ends, 7, first, End::Closed, hidden);
-        assert_eq!(rules(&mut o), vec![Rule::TwoOut; wanted], "{ends}");
+        assert_eq!(
+            rules(&mut o),
+            vec![Rule::ConcurrentAttempts; wanted],
+            "{ends}"
+        );
     }
 }
 
 #[test]
-fn every_request_taken_is_owed_one_answer_unless_its_balancer_could_not_act() {
+fn every_accepted_request_gets_one_response_unless_its_balancer_could_not_act() {
     let mut o = oracle();
     for id in 1..=6 {
         o.taken(0.0, id, 2, 0, 1000.0);
@@ -87,7 +91,7 @@
     assert_eq!(rules(&mut o), [Rule::Lost, Rule::Lost]);
     o.taken(0.0, 8, 2, 0, 1000.0);
     o.excuse(0, 100.0, 5000.0);
-    o.ended(1600.0, 8, Final::Silence);
+    o.ended(1600.0, 8, Final::TimedOut);
     assert_eq!(rules(&mut o).len(), 2);
     assert_eq!(o.checked(), 7);
 }
@@ -120,7 +124,7 @@
 }
 
 #[test]
-fn drains_and_the_number_of_attempts_are_kept() {
+fn drains_and_the_attempt_limit_are_checked() {
     let mut o = oracle();
     o.taken(0.0, 1, 0, 0, 9000.0);
     o.notified(100.0, 0, 2, 1, false);
@@ -145,7 +149,7 @@
         o.attempt(50.0, 7, 0, 2);
         o.attempt_ended(140.0, 7, first, End::Closed, false);
         o.lab_late(141.0, late);
-        assert_eq!(rules(&mut o), vec![Rule::TwoOut; wanted]);
+        assert_eq!(rules(&mut o), vec![Rule::ConcurrentAttempts; wanted]);
     }
 }
 
