Name what the balancer's decisions take and give after the field

Change: TierLoad has capacity and first_attempts, TenantLoad client_connections, TierUpdate and datagram headers a position, Event::Load in_flight; endings are Rejected and NotSent. Names of the wire, of metrics and of options stay as they are.

--- a/balancer/core/src/interface/events.rs
+++ b/balancer/core/src/interface/events.rs
@@ -10,7 +10,7 @@
     Error,
     /// Rejected (overloaded or draining); never ran, unless
     /// [`Settings::late_shedding`](crate::Settings::late_shedding) is set.
-    Full,
+    Rejected,
     /// No response in time; may have run or still run.
     Timeout,
     /// No connection could be made; never ran.
@@ -20,16 +20,19 @@
     /// Cancelled; may have run.
     Cancelled,
     /// Was not sent at all; never ran.
-    Moot,
+    NotSent,
     /// Something unknown; counts as one that may have run.
     Unknown,
 }
 
 impl Ending {
-    /// Whether this ending proves that the attempt never ran; for `Full` see
+    /// Whether this ending proves that the attempt never ran; for `Rejected` see
     /// [`Settings::late_shedding`](crate::Settings::late_shedding).
     pub fn never_ran(self) -> bool {
-        matches!(self, Ending::Full | Ending::ConnectFailed | Ending::Moot)
+        matches!(
+            self,
+            Ending::Rejected | Ending::ConnectFailed | Ending::NotSent
+        )
     }
 }
 
@@ -94,7 +97,7 @@
         /// The upstream.
         upstream: UpstreamId,
         /// Requests in flight at it, from all balancers together, a little while ago; finite.
-        held: f64,
+        in_flight: f64,
     },
     /// An upstream reported how many requests a second it serves, for all balancers together. Like [`Event::Load`].
     Served {
--- a/balancer/core/src/interface/settings.rs
+++ b/balancer/core/src/interface/settings.rs
@@ -107,7 +107,7 @@
     pub overload_multiple: f64,
     /// The window in which that is counted, for what all balancers send together. Above zero.
     pub overload_window: Millis,
-    /// Upstreams also shed work that they had begun: [`Ending::Full`](crate::Ending::Full) is no proof that an
+    /// Upstreams also shed work that they had begun: [`Ending::Rejected`](crate::Ending::Rejected) is no proof that an
     /// attempt never ran.
     pub late_shedding: bool,
     /// Price of one zone crossing per first attempt, as a part of a request's value.
--- a/balancer/core/src/interface/tier.rs
+++ b/balancer/core/src/interface/tier.rs
@@ -11,12 +11,12 @@
     /// Calls to upstreams in flight, as a mean over a second: slow calls count for as long as they last.
     pub calls: f64,
     /// Open connections of callers.
-    pub callers: f64,
+    pub client_connections: f64,
 }
 
 impl TenantLoad {
     fn is_sound(&self) -> bool {
-        [self.demand, self.calls, self.callers]
+        [self.demand, self.calls, self.client_connections]
             .into_iter()
             .all(is_amount)
     }
@@ -28,9 +28,9 @@
     /// Requests that were made.
     pub demand: f64,
     /// Requests that the next tier has the capacity for. Zero: demand, capacity and attempts are not known.
-    pub room: f64,
+    pub capacity: f64,
     /// First attempts.
-    pub firsts: f64,
+    pub first_attempts: f64,
     /// Retries.
     pub retries: f64,
     /// By position in [`Settings::tenants`](crate::Settings::tenants), with one further entry for all that are not
@@ -41,7 +41,7 @@
 impl TierLoad {
     /// Demand as a multiple of capacity.
     pub fn pressure(&self) -> f64 {
-        self.demand / self.room.max(1.0)
+        self.demand / self.capacity.max(1.0)
     }
 }
 
@@ -61,8 +61,8 @@
         let load = &self.load;
         let totals = [
             load.demand,
-            load.room,
-            load.firsts,
+            load.capacity,
+            load.first_attempts,
             load.retries,
             self.age,
             self.error,
@@ -101,7 +101,7 @@
     /// Instances that are up, this one included. One: nothing is known of others.
     pub up: u32,
     /// This one's position among them, from zero.
-    pub place: u32,
+    pub position: u32,
     /// Whether it hears most of them: one that is partitioned off must not take its part for the full tier.
     pub joined: bool,
     /// Sums over them; absent where nothing recent enough was received, or not all instances send sums yet.
@@ -114,7 +114,7 @@
     /// Whether every number in it is one that can be: an update that is not sound is ignored.
     pub fn is_sound(&self) -> bool {
         // As many members as a list can have.
-        let is_member = self.place < self.up && self.up <= u32::from(u16::MAX);
+        let is_member = self.position < self.up && self.up <= u32::from(u16::MAX);
         is_member
             && self.sums.iter().all(TierSums::is_sound)
             && self.evidence.iter().all(|evidence| is_amount(evidence.age))
--- a/balancer/core/src/policy/ejection.rs
+++ b/balancer/core/src/policy/ejection.rs
@@ -81,7 +81,7 @@
         self.zones
             .on_call_end(upstream, call.ending, overdue_after, now);
         let hung = call.ending == Ending::Timeout && self.is_unresponsive(call.slot, now);
-        if !call.is_aborted() && call.ending != Ending::Moot {
+        if !call.is_aborted() && call.ending != Ending::NotSent {
             self.idle_connections
                 .record_call(call.idle_step, call.is_lost());
         }
@@ -93,7 +93,7 @@
             ConnectionFate::Reusable
         };
         upstream.on_call_end(connection, now);
-        if matches!(call.ending, Ending::Cancelled | Ending::Moot) {
+        if matches!(call.ending, Ending::Cancelled | Ending::NotSent) {
             return false;
         }
         if call.ending != Ending::Timeout {
--- a/balancer/core/src/policy/events.rs
+++ b/balancer/core/src/policy/events.rs
@@ -72,8 +72,11 @@
             Event::Served { upstream, per_s } => {
                 self.fleet.record_served_rate(upstream, per_s, now);
             }
-            Event::Load { upstream, held } => {
-                self.fleet.record_reported_load(upstream, held, now);
+            Event::Load {
+                upstream,
+                in_flight,
+            } => {
+                self.fleet.record_reported_load(upstream, in_flight, now);
             }
             Event::ClientDisconnected(id) => self.handle_client_disconnected(id, actions),
             Event::Tier(update) => self.handle_tier_update(now, update),
--- a/balancer/core/src/policy/load_shedding.rs
+++ b/balancer/core/src/policy/load_shedding.rs
@@ -39,7 +39,7 @@
             }
         };
         let weights: Vec<f64> = tenants.iter().zip(&demands).map(weight).collect();
-        let capacity = (sums.load.room * CAPACITY_MARGIN).max(total_quota);
+        let capacity = (sums.load.capacity * CAPACITY_MARGIN).max(total_quota);
         let limits = limits(capacity, &demands, &weights, RESERVATION);
         let total_demand = demands.iter().sum::<f64>();
         for (excess, (limit, &demand)) in self.excess.iter_mut().zip(limits.iter().zip(&demands)) {
--- a/balancer/core/src/policy/outcomes.rs
+++ b/balancer/core/src/policy/outcomes.rs
@@ -22,7 +22,7 @@
             return;
         };
         // Where upstreams also shed work that they had begun, 'full' proves nothing.
-        let full_proves_nothing = outcome.ending == Ending::Full && self.settings.late_shedding;
+        let full_proves_nothing = outcome.ending == Ending::Rejected && self.settings.late_shedding;
         let never_ran = outcome.ending.never_ran() && !full_proves_nothing;
         let is_first_run = |run: &mut PossibleRun| run.attempt == outcome.attempt;
         if never_ran {
@@ -71,7 +71,7 @@
                 let lateness = lateness(outcome.duration / objective);
                 self.capacity.record_lateness(lateness);
             }
-            Ending::Cancelled | Ending::Moot => {}
+            Ending::Cancelled | Ending::NotSent => {}
             // Blame the upstream or the connection, not the fleet, for failures that are its own.
             _ if at_fault || connections.are_dropped(attempt.idle_step) => {}
             _ => self.capacity.record_lateness(MAX_LATENESS),
--- a/balancer/core/src/policy/requests.rs
+++ b/balancer/core/src/policy/requests.rs
@@ -59,7 +59,7 @@
             .map(|sums| &sums.load)
             .filter(|load| load.pressure() > 1.0);
         let earned = overloaded.map_or(RETRY_RATIO, |load| {
-            OVERLOADED_RETRY_RATIO * (load.firsts / load.demand).min(1.0)
+            OVERLOADED_RETRY_RATIO * (load.first_attempts / load.demand).min(1.0)
         });
         self.retry_budget = (self.retry_budget + earned).min(max_budget);
     }
--- a/balancer/core/src/policy/tier.rs
+++ b/balancer/core/src/policy/tier.rs
@@ -30,7 +30,7 @@
     /// The sums over the tier, while they count.
     pub(crate) fn sums(&self, now: Millis) -> Option<&TierSums> {
         let sums = self.current(now)?.sums.as_ref();
-        sums.filter(|sums| sums.load.room > 0.0 && sums.age + now - self.updated_at <= MAX_AGE)
+        sums.filter(|sums| sums.load.capacity > 0.0 && sums.age + now - self.updated_at <= MAX_AGE)
     }
 
     /// What other instances have against it, unless one got a response since.
--- a/balancer/core/src/policy/zones.rs
+++ b/balancer/core/src/policy/zones.rs
@@ -23,12 +23,12 @@
         let any_responds = now - self.last_response < overdue_after;
         let zone = self.by_zone.entry(upstream.endpoint.zone).or_default();
         match ending {
-            Ending::Ok | Ending::Error | Ending::Full => {
+            Ending::Ok | Ending::Error | Ending::Rejected => {
                 zone.last_response = now;
                 zone.broken_upstreams = 0.0;
                 self.last_response = now;
             }
-            Ending::Cancelled | Ending::Moot | Ending::Unknown => {}
+            Ending::Cancelled | Ending::NotSent | Ending::Unknown => {}
             Ending::Timeout | Ending::ConnectFailed | Ending::Reset => {
                 if any_responds {
                     if upstream.broken_at <= zone.last_response {
--- a/balancer/core/src/state/meter.rs
+++ b/balancer/core/src/state/meter.rs
@@ -112,13 +112,13 @@
         let load_of = |tenant: &TenantMeter| TenantLoad {
             demand: tenant.requests.read(now),
             calls: tenant.in_flight.read(now),
-            callers: 0.0,
+            client_connections: 0.0,
         };
         let tenants: Vec<TenantLoad> = self.tenants.iter().map(load_of).collect();
         TierLoad {
             demand: tenants.iter().map(|tenant| tenant.demand).sum(),
-            room: capacity_per_s,
-            firsts: self.first_attempts.read(now),
+            capacity: capacity_per_s,
+            first_attempts: self.first_attempts.read(now),
             retries: self.retries.read(now),
             tenants,
         }
--- a/balancer/core/src/state/tier.rs
+++ b/balancer/core/src/state/tier.rs
@@ -29,12 +29,12 @@
         Subject::Upstream(id) => id.0,
         Subject::Zone(zone) => u64::from(zone),
     };
-    let rank = |place: u32| {
-        let member = ring_position(UpstreamId(u64::from(place) + 1));
+    let rank = |position: u32| {
+        let member = ring_position(UpstreamId(u64::from(position) + 1));
         ring_position(UpstreamId(subject_id ^ member))
     };
-    let own_rank = rank(update.place);
+    let own_rank = rank(update.position);
     (0..update.up)
-        .filter(|&place| rank(place) > own_rank)
+        .filter(|&position| rank(position) > own_rank)
         .count() as u32
 }
--- a/balancer/core/tests/common/rules.rs
+++ b/balancer/core/tests/common/rules.rs
@@ -47,8 +47,8 @@
     /// Whether this ending of an attempt proves that it never ran.
     fn proves_never_ran(&self, ending: Option<Ending>) -> bool {
         match ending {
-            Some(Ending::Full) => !self.settings.late_shedding,
-            Some(Ending::ConnectFailed | Ending::Moot) => true,
+            Some(Ending::Rejected) => !self.settings.late_shedding,
+            Some(Ending::ConnectFailed | Ending::NotSent) => true,
             _ => false,
         }
     }
--- a/balancer/core/tests/common/slow_start.rs
+++ b/balancer/core/tests/common/slow_start.rs
@@ -512,7 +512,7 @@
         let busy_until = self.busy_until.entry(to).or_default();
         let wait = (*busy_until - now).max(0.0);
         if wait > MAX_QUEUE {
-            return (Ending::Full, FAILURE_TIME);
+            return (Ending::Rejected, FAILURE_TIME);
         }
         *busy_until = now + wait + 1000.0 / per_s;
         (
--- a/balancer/core/tests/common/tier/exchange.rs
+++ b/balancer/core/tests/common/tier/exchange.rs
@@ -27,10 +27,10 @@
     pub(super) fn exchange_updates(&mut self) {
         let observations = self.observations();
         let load = total_load(&observations);
-        for (place, own) in observations.iter().enumerate() {
+        for (position, own) in observations.iter().enumerate() {
             let update = TierUpdate {
                 up: observations.len() as u32,
-                place: place as u32,
+                position: position as u32,
                 joined: true,
                 sums: Some(TierSums {
                     load: load.clone(),
@@ -64,8 +64,8 @@
     for Observation { observed, .. } in observations {
         let load = &observed.load;
         total.demand += load.demand;
-        total.room += load.room;
-        total.firsts += load.firsts;
+        total.capacity += load.capacity;
+        total.first_attempts += load.first_attempts;
         total.retries += load.retries;
         for (sum, tenant) in total.tenants.iter_mut().zip(&load.tenants) {
             sum.demand += tenant.demand;
--- a/balancer/core/tests/common/tier/servers.rs
+++ b/balancer/core/tests/common/tier/servers.rs
@@ -98,7 +98,7 @@
         self.after(timeout.max(0.0), Step::Timeout { call });
         let responds = (self.slowness)(server, self.now).is_finite();
         if responds && self.servers[server].queue.len() >= MAX_QUEUE {
-            return self.end_call(call, Ending::Full);
+            return self.end_call(call, Ending::Rejected);
         }
         self.servers[server].queue.push_back(call);
         self.work(server);
--- a/balancer/core/tests/failures/choice.rs
+++ b/balancer/core/tests/failures/choice.rs
@@ -115,7 +115,7 @@
                 *in_flight.entry(upstream).or_insert(0.0) -= 1.0;
                 harness.handle(Event::Load {
                     upstream,
-                    held: in_flight[&upstream],
+                    in_flight: in_flight[&upstream],
                 });
                 harness.outcome(id, 0, Ending::Ok);
             }
@@ -154,17 +154,17 @@
     for odd in [f64::NAN, f64::INFINITY, -1e300] {
         harness.handle(Event::Load {
             upstream: UpstreamId(1),
-            held: odd,
+            in_flight: odd,
         });
     }
     harness.handle(Event::Load {
         upstream: UpstreamId(77),
-        held: 5.0,
+        in_flight: 5.0,
     });
     (1..=3).for_each(|id| {
         _ = harness.handle(Event::Load {
             upstream: UpstreamId(id),
-            held: 1e9,
+            in_flight: 1e9,
         })
     });
     harness.traffic(1000.0, 20.0, &[0], &fast);
--- a/balancer/core/tests/observed.rs
+++ b/balancer/core/tests/observed.rs
@@ -26,10 +26,10 @@
     });
     let seen = harness.balancer.observed(harness.now).load;
     assert!(
-        is_close(seen.demand, 80.0) && is_close(seen.firsts, 80.0) && seen.retries < 0.1,
+        is_close(seen.demand, 80.0) && is_close(seen.first_attempts, 80.0) && seen.retries < 0.1,
         "{seen:?}"
     );
-    assert!(seen.room > 80.0, "{seen:?}");
+    assert!(seen.capacity > 80.0, "{seen:?}");
     // The last place is for tenants that are not listed.
     let [first, second, other] = seen.tenants[..] else {
         panic!("{seen:?}")
@@ -44,7 +44,10 @@
     );
     // Nobody asks any more: it fades, whether or not it was asked for meanwhile.
     let later = harness.balancer.observed(harness.now + 8000.0).load;
-    assert!(later.demand < 0.1 && later.firsts < 0.1, "{later:?}");
+    assert!(
+        later.demand < 0.1 && later.first_attempts < 0.1,
+        "{later:?}"
+    );
 }
 
 #[test]
@@ -59,7 +62,10 @@
     };
     harness.traffic(1500.0, 80.0, &[0], &some);
     let seen = harness.balancer.observed(harness.now).load;
-    assert!(seen.retries > 0.5 && seen.retries < seen.firsts, "{seen:?}");
+    assert!(
+        seen.retries > 0.5 && seen.retries < seen.first_attempts,
+        "{seen:?}"
+    );
     let calls: f64 = seen.tenants.iter().map(|t| t.calls).sum();
     assert!(
         is_close(calls, 4.0),
--- a/balancer/core/tests/rules.rs
+++ b/balancer/core/tests/rules.rs
@@ -16,11 +16,11 @@
     Ending::Ok,
     Ending::Ok,
     Ending::Error,
-    Ending::Full,
+    Ending::Rejected,
     Ending::ConnectFailed,
     Ending::Reset,
     Ending::Cancelled,
-    Ending::Moot,
+    Ending::NotSent,
     Ending::Unknown,
 ];
 
@@ -196,18 +196,18 @@
     harness.request(1, 0, 0);
     assert!(
         matches!(
-            harness.outcome(1, 0, Ending::Full)[..],
+            harness.outcome(1, 0, Ending::Rejected)[..],
             [Action::Send { .. }]
         ),
         "never ran: sent again"
     );
     assert!(matches!(
-        harness.outcome(1, 1, Ending::Full)[..],
+        harness.outcome(1, 1, Ending::Rejected)[..],
         [Action::Send { .. }]
     ));
     assert!(
         matches!(
-            harness.outcome(1, 2, Ending::Full)[..],
+            harness.outcome(1, 2, Ending::Rejected)[..],
             [Action::Refuse { .. }]
         ),
         "attempts are spent"
@@ -232,7 +232,7 @@
     harness.request(1, 0, 0);
     assert!(
         matches!(
-            harness.outcome(1, 0, Ending::Full)[..],
+            harness.outcome(1, 0, Ending::Rejected)[..],
             [Action::Fail { .. }]
         ),
         "it may have run"
@@ -263,7 +263,7 @@
         harness.request(id, 0, 0);
         harness.advance(50.0);
         // The checker holds the group and the window to the attempt that was rejected.
-        harness.outcome(id, 0, Ending::Full);
+        harness.outcome(id, 0, Ending::Rejected);
         if harness.requests[&RequestId(id)].endings.len() == 2 {
             harness.outcome(id, 1, Ending::Ok);
         }
--- a/balancer/core/tests/slow_start.rs
+++ b/balancer/core/tests/slow_start.rs
@@ -72,7 +72,7 @@
         scenario.ending = |id, t| failing(id.0 == 1, t, Ending::Error)
     }),
     ("the restarted one is full", |scenario| {
-        scenario.ending = |id, t| failing(id.0 == 1, t, Ending::Full)
+        scenario.ending = |id, t| failing(id.0 == 1, t, Ending::Rejected)
     }),
     ("last resort", last_resort),
     ("several restart", |scenario| scenario.restarting = 4),
--- a/balancer/core/tests/switched_off.rs
+++ b/balancer/core/tests/switched_off.rs
@@ -67,7 +67,7 @@
         // Cut off for a while as well.
         let update = |step: usize| TierUpdate {
             up: 1,
-            place: 0,
+            position: 0,
             joined: step % 50 < 30,
             sums: sums.clone(),
             evidence: vec![],
--- a/balancer/core/tests/tier.rs
+++ b/balancer/core/tests/tier.rs
@@ -29,7 +29,7 @@
 /// The same update with capacity for hardly anything, so much older.
 fn with_low_capacity(mut update: TierUpdate, age: f64) -> TierUpdate {
     if let Some(sums) = &mut update.sums {
-        sums.load.room = 1.0;
+        sums.load.capacity = 1.0;
         sums.load.tenants[0].demand = 1000.0;
         sums.age += age;
     }
@@ -73,12 +73,15 @@
         }),
         ("with a place that is none", |_, update| {
             Some(TierUpdate {
-                place: update.up,
+                position: update.up,
                 ..update
             })
         }),
         ("with a figure that is none", |_, mut update| {
-            update.sums.iter_mut().for_each(|s| s.load.room = f64::NAN);
+            update
+                .sums
+                .iter_mut()
+                .for_each(|s| s.load.capacity = f64::NAN);
             Some(update)
         }),
     ];
@@ -334,11 +337,11 @@
     // Until sums tell of it, each instance goes on as it did alone; and all together had some saved up.
     let during = || tier.sends.iter().filter(|send| send.at > 12_000.0);
     let all = during().count() as f64;
-    let firsts = during().filter(|send| send.attempt == 0).count() as f64;
+    let first_attempts = during().filter(|send| send.attempt == 0).count() as f64;
     assert!(
-        all < 1.1 * firsts + 100.0,
+        all < 1.1 * first_attempts + 100.0,
         "{name}: {:.3} attempts a request",
-        all / firsts
+        all / first_attempts
     );
     if (tier.error_rate)(0, tier.now - 1.0) == 1.0 {
         let sends = tier.sends.iter();
--- a/balancer/gossip/src/knowledge/sums.rs
+++ b/balancer/gossip/src/knowledge/sums.rs
@@ -237,12 +237,12 @@
         }
         let scale = up.len() as f64 / sample as f64;
         let (tenants, tenants_age) = self.tenant_sums(now, up);
-        let [demand, room, firsts, retries] = totals.map(|total| total * scale);
+        let [demand, capacity, first_attempts, retries] = totals.map(|total| total * scale);
         Some(Sums {
             load: Load {
                 demand,
-                room,
-                firsts,
+                capacity,
+                first_attempts,
                 retries,
                 tenants,
             },
@@ -282,17 +282,17 @@
             (0..3).for_each(|at| equal_share[at] += share[at]);
             for row in &received.rows {
                 let sum = &mut sums[usize::from(row.tenant)];
-                let [demand, calls, callers] = row.values.map(CompactFloat::value);
+                let [demand, calls, client_connections] = row.values.map(CompactFloat::value);
                 sum.demand += demand - share[0];
                 sum.calls += calls - share[1];
-                sum.callers += callers - share[2];
+                sum.client_connections += client_connections - share[2];
             }
         }
         let scale = up.len() as f64 / sample;
         for sum in &mut sums {
             sum.demand = (sum.demand + equal_share[0]).max(0.0) * scale;
             sum.calls = (sum.calls + equal_share[1]).max(0.0) * scale;
-            sum.callers = (sum.callers + equal_share[2]).max(0.0) * scale;
+            sum.client_connections = (sum.client_connections + equal_share[2]).max(0.0) * scale;
         }
         (sums, age)
     }
@@ -300,12 +300,17 @@
 
 /// A load's totals, in their order on the wire.
 fn own_totals(load: &Load) -> [f64; 4] {
-    [load.demand, load.room, load.firsts, load.retries]
+    [
+        load.demand,
+        load.capacity,
+        load.first_attempts,
+        load.retries,
+    ]
 }
 
 /// A tenant's load, in its order on the wire.
 fn tenant_load(tenant: &TenantLoad) -> TenantValues {
-    [tenant.demand, tenant.calls, tenant.callers]
+    [tenant.demand, tenant.calls, tenant.client_connections]
 }
 
 fn sum<'a>(tenants: impl Iterator<Item = &'a TenantLoad>) -> TenantValues {
--- a/balancer/gossip/src/peers.rs
+++ b/balancer/gossip/src/peers.rs
@@ -154,7 +154,7 @@
         if header.deployment != self.config.deployment {
             return Err(Rejection::ForeignDeployment);
         }
-        if header.place != from || from == self.config.own || from.0 >= self.config.candidates {
+        if header.position != from || from == self.config.own || from.0 >= self.config.candidates {
             return Err(Rejection::Malformed);
         }
         Ok(())
@@ -205,10 +205,13 @@
 
     /// Takes a verified header for the agreement on a version, unless it is of a process that has ended.
     fn handle_header(&mut self, now: Millis, header: &Header) {
-        if self.membership.is_current(header.place, header.incarnation) {
+        if self
+            .membership
+            .is_current(header.position, header.incarnation)
+        {
             self.negotiation.handle_announcement(
                 now,
-                header.place,
+                header.position,
                 header.incarnation,
                 header.supported_versions,
                 header.epoch,
@@ -316,7 +319,7 @@
         let header = Header {
             version,
             supported_versions: self.config.supported_versions,
-            place: self.config.own,
+            position: self.config.own,
             incarnation: self.membership.incarnation(),
             deployment: self.config.deployment,
             epoch: self.negotiation.epoch(),
@@ -399,7 +402,7 @@
         };
         TierState {
             up: members.len() as u32,
-            place: position as u32,
+            position: position as u32,
             version,
             epoch: self.negotiation.epoch(),
             joined,
--- a/balancer/gossip/src/types.rs
+++ b/balancer/gossip/src/types.rs
@@ -89,7 +89,7 @@
     /// Calls to upstreams in flight: the mean over a second, so that slow calls count for as long as they last.
     pub calls: f64,
     /// Open connections of clients.
-    pub callers: f64,
+    pub client_connections: f64,
 }
 
 /// The load of a replica, or of a tier.
@@ -98,9 +98,9 @@
     /// Requests a second that were asked for.
     pub demand: f64,
     /// Capacity of the next tier in requests a second, as the replica estimates it.
-    pub room: f64,
+    pub capacity: f64,
     /// First attempts a second.
-    pub firsts: f64,
+    pub first_attempts: f64,
     /// Retries a second.
     pub retries: f64,
     /// Each tenant, by its position in the settings; a last entry for all that these don't name.
@@ -162,7 +162,7 @@
     /// Members that are up, this replica included, and its position among them in the list's order.
     pub up: u32,
     /// See there.
-    pub place: u32,
+    pub position: u32,
     /// The version that all live members speak, and the number of the agreement on it, which only grows.
     pub version: u8,
     /// See there.
--- a/balancer/gossip/src/wire/mod.rs
+++ b/balancer/gossip/src/wire/mod.rs
@@ -16,7 +16,7 @@
 pub struct Header {
     pub version: u8,
     pub supported_versions: VersionRange,
-    pub place: Member,
+    pub position: Member,
     pub incarnation: u64,
     pub deployment: u32,
     pub epoch: u64,
@@ -39,7 +39,7 @@
         header.supported_versions.min,
         header.supported_versions.max,
     ]);
-    bytes.extend_from_slice(&header.place.0.to_be_bytes());
+    bytes.extend_from_slice(&header.position.0.to_be_bytes());
     bytes.extend_from_slice(&header.incarnation.to_be_bytes());
     bytes.extend_from_slice(&header.deployment.to_be_bytes());
     bytes.extend_from_slice(&header.epoch.to_be_bytes());
@@ -78,7 +78,7 @@
     let header = Header {
         version: body[2],
         supported_versions,
-        place: Member(u16::from_be_bytes(fixed(&body[5..7]))),
+        position: Member(u16::from_be_bytes(fixed(&body[5..7]))),
         incarnation: u64::from_be_bytes(fixed(&body[7..15])),
         deployment: u32::from_be_bytes(fixed(&body[15..19])),
         epoch: u64::from_be_bytes(fixed(&body[19..27])),
--- a/balancer/gossip/tests/common/mod.rs
+++ b/balancer/gossip/tests/common/mod.rs
@@ -34,7 +34,7 @@
 };
 
 pub(crate) struct Node {
-    pub place: u16,
+    pub position: u16,
     pub peers: Option<Peers>,
     pub paused_until: Millis,
     pub skew: Millis,
@@ -90,8 +90,8 @@
     /// As many replicas as there are positions, all started within a tenth of a second, run until they know each other.
     pub(crate) fn tier(n: u16, tenants: u16, net: Net, seed: u64) -> Sim {
         let mut sim = Sim::new(n, tenants, net, seed);
-        for place in 0..n {
-            sim.start(place, 1_000, SUPPORTED_VERSIONS);
+        for position in 0..n {
+            sim.start(position, 1_000, SUPPORTED_VERSIONS);
         }
         sim.run(20_000.0);
         sim
@@ -100,12 +100,12 @@
     /// Starts a replica; returns its position among [`Sim::nodes`].
     pub(crate) fn start(
         &mut self,
-        place: u16,
+        position: u16,
         incarnation: u64,
         supported_versions: VersionRange,
     ) -> usize {
         let skew = self.rng.gen_range(0.0..3_600_000.0);
-        let node = self.node(place, incarnation, supported_versions, skew);
+        let node = self.node(position, incarnation, supported_versions, skew);
         self.nodes.push(node);
         let at = self.nodes.len() - 1;
         self.flush(at);
@@ -114,31 +114,34 @@
 
     /// Starts a replica anew in place of one that ran or was killed, with nothing remembered.
     pub(crate) fn restart(&mut self, at: usize, incarnation: u64) {
-        let (place, skew) = (self.nodes[at].place, self.rng.gen_range(0.0..3_600_000.0));
-        self.nodes[at] = self.node(place, incarnation, SUPPORTED_VERSIONS, skew);
+        let (position, skew) = (
+            self.nodes[at].position,
+            self.rng.gen_range(0.0..3_600_000.0),
+        );
+        self.nodes[at] = self.node(position, incarnation, SUPPORTED_VERSIONS, skew);
         self.flush(at);
     }
 
     fn node(
         &mut self,
-        place: u16,
+        position: u16,
         incarnation: u64,
         supported_versions: VersionRange,
         skew: Millis,
     ) -> Node {
         let config = Config {
-            own: Member(place),
+            own: Member(position),
             candidates: self.candidates,
             incarnation,
             seed: self.seed ^ self.rng.gen::<u64>(),
-            zone: place % 3,
+            zone: position % 3,
             tenants: self.tenants,
             deployment: 7,
             supported_versions,
         };
         let peers = Peers::new(config, self.now + skew).expect("a valid configuration");
         Node {
-            place,
+            position,
             peers: Some(peers),
             paused_until: 0.0,
             skew,
@@ -189,14 +192,14 @@
 
     /// Sends what a replica has to send, and schedules its next timeout.
     fn flush(&mut self, at: usize) {
-        let place = self.nodes[at].place;
+        let position = self.nodes[at].position;
         while let Some(transmit) = self.nodes[at].peers.as_mut().and_then(Peers::poll_transmit) {
             self.longest = self.longest.max(transmit.bytes.len());
             if self.is_recording {
                 self.recorded
-                    .push((place, transmit.to.0, transmit.bytes.clone()));
+                    .push((position, transmit.to.0, transmit.bytes.clone()));
             }
-            self.post(place, transmit.to.0, transmit.bytes);
+            self.post(position, transmit.to.0, transmit.bytes);
         }
         let node = &self.nodes[at];
         let deadline = node
@@ -284,7 +287,7 @@
 
     fn deliver(&mut self, to: u16, from: u16, bytes: Vec<u8>) {
         let mut receivers: Vec<usize> = self.alive();
-        receivers.retain(|at| self.nodes[*at].place == to);
+        receivers.retain(|at| self.nodes[*at].position == to);
         if receivers.is_empty() {
             return;
         }
--- a/balancer/gossip/tests/golden.rs
+++ b/balancer/gossip/tests/golden.rs
@@ -29,7 +29,7 @@
     Header {
         version,
         supported_versions: VersionRange { min: 1, max: 2 },
-        place: Member(258 + n),
+        position: Member(258 + n),
         incarnation: 0x1112_1314_1516_1718 + u64::from(n),
         deployment: DEPLOYMENT,
         epoch: 0x2122_2324_2526_2728 + u64::from(n),
@@ -230,7 +230,7 @@
     for (name, bytes) in stored(DATAGRAMS) {
         let mut peers = Peers::new(config.clone(), 0.0).expect("a configuration");
         let (header, _) = open(&bytes).expect("whole");
-        peers.handle_datagram(1.0, header.place, &bytes);
+        peers.handle_datagram(1.0, header.position, &bytes);
         let counts = peers.counts();
         assert_eq!(
             (counts.read, counts.malformed, counts.foreign_deployment),
--- a/balancer/gossip/tests/hostile_datagrams.rs
+++ b/balancer/gossip/tests/hostile_datagrams.rs
@@ -5,10 +5,10 @@
 use proptest::prelude::*;
 
 /// A datagram with a header that holds, whatever its payload.
-fn sealed(version: u8, place: u16, incarnation: u64, payload: &[u8]) -> Vec<u8> {
+fn sealed(version: u8, position: u16, incarnation: u64, payload: &[u8]) -> Vec<u8> {
     let mut bytes = MAGIC.to_vec();
     bytes.extend([version, 1, 2]);
-    bytes.extend(place.to_be_bytes());
+    bytes.extend(position.to_be_bytes());
     bytes.extend(incarnation.to_be_bytes());
     bytes.extend(7_u32.to_be_bytes());
     bytes.extend(1_u64.to_be_bytes());
--- a/balancer/gossip/tests/tier.rs
+++ b/balancer/gossip/tests/tier.rs
@@ -4,21 +4,21 @@
 use common::{Net, Sim, LOSSY};
 
 /// What a replica observes; the demand differs from replica to replica by 30 in 100.
-fn own(place: u16, level: f64) -> Observations {
-    let demand = level * (0.48 + 1.04 * f64::from(place * 37 % 101) / 100.0);
+fn own(position: u16, level: f64) -> Observations {
+    let demand = level * (0.48 + 1.04 * f64::from(position * 37 % 101) / 100.0);
     let tenant = |at: u16| {
         let part = f64::from(at + 1) / 55.0;
         TenantLoad {
             demand: demand * part,
             calls: demand * part / 10.0,
-            callers: 3.0,
+            client_connections: 3.0,
         }
     };
     let tenants = (0..10).map(tenant).collect();
     let load = Load {
         demand,
-        room: 2.0 * demand,
-        firsts: demand,
+        capacity: 2.0 * demand,
+        first_attempts: demand,
         retries: 0.0,
         tenants,
     };
@@ -33,8 +33,8 @@
     let end = sim.now + span;
     while sim.now < end {
         for at in sim.alive() {
-            let place = sim.nodes[at].place;
-            sim.observe(at, own(place, level));
+            let position = sim.nodes[at].position;
+            sim.observe(at, own(position, level));
         }
         sim.run(250.0);
     }
@@ -54,8 +54,8 @@
 fn a_tier_knows_a_failure_and_a_sum_within_two_seconds_at_constant_bytes() {
     for n in [10, 60, 300] {
         let mut sim = Sim::new(n, 9, LOSSY, u64::from(n));
-        for place in 0..n {
-            sim.start(place, 1_000, SUPPORTED_VERSIONS);
+        for position in 0..n {
+            sim.start(position, 1_000, SUPPORTED_VERSIONS);
         }
         run_observing(&mut sim, 3_000.0, 100.0);
         assert!(agree(&mut sim, n.into()) >= 0.99, "{n} replicas start");
@@ -70,7 +70,9 @@
         let each = (sent(&mut sim) - before) as f64 / f64::from(n) / 4.0;
         assert!(each < 2_750.0, "{n} replicas: {each} bytes a second");
         assert!(sim.longest <= 256);
-        let truth: f64 = (0..n).map(|place| own(place, 200.0).load.demand).sum();
+        let truth: f64 = (0..n)
+            .map(|position| own(position, 200.0).load.demand)
+            .sum();
         for at in 0..usize::from(n) {
             let sums = sim.tier_state(at).sums.unwrap_or_else(|| {
                 panic!(
@@ -240,14 +242,14 @@
 #[test]
 fn a_tier_grows_shrinks_and_loses_most_of_itself() {
     let mut sim = Sim::new(60, 9, LOSSY, 41);
-    for place in 0..3 {
-        sim.start(place, 1_000, SUPPORTED_VERSIONS);
+    for position in 0..3 {
+        sim.start(position, 1_000, SUPPORTED_VERSIONS);
     }
     sim.run(6_000.0);
     assert_eq!(agree(&mut sim, 3), 1.0);
     assert!(sim.tier_state(0).joined);
-    for place in 3..60 {
-        sim.start(place, 1_000, SUPPORTED_VERSIONS);
+    for position in 3..60 {
+        sim.start(position, 1_000, SUPPORTED_VERSIONS);
     }
     run_until(&mut sim, 4_000.0, |sim| agree(sim, 60) == 1.0);
     sim.run(8_000.0);
--- a/balancer/gossip/tests/upgrades.rs
+++ b/balancer/gossip/tests/upgrades.rs
@@ -7,17 +7,17 @@
 const OLD: VersionRange = VersionRange { min: 1, max: 1 };
 
 /// Ends the replica at a place as an orderly stop does, and starts it 0.5 s later with nothing remembered.
-fn restart_as(sim: &mut Sim, place: u16, incarnation: u64, supported_versions: VersionRange) {
+fn restart_as(sim: &mut Sim, position: u16, incarnation: u64, supported_versions: VersionRange) {
     let running = sim
         .alive()
         .into_iter()
-        .find(|at| sim.nodes[*at].place == place)
+        .find(|at| sim.nodes[*at].position == position)
         .expect("it runs");
     sim.with(running, |peers, now| peers.leave(now));
     sim.run(50.0);
     sim.kill(running);
     sim.run(500.0);
-    sim.start(place, incarnation, supported_versions);
+    sim.start(position, incarnation, supported_versions);
 }
 
 /// Lets all observe what they do for so long; the versions that are spoken then, each once, and how many know sums.
@@ -60,16 +60,16 @@
 fn a_tier_is_upgraded_and_rolled_back_in_one_step_each() {
     const N: u16 = 24;
     let mut sim = Sim::new(N, 10, LOSSY, 7);
-    (0..N).for_each(|place| {
-        sim.start(place, 1_000, OLD);
+    (0..N).for_each(|position| {
+        sim.start(position, 1_000, OLD);
     });
     assert_eq!(observe_for(&mut sim, 10), (vec![1], 0));
-    for place in 0..N {
-        restart_as(&mut sim, place, 2_000, SUPPORTED_VERSIONS);
+    for position in 0..N {
+        restart_as(&mut sim, position, 2_000, SUPPORTED_VERSIONS);
         assert_eq!(
             observe_for(&mut sim, 1),
             (vec![1], 0),
-            "{place} is upgraded"
+            "{position} is upgraded"
         );
     }
     // Then, with every replica a new run, all know sums, and go on knowing them.
@@ -78,16 +78,16 @@
         assert_eq!(observe_for(&mut sim, 1), (vec![2], N.into()));
     }
     // The first replica of the old build takes all down; the others' restarts change nothing more.
-    for place in 0..N {
-        restart_as(&mut sim, place, 3_000, OLD);
+    for position in 0..N {
+        restart_as(&mut sim, position, 3_000, OLD);
         let (versions, sums) = observe_for(&mut sim, 1);
         assert!(
-            place == 0 || (versions, sums) == (vec![1], 0),
-            "{place} is rolled back"
+            position == 0 || (versions, sums) == (vec![1], 0),
+            "{position} is rolled back"
         );
         for at in sim.alive() {
             let steps = sim.with(at, |peers, _| peers.counts().steps);
-            assert!(steps <= 2, "{steps} steps of {}", sim.nodes[at].place);
+            assert!(steps <= 2, "{steps} steps of {}", sim.nodes[at].position);
         }
     }
 }
@@ -102,7 +102,7 @@
         let at = sim
             .alive()
             .into_iter()
-            .find(|at| sim.nodes[*at].place == 1)
+            .find(|at| sim.nodes[*at].position == 1)
             .expect("it runs");
         sim.kill(at);
         sim.run(500.0);
@@ -113,7 +113,7 @@
                 sim.with(at, |peers, _| peers.counts().steps),
                 3,
                 "of {}",
-                sim.nodes[at].place
+                sim.nodes[at].position
             );
         }
     }
--- a/balancer/gossip/tests/wire.rs
+++ b/balancer/gossip/tests/wire.rs
@@ -14,7 +14,7 @@
     Header {
         version,
         supported_versions,
-        place: Member(258),
+        position: Member(258),
         incarnation: 0x0102_0304,
         deployment: 7,
         epoch: 0x0302,
--- a/balancer/proxy/src/driver/attempts.rs
+++ b/balancer/proxy/src/driver/attempts.rs
@@ -86,8 +86,11 @@
             let outcome = transport
                 .attempt(dispatch.target, dispatch.outgoing, dispatch.times)
                 .await;
-            if let Some(held) = outcome.in_flight {
-                handle.feed(Event::Load { upstream, held });
+            if let Some(in_flight) = outcome.in_flight {
+                handle.feed(Event::Load {
+                    upstream,
+                    in_flight,
+                });
             }
             if let Some(per_s) = outcome.served_per_s {
                 handle.feed(Event::Served { upstream, per_s });
@@ -138,7 +141,7 @@
             self.events.push_back(Event::Outcome {
                 request,
                 attempt: id.number,
-                ending: Ending::Moot,
+                ending: Ending::NotSent,
                 duration: 0.0,
                 closed,
             });
--- a/balancer/proxy/src/metrics.rs
+++ b/balancer/proxy/src/metrics.rs
@@ -175,12 +175,12 @@
     match ending {
         Ending::Ok => "served",
         Ending::Error => "error",
-        Ending::Full => "turned_away",
+        Ending::Rejected => "turned_away",
         Ending::Timeout => "timed_out",
         Ending::ConnectFailed => "not_connected",
         Ending::Reset => "reset",
         Ending::Cancelled => "cancelled",
-        Ending::Moot => "not_sent",
+        Ending::NotSent => "not_sent",
         Ending::Unknown => "unknown",
     }
 }
--- a/balancer/proxy/src/peers/convert.rs
+++ b/balancer/proxy/src/peers/convert.rs
@@ -15,7 +15,7 @@
     let tenants = tenants.map(|(position, tenant)| gossip::TenantLoad {
         demand: tenant.demand,
         calls: tenant.calls,
-        callers: client_connections
+        client_connections: client_connections
             .get(position)
             .copied()
             .map_or(0.0, f64::from),
@@ -23,8 +23,8 @@
     gossip::Observations {
         load: gossip::Load {
             demand: load.demand,
-            room: load.room,
-            firsts: load.firsts,
+            capacity: load.capacity,
+            first_attempts: load.first_attempts,
             retries: load.retries,
             tenants: tenants.collect(),
         },
@@ -50,8 +50,8 @@
 /// Converts what the tier knows, as far as the options let the decisions use it.
 pub fn tier_update(state: gossip::TierState, options: &PeerOptions) -> TierUpdate {
     // Without membership, as if this were the only replica.
-    let (up, place) = if options.use_membership {
-        (state.up, state.place)
+    let (up, position) = if options.use_membership {
+        (state.up, state.position)
     } else {
         (1, 0)
     };
@@ -70,7 +70,7 @@
         .filter(|_| options.use_load_sums || options.use_tenant_sums);
     TierUpdate {
         up,
-        place,
+        position,
         joined: state.joined,
         sums: sums.map(|sums| tier_sums(sums, options)),
         evidence: evidence.collect(),
@@ -84,13 +84,13 @@
     let tenants = sums.load.tenants.into_iter().map(|tenant| TenantLoad {
         demand: load_sum(tenant.demand),
         calls: tenant_sum(tenant.calls),
-        callers: tenant_sum(tenant.callers),
+        client_connections: tenant_sum(tenant.client_connections),
     });
     TierSums {
         load: TierLoad {
             demand: load_sum(sums.load.demand),
-            room: load_sum(sums.load.room),
-            firsts: load_sum(sums.load.firsts),
+            capacity: load_sum(sums.load.capacity),
+            first_attempts: load_sum(sums.load.first_attempts),
             retries: load_sum(sums.load.retries),
             tenants: tenants.collect(),
         },
@@ -108,7 +108,7 @@
     let evidence_ages = state.evidence.iter().map(|evidence| evidence.age);
     metrics::TierMetrics {
         replicas_up: state.up,
-        position: state.place,
+        position: state.position,
         joined: state.joined,
         version: state.version,
         epoch: state.epoch,
@@ -139,10 +139,10 @@
         replicas: sums.heard,
         error: sums.error,
         demand: sums.load.demand,
-        capacity: sums.load.room,
-        first_attempts: sums.load.firsts,
+        capacity: sums.load.capacity,
+        first_attempts: sums.load.first_attempts,
         retries: sums.load.retries,
         in_flight: tenants.iter().map(|tenant| tenant.calls).sum(),
-        client_connections: tenants.iter().map(|tenant| tenant.callers).sum(),
+        client_connections: tenants.iter().map(|tenant| tenant.client_connections).sum(),
     }
 }
--- a/balancer/proxy/src/upstreams/attempt.rs
+++ b/balancer/proxy/src/upstreams/attempt.rs
@@ -124,7 +124,7 @@
             // Guards against a client that disconnected, or a list that came, before this turn began: the runtime asks
             // the system once more what has come, and hands that to those who wait for it first.
             yield_now().await;
-            let request = exchange.request().ok_or(Ending::Moot)?;
+            let request = exchange.request().ok_or(Ending::NotSent)?;
             exchange.begin_write(&connection);
             let response = connection.sender.try_send_request(request).await;
             let refusal = connection.write.refusal();
@@ -211,7 +211,7 @@
     /// Returns what it means that no connection came up. One given up for want of time says nothing about the upstream.
     fn not_connected(&self) -> Ending {
         if Instant::now() >= self.times.write_by {
-            Ending::Moot
+            Ending::NotSent
         } else {
             Ending::ConnectFailed
         }
@@ -277,8 +277,8 @@
         return Ok(());
     }
     // The response to a request that was not complete at the upstream; it can't become complete any more.
-    if ending_of(head) == Ending::Full {
-        return Err(Ending::Full);
+    if ending_of(head) == Ending::Rejected {
+        return Err(Ending::Rejected);
     }
     Err(Ending::ConnectFailed)
 }
@@ -290,7 +290,7 @@
     is_reused: bool,
 ) -> Result<(), Ending> {
     match (refusal, progress) {
-        (Some(WriteRefusal::Ended), _) => Err(Ending::Moot),
+        (Some(WriteRefusal::Ended), _) => Err(Ending::NotSent),
         (Some(WriteRefusal::DeadlineStale), _) => Ok(()),
         // A connection that was idle and had been closed meanwhile, or has brought unsolicited input, says nothing about
         // the upstream, so the next one is used; each is used once.
@@ -316,7 +316,7 @@
     match response.status() {
         StatusCode::OK => Ending::Ok,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if is_declined => {
-            Ending::Full
+            Ending::Rejected
         }
         _ => Ending::Error,
     }
--- a/balancer/proxy/tests/common/upstream.rs
+++ b/balancer/proxy/tests/common/upstream.rs
@@ -162,7 +162,7 @@
             number as u8,
         ];
         let addr = SocketAddr::from((ip, refusing().port()));
-        let (manner, watched) = watch::channel(Manner::Silent);
+        let (manner, watched) = watch::channel(Manner::Unresponsive);
         let port = runtime
             .block_on(async { Port::bind(addr, watched) })
             .expect("binds");
--- a/balancer/proxy/tests/golden.rs
+++ b/balancer/proxy/tests/golden.rs
@@ -266,7 +266,7 @@
     let (length, _) = peer.recv_from(&mut bytes).expect("a datagram");
     drop(node);
     let (header, _) = wire::open(&bytes[..length]).expect("whole");
-    assert_eq!((header.deployment, header.place), (DEPLOYMENT, Place(1)));
+    assert_eq!((header.deployment, header.position), (DEPLOYMENT, Place(1)));
     assert_eq!(
         (header.version, header.supported_versions),
         (1, VersionRange { min: 1, max: 2 })
--- a/balancer/proxy/tests/peers_observations.rs
+++ b/balancer/proxy/tests/peers_observations.rs
@@ -8,12 +8,12 @@
     let tenants = vec![peers::TenantLoad {
         demand: 5.0,
         calls: 6.0,
-        callers: 7.0,
+        client_connections: 7.0,
     }];
     let load = peers::Load {
         demand: 1.0,
-        room: 2.0,
-        firsts: 3.0,
+        capacity: 2.0,
+        first_attempts: 3.0,
         retries: 4.0,
         tenants,
     };
@@ -33,7 +33,7 @@
     }];
     peers::TierState {
         up: 4,
-        place: 3,
+        position: 3,
         version: 2,
         epoch: 9,
         joined: true,
@@ -56,7 +56,7 @@
         };
         let TierUpdate {
             up,
-            place,
+            position,
             joined,
             sums,
             evidence,
@@ -70,7 +70,7 @@
                 s.load.tenants[0].calls,
             )
         });
-        (up, place, load, evidence.len())
+        (up, position, load, evidence.len())
     };
     assert_eq!(
         hears(true, true, true, true),
--- a/balancer/simulator/src/host.rs
+++ b/balancer/simulator/src/host.rs
@@ -147,8 +147,15 @@
         let value = |column: Option<usize>| report.get(column?).map(|&value| f64::from(value));
         let in_flight = value(instance.in_flight_column);
         let served = value(instance.served_column);
-        if let Some(held) = in_flight {
-            self.handle_event(id, now, Event::Load { upstream, held });
+        if let Some(in_flight) = in_flight {
+            self.handle_event(
+                id,
+                now,
+                Event::Load {
+                    upstream,
+                    in_flight,
+                },
+            );
         }
         if let Some(per_s) = served {
             self.handle_event(id, now, Event::Served { upstream, per_s });
--- a/balancer/simulator/src/wire/record.rs
+++ b/balancer/simulator/src/wire/record.rs
@@ -190,12 +190,12 @@
     match code {
         200 => Ending::Ok,
         502 => Ending::Error,
-        429 => Ending::Full,
+        429 => Ending::Rejected,
         408 => Ending::Timeout,
         521 => Ending::ConnectFailed,
         520 => Ending::Reset,
         444 => Ending::Cancelled,
-        409 => Ending::Moot,
+        409 => Ending::NotSent,
         _ => Ending::Unknown,
     }
 }
--- a/balancer/simulator/tests/golden.rs
+++ b/balancer/simulator/tests/golden.rs
@@ -108,7 +108,10 @@
             "outcome_error",
             outcome(Ending::Error, false, &[14.5, 140.25, 7.75]),
         ),
-        ("outcome_full", outcome(Ending::Full, true, &[14.5, 140.25])),
+        (
+            "outcome_full",
+            outcome(Ending::Rejected, true, &[14.5, 140.25]),
+        ),
         ("outcome_timeout", outcome(Ending::Timeout, false, &[14.5])),
         (
             "outcome_connect_failed",
@@ -119,7 +122,7 @@
             "outcome_cancelled",
             outcome(Ending::Cancelled, false, &[14.5]),
         ),
-        ("outcome_moot", outcome(Ending::Moot, true, &[])),
+        ("outcome_moot", outcome(Ending::NotSent, true, &[])),
         ("outcome_unknown", outcome(Ending::Unknown, true, &[14.5])),
         (
             "streaming",
--- a/lab/src/capacity/hollow/member.rs
+++ b/lab/src/capacity/hollow/member.rs
@@ -158,13 +158,13 @@
         let tenant = |number: u16| TenantLoad {
             demand: f64::from(number % 7),
             calls: f64::from(number % 5),
-            callers: f64::from(number % 3),
+            client_connections: f64::from(number % 3),
         };
         let tenants = (0..=self.tenants).map(tenant).collect();
         let load = Load {
             demand: 57.0,
-            room: 100.0,
-            firsts: 57.0,
+            capacity: 100.0,
+            first_attempts: 57.0,
             retries: 1.0,
             tenants,
         };
--- a/system/magpiegap/src/proxy/frontend.rs
+++ b/system/magpiegap/src/proxy/frontend.rs
@@ -219,7 +219,7 @@
 fn ending(outcome: SubmitOutcome) -> Ending {
     match outcome {
         SubmitOutcome::Accepted => Ending::Ok,
-        SubmitOutcome::Full => Ending::Full,
+        SubmitOutcome::Full => Ending::Rejected,
         SubmitOutcome::Unsent => Ending::ConnectFailed,
         SubmitOutcome::Unknown => Ending::Timeout,
     }
