--- a/lab/src/capacity/balancer.rs
+++ b/lab/src/capacity/balancer.rs
@@ -1,7 +1,9 @@
 //! One balancer under measurement: its configuration, its process, its usage. Owns the process.
 use super::accounting::Usage;
 use super::discovery::ZONES;
+use super::error::CapacityError;
 use super::scenario::Scenario;
+use crate::error::FileError;
 use crate::net::Block;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
@@ -40,22 +42,24 @@
 
 impl Balancer {
     /// Starts it and waits until it is ready.
-    pub(super) async fn start(place: &Place<'_>, scenario: &Scenario) -> Result<Balancer, String> {
+    pub(super) async fn start(
+        place: &Place<'_>,
+        scenario: &Scenario,
+    ) -> Result<Balancer, CapacityError> {
         let file = |kind: &str| {
             place
                 .folder
                 .join(format!("balancer-{}.{kind}", place.number))
         };
-        let write = |path: &PathBuf, text: String| {
-            std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))
-        };
+        let write =
+            |path: &PathBuf, text: String| std::fs::write(path, text).map_err(FileError::at(path));
         let (config, options) = (file("json"), file("toml"));
         write(&config, configuration(place, scenario).to_string())?;
         let state = file("state");
         // What is kept has a folder that is there before the balancer is.
-        std::fs::create_dir_all(&state).map_err(|e| format!("{}: {e}", state.display()))?;
+        std::fs::create_dir_all(&state).map_err(FileError::at(&state))?;
         write(&options, options_text(scenario, &state))?;
-        let log = std::fs::File::create(file("log")).map_err(|e| e.to_string())?;
+        let log = std::fs::File::create(file("log"))?;
         let child = Command::new(place.program)
             .args(["run", "--options"])
             .arg(&options)
@@ -65,7 +69,7 @@
             .stderr(Stdio::from(log))
             .kill_on_drop(true)
             .spawn()
-            .map_err(|e| format!("{}: {e}", place.program.display()))?;
+            .map_err(FileError::at(place.program))?;
         let balancer = Balancer {
             listen: place.block.balancer(place.number),
             child,
@@ -73,10 +77,10 @@
         let end = Instant::now() + READY_WITHIN;
         while !balancer.is_ready().await {
             if Instant::now() > end {
-                return Err(format!(
-                    "balancer {} is not ready after {READY_WITHIN:?}",
-                    place.number
-                ));
+                return Err(CapacityError::NotReady {
+                    number: place.number,
+                    within: READY_WITHIN,
+                });
             }
             tokio::time::sleep(READY_PAUSE).await;
         }
@@ -84,14 +88,14 @@
     }
 
     /// What it has used so far.
-    pub(super) fn usage(&self) -> Result<Usage, String> {
-        let pid = self.child.id().ok_or("a balancer ended by itself")?;
-        Usage::of(pid).map_err(|e| format!("process {pid}: {e}"))
+    pub(super) fn usage(&self) -> Result<Usage, CapacityError> {
+        let pid = self.child.id().ok_or(CapacityError::Ended)?;
+        Usage::of(pid).map_err(|source| CapacityError::Accounting { pid, source })
     }
 
     /// Ends it and waits for that.
-    pub(super) async fn stop(mut self) -> Result<(), String> {
-        self.child.kill().await.map_err(|e| e.to_string())
+    pub(super) async fn stop(mut self) -> Result<(), CapacityError> {
+        Ok(self.child.kill().await?)
     }
 
     async fn is_ready(&self) -> bool {
--- a/lab/src/capacity/clients.rs
+++ b/lab/src/capacity/clients.rs
@@ -1,4 +1,5 @@
 //! Clients of one balancer: idle connections, requests at a steady rate, and calls that wait for their answer.
+use super::error::CapacityError;
 use super::http;
 use crate::net::lock;
 use std::net::SocketAddr;
@@ -42,12 +43,12 @@
 
     /// Opens connections, has one request answered on each and says nothing more: a balancer soon closes one on which
     /// no request ever came.
-    pub(super) async fn rest(&self, count: usize) -> Result<(), String> {
+    pub(super) async fn rest(&self, count: usize) -> Result<(), CapacityError> {
         for number in 0..count {
             let stream = self
                 .call(None)
                 .await
-                .ok_or_else(|| format!("client {number} got no answer"))?;
+                .ok_or(CapacityError::NoResponse(number))?;
             lock(&self.idle).push(stream);
         }
         Ok(())
--- a/lab/src/capacity/discovery.rs
+++ b/lab/src/capacity/discovery.rs
@@ -1,5 +1,6 @@
 //! Discovery as the balancers of a trial see it: one list, an agent for each balancer, every byte counted.
 use super::http::{self, Message};
+use crate::error::BindError;
 use crate::net::{lock, Block};
 use serde_json::{json, Value};
 use std::sync::{Arc, Mutex};
@@ -45,7 +46,7 @@
         block: &Block,
         upstreams: usize,
         balancers: usize,
-    ) -> Result<Arc<Discovery>, String> {
+    ) -> Result<Arc<Discovery>, BindError> {
         let lines = (0..upstreams).map(|number| line(block, number)).collect();
         let heard = (0..balancers).map(|_| Heard {
             traffic: Traffic::default(),
@@ -60,9 +61,7 @@
         });
         for balancer in 0..balancers {
             let at = block.agent(balancer, 0);
-            let listener = TcpListener::bind(at)
-                .await
-                .map_err(|e| format!("discovery at {at}: {e}"))?;
+            let listener = TcpListener::bind(at).await.map_err(BindError::at(at))?;
             tokio::spawn(discovery.clone().accept(listener, balancer));
         }
         Ok(discovery)
--- a/lab/src/capacity/hollow/tier.rs
+++ b/lab/src/capacity/hollow/tier.rs
@@ -1,6 +1,7 @@
 //! All hollow members of a tier in one thread, and the questions that the lab asks of it. Owns the thread.
 use super::member::{Addresses, Hollow, Shared};
 use crate::capacity::accounting::thread_processor;
+use crate::capacity::error::CapacityError;
 use balancer_gossip::{Member, Subject, HEADER_LEN, MAX_DATAGRAM_LEN};
 use std::cell::Cell;
 use std::collections::HashMap;
@@ -97,35 +98,35 @@
 
 impl Tier {
     /// Starts the thread.
-    pub fn start(self) -> Result<Running, String> {
+    ///
+    /// # Errors
+    /// When the operating system refuses a socket or a runtime.
+    pub fn start(self) -> Result<Running, CapacityError> {
         let (ask, questions) = questions::unbounded_channel();
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
-            .build();
-        let runtime = runtime.map_err(|e| e.to_string())?;
+            .build()?;
         let (tell, began) = mpsc::channel();
         let thread = std::thread::spawn(move || {
             LocalSet::new().block_on(&runtime, async move {
-                let members = self.members();
-                let failed = members.as_ref().err().cloned();
                 // Whoever started it may have given up.
-                let _ = tell.send(failed);
-                if let Ok(members) = members {
-                    answer(&members, questions).await;
+                match self.members() {
+                    Ok(members) => {
+                        let _ = tell.send(Ok(()));
+                        answer(&members, questions).await;
+                    }
+                    Err(error) => _ = tell.send(Err(error)),
                 }
             });
         });
-        match began.recv() {
-            Ok(None) => Ok(Running {
-                ask: Some(ask),
-                thread: Some(thread),
-            }),
-            Ok(Some(error)) => Err(error),
-            Err(_) => Err("the thread of the hollow tier ended".into()),
-        }
+        began.recv().map_err(|_| CapacityError::TierEnded)??;
+        Ok(Running {
+            ask: Some(ask),
+            thread: Some(thread),
+        })
     }
 
-    fn members(self) -> Result<Vec<Rc<Hollow>>, String> {
+    fn members(self) -> Result<Vec<Rc<Hollow>>, CapacityError> {
         let shared = Shared {
             tenants: self.tenants,
             zones: self.zones,
@@ -143,10 +144,9 @@
         });
         let mut members = Vec::new();
         for (place, socket) in self.sockets {
-            socket.set_nonblocking(true).map_err(|e| e.to_string())?;
-            let socket = tokio::net::UdpSocket::from_std(socket).map_err(|e| e.to_string())?;
-            let member =
-                Hollow::new(place, socket, addresses.clone(), shared).map_err(|e| e.to_string())?;
+            socket.set_nonblocking(true)?;
+            let socket = tokio::net::UdpSocket::from_std(socket)?;
+            let member = Hollow::new(place, socket, addresses.clone(), shared)?;
             tokio::task::spawn_local(member.clone().run());
             members.push(member);
         }
@@ -244,47 +244,58 @@
 
 impl Running {
     /// What was counted so far.
-    pub fn snapshot(&self) -> Result<Snapshot, String> {
+    ///
+    /// # Errors
+    /// When its thread has ended.
+    pub fn snapshot(&self) -> Result<Snapshot, CapacityError> {
         let (tell, reply) = mpsc::channel();
         self.ask(Question::Snapshot(tell))?;
-        reply.recv().map_err(|e| e.to_string())
+        reply.recv().map_err(|_| CapacityError::TierEnded)
     }
 
     /// Waits until every hollow member knows as many up as this; the time it took, or none if it takes too long.
-    pub fn until_up(&self, count: u32, most: Duration) -> Result<Option<Duration>, String> {
+    ///
+    /// # Errors
+    /// When its thread has ended.
+    pub fn until_up(&self, count: u32, most: Duration) -> Result<Option<Duration>, CapacityError> {
         self.until(Until::Up(count), most)
     }
 
     /// One member, by its position among the hollow ones, ends without a word.
-    pub fn stop(&self, member: usize) -> Result<(), String> {
+    ///
+    /// # Errors
+    /// When its thread has ended.
+    pub fn stop(&self, member: usize) -> Result<(), CapacityError> {
         self.ask(Question::Stop(member))
     }
 
     /// One member has evidence against an upstream; the time until all know of it, or none if it takes too long.
+    ///
+    /// # Errors
+    /// When its thread has ended.
     pub fn until_evidence(
         &self,
         accuser: usize,
         most: Duration,
-    ) -> Result<Option<Duration>, String> {
+    ) -> Result<Option<Duration>, CapacityError> {
         self.ask(Question::Accuse(accuser, true))?;
         let took = self.until(Until::Evidence, most);
         self.ask(Question::Accuse(accuser, false))?;
         took
     }
 
-    fn until(&self, until: Until, most: Duration) -> Result<Option<Duration>, String> {
+    fn until(&self, until: Until, most: Duration) -> Result<Option<Duration>, CapacityError> {
         let (tell, reply) = mpsc::channel();
         self.ask(Question::Await(until, Instant::now() + most, tell))?;
-        reply.recv().map_err(|e| e.to_string())
+        reply.recv().map_err(|_| CapacityError::TierEnded)
     }
 
-    fn ask(&self, question: Question) -> Result<(), String> {
-        let ended = || "the thread of the hollow tier ended".to_string();
+    fn ask(&self, question: Question) -> Result<(), CapacityError> {
         self.ask
             .as_ref()
-            .ok_or_else(ended)?
+            .ok_or(CapacityError::TierEnded)?
             .send(question)
-            .map_err(|_| ended())
+            .map_err(|_| CapacityError::TierEnded)
     }
 }
 
@@ -299,11 +310,17 @@
 }
 
 /// Waits for the first datagram at any of the sockets and reads the deployment from its header.
-pub fn learn_deployment(sockets: &[(u16, UdpSocket)], most: Duration) -> Result<u32, String> {
+///
+/// # Errors
+/// When none comes in time.
+pub fn learn_deployment(
+    sockets: &[(u16, UdpSocket)],
+    most: Duration,
+) -> Result<u32, CapacityError> {
     let end = Instant::now() + most;
     let mut bytes = [0; MAX_DATAGRAM_LEN];
     for (_, socket) in sockets {
-        socket.set_nonblocking(true).map_err(|e| e.to_string())?;
+        socket.set_nonblocking(true)?;
     }
     while Instant::now() < end {
         for (_, socket) in sockets {
@@ -317,5 +334,5 @@
         }
         std::thread::sleep(LOOK_PAUSE);
     }
-    Err("the real member sent no datagram".into())
+    Err(CapacityError::NoDatagram)
 }
--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -9,6 +9,7 @@
 mod balancer;
 mod clients;
 mod discovery;
+pub mod error;
 pub mod fit;
 pub mod hollow;
 mod http;
--- a/lab/src/capacity/sweep.rs
+++ b/lab/src/capacity/sweep.rs
@@ -1,7 +1,9 @@
 //! All sizes of one dimension, each so many times in turn.
+use super::error::CapacityError;
 use super::sample::Sample;
 use super::scenario::Dimension;
 use super::trial::{play, play_hollow, play_loss, Setting};
+use crate::error::FileError;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -33,7 +35,10 @@
 impl Sweep {
     /// Measures; each sample is told of as it comes. All sizes are gone through once before the second run, so that
     /// what changes on the machine meets them alike.
-    pub fn measure(&self, mut tell: impl FnMut(&Sample)) -> Result<Vec<Sample>, String> {
+    ///
+    /// # Errors
+    /// When a trial can't be measured.
+    pub fn measure(&self, mut tell: impl FnMut(&Sample)) -> Result<Vec<Sample>, CapacityError> {
         let mut samples = Vec::new();
         for run in 0..self.runs {
             for &size in &self.sizes {
@@ -49,14 +54,14 @@
         Ok(samples)
     }
 
-    fn one(&self, size: usize, folder: &Path) -> Result<Sample, String> {
+    fn one(&self, size: usize, folder: &Path) -> Result<Sample, CapacityError> {
         let Some(scenario) = self.dimension.scenario(size) else {
             return match self.dimension {
                 Dimension::Loss => play_loss(size, HOLLOW_TENANTS),
                 _ => play_hollow(size, HOLLOW_TENANTS, self.span),
             };
         };
-        std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+        std::fs::create_dir_all(folder).map_err(FileError::at(folder))?;
         let setting = Setting {
             folder,
             program: &self.program,
@@ -66,8 +71,7 @@
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(THREADS)
             .enable_all()
-            .build();
-        let runtime = runtime.map_err(|e| e.to_string())?;
+            .build()?;
         let sample = runtime.block_on(play(&scenario, size, &setting));
         runtime.shutdown_timeout(SHUTDOWN);
         sample
--- a/lab/src/capacity/trial.rs
+++ b/lab/src/capacity/trial.rs
@@ -3,10 +3,12 @@
 use super::balancer::{Balancer, Place};
 use super::clients::Clients;
 use super::discovery::{Discovery, Traffic, ZONES};
+use super::error::CapacityError;
 use super::hollow::{learn_deployment, Running, Snapshot, Tier};
 use super::sample::Sample;
 use super::scenario::Scenario;
 use super::upstreams::Upstreams;
+use crate::error::BindError;
 use crate::net::Block;
 use std::net::{SocketAddr, UdpSocket};
 use std::path::Path;
@@ -61,7 +63,7 @@
     scenario: &Scenario,
     size: usize,
     setting: &Setting<'_>,
-) -> Result<Sample, String> {
+) -> Result<Sample, CapacityError> {
     let block = Block::claim()?;
     let stage = Stage::start(scenario, setting, &block).await?;
     sleep(if scenario.members.is_some() {
@@ -95,7 +97,7 @@
         scenario: &Scenario,
         setting: &Setting<'_>,
         block: &Block,
-    ) -> Result<Stage, String> {
+    ) -> Result<Stage, CapacityError> {
         let discovery = Discovery::start(block, scenario.upstreams, scenario.balancers).await?;
         let listening = scenario.upstreams.min(LISTENING_MOST);
         let upstreams = Upstreams::start(block, listening, scenario.calls_in_flight > 0).await?;
@@ -162,7 +164,7 @@
         tokio::time::sleep_until(start + span).await;
     }
 
-    fn read(&self) -> Result<Reading, String> {
+    fn read(&self) -> Result<Reading, CapacityError> {
         Ok(Reading {
             at: Instant::now(),
             usage: self
@@ -264,20 +266,21 @@
 }
 
 /// Sockets for all members but the first few, which are real.
-fn hollow_sockets(addresses: &[SocketAddr], real: usize) -> Result<Vec<(u16, UdpSocket)>, String> {
+fn hollow_sockets(
+    addresses: &[SocketAddr],
+    real: usize,
+) -> Result<Vec<(u16, UdpSocket)>, BindError> {
     let places = (0u16..).zip(addresses).skip(real);
     places
         .map(|(place, at)| {
-            Ok((
-                place,
-                UdpSocket::bind(at).map_err(|e| format!("{at}: {e}"))?,
-            ))
+            let socket = UdpSocket::bind(at).map_err(BindError::at(*at))?;
+            Ok((place, socket))
         })
         .collect()
 }
 
 /// A hollow tier whose members have begun to speak.
-fn hollow_tier(block: &Block, size: usize, tenants: u16) -> Result<Running, String> {
+fn hollow_tier(block: &Block, size: usize, tenants: u16) -> Result<Running, CapacityError> {
     let addresses: Vec<SocketAddr> = (0..size).map(|member| block.peer(member)).collect();
     let sockets = hollow_sockets(&addresses, 0)?;
     let zones = ZONES.len() as u16;
@@ -298,10 +301,14 @@
 }
 
 /// Plays a tier that is all hollow: its steady traffic, then evidence, then the end of a member.
-pub(super) fn play_hollow(size: usize, tenants: u16, span: Duration) -> Result<Sample, String> {
+pub(super) fn play_hollow(
+    size: usize,
+    tenants: u16,
+    span: Duration,
+) -> Result<Sample, CapacityError> {
     let block = Block::claim()?;
     let tier = hollow_tier(&block, size, tenants)?;
-    let count = u32::try_from(size).map_err(|e| e.to_string())?;
+    let count = u32::try_from(size)?;
     let mut sample = Sample::new(size);
     sample.add(
         "all know all, ms",
@@ -323,11 +330,11 @@
 }
 
 /// Plays the loss of members at once, evenly over the list, in a hollow tier of the target's size.
-pub(super) fn play_loss(lost: usize, tenants: u16) -> Result<Sample, String> {
+pub(super) fn play_loss(lost: usize, tenants: u16) -> Result<Sample, CapacityError> {
     let block = Block::claim()?;
     let tier = hollow_tier(&block, TARGET_MEMBERS, tenants)?;
-    let count = u32::try_from(TARGET_MEMBERS).map_err(|e| e.to_string())?;
-    let left = u32::try_from(TARGET_MEMBERS.saturating_sub(lost)).map_err(|e| e.to_string())?;
+    let count = u32::try_from(TARGET_MEMBERS)?;
+    let left = u32::try_from(TARGET_MEMBERS.saturating_sub(lost))?;
     tier.until_up(count, KNOWN_WITHIN)?;
     std::thread::sleep(TIER_STABILIZATION_TIME);
     for number in 0..lost {
--- a/lab/src/capacity/upstreams.rs
+++ b/lab/src/capacity/upstreams.rs
@@ -1,6 +1,7 @@
 //! Upstreams that answer at once, or hold every call until they are told.
 use super::discovery::upstream_at;
 use super::http;
+use crate::error::BindError;
 use crate::net::Block;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -24,16 +25,14 @@
         block: &Block,
         count: usize,
         holds: bool,
-    ) -> Result<Arc<Upstreams>, String> {
+    ) -> Result<Arc<Upstreams>, BindError> {
         let upstreams = Arc::new(Upstreams {
             holds,
             ..Upstreams::default()
         });
         for number in 0..count {
             let at = upstream_at(block, number);
-            let listener = TcpListener::bind(at)
-                .await
-                .map_err(|e| format!("upstream at {at}: {e}"))?;
+            let listener = TcpListener::bind(at).await.map_err(BindError::at(at))?;
             tokio::spawn(upstreams.clone().accept(listener));
         }
         Ok(upstreams)
--- a/lab/src/datagrams/network.rs
+++ b/lab/src/datagrams/network.rs
@@ -68,23 +68,25 @@
 
 impl Datagrams {
     /// A socket for each balancer, whose tiers these are, on the lab's block of addresses.
+    ///
+    /// # Errors
+    /// What the operating system says when it has no such sockets.
     pub fn open(
         tiers: &[usize],
         block: &Block,
         conditions: Conditions,
         seed: u64,
-    ) -> Result<Datagrams, String> {
+    ) -> io::Result<Datagrams> {
         let sockets = tiers
             .iter()
             .map(|_| socket())
-            .collect::<io::Result<Vec<_>>>();
-        let sockets = sockets.map_err(|e| format!("a socket for datagrams: {e}"))?;
+            .collect::<io::Result<Vec<_>>>()?;
         let ports = sockets
             .iter()
             .map(|s| s.local_addr().map(|a| a.port()))
-            .collect::<io::Result<_>>();
+            .collect::<io::Result<_>>()?;
         Ok(Datagrams {
-            ports: ports.map_err(|e| e.to_string())?,
+            ports,
             sockets,
             listen: (0..tiers.len()).map(|b| block.peer(b)).collect(),
             tiers: tiers.to_vec(),
--- a/lab/src/draw/mod.rs
+++ b/lab/src/draw/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! Each part draws from a stream of its own: another fault, or one more upstream, leaves the requests as they were.
 mod calls;
+mod error;
 mod faults;
 mod machines;
 mod parts;
@@ -11,5 +12,6 @@
 mod streams;
 
 pub use calls::Calls;
+pub use error::PlanError;
 pub use parts::{Arrival, Balancer, OverloadModel, Party, Plan, PlannedFault, Upstream};
 pub use planner::plan;
--- a/lab/src/draw/planner.rs
+++ b/lab/src/draw/planner.rs
@@ -1,4 +1,5 @@
 //! The whole plan of a seed.
+use super::error::PlanError;
 use super::faults::{draw_builds, draw_faults, Population};
 use super::machines::{balancers, draw_tier};
 use super::parts::{Plan, Upstream};
@@ -6,9 +7,12 @@
 use super::streams::{draw, draw_span, stream, Stream};
 use crate::experiment::Experiment;
 
-/// Draws a plan. The error says what the metrics together do not allow.
+/// Draws a plan.
+///
+/// # Errors
+/// What the values of the experiment together do not allow.
 #[expect(clippy::too_many_lines, reason = "not split yet: docs/OPEN.md")]
-pub fn plan(e: &Experiment, seed: u64) -> Result<Plan, String> {
+pub fn plan(e: &Experiment, seed: u64) -> Result<Plan, PlanError> {
     let machines = &mut stream(seed, Stream::Machines);
     let mut upstreams: Vec<Upstream> = Vec::new();
     for t in 0..e.tiers.len() {
@@ -64,7 +68,7 @@
     let rate = match (e.clients.rate, e.clients.load) {
         (Some(rate), _) => draw(load, rate),
         (None, Some(part)) => draw(load, part) * weakest,
-        (None, None) => return Err("clients: neither rate nor load".into()),
+        (None, None) => return Err(PlanError::NoRate),
     };
     let quota = draw(load, e.clients.quota) * weakest;
     let tenant_shares: f64 = e.tenants.iter().map(|t| t.share).sum();
--- a/lab/src/draw/requests.rs
+++ b/lab/src/draw/requests.rs
@@ -1,4 +1,5 @@
 //! Every request, as its client means it.
+use super::error::PlanError;
 use super::parts::{Arrival, PlannedFault};
 use super::streams::{draw, draw_span, pick, stream, Stream};
 use crate::experiment::{Experiment, FaultKind, Millis, Range, Tenant};
@@ -58,8 +59,8 @@
         rate: f64,
         from: Millis,
         to: Millis,
-    ) -> Result<Vec<Arrival>, String> {
-        let gap = Exp::new(rate / 1000.0).map_err(|e| format!("clients.rate: {e}"))?;
+    ) -> Result<Vec<Arrival>, PlanError> {
+        let gap = Exp::new(rate / 1000.0)?;
         let clients = &self.e.clients;
         let (mut at, mut arrivals) = (from, Vec::new());
         loop {
@@ -101,7 +102,7 @@
     length: Millis,
     works: &[f64],
     faults: &[PlannedFault],
-) -> Result<Vec<Arrival>, String> {
+) -> Result<Vec<Arrival>, PlanError> {
     let rng = &mut stream(seed, Stream::Requests);
     let rate = rates.shared;
     let bursts = || faults.iter().filter(|f| f.kind == FaultKind::Burst);
@@ -110,10 +111,7 @@
             .map(|f| rate * f.size * (f.until - f.at))
             .sum::<f64>();
     if expected / 1000.0 > REQUESTS_MOST as f64 {
-        return Err(format!(
-            "clients: {rate:.0} requests a second for {:.0} s are too many",
-            length / 1000.0
-        ));
+        return Err(PlanError::TooManyRequests { rate, length });
     }
     let skew = Range {
         least: 1.0 - e.fleet.skew,
@@ -138,7 +136,7 @@
             })
             .collect(),
         zones: e.fleet.zones.iter().map(|_| draw(rng, skew)).collect(),
-        size: LogNormal::new(-sigma * sigma / 2.0, sigma).map_err(|e| e.to_string())?,
+        size: LogNormal::new(-sigma * sigma / 2.0, sigma)?,
     };
     let mut arrivals = demand.requests(rng, rate, 0.0, length)?;
     for (n, tenant) in e.tenants.iter().enumerate().filter(|(_, t)| own(t)) {
@@ -185,7 +183,7 @@
     tenant: &Tenant,
     weakest: f64,
     length: Millis,
-) -> Result<Vec<Arrival>, String> {
+) -> Result<Vec<Arrival>, PlanError> {
     let rng = &mut stream(seed, Stream::Tenant(n as u64));
     let rate = match (tenant.rate, tenant.load) {
         (Some(rate), _) => draw(rng, rate),
--- a/lab/src/experiment/mod.rs
+++ b/lab/src/experiment/mod.rs
@@ -17,7 +17,7 @@
 pub use fault::{Damage, Fault, FaultKind, Part, Role, Target};
 pub use fleet::{Balancer, Discovery, Fleet, Net};
 pub use load::{Class, Clients, Effect, Group, Tenant};
-pub use read::{load, parse};
+pub use read::{load, parse, ExperimentError};
 pub use schema::Experiment;
 pub use tier::{Connections, Kind, OverloadModel, Report, Tier};
 pub use units::{Millis, Range, Span};
--- a/lab/src/experiment/read.rs
+++ b/lab/src/experiment/read.rs
@@ -1,14 +1,38 @@
 //! Reads an experiment file: every key checked, every error on one line with file, line and key.
 use super::check::check;
 use super::schema::Experiment;
-use std::path::Path;
+use crate::error::FileError;
+use std::path::{Path, PathBuf};
+use thiserror::Error;
 
-/// Reads and checks an experiment file. The error is one line: file, line, key, what is wrong.
-pub fn load(path: &Path) -> Result<Experiment, String> {
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    parse(&text).map_err(|(line, what)| match line {
-        Some(line) => format!("{}:{line}: {what}", path.display()),
-        None => format!("{}: {what}", path.display()),
+/// An experiment file that can't be used. Its text is one line: file, line, key, what is wrong.
+#[derive(Debug, Error)]
+pub enum ExperimentError {
+    /// It can't be read.
+    #[error(transparent)]
+    File(#[from] FileError),
+    /// Something in it is wrong.
+    #[error("{}{}: {what}", path.display(), line.map_or(String::new(), |line| format!(":{line}")))]
+    Invalid {
+        /// The file.
+        path: PathBuf,
+        /// The line, if there is one.
+        line: Option<usize>,
+        /// The key, and what is wrong with it.
+        what: String,
+    },
+}
+
+/// Reads and checks an experiment file.
+///
+/// # Errors
+/// The first thing that is wrong.
+pub fn load(path: &Path) -> Result<Experiment, ExperimentError> {
+    let text = std::fs::read_to_string(path).map_err(FileError::at(path))?;
+    parse(&text).map_err(|(line, what)| ExperimentError::Invalid {
+        path: path.to_path_buf(),
+        line,
+        what,
     })
 }
 
--- a/lab/src/experiment/units.rs
+++ b/lab/src/experiment/units.rs
@@ -3,6 +3,7 @@
 use serde::de::{self, Deserializer, SeqAccess, Visitor};
 use serde::Deserialize;
 use std::fmt;
+use thiserror::Error;
 
 /// Milliseconds: a point of a run, counted from its start, or a span.
 pub type Millis = f64;
@@ -42,11 +43,21 @@
     }
 }
 
-fn range(least: f64, most: f64) -> Result<Range, String> {
+/// Why a text or two numbers are no range.
+#[derive(Debug, Error)]
+enum RangeError {
+    #[error("{least} to {most} is no range from a least to a most of at least 0")]
+    Order { least: f64, most: f64 },
+    #[error("{text:?} is no time such as \"1s 500ms\": {source}")]
+    Duration {
+        text: String,
+        source: humantime::DurationError,
+    },
+}
+
+fn range(least: f64, most: f64) -> Result<Range, RangeError> {
     if !(0.0..=1e12).contains(&least) || !(0.0..=1e12).contains(&most) || least > most {
-        return Err(format!(
-            "{least} to {most} is no range from a least to a most of at least 0"
-        ));
+        return Err(RangeError::Order { least, most });
     }
     Ok(Range { least, most })
 }
@@ -92,9 +103,11 @@
     }
 }
 
-fn millis(text: &str) -> Result<f64, String> {
-    let time = humantime::parse_duration(text)
-        .map_err(|e| format!("{text:?} is no time such as \"1s 500ms\": {e}"))?;
+fn millis(text: &str) -> Result<f64, RangeError> {
+    let time = humantime::parse_duration(text).map_err(|source| RangeError::Duration {
+        text: text.to_owned(),
+        source,
+    })?;
     Ok(time.as_secs_f64() * 1000.0)
 }
 
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -2,10 +2,11 @@
 use crate::agent::Agent;
 use crate::clock::Clock;
 use crate::draw::Plan;
+use crate::error::BindError;
 use crate::experiment::Experiment;
 use crate::process::{LaunchSpec, Process};
 use crate::upstream::Upstream;
-use crate::world::World;
+use crate::world::{World, WorldError};
 use std::path::Path;
 use std::sync::Arc;
 
@@ -24,13 +25,16 @@
 impl Fleet {
     /// Puts a fleet together; nothing of it runs yet. `builds` are what balancers may run, in `root`: the program
     /// under test, then each build of the experiment.
+    ///
+    /// # Errors
+    /// When there are no addresses or sockets for it.
     pub fn new(
         e: &Experiment,
         plan: &Plan,
         builds: &[LaunchSpec],
         root: &Path,
         folder: &Path,
-    ) -> Result<Arc<Fleet>, String> {
+    ) -> Result<Arc<Fleet>, WorldError> {
         let world = World::new(e, plan, Clock::new(), folder)?;
         let agents: Vec<Arc<Agent>> = (0..plan.balancers.len())
             .map(|b| Arc::new(Agent::new(b, plan)))
@@ -47,12 +51,15 @@
     }
 
     /// Starts the upstreams, the agents and the network between balancers; the balancers start one by one.
-    pub fn listen(&self) -> Result<(), String> {
+    ///
+    /// # Errors
+    /// When an address can't be listened on.
+    pub fn listen(&self) -> Result<(), BindError> {
         for agent in &self.agents {
-            agent.start(&self.world).map_err(|e| e.to_string())?;
+            agent.start(&self.world)?;
         }
         for upstream in &self.upstreams {
-            upstream.start(&self.world).map_err(|e| e.to_string())?;
+            upstream.start(&self.world)?;
         }
         let world = self.world.clone();
         self.world
--- a/lab/src/guard.rs
+++ b/lab/src/guard.rs
@@ -7,9 +7,11 @@
 use std::collections::BTreeSet;
 use std::io::{BufRead, Write};
 use std::os::unix::process::CommandExt;
+use std::path::Path;
 use std::process::{Child, ChildStdin, Command, Stdio};
 use std::sync::{Arc, Mutex};
 
+use crate::error::FileError;
 use crate::net::lock;
 
 /// The lab's end of the pipe.
@@ -23,13 +25,14 @@
 
 impl Guard {
     /// Starts the helper: this program with the verb `guard`.
-    pub fn start(program: &std::path::Path) -> Result<Guard, String> {
+    ///
+    /// # Errors
+    /// When the program can't be started.
+    pub fn start(program: &Path) -> Result<Guard, FileError> {
         let mut command = Command::new(program);
         // A group of its own, so that an interrupt at the terminal leaves it to its duty.
         command.arg("guard").stdin(Stdio::piped()).process_group(0);
-        let mut child = command
-            .spawn()
-            .map_err(|e| format!("{}: {e}", program.display()))?;
+        let mut child = command.spawn().map_err(FileError::at(program))?;
         let end = child.stdin.take();
         Ok(Guard(Arc::new(Mutex::new(Pipe { end, child }))))
     }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,19 +1,24 @@
 //! The command line of the lab; what each verb does is in the library.
 #![forbid(unsafe_code)]
+use balancer_lab::capacity::error::CapacityError;
 use balancer_lab::capacity::scenario::Dimension;
 use balancer_lab::capacity::sweep::Sweep;
 use balancer_lab::capacity::table::markdown;
-use balancer_lab::draw::{self, Plan};
-use balancer_lab::experiment::{self, Experiment};
+use balancer_lab::draw::{self, Plan, PlanError};
+use balancer_lab::error::FileError;
+use balancer_lab::experiment::{self, Experiment, ExperimentError};
 use balancer_lab::guard::{stand_guard, Guard};
-use balancer_lab::programs::{builds, deploy, programs, with_options};
-use balancer_lab::results::{compare, summary, Results, RunArguments};
-use balancer_lab::run::{play, Stage};
-use balancer_lab::stand_in::{self, Misbehavior, Policy};
+use balancer_lab::programs::{builds, deploy, programs, with_options, ProgramsError};
+use balancer_lab::results::{compare, summary, Results, ResultsError, RunArguments};
+use balancer_lab::run::{play, PlayError, Program, Stage};
+use balancer_lab::stand_in::{self, Misbehavior, Policy, StandInError};
 use clap::{Parser, Subcommand};
+use std::collections::BTreeMap;
+use std::io;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
+use thiserror::Error;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 
@@ -126,6 +131,38 @@
     out: PathBuf,
 }
 
+/// Why a verb could not be carried out. Its text is what the user reads.
+#[derive(Debug, Error)]
+enum LabError {
+    #[error(transparent)]
+    File(#[from] FileError),
+    #[error(transparent)]
+    System(#[from] io::Error),
+    #[error("no deploy/balancer.toml here or above")]
+    NoRepository,
+    #[error("{command}: {status}")]
+    Build {
+        command: String,
+        status: std::process::ExitStatus,
+    },
+    #[error(transparent)]
+    Experiment(#[from] ExperimentError),
+    #[error("{}: {source}", file.display())]
+    PlanOf { file: PathBuf, source: PlanError },
+    #[error(transparent)]
+    Plan(#[from] PlanError),
+    #[error(transparent)]
+    Programs(#[from] ProgramsError),
+    #[error(transparent)]
+    Results(#[from] ResultsError),
+    #[error(transparent)]
+    Play(#[from] PlayError),
+    #[error(transparent)]
+    Capacity(#[from] CapacityError),
+    #[error(transparent)]
+    StandIn(#[from] StandInError),
+}
+
 /// How a verb ended.
 enum End {
     Passed,
@@ -152,141 +189,183 @@
     match done {
         Ok(End::Passed) => ExitCode::SUCCESS,
         Ok(End::Failed) => ExitCode::from(1),
-        Err(message) => {
-            eprintln!("balancer-lab: {}", message.replace('\n', " "));
+        Err(error) => {
+            eprintln!("balancer-lab: {}", error.to_string().replace('\n', " "));
             ExitCode::from(2)
         }
     }
 }
 
-fn run_stand_in(policy: Policy, misbehavior: Option<Misbehavior>) -> Result<End, String> {
-    let runtime = runtime(2)?;
-    let done = runtime.block_on(stand_in::run(policy, misbehavior));
-    done.map(|()| End::Passed).map_err(|e| e.to_string())
+fn run_stand_in(policy: Policy, misbehavior: Option<Misbehavior>) -> Result<End, LabError> {
+    runtime(2)?.block_on(stand_in::run(policy, misbehavior))?;
+    Ok(End::Passed)
 }
 
-fn runtime(threads: usize) -> Result<tokio::runtime::Runtime, String> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
+fn runtime(threads: usize) -> io::Result<tokio::runtime::Runtime> {
+    tokio::runtime::Builder::new_multi_thread()
         .worker_threads(threads)
         .enable_all()
-        .build();
-    runtime.map_err(|e| e.to_string())
+        .build()
 }
 
 /// The repository: the folder with deploy/balancer.toml, here or above.
-fn root() -> Result<PathBuf, String> {
-    let here = std::env::current_dir().map_err(|e| e.to_string())?;
+fn root() -> Result<PathBuf, LabError> {
+    let here = std::env::current_dir()?;
     let found = here
         .ancestors()
         .find(|f| f.join("deploy/balancer.toml").is_file());
-    found
-        .map(Path::to_path_buf)
-        .ok_or_else(|| "no deploy/balancer.toml here or above".into())
+    found.map(Path::to_path_buf).ok_or(LabError::NoRepository)
 }
 
-fn build(root: &Path, command: &str) -> Result<(), String> {
+fn build(root: &Path, command: &str) -> Result<(), LabError> {
     eprintln!("building: {command}");
     let status = std::process::Command::new("/bin/sh")
         .args(["-c", command])
         .current_dir(root)
-        .status();
-    match status {
-        Ok(status) if status.success() => Ok(()),
-        Ok(status) => Err(format!("{command}: {status}")),
-        Err(e) => Err(format!("{command}: {e}")),
+        .status()?;
+    if status.success() {
+        return Ok(());
     }
+    Err(LabError::Build {
+        command: command.to_owned(),
+        status,
+    })
 }
 
-#[expect(clippy::too_many_lines, reason = "not split yet: docs/OPEN.md")]
-fn run_it(run: &Run) -> Result<End, String> {
-    tracing_subscriber::fmt()
-        .with_max_level(run.log)
-        .with_writer(std::io::stderr)
-        .init();
-    let e = experiment::load(&run.file)?;
-    let seed = run.seed.unwrap_or(e.seed);
-    let plan = draw::plan(&e, seed).map_err(|m| format!("{}: {m}", run.file.display()))?;
+/// The plan that a seed makes of an experiment file.
+fn plan_of(file: &Path, e: &Experiment, seed: u64) -> Result<Plan, LabError> {
+    draw::plan(e, seed).map_err(|source| LabError::PlanOf {
+        file: file.to_path_buf(),
+        source,
+    })
+}
+
+/// Everything that the plays of a run share.
+struct Prepared {
+    experiment: Experiment,
+    seed: u64,
+    plan: Plan,
+    root: PathBuf,
+    programs: Vec<Program>,
+    builds: BTreeMap<String, String>,
+    results: Results,
+}
+
+/// Reads what is to be played, builds it, and makes the folder of its results.
+fn prepare(run: &Run) -> Result<Prepared, LabError> {
+    let experiment = experiment::load(&run.file)?;
+    let seed = run.seed.unwrap_or(experiment.seed);
+    let plan = plan_of(&run.file, &experiment, seed)?;
     let root = root()?;
     let deploy = deploy(&root)?;
     let (programs, built) = programs(&run.programs, &deploy)?;
     let programs = with_options(programs, &run.options)?;
-    let builds = builds(&run.builds, &e)?;
+    let builds = builds(&run.builds, &experiment)?;
     if built && !run.no_build {
         build(&root, &deploy.build)?;
     }
-    let plays = usize::from(run.plays);
     let arguments = RunArguments {
         seed,
         programs: programs.iter().map(|p| p.name.clone()).collect(),
-        plays,
+        plays: usize::from(run.plays),
         new_draws: run.new_draws,
     };
     let results = Results::create(&root, run.out.as_deref(), &run.file, &arguments)?;
-    println!("{}", e.title);
+    Ok(Prepared {
+        experiment,
+        seed,
+        plan,
+        root,
+        programs,
+        builds,
+        results,
+    })
+}
+
+/// Sets the returned flag at the first interrupt, or when the lab is told to end.
+fn stop_on_signal() -> watch::Receiver<bool> {
+    let (stop, stopped) = watch::channel(false);
+    tokio::spawn(async move {
+        let interrupt = signal(SignalKind::interrupt());
+        let terminate = signal(SignalKind::terminate());
+        if let (Ok(mut interrupt), Ok(mut terminate)) = (interrupt, terminate) {
+            tokio::select! {
+                _ = interrupt.recv() => {}
+                _ = terminate.recv() => {}
+            }
+            stop.send_replace(true);
+        }
+    });
+    stopped
+}
+
+/// Plays every program as often as was asked for, in turn, and keeps each play. Returns whether it was stopped by hand.
+async fn play_all(run: &Run, prepared: &Prepared, guard: &Guard) -> Result<bool, LabError> {
+    let stopped = stop_on_signal();
+    for number in 0..usize::from(run.plays) {
+        let drawn = match run.new_draws && number > 0 {
+            true => Some(draw::plan(
+                &prepared.experiment,
+                prepared.seed.wrapping_add(number as u64),
+            )?),
+            false => None,
+        };
+        let plan = drawn.as_ref().unwrap_or(&prepared.plan);
+        for program in &prepared.programs {
+            if *stopped.borrow() {
+                return Ok(true);
+            }
+            let folder = prepared.results.play(&program.name, number);
+            let stage = Stage {
+                root: &prepared.root,
+                folder: &folder,
+                guard,
+                builds: &prepared.builds,
+                stop: stopped.clone(),
+                progress: true,
+            };
+            let played = play(&prepared.experiment, plan, program, number, &stage).await?;
+            prepared.results.keep(&played)?;
+        }
+    }
+    let is_stopped = *stopped.borrow();
+    Ok(is_stopped)
+}
+
+fn run_it(run: &Run) -> Result<End, LabError> {
+    tracing_subscriber::fmt()
+        .with_max_level(run.log)
+        .with_writer(std::io::stderr)
+        .init();
+    let prepared = prepare(run)?;
+    let plan = &prepared.plan;
+    println!("{}", prepared.experiment.title);
     println!(
-        "seed {seed}: {} balancers, {} upstreams, {} requests in {:.0} s, {} faults",
+        "seed {}: {} balancers, {} upstreams, {} requests in {:.0} s, {} faults",
+        prepared.seed,
         plan.balancers.len(),
         plan.upstreams.len(),
         plan.arrivals.len(),
         plan.length / 1000.0,
         plan.faults.len()
     );
-    let own = std::env::current_exe().map_err(|e| e.to_string())?;
-    let guard = Guard::start(&own)?;
+    let guard = Guard::start(&std::env::current_exe()?)?;
     // Half of the cores are for the balancers.
     let cores = std::thread::available_parallelism().map_or(2, |n| n.get());
-    let stopped = runtime((cores / 2).max(1))?.block_on(async {
-        let (stop, stopped) = watch::channel(false);
-        tokio::spawn(async move {
-            let interrupt = signal(SignalKind::interrupt());
-            let terminate = signal(SignalKind::terminate());
-            if let (Ok(mut interrupt), Ok(mut terminate)) = (interrupt, terminate) {
-                tokio::select! {
-                    _ = interrupt.recv() => {}
-                    _ = terminate.recv() => {}
-                }
-                stop.send_replace(true);
-            }
-        });
-        for number in 0..plays {
-            let drawn = match run.new_draws && number > 0 {
-                true => Some(draw::plan(&e, seed.wrapping_add(number as u64))?),
-                false => None,
-            };
-            let plan = drawn.as_ref().unwrap_or(&plan);
-            for program in &programs {
-                if *stopped.borrow() {
-                    return Ok::<bool, String>(true);
-                }
-                let folder = results.play(&program.name, number);
-                let stage = Stage {
-                    root: &root,
-                    folder: &folder,
-                    guard: &guard,
-                    builds: &builds,
-                    stop: stopped.clone(),
-                    progress: true,
-                };
-                let played = play(&e, plan, program, number, &stage).await?;
-                results.keep(&played)?;
-            }
-        }
-        let now = *stopped.borrow();
-        Ok(now)
-    })?;
-    let all = results.plays()?;
+    let stopped = runtime((cores / 2).max(1))?.block_on(play_all(run, &prepared, &guard))?;
+    let all = prepared.results.plays()?;
     print!("{}", summary(&all));
-    if programs.len() > 1 {
+    if prepared.programs.len() > 1 {
         print!("\n{}", compare(&all));
     }
-    let report = results.report(&e, &plan, &all)?;
+    let report = prepared.results.report(&prepared.experiment, plan, &all)?;
     println!("report: {}", report.display());
     let passed = !stopped && all.iter().all(|p| p.passed());
     Ok(if passed { End::Passed } else { End::Failed })
 }
 
-fn capacity_it(arguments: Capacity) -> Result<End, String> {
-    let own = std::env::current_exe().map_err(|e| e.to_string())?;
+fn capacity_it(arguments: Capacity) -> Result<End, LabError> {
+    let own = std::env::current_exe()?;
     let sweep = Sweep {
         dimension: arguments.dimension,
         sizes: arguments.sizes,
@@ -302,20 +381,20 @@
     Ok(End::Passed)
 }
 
-fn opened(folder: &Path) -> Result<(Results, Experiment, Plan), String> {
+fn opened(folder: &Path) -> Result<(Results, Experiment, Plan), LabError> {
     let results = Results::open(folder)?;
     let (arguments, e) = results.arguments()?;
     let plan = draw::plan(&e, arguments.seed)?;
     Ok((results, e, plan))
 }
 
-fn compare_it(folder: &Path) -> Result<End, String> {
+fn compare_it(folder: &Path) -> Result<End, LabError> {
     let plays = Results::open(folder)?.plays()?;
     print!("{}", compare(&plays));
     Ok(End::Passed)
 }
 
-fn report_it(folder: &Path) -> Result<End, String> {
+fn report_it(folder: &Path) -> Result<End, LabError> {
     let (results, e, plan) = opened(folder)?;
     println!(
         "{}",
@@ -324,8 +403,11 @@
     Ok(End::Passed)
 }
 
-fn list_it(folder: &Path) -> Result<End, String> {
-    let entries = std::fs::read_dir(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+fn list_it(folder: &Path) -> Result<End, LabError> {
+    let entries = std::fs::read_dir(folder).map_err(|source| FileError {
+        path: folder.to_path_buf(),
+        source,
+    })?;
     let mut files: Vec<PathBuf> = entries.flatten().map(|e| e.path()).collect();
     files.retain(|f| f.extension().is_some_and(|e| e == "toml"));
     files.sort();
@@ -338,10 +420,10 @@
     Ok(End::Passed)
 }
 
-fn check_them(files: &[PathBuf]) -> Result<End, String> {
+fn check_them(files: &[PathBuf]) -> Result<End, LabError> {
     for file in files {
         let e = experiment::load(file)?;
-        let plan = draw::plan(&e, e.seed).map_err(|m| format!("{}: {m}", file.display()))?;
+        let plan = plan_of(file, &e, e.seed)?;
         println!(
             "{}: {} balancers, {} upstreams, {} requests, {} faults",
             file.display(),
--- a/lab/src/net/block.rs
+++ b/lab/src/net/block.rs
@@ -1,6 +1,8 @@
 //! Loopback addresses, a block of them for each lab on a machine.
 use socket2::{Domain, Socket, Type};
+use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use thiserror::Error;
 
 /// The port that a lab holds on its block, so that another lab takes another one.
 const CLAIM: u16 = 9999;
@@ -15,6 +17,17 @@
 /// Balancers listen for their peers at this port.
 pub const PEERS: u16 = 7946;
 
+/// Why no block could be claimed.
+#[derive(Debug, Error)]
+pub enum BlockError {
+    /// No socket could be made.
+    #[error("a socket: {0}")]
+    Socket(#[source] io::Error),
+    /// Other labs hold them all.
+    #[error("every block of loopback addresses is taken by another lab")]
+    AllTaken,
+}
+
 /// 65,536 loopback addresses that this lab has for itself.
 pub struct Block {
     second: u8,
@@ -23,13 +36,16 @@
 
 impl Block {
     /// Takes a block that no other lab on this machine holds.
-    pub fn claim() -> Result<Block, String> {
+    ///
+    /// # Errors
+    /// When there is none, or no socket can be made.
+    pub fn claim() -> Result<Block, BlockError> {
         let first = u32::from(std::process::id() as u16) % u32::from(BLOCKS.end - BLOCKS.start);
         for step in 0..u32::from(BLOCKS.end - BLOCKS.start) {
             let second =
                 BLOCKS.start + ((first + step) % u32::from(BLOCKS.end - BLOCKS.start)) as u8;
-            let socket = Socket::new(Domain::IPV4, Type::STREAM, None)
-                .map_err(|e| format!("a socket: {e}"))?;
+            let socket =
+                Socket::new(Domain::IPV4, Type::STREAM, None).map_err(BlockError::Socket)?;
             let at = SocketAddr::from((Ipv4Addr::new(127, second, 255, 254), CLAIM));
             if socket.bind(&at.into()).is_ok() {
                 return Ok(Block {
@@ -38,7 +54,7 @@
                 });
             }
         }
-        Err("every block of loopback addresses is taken by another lab".into())
+        Err(BlockError::AllTaken)
     }
 
     fn address(&self, host: u16, port: u16) -> SocketAddr {
--- a/lab/src/net/mod.rs
+++ b/lab/src/net/mod.rs
@@ -8,7 +8,7 @@
 mod port;
 mod stream;
 
-pub use block::{Block, DISCOVERY, LISTEN, PEERS, UPSTREAM};
+pub use block::{Block, BlockError, DISCOVERY, LISTEN, PEERS, UPSTREAM};
 pub use link::{Direction, Link};
 pub use lock::lock;
 pub use port::{listener, Manner, Port};
--- a/lab/src/programs.rs
+++ b/lab/src/programs.rs
@@ -1,9 +1,12 @@
 //! What the command line says that is to be played: programs, sets of options, commands of builds.
+use crate::error::FileError;
 use crate::experiment::Experiment;
 use crate::run::Program;
 use serde::Deserialize;
 use std::collections::BTreeMap;
-use std::path::Path;
+use std::io;
+use std::path::{Path, PathBuf};
+use thiserror::Error;
 
 /// What the deploy file names.
 #[derive(Deserialize)]
@@ -14,16 +17,63 @@
     pub run: String,
 }
 
+/// Why what is to be played is not known.
+#[derive(Debug, Error)]
+pub enum ProgramsError {
+    /// The deploy file can't be read.
+    #[error(transparent)]
+    File(#[from] FileError),
+    /// The deploy file is malformed.
+    #[error("{}: {what}", path.display())]
+    Deploy {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong with it.
+        what: String,
+    },
+    /// The lab's own program is not known.
+    #[error(transparent)]
+    OwnProgram(#[from] io::Error),
+    /// An argument of the command line is unusable.
+    #[error("{option} {text}: {what}")]
+    Argument {
+        /// The option.
+        option: &'static str,
+        /// Its value.
+        text: String,
+        /// What is wrong with it.
+        what: String,
+    },
+}
+
+/// Returns a function that makes an error of what is wrong with an argument.
+fn wrong<'a>(option: &'static str, text: &'a str) -> impl Fn(&str) -> ProgramsError + 'a {
+    move |what| ProgramsError::Argument {
+        option,
+        text: text.to_owned(),
+        what: what.to_owned(),
+    }
+}
+
 /// Reads the deploy file.
-pub fn deploy(root: &Path) -> Result<Deploy, String> {
+///
+/// # Errors
+/// When it can't be read.
+pub fn deploy(root: &Path) -> Result<Deploy, ProgramsError> {
     let path = root.join("deploy/balancer.toml");
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
-    toml::from_str(&text).map_err(|e| format!("{}: {}", path.display(), e.message()))
+    let text = std::fs::read_to_string(&path).map_err(FileError::at(&path))?;
+    toml::from_str(&text).map_err(|error| ProgramsError::Deploy {
+        what: error.message().to_owned(),
+        path,
+    })
 }
 
 /// The programs that were named, with their commands, and whether the balancer must be built.
-pub fn programs(named: &[String], deploy: &Deploy) -> Result<(Vec<Program>, bool), String> {
-    let own = std::env::current_exe().map_err(|e| e.to_string())?;
+///
+/// # Errors
+/// The first name that is unusable.
+pub fn programs(named: &[String], deploy: &Deploy) -> Result<(Vec<Program>, bool), ProgramsError> {
+    let own = std::env::current_exe()?;
     let default = ["balancer".to_string()];
     let named = if named.is_empty() {
         &default[..]
@@ -33,6 +83,7 @@
     let mut programs: Vec<Program> = Vec::new();
     let mut built = false;
     for text in named {
+        let wrong = wrong("--program", text);
         let (name, command) = match text.split_once('=') {
             Some((name, command)) => (name, command.to_string()),
             None if text == "balancer" => {
@@ -43,19 +94,13 @@
                 text.as_str(),
                 format!("exec '{}' stand-in {text}", own.display()),
             ),
-            None => {
-                return Err(format!(
-                    "--program {text}: no such program; NAME=COMMAND names one of your own"
-                ))
-            }
+            None => return Err(wrong("no such program; NAME=COMMAND names one of your own")),
         };
         if !plain_name(name) {
-            return Err(format!(
-                "--program {text}: a name has letters, digits, '-', '_' and '.'"
-            ));
+            return Err(wrong("a name has letters, digits, '-', '_' and '.'"));
         }
         if programs.iter().any(|p| p.name == name) {
-            return Err(format!("--program {text}: {name} is named twice"));
+            return Err(wrong(&format!("{name} is named twice")));
         }
         programs.push(Program {
             name: name.into(),
@@ -67,11 +112,17 @@
 }
 
 /// Each program with each set of options.
-pub fn with_options(programs: Vec<Program>, named: &[String]) -> Result<Vec<Program>, String> {
+///
+/// # Errors
+/// The first set that is unusable.
+pub fn with_options(
+    programs: Vec<Program>,
+    named: &[String],
+) -> Result<Vec<Program>, ProgramsError> {
     let mut sets: Vec<(&str, toml::Table)> = Vec::new();
     for text in named {
         let (name, keys) = text.split_once('=').unwrap_or((text, ""));
-        let wrong = |what: &str| format!("--options {text}: {what}");
+        let wrong = wrong("--options", text);
         if !plain_name(name) {
             return Err(wrong("a name has letters, digits, '-', '_' and '.'"));
         }
@@ -105,21 +156,24 @@
 }
 
 /// Commands of builds, by name.
-pub fn builds(named: &[String], e: &Experiment) -> Result<BTreeMap<String, String>, String> {
+///
+/// # Errors
+/// The first one that is unusable.
+pub fn builds(named: &[String], e: &Experiment) -> Result<BTreeMap<String, String>, ProgramsError> {
     let mut builds = BTreeMap::new();
     for text in named {
-        let wrong = |what: &str| Err(format!("--build {text}: {what}"));
+        let wrong = wrong("--build", text);
         let Some((name, command)) = text.split_once('=') else {
-            return wrong("NAME=COMMAND is wanted");
+            return Err(wrong("NAME=COMMAND is wanted"));
         };
         if !e.builds.iter().any(|b| b.name == name) {
-            return wrong("the experiment has no build of that name");
+            return Err(wrong("the experiment has no build of that name"));
         }
         if builds
             .insert(name.to_string(), command.to_string())
             .is_some()
         {
-            return wrong("named twice");
+            return Err(wrong("named twice"));
         }
     }
     Ok(builds)
--- a/lab/src/results/folder.rs
+++ b/lab/src/results/folder.rs
@@ -1,11 +1,13 @@
 //! The folder that a run leaves: its experiment, every play, the report.
 use crate::draw::Plan;
-use crate::experiment::{self, Experiment};
+use crate::error::FileError;
+use crate::experiment::{self, Experiment, ExperimentError};
 use crate::metrics::Played;
 use crate::report;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::path::{Path, PathBuf};
+use thiserror::Error;
 
 /// What was asked for, beside the experiment file.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -30,27 +32,63 @@
 
 const ARGUMENTS: &str = "asked.json";
 
-fn write(path: &Path, text: &str) -> Result<(), String> {
-    std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))
+/// Why results could not be written or read.
+#[derive(Debug, Error)]
+pub enum ResultsError {
+    /// A file or folder.
+    #[error(transparent)]
+    File(#[from] FileError),
+    /// A file holds something else.
+    #[error("{}: {source}", path.display())]
+    Malformed {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong with it.
+        source: serde_json::Error,
+    },
+    /// What is to be stored has no form as JSON.
+    #[error(transparent)]
+    Encode(#[from] serde_json::Error),
+    /// Every name below `lab/results` is taken.
+    #[error("no name is free")]
+    NoName,
+    /// The folder is another run's.
+    #[error("{}: holds the results of another run", .0.display())]
+    InUse(PathBuf),
+    /// The folder is no run's.
+    #[error("{}: no results of a run", .0.display())]
+    NoResults(PathBuf),
+    /// The experiment as it was then.
+    #[error(transparent)]
+    Experiment(#[from] ExperimentError),
+    /// The report.
+    #[error(transparent)]
+    Report(#[from] report::PlotError),
 }
 
-fn read<T: DeserializeOwned>(path: &Path) -> Result<T, String> {
-    let text = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    serde_json::from_slice(&text).map_err(|e| format!("{}: {e}", path.display()))
+fn write(path: &Path, text: &str) -> Result<(), ResultsError> {
+    Ok(std::fs::write(path, text).map_err(FileError::at(path))?)
 }
 
-fn json(of: &impl Serialize) -> Result<String, String> {
-    serde_json::to_string(of).map_err(|e| e.to_string())
+fn read<T: DeserializeOwned>(path: &Path) -> Result<T, ResultsError> {
+    let text = std::fs::read(path).map_err(FileError::at(path))?;
+    serde_json::from_slice(&text).map_err(|source| ResultsError::Malformed {
+        path: path.to_path_buf(),
+        source,
+    })
 }
 
 impl Results {
     /// Makes a folder for a run: the one named, or the next one that is free below `lab/results`.
+    ///
+    /// # Errors
+    /// When there is none, or it is another run's.
     pub fn create(
         root: &Path,
         named: Option<&Path>,
         file: &Path,
         arguments: &RunArguments,
-    ) -> Result<Results, String> {
+    ) -> Result<Results, ResultsError> {
         let folder = match named {
             Some(folder) => folder.to_path_buf(),
             None => {
@@ -61,29 +99,26 @@
                 let free = (1..)
                     .map(|n| below.join(format!("{stem}-{n}")))
                     .find(|f| !f.exists());
-                free.ok_or("no name is free")?
+                free.ok_or(ResultsError::NoName)?
             }
         };
         if folder.join(ARGUMENTS).exists() {
-            return Err(format!(
-                "{}: holds the results of another run",
-                folder.display()
-            ));
+            return Err(ResultsError::InUse(folder));
         }
-        std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
-        let folder = folder
-            .canonicalize()
-            .map_err(|e| format!("{}: {e}", folder.display()))?;
-        std::fs::copy(file, folder.join(EXPERIMENT))
-            .map_err(|e| format!("{}: {e}", file.display()))?;
-        write(&folder.join(ARGUMENTS), &json(arguments)?)?;
+        std::fs::create_dir_all(&folder).map_err(FileError::at(&folder))?;
+        let folder = folder.canonicalize().map_err(FileError::at(&folder))?;
+        std::fs::copy(file, folder.join(EXPERIMENT)).map_err(FileError::at(file))?;
+        write(&folder.join(ARGUMENTS), &serde_json::to_string(arguments)?)?;
         Ok(Results { folder })
     }
 
     /// Opens the folder of an earlier run.
-    pub fn open(folder: &Path) -> Result<Results, String> {
+    ///
+    /// # Errors
+    /// When it is none.
+    pub fn open(folder: &Path) -> Result<Results, ResultsError> {
         if !folder.join(ARGUMENTS).is_file() {
-            return Err(format!("{}: no results of a run", folder.display()));
+            return Err(ResultsError::NoResults(folder.to_path_buf()));
         }
         Ok(Results {
             folder: folder.to_path_buf(),
@@ -101,15 +136,21 @@
     }
 
     /// Keeps a play.
-    pub fn keep(&self, played: &Played) -> Result<(), String> {
+    ///
+    /// # Errors
+    /// When its file can't be written.
+    pub fn keep(&self, played: &Played) -> Result<(), ResultsError> {
         write(
             &self.play(&played.program, played.play).join("play.json"),
-            &json(played)?,
+            &serde_json::to_string(played)?,
         )
     }
 
     /// What was asked for, and the experiment as it was then.
-    pub fn arguments(&self) -> Result<(RunArguments, Experiment), String> {
+    ///
+    /// # Errors
+    /// When either file can't be read.
+    pub fn arguments(&self) -> Result<(RunArguments, Experiment), ResultsError> {
         Ok((
             read(&self.folder.join(ARGUMENTS))?,
             experiment::load(&self.folder.join(EXPERIMENT))?,
@@ -117,7 +158,10 @@
     }
 
     /// Every play that was kept, in the order in which they were made.
-    pub fn plays(&self) -> Result<Vec<Played>, String> {
+    ///
+    /// # Errors
+    /// When a file can't be read.
+    pub fn plays(&self) -> Result<Vec<Played>, ResultsError> {
         let arguments: RunArguments = read(&self.folder.join(ARGUMENTS))?;
         let mut plays = Vec::new();
         for play in 0..arguments.plays {
@@ -133,12 +177,17 @@
     }
 
     /// Writes the report, and says where.
-    pub fn report(&self, e: &Experiment, plan: &Plan, plays: &[Played]) -> Result<PathBuf, String> {
+    ///
+    /// # Errors
+    /// When it can't be drawn or written.
+    pub fn report(
+        &self,
+        e: &Experiment,
+        plan: &Plan,
+        plays: &[Played],
+    ) -> Result<PathBuf, ResultsError> {
         let path = self.folder.join("report.html");
-        write(
-            &path,
-            &report::page(e, plan, plays).map_err(|e| e.to_string())?,
-        )?;
+        write(&path, &report::page(e, plan, plays)?)?;
         Ok(path)
     }
 }
--- a/lab/src/results/mod.rs
+++ b/lab/src/results/mod.rs
@@ -4,5 +4,5 @@
 mod summary;
 
 pub use compare::compare;
-pub use folder::{Results, RunArguments};
+pub use folder::{Results, ResultsError, RunArguments};
 pub use summary::summary;
--- a/lab/src/run/play.rs
+++ b/lab/src/run/play.rs
@@ -3,6 +3,7 @@
 use super::watch::{audit, follow_tiers, watch_over};
 use crate::clients::{ends_within, send_all, Open};
 use crate::draw::Plan;
+use crate::error::{BindError, FileError};
 use crate::experiment::{merged, Build, Experiment, Span};
 use crate::faults;
 use crate::fleet::Fleet;
@@ -10,15 +11,17 @@
 use crate::metrics::{value_of, Played};
 use crate::net::lock;
 use crate::oracle::Oracle;
-use crate::process::LaunchSpec;
-use crate::world::World;
+use crate::process::{LaunchSpec, ProcessError};
+use crate::world::{World, WorldError};
 use indicatif::{ProgressBar, ProgressStyle};
 use nix::sys::signal::Signal;
 use std::collections::BTreeMap;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
+use thiserror::Error;
 use tokio::sync::watch;
+use tokio::task::JoinError;
 use tokio::time::timeout;
 
 /// From the last balancer's being ready to the first request.
@@ -50,17 +53,40 @@
     pub progress: bool,
 }
 
+/// Why a program could not be played.
+#[derive(Debug, Error)]
+pub enum PlayError {
+    /// A folder for its results could not be made.
+    #[error(transparent)]
+    Folder(#[from] FileError),
+    /// The run could not be put together.
+    #[error(transparent)]
+    World(#[from] WorldError),
+    /// An upstream or discovery could not listen.
+    #[error(transparent)]
+    Listen(#[from] BindError),
+    /// A balancer could not be started.
+    #[error(transparent)]
+    Process(#[from] ProcessError),
+    /// The task that starts a balancer failed.
+    #[error(transparent)]
+    Task(#[from] JoinError),
+}
+
 /// Plays one program once.
+///
+/// # Errors
+/// When something of it could not be started; nothing of it is left running.
 pub async fn play(
     experiment: &Experiment,
     plan: &Plan,
     program: &Program,
     number: usize,
     stage: &Stage<'_>,
-) -> Result<Played, String> {
+) -> Result<Played, PlayError> {
     for part in ["config", "logs"] {
         let folder = stage.folder.join(part);
-        std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+        std::fs::create_dir_all(&folder).map_err(FileError::at(&folder))?;
     }
     let runs = runs(experiment, program, stage.builds);
     let fleet = Fleet::new(experiment, plan, &runs, stage.root, stage.folder)?;
@@ -125,7 +151,7 @@
 }
 
 /// Everything from the first start to the last answer. Says whether it was stopped by hand.
-async fn go(fleet: &Arc<Fleet>, stage: &Stage<'_>, name: &str) -> Result<bool, String> {
+async fn go(fleet: &Arc<Fleet>, stage: &Stage<'_>, name: &str) -> Result<bool, PlayError> {
     let world = &fleet.world;
     fleet.listen()?;
     let length = world.plan.length / 1000.0;
@@ -148,9 +174,7 @@
     loop {
         tokio::select! {
             started = starts.join_next() => match started {
-                Some(started) => started
-                    .map_err(|e| e.to_string())?
-                    .map_err(|e| e.to_string())?,
+                Some(started) => started??,
                 None => break,
             },
             _ = stop.wait_for(|s| *s) => return Ok(true),
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -4,14 +4,16 @@
 use crate::datagrams::{Conditions, Datagrams, LONGEST};
 use crate::draw::Plan;
 use crate::experiment::{Experiment, Millis};
-use crate::net::{lock, Block, Link};
+use crate::net::{lock, Block, BlockError, Link};
 use crate::oracle::{Bound, ClassRules, Limits, Oracle, Parts, Place, Rule};
 use crate::pool::{Conn, Pool};
 use crate::tally::Tally;
 use std::collections::{HashMap, VecDeque};
+use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use thiserror::Error;
 use tokio::sync::watch;
 
 /// Lateness that is more than what timers are good to: it is reported to the oracle.
@@ -34,6 +36,17 @@
     pub at_upstreams: Millis,
 }
 
+/// Why a run could not be put together.
+#[derive(Debug, Error)]
+pub enum WorldError {
+    /// It has no addresses.
+    #[error(transparent)]
+    Block(#[from] BlockError),
+    /// It has no network between balancers.
+    #[error("a socket for datagrams: {0}")]
+    Datagrams(#[source] io::Error),
+}
+
 /// One run.
 pub struct World {
     /// The experiment.
@@ -102,13 +115,16 @@
 
 impl World {
     /// Puts a run together; nothing of it runs yet.
+    ///
+    /// # Errors
+    /// When there are no addresses or sockets for it.
     #[expect(clippy::too_many_lines, reason = "not split yet: docs/OPEN.md")]
     pub fn new(
         experiment: &Experiment,
         plan: &Plan,
         clock: Clock,
         folder: &Path,
-    ) -> Result<Arc<World>, String> {
+    ) -> Result<Arc<World>, WorldError> {
         let block = Block::claim()?;
         let zones = experiment.fleet.zones.len();
         let class = |c: &crate::experiment::Class| ClassRules {
@@ -146,7 +162,9 @@
             repeat: net.datagram_repeat,
         };
         let tiers: Vec<usize> = plan.balancers.iter().map(|b| b.tier).collect();
-        let datagrams = Arc::new(Datagrams::open(&tiers, &block, conditions, plan.seed)?);
+        let datagrams = Datagrams::open(&tiers, &block, conditions, plan.seed)
+            .map_err(WorldError::Datagrams)?;
+        let datagrams = Arc::new(datagrams);
         let front = || (0..plan.balancers.len()).filter(|&b| plan.balancers[b].owner.is_none());
         let of_zone = |zone: usize| {
             let local: Vec<usize> = front()
--- a/lab/tests/capacity/hollow.rs
+++ b/lab/tests/capacity/hollow.rs
@@ -88,5 +88,6 @@
         watched: None,
     };
     let _running = tier.start().expect("starts");
-    assert_eq!(learn_deployment(&[(1, listening)], TIMEOUT), Ok(deployment));
+    let learned = learn_deployment(&[(1, listening)], TIMEOUT).expect("learns");
+    assert_eq!(learned, deployment);
 }
