--- a/lab/src/call.rs
+++ b/lab/src/call.rs
@@ -11,6 +11,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::time::{timeout, timeout_at};
 
 /// Bodies hold at most this much.
@@ -18,6 +19,9 @@
 /// What a keyed or single request carries.
 const BODY: &[u8] = b"a job for the translators\n";
 
+/// A connection that can't take the next request by then is not kept.
+const READY_TIMEOUT: Duration = Duration::from_millis(5);
+
 /// One call.
 pub struct Call {
     /// The balancer.
@@ -96,7 +100,6 @@
         }
     }
 
-    #[expect(clippy::too_many_lines, reason = "not split yet: docs/OPEN.md")]
     async fn carry(&self, world: &World) -> CallResult {
         pause(self.delay).await;
         let gives_up = world.clock.instant(self.sent + self.timeout);
@@ -107,20 +110,17 @@
             reported: true,
         };
         // One that floods takes a connection of its own for each request.
-        let flood = self.flood;
-        let mut fresh = flood.is_some();
+        let mut fresh = self.flood.is_some();
         loop {
             let pool = &world.pools[self.balancer];
-            let mut conn = match if fresh { None } else { pool.take() } {
-                Some(conn) => conn,
-                None => {
-                    fresh = true;
-                    match timeout_at(gives_up, self.dial(world)).await {
-                        Ok(Some(conn)) => conn,
-                        Ok(None) => return CallResult::Unreached,
-                        Err(_) => return CallResult::Unreached,
-                    }
-                }
+            let pooled = if fresh { None } else { pool.take() };
+            fresh |= pooled.is_none();
+            let conn = match pooled {
+                Some(conn) => Some(conn),
+                None => timeout_at(gives_up, self.dial(world)).await.unwrap_or(None),
+            };
+            let Some(mut conn) = conn else {
+                return CallResult::Unreached;
             };
             let Some(request) = self.request(world, id) else {
                 return CallResult::Unreached;
@@ -157,23 +157,28 @@
             }
             pause(self.delay).await;
             pending.ends(how);
-            let is_complete = !matches!(how, Final::Partial | Final::TimedOut);
-            if let (true, Some(most)) = (is_complete, flood) {
-                let mut open = lock(&world.floods[self.profile.tenant]);
-                open.push_back(conn);
-                let over = open.len().saturating_sub(most);
-                open.drain(..over);
-            } else if is_complete
-                && timeout(std::time::Duration::from_millis(5), conn.sender.ready())
-                    .await
-                    .is_ok_and(|r| r.is_ok())
-            {
-                pool.keep(conn);
+            if !matches!(how, Final::Partial | Final::TimedOut) {
+                self.keep(world, conn).await;
             }
             return got;
         }
     }
 
+    /// Keeps the connection of a complete response: open and unused where its client floods, else for the next call.
+    async fn keep(&self, world: &World, mut conn: Conn) {
+        if let Some(most) = self.flood {
+            let mut open = lock(&world.floods[self.profile.tenant]);
+            open.push_back(conn);
+            let over = open.len().saturating_sub(most);
+            open.drain(..over);
+            return;
+        }
+        let ready = timeout(READY_TIMEOUT, conn.sender.ready()).await;
+        if ready.is_ok_and(|r| r.is_ok()) {
+            world.pools[self.balancer].keep(conn);
+        }
+    }
+
     async fn dial(&self, world: &World) -> Option<Conn> {
         let gate: LinkedStream = connect(world.block.balancer(self.balancer), &self.link)
             .await
--- a/lab/src/clients.rs
+++ b/lab/src/clients.rs
@@ -51,8 +51,7 @@
     }
 }
 
-/// One request over all its tries.
-#[expect(clippy::too_many_lines, reason = "not split yet: docs/OPEN.md")]
+/// One request over all attempts of its client.
 async fn request(world: &World, a: &Arrival) -> Done {
     let deadline = world.plan.spans[a.class].1;
     let clients = &world.experiment.clients;
@@ -70,26 +69,9 @@
     let mut added = None;
     let how = loop {
         attempts += 1;
-        let left = a.at + deadline - due;
-        let try_timeout = (deadline * a.try_share).min(left);
-        let abandons_after = a
-            .abandons_after
-            .filter(|_| attempts == 1)
-            .map(|part| try_timeout * part);
         let got = match pick(world, a, due, &mut drawn) {
             Some(balancer) => {
-                let links = &world.client_links[balancer];
-                let call = Call {
-                    balancer,
-                    link: links[a.zone].clone(),
-                    delay: world.delay(a.zone, world.plan.balancers[balancer].zone),
-                    profile,
-                    sent: due,
-                    timeout: try_timeout,
-                    cancels_after: abandons_after,
-                    retry: attempts > 1,
-                    flood: world.experiment.tenants[a.tenant].connections,
-                };
+                let call = call_to(world, a, balancer, profile, due, attempts);
                 call.make(world).await
             }
             None => CallResult::Unreached,
@@ -127,6 +109,32 @@
     }
 }
 
+/// One attempt of a request, at a balancer, sent at `due`.
+fn call_to(
+    world: &World,
+    a: &Arrival,
+    balancer: usize,
+    profile: RequestProfile,
+    due: Millis,
+    attempts: u32,
+) -> Call {
+    let deadline = world.plan.spans[a.class].1;
+    let left = a.at + deadline - due;
+    let timeout = (deadline * a.try_share).min(left);
+    let abandons_after = a.abandons_after.filter(|_| attempts == 1);
+    Call {
+        balancer,
+        link: world.client_links[balancer][a.zone].clone(),
+        delay: world.delay(a.zone, world.plan.balancers[balancer].zone),
+        profile,
+        sent: due,
+        timeout,
+        cancels_after: abandons_after.map(|part| timeout * part),
+        retry: attempts > 1,
+        flood: world.experiment.tenants[a.tenant].connections,
+    }
+}
+
 /// Whether a client may send a request again that may have run.
 fn may_repeat(world: &World, class: usize) -> bool {
     let class = &world.experiment.classes[class];
--- a/lab/src/draw/planner.rs
+++ b/lab/src/draw/planner.rs
@@ -5,13 +5,12 @@
 use super::parts::{Plan, Upstream};
 use super::requests::{draw_requests, Rates};
 use super::streams::{draw, draw_span, stream, Stream};
-use crate::experiment::Experiment;
+use crate::experiment::{Experiment, Millis};
 
 /// Draws a plan.
 ///
 /// # Errors
 /// What the values of the experiment together do not allow.
-#[expect(clippy::too_many_lines, reason = "not split yet: docs/OPEN.md")]
 pub fn plan(e: &Experiment, seed: u64) -> Result<Plan, PlanError> {
     let machines = &mut stream(seed, Stream::Machines);
     let mut upstreams: Vec<Upstream> = Vec::new();
@@ -20,6 +19,40 @@
     }
     let mut balancers = balancers(e, &upstreams);
 
+    let (same_zone, cross_zone) = draw_delays(e, seed);
+
+    let load = draw_load(e, seed, &upstreams)?;
+
+    let population = Population::new(e, &upstreams, &balancers);
+    let faults = draw_faults(e, seed, &population, load.length);
+    let builds = draw_builds(e, seed, &population);
+    balancers
+        .iter_mut()
+        .zip(builds)
+        .for_each(|(b, build)| b.build = build);
+    let rates = Rates {
+        shared: load.rate,
+        weakest: load.weakest,
+    };
+    let arrivals = draw_requests(e, seed, rates, load.length, &load.works, &faults)?;
+    Ok(Plan {
+        seed,
+        length: load.length,
+        upstreams,
+        balancers,
+        arrivals,
+        faults,
+        same_zone,
+        cross_zone,
+        quotas: load.quotas,
+        calls: load.calls,
+        capacity: load.capacity,
+        spans: load.spans,
+    })
+}
+
+/// One-way delays within a zone, and between any two.
+fn draw_delays(e: &Experiment, seed: u64) -> (Millis, Vec<Vec<Millis>>) {
     let net = &mut stream(seed, Stream::Net);
     let same_zone = draw_span(net, e.net.same_zone);
     let mut cross_zone = vec![vec![same_zone; e.fleet.zones.len()]; e.fleet.zones.len()];
@@ -29,17 +62,49 @@
             (Some(a), Some(b)) => a != b,
             _ => false,
         };
-        let span = draw_span(
-            net,
-            if apart {
-                e.net.cross_region
-            } else {
-                e.net.cross_zone
-            },
-        );
-        (cross_zone[a][b], cross_zone[b][a]) = (span, span);
+        let span = if apart {
+            e.net.cross_region
+        } else {
+            e.net.cross_zone
+        };
+        let delay = draw_span(net, span);
+        (cross_zone[a][b], cross_zone[b][a]) = (delay, delay);
     }
+    (same_zone, cross_zone)
+}
+
+/// Requests a second that each tier can serve when warm, given the mean work of a request and its calls to each tier.
+fn capacity(e: &Experiment, upstreams: &[Upstream], mean_work: f64, calls: &[f64]) -> Vec<f64> {
+    let of_tier = |t: usize| {
+        let speed: f64 = upstreams
+            .iter()
+            .filter(|u| u.tier == t)
+            .map(|u| u.cores as f64 * u.speed)
+            .sum();
+        speed * 1000.0 / (mean_work * e.tiers[t].work * calls[t])
+    };
+    (0..e.tiers.len()).map(of_tier).collect()
+}
 
+/// What is asked of the tiers, and what they can do.
+struct Load {
+    length: Millis,
+    /// The mean work of a request of each class.
+    works: Vec<f64>,
+    /// Calls to each tier for each request.
+    calls: Vec<f64>,
+    /// Requests a second that each tier can serve when warm.
+    capacity: Vec<f64>,
+    /// The least of these.
+    weakest: f64,
+    /// Requests a second of all tenants without a rate of their own.
+    rate: f64,
+    quotas: Vec<f64>,
+    /// Latency target and deadline of each class.
+    spans: Vec<(Millis, Millis)>,
+}
+
+fn draw_load(e: &Experiment, seed: u64, upstreams: &[Upstream]) -> Result<Load, PlanError> {
     let load = &mut stream(seed, Stream::Load);
     let mut calls = vec![1.0];
     for tier in &e.tiers[..e.tiers.len() - 1] {
@@ -54,16 +119,7 @@
         .zip(&works)
         .map(|(c, w)| c.share / shares * w)
         .sum();
-    let capacity: Vec<f64> = (0..e.tiers.len())
-        .map(|t| {
-            let speed: f64 = upstreams
-                .iter()
-                .filter(|u| u.tier == t)
-                .map(|u| u.cores as f64 * u.speed)
-                .sum();
-            speed * 1000.0 / (mean_work * e.tiers[t].work * calls[t])
-        })
-        .collect();
+    let capacity = capacity(e, upstreams, mean_work, &calls);
     let weakest = capacity.iter().copied().fold(f64::INFINITY, f64::min);
     let rate = match (e.clients.rate, e.clients.load) {
         (Some(rate), _) => draw(load, rate),
@@ -89,31 +145,14 @@
         })
         .collect();
     let length = draw_span(load, e.length);
-
-    let population = Population::new(e, &upstreams, &balancers);
-    let faults = draw_faults(e, seed, &population, length);
-    let builds = draw_builds(e, seed, &population);
-    balancers
-        .iter_mut()
-        .zip(builds)
-        .for_each(|(b, build)| b.build = build);
-    let rates = Rates {
-        shared: rate,
-        weakest,
-    };
-    let arrivals = draw_requests(e, seed, rates, length, &works, &faults)?;
-    Ok(Plan {
-        seed,
+    Ok(Load {
         length,
-        upstreams,
-        balancers,
-        arrivals,
-        faults,
-        same_zone,
-        cross_zone,
-        quotas,
+        works,
         calls,
         capacity,
+        weakest,
+        rate,
+        quotas,
         spans,
     })
 }
--- a/lab/src/draw/requests.rs
+++ b/lab/src/draw/requests.rs
@@ -94,7 +94,6 @@
     pub weakest: f64,
 }
 
-#[expect(clippy::too_many_lines, reason = "not split yet: docs/OPEN.md")]
 pub(super) fn draw_requests(
     e: &Experiment,
     seed: u64,
@@ -119,22 +118,17 @@
     };
     let sigma = (1.0 + WORK_VARIES * WORK_VARIES).ln().sqrt();
     let own = |t: &Tenant| t.rate.is_some() || t.load.is_some();
+    // A tenant of its own draws nothing here, so that the others are the same with it and without it.
+    let mut usage = |t: &Tenant| match own(t) {
+        true => 0.0,
+        false => t.share * draw(rng, t.usage),
+    };
+    let usage = e.tenants.iter().map(&mut usage).collect();
     let demand = Demand {
         e,
         works,
         classes: e.classes.iter().map(|c| c.share).collect(),
-        // A tenant of its own draws nothing here, so that the others are the same with it and without it.
-        usage: e
-            .tenants
-            .iter()
-            .map(|t| {
-                if own(t) {
-                    0.0
-                } else {
-                    t.share * draw(rng, t.usage)
-                }
-            })
-            .collect(),
+        usage,
         zones: e.fleet.zones.iter().map(|_| draw(rng, skew)).collect(),
         size: LogNormal::new(-sigma * sigma / 2.0, sigma)?,
     };
@@ -145,22 +139,7 @@
     for (n, burst) in bursts().enumerate() {
         // What a burst adds has a stream of its own, so that it moves no other request.
         let own = &mut stream(seed.wrapping_add(n as u64 + 1), Stream::Requests);
-        let within = burst.at..burst.until.min(length);
-        let (some, part) = demand.of(burst.of);
-        if burst.size > 1.0 {
-            // Whoever has a rate of its own adds nothing to it.
-            if part > 0.0 {
-                let more = rate * part * (burst.size - 1.0);
-                arrivals.extend(some.requests(own, more, within.start, within.end)?);
-            }
-        } else {
-            let met = |a: &Arrival| {
-                let of = [a.tenant, a.class, a.zone].into_iter().zip(burst.of);
-                within.contains(&a.at)
-                    && of.into_iter().all(|(is, of)| of.is_none_or(|of| of == is))
-            };
-            arrivals.retain(|a| !met(a) || own.gen::<f64>() < burst.size);
-        }
+        apply_burst(&mut arrivals, &demand, burst, rate, length, own)?;
     }
     arrivals.sort_by(|a, b| a.at.total_cmp(&b.at));
     for (n, outage) in faults
@@ -175,6 +154,33 @@
     Ok(arrivals)
 }
 
+/// Adds the requests of a burst, or takes out the part that it lets fall away.
+fn apply_burst(
+    arrivals: &mut Vec<Arrival>,
+    demand: &Demand<'_>,
+    burst: &PlannedFault,
+    rate: f64,
+    length: Millis,
+    rng: &mut Pcg64Mcg,
+) -> Result<(), PlanError> {
+    let within = burst.at..burst.until.min(length);
+    let (some, part) = demand.of(burst.of);
+    if burst.size > 1.0 {
+        // Whoever has a rate of its own adds nothing to it.
+        if part > 0.0 {
+            let more = rate * part * (burst.size - 1.0);
+            arrivals.extend(some.requests(rng, more, within.start, within.end)?);
+        }
+        return Ok(());
+    }
+    let met = |a: &Arrival| {
+        let of = [a.tenant, a.class, a.zone].into_iter().zip(burst.of);
+        within.contains(&a.at) && of.into_iter().all(|(is, of)| of.is_none_or(|of| of == is))
+    };
+    arrivals.retain(|a| !met(a) || rng.gen::<f64>() < burst.size);
+    Ok(())
+}
+
 /// What a tenant sends that has a rate of its own, from a stream of its own: without it the others send the same.
 fn of_its_own(
     demand: &Demand<'_>,
--- a/lab/src/experiment/check/mod.rs
+++ b/lab/src/experiment/check/mod.rs
@@ -14,9 +14,29 @@
 use tier::check_tier;
 
 /// What the types alone do not say.
-#[expect(clippy::too_many_lines, reason = "not split yet: docs/OPEN.md")]
 pub(super) fn check(e: &Experiment) -> Result<(), Wrong> {
-    let wrong = |key: &str, what: &str| Err((key.to_string(), what.to_string()));
+    check_fleet(e)?;
+    check_load(e)?;
+    check_network(e)?;
+    check_builds(e)?;
+    check_bounds(e)?;
+    for (i, fault) in e.faults.iter().enumerate() {
+        check_fault(&format!("fault[{i}]"), fault, e)?;
+    }
+    for (i, expect) in e.expects.iter().enumerate() {
+        if expect.least.is_none() && expect.most.is_none() {
+            return wrong(&format!("expect[{i}]"), "must say least, most or both");
+        }
+    }
+    Ok(())
+}
+
+fn wrong(key: &str, what: &str) -> Result<(), Wrong> {
+    Err((key.to_string(), what.to_string()))
+}
+
+/// How long it takes, zones and regions.
+fn check_fleet(e: &Experiment) -> Result<(), Wrong> {
     if !(1000.0..=3_600_000.0).contains(&e.length.0.most) || e.length.0.least < 1000.0 {
         return wrong("length", "must be from 1 s to 1 h");
     }
@@ -43,6 +63,11 @@
     if !(0.0..=1.0).contains(&e.late_share) {
         return wrong("late_share", "must be from 0 to 1");
     }
+    Ok(())
+}
+
+/// Tiers, classes, tenants and clients.
+fn check_load(e: &Experiment) -> Result<(), Wrong> {
     if !(1..=3).contains(&e.tiers.len()) {
         return wrong("tier", "must be given one to three times");
     }
@@ -62,7 +87,11 @@
     }
     distinct("tenant", e.tenants.iter().map(|t| &t.name))?;
     check_tenants(&e.tenants, &e.classes)?;
-    check_clients(&e.clients)?;
+    check_clients(&e.clients)
+}
+
+/// The network, and what balancers may use.
+fn check_network(e: &Experiment) -> Result<(), Wrong> {
     for (key, part) in [
         ("loss", e.net.datagram_loss),
         ("repeat", e.net.datagram_repeat),
@@ -77,15 +106,5 @@
     if e.balancer.attempts == 0 {
         return wrong("balancer.attempts", "must be at least 1");
     }
-    check_builds(e)?;
-    check_bounds(e)?;
-    for (i, fault) in e.faults.iter().enumerate() {
-        check_fault(&format!("fault[{i}]"), fault, e)?;
-    }
-    for (i, expect) in e.expects.iter().enumerate() {
-        if expect.least.is_none() && expect.most.is_none() {
-            return wrong(&format!("expect[{i}]"), "must say least, most or both");
-        }
-    }
     Ok(())
 }
--- a/lab/src/results/compare.rs
+++ b/lab/src/results/compare.rs
@@ -60,7 +60,6 @@
 }
 
 /// Each program against the first: the mean of the differences, play by play, and half their range.
-#[expect(clippy::too_many_lines, reason = "not split yet: docs/OPEN.md")]
 pub fn compare(plays: &[Played]) -> String {
     // Part of a run compares with nothing.
     let plays: Vec<&Played> = plays.iter().filter(|p| !p.stopped).collect();
@@ -86,38 +85,11 @@
         let _ = write!(text, " {name:>22} {:>22}", "difference");
     }
     text.push('\n');
-    let mut rows: Vec<(String, Value)> = Vec::new();
-    for (metric, value) in COMPARED {
-        rows.push((metric.into(), Box::new(value)));
-    }
-    let parts = plays
-        .first()
-        .map(|p| p.by.keys().cloned().collect::<Vec<_>>())
-        .unwrap_or_default();
-    for part in parts.into_iter().filter(|p| p.starts_with("tenant ")) {
-        let value = part.clone();
-        rows.push((
-            part,
-            Box::new(move |p| p.by.get(&value).map_or(f64::NAN, |f| f.value)),
-        ));
-    }
-    for (metric, value) in rows {
+    for (metric, value) in rows(&plays) {
         if plays.iter().all(|p| value(p).is_nan()) {
             continue;
         }
-        let known = |values: Vec<f64>| {
-            values
-                .into_iter()
-                .filter(|v| v.is_finite())
-                .collect::<Vec<_>>()
-        };
-        // No number stands for what no play has.
-        let show = |values: Vec<f64>, signed: bool| match (mean_and_spread(&values), signed) {
-            _ if values.is_empty() => "-".to_string(),
-            ((mean, spread), true) => format!("{mean:+.3} +- {spread:.3}"),
-            ((mean, spread), false) => format!("{mean:.3} +- {spread:.3}"),
-        };
-        let all = |of: &[&Played]| show(known(of.iter().map(|p| value(p)).collect()), false);
+        let all = |of: &[&Played]| show(of.iter().map(|p| value(p)).collect(), Sign::Implied);
         let _ = write!(text, "{metric:<14} {:>22}", all(&base));
         for name in others {
             let other = of(name);
@@ -128,7 +100,7 @@
                 text,
                 " {:>22} {:>22}",
                 all(&other),
-                show(known(differences), true)
+                show(differences, Sign::Shown)
             );
         }
         text.push('\n');
@@ -145,6 +117,46 @@
     text
 }
 
+/// The rows of the table: every metric that is compared, and the value of each tenant.
+fn rows(plays: &[&Played]) -> Vec<(String, Value)> {
+    let mut rows: Vec<(String, Value)> = Vec::new();
+    for (metric, value) in COMPARED {
+        rows.push((metric.into(), Box::new(value)));
+    }
+    let parts = plays
+        .first()
+        .map(|p| p.by.keys().cloned().collect::<Vec<_>>())
+        .unwrap_or_default();
+    for part in parts.into_iter().filter(|p| p.starts_with("tenant ")) {
+        let tenant = part.clone();
+        rows.push((
+            part,
+            Box::new(move |p| p.by.get(&tenant).map_or(f64::NAN, |f| f.value)),
+        ));
+    }
+    rows
+}
+
+/// Whether a number above zero has its sign.
+#[derive(Clone, Copy)]
+enum Sign {
+    Shown,
+    Implied,
+}
+
+/// The mean and spread of the values that are known; a dash where none is.
+fn show(values: Vec<f64>, sign: Sign) -> String {
+    let known: Vec<f64> = values.into_iter().filter(|v| v.is_finite()).collect();
+    if known.is_empty() {
+        return "-".to_string();
+    }
+    let (mean, spread) = mean_and_spread(&known);
+    match sign {
+        Sign::Shown => format!("{mean:+.3} +- {spread:.3}"),
+        Sign::Implied => format!("{mean:.3} +- {spread:.3}"),
+    }
+}
+
 /// Plays of two programs on the same draw.
 fn pairs<'a>(
     base: &'a [&Played],
--- a/lab/src/results/summary.rs
+++ b/lab/src/results/summary.rs
@@ -4,7 +4,6 @@
 use std::fmt::Write;
 
 /// The summary of all plays, as lines for a terminal.
-#[expect(clippy::too_many_lines, reason = "not split yet: docs/OPEN.md")]
 pub fn summary(plays: &[Played]) -> String {
     let mut text = format!(
         "{:<18} {:>8} {:>7} {:>7} {:>6} {:>8} {:>7} {:>7} {:>7}  rules\n",
@@ -19,55 +18,67 @@
         "p99 ms"
     );
     for p in plays {
-        let f = &p.metrics;
-        let rules: u64 = p.counts.values().sum();
-        let rules = if rules == 0 {
-            "kept".to_string()
-        } else {
-            format!("broken {rules} times")
-        };
+        write_play(&mut text, p);
+    }
+    for p in plays {
+        write_notes(&mut text, p);
+    }
+    text
+}
+
+/// The row of one play.
+fn write_play(text: &mut String, p: &Played) {
+    let f = &p.metrics;
+    let rules: u64 = p.counts.values().sum();
+    let rules = if rules == 0 {
+        "kept".to_string()
+    } else {
+        format!("broken {rules} times")
+    };
+    let _ = writeln!(
+        text,
+        "{:<18} {:>8} {:>7.3} {:>7.3} {:>6.3} {:>8.3} {:>7.3} {:>7.0} {:>7.0}  {rules}",
+        format!("{}, {}", p.program, p.play + 1),
+        f.due,
+        f.value,
+        f.in_time,
+        f.late,
+        f.refused,
+        f.failed,
+        f.p50_ms,
+        f.p99_ms
+    );
+}
+
+/// What else is to be said of one play: violations, missed expectations, the lab's lateness, its tier.
+fn write_notes(text: &mut String, p: &Played) {
+    let name = format!("{}, play {}", p.program, p.play + 1);
+    for (rule, count) in &p.counts {
+        let case = p.broken.iter().find(|b| b.rule == *rule);
+        let case = case.map_or(String::new(), |b| {
+            format!(", first at {:.2} s: {}", b.at / 1000.0, b.case)
+        });
+        let _ = writeln!(text, "{name}: rule {rule} broken {count} times{case}");
+    }
+    for missed in &p.missed {
+        let _ = writeln!(text, "{name}: expectation missed: {missed}");
+    }
+    if !p.lateness.counts {
         let _ = writeln!(
             text,
-            "{:<18} {:>8} {:>7.3} {:>7.3} {:>6.3} {:>8.3} {:>7.3} {:>7.0} {:>7.0}  {rules}",
-            format!("{}, {}", p.program, p.play + 1),
-            f.due,
-            f.value,
-            f.in_time,
-            f.late,
-            f.refused,
-            f.failed,
-            f.p50_ms,
-            f.p99_ms
+            "{name}: does not count: the lab itself was late in {:.1} of 100 steps (p99 {:.1} ms)",
+            p.lateness.over * 100.0,
+            p.lateness.p99_ms
         );
     }
-    for p in plays {
-        let name = format!("{}, play {}", p.program, p.play + 1);
-        for (rule, count) in &p.counts {
-            let case = p.broken.iter().find(|b| b.rule == *rule);
-            let case = case.map_or(String::new(), |b| {
-                format!(", first at {:.2} s: {}", b.at / 1000.0, b.case)
-            });
-            let _ = writeln!(text, "{name}: rule {rule} broken {count} times{case}");
-        }
-        for missed in &p.missed {
-            let _ = writeln!(text, "{name}: expectation missed: {missed}");
-        }
-        if !p.lateness.counts {
-            let _ = writeln!(
-                text,
-                "{name}: does not count: the lab itself was late in {:.1} of 100 steps (p99 {:.1} ms)",
-                p.lateness.over * 100.0,
-                p.lateness.p99_ms
-            );
-        }
-        if let Some(t) = &p.tier {
-            let known = |k: &Known| {
-                format!(
-                    "{:.0} ms ({:.0} in half of {} cases, {} never)",
-                    k.p99_ms, k.p50_ms, k.times, k.never
-                )
-            };
-            let _ = writeln!(
+    if let Some(t) = &p.tier {
+        let known = |k: &Known| {
+            format!(
+                "{:.0} ms ({:.0} in half of {} cases, {} never)",
+                k.p99_ms, k.p50_ms, k.times, k.never
+            )
+        };
+        let _ = writeln!(
                 text,
                 "{name}: all know who is up within {}, sums have all within {}; {} suspected, {} version steps; {:.1} \
                  datagrams of {:.0} bytes a second from each",
@@ -78,10 +89,8 @@
                 p.datagrams.a_second,
                 p.datagrams.bytes_a_second / p.datagrams.a_second.max(0.1)
             );
-        }
-        if p.stopped {
-            let _ = writeln!(text, "{name}: stopped by hand before its end");
-        }
     }
-    text
+    if p.stopped {
+        let _ = writeln!(text, "{name}: stopped by hand before its end");
+    }
 }
--- a/lab/src/run/sum_up.rs
+++ b/lab/src/run/sum_up.rs
@@ -1,11 +1,13 @@
 //! What a play comes to.
-use crate::experiment::FaultKind;
+use crate::draw::{Plan, PlannedFault};
+use crate::experiment::{Experiment, FaultKind, Millis};
 use crate::fleet::Fleet;
 use crate::metrics::{
     missed, name_of, recovery, request_metrics, traffic, Case, Datagrams, Lateness, Played,
-    ResourceUsage, Tier,
+    RequestMetrics, ResourceUsage, Tier,
 };
 use crate::net::lock;
+use crate::tally::Tally;
 use crate::world::World;
 use std::collections::BTreeMap;
 use std::sync::atomic::Ordering;
@@ -47,30 +49,27 @@
     })
 }
 
-#[expect(clippy::too_many_lines, reason = "not split yet: docs/OPEN.md")]
-pub(super) fn sum_up(
-    fleet: &Fleet,
-    (name, command): (&str, &str),
-    number: usize,
-    stopped: bool,
-) -> Played {
-    let world = &fleet.world;
-    let (e, plan) = (&world.experiment, &world.plan);
-
-    let tally = lock(&world.tally).clone();
-    let oracle = lock(&world.oracle);
-    let (broken, counts) = oracle.found();
+/// How late the lab itself was.
+fn lateness(world: &World) -> Lateness {
+    let e = &world.experiment;
     let late = world.clock.lateness();
     let bound = (e.lateness_most.0.mean() * 1000.0) as u64;
-    let over = 1.0 - late.percentile_below(bound) / 100.0;
-    let over = if late.is_empty() { 0.0 } else { over };
-    let lateness = Lateness {
+    let over = if late.is_empty() {
+        0.0
+    } else {
+        1.0 - late.percentile_below(bound) / 100.0
+    };
+    Lateness {
         p50_ms: late.value_at_quantile(0.5) as f64 / 1000.0,
         p99_ms: late.value_at_quantile(0.99) as f64 / 1000.0,
         most_ms: late.max() as f64 / 1000.0,
         over,
         counts: over <= e.late_share,
-    };
+    }
+}
+
+/// Metrics by class, tenant and zone.
+fn by_part(e: &Experiment, plan: &Plan, tally: &Tally) -> BTreeMap<String, RequestMetrics> {
     let mut by = BTreeMap::new();
     for (i, class) in e.classes.iter().enumerate() {
         by.insert(
@@ -90,36 +89,59 @@
             request_metrics(e, plan, &tally.done, |d| d.zone == i),
         );
     }
-    let usage = fleet
-        .balancers
-        .iter()
-        .zip(&plan.balancers)
-        .map(|(p, b)| ResourceUsage {
-            name: b.name.clone(),
-            memory_kb: p.max_memory_kb.load(Ordering::Relaxed),
-            descriptors: p.max_descriptors.load(Ordering::Relaxed),
-            cpu_s: p.cpu_ticks.load(Ordering::Relaxed) as f64 / TICKS,
-        });
-    let faults = plan.faults.iter().map(|f| {
-        let until = if f.kind == FaultKind::Reset {
-            f.at
+    by
+}
+
+/// What each balancer used at most.
+fn usage(fleet: &Fleet) -> Vec<ResourceUsage> {
+    let balancers = fleet.balancers.iter().zip(&fleet.world.plan.balancers);
+    balancers
+        .map(|(process, planned)| ResourceUsage {
+            name: planned.name.clone(),
+            memory_kb: process.max_memory_kb.load(Ordering::Relaxed),
+            descriptors: process.max_descriptors.load(Ordering::Relaxed),
+            cpu_s: process.cpu_ticks.load(Ordering::Relaxed) as f64 / TICKS,
+        })
+        .collect()
+}
+
+/// When each fault began and ended, with its kind.
+fn fault_spans(plan: &Plan) -> Vec<(Millis, Millis, String)> {
+    let span = |fault: &PlannedFault| {
+        let until = if fault.kind == FaultKind::Reset {
+            fault.at
         } else {
-            f.until
+            fault.until
         };
-        (f.at, until, name_of(f.kind))
-    });
+        (fault.at, until, name_of(fault.kind))
+    };
+    plan.faults.iter().map(span).collect()
+}
+
+pub(super) fn sum_up(
+    fleet: &Fleet,
+    (name, command): (&str, &str),
+    number: usize,
+    stopped: bool,
+) -> Played {
+    let world = &fleet.world;
+    let (e, plan) = (&world.experiment, &world.plan);
+
+    let tally = lock(&world.tally).clone();
+    let oracle = lock(&world.oracle);
+    let (broken, counts) = oracle.found();
     Played {
         program: name.into(),
         command: command.into(),
         play: number,
         seed: plan.seed,
         metrics: request_metrics(e, plan, &tally.done, |_| true),
-        by,
+        by: by_part(e, plan, &tally),
         traffic: traffic(&tally),
         datagrams: peer_traffic(world),
         tier: tier(fleet),
         recovery: recovery(e, plan, &tally),
-        lateness,
+        lateness: lateness(world),
         broken: broken.iter().map(Case::from).collect(),
         counts: counts
             .iter()
@@ -132,9 +154,9 @@
         } else {
             missed(e, plan, &tally)
         },
-        usage: usage.collect(),
+        usage: usage(fleet),
         stopped,
-        faults: faults.collect(),
+        faults: fault_spans(plan),
         tally,
     }
 }
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -113,12 +113,48 @@
     }
 }
 
+/// The oracle of an experiment.
+fn oracle(experiment: &Experiment, plan: &Plan) -> Oracle {
+    let class = |c: &crate::experiment::Class| ClassRules {
+        effect: c.effect,
+        group: c.group,
+        window: c.window.0.mean(),
+    };
+    let place = |u: &crate::draw::Upstream| Place {
+        zone: u.zone,
+        cell: u.cell,
+        tier: u.tier,
+    };
+    Oracle::new(Parts {
+        classes: experiment.classes.iter().map(class).collect(),
+        places: plan.upstreams.iter().map(place).collect(),
+        balancers: plan.balancers.iter().map(|b| b.name.clone()).collect(),
+        upstreams: plan.upstreams.iter().map(|u| u.name.clone()).collect(),
+        attempts_most: experiment.balancer.attempts as usize,
+        drain_grace: experiment.balancer.drain_grace.0.mean(),
+        members: plan.balancers.iter().map(|b| (b.tier, b.index)).collect(),
+        limits: limits(experiment),
+    })
+}
+
+/// The balancers at the front for the clients of a zone: its own, or all if it has none.
+fn front_of(plan: &Plan, zone: usize) -> Vec<usize> {
+    let front = || (0..plan.balancers.len()).filter(|&b| plan.balancers[b].owner.is_none());
+    let local: Vec<usize> = front()
+        .filter(|&b| plan.balancers[b].zone == zone)
+        .collect();
+    if local.is_empty() {
+        front().collect()
+    } else {
+        local
+    }
+}
+
 impl World {
     /// Puts a run together; nothing of it runs yet.
     ///
     /// # Errors
     /// When there are no addresses or sockets for it.
-    #[expect(clippy::too_many_lines, reason = "not split yet: docs/OPEN.md")]
     pub fn new(
         experiment: &Experiment,
         plan: &Plan,
@@ -127,30 +163,6 @@
     ) -> Result<Arc<World>, WorldError> {
         let block = Block::claim()?;
         let zones = experiment.fleet.zones.len();
-        let class = |c: &crate::experiment::Class| ClassRules {
-            effect: c.effect,
-            group: c.group,
-            window: c.window.0.mean(),
-        };
-        let oracle = Oracle::new(Parts {
-            classes: experiment.classes.iter().map(class).collect(),
-            places: plan
-                .upstreams
-                .iter()
-                .map(|u| Place {
-                    zone: u.zone,
-                    cell: u.cell,
-                    tier: u.tier,
-                })
-                .collect(),
-            balancers: plan.balancers.iter().map(|b| b.name.clone()).collect(),
-            upstreams: plan.upstreams.iter().map(|u| u.name.clone()).collect(),
-            attempts_most: experiment.balancer.attempts as usize,
-            drain_grace: experiment.balancer.drain_grace.0.mean(),
-            members: plan.balancers.iter().map(|b| (b.tier, b.index)).collect(),
-            limits: limits(experiment),
-        });
-
         // The front has a link from each zone's clients; a balancer beside an upstream has one client.
         let links = |b: &crate::draw::Balancer| {
             (0..if b.owner.is_some() { 1 } else { zones }).map(|_| Link::open())
@@ -165,23 +177,12 @@
         let datagrams = Datagrams::open(&tiers, &block, conditions, plan.seed)
             .map_err(WorldError::Datagrams)?;
         let datagrams = Arc::new(datagrams);
-        let front = || (0..plan.balancers.len()).filter(|&b| plan.balancers[b].owner.is_none());
-        let of_zone = |zone: usize| {
-            let local: Vec<usize> = front()
-                .filter(|&b| plan.balancers[b].zone == zone)
-                .collect();
-            if local.is_empty() {
-                front().collect()
-            } else {
-                local
-            }
-        };
         let beside = |u: usize| plan.balancers.iter().position(|b| b.owner == Some(u));
         Ok(Arc::new(World {
-            fronts: (0..zones).map(of_zone).collect(),
+            fronts: (0..zones).map(|zone| front_of(plan, zone)).collect(),
             beside: (0..plan.upstreams.len()).map(beside).collect(),
             datagrams,
-            oracle: Mutex::new(oracle),
+            oracle: Mutex::new(oracle(experiment, plan)),
             convergence: Mutex::new(
                 experiment
                     .tiers
