--- a/system/control/tests/contact.rs
+++ b/system/control/tests/contact.rs
@@ -33,6 +33,11 @@
     head
 }
 
+/// Lets the head hear a message of another replica at a time.
+fn hear(head: &mut Replica, now: Millis, from: ReplicaId, message: PeerMessage) {
+    head.handle_messages(now, WallMillis(0), from, message, &mut NoState);
+}
+
 /// A heartbeat from a voter that has got the head's heartbeat of a time.
 fn echo(view: u64, echo: Millis, sealed: bool) -> PeerMessage {
     let heard = vec![PeerReport {
@@ -53,13 +58,7 @@
 fn given_an_echo_of_a_majority_when_it_comes_then_the_view_stood_when_its_heartbeat_was_sent() {
     let mut head = head();
     expect_that!(head.has_quorum_contact(100), eq(false));
-    head.handle_messages(
-        150,
-        WallMillis(0),
-        replica(2),
-        echo(1, 100, false),
-        &mut NoState,
-    );
+    hear(&mut head, 150, replica(2), echo(1, 100, false));
     expect_that!(head.confirmed_at(160), eq(100));
     expect_that!(head.has_quorum_contact_since(99, 160), eq(true));
     expect_that!(head.has_quorum_contact_since(100, 160), eq(false));
@@ -78,20 +77,8 @@
     let mut head = head();
     // They were sent before, and waited in its sockets.
     for waited in [100, 160, 220] {
-        head.handle_messages(
-            20_000,
-            WallMillis(0),
-            replica(2),
-            echo(1, waited, false),
-            &mut NoState,
-        );
-        head.handle_messages(
-            20_000,
-            WallMillis(0),
-            replica(3),
-            echo(1, waited, false),
-            &mut NoState,
-        );
+        hear(&mut head, 20_000, replica(2), echo(1, waited, false));
+        hear(&mut head, 20_000, replica(3), echo(1, waited, false));
     }
     expect_that!(head.has_quorum_contact(20_000), eq(false));
     expect_that!(head.confirmed_at(20_000), eq(220));
@@ -100,33 +87,15 @@
 #[googletest::test]
 fn given_a_voter_that_takes_part_in_the_next_view_when_it_is_heard_then_it_confirms_nothing() {
     let mut head = head();
-    head.handle_messages(
-        150,
-        WallMillis(0),
-        replica(2),
-        echo(1, 100, true),
-        &mut NoState,
-    );
+    hear(&mut head, 150, replica(2), echo(1, 100, true));
     expect_that!(head.has_quorum_contact(150), eq(false));
 }
 
 #[googletest::test]
 fn given_a_voter_that_knows_another_view_when_it_is_heard_then_it_confirms_nothing_of_this_one() {
     let mut head = head();
-    head.handle_messages(
-        150,
-        WallMillis(0),
-        replica(2),
-        echo(2, 100, false),
-        &mut NoState,
-    );
-    head.handle_messages(
-        150,
-        WallMillis(0),
-        replica(3),
-        echo(0, 100, false),
-        &mut NoState,
-    );
+    hear(&mut head, 150, replica(2), echo(2, 100, false));
+    hear(&mut head, 150, replica(3), echo(0, 100, false));
     expect_that!(head.has_quorum_contact(150), eq(false));
 }
 
@@ -140,58 +109,28 @@
         },
         incarnation: 9,
     };
-    head.handle_messages(150, WallMillis(0), wiped, echo(1, 100, false), &mut NoState);
+    hear(&mut head, 150, wiped, echo(1, 100, false));
     expect_that!(head.has_quorum_contact(150), eq(false));
 }
 
 #[googletest::test]
 fn given_heartbeats_that_overtake_each_other_when_the_older_comes_last_then_the_newer_counts() {
     let mut head = head();
-    head.handle_messages(
-        150,
-        WallMillis(0),
-        replica(2),
-        echo(1, 140, false),
-        &mut NoState,
-    );
-    head.handle_messages(
-        160,
-        WallMillis(0),
-        replica(2),
-        echo(1, 100, false),
-        &mut NoState,
-    );
+    hear(&mut head, 150, replica(2), echo(1, 140, false));
+    hear(&mut head, 160, replica(2), echo(1, 100, false));
     expect_that!(head.confirmed_at(160), eq(140));
 }
 
 #[googletest::test]
 fn given_contact_with_a_majority_when_the_tail_is_not_heard_then_what_is_committed_is_not_known() {
     let mut head = head();
-    head.handle_messages(
-        150,
-        WallMillis(0),
-        replica(2),
-        echo(1, 100, false),
-        &mut NoState,
-    );
+    hear(&mut head, 150, replica(2), echo(1, 100, false));
     expect_that!(head.has_quorum_contact(160), eq(true));
     expect_that!(head.knows_committed(160), eq(false));
-    head.handle_messages(
-        170,
-        WallMillis(0),
-        replica(3),
-        echo(1, 140, false),
-        &mut NoState,
-    );
+    hear(&mut head, 170, replica(3), echo(1, 140, false));
     expect_that!(head.knows_committed(180), eq(true));
     // From then on only the middle one is heard.
-    head.handle_messages(
-        900,
-        WallMillis(0),
-        replica(2),
-        echo(1, 880, false),
-        &mut NoState,
-    );
+    hear(&mut head, 900, replica(2), echo(1, 880, false));
     expect_that!(head.has_quorum_contact(910), eq(true));
     expect_that!(head.knows_committed(910), eq(false));
 }
--- a/system/jobs/tests/state.rs
+++ b/system/jobs/tests/state.rs
@@ -46,6 +46,20 @@
     .outcome
 }
 
+/// A state with the job of these steps.
+fn with_job(steps: Vec<StepSpec>) -> State {
+    let mut state = State::default();
+    submit(&mut state, submission(steps));
+    state
+}
+
+/// A run that the state has as started.
+fn started(state: &mut State, step: u32, index: u32, run: u32, incarnation: &str) -> RunStart {
+    let start = start(step, index, run, incarnation);
+    start_runs(state, vec![start.clone()]);
+    start
+}
+
 fn task(step: u32, index: u32) -> TaskId {
     TaskId {
         job: JOB,
@@ -104,8 +118,7 @@
     };
     submit(&mut state, submission(vec![step(1), second]));
     expect_that!(startable_units(&state.jobs[&JOB]).len(), eq(1));
-    let first = start(0, 0, 1, "a");
-    start_runs(&mut state, vec![first.clone()]);
+    let first = started(&mut state, 0, 0, 1, "a");
     expect_that!(startable_units(&state.jobs[&JOB]).len(), eq(0));
     complete(&mut state, "a", 1, &first, CompletionKind::Done);
     expect_that!(startable_units(&state.jobs[&JOB]).len(), eq(2));
@@ -114,11 +127,9 @@
 
 #[googletest::test]
 fn given_a_job_when_its_last_task_is_done_then_it_has_succeeded_and_counts_no_more() {
-    let mut state = State::default();
-    submit(&mut state, submission(vec![step(1)]));
+    let mut state = with_job(vec![step(1)]);
     expect_that!(state.open_jobs.get("h/q/"), some(eq(&1)));
-    let first = start(0, 0, 1, "a");
-    start_runs(&mut state, vec![first.clone()]);
+    let first = started(&mut state, 0, 0, 1, "a");
     complete(&mut state, "a", 1, &first, CompletionKind::Done);
     expect_that!(phase(&state), eq(JobPhase::Succeeded));
     expect_that!(state.open_jobs.get("h/q/"), none());
@@ -126,8 +137,7 @@
 
 #[googletest::test]
 fn given_a_running_task_when_another_run_is_started_then_it_is_void() {
-    let mut state = State::default();
-    submit(&mut state, submission(vec![step(1)]));
+    let mut state = with_job(vec![step(1)]);
     start_runs(&mut state, vec![start(0, 0, 1, "a")]);
     let applied = start_runs(&mut state, vec![start(0, 0, 2, "b")]);
     expect_that!(applied.outcome, eq(Outcome::Void));
@@ -136,10 +146,8 @@
 
 #[googletest::test]
 fn given_a_done_task_when_it_is_started_again_then_it_is_void() {
-    let mut state = State::default();
-    submit(&mut state, submission(vec![step(2)]));
-    let first = start(0, 0, 1, "a");
-    start_runs(&mut state, vec![first.clone()]);
+    let mut state = with_job(vec![step(2)]);
+    let first = started(&mut state, 0, 0, 1, "a");
     complete(&mut state, "a", 1, &first, CompletionKind::Done);
     expect_that!(
         start_runs(&mut state, vec![start(0, 0, 2, "a")]).outcome,
@@ -149,12 +157,10 @@
 
 #[googletest::test]
 fn given_failed_runs_when_the_last_attempt_fails_then_the_job_has_failed() {
-    let mut state = State::default();
-    submit(&mut state, submission(vec![step(1)]));
+    let mut state = with_job(vec![step(1)]);
     for run in 1..=2 {
         expect_that!(phase(&state), not(eq(JobPhase::Failed)));
-        let started = start(0, 0, run, "a");
-        start_runs(&mut state, vec![started.clone()]);
+        let started = started(&mut state, 0, 0, run, "a");
         complete(
             &mut state,
             "a",
@@ -172,11 +178,9 @@
 
 #[googletest::test]
 fn given_lapsed_and_stopped_runs_when_they_complete_then_no_attempt_is_counted() {
-    let mut state = State::default();
-    submit(&mut state, submission(vec![step(1)]));
+    let mut state = with_job(vec![step(1)]);
     for run in 1..=6 {
-        let started = start(0, 0, run, "a");
-        start_runs(&mut state, vec![started.clone()]);
+        let started = started(&mut state, 0, 0, run, "a");
         let kind = if run % 2 == 0 {
             CompletionKind::LeaseExpired
         } else {
@@ -189,14 +193,10 @@
 
 #[googletest::test]
 fn given_a_gang_when_one_member_is_done_then_all_are() {
-    let mut state = State::default();
-    submit(
-        &mut state,
-        submission(vec![StepSpec {
-            gang: true,
-            ..step(3)
-        }]),
-    );
+    let mut state = with_job(vec![StepSpec {
+        gang: true,
+        ..step(3)
+    }]);
     let runs: Vec<RunStart> = (0..3)
         .map(|index| start(0, index, 1, &format!("w{index}")))
         .collect();
@@ -207,14 +207,10 @@
 
 #[googletest::test]
 fn given_a_gang_when_two_members_of_one_run_fail_then_one_attempt_is_counted() {
-    let mut state = State::default();
-    submit(
-        &mut state,
-        submission(vec![StepSpec {
-            gang: true,
-            ..step(2)
-        }]),
-    );
+    let mut state = with_job(vec![StepSpec {
+        gang: true,
+        ..step(2)
+    }]);
     let runs: Vec<RunStart> = (0..2)
         .map(|index| start(0, index, 1, &format!("w{index}")))
         .collect();
@@ -231,10 +227,8 @@
 
 #[googletest::test]
 fn given_a_cancelled_job_when_its_run_ends_then_nothing_is_startable() {
-    let mut state = State::default();
-    submit(&mut state, submission(vec![step(2)]));
-    let first = start(0, 0, 1, "a");
-    start_runs(&mut state, vec![first.clone()]);
+    let mut state = with_job(vec![step(2)]);
+    let first = started(&mut state, 0, 0, 1, "a");
     apply(&mut state, Command::CancelJob { job: JOB });
     complete(&mut state, "a", 1, &first, CompletionKind::Stopped);
     expect_that!(phase(&state), eq(JobPhase::Cancelled));
@@ -247,10 +241,8 @@
 
 #[googletest::test]
 fn given_recorded_completions_when_they_come_again_then_nothing_changes() {
-    let mut state = State::default();
-    submit(&mut state, submission(vec![step(2)]));
-    let first = start(0, 0, 1, "a");
-    start_runs(&mut state, vec![first.clone()]);
+    let mut state = with_job(vec![step(2)]);
+    let first = started(&mut state, 0, 0, 1, "a");
     complete(&mut state, "a", 1, &first, CompletionKind::Failed);
     let repeated = complete(&mut state, "a", 1, &first, CompletionKind::Failed);
     expect_that!(repeated.outcome, eq(Outcome::Repeated));
@@ -318,8 +310,7 @@
         (3, CompletionKind::Failed),
         (4, CompletionKind::Failed),
     ] {
-        let started = start(0, 0, run, "a");
-        start_runs(&mut state, vec![started.clone()]);
+        let started = started(&mut state, 0, 0, run, "a");
         complete(&mut state, "a", u64::from(run), &started, kind);
         expect_that!(startable_units(&state.jobs[&JOB]).len(), eq(1));
     }
@@ -328,8 +319,7 @@
 
 #[googletest::test]
 fn given_a_lost_worker_when_its_incarnation_has_ended_then_its_tasks_may_start_elsewhere() {
-    let mut state = State::default();
-    submit(&mut state, submission(vec![step(2)]));
+    let mut state = with_job(vec![step(2)]);
     start_runs(&mut state, vec![start(0, 0, 1, "a"), start(0, 1, 1, "a")]);
     let applied = apply(
         &mut state,
