--- a/balancer/core/tests/rules.rs
+++ b/balancer/core/tests/rules.rs
@@ -186,6 +186,20 @@
     }
 }
 
+/// Ends an attempt of a request, and checks the only action that follows.
+macro_rules! assert_outcome {
+    ($harness:expr, $request:expr, $attempt:expr, $ending:ident => $action:ident, $why:expr) => {
+        assert!(
+            matches!(
+                $harness.outcome($request, $attempt, Ending::$ending)[..],
+                [Action::$action { .. }]
+            ),
+            "{}",
+            $why
+        )
+    };
+}
+
 #[test]
 fn a_single_shot_goes_on_after_proof_that_it_never_ran_and_stops_otherwise() {
     let mut harness = Harness::new(
@@ -194,32 +208,11 @@
         (1..5).map(endpoint).collect(),
     );
     harness.request(1, 0, 0);
-    assert!(
-        matches!(
-            harness.outcome(1, 0, Ending::Rejected)[..],
-            [Action::Send { .. }]
-        ),
-        "never ran: sent again"
-    );
-    assert!(matches!(
-        harness.outcome(1, 1, Ending::Rejected)[..],
-        [Action::Send { .. }]
-    ));
-    assert!(
-        matches!(
-            harness.outcome(1, 2, Ending::Rejected)[..],
-            [Action::Refuse { .. }]
-        ),
-        "attempts are spent"
-    );
+    assert_outcome!(harness, 1, 0, Rejected => Send, "never ran: sent again");
+    assert_outcome!(harness, 1, 1, Rejected => Send, "it never ran");
+    assert_outcome!(harness, 1, 2, Rejected => Refuse, "attempts are spent");
     harness.request(2, 0, 0);
-    assert!(
-        matches!(
-            harness.outcome(2, 0, Ending::Reset)[..],
-            [Action::Fail { .. }]
-        ),
-        "it may have run"
-    );
+    assert_outcome!(harness, 2, 0, Reset => Fail, "it may have run");
 }
 
 #[test]
@@ -230,21 +223,9 @@
     };
     let mut harness = Harness::new(settings, 1, (1..5).map(endpoint).collect());
     harness.request(1, 0, 0);
-    assert!(
-        matches!(
-            harness.outcome(1, 0, Ending::Rejected)[..],
-            [Action::Fail { .. }]
-        ),
-        "it may have run"
-    );
+    assert_outcome!(harness, 1, 0, Rejected => Fail, "it may have run");
     harness.request(2, 0, 0);
-    assert!(
-        matches!(
-            harness.outcome(2, 0, Ending::ConnectFailed)[..],
-            [Action::Send { .. }]
-        ),
-        "it never ran"
-    );
+    assert_outcome!(harness, 2, 0, ConnectFailed => Send, "it never ran");
 
     let guarded = Effect::Guarded {
         scope: DedupScope::Cell,
@@ -373,22 +354,10 @@
     let mut harness = Harness::new(one_class(guarded), 1, endpoints(4));
     harness.request(1, 0, 0);
     harness.advance(600.0);
-    assert!(
-        matches!(
-            harness.outcome(1, 0, Ending::Error)[..],
-            [Action::Send { .. }]
-        ),
-        "they remember it"
-    );
+    assert_outcome!(harness, 1, 0, Error => Send, "they remember it");
     harness.request(2, 0, 0);
     harness.advance(701.0);
-    assert!(
-        matches!(
-            harness.outcome(2, 0, Ending::Error)[..],
-            [Action::Fail { .. }]
-        ),
-        "they have forgotten it"
-    );
+    assert_outcome!(harness, 2, 0, Error => Fail, "they have forgotten it");
     let other_groups = (1..5)
         .map(|id| Endpoint {
             group: id as u16,
