--- a/lab/src/draw/parts.rs
+++ b/lab/src/draw/parts.rs
@@ -47,7 +47,7 @@
     pub overload: Option<OverloadModel>,
 }
 
-/// [`crate::experiment::Choke`], drawn for one upstream.
+/// [`crate::experiment::OverloadModel`], drawn for one upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct OverloadModel {
     /// Requests held for each core.
