Let no ballot and no fencing token come twice after the highest number

Cause: found by reading the change again. Rounds of ballots and tokens stopped at the largest number, so that after a forged or damaged one two rounds shared a ballot and two owners of a role a token, which is what both are there to rule out. Change: after the largest there is none: no round starts, and a claim is void. Nothing changes below it. Result: a case each in control/tests/starting.rs and jobs/tests/fencing_tokens.rs; tests of protocol, jobs, control, coordinator and scheduler pass.

--- a/balancer/core/src/interface/tier.rs
+++ b/balancer/core/src/interface/tier.rs
@@ -10,7 +10,7 @@
     pub demand: f64,
     /// Calls to upstreams in flight, as a mean over a second: slow calls count for as long as they last.
     pub calls: f64,
-    /// Open connections of callers.
+    /// Open connections of clients.
     pub client_connections: f64,
 }
 
--- a/balancer/core/src/policy/outcomes.rs
+++ b/balancer/core/src/policy/outcomes.rs
@@ -21,9 +21,10 @@
         let Some(attempt) = pending.in_flight.take_if(is_same) else {
             return;
         };
-        // Where upstreams also shed work that they had begun, 'full' proves nothing.
-        let full_proves_nothing = outcome.ending == Ending::Rejected && self.settings.late_shedding;
-        let never_ran = outcome.ending.never_ran() && !full_proves_nothing;
+        // Where upstreams also shed work that they had begun, a rejection proves nothing.
+        let rejection_proves_nothing =
+            outcome.ending == Ending::Rejected && self.settings.late_shedding;
+        let never_ran = outcome.ending.never_ran() && !rejection_proves_nothing;
         let is_first_run = |run: &mut PossibleRun| run.attempt == outcome.attempt;
         if never_ran {
             pending.first_run.take_if(is_first_run);
--- a/system/control/src/agreement.rs
+++ b/system/control/src/agreement.rs
@@ -76,8 +76,9 @@
     }
 
     /// Starts a round as proposer. The tag is of this incarnation of the process, so that no two rounds share a ballot.
-    pub(crate) fn start_round(&mut self, own_tag: u32, now: Millis) -> Ballot {
-        self.highest_round_seen = self.highest_round_seen.saturating_add(1);
+    /// `None`: no number is left above the rounds that were seen, and no round starts.
+    pub(crate) fn start_round(&mut self, own_tag: u32, now: Millis) -> Option<Ballot> {
+        self.highest_round_seen = self.highest_round_seen.checked_add(1)?;
         let ballot = Ballot {
             round: self.highest_round_seen,
             proposer: own_tag,
@@ -88,7 +89,7 @@
             promises: BTreeMap::new(),
             proposed: None,
         });
-        ballot
+        Some(ballot)
     }
 
     /// Promises a ballot, when it is the highest so far; returns the view accepted before.
--- a/system/control/src/view_change.rs
+++ b/system/control/src/view_change.rs
@@ -96,9 +96,10 @@
 
     fn start_round(&mut self, reason: &ViewReason, now: Millis) {
         self.view_timer.delay_after_start(now);
-        let ballot = self
-            .agreement
-            .start_round(self.settings.own.incarnation as u32, now);
+        let own_tag = self.settings.own.incarnation as u32;
+        let Some(ballot) = self.agreement.start_round(own_tag, now) else {
+            return;
+        };
         let number = self.agreement.next_number();
         self.log(format!("proposes view {number}: {reason}"));
         let message = PeerMessage::Prepare { number, ballot };
--- a/system/control/tests/starting.rs
+++ b/system/control/tests/starting.rs
@@ -4,7 +4,9 @@
 use common::{heartbeat, no_state, report, settings, started, NoState};
 use googletest::prelude::*;
 use magpiegap_control::{DurableState, Output, Replica};
-use magpiegap_protocol::{Heartbeat, Member, PeerMessage, ReplicaId, View, ViewNumber, WallMillis};
+use magpiegap_protocol::{
+    Ballot, Heartbeat, Member, PeerMessage, ReplicaId, View, ViewNumber, WallMillis,
+};
 
 fn replica(address: u32) -> ReplicaId {
     ReplicaId {
@@ -23,10 +25,16 @@
 
 /// The first of three replicas that have all started anew: view 1, with all three, is on its disk.
 fn restarted() -> Replica {
+    restarted_after(None)
+}
+
+/// The same, when it has promised a ballot before.
+fn restarted_after(promised: Option<Ballot>) -> Replica {
     let voters: Vec<Member> = (1..=3).map(|address| replica(address).member).collect();
     let chain = (1..=3).map(replica).collect();
     let mut disk = DurableState::empty(0, Some(ViewNumber(1)), voters.clone(), no_state());
     disk.agreement.current = View::initial(voters.clone()).next(voters, chain);
+    disk.agreement.promised = promised;
     let own = new_incarnation(1);
     started(settings(own, vec![1, 2, 3]), disk)
 }
@@ -54,6 +62,25 @@
     outputs.iter().any(prepares)
 }
 
+#[googletest::test]
+fn given_a_promise_when_a_view_is_needed_then_a_round_starts_only_with_a_ballot_above_it() {
+    for (round, is_proposed) in [(0, true), (u64::MAX - 1, true), (u64::MAX, false)] {
+        let promised = Ballot { round, proposer: 7 };
+        let mut replica_1 = restarted_after(Some(promised));
+        for other in [2, 3] {
+            let heard = heard_heartbeat(1, false);
+            let from = new_incarnation(other);
+            replica_1.handle_messages(10, WallMillis(0), from, heard, &mut NoState);
+        }
+        let mut outputs = Vec::new();
+        for now in (20..10_000).step_by(20) {
+            replica_1.on_timeout(now, WallMillis(now), &mut NoState);
+            outputs.extend(replica_1.poll_outputs());
+        }
+        expect_that!(proposes(&outputs), eq(is_proposed), "{round}");
+    }
+}
+
 #[googletest::test]
 fn given_a_start_of_all_when_all_voters_are_heard_then_a_view_is_proposed_at_once() {
     let mut replica_1 = restarted();
--- a/system/jobs/src/apply_configuration.rs
+++ b/system/jobs/src/apply_configuration.rs
@@ -44,10 +44,10 @@
         if self.state.fencing_token(role) != expected {
             return Outcome::Void;
         }
-        let claimed = RoleState {
-            holder,
-            token: expected.next(),
+        let Some(token) = expected.checked_next() else {
+            return Outcome::Void;
         };
+        let claimed = RoleState { holder, token };
         self.state.roles.insert(role.clone(), claimed);
         self.changes.push(Change::RoleClaimed(role.clone()));
         Outcome::Done
--- a/system/jobs/tests/fencing_tokens.rs
+++ b/system/jobs/tests/fencing_tokens.rs
@@ -3,7 +3,7 @@
 
 use common::*;
 use googletest::prelude::*;
-use magpiegap_jobs::{Outcome, State};
+use magpiegap_jobs::{Outcome, RoleState, State};
 use magpiegap_protocol::{
     Command, FencingToken, JobId, JobSpec, Role, RoleToken, StepSpec, Submission, WallMillis,
 };
@@ -48,6 +48,20 @@
     }
 }
 
+#[googletest::test]
+fn a_claim_after_the_highest_token_is_void_as_two_owners_would_share_it() {
+    let highest = FencingToken(u64::MAX);
+    let mut state = claimed();
+    let owned = RoleState {
+        holder: replica(),
+        token: highest,
+    };
+    state.roles.insert(role(), owned);
+    let applied = apply(&mut state, claim(&role(), highest));
+    expect_that!(applied.outcome, eq(Outcome::Void));
+    expect_that!(state.roles.get(&role()), some(eq(&owned)));
+}
+
 #[googletest::test]
 fn an_entry_changes_something_only_with_the_current_token_of_its_role_or_with_none() {
     let token = |role: Role, token| {
--- a/system/protocol/src/numbers.rs
+++ b/system/protocol/src/numbers.rs
@@ -129,10 +129,10 @@
 pub struct FencingToken(#[n(0)] pub u64);
 
 impl FencingToken {
-    /// The token of the next owner, or the highest that there is.
+    /// The token of the next owner; `None` after the highest that there is: two owners must not share one.
     #[must_use]
-    pub fn next(self) -> FencingToken {
-        FencingToken(self.0.saturating_add(1))
+    pub fn checked_next(self) -> Option<FencingToken> {
+        self.0.checked_add(1).map(FencingToken)
     }
 }
 
