--- /dev/null
+++ b/balancer/core/tests/common/slow_start/budget.rs
@@ -0,0 +1,110 @@
+//! Counts what upstreams in slow start were sent against what they may be sent.
+use super::fleet::{Fleet, Start};
+use super::*;
+
+/// A window in which calls are counted.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Window {
+    pub calls: usize,
+    /// The most calls that may be sent in it.
+    pub budget: f64,
+    /// Age of the upstream at its end.
+    pub age: f64,
+}
+
+impl Window {
+    fn used(&self) -> f64 {
+        self.calls as f64 / self.budget
+    }
+}
+
+/// What was sent to the upstreams in slow start.
+pub(crate) struct Outcome {
+    /// The worst window: calls in it as a part of its budget.
+    pub worst_use: f64,
+    pub worst_window: Window,
+    /// Calls sent to upstreams in slow start, as a part of what the multiple allows over it.
+    pub used: f64,
+    /// Calls that upstreams in slow start served.
+    pub served_in_slow_start: usize,
+    /// Clients' requests since the restart.
+    pub requested: usize,
+    /// Those of `requested` that were served.
+    pub served_requests: usize,
+}
+
+/// The least that an upstream can do at this age, as a part of its full capacity.
+pub(crate) fn slow_start_weight(age: f64) -> f64 {
+    (SLOW_START_FROM + (1.0 - SLOW_START_FROM) * age / SLOW_START_TIME).min(1.0)
+}
+
+/// The most calls that may be sent within a window in which the settings allow `n`.
+pub(crate) fn budget(n: f64) -> f64 {
+    let slack = if n < 30.0 { 3.0 } else { 2.0 };
+    n + slack * n.sqrt() + slack
+}
+
+impl Fleet {
+    pub(super) fn judge(&self) -> Outcome {
+        let mut worst_window = Window::default();
+        let mut worst_use = 0.0;
+        let mut allowed = 0.0;
+        let mut sent = 0;
+        for (start, sends) in &self.sends {
+            for window in self.windows(start, sends) {
+                if window.used() > worst_use {
+                    worst_use = window.used();
+                    worst_window = window;
+                }
+                sent += 1;
+            }
+            allowed += self.allowed(start);
+        }
+        Outcome {
+            worst_use,
+            worst_window,
+            used: f64::from(sent) / allowed,
+            served_in_slow_start: self.served_in_slow_start,
+            requested: self.requested,
+            served_requests: self.served_requests,
+        }
+    }
+
+    /// The window that ends with each call to an upstream in slow start.
+    fn windows(&self, start: &Start, sends: &[f64]) -> Vec<Window> {
+        let (id, since) = (start.0, start.1 as f64);
+        let capacity = self.scenario.capacity * (self.scenario.relative_capacity)(id);
+        let mut first = 0;
+        let mut windows = Vec::new();
+        for (last, &at) in sends.iter().enumerate() {
+            let age = at - since;
+            if age >= SLOW_START_TIME {
+                continue;
+            }
+            while sends[first] <= at - WINDOW {
+                first += 1;
+            }
+            let multiple = OVERLOAD_MULTIPLE * slow_start_weight(age);
+            windows.push(Window {
+                calls: last + 1 - first,
+                budget: budget(multiple * capacity * WINDOW / 1000.0),
+                age,
+            });
+        }
+        windows
+    }
+
+    /// Calls that the multiple allows over a slow start, until it ends or the upstream starts again.
+    fn allowed(&self, start: &Start) -> f64 {
+        let (id, since) = (start.0, start.1 as f64);
+        let capacity = self.scenario.capacity * (self.scenario.relative_capacity)(id);
+        let next = self
+            .sends
+            .keys()
+            .find(|start| start.0 == id && start.1 as f64 > since);
+        let until = next.map_or(self.scenario.span, |start| start.1 as f64);
+        let span = (until - since).min(SLOW_START_TIME);
+        let weights = SLOW_START_FROM + slow_start_weight(span);
+        OVERLOAD_MULTIPLE * capacity * span / 1000.0 * weights / 2.0
+    }
+}
