--- a/system/jobs/tests/common/mod.rs
+++ b/system/jobs/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! The harness of the tests: entries that are applied one after the other.
 #![allow(dead_code)]
+pub(crate) mod job;
+
 use magpiegap_jobs::{Applied, State};
 use magpiegap_protocol::{
     Command, Entry, LogPosition, Member, ProposalId, ReplicaId, RoleToken, ViewNumber, WallMillis,
--- a/system/jobs/tests/fencing_tokens.rs
+++ b/system/jobs/tests/fencing_tokens.rs
@@ -1,12 +1,11 @@
 //! What the replicated state does with fencing tokens: claims of roles, and entries that are made in a role.
 mod common;
 
+use common::job::{step, submission};
 use common::*;
 use googletest::prelude::*;
 use magpiegap_jobs::{Outcome, RoleState, State};
-use magpiegap_protocol::{
-    Command, FencingToken, JobId, JobSpec, Role, RoleToken, StepSpec, Submission, WallMillis,
-};
+use magpiegap_protocol::{Command, FencingToken, JobId, Role, RoleToken};
 
 /// The token of the role in these tests.
 const CURRENT: FencingToken = FencingToken(3);
@@ -101,7 +100,7 @@
 fn commands() -> Vec<Command> {
     vec![
         Command::SubmitJob {
-            submission: Box::new(submission()),
+            submission: Box::new(submission(vec![step(1)])),
             runs: Vec::new(),
         },
         Command::CancelJob { job: JobId(1) },
@@ -123,25 +122,3 @@
         Command::ForgetJobs { jobs: Vec::new() },
     ]
 }
-
-/// A job of one task.
-fn submission() -> Submission {
-    let step = StepSpec {
-        count: 1,
-        ..StepSpec::default()
-    };
-    Submission {
-        job: JobId(1),
-        queue: "q".to_owned(),
-        service: "s".to_owned(),
-        priority: 0,
-        max_attempts: 3,
-        stretch: 2.0,
-        target_latency_ms: 1000,
-        submitted_ms: WallMillis(0),
-        spec: JobSpec {
-            steps: vec![step],
-            ..JobSpec::default()
-        },
-    }
-}
--- a/system/jobs/tests/state.rs
+++ b/system/jobs/tests/state.rs
@@ -1,114 +1,15 @@
 //! The replicated state: jobs, runs, completions, roles and configurations.
 mod common;
 
+use common::job::*;
 use common::{apply, apply_as, replica};
 use googletest::prelude::*;
 use magpiegap_jobs::{startable_units, Change, Outcome, State};
 use magpiegap_protocol::{
-    Command, CompletionKind, FencingToken, JobId, JobPhase, JobSpec, Role, RoleToken,
-    RunCompletion, RunStart, StepSpec, Submission, TaskId, WallMillis,
+    Command, CompletionKind, FencingToken, JobPhase, Role, RoleToken, RunStart, StepSpec,
+    WallMillis,
 };
 
-const JOB: JobId = JobId(7);
-
-fn step(count: u32) -> StepSpec {
-    StepSpec {
-        count,
-        ..StepSpec::default()
-    }
-}
-
-fn submission(steps: Vec<StepSpec>) -> Submission {
-    Submission {
-        job: JOB,
-        queue: "h/q/".to_owned(),
-        service: "s".to_owned(),
-        priority: 1,
-        max_attempts: 2,
-        stretch: 2.0,
-        target_latency_ms: 100,
-        submitted_ms: WallMillis(0),
-        spec: JobSpec {
-            steps,
-            ..JobSpec::default()
-        },
-    }
-}
-
-fn submit(state: &mut State, submission: Submission) -> Outcome {
-    apply(
-        state,
-        Command::SubmitJob {
-            submission: Box::new(submission),
-            runs: Vec::new(),
-        },
-    )
-    .outcome
-}
-
-/// A state with the job of these steps.
-fn with_job(steps: Vec<StepSpec>) -> State {
-    let mut state = State::default();
-    submit(&mut state, submission(steps));
-    state
-}
-
-/// A run that the state has as started.
-fn started(state: &mut State, step: u32, index: u32, run: u32, incarnation: &str) -> RunStart {
-    let start = start(step, index, run, incarnation);
-    start_runs(state, vec![start.clone()]);
-    start
-}
-
-fn task(step: u32, index: u32) -> TaskId {
-    TaskId {
-        job: JOB,
-        occurrence: 0,
-        step,
-        index,
-    }
-}
-
-fn start(step: u32, index: u32, run: u32, incarnation: &str) -> RunStart {
-    RunStart {
-        task: task(step, index),
-        run,
-        incarnation: incarnation.to_owned(),
-        checkpoint: String::new(),
-    }
-}
-
-fn start_runs(state: &mut State, runs: Vec<RunStart>) -> magpiegap_jobs::Applied {
-    apply(state, Command::StartRuns { runs })
-}
-
-fn complete(
-    state: &mut State,
-    incarnation: &str,
-    acknowledged_completion: u64,
-    start: &RunStart,
-    kind: CompletionKind,
-) -> magpiegap_jobs::Applied {
-    let completions = vec![RunCompletion {
-        task: start.task,
-        run: start.run,
-        kind,
-        checkpoint: String::new(),
-    }];
-    apply(
-        state,
-        Command::RecordCompletions {
-            incarnation: incarnation.to_owned(),
-            acknowledged_completion,
-            completions,
-        },
-    )
-}
-
-fn phase(state: &State) -> JobPhase {
-    state.jobs[&JOB].phase
-}
-
 #[googletest::test]
 fn given_steps_that_depend_when_the_first_is_done_then_the_second_may_start() {
     let mut state = State::default();
