Use the field's words in the names of tests, and share four twins among them

`rest_comes_after_the_close`, `dialling` and `all_instances` serve two tests each, and the configurations of the jobs' state are a table of cases.

--- a/balancer/core/src/policy/admission.rs
+++ b/balancer/core/src/policy/admission.rs
@@ -100,11 +100,11 @@
 
 impl Balancer {
     /// The tenant furthest over its share of callers' connections; one that can spare none holds zero.
-    pub fn furthest_over(&self, held: &[u32]) -> Option<usize> {
+    pub fn furthest_over(&self, in_use: &[u32]) -> Option<usize> {
         let tenants = &self.admission.tenants;
-        let relative = |tenant: &usize| f64::from(held[*tenant]) / tenants[*tenant].weight;
-        (0..held.len().min(tenants.len()))
-            .filter(|&tenant| held[tenant] > 0)
+        let relative = |tenant: &usize| f64::from(in_use[*tenant]) / tenants[*tenant].weight;
+        (0..in_use.len().min(tenants.len()))
+            .filter(|&tenant| in_use[tenant] > 0)
             .max_by(|a, b| relative(a).total_cmp(&relative(b)))
     }
 }
--- a/balancer/core/tests/failures/overload.rs
+++ b/balancer/core/tests/failures/overload.rs
@@ -85,11 +85,11 @@
     );
 }
 
-/// Traffic is uneven over the instances. With an even part of the quotas each, the busy ones refused while all together
-/// used three quarters of them.
-#[test]
-fn a_busy_instance_may_use_what_others_leave_of_the_quotas() {
-    const INSTANCES: u32 = 40;
+/// Instances of a fleet.
+const INSTANCES: u32 = 40;
+
+/// All instances before eight upstreams, with quotas of ten requests a second for each.
+fn all_instances() -> Vec<Harness> {
     let tenants = vec![Tenant {
         share: 1.0,
         quota_per_s: 10.0 * f64::from(INSTANCES),
@@ -100,9 +100,16 @@
         tenants: tenants.clone(),
         ..shared(&[1.0])
     };
-    let mut harnesses: Vec<Harness> = (0..INSTANCES)
+    (0..INSTANCES)
         .map(|i| new_harness(settings(i), 8))
-        .collect();
+        .collect()
+}
+
+/// Traffic is uneven over the instances. With an even part of the quotas each, the busy ones refused while all together
+/// used three quarters of them.
+#[test]
+fn a_busy_instance_may_use_what_others_leave_of_the_quotas() {
+    let mut harnesses = all_instances();
     // Ten instances request twice their even part, the others for less than half of it. Responses are a little late, so
     // that nothing more is learned.
     let requested = |i: usize| if i < 10 { 20.0 } else { 4.0 };
@@ -137,20 +144,7 @@
 /// overloaded the upstreams before responses showed it.
 #[test]
 fn a_burst_passes_little_more_than_the_quotas_once_saved_up_tokens_are_spent() {
-    const INSTANCES: u32 = 40;
-    let tenants = vec![Tenant {
-        share: 1.0,
-        quota_per_s: 10.0 * f64::from(INSTANCES),
-    }];
-    let settings = |index| Settings {
-        index,
-        balancers: INSTANCES,
-        tenants: tenants.clone(),
-        ..shared(&[1.0])
-    };
-    let mut harnesses: Vec<Harness> = (0..INSTANCES)
-        .map(|i| new_harness(settings(i), 8))
-        .collect();
+    let mut harnesses = all_instances();
     let mut second = |requested: f64, served: usize| -> usize {
         let sent = |harness: &mut Harness| {
             let from = harness.now;
--- a/balancer/gossip/tests/version_agreement.rs
+++ b/balancer/gossip/tests/version_agreement.rs
@@ -76,7 +76,7 @@
 
     fn notifications(&mut self) -> Vec<String> {
         std::iter::from_fn(|| self.negotiation.poll_notification())
-            .map(|told| told.0)
+            .map(|announced| announced.0)
             .collect()
     }
 }
--- a/balancer/proxy/tests/attempts.rs
+++ b/balancer/proxy/tests/attempts.rs
@@ -104,7 +104,7 @@
 enum After {
     End,
     Reset,
-    Silence,
+    NoResponse,
 }
 
 /// Has one request answered with `text`, whatever follows, and returns what the client got.
@@ -125,7 +125,7 @@
             connection.reset();
             client.answer()
         }
-        After::Silence => {
+        After::NoResponse => {
             let answer = client.answer();
             assert!(connection.ended().is_empty(), "more than the one request");
             answer
@@ -137,7 +137,7 @@
 }
 
 #[test]
-fn an_answer_without_a_length_is_whole_at_its_end_and_broken_by_a_reset() {
+fn a_response_without_a_length_is_complete_at_its_end_and_broken_by_a_reset() {
     let text = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nthe answer";
     let complete = answered_with(text, After::End, "20000m");
     assert_eq!(
@@ -206,7 +206,7 @@
         "HTTP/1.1 200 OK\r\nX: ",
     ] {
         assert_eq!(
-            answered_with(text, After::Silence, "300m").status(),
+            answered_with(text, After::NoResponse, "300m").status(),
             502,
             "{text}"
         );
--- a/balancer/proxy/tests/attempts_write.rs
+++ b/balancer/proxy/tests/attempts_write.rs
@@ -119,7 +119,7 @@
 }
 
 #[test]
-fn a_request_that_may_be_written_is_whole_with_its_last_byte() {
+fn a_request_that_may_be_written_is_complete_with_its_last_byte() {
     run(async {
         let mut pair = Pair::new();
         pair.request.begin(|_| Ok(()));
--- a/balancer/proxy/tests/bad_input.rs
+++ b/balancer/proxy/tests/bad_input.rs
@@ -258,7 +258,7 @@
 }
 
 #[test]
-fn a_list_of_discovery_that_cannot_be_used_leaves_the_old_one() {
+fn a_list_of_discovery_that_cannot_be_used_changes_nothing() {
     let upstream = Upstream::start(|_| ok("x"));
     let discovery = Discovery::start();
     let good = listing(1, true, &[(0, upstream.addr, "active")]);
@@ -308,7 +308,7 @@
 }
 
 #[test]
-fn a_request_that_is_cut_off_at_any_length_is_not_sent_on() {
+fn a_request_truncated_at_any_length_is_not_forwarded() {
     let upstream = Upstream::start(|_| ok("x"));
     let node = Node::with(&[upstream.addr]);
     let complete = pay("cut", "5000m");
--- a/balancer/proxy/tests/bad_input_read.rs
+++ b/balancer/proxy/tests/bad_input_read.rs
@@ -130,7 +130,7 @@
 }
 
 #[test]
-fn a_list_that_cannot_be_used_is_refused_whole() {
+fn a_list_that_cannot_be_used_is_rejected_completely() {
     let names = names();
     for (from, to, wanted) in [
         ("\"version\":4", "\"version\":\"4\"", "version"),
--- a/balancer/proxy/tests/client_disconnects.rs
+++ b/balancer/proxy/tests/client_disconnects.rs
@@ -234,7 +234,7 @@
 }
 
 #[test]
-fn a_request_whose_body_never_comes_whole_goes_nowhere() {
+fn a_request_with_an_incomplete_body_goes_nowhere() {
     for disconnect in DISCONNECTS {
         let upstream = Upstream::start(|_| ok("x"));
         let node = Node::with(&[upstream.addr]);
--- a/balancer/proxy/tests/closing.rs
+++ b/balancer/proxy/tests/closing.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// More than is read ahead of an answer, and less than is thrown away after the last.
-const SENT_ON: usize = 40 << 10;
+const FORWARDED: usize = 40 << 10;
 const ANSWER: usize = 60 << 10;
 
 /// A request that wants the connection closed after its answer.
@@ -30,7 +30,7 @@
     let upstream = Upstream::start(move |_| ok(&body));
     let node = Node::with(&[upstream.addr]);
     let mut client = RawClient::connect_narrow(node.addr, TEST_TIMEOUT);
-    client.send((last("last") + &requests_for(SENT_ON)).as_bytes());
+    client.send((last("last") + &requests_for(FORWARDED)).as_bytes());
     // A part of the answer has come, or the connection is gone; the rest is with the balancer's system, which throws it away at a reset.
     let has_come = |sockets: &[SystemSocket]| {
         !sockets
@@ -52,7 +52,7 @@
     let upstream = Upstream::start(|_| ok("x"));
     let node = Node::with(&[upstream.addr]);
     let mut client = RawClient::connect(node.addr, TEST_TIMEOUT);
-    client.send(&vec![0xff; SENT_ON]);
+    client.send(&vec![0xff; FORWARDED]);
     let (bytes, in_order) = client.rest();
     assert!(in_order, "reset after {} bytes", bytes.len());
     assert!(
--- a/balancer/proxy/tests/common/agent.rs
+++ b/balancer/proxy/tests/common/agent.rs
@@ -83,14 +83,14 @@
         Manner::Unresponsive => {}
         Manner::Ends => return None,
         Manner::Half(list) => {
-            let whole = answer(&list);
+            let complete = answer(&list);
             stream
-                .write_all(&whole.as_bytes()[..whole.len() / 2])
+                .write_all(&complete.as_bytes()[..complete.len() / 2])
                 .ok()?;
         }
         Manner::Pieces(list, pieces, pause) => {
-            let whole = answer(&list);
-            for piece in whole.as_bytes().chunks(whole.len().div_ceil(pieces)) {
+            let complete = answer(&list);
+            for piece in complete.as_bytes().chunks(complete.len().div_ceil(pieces)) {
                 thread::sleep(pause);
                 stream.write_all(piece).ok()?;
             }
--- a/balancer/proxy/tests/common/node.rs
+++ b/balancer/proxy/tests/common/node.rs
@@ -82,10 +82,10 @@
             before.push(line.trim_end().to_string());
         };
         let lines = Arc::new(Mutex::new(before));
-        let kept = lines.clone();
+        let shared = lines.clone();
         let reader = thread::spawn(move || {
             for line in log.lines().map_while(Result::ok) {
-                kept.lock().expect("no panic").push(line);
+                shared.lock().expect("no panic").push(line);
             }
         });
         Node {
--- a/balancer/proxy/tests/common/upstream.rs
+++ b/balancer/proxy/tests/common/upstream.rs
@@ -118,8 +118,8 @@
             }
             Then::Hang => break,
             Then::Wait => {}
-            Then::Hold(word, text) => {
-                let _ = word.recv_timeout(TEST_TIMEOUT);
+            Then::Hold(mode, text) => {
+                let _ = mode.recv_timeout(TEST_TIMEOUT);
                 let _ = stream.get_mut().write_all(text.as_bytes());
             }
         }
--- a/balancer/proxy/tests/config.rs
+++ b/balancer/proxy/tests/config.rs
@@ -12,7 +12,7 @@
         "invariants":{"cold_from":0.2,"ramp_time":9000,"tip_multiple":3}}}"#;
 
 #[test]
-fn a_whole_configuration_is_read() {
+fn a_complete_configuration_is_read() {
     let c = Config::parse(GOOD.as_bytes()).unwrap();
     assert_eq!(
         (c.seed, c.sockets, c.deployment.dial_timeout),
--- a/balancer/proxy/tests/deadlines.rs
+++ b/balancer/proxy/tests/deadlines.rs
@@ -1,7 +1,9 @@
 //! What an attempt tells its upstream of the time that is left, on real sockets: never more than the client has.
 mod common;
 use common::raw::RawUpstream;
-use common::{command, config, get, listing, pay, read, Discovery, Message, Node, Unreachable};
+use common::{
+    command, config, get, listing, pay, read, Client, Discovery, Message, Node, Unreachable,
+};
 use std::time::{Duration, Instant};
 
 /// What clients wait for here.
@@ -33,8 +35,8 @@
     format!("{REQUEST_TIMEOUT_MS}m")
 }
 
-#[test]
-fn a_dial_that_comes_up_late_is_taken_off() {
+/// A balancer that has a request and dials an upstream that does not accept; and when the request was sent.
+fn dialling() -> (Unreachable, Node, Client, Instant) {
     let unreachable = Unreachable::start();
     let discovery = Discovery::start();
     let config = config(
@@ -50,6 +52,12 @@
     let sent = Instant::now();
     client.send(&pay("r1", &client_timeout()));
     node.holds(|n| n >= without + 2, "it does not dial");
+    (unreachable, node, client, sent)
+}
+
+#[test]
+fn a_dial_that_comes_up_late_is_taken_off() {
+    let (unreachable, _node, _client, sent) = dialling();
     std::thread::sleep(Duration::from_millis(500));
     let received_at = Instant::now();
     let request = read(&mut unreachable.reach()).expect("a request");
@@ -77,21 +85,7 @@
 
 #[test]
 fn a_stop_while_it_dials_is_taken_off() {
-    let unreachable = Unreachable::start();
-    let discovery = Discovery::start();
-    let config = config(
-        discovery.addr,
-        1024,
-        &listing(1, true, &[(0, unreachable.addr, "active")]),
-    )
-    .replace("\"idle_close\"", "\"dial_timeout\":20000,\"idle_close\"");
-    let node = Node::run(command(&config), discovery);
-    node.discovery.called();
-    let without = node.descriptors();
-    let mut client = node.client();
-    let sent = Instant::now();
-    client.send(&pay("r1", &client_timeout()));
-    node.holds(|n| n >= without + 2, "it does not dial");
+    let (unreachable, node, _client, sent) = dialling();
     node.pause();
     let mut upstream = unreachable.reach();
     std::thread::sleep(Duration::from_millis(500));
--- a/balancer/proxy/tests/discovery.rs
+++ b/balancer/proxy/tests/discovery.rs
@@ -46,12 +46,12 @@
 }
 
 #[test]
-fn half_an_answer_is_asked_for_anew() {
+fn an_incomplete_response_is_requested_again() {
     change_comes_into_use(|number, list| (number < 2).then_some(Manner::Half(list)));
 }
 
 #[test]
-fn a_watch_that_ends_instead_of_telling_is_asked_anew() {
+fn a_watch_that_ends_without_a_response_is_opened_anew() {
     change_comes_into_use(|number, _| (number < 2).then_some(Manner::Ends));
 }
 
@@ -116,7 +116,7 @@
 
 /// What a whole list does not name is gone, though it would still answer.
 #[test]
-fn what_a_whole_list_does_not_name_gets_nothing_more_and_its_idle_connections_close() {
+fn what_a_full_list_does_not_name_gets_nothing_more_and_its_idle_connections_close() {
     let (old, new) = (
         Upstream::start(|_| ok("old")),
         Upstream::start(|_| ok("new")),
@@ -135,7 +135,7 @@
 }
 
 #[test]
-fn nothing_is_written_to_an_upstream_that_a_whole_list_leaves_out_while_it_is_dialled() {
+fn nothing_is_written_to_an_upstream_that_a_full_list_omits_while_it_is_dialled() {
     let (full, new) = (Unreachable::start(), Upstream::start(|_| ok("new")));
     let discovery = Discovery::start();
     let known = listing(1, true, &[(0, full.addr, "active")]);
--- a/balancer/proxy/tests/discovery_timeouts.rs
+++ b/balancer/proxy/tests/discovery_timeouts.rs
@@ -62,14 +62,14 @@
 }
 
 #[test]
-fn what_three_silences_of_a_list_that_is_asked_for_hid_is_known_in_time() {
+fn what_three_timeouts_of_a_polled_list_hid_is_known_in_time() {
     what_three_silences_hid_is_known_in_time("on_request");
 }
 
 /// A process without a list asks no more rarely the longer discovery is silent: it would stay without one for long after
 /// discovery is back.
 #[test]
-fn a_first_list_is_asked_for_as_often_as_changes() {
+fn a_first_list_is_requested_as_often_as_changes() {
     for mode in ["pushed", "on_request"] {
         let new = Upstream::start(|_| ok("new"));
         let (addr, calls) = unresponsive(4, listing(6, true, &[(1, new.addr, "active")]));
--- a/balancer/proxy/tests/discovery_watch.rs
+++ b/balancer/proxy/tests/discovery_watch.rs
@@ -235,7 +235,7 @@
 /// Whatever three calls met before, and whatever the next one meets: news is known within 6 s of the moment from which
 /// discovery has it and can be reached.
 #[test]
-fn a_change_is_known_in_time_after_any_three_failures_and_one_silence() {
+fn a_change_is_known_in_time_after_any_three_failures_and_one_timeout() {
     let mut latest = Duration::ZERO;
     let each = || BAD.into_iter().chain([Manner::NoChange]);
     for (mode, known) in MODES.into_iter().flat_map(|m| KNOWN.map(|k| (m, k))) {
@@ -362,7 +362,7 @@
 
 /// A discovery that does not wait with its answers is not asked as often as it answers; what is new is taken at once.
 #[test]
-fn answers_without_news_that_come_at_once_cost_no_flood_of_calls() {
+fn unchanged_responses_that_come_at_once_cost_no_flood_of_calls() {
     for (mode, known) in MODES.into_iter().flat_map(|m| KNOWN.map(|k| (m, k))) {
         let mut world = World::new(mode, known, |n, _| {
             if n < 30 {
@@ -390,7 +390,7 @@
 }
 
 #[test]
-fn a_new_address_is_asked_at_once_in_every_state() {
+fn a_new_address_is_called_at_once_in_every_state() {
     for (mode, known) in MODES.into_iter().flat_map(|m| KNOWN.map(|k| (m, k))) {
         for before in BAD {
             for step in 0..20 {
@@ -428,7 +428,7 @@
 }
 
 #[test]
-fn nothing_is_asked_before_the_module_subscribes() {
+fn nothing_is_requested_before_the_module_subscribes() {
     let mut watch = Watch::new(Mode::OnRequest, Some(1));
     let (start, mut actions) = (Instant::now(), Vec::new());
     watch.handle_start(start, &mut actions);
--- a/balancer/proxy/tests/floods.rs
+++ b/balancer/proxy/tests/floods.rs
@@ -33,7 +33,7 @@
 /// What an improper client sends.
 #[derive(Clone, Copy, Debug)]
 enum Improper {
-    Silence,
+    NoResponse,
     Garbage,
     HalfHead,
     HalfBody,
@@ -48,7 +48,7 @@
 impl Improper {
     fn nth(n: usize) -> Improper {
         match n % 10 {
-            0 | 1 => Improper::Silence,
+            0 | 1 => Improper::NoResponse,
             2 | 3 => Improper::Garbage,
             4 | 5 => Improper::HalfHead,
             6 => Improper::HalfBody,
@@ -61,7 +61,7 @@
     fn send(self, client: &mut RawClient) {
         let (head, request) = (get("improper", "5000m"), pay("improper", "5000m"));
         match self {
-            Improper::Silence => {}
+            Improper::NoResponse => {}
             Improper::Garbage => client.send(b"\x16\x03\x01 improper\r\n\r\n"),
             Improper::HalfHead => client.send(&head.as_bytes()[..head.len() / 2]),
             Improper::HalfBody => client.send(&request.as_bytes()[..request.len() - 2]),
--- a/balancer/proxy/tests/golden.rs
+++ b/balancer/proxy/tests/golden.rs
@@ -178,7 +178,7 @@
 }
 
 #[test]
-fn a_folder_of_an_earlier_build_is_taken_up_and_written_on_in_its_words() {
+fn a_folder_of_an_earlier_build_is_read_and_written_in_its_format() {
     let dir = TempDir::new().expect("a folder");
     let list = UPSTREAMS.trim_end();
     let learned_record =
--- a/balancer/proxy/tests/operate.rs
+++ b/balancer/proxy/tests/operate.rs
@@ -96,7 +96,7 @@
 }
 
 #[test]
-fn a_reload_takes_options_over_whole_or_not_at_all() {
+fn a_reload_applies_all_options_or_none() {
     let dir = folder();
     let options = written(&dir, "[log]\nrate = 1000\n");
     let upstream = Upstream::start(|_| ok("x"));
@@ -145,11 +145,18 @@
 
 #[test]
 fn a_reload_while_it_ends_changes_nothing() {
-    let (release, held) = channel();
-    let held = std::sync::Mutex::new(Some(held));
+    let (release, limited) = channel();
+    let limited = std::sync::Mutex::new(Some(limited));
     let upstream = Upstream::start(move |_| {
-        let held = held.lock().expect("no panic").take().expect("one request");
-        Then::Hold(held, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx".into())
+        let limited = limited
+            .lock()
+            .expect("no panic")
+            .take()
+            .expect("one request");
+        Then::Hold(
+            limited,
+            "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx".into(),
+        )
     });
     let mut node = started(&upstream, &[]);
     let mut client = node.client();
@@ -253,11 +260,11 @@
     // What is logged once the reader is back says what it missed.
     (0..20).for_each(|n| call(format!("after-{n}")));
     let pid = child.id();
-    let told = Command::new("sh")
+    let reported = Command::new("sh")
         .args(["-c", &format!("kill -TERM {pid}")])
         .status()
         .expect("runs sh");
-    assert!(told.success());
+    assert!(reported.success());
     assert!(child.wait().expect("ends").success());
     let seen = reader.join().expect("reads");
     let dropped: u64 = seen
@@ -268,7 +275,7 @@
 }
 
 #[test]
-fn a_flood_of_one_cause_is_held_to_its_rate_and_counted() {
+fn a_flood_of_one_cause_is_limited_to_its_rate_and_counted() {
     let upstream = Upstream::start(|_| ok("x"));
     let node = started(
         &upstream,
@@ -309,17 +316,17 @@
 }
 
 #[test]
-fn the_figures_say_what_became_of_every_request_and_attempt() {
+fn the_metrics_say_what_became_of_every_request_and_attempt() {
     let dir = folder();
     let upstream = Upstream::start(|m| match m.header("req-id") {
         Some("silent") => Then::Wait,
         Some("error") => status("500 Internal Server Error"),
         _ => ok("x"),
     });
-    let figures = format!("figures.dir={}", dir.path().display());
+    let metrics = format!("figures.dir={}", dir.path().display());
     let mut node = started(
         &upstream,
-        &["run", "--set", &figures, "--set", "figures.every=100ms"],
+        &["run", "--set", &metrics, "--set", "figures.every=100ms"],
     );
     let mut client = node.client();
     for n in 0..5 {
--- a/balancer/proxy/tests/options.rs
+++ b/balancer/proxy/tests/options.rs
@@ -12,7 +12,7 @@
 }
 
 #[test]
-fn without_a_word_all_is_as_the_defaults_say() {
+fn without_options_all_is_as_the_defaults_say() {
     let loaded = load(None, std::iter::empty(), &[]).expect("defaults");
     assert_eq!(loaded.options, Options::default());
     let named = read("", &[], &[]).expect("defaults");
--- a/balancer/proxy/tests/peers.rs
+++ b/balancer/proxy/tests/peers.rs
@@ -122,7 +122,7 @@
 
     /// What its figures say of the tier.
     fn tier(&self) -> Value {
-        figures(&self.dir)["peers"].take()
+        metrics(&self.dir)["peers"].take()
     }
 
     fn serves(&self) {
@@ -130,7 +130,7 @@
     }
 }
 
-fn figures(dir: &TempDir) -> Value {
+fn metrics(dir: &TempDir) -> Value {
     let text = std::fs::read(dir.path().join("figures.json")).unwrap_or_default();
     serde_json::from_slice(&text).unwrap_or_default()
 }
@@ -299,9 +299,9 @@
             1
         );
         let started = Instant::now();
-        while figures(&dir)["requests"] != 1 {
-            assert!(started.elapsed() < TEST_TIMEOUT, "{}", figures(&dir));
+        while metrics(&dir)["requests"] != 1 {
+            assert!(started.elapsed() < TEST_TIMEOUT, "{}", metrics(&dir));
         }
-        assert!(figures(&dir).get("peers").is_none());
+        assert!(metrics(&dir).get("peers").is_none());
     }
 }
--- a/balancer/proxy/tests/readiness.rs
+++ b/balancer/proxy/tests/readiness.rs
@@ -36,7 +36,7 @@
 fn every_balancer_becomes_ready(manner: fn(usize, String) -> Manner) {
     let upstream = Upstream::start(|_| ok("x"));
     let old = listing(1, true, &[(0, upstream.addr, "active")]);
-    let leaving = listing(1, true, &[(7, refusing(), "leaving")]);
+    let draining = listing(1, true, &[(7, refusing(), "leaving")]);
     let empty = listing(1, true, &[]);
     let list = listing(2, true, &[(0, upstream.addr, "active")]);
     let cases = ["pushed", "on_request"].into_iter().flat_map(|mode| {
@@ -44,7 +44,7 @@
             ("absent", "null"),
             ("old", &*old),
             ("empty", &*empty),
-            ("leaving", &*leaving),
+            ("leaving", &*draining),
         ]
         .map(|(name, known)| (mode, name, known.to_string()))
     });
@@ -67,7 +67,7 @@
 }
 
 #[test]
-fn a_balancer_is_ready_soon_after_discovery_is_back_from_silence() {
+fn a_balancer_is_ready_soon_after_discovery_responds_again() {
     every_balancer_becomes_ready(|number, list| match number {
         0..3 => Manner::Unresponsive,
         _ => Manner::Answers(list),
@@ -117,12 +117,12 @@
 #[test]
 fn a_balancer_that_knows_nobody_to_send_to_is_not_ready() {
     let agent = Agent::start(|_, _| Manner::Unresponsive);
-    let leaving = listing(
+    let draining = listing(
         1,
         true,
         &[(0, refusing(), "leaving"), (1, refusing(), "leaving")],
     );
-    for known in ["null".to_string(), listing(1, true, &[]), leaving] {
+    for known in ["null".to_string(), listing(1, true, &[]), draining] {
         let node = run(&agent, "pushed", &known);
         agent.called();
         assert!(!is_ready(&node), "{known}");
--- a/balancer/proxy/tests/recovery.rs
+++ b/balancer/proxy/tests/recovery.rs
@@ -40,7 +40,7 @@
 }
 
 #[test]
-fn a_killed_balancer_serves_from_the_list_it_had_while_discovery_is_silent() {
+fn a_killed_balancer_serves_from_its_saved_list_while_discovery_does_not_respond() {
     let dir = TempDir::new().expect("a folder");
     let (listed, lost) = (
         Upstream::start(|_| ok("kept")),
@@ -62,15 +62,15 @@
     while !shown().contains("\"version\":5") {
         assert!(started_at.elapsed() < TEST_TIMEOUT, "{}", shown());
     }
-    let figures = || std::fs::read_to_string(dir.path().join("figures.json")).unwrap_or_default();
+    let metrics = || std::fs::read_to_string(dir.path().join("figures.json")).unwrap_or_default();
     // One write or two: a newer list takes the place of one that the disk has not got to.
     let written = |text: String| {
         text.contains("\"recovery\":{\"commits\":") && !text.contains("\"commits\":0")
     };
-    while !written(figures()) {
-        assert!(started_at.elapsed() < TEST_TIMEOUT, "{}", figures());
+    while !written(metrics()) {
+        assert!(started_at.elapsed() < TEST_TIMEOUT, "{}", metrics());
     }
-    assert!(figures().contains("\"starts\":1"), "{}", figures());
+    assert!(metrics().contains("\"starts\":1"), "{}", metrics());
     drop(node);
     let node = started(dir.path());
     node.logs("recovery: start 2, a list of 1 upstreams");
@@ -91,7 +91,7 @@
 }
 
 #[test]
-fn a_folder_in_use_is_left_alone_and_one_that_is_broken_is_set_aside() {
+fn a_folder_in_use_is_not_touched_and_a_broken_one_is_set_aside() {
     let dir = TempDir::new().expect("a folder");
     let first = started(dir.path());
     first.logs("recovery: start 1");
--- a/balancer/proxy/tests/shutdown.rs
+++ b/balancer/proxy/tests/shutdown.rs
@@ -28,19 +28,25 @@
 /// The head has been read when callers are closed, the body comes after that, and the upstream says nothing.
 #[test]
 fn a_request_whose_last_byte_comes_after_the_close_is_answered_before_the_end() {
+    let request = pay("late", "20000m");
+    rest_comes_after_the_close(&request, request.len() - 4);
+}
+
+/// Sends requests up to a byte before callers are closed, and the rest after that: on a connection that was served
+/// before, and on a new one. Each has an answer, and the program ends well.
+fn rest_comes_after_the_close(request: &str, split_at: usize) {
     until_shown(|| {
         let upstream = answers_ok_alone();
         let mut node = shuts_down_soon(&upstream);
-        let request = pay("late", "20000m");
-        let (head, body) = request.split_at(request.len() - 4);
+        let (start, rest) = request.split_at(split_at);
         let (mut again, mut fresh) = (served_client(&node), node.client());
-        again.send(head);
-        fresh.send(head);
-        // Served after both heads were read.
+        again.send(start);
+        fresh.send(start);
+        // Served after both were read.
         served_client(&node);
         close(&node);
-        again.send(body);
-        fresh.send(body);
+        again.send(rest);
+        fresh.send(rest);
         if node.has_ended() {
             return false;
         }
@@ -119,39 +125,14 @@
 /// A part of a head has been read when callers are closed.
 #[test]
 fn a_connection_is_not_closed_in_the_middle_of_a_head() {
-    until_shown(|| {
-        let upstream = answers_ok_alone();
-        let mut node = shuts_down_soon(&upstream);
-        let request = get("late", "20000m");
-        let (start, end) = request.split_at(40);
-        let (mut again, mut fresh) = (served_client(&node), node.client());
-        again.send(start);
-        fresh.send(start);
-        // Served after both were read.
-        served_client(&node);
-        close(&node);
-        again.send(end);
-        fresh.send(end);
-        if node.has_ended() {
-            return false;
-        }
-        for client in [&mut again, &mut fresh] {
-            let status = client
-                .answer()
-                .unwrap_or_else(|| panic!("no answer: {:?}", node.log()))
-                .status();
-            assert!([502, 503].contains(&status), "{status}");
-        }
-        assert_eq!(node.wait().code(), Some(0));
-        true
-    });
+    rest_comes_after_the_close(&get("late", "20000m"), 40);
 }
 
 /// Callers that send on for as long as they find the program: one request after another on each connection that stays
 /// open, whole or in pieces, to an upstream that answers or one that hangs. And many that send one request each, one
 /// after another over the moment of the close. A close may cross a request, and then that one went nowhere.
 #[test]
-fn what_was_sent_on_is_answered_whenever_its_caller_wrote_it() {
+fn what_was_forwarded_is_answered_whenever_its_client_wrote_it() {
     let upstream = answers_ok_alone();
     let mut node = shuts_down_soon(&upstream);
     let mut crossing: Vec<Client> = (0..CROSSING).map(|_| served_client(&node)).collect();
--- a/balancer/proxy/tests/shutdown_signals.rs
+++ b/balancer/proxy/tests/shutdown_signals.rs
@@ -39,7 +39,7 @@
 }
 
 #[test]
-fn a_second_word_to_end_changes_nothing() {
+fn a_second_sigterm_changes_nothing() {
     until_shown(|| {
         let upstream = answers_ok_alone();
         let mut node = shuts_down_within(&upstream, 2500);
@@ -106,13 +106,13 @@
 }
 
 #[test]
-fn a_reload_just_before_the_word_to_end_changes_nothing() {
+fn a_reload_just_before_sigterm_changes_nothing() {
     ends_with_a_reload(Configuration::Same, true);
     ends_with_a_reload(Configuration::Broken, true);
 }
 
 #[test]
-fn a_reload_just_after_the_word_to_end_changes_nothing() {
+fn a_reload_just_after_sigterm_changes_nothing() {
     ends_with_a_reload(Configuration::Same, false);
     ends_with_a_reload(Configuration::Broken, false);
 }
@@ -187,7 +187,7 @@
 
 /// A piece of each request comes before SIGTERM, one after it, and the last once nobody is accepted any more.
 #[test]
-fn requests_in_pieces_over_the_whole_end_are_answered() {
+fn requests_in_pieces_during_all_of_the_shutdown_are_answered() {
     until_shown(|| {
         let upstream = answers_ok_alone();
         let mut node = shuts_down_soon(&upstream);
--- a/balancer/proxy/tests/sockets_attempts.rs
+++ b/balancer/proxy/tests/sockets_attempts.rs
@@ -54,7 +54,7 @@
 }
 
 #[test]
-fn a_connection_closed_while_it_rested_costs_no_request() {
+fn a_connection_closed_while_idle_costs_no_request() {
     let upstream = Upstream::start(|_| {
         Then::AnswerAndClose("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx".into())
     });
@@ -80,7 +80,7 @@
 }
 
 #[test]
-fn silence_until_the_deadline_gets_one_answer_and_closes_the_connection() {
+fn no_response_until_the_deadline_gets_one_answer_and_closes_the_connection() {
     let unresponsive = || {
         Upstream::start(|m| {
             if m.header("req-id") == Some("late") {
@@ -102,7 +102,7 @@
 }
 
 #[test]
-fn an_attempt_is_called_off_when_its_client_has_gone() {
+fn an_attempt_is_cancelled_when_its_client_disconnects() {
     let upstream = Upstream::start(|m| {
         if m.header("req-id") == Some("gone") {
             Then::Wait
@@ -172,11 +172,11 @@
 }
 
 #[test]
-fn an_upstream_that_says_it_is_crowded_gets_no_more_calls_for_a_while() {
-    let says = |held: u32| {
+fn an_upstream_that_reports_overload_gets_no_more_calls_for_a_while() {
+    let says = |in_flight: u32| {
         move |_: &Message| {
             Then::Answer(format!(
-                "HTTP/1.1 200 OK\r\nSrv-Load: TEXT inflight={held}\r\nContent-Length: 0\r\n\r\n"
+                "HTTP/1.1 200 OK\r\nSrv-Load: TEXT inflight={in_flight}\r\nContent-Length: 0\r\n\r\n"
             ))
         }
     };
--- a/balancer/proxy/tests/sockets_clients.rs
+++ b/balancer/proxy/tests/sockets_clients.rs
@@ -21,11 +21,11 @@
 }
 
 #[test]
-fn callers_without_a_whole_request_are_answered_or_closed_soon() {
+fn clients_without_a_complete_request_are_answered_or_closed_soon() {
     let upstream = Upstream::start(|_| ok("x"));
     let node = Node::with(&[upstream.addr]);
-    let mut kept = node.client();
-    assert_eq!(kept.call(&get("r1", "5000m")).status(), 200);
+    let mut open = node.client();
+    assert_eq!(open.call(&get("r1", "5000m")).status(), 200);
     let mut idle = node.client();
     let mut half = node.client();
     half.send("GET /api HTTP/1.1\r\nReq-Id: r2\r\n");
@@ -36,7 +36,7 @@
     half.closed();
     assert_eq!(bodiless.answer().expect("an error").status(), 408);
     // A connection on which a request was served is kept longer.
-    assert_eq!(kept.call(&get("r4", "5000m")).status(), 200);
+    assert_eq!(open.call(&get("r4", "5000m")).status(), 200);
     assert_eq!(upstream.request().header("req-id"), Some("r1"));
     assert_eq!(upstream.request().header("req-id"), Some("r4"));
     assert_eq!(upstream.additional_requests(), 0);
--- a/balancer/proxy/tests/sockets_shutdown.rs
+++ b/balancer/proxy/tests/sockets_shutdown.rs
@@ -4,8 +4,8 @@
 use std::sync::mpsc::channel;
 
 #[test]
-fn told_to_end_it_answers_what_it_has_and_what_still_comes() {
-    let (word, hold) = channel();
+fn after_sigterm_it_answers_what_it_has_and_what_still_comes() {
+    let (signal, hold) = channel();
     let hold = std::sync::Mutex::new(Some(hold));
     let upstream = Upstream::start(move |_| match hold.lock().expect("no panic").take() {
         Some(hold) => Then::Hold(
@@ -15,15 +15,15 @@
         None => ok("x"),
     });
     let mut node = Node::with(&[upstream.addr]);
-    let (mut early, mut kept) = (node.client(), node.client());
+    let (mut early, mut reused) = (node.client(), node.client());
     early.send(&pay("early", "20000m"));
     upstream.request();
-    assert_eq!(kept.call(&get("kept", "5000m")).status(), 200);
-    let told = std::time::Instant::now();
+    assert_eq!(reused.call(&get("kept", "5000m")).status(), 200);
+    let signalled_at = std::time::Instant::now();
     node.terminate();
     node.logs("told to end");
     // It promises to go on for as long as this; a slow machine that takes longer over the test proves nothing.
-    let promised = || told.elapsed() < std::time::Duration::from_millis(2500);
+    let promised = || signalled_at.elapsed() < std::time::Duration::from_millis(2500);
     let served = |answer: Option<Message>| match answer {
         Some(answer) => {
             assert_eq!(answer.status(), 200);
@@ -36,9 +36,9 @@
     };
     // Callers have nobody else to turn to yet: the connections they have are served as ever, past the time in
     // which new ones come.
-    while told.elapsed() < std::time::Duration::from_millis(1000) {
-        kept.send(&get("again", "5000m"));
-        served(kept.answer());
+    while signalled_at.elapsed() < std::time::Duration::from_millis(1000) {
+        reused.send(&get("again", "5000m"));
+        served(reused.answer());
         // Not so many that they would be refused.
         std::thread::sleep(std::time::Duration::from_millis(20));
     }
@@ -51,13 +51,13 @@
         }
         None => assert!(!promised(), "not accepted"),
     }
-    word.send(()).expect("the upstream waits");
+    signal.send(()).expect("the upstream waits");
     assert_eq!(early.answer().expect("the held answer").body, b"held");
     assert_eq!(node.wait().code(), Some(0));
 }
 
 #[test]
-fn a_request_that_comes_after_the_word_to_end_is_answered_before_the_end() {
+fn a_request_that_comes_after_sigterm_is_answered_before_the_end() {
     let upstream = Upstream::start(|m| {
         if m.header("req-id") == Some("last") {
             Then::Wait
@@ -81,7 +81,7 @@
 }
 
 #[test]
-fn a_request_taken_before_the_word_to_end_is_answered_before_the_end() {
+fn a_request_taken_before_sigterm_is_answered_before_the_end() {
     let upstream = Upstream::start(|_| Then::Wait);
     let mut node = Node::with(&[upstream.addr]);
     let (mut once, mut again) = (node.client(), node.client());
@@ -113,7 +113,7 @@
 fn callers_that_say_nothing_do_not_hold_up_the_end() {
     let upstream = Upstream::start(|_| ok("x"));
     let mut node = Node::with(&[upstream.addr]);
-    let _silent = node.client();
+    let _idle = node.client();
     let mut half = node.client();
     half.send("GET /api HTTP/1.1\r\nReq-Id: r1\r\n");
     assert_eq!(node.client().call(&get("r2", "5000m")).status(), 200);
--- a/balancer/proxy/tests/sockets_watch.rs
+++ b/balancer/proxy/tests/sockets_watch.rs
@@ -70,7 +70,7 @@
 }
 
 #[test]
-fn a_watch_that_falls_silent_is_asked_anew_within_seconds() {
+fn a_watch_that_times_out_is_opened_anew_within_seconds() {
     let (old, new) = (
         Upstream::start(|_| ok("old")),
         Upstream::start(|_| ok("new")),
--- a/balancer/snapshots/src/fault_injection.rs
+++ b/balancer/snapshots/src/fault_injection.rs
@@ -90,17 +90,17 @@
 #[derive(Debug)]
 pub struct FaultyStorage<B> {
     disk: B,
-    drill: Option<FaultFile>,
+    fault_file: Option<FaultFile>,
     /// Writes that reach the disk with the next sync, in their order.
     unsynced_writes: Mutex<Vec<Write>>,
 }
 
 impl<B: StorageBackend> FaultyStorage<B> {
     /// Storage on this disk, with the faults that a file names if there is one.
-    pub fn new(disk: B, drill: Option<FaultFile>) -> FaultyStorage<B> {
+    pub fn new(disk: B, fault_file: Option<FaultFile>) -> FaultyStorage<B> {
         FaultyStorage {
             disk,
-            drill,
+            fault_file,
             unsynced_writes: Mutex::default(),
         }
     }
@@ -113,10 +113,10 @@
 
     /// Applies the fault to an access.
     fn inject(&self, access: Access) -> io::Result<Fault> {
-        let Some(drill) = &self.drill else {
+        let Some(fault_file) = &self.fault_file else {
             return Ok(Fault::None);
         };
-        let fault = drill.fault()?;
+        let fault = fault_file.fault()?;
         match fault {
             Fault::Failing => Err(io::Error::other("input/output error (drill)")),
             Fault::Full if access == Access::Write => Err(io::Error::new(
--- a/balancer/snapshots/src/store.rs
+++ b/balancer/snapshots/src/store.rs
@@ -143,7 +143,7 @@
     pub fn open(
         folder: &Path,
         owner: Owner,
-        drill: Option<FaultFile>,
+        fault_file: Option<FaultFile>,
     ) -> Result<Opened, StoreError> {
         let path = folder.join(FILE);
         let open_file = {
@@ -154,7 +154,7 @@
                 let file = options.open(&path).map_err(disk_error(&path))?;
                 Ok(FaultyStorage::new(
                     FileBackend::new(file).map_err(classify_open_error)?,
-                    drill.clone(),
+                    fault_file.clone(),
                 ))
             }
         };
--- a/balancer/snapshots/tests/golden.rs
+++ b/balancer/snapshots/tests/golden.rs
@@ -76,8 +76,8 @@
         .open_table(TABLE)
         .expect("the table");
     for (name, bytes) in stored(RECORDS) {
-        let kept = table.get(name).expect("reads").expect("a record");
-        assert_eq!(kept.value(), bytes, "{name}");
+        let saved = table.get(name).expect("reads").expect("a record");
+        assert_eq!(saved.value(), bytes, "{name}");
     }
 }
 
--- a/balancer/snapshots/tests/power.rs
+++ b/balancer/snapshots/tests/power.rs
@@ -167,7 +167,7 @@
 }
 
 #[test]
-fn a_power_loss_leaves_the_last_put_that_returned_or_the_one_in_flight() {
+fn after_a_power_loss_the_last_put_that_returned_or_the_one_in_flight_is_there() {
     let disk = Disk::default();
     let mut store = Store::on_backend(disk.clone(), owner()).expect("a store");
     // Where each put returned, as a position in the operations on the disk.
--- a/system/coordinator/src/roles.rs
+++ b/system/coordinator/src/roles.rs
@@ -47,8 +47,8 @@
         };
         for (number, role) in self.expected_roles().into_iter().enumerate() {
             let state = self.machine.state.roles.get(&role).copied();
-            let is_held = state.is_some_and(|state| chain.contains(&state.holder));
-            if is_held && !self.is_deposed(&role) {
+            let is_owned = state.is_some_and(|state| chain.contains(&state.holder));
+            if is_owned && !self.is_deposed(&role) {
                 self.roles_vacant_since.remove(&role);
                 continue;
             }
--- a/system/jobs/tests/state.rs
+++ b/system/jobs/tests/state.rs
@@ -284,25 +284,15 @@
         body: body.as_bytes().to_vec(),
         change: Vec::new(),
     };
-    expect_that!(
-        apply(&mut state, replace(0, 3, "one")).outcome,
-        eq(Outcome::Done)
-    );
-    expect_that!(
-        apply(&mut state, replace(0, 3, "other")).outcome,
-        eq(Outcome::Conflict)
-    );
-    expect_that!(
-        apply(&mut state, replace(3, 3, "other")).outcome,
-        eq(Outcome::Stale)
-    );
-    expect_that!(
-        apply(&mut state, replace(3, 9, "two")).outcome,
-        eq(Outcome::Done)
-    );
-    expect_that!(
-        apply(&mut state, replace(0, 3, "one")).outcome,
-        eq(Outcome::Repeated)
-    );
+    for (base, version, body, outcome) in [
+        (0, 3, "one", Outcome::Done),
+        (0, 3, "other", Outcome::Conflict),
+        (3, 3, "other", Outcome::Stale),
+        (3, 9, "two", Outcome::Done),
+        (0, 3, "one", Outcome::Repeated),
+    ] {
+        let applied = apply(&mut state, replace(base, version, body));
+        expect_that!(applied.outcome, eq(outcome), "{body} on {base}");
+    }
     expect_that!(state.configuration.version, eq(9));
 }
--- a/system/magpiegap/src/coordinator/worker_client.rs
+++ b/system/magpiegap/src/coordinator/worker_client.rs
@@ -217,8 +217,8 @@
 }
 
 /// The reason of a refusal by its word on the wire.
-fn refusal_reason(word: &str) -> Option<RefusalReason> {
-    match word {
+fn refusal_reason(name: &str) -> Option<RefusalReason> {
+    match name {
         "fence" => Some(RefusalReason::StaleToken),
         "old" => Some(RefusalReason::Superseded),
         "late" => Some(RefusalReason::DeadlinePassed),
@@ -228,8 +228,8 @@
 }
 
 /// The kind of a completion by its word on the wire.
-fn completion_kind(word: &str) -> CompletionKind {
-    match word {
+fn completion_kind(name: &str) -> CompletionKind {
+    match name {
         "done" => CompletionKind::Done,
         "failed" => CompletionKind::Failed,
         "lapsed" => CompletionKind::LeaseExpired,
--- a/system/magpiegap/tests/command_line.rs
+++ b/system/magpiegap/tests/command_line.rs
@@ -12,8 +12,8 @@
 use magpiegap_storage::{FolderDirectory, Store};
 use std::path::{Path, PathBuf};
 
-fn accepts(words: &[&str]) -> bool {
-    parser().run_inner(words).is_ok()
+fn accepts(arguments: &[&str]) -> bool {
+    parser().run_inner(arguments).is_ok()
 }
 
 #[googletest::test]
@@ -95,13 +95,13 @@
 
 #[googletest::test]
 fn given_a_wrong_call_when_it_is_parsed_then_it_is_rejected() {
-    for words in [
+    for arguments in [
         &["dance"][..],
         &["config"],
         &["cluster", "status", "--at", "nowhere"],
         &["job", "status"],
     ] {
-        expect_that!(accepts(words), eq(false));
+        expect_that!(accepts(arguments), eq(false));
     }
 }
 
--- a/system/magpiegap/tests/data_folder.rs
+++ b/system/magpiegap/tests/data_folder.rs
@@ -508,12 +508,12 @@
         .collect();
     names.sort_unstable();
     expect_that!(names, eq(&["log-0", "log-1", "slot-0", "slot-1"]));
-    let kept: Vec<&str> = stored().iter().map(|(file, _)| *file).collect();
-    expect_that!(names, eq(&kept));
-    for (file, kept) in stored() {
+    let expected: Vec<&str> = stored().iter().map(|(file, _)| *file).collect();
+    expect_that!(names, eq(&expected));
+    for (file, expected) in stored() {
         expect_that!(
             hex(&std::fs::read(folder.join(file)).unwrap()),
-            eq(kept),
+            eq(expected),
             "{file}"
         );
     }
@@ -560,7 +560,7 @@
 }
 
 #[googletest::test]
-fn a_stored_folder_gives_the_whole_state_and_all_entries() {
+fn a_stored_folder_gives_the_complete_state_and_all_entries() {
     let entries = entries();
     let directory = FolderDirectory::new(&stored_folder("whole")).unwrap();
     let (_, recovered) = Store::open(directory).unwrap();
--- a/system/magpiegap/tests/job_bodies.rs
+++ b/system/magpiegap/tests/job_bodies.rs
@@ -105,7 +105,7 @@
 }
 
 #[googletest::test]
-fn numbers_are_cut_to_whole_ones_that_can_be_kept() {
+fn numbers_are_cut_to_integers_that_can_be_stored() {
     let step = StepSpec {
         count: 1,
         resources: Resources {
--- a/system/magpiegap/tests/worker_bodies.rs
+++ b/system/magpiegap/tests/worker_bodies.rs
@@ -361,9 +361,10 @@
         let said: serde_json::Value = serde_json::from_str(&text).unwrap();
         let step = &said["steps"][0];
         // Workers are greeted one after the other, and the run is listed a little later.
-        let settled = step["workers"]["not_answering"] == 0 && step["running"][0]["percent"] == 42;
-        let settled = settled && step["workers"]["known"] == 6;
-        if settled || Instant::now() >= until {
+        let is_stable =
+            step["workers"]["not_answering"] == 0 && step["running"][0]["percent"] == 42;
+        let is_stable = is_stable && step["workers"]["known"] == 6;
+        if is_stable || Instant::now() >= until {
             return step.clone();
         }
         sleep(PAUSE).await;
