Change texts at random by one module, for the settings' tests and the proxy's

Cause: `balancer/proxy/tests/mutations/` and `balancer/settings/tests/bad_input.rs` each had the generator and the mutations of a text, line by line. Change: `balancer/core/tests/common/mutations.rs` has both, beside the golden records that crates share the same way; separator, ends of values and values are the test's own, as before.

--- a/balancer/proxy/tests/bad_input_options.rs
+++ b/balancer/proxy/tests/bad_input_options.rs
@@ -3,7 +3,7 @@
 mod mutations;
 use balancer_proxy::options::Sources;
 use common::*;
-use mutations::{is_one_line, mutated, Numbers};
+use mutations::{is_one_line, mutations};
 use std::ffi::OsStr;
 use std::os::unix::ffi::OsStrExt;
 use std::process::Stdio;
@@ -120,10 +120,10 @@
     assert!(read(OPTIONS.as_bytes()).is_ok());
     let deep = format!("[log]\nparts = {}", "[".repeat(100_000));
     is_one_line(&read(deep.as_bytes()).expect_err("deep").to_line());
-    let mut numbers = Numbers(3);
+    let mut mutations = mutations(b'=', TOO_LONG, 3);
     let (mut taken, mut refused) = (0, 0);
     for _ in 0..3_000 {
-        match read(&mutated(OPTIONS, b'=', TOO_LONG, &mut numbers)) {
+        match read(&mutations.of(OPTIONS)) {
             Ok(loaded) => {
                 taken += 1;
                 // What is taken can be added to the clock.
--- a/balancer/proxy/tests/bad_input_read.rs
+++ b/balancer/proxy/tests/bad_input_read.rs
@@ -3,7 +3,7 @@
 use balancer_core::Balancer;
 use balancer_proxy::config::Config;
 use balancer_proxy::{Listing, Names};
-use mutations::{is_one_line, mutated, Numbers};
+use mutations::{is_one_line, mutations};
 
 const GOOD: &str = r#"{"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"8c1f30d27a5be964",
     "limits":{"cores":1.0,"sockets":1024},"peer_listen":"127.0.0.1:7","peers":["127.0.0.1:7","127.0.0.1:8"],
@@ -187,10 +187,10 @@
 
 #[test]
 fn mutated_configurations_are_refused_in_one_line_or_can_be_run_with() {
-    let mut numbers = Numbers(1);
+    let mut mutations = mutations(b':', TOO_LONG, 1);
     let (mut taken, mut refused, mut without_list) = (0, 0, 0);
     for _ in 0..20_000 {
-        match Config::parse(&mutated(GOOD, b':', TOO_LONG, &mut numbers)) {
+        match Config::parse(&mutations.of(GOOD)) {
             Ok(config) => {
                 taken += 1;
                 if let Some(error) = &config.known_error {
@@ -214,10 +214,10 @@
 
 #[test]
 fn mutated_lists_are_refused_in_one_line_or_taken() {
-    let (mut numbers, names) = (Numbers(2), names());
+    let (mut mutations, names) = (mutations(b':', TOO_LONG, 2), names());
     let (mut taken, mut refused) = (0, 0);
     for _ in 0..20_000 {
-        match Listing::parse(&mutated(LIST, b':', TOO_LONG, &mut numbers), &names) {
+        match Listing::parse(&mutations.of(LIST), &names) {
             Ok(listing) => {
                 taken += 1;
                 assert!(listing.endpoints().all(|m| (0.0..1e15).contains(&m.since)));
--- a/balancer/settings/tests/bad_input.rs
+++ b/balancer/settings/tests/bad_input.rs
@@ -1,9 +1,12 @@
 //! Settings that can't be used are refused with one line that names the field; whatever is taken can be run with.
+#[path = "../../core/tests/common/mutations.rs"]
+mod mutations;
 use balancer_core::{
     Action, Availability, Balancer, Ending, Endpoint, EndpointUpdate, Event, Request, RequestId,
     UpstreamId,
 };
 use balancer_settings::{deployment, Deployment};
+use mutations::{Mutations, SplitMix64};
 
 const GOOD: &str = r#"{"balancers": 2, "index": 1, "membership_mode": "on_request", "stage": 1, "zone": 0,
     "dcs": ["a", "b"], "kinds": ["m1", "m2"], "stats": {"columns": ["qps", "inflight"]},
@@ -16,23 +19,6 @@
     "invariants": {"cold_from": 0.2, "ramp_time": 9000, "tip_multiple": 3, "ask_within": 9000},
     "charges": {"cross_zone": 0.1}}"#;
 
-/// A small generator (SplitMix64): the same numbers for the same seed, always.
-struct Numbers(u64);
-
-impl Numbers {
-    fn next(&mut self) -> u64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut z = self.0;
-        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        z ^ (z >> 31)
-    }
-
-    fn below(&mut self, n: usize) -> usize {
-        (self.next() % n.max(1) as u64) as usize
-    }
-}
-
 /// What may stand where a value was.
 const VALUES: [&str; 26] = [
     "null",
@@ -63,41 +49,6 @@
     "[[[[[[[[",
 ];
 
-/// One change or two of a text: a value replaced, a byte changed, a span taken out, doubled or cut off.
-fn mutated(text: &[u8], numbers: &mut Numbers) -> Vec<u8> {
-    let mut bytes = text.to_vec();
-    for _ in 0..=numbers.below(2) {
-        let at = numbers.below(bytes.len());
-        let to = (at + 1 + numbers.below(30)).min(bytes.len());
-        match numbers.below(10) {
-            0 => bytes.truncate(at),
-            1 => bytes
-                .iter_mut()
-                .skip(at)
-                .take(1)
-                .for_each(|b| *b = (numbers.next() & 0xff) as u8),
-            2 => drop(bytes.drain(at..to)),
-            3 => {
-                let again = bytes[at..to].to_vec();
-                bytes.splice(at..at, again);
-            }
-            _ => {
-                let from = bytes[at..]
-                    .iter()
-                    .position(|b| *b == b':')
-                    .map_or(at, |p| at + p + 1);
-                let ends = |b: &u8| matches!(b, b',' | b'}' | b']');
-                let end = bytes[from..]
-                    .iter()
-                    .position(ends)
-                    .map_or(bytes.len(), |p| from + p);
-                bytes.splice(from..end, VALUES[numbers.below(VALUES.len())].bytes());
-            }
-        }
-    }
-    bytes
-}
-
 /// Runs a balancer with these settings for a few seconds: it may do what it likes, but neither panic nor ask for a time
 /// that is none.
 fn play(deployment: &Deployment, seed: u64) {
@@ -388,10 +339,15 @@
 
 #[test]
 fn mutated_settings_are_refused_in_one_line_or_can_be_run_with() {
-    let mut numbers = Numbers(20_261_202);
+    let mut mutations = Mutations {
+        separator: b':',
+        value_ends: b",}]",
+        values: VALUES.to_vec(),
+        generator: SplitMix64(20_261_202),
+    };
     let (mut taken, mut refused) = (0, 0);
     for round in 0..40_000 {
-        let text = mutated(GOOD.as_bytes(), &mut numbers);
+        let text = mutations.of(GOOD);
         match deployment(&text) {
             Ok(deployment) => {
                 taken += 1;
