Name the counter of failed members as the membership protocol does

Cause: `Counters::gone` was the last withdrawn word in the gossip's names. Change: it is `failed`, as in the membership's own counters; the metric keeps its key.

--- a/balancer/gossip/src/peers.rs
+++ b/balancer/gossip/src/peers.rs
@@ -209,7 +209,7 @@
         let counters = self.membership.counters;
         Counters {
             suspected: counters.suspected,
-            gone: counters.failed,
+            failed: counters.failed,
             steps: self.negotiation.steps(),
             ..self.counts
         }
--- a/balancer/gossip/src/types.rs
+++ b/balancer/gossip/src/types.rs
@@ -210,7 +210,7 @@
     /// Members newly suspected, and declared failed.
     pub suspected: u64,
     /// See there.
-    pub gone: u64,
+    pub failed: u64,
     /// Changes of the version spoken.
     pub steps: u64,
 }
--- a/balancer/gossip/tests/hostile_datagrams.rs
+++ b/balancer/gossip/tests/hostile_datagrams.rs
@@ -62,7 +62,7 @@
         // One is killed; a minute later all datagrams of before are replayed.
         sim.kill(2);
         sim.run(60_000.0);
-        let failed = sim.with(0, |peers, _| peers.counts().gone);
+        let failed = sim.with(0, |peers, _| peers.counts().failed);
         for (from, to, bytes) in recorded {
             sim.post(from, to, bytes);
         }
@@ -72,6 +72,6 @@
                 prop_assert_eq!(sim.tier_state(at).up, 5);
             }
         }
-        prop_assert_eq!(sim.with(0, |peers, _| peers.counts().gone), failed);
+        prop_assert_eq!(sim.with(0, |peers, _| peers.counts().failed), failed);
     }
 }
--- a/balancer/gossip/tests/tier.rs
+++ b/balancer/gossip/tests/tier.rs
@@ -153,10 +153,10 @@
     };
     let mut sim = Sim::tier(60, 9, net, 11);
     sim.run(600_000.0);
-    let gone: u64 = (0..60)
-        .map(|at| sim.with(at, |peers, _| peers.counts().gone))
+    let failed: u64 = (0..60)
+        .map(|at| sim.with(at, |peers, _| peers.counts().failed))
         .sum();
-    assert_eq!(gone, 0);
+    assert_eq!(failed, 0);
     assert_eq!(agree(&mut sim, 60), 1.0);
 }
 
@@ -217,10 +217,14 @@
     // A replica is paused for 20 s; what it sends and receives of the past brings nobody down when it resumes.
     sim.pause(7, 20_000.0);
     sim.run(19_900.0);
-    let gone = |sim: &mut Sim, at: usize| sim.with(at, |peers, _| peers.counts().gone);
-    let before = gone(&mut sim, 7);
+    let failed = |sim: &mut Sim, at: usize| sim.with(at, |peers, _| peers.counts().failed);
+    let before = failed(&mut sim, 7);
     run_until(&mut sim, 5_000.0, |sim| agree(sim, 24) == 1.0);
-    assert_eq!(gone(&mut sim, 7), before, "it was paused; nobody else was");
+    assert_eq!(
+        failed(&mut sim, 7),
+        before,
+        "it was paused; nobody else was"
+    );
     // A member restarts under an incarnation below the one remembered.
     sim.restart(9, 3);
     sim.run(3_000.0);
--- a/balancer/proxy/src/peers/convert.rs
+++ b/balancer/proxy/src/peers/convert.rs
@@ -114,7 +114,7 @@
         epoch: state.epoch,
         version_changes: counters.steps,
         suspected: counters.suspected,
-        removed: counters.gone,
+        removed: counters.failed,
         sums: state.sums.as_ref().map(sum_metrics),
         evidence: state.evidence.len() as u64,
         evidence_age_ms: evidence_ages.max_by(f64::total_cmp),
