Let a learner take nothing for committed that a chain too short holds

Cause: a chain with fewer members than may be lost, and one more, commits nothing: its tail waits. A learner that had caught up with such a tail took what was on the tail's disk for committed all the same, and applied it. If that one disk was then lost, the learner's state held what nobody else would ever have. Change: the learner asks the same question as the tail (`keeps_replica`).

--- a/system/control/src/catch_up.rs
+++ b/system/control/src/catch_up.rs
@@ -68,8 +68,10 @@
                 self.chain.log.push(entry);
             }
         }
-        if self.chain.activity == Activity::Following {
-            // What is on the tail's disk is on all disks of the chain.
+        let commits = self.keeps_replica(&self.agreement.current().chain);
+        if self.chain.activity == Activity::Following && commits {
+            // What is on the tail's disk is on all disks of the chain. One that is too short for what may be lost commits
+            // nothing, whatever is on its disks.
             self.chain.record_committed(durable);
         }
     }
--- a/system/control/tests/joining.rs
+++ b/system/control/tests/joining.rs
@@ -421,3 +421,32 @@
     };
     expect_that!(joining.poll_outputs().iter().any(is_request), eq(true));
 }
+
+#[googletest::test]
+fn given_a_learner_that_has_caught_up_when_the_tail_tells_what_is_durable_then_only_a_long_enough_chain_commits_it(
+) {
+    let (head, second, own) = (replica(1, 0), replica(2, 7), replica(3, 8));
+    // One machine may be lost: what is on one disk only is not committed.
+    for (chain, committed) in [(vec![head], 0), (vec![second, head], 3)] {
+        let disk = DurableState::empty(8, None, Vec::new(), no_state());
+        let mut learner = started(settings(own, vec![1]), disk);
+        let view = View::initial(vec![head.member]).next(vec![head.member], chain.clone());
+        let decided = PeerMessage::Decided(view);
+        learner.handle_messages(0, WallMillis(0), head, decided, &mut NoState);
+        let missing = PeerMessage::MissingEntries {
+            view: ViewNumber(1),
+            after: LogIndex(0),
+            entries: vec![entry(1)],
+            more: false,
+        };
+        learner.handle_messages(10, WallMillis(0), head, missing, &mut NoState);
+        let append = PeerMessage::Append {
+            view: ViewNumber(1),
+            after: LogIndex(1),
+            entries: vec![entry(2), entry(3)],
+            durable: LogIndex(3),
+        };
+        learner.handle_messages(20, WallMillis(0), head, append, &mut NoState);
+        expect_that!(learner.commit_index().0, eq(committed), "{chain:?}");
+    }
+}
