Recognise a disk that was put back from an old copy, and let it neither vote nor lead

Cause: such a disk brings its name back, and has forgotten votes and entries that others count on. Change: each disk counts the starts on it. Heartbeats tell that number, what was read at the start, and what has been confirmed since; others note it, with their votes on disk. A process whose disk is behind the note, or behind what a member of the newest chain must hold, is told so: it neither votes nor holds itself complete, and proposers count none of its votes. A voter counts its disk only once a majority has heard it and nobody has objected; what comes before that waits. Where the others serve in a chain without it, the coordinator empties the disk and rejoins with another name, without ending; otherwise the disk stays as it is. Old bytes on disk and on the wire stay as they were: the new fields are optional ones at the end. Comments of that file that a renaming had garbled are mended.

--- a/system/control/src/agreement.rs
+++ b/system/control/src/agreement.rs
@@ -46,7 +46,9 @@
 }
 
 impl Agreement {
-    pub(crate) fn new(state: AgreementState) -> Agreement {
+    pub(crate) fn new(mut state: AgreementState) -> Agreement {
+        // Those are owned by `own_disk` and `disk_notes`.
+        state.disks = None;
         let highest_round_seen = state.promised.map_or(0, |ballot| ballot.round);
         Agreement {
             state,
--- a/system/control/src/chain.rs
+++ b/system/control/src/chain.rs
@@ -38,6 +38,11 @@
         self.chain.activity == Activity::Active && !self.agreement.is_sealed()
     }
 
+    /// Whether the log holds what is committed up to where it ends: this replica is active, or has caught up.
+    pub(crate) fn holds_committed(&self) -> bool {
+        matches!(self.chain.activity, Activity::Active | Activity::Following)
+    }
+
     /// Whether writes enter here.
     pub fn is_head(&self) -> bool {
         self.is_active() && self.own_position() == Some(0)
--- a/system/control/src/disk_tickets.rs
+++ b/system/control/src/disk_tickets.rs
@@ -1,6 +1,6 @@
 //! The disk work that a replica waits for. It owns the order of that work and what each piece of it releases; what is
 //! written is up to the replica.
-use magpiegap_protocol::{LogIndex, Millis, PeerMessage};
+use magpiegap_protocol::{DiskProgress, LogIndex, Millis, PeerMessage};
 use std::collections::VecDeque;
 
 /// What disk work releases once it is durable.
@@ -10,6 +10,8 @@
     Send { to: u32, message: PeerMessage },
     /// Entries up to this one are on disk.
     EntriesDurable(LogIndex),
+    /// The votes of this replica are on disk as they stand here.
+    VotesDurable(DiskProgress),
     /// What was read at the start is surely on disk.
     Started,
 }
--- a/system/control/src/durable_state.rs
+++ b/system/control/src/durable_state.rs
@@ -1,8 +1,8 @@
 //! What a replica has on disk, and its encoding.
 use crate::state_machine::{EncodedSnapshot, StateSnapshot};
 use magpiegap_protocol::{
-    decode, encode, AcceptedView, Ballot, DecodeError, Entry, LogIndex, LogPosition, Member, View,
-    ViewNumber,
+    decode, encode, AcceptedView, Ballot, DecodeError, DiskNote, DiskProgress, Entry, LogIndex,
+    LogPosition, Member, View, ViewNumber,
 };
 use minicbor::{Decode, Encode};
 use std::sync::Arc;
@@ -19,6 +19,32 @@
     /// What was accepted for the next view.
     #[n(2)]
     pub accepted: Option<AcceptedView>,
+    /// What tells this disk, and those of the others, from old copies; `None`: an earlier build has written this.
+    #[n(3)]
+    pub disks: Option<DiskRecords>,
+}
+
+/// What tells disks from old copies of them (see [`DiskNote`]).
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct DiskRecords {
+    /// How many processes have started on this disk.
+    #[n(0)]
+    pub boot: u64,
+    /// What was noted of the disks of others.
+    #[n(1)]
+    pub notes: Vec<DiskNote>,
+}
+
+impl AgreementState {
+    /// How far a disk with this state has come, when its log ends there.
+    pub(crate) fn progress(&self, last: LogPosition) -> DiskProgress {
+        DiskProgress {
+            view: self.current.number,
+            promised: self.promised,
+            accepted: self.accepted.as_ref().map(|accepted| accepted.ballot),
+            committed: last,
+        }
+    }
 }
 
 /// One record of the log on disk.
@@ -90,6 +116,7 @@
             current: View::initial(voters),
             promised: None,
             accepted: None,
+            disks: None,
         };
         DurableState {
             disk,
--- a/system/control/src/inputs.rs
+++ b/system/control/src/inputs.rs
@@ -28,11 +28,13 @@
         }
         if now >= self.next_heartbeat_at {
             self.next_heartbeat_at = now + self.heartbeat_interval(now);
+            self.record_disk_progress();
             self.send_heartbeats(now, own_wall);
             self.record_commit_index(now);
             self.membership.expire_peers(now);
             self.expire_outgoing_snapshot(now);
         }
+        self.confirm_disk(now, own_wall, machine);
         self.check_view(now);
         self.request_missing_if_needed(now);
         if self.tickets.needs_checkpoint(CHECKPOINT_BYTES) {
@@ -51,7 +53,16 @@
         machine: &mut dyn StateMachine,
     ) {
         match message {
-            PeerMessage::Heartbeat(heartbeat) => self.handle_heartbeat(from, &heartbeat, now),
+            PeerMessage::Heartbeat(heartbeat) => {
+                self.handle_heartbeat(from, &heartbeat, now);
+                self.confirm_disk(now, wall, machine);
+            }
+            PeerMessage::StaleDisk(objection) => self.handle_stale_disk(from, &objection),
+            message @ (PeerMessage::Prepare { .. } | PeerMessage::Accept { .. })
+                if !self.own_disk.is_confirmed() =>
+            {
+                self.own_disk.hold(from, message)
+            }
             PeerMessage::Prepare { number, ballot } => {
                 self.handle_prepare(from, number, ballot, now)
             }
@@ -165,16 +176,20 @@
                 let disk = &mut self.chain.disk;
                 disk.durable = disk.durable.max(index);
             }
+            OnDurable::VotesDurable(votes) => self.own_disk.record_votes(votes),
             OnDurable::Started => self.started = true,
         }
     }
 
     fn handle_heartbeat(&mut self, from: ReplicaId, heartbeat: &Heartbeat, now: Millis) {
-        if self.membership.handle_heartbeat(from, heartbeat, now) {
+        let counts = self.check_disk(from, heartbeat, now);
+        if counts && self.membership.handle_heartbeat(from, heartbeat, now) {
             // It waits for a heartbeat that says that it is heard.
             self.next_heartbeat_at = now;
         }
-        self.record_quorum_contact(from, heartbeat);
+        if counts {
+            self.record_quorum_contact(from, heartbeat);
+        }
         let current = self.view();
         if heartbeat.view < current.number {
             let decided = PeerMessage::Decided(current.clone());
@@ -215,6 +230,7 @@
             wall_ms: own_wall,
             committed: self.chain.committed,
             complete: self.is_complete(),
+            disk: Some(Box::new(self.own_disk.report())),
         };
         for address in self.membership.monitors(now) {
             self.send(address, PeerMessage::Heartbeat(heartbeat.clone()));
--- a/system/control/src/log.rs
+++ b/system/control/src/log.rs
@@ -53,6 +53,14 @@
         self.entries.get(usize::try_from(offset).ok()?)
     }
 
+    /// The position of an entry; `None`: it is not known any more.
+    pub(crate) fn position(&self, index: LogIndex) -> Option<LogPosition> {
+        if index == self.compacted.index {
+            return Some(self.compacted);
+        }
+        self.get(index).map(|entry| entry.position)
+    }
+
     /// All entries after this one; `None` when they are not all in memory.
     pub(crate) fn after(&self, index: LogIndex) -> Option<Vec<Entry>> {
         self.batch_after(index, usize::MAX)
--- a/system/control/src/replica.rs
+++ b/system/control/src/replica.rs
@@ -3,18 +3,20 @@
 use crate::{
     agreement::Agreement,
     chain_state::{Activity, Chain},
+    disk_notes::DiskNotes,
     disk_tickets::{DiskTickets, OnDurable},
-    durable_state::{DurableRecord, DurableState},
+    durable_state::{AgreementState, DiskRecords, DurableRecord, DurableState},
     fitness::Fitness,
     log::Log,
     membership::Membership,
+    own_disk::OwnDisk,
     quorum_contact::QuorumContact,
     settings::ControlSettings,
     view_timer::ViewTimer,
     StateMachine,
 };
 use magpiegap_protocol::{
-    Entry, LogIndex, Millis, PeerMessage, ReplicaId, View, ViewNumber, WallMillis,
+    Entry, LogIndex, LogPosition, Millis, PeerMessage, ReplicaId, View, ViewNumber, WallMillis,
 };
 
 /// How long a proof of quorum contact counts, in milliseconds: a majority confirmed by echoed heartbeats, at most this long
@@ -46,6 +48,9 @@
         /// What to keep.
         snapshot: Box<DurableState>,
     },
+    /// The disk is an old copy, and the others serve without it: it can be emptied, so that this machine rejoins with
+    /// another one.
+    DiskSuperseded,
     /// A line for the operator's log.
     Log(String),
 }
@@ -61,8 +66,9 @@
     /// The view up to which this replica has all that was committed.
     pub(crate) synchronized: Option<ViewNumber>,
     pub(crate) view_timer: ViewTimer,
-    /// Names this incarnation of the disk.
-    disk: u64,
+    pub(crate) own_disk: OwnDisk,
+    /// What was noted of the disks of others.
+    pub(crate) disk_notes: DiskNotes,
     /// What was read at the start is surely on disk, with the name of the disk: from here on others may hear of it.
     pub(crate) started: bool,
     pub(crate) fitness: Fitness,
@@ -77,7 +83,14 @@
     ///
     /// What was read may be there only because the process before was killed, and may not outlast a loss of power. So the
     /// first thing that the replica wants is that all of it is written anew; until that is done it sends nothing.
-    pub fn new(settings: ControlSettings, durable: DurableState, now: Millis) -> Replica {
+    pub fn new(settings: ControlSettings, mut durable: DurableState, now: Millis) -> Replica {
+        let own_disk = OwnDisk::new(&durable);
+        let disks = durable
+            .agreement
+            .disks
+            .get_or_insert_with(DiskRecords::default);
+        disks.boot = own_disk.boot;
+        let disk_notes = DiskNotes::new(disks.notes.clone());
         let membership = Membership::new(&settings, &durable.agreement.current);
         let log = Log::new(durable.applied, durable.entries.clone());
         let last = log.last().index;
@@ -97,7 +110,8 @@
             quorum_contact: QuorumContact::default(),
             chain,
             synchronized: durable.synchronized,
-            disk: durable.disk,
+            own_disk,
+            disk_notes,
             started: false,
             fitness: Fitness::default(),
             next_heartbeat_at: now,
@@ -198,6 +212,22 @@
         self.fitness.is_unfit(self.tickets.oldest_issued_at(), now)
     }
 
+    /// The state of the agreement as it is kept on disk.
+    pub(crate) fn durable_agreement(&self) -> AgreementState {
+        AgreementState {
+            disks: Some(DiskRecords {
+                boot: self.own_disk.boot,
+                notes: self.disk_notes.to_vec(),
+            }),
+            ..self.agreement.state().clone()
+        }
+    }
+
+    /// Adds an output.
+    pub(crate) fn output(&mut self, output: Output) {
+        self.outputs.push(output);
+    }
+
     /// Adds a line to the operator's log.
     pub(crate) fn log(&mut self, line: String) {
         self.outputs.push(Output::Log(line));
@@ -224,8 +254,8 @@
     pub(crate) fn checkpoint(&mut self, now: Millis, machine: &mut dyn StateMachine) {
         let last = self.chain.log.last().index;
         let snapshot = DurableState {
-            disk: self.disk,
-            agreement: self.agreement.state().clone(),
+            disk: self.own_disk.name,
+            agreement: self.durable_agreement(),
             synchronized: self.synchronized,
             applied: machine.position(),
             state: machine.snapshot(),
@@ -233,7 +263,12 @@
             committed: self.chain.committed.min(last),
         };
         self.chain.disk.submitted = last;
-        self.write_checkpoint(snapshot, vec![OnDurable::EntriesDurable(last)], now);
+        let votes = snapshot.agreement.progress(LogPosition::default());
+        let on_durable = vec![
+            OnDurable::EntriesDurable(last),
+            OnDurable::VotesDurable(votes),
+        ];
+        self.write_checkpoint(snapshot, on_durable, now);
     }
 
     /// Issues a checkpoint of this state.
--- a/system/control/src/view_change.rs
+++ b/system/control/src/view_change.rs
@@ -10,6 +10,9 @@
 impl Replica {
     /// Proposes the next view when one is needed and it is this replica's turn.
     pub(crate) fn check_view(&mut self, now: Millis) {
+        if self.own_disk.is_stale() {
+            return;
+        }
         if self
             .agreement
             .round
--- a/system/control/src/view_composition.rs
+++ b/system/control/src/view_composition.rs
@@ -10,8 +10,10 @@
     /// Whether this replica's disk has all that was committed so far.
     pub(crate) fn is_complete(&self) -> bool {
         let current = self.agreement.current();
-        self.synchronized
-            .is_some_and(|view| current.complete_since(view, &self.settings.own.member))
+        !self.own_disk.is_stale()
+            && self
+                .synchronized
+                .is_some_and(|view| current.complete_since(view, &self.settings.own.member))
     }
 
     /// All replicas that are reachable and fit, this one included. The unfit ones count where there would be too few
--- a/system/control/src/voting.rs
+++ b/system/control/src/voting.rs
@@ -5,7 +5,7 @@
     replica::Replica, StateMachine,
 };
 use magpiegap_protocol::{
-    Ballot, Member, Millis, PeerMessage, Promise, ReplicaId, View, ViewNumber,
+    Ballot, LogPosition, Member, Millis, PeerMessage, Promise, ReplicaId, View, ViewNumber,
 };
 use std::collections::BTreeSet;
 
@@ -67,7 +67,8 @@
             self.send(from.member.address, decided);
             return false;
         }
-        number == current.number.next() && current.voters.contains(&self.settings.own.member)
+        let votes = current.voters.contains(&self.settings.own.member);
+        number == current.number.next() && votes && self.own_disk.is_confirmed()
     }
 
     /// Handles a promise: a voter takes part in this replica's round.
@@ -80,6 +81,9 @@
         if promise.number != number || promise.ballot != round.ballot || !voter {
             return;
         }
+        if self.disk_notes.is_stale(&from) {
+            return;
+        }
         round.promises.insert(from.member, promise);
         self.propose_view(now);
     }
@@ -157,6 +161,9 @@
         if number != current.number.next() || !current.voters.contains(&from.member) {
             return;
         }
+        if self.disk_notes.is_stale(&from) {
+            return;
+        }
         let majority = current.majority();
         let Some(round) = self
             .agreement
@@ -222,14 +229,22 @@
         self.next_heartbeat_at = now;
         self.membership.start_view(view);
         self.quorum_contact.retain_members(view);
+        self.disk_notes.retain_members(view);
         self.persist_agreement(Vec::new(), now);
         self.log(format!("view {}: {}", view.number, describe(view)));
         self.enter_view(view, now, machine);
     }
 
-    fn persist_agreement(&mut self, after: Vec<OnDurable>, now: Millis) {
-        let state = Box::new(self.agreement.state().clone());
-        self.persist(vec![DurableRecord::Agreement(state)], after, now);
+    /// Writes the state of the agreement to disk, then does what rests on it.
+    pub(crate) fn persist_agreement(&mut self, after: Vec<OnDurable>, now: Millis) {
+        let state = self.durable_agreement();
+        let votes = state.progress(LogPosition::default());
+        let on_durable = after
+            .into_iter()
+            .chain([OnDurable::VotesDurable(votes)])
+            .collect();
+        let record = DurableRecord::Agreement(Box::new(state));
+        self.persist(vec![record], on_durable, now);
     }
 }
 
--- a/system/control/tests/common/group.rs
+++ b/system/control/tests/common/group.rs
@@ -55,6 +55,12 @@
     pub history: BTreeMap<u64, ProposalId>,
     /// Indexes under which another replica has applied something else.
     pub contradictions: Vec<u64>,
+    /// Machines whose disks were found to be old copies that are not needed, in that order.
+    pub superseded: Vec<u32>,
+    /// Those of them that are to start anew.
+    to_empty: Vec<u32>,
+    /// Copies of disks that were taken at some time.
+    copies: BTreeMap<u32, DurableState>,
     running: BTreeMap<u32, Running>,
     disks: BTreeMap<u32, DurableState>,
     events: BTreeMap<(Millis, u64), Event>,
@@ -96,6 +102,9 @@
             random: None,
             history: BTreeMap::new(),
             contradictions: Vec::new(),
+            superseded: Vec::new(),
+            to_empty: Vec::new(),
+            copies: BTreeMap::new(),
             running: BTreeMap::new(),
             disks: BTreeMap::new(),
             events: BTreeMap::new(),
@@ -248,6 +257,7 @@
                 self.perform(address);
             }
             self.compare();
+            self.empty_superseded();
         }
     }
 }
--- a/system/control/tests/common/group/delivery.rs
+++ b/system/control/tests/common/group/delivery.rs
@@ -20,14 +20,15 @@
             .first_entry()
             .filter(|first| first.key().0 <= self.now)
         {
-            let event = first.remove();
+            let ((_, sequence), event) = first.remove_entry();
             let at = match &event {
                 Event::Message { to, .. } => *to,
                 Event::Persisted { address, .. } => *address,
             };
             if self.is_frozen(at) {
                 let until = self.frozen_until[&at];
-                self.schedule_at(until, event);
+                // It keeps its place: messages on a link arrive, and a disk confirms, in order.
+                self.events.insert((until, sequence), event);
                 continue;
             }
             match event {
@@ -88,6 +89,7 @@
                 Output::Checkpoint { ticket, snapshot } => {
                     self.write_disk(own, ticket, DiskChange::Checkpoint(snapshot));
                 }
+                Output::DiskSuperseded => self.to_empty.push(address),
                 Output::Log(_) => {}
             }
         }
--- a/system/control/tests/common/group/machines.rs
+++ b/system/control/tests/common/group/machines.rs
@@ -72,6 +72,27 @@
             .insert(address, DurableState::empty(disk, None, Vec::new(), state));
     }
 
+    /// Takes a copy of a machine's disk, as it would outlast a loss of power.
+    pub(crate) fn copy_disk(&mut self, address: u32) {
+        self.copies.insert(address, self.disks[&address].clone());
+    }
+
+    /// Puts the disk of a machine whose process does not run back from its copy.
+    pub(crate) fn put_back(&mut self, address: u32) {
+        let copy = self.copies[&address].clone();
+        self.disks.insert(address, copy);
+    }
+
+    /// Machines whose processes have given their disks up start anew with empty ones.
+    pub(super) fn empty_superseded(&mut self) {
+        for address in std::mem::take(&mut self.to_empty) {
+            self.superseded.push(address);
+            self.stop_replica(address);
+            self.wipe(address);
+            self.start_replica(address);
+        }
+    }
+
     /// A machine is removed for good, and an empty one starts at another address.
     pub(crate) fn replace(&mut self, removed: u32, new: u32) {
         self.running.remove(&removed);
--- a/system/control/tests/common/mod.rs
+++ b/system/control/tests/common/mod.rs
@@ -83,6 +83,7 @@
         location: Location::default(),
         sent_at: 0,
         sealed: false,
+        disk: None,
     }
 }
 
--- a/system/control/tests/model/initial_worlds.rs
+++ b/system/control/tests/model/initial_worlds.rs
@@ -33,6 +33,21 @@
     world
 }
 
+/// A world in which each disk was copied before the last entries, and before the view in which they were written.
+pub(crate) fn with_copies(size: usize, tolerance: usize, budget: Budget) -> World {
+    let mut world = serving(size, tolerance, budget);
+    world.copy_disks();
+    let head = (0..size)
+        .find(|machine| world.replica(*machine).is_some_and(Replica::is_head))
+        .unwrap_or(0);
+    world.lose_power(head);
+    world.start(head, tolerance);
+    world.run_ticks(12);
+    world.write();
+    world.run_ticks(2);
+    world
+}
+
 /// A world in which a machine with an empty disk is about to come back.
 pub(crate) fn with_a_wiped_one(size: usize, tolerance: usize, budget: Budget) -> World {
     let mut world = serving(size, tolerance, budget);
--- a/system/control/tests/model/main.rs
+++ b/system/control/tests/model/main.rs
@@ -2,8 +2,8 @@
 //! power, partitions, and machines that freeze.
 //!
 //! Each step is one of: a message arrives or is lost, all that is in flight arrives, a disk confirms what was submitted to
-//! it, time passes, a write or a read comes, a process is killed, a machine loses power or its disk, starts again, is cut
-//! off or freezes. Time passes for all at once, and heartbeats arrive while it does, except at frozen machines, where they wait. How
+//! it, time passes, a write or a read comes, a process is killed, a machine loses power or its disk, gets its disk back from
+//! an old copy, starts again, is cut off or freezes. Time passes for all at once, and heartbeats arrive while it does, except at frozen machines, where they wait. How
 //! much of each may happen is bounded (`Budget`); within that breadth-first search takes every order of steps up to a
 //! number of states, and random walks go on far beyond it.
 #[path = "../common/mod.rs"]
@@ -14,7 +14,7 @@
 mod steps;
 mod world;
 
-use initial_worlds::{all_powered_off, serving, with_a_wiped_one, without_one};
+use initial_worlds::{all_powered_off, serving, with_a_wiped_one, with_copies, without_one};
 use stateright::{Checker, HasDiscoveries, Model, UniformChooser};
 use steps::Core;
 use world::{Budget, World, NOTHING};
@@ -142,6 +142,26 @@
     );
 }
 
+#[test]
+fn given_old_copies_of_all_disks_when_one_is_put_back_and_others_lose_power_then_nothing_is_lost() {
+    let budget = Budget {
+        ticks: 16,
+        writes: 2,
+        reads: 1,
+        restores: 1,
+        kills: 1,
+        power_losses: 2,
+        ..NOTHING
+    };
+    explore(
+        "old copy",
+        1,
+        vec![with_copies(3, 1, budget)],
+        30_000,
+        60_000,
+    );
+}
+
 #[test]
 fn given_five_when_two_disks_and_the_power_of_the_others_are_lost_then_nothing_is_lost() {
     let budget = Budget {
--- a/system/control/tests/model/running.rs
+++ b/system/control/tests/model/running.rs
@@ -64,6 +64,25 @@
         wiped.synced = empty;
     }
 
+    /// Takes a copy of each disk, as an operator does while the machines run.
+    pub(crate) fn copy_disks(&mut self) {
+        for machine in &mut self.machines {
+            machine.copy = Some(Box::new(machine.synced.clone()));
+        }
+    }
+
+    /// Ends a machine's process and puts its disk back from the copy.
+    pub(crate) fn restore(&mut self, machine: usize) {
+        self.end(machine);
+        let restored = &mut self.machines[machine];
+        let Some(copy) = restored.copy.clone() else {
+            return;
+        };
+        restored.pending.clear();
+        restored.disk = (*copy).clone();
+        restored.synced = *copy;
+    }
+
     /// Takes a step at a process, and does what it wants done.
     pub(crate) fn with(
         &mut self,
@@ -98,6 +117,10 @@
             for output in outputs {
                 self.perform_one(machine, own, output);
             }
+            if self.machines[machine].is_superseded {
+                self.machines[machine].is_superseded = false;
+                self.wipe(machine);
+            }
         }
     }
 
@@ -114,6 +137,7 @@
                     .push_back((ticket, DiskChange::Checkpoint(snapshot)));
             }
             Output::Send { to, message } => self.send(machine, own, (to - 1) as usize, message),
+            Output::DiskSuperseded => self.machines[machine].is_superseded = true,
             Output::Log(_) => {}
         }
     }
--- a/system/control/tests/model/steps.rs
+++ b/system/control/tests/model/steps.rs
@@ -22,6 +22,8 @@
     Kill(usize),
     LosePower(usize),
     Wipe(usize),
+    /// A machine loses power, and its disk is put back from a copy.
+    Restore(usize),
     Start(usize),
     Partition(usize),
     Reconnect(usize),
@@ -40,13 +42,16 @@
     fn faults(world: &World, machine: usize) -> Vec<Step> {
         let budget = world.budget;
         let known = &world.machines[machine];
+        let can_restore = budget.restores * u8::from(known.copy.is_some());
         if known.process.is_none() {
-            return vec![Step::Start(machine)];
+            let restore = (can_restore > 0).then_some(Step::Restore(machine));
+            return restore.into_iter().chain([Step::Start(machine)]).collect();
         }
         let possible = [
             (budget.kills, Step::Kill(machine)),
             (budget.power_losses, Step::LosePower(machine)),
             (budget.wipes, Step::Wipe(machine)),
+            (can_restore, Step::Restore(machine)),
             (
                 budget.partitions * u8::from(!known.is_partitioned),
                 Step::Partition(machine),
@@ -144,6 +149,10 @@
                 world.budget.wipes -= 1;
                 world.wipe(machine);
             }
+            Step::Restore(machine) => {
+                world.budget.restores -= 1;
+                world.restore(machine);
+            }
             Step::Start(machine) => world.start(machine, self.tolerance),
             Step::Partition(machine) => {
                 world.budget.partitions -= 1;
@@ -169,7 +178,9 @@
             Property::always(
                 "what is acknowledged is on as many disks as no loss takes",
                 |core: &Core, world: &World| {
-                    let lost = core.worlds[0].budget.wipes - world.budget.wipes;
+                    let had = core.worlds[0].budget;
+                    let lost =
+                        had.wipes - world.budget.wipes + had.restores - world.budget.restores;
                     let min_replicas = (core.tolerance + 1).saturating_sub(usize::from(lost));
                     world.history.iter().all(|(index, proposal)| {
                         world.replicas_with(*index, *proposal) >= min_replicas
--- a/system/control/tests/model/world.rs
+++ b/system/control/tests/model/world.rs
@@ -23,6 +23,8 @@
     pub kills: u8,
     pub power_losses: u8,
     pub wipes: u8,
+    /// Disks that are put back from the copy that was taken of them.
+    pub restores: u8,
     pub partitions: u8,
     pub freezes: u8,
 }
@@ -35,6 +37,7 @@
     kills: 0,
     power_losses: 0,
     wipes: 0,
+    restores: 0,
     partitions: 0,
     freezes: 0,
 };
@@ -46,6 +49,10 @@
     pub disk: DurableState,
     /// What of that outlasts a loss of power.
     pub synced: DurableState,
+    /// A copy of the disk that was taken at some time.
+    pub copy: Option<Box<DurableState>>,
+    /// Its process has found the disk to be an old copy that is not needed.
+    pub is_superseded: bool,
     /// Submitted to the disk and not confirmed.
     pub pending: VecDeque<(u64, DiskChange)>,
     pub process: Option<(Replica, CountingState)>,
@@ -98,6 +105,8 @@
         let machine = |_| Machine {
             disk: empty.clone(),
             synced: empty.clone(),
+            copy: None,
+            is_superseded: false,
             pending: VecDeque::new(),
             process: None,
             is_partitioned: false,
--- a/system/control/tests/turmoil.rs
+++ b/system/control/tests/turmoil.rs
@@ -1,15 +1,17 @@
-//! Whatever goes violations within what may be lost, no committed entry is lost or replaced by another one.
+//! Whatever goes wrong within what may be lost, no committed entry is lost or replaced by another one.
 mod common;
 
 use common::group::Group;
 use rand::{rngs::StdRng, Rng, SeedableRng};
 
-/// How long things go violations, in milliseconds.
+/// How long faults come, in milliseconds.
 const TURMOIL_MS: u64 = 12_000;
-/// Longest time that one thing goes violations.
+/// Longest time that one fault lasts.
 const MAX_FAULT_MS: u64 = 1500;
+/// What is on a disk is known to others after a heartbeat; a copy is at least so old.
+const MIN_COPY_AGE_MS: u64 = 200;
 
-/// What goes violations next.
+/// What goes wrong next.
 #[derive(Clone, Debug)]
 enum Fault {
     /// A process is killed, and its disk has all that it wrote.
@@ -44,6 +46,15 @@
     }
 }
 
+/// What becomes of a disk that is lost.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum DiskLoss {
+    /// It is empty.
+    Wiped,
+    /// An old copy of it takes its place.
+    PutBack,
+}
+
 /// How much of what is broken is repaired at once.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Repair {
@@ -94,7 +105,9 @@
                 .into_iter()
                 .for_each(|at| self.group.kill_replica(at)),
             Fault::Freeze(address) => {
-                self.group.frozen_until.insert(address, until);
+                // One that is frozen already stays so at least as long: its disk does its work in order.
+                let frozen_until = self.group.frozen_until.entry(address).or_default();
+                *frozen_until = until.max(*frozen_until);
             }
             Fault::PartitionLink(one, other) => {
                 self.group.partitioned_links.insert((one, other));
@@ -122,17 +135,24 @@
             .retain(|_| !all && random.gen_bool(0.5));
     }
 
-    /// All is repaired; then up to so many disks are lost, while the others lose power.
-    fn lose_disks(&mut self, count: usize) {
+    /// All is repaired; then up to so many disks are lost, while the others lose power. `PutBack`: they come back from
+    /// copies that were taken while the machines ran.
+    fn lose_disks(&mut self, count: usize, loss: DiskLoss) {
         self.repair(Repair::All);
         self.pass(6000);
+        if loss == DiskLoss::PutBack {
+            self.copy_disks();
+        }
         let mut addresses = self.group.addresses();
         for _ in 0..count {
             let lost = addresses.remove(self.random.gen_range(0..addresses.len()));
             self.faults
                 .push(format!("{} the disk of {lost} is lost", self.group.now));
             self.group.stop_replica(lost);
-            self.group.wipe(lost);
+            match loss {
+                DiskLoss::Wiped => self.group.wipe(lost),
+                DiskLoss::PutBack => self.group.put_back(lost),
+            }
         }
         let others_lose_power = self.random.gen_bool(0.5);
         for address in addresses.into_iter().filter(|_| others_lose_power) {
@@ -141,10 +161,27 @@
         let interval = self.random.gen_range(5..600);
         self.pass(interval);
     }
+
+    /// Copies all disks; after that a while passes, with a kill, a freeze, or nothing.
+    fn copy_disks(&mut self) {
+        for address in self.group.addresses() {
+            self.group.copy_disk(address);
+        }
+        let size = self.group.addresses().len() as u32;
+        let one = self.random.gen_range(1..=size);
+        match self.random.gen_range(0..3) {
+            0 => self.inject(&Fault::Kill(one)),
+            1 => self.inject(&Fault::Freeze(one)),
+            _ => {}
+        }
+        let interval = self.random.gen_range(MIN_COPY_AGE_MS..2500);
+        self.pass(interval);
+        self.repair(Repair::All);
+    }
 }
 
-/// Plays one seed; returns what was violations.
-fn play(seed: u64, size: u32, tolerance: usize) -> Vec<String> {
+/// Plays one seed; returns what was violated.
+fn play(seed: u64, size: u32, tolerance: usize, loss: DiskLoss) -> Vec<String> {
     let mut scenario = Scenario::new(seed, size, tolerance);
     let until = scenario.group.now + TURMOIL_MS;
     while scenario.group.now < until {
@@ -154,7 +191,7 @@
         scenario.pass(interval);
         scenario.repair(Repair::Half);
     }
-    scenario.lose_disks(tolerance);
+    scenario.lose_disks(tolerance, loss);
     scenario.repair(Repair::All);
     scenario.pass(6000);
     let mut violations = Vec::new();
@@ -176,21 +213,31 @@
 }
 
 /// Plays some seeds; `CONTROL_SEEDS` in the environment asks for more or fewer, `CONTROL_FIRST` for others.
-fn play_all(count: u64, size: u32, tolerance: usize) {
+fn play_all(count: u64, size: u32, tolerance: usize, loss: DiskLoss) {
     let number = |name| std::env::var(name).ok().and_then(|text| text.parse().ok());
     let first = number("CONTROL_FIRST").unwrap_or(0);
     for seed in first..first + number("CONTROL_SEEDS").unwrap_or(count) {
-        let violations = play(seed, size, tolerance);
+        let violations = play(seed, size, tolerance, loss);
         assert!(violations.is_empty(), "{}", violations.join("\n"));
     }
 }
 
 #[googletest::test]
 fn given_three_replicas_when_faults_strike_then_what_was_committed_stays() {
-    play_all(120, 3, 1);
+    play_all(120, 3, 1, DiskLoss::Wiped);
 }
 
 #[googletest::test]
 fn given_five_replicas_when_faults_strike_then_what_was_committed_stays() {
-    play_all(60, 5, 2);
+    play_all(60, 5, 2, DiskLoss::Wiped);
+}
+
+#[googletest::test]
+fn given_three_replicas_when_a_disk_is_put_back_from_an_old_copy_then_what_was_committed_stays() {
+    play_all(60, 3, 1, DiskLoss::PutBack);
+}
+
+#[googletest::test]
+fn given_five_replicas_when_disks_are_put_back_from_old_copies_then_what_was_committed_stays() {
+    play_all(30, 5, 2, DiskLoss::PutBack);
 }
--- a/system/coordinator/tests/common/mod.rs
+++ b/system/coordinator/tests/common/mod.rs
@@ -154,7 +154,9 @@
                     vec![message],
                 );
             }
-            Output::Control(ControlOutput::Send { .. } | ControlOutput::Log(_))
+            Output::Control(
+                ControlOutput::Send { .. } | ControlOutput::DiskSuperseded | ControlOutput::Log(_),
+            )
             | Output::Answer { .. } => {}
             Output::CallWorker { token, call, .. } => self.calls.push(MadeCall { token, call }),
             Output::ListWorkers { call, .. } => self.platform_calls.push(call),
--- a/system/fleet/src/disk.rs
+++ b/system/fleet/src/disk.rs
@@ -68,6 +68,14 @@
         self.sync(u64::MAX);
     }
 
+    /// A copy of what outlasts a loss of power.
+    pub(crate) fn synced(&self) -> Disk {
+        Disk {
+            durable: self.durable.clone(),
+            pending: Vec::new(),
+        }
+    }
+
     /// What is on the disk; `None`: it is empty.
     pub(crate) fn state(&self) -> Option<DurableState> {
         self.durable.clone()
--- a/system/fleet/src/faults.rs
+++ b/system/fleet/src/faults.rs
@@ -34,6 +34,13 @@
         /// Until it starts again, empty.
         for_ms: u64,
     },
+    /// A machine loses power, and its disk is put back from the copy that was taken of it; without one it is wiped.
+    PutBack {
+        /// Which core machine.
+        node: usize,
+        /// Until it starts again.
+        for_ms: u64,
+    },
     /// All core machines lose power.
     PowerLossOfAll {
         /// Until they start again.
@@ -124,6 +131,7 @@
             Fault::Kill { for_ms, .. }
             | Fault::PowerLoss { for_ms, .. }
             | Fault::Wipe { for_ms, .. }
+            | Fault::PutBack { for_ms, .. }
             | Fault::PowerLossOfAll { for_ms }
             | Fault::Freeze { for_ms, .. }
             | Fault::Partition { for_ms, .. }
--- a/system/fleet/src/fleet.rs
+++ b/system/fleet/src/fleet.rs
@@ -73,6 +73,8 @@
     longest_change_ms: u64,
     /// The last address that a core machine was given.
     last_address: u32,
+    /// How many disks were found to be old copies, and emptied.
+    emptied_disks: usize,
     clients: Vec<ClientJob>,
     operators: Vec<Operator>,
     edges: Vec<Edge>,
@@ -96,6 +98,7 @@
             worker_incarnations: 0,
             longest_change_ms: 0,
             last_address: address(settings.nodes),
+            emptied_disks: 0,
             clients: Vec::new(),
             operators: vec![Operator::default(); settings.operators],
             edges: (0..settings.edges)
--- a/system/fleet/src/fleet/delivery.rs
+++ b/system/fleet/src/fleet/delivery.rs
@@ -210,6 +210,7 @@
                 let content = WriteContent::Checkpoint(snapshot);
                 self.write(process, ticket, content, CHECKPOINT_SYNCS * sync_ms);
             }
+            ControlOutput::DiskSuperseded => self.empty_disk(process.node),
             ControlOutput::Log(_) => {}
         }
     }
--- a/system/fleet/src/fleet/fault_injection.rs
+++ b/system/fleet/src/fleet/fault_injection.rs
@@ -12,6 +12,8 @@
 const MAX_DRAIN_MS: u64 = 3500;
 /// After a loss of power of all machines each starts up to this much later, in milliseconds.
 const MAX_START_JITTER_MS: u64 = 300;
+/// A process whose disk is emptied starts again after this time, in milliseconds.
+const EMPTY_DISK_MS: u64 = 20;
 
 /// The effects of a fault are over this long after it: the longest lease has expired, and every role has its owner.
 const RECOVERY_MS: u64 = 8000;
@@ -35,6 +37,11 @@
                 self.nodes[node].disk = Disk::default();
                 self.stop_process(node, for_ms);
             }
+            Fault::PutBack { node, for_ms } => {
+                let copy = self.nodes[node].disk_copy.clone();
+                self.nodes[node].disk = copy.unwrap_or_default();
+                self.stop_process(node, for_ms);
+            }
             Fault::PowerLossOfAll { for_ms } => self.lose_power_of_all(for_ms),
             Fault::Freeze { node, for_ms } => self.nodes[node].frozen_until = self.now + for_ms,
             Fault::Partition { from, to, for_ms } => self.partition(Link { from, to }, for_ms),
@@ -63,6 +70,25 @@
         }
     }
 
+    /// Takes a copy of each core machine's disk, as it would outlast a loss of power.
+    pub fn copy_disks(&mut self) {
+        for node in &mut self.nodes {
+            node.disk_copy = Some(node.disk.synced());
+        }
+    }
+
+    /// Empties the disk of a machine whose process has found it to be an old copy that is not needed.
+    pub(super) fn empty_disk(&mut self, node: usize) {
+        self.emptied_disks += 1;
+        self.nodes[node].disk = Disk::default();
+        self.stop_process(node, EMPTY_DISK_MS);
+    }
+
+    /// How many disks were found to be old copies, and emptied.
+    pub fn emptied_disks(&self) -> usize {
+        self.emptied_disks
+    }
+
     pub(super) fn restore(&mut self, what: Restore) {
         match what {
             Restore::Link(link) => self.active_faults.restore_link(link),
--- a/system/fleet/src/node.rs
+++ b/system/fleet/src/node.rs
@@ -10,6 +10,8 @@
 pub(crate) struct Node {
     pub address: u32,
     pub disk: Disk,
+    /// A copy of the disk that was taken at some time.
+    pub disk_copy: Option<Disk>,
     /// `None` while its process does not run.
     pub coordinator: Option<Coordinator>,
     /// Counts the starts and stops of its process; what was meant for an earlier process is dropped.
@@ -35,6 +37,7 @@
         Node {
             address: member.address,
             disk,
+            disk_copy: None,
             coordinator: None,
             incarnation: 0,
             started_at: 0,
--- a/system/fleet/tests/fault_scenarios.rs
+++ b/system/fleet/tests/fault_scenarios.rs
@@ -7,6 +7,8 @@
 const BEGIN_MS: u64 = 4000;
 /// A machine that is back, or new, has caught up after this time (`catchUpS`).
 const CATCH_UP_MS: u64 = 4000;
+/// What is on a disk is known to others after a heartbeat; a copy is at least so old.
+const MIN_COPY_AGE_MS: u64 = 200;
 /// How long jobs may take after the last fault.
 const END_MS: u64 = 60_000;
 
@@ -190,6 +192,39 @@
     }
 }
 
+#[googletest::test]
+fn given_an_old_copy_of_a_disk_when_it_is_put_back_and_others_lose_power_then_nothing_is_lost() {
+    let mut emptied = 0;
+    for seed in seeds(12) {
+        let five = seed % 4 == 0;
+        let settings = FleetSettings {
+            nodes: if five { 5 } else { 3 },
+            tolerance: if five { 2 } else { 1 },
+            seed,
+            ..FleetSettings::default()
+        };
+        let nodes = settings.nodes;
+        let (mut fleet, mut random) = fleet_with_jobs(settings, 40);
+        for _ in 0..3 {
+            fleet.copy_disks();
+            fleet.run_until(fleet.now() + random.gen_range(MIN_COPY_AGE_MS..4000));
+            let node = random.gen_range(0..nodes);
+            if random.gen_bool(0.5) {
+                fleet.inject(&Fault::PowerLossOfAll { for_ms: 600 });
+            }
+            fleet.inject(&Fault::PutBack {
+                node,
+                for_ms: random.gen_range(50..2000),
+            });
+            fleet.run_until(fleet.now() + 4000 + CATCH_UP_MS);
+        }
+        emptied += fleet.emptied_disks();
+        expect_sound_end(fleet, seed);
+    }
+    // Most copies are recognised; one that is as far as all that others know of the disk can't be, and does no harm.
+    assert!(emptied > 0, "no copy was recognised");
+}
+
 #[googletest::test]
 fn given_hundreds_of_large_configurations_when_members_start_again_then_all_catch_up() {
     for seed in seeds(3) {
--- a/system/magpiegap/src/coordinator/disk.rs
+++ b/system/magpiegap/src/coordinator/disk.rs
@@ -3,7 +3,7 @@
 use magpiegap_control::{DurableRecord, DurableState};
 use magpiegap_protocol::encode;
 use magpiegap_storage::{FolderDirectory, Store, StoreError};
-use std::{sync::mpsc, time::Duration};
+use std::{sync::mpsc, thread::JoinHandle, time::Duration};
 use tokio::sync::mpsc::UnboundedSender;
 
 /// Delay before work that has failed is tried again.
@@ -27,14 +27,19 @@
     },
 }
 
-/// Starts the thread. It ends when no more work can come, or nobody waits for its results.
-pub(super) fn start(
-    store: Store<FolderDirectory>,
-    events: UnboundedSender<Event>,
-) -> mpsc::Sender<DiskWork> {
-    let (sender, receiver) = mpsc::channel();
-    std::thread::spawn(move || run(store, &receiver, &events));
-    sender
+/// The thread.
+pub(super) struct DiskThread {
+    /// Where its work goes.
+    pub work: mpsc::Sender<DiskWork>,
+    /// It ends when no more work can come, or nobody waits for its results.
+    pub thread: JoinHandle<()>,
+}
+
+/// Starts the thread.
+pub(super) fn start(store: Store<FolderDirectory>, events: UnboundedSender<Event>) -> DiskThread {
+    let (work, receiver) = mpsc::channel();
+    let thread = std::thread::spawn(move || run(store, &receiver, &events));
+    DiskThread { work, thread }
 }
 
 fn run(
--- a/system/magpiegap/src/coordinator/driver.rs
+++ b/system/magpiegap/src/coordinator/driver.rs
@@ -52,6 +52,8 @@
     settings_read_at: Millis,
     /// Notified once the others go on without this coordinator.
     departed: Option<oneshot::Sender<()>>,
+    /// The disk is an old copy that the others don't need.
+    disk_is_superseded: bool,
 }
 
 impl Driver {
@@ -75,22 +77,25 @@
             settings_file,
             settings_read_at: 0,
             departed: Some(departed),
+            disk_is_superseded: false,
         }
     }
 
-    /// Handles events until it is dropped. A message on `drain` hands the coordinator's roles over.
+    /// Handles events until it is dropped, or the disk is found to be an old copy that is not needed: then the events that
+    /// are left are returned, and all requests in progress were told that they are not served. A message on `drain` hands the
+    /// coordinator's roles over.
     pub(super) async fn run(
         mut self,
         events: UnboundedSender<Event>,
         mut inbox: UnboundedReceiver<Event>,
         mut drain: UnboundedReceiver<()>,
-    ) {
+    ) -> UnboundedReceiver<Event> {
         let mut ticks = tokio::time::interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 event = inbox.recv() => {
-                    let Some(event) = event else { return };
+                    let Some(event) = event else { return inbox };
                     self.handle_event(event);
                     for _ in 0..MAX_EVENTS_PER_BATCH {
                         match inbox.try_recv() {
@@ -104,6 +109,16 @@
             }
             self.perform_outputs(&events);
             self.notify_departed();
+            if self.disk_is_superseded {
+                self.reject_pending_requests();
+                return inbox;
+            }
+        }
+    }
+
+    fn reject_pending_requests(&mut self) {
+        for (_, response) in self.pending_responses.drain() {
+            let _ = response.send(CoordinatorResponse::NotServing);
         }
     }
 
@@ -245,6 +260,7 @@
             ControlOutput::Checkpoint { ticket, snapshot } => {
                 self.submit_disk_work(DiskWork::Checkpoint { ticket, snapshot });
             }
+            ControlOutput::DiskSuperseded => self.disk_is_superseded = true,
             ControlOutput::Log(line) => log::info!("{line}"),
         }
     }
--- a/system/magpiegap/src/coordinator/mod.rs
+++ b/system/magpiegap/src/coordinator/mod.rs
@@ -16,6 +16,7 @@
 use crate::{
     clock::Clock, endpoint, error::ProgramError, settings::NodeSettings, signals::Signals,
 };
+use disk::DiskThread;
 use driver::{Driver, Links};
 use events::{Event, RequestHandle};
 use magpiegap_control::ControlSettings;
@@ -25,10 +26,17 @@
 use peers::Peers;
 use rand::Rng;
 use servers::Servers;
-use std::{path::PathBuf, time::Duration};
-use tokio::sync::{
-    mpsc::{self, UnboundedSender},
-    oneshot,
+use std::{
+    path::{Path, PathBuf},
+    time::Duration,
+};
+use store::OpenedState;
+use tokio::{
+    sync::{
+        mpsc::{self, UnboundedReceiver, UnboundedSender},
+        oneshot,
+    },
+    task::JoinHandle,
 };
 use worker_connections::WorkerConnections;
 
@@ -57,11 +65,60 @@
     let mut signals = Signals::listen()?;
     let clock = Clock::start();
     let (events, mut inbox) = mpsc::unbounded_channel();
-    let handle = RequestHandle::new(events.clone());
-    let servers = Servers::start(&settings, handle).await?;
-    let Some(opened) = store::open_when_readable(&settings, &mut inbox, &mut signals).await else {
+    let servers = Servers::start(&settings, RequestHandle::new(events.clone())).await?;
+    let Some(mut opened) = store::open_when_readable(&settings, &mut inbox, &mut signals).await
+    else {
         return Ok(());
     };
+    listen_for_peers(&settings, events.clone()).await?;
+    loop {
+        let mut running = start(&settings, &file, clock, opened, events.clone(), inbox);
+        tokio::select! {
+            () = signals.until_terminated("settings may have changed") => {
+                log::info!("shutting down, handing over the roles");
+                let _ = running.drain.send(());
+                wait_for_handover(&settings, running.departed).await;
+                servers.shut_down().await;
+                running.driving.abort();
+                return Ok(());
+            }
+            ended = &mut running.driving => match ended {
+                Ok(left) => inbox = left,
+                Err(error) => return Err(ProgramError::System {
+                    what: "the coordinator",
+                    source: error.into(),
+                }),
+            },
+        }
+        log::warn!("the others serve without this disk: it is emptied, and this machine rejoins with another identity");
+        wait_for_disk(running.disk, &mut inbox).await;
+        match store::empty_when_writable(&settings, &mut inbox, &mut signals).await {
+            Some(emptied) => opened = emptied,
+            None => return Ok(()),
+        }
+    }
+}
+
+/// A coordinator that runs on one incarnation of its disk.
+struct Running {
+    /// Ends, with the events that are left, when the disk is to be emptied.
+    driving: JoinHandle<UnboundedReceiver<Event>>,
+    /// A message hands its roles over.
+    drain: UnboundedSender<()>,
+    /// Notified once the others go on without it.
+    departed: oneshot::Receiver<()>,
+    /// Ends after the driver, once all disk work is done.
+    disk: std::thread::JoinHandle<()>,
+}
+
+fn start(
+    settings: &NodeSettings,
+    file: &Path,
+    clock: Clock,
+    opened: OpenedState,
+    events: UnboundedSender<Event>,
+    inbox: UnboundedReceiver<Event>,
+) -> Running {
     let own = ReplicaId {
         member: Member {
             address: u32::from(settings.ip),
@@ -69,30 +126,41 @@
         },
         incarnation: rand::thread_rng().gen(),
     };
+    let DiskThread { work, thread } = disk::start(opened.store, events.clone());
     let links = Links {
-        disk: disk::start(opened.store, events.clone()),
-        peers: start_peers(&settings, own, events.clone()).await?,
+        disk: work,
+        peers: Peers::new(own, settings.peer_port()),
         client: endpoint::client(),
-        workers: WorkerConnections::new(max_worker_connections(&settings)),
+        workers: WorkerConnections::new(max_worker_connections(settings)),
         platform: settings.cloud.address,
     };
     let coordinator = Coordinator::new(
-        coordinator_settings(&settings, own),
+        coordinator_settings(settings, own),
         opened.durable,
         opened.machine,
         clock.now(),
     );
     let (departed, others_go_on) = oneshot::channel();
-    let driver = Driver::new(clock, own, coordinator, links, file, departed);
+    let driver = Driver::new(clock, own, coordinator, links, file.to_owned(), departed);
     let (drain, drain_requests) = mpsc::unbounded_channel();
-    let driving = tokio::spawn(driver.run(events, inbox, drain_requests));
-    signals.until_terminated("settings may have changed").await;
-    log::info!("shutting down, handing over the roles");
-    let _ = drain.send(());
-    wait_for_handover(&settings, others_go_on).await;
-    servers.shut_down().await;
-    driving.abort();
-    Ok(())
+    Running {
+        driving: tokio::spawn(driver.run(events, inbox, drain_requests)),
+        drain,
+        departed: others_go_on,
+        disk: thread,
+    }
+}
+
+/// Waits until a disk has done all its work; what it confirms is void. Requests are rejected meanwhile.
+async fn wait_for_disk(disk: std::thread::JoinHandle<()>, inbox: &mut UnboundedReceiver<Event>) {
+    let ended = tokio::task::spawn_blocking(move || disk.join());
+    tokio::select! {
+        _ = ended => {}
+        () = store::reject_requests(inbox) => {}
+    }
+    while let Ok(event) = inbox.try_recv() {
+        store::reject_request(event);
+    }
 }
 
 /// Waits until the others go on without this coordinator, and callers have their responses. A member that the others
@@ -113,12 +181,11 @@
     descriptors.saturating_mul(WORKER_CONNECTIONS_PERCENT) / 100
 }
 
-async fn start_peers(
+async fn listen_for_peers(
     settings: &NodeSettings,
-    own: ReplicaId,
     events: UnboundedSender<Event>,
-) -> Result<Peers, ProgramError> {
-    peers::start(own, settings.ip, settings.peer_port(), events)
+) -> Result<(), ProgramError> {
+    peers::listen(settings.ip, settings.peer_port(), events)
         .await
         .map_err(|source| ProgramError::System {
             what: "the port for other coordinators",
--- a/system/magpiegap/src/coordinator/peers.rs
+++ b/system/magpiegap/src/coordinator/peers.rs
@@ -72,6 +72,15 @@
 }
 
 impl Peers {
+    /// The connections of this replica; each is made once there is something to send.
+    pub(super) fn new(own: ReplicaId, port: u16) -> Peers {
+        Peers {
+            own,
+            port,
+            links: HashMap::new(),
+        }
+    }
+
     /// Sends a message to the coordinator at an address; it may be lost.
     pub(super) fn send(&mut self, to: u32, message: PeerMessage) {
         let link = self.link(to);
@@ -109,19 +118,14 @@
 ///
 /// # Errors
 /// When the port can't be listened on.
-pub(super) async fn start(
-    own: ReplicaId,
+pub(super) async fn listen(
     ip: Ipv4Addr,
     port: u16,
     events: UnboundedSender<Event>,
-) -> io::Result<Peers> {
+) -> io::Result<()> {
     let listener = TcpListener::bind(SocketAddr::new(IpAddr::V4(ip), port)).await?;
     tokio::spawn(accept(listener, port, events));
-    Ok(Peers {
-        own,
-        port,
-        links: HashMap::new(),
-    })
+    Ok(())
 }
 
 async fn accept(listener: TcpListener, port: u16, events: UnboundedSender<Event>) {
--- a/system/protocol/src/lib.rs
+++ b/system/protocol/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod codec;
 mod command;
+mod disk;
 mod entry;
 mod feed;
 mod hash;
@@ -25,6 +26,7 @@
 
 pub use codec::{decode, encode, DecodeError};
 pub use command::Command;
+pub use disk::{DiskNote, DiskProgress, DiskReport, StaleDisk};
 pub use entry::{Entry, LogPosition, ProposalId};
 pub use feed::{ConfigurationChunk, ConfigurationFetch, Feed, FeedPoll, RoleHolder, TransferId};
 pub use hash::fnv1a;
--- a/system/protocol/src/peer.rs
+++ b/system/protocol/src/peer.rs
@@ -1,7 +1,7 @@
 //! Messages between coordinators: heartbeats, agreement on views, replication, snapshots and the list of workers.
 use crate::{
-    Ballot, Command, Entry, FencingToken, Location, LogIndex, LogPosition, Millis, ProposalId,
-    ReplicaId, RoleToken, View, ViewNumber, WallMillis, WorkerEntry,
+    Ballot, Command, DiskReport, Entry, FencingToken, Location, LogIndex, LogPosition, Millis,
+    ProposalId, ReplicaId, RoleToken, StaleDisk, View, ViewNumber, WallMillis, WorkerEntry,
 };
 use minicbor::{Decode, Encode};
 
@@ -93,6 +93,9 @@
     #[n(9)]
     #[cbor(default)]
     pub sealed: bool,
+    /// What the sender says of its disk; `None`: it is of a build that says nothing.
+    #[n(10)]
+    pub disk: Option<Box<DiskReport>>,
 }
 
 /// A view that a voter has accepted, with the ballot in which it did.
@@ -306,6 +309,9 @@
         #[cbor(n(4), with = "minicbor::bytes")]
         bytes: Vec<u8>,
     },
+    /// Objects to the receiver's disk, which was further before. Sent only in reply to a heartbeat that tells of a disk.
+    #[n(17)]
+    StaleDisk(#[n(0)] Box<StaleDisk>),
 }
 
 impl PeerMessage {
@@ -331,7 +337,8 @@
             | PeerMessage::Reject { .. }
             | PeerMessage::Accept { .. }
             | PeerMessage::Accepted { .. }
-            | PeerMessage::Decided(_) => true,
+            | PeerMessage::Decided(_)
+            | PeerMessage::StaleDisk(_) => true,
             PeerMessage::Append { .. }
             | PeerMessage::Committed { .. }
             | PeerMessage::RequestEntries { .. }
--- a/system/protocol/tests/golden/samples.rs
+++ b/system/protocol/tests/golden/samples.rs
@@ -189,6 +189,49 @@
         location: location(),
         sent_at: 654_321,
         sealed: true,
+        disk: None,
+    }
+}
+
+/// How far a disk has come, with something in each field.
+pub(crate) fn disk_progress() -> DiskProgress {
+    DiskProgress {
+        view: ViewNumber(15),
+        promised: Some(Ballot {
+            round: 70,
+            proposer: 71,
+        }),
+        accepted: Some(Ballot {
+            round: 69,
+            proposer: 72,
+        }),
+        committed: position(),
+    }
+}
+
+pub(crate) fn heartbeat_with_disk() -> Heartbeat {
+    let report = DiskReport {
+        boot: 73,
+        at_start: DiskProgress::default(),
+        confirmed: disk_progress(),
+    };
+    Heartbeat {
+        disk: Some(Box::new(report)),
+        ..heartbeat()
+    }
+}
+
+pub(crate) fn stale_disk() -> StaleDisk {
+    StaleDisk {
+        replica: replica(11),
+        noted: DiskNote {
+            member: member(11),
+            boot: 74,
+            incarnation: 75,
+            progress: disk_progress(),
+        },
+        view: ViewNumber(76),
+        serving: true,
     }
 }
 
--- a/system/protocol/tests/stored_bytes.rs
+++ b/system/protocol/tests/stored_bytes.rs
@@ -270,6 +270,7 @@
                 bytes: vec![9, 0, 254],
             },
         ),
+        ("stale-disk", PeerMessage::StaleDisk(Box::new(stale_disk()))),
     ];
     for (name, message) in &messages {
         stored.keeps(name, message);
@@ -293,6 +294,8 @@
 fn every_element_of_peer_messages_keeps_its_bytes() {
     let mut stored = Stored::read(include_str!("golden/peer_parts.hex"));
     stored.keeps("heartbeat", &heartbeat());
+    stored.keeps("heartbeat-with-disk", &heartbeat_with_disk());
+    stored.keeps("stale-disk", &stale_disk());
     stored.keeps("peer-report", &report());
     stored.keeps("promise", &promise());
     stored.keeps(
