--- a/system/control/src/disk_confirmation.rs
+++ b/system/control/src/disk_confirmation.rs
@@ -22,7 +22,7 @@
         let known = self.progress_in_chain(from);
         match self.disk_notes.record(from, report, known) {
             Reported::Known => true,
-            Reported::NewBoot => {
+            Reported::NewProcess => {
                 self.persist_agreement(Vec::new(), now);
                 true
             }
@@ -50,7 +50,7 @@
         };
         (committed.view == view.number).then_some(DiskNote {
             member: from.member,
-            boot: 0,
+            starts: 0,
             incarnation: earlier.incarnation,
             progress,
         })
@@ -108,8 +108,7 @@
         }
         if self.own_disk.record_objection() {
             self.agreement.round = None;
-            self.fitness.drain();
-            self.log(describe(from, objection, self.own_disk.boot));
+            self.log(describe(from, objection, self.own_disk.starts));
         }
         let others_serve = objection.serving
             && objection.view == self.view().number
@@ -132,10 +131,10 @@
     }
 }
 
-fn describe(from: ReplicaId, objection: &StaleDisk, boot: u64) -> String {
+fn describe(from: ReplicaId, objection: &StaleDisk, starts: u64) -> String {
     format!(
-        "this disk is an old copy: {} has noted start {} on it, with view {} and entry {}, and this is start {boot}; \
+        "this disk is an old copy: {} has noted start {} on it, with view {} and entry {}, and this is start {starts}; \
          this coordinator does not vote",
-        from.member, objection.noted.boot, objection.noted.progress.view, objection.noted.progress.committed.index
+        from.member, objection.noted.starts, objection.noted.progress.view, objection.noted.progress.committed.index
     )
 }
--- a/system/control/src/disk_notes.rs
+++ b/system/control/src/disk_notes.rs
@@ -1,7 +1,7 @@
 //! What this replica has noted of the disks of others, so that one that was put back from an old copy is recognised.
 //!
-//! A note names the newest process heard on a disk (its boot), and how far the disk had come. Another process on the same
-//! disk must be of a later boot and must have read at least as much, else its disk is not the one that was noted. Notes are
+//! A note names the newest process heard on a disk, by the number of starts on it, and how far the disk had come. Another process on it
+//! must be of a later start and must have read at least as much, else its disk is not the one that was noted. Notes are
 //! on this replica's own disk since they were last written with its votes, and in memory up to the last heartbeat.
 use magpiegap_protocol::{DiskNote, DiskReport, Member, ReplicaId, View};
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,7 +12,7 @@
     /// It is of the process that was noted.
     Known,
     /// It is of a new process, which counts from now on.
-    NewBoot,
+    NewProcess,
     /// The disk was further before.
     Stale(DiskNote),
 }
@@ -66,7 +66,7 @@
             }
             _ => {
                 self.notes.insert(from.member, new_note(from, report));
-                Reported::NewBoot
+                Reported::NewProcess
             }
         }
     }
@@ -84,18 +84,18 @@
 }
 
 fn is_same_process(note: &DiskNote, from: ReplicaId, report: &DiskReport) -> bool {
-    note.boot == report.boot && note.incarnation == from.incarnation
+    note.starts == report.starts && note.incarnation == from.incarnation
 }
 
 /// Whether a process can have started on the noted disk after all that was noted of it.
 fn is_later(note: &DiskNote, report: &DiskReport) -> bool {
-    report.boot > note.boot && !report.at_start.is_behind(&note.progress)
+    report.starts > note.starts && !report.at_start.is_behind(&note.progress)
 }
 
 fn new_note(from: ReplicaId, report: &DiskReport) -> DiskNote {
     DiskNote {
         member: from.member,
-        boot: report.boot,
+        starts: report.starts,
         incarnation: from.incarnation,
         progress: report.confirmed,
     }
--- a/system/control/src/durable_state.rs
+++ b/system/control/src/durable_state.rs
@@ -29,7 +29,7 @@
 pub struct DiskRecords {
     /// How many processes have started on this disk.
     #[n(0)]
-    pub boot: u64,
+    pub starts: u64,
     /// What was noted of the disks of others.
     #[n(1)]
     pub notes: Vec<DiskNote>,
--- a/system/control/src/inputs.rs
+++ b/system/control/src/inputs.rs
@@ -61,7 +61,7 @@
             message @ (PeerMessage::Prepare { .. } | PeerMessage::Accept { .. })
                 if !self.own_disk.is_confirmed() =>
             {
-                self.own_disk.hold(from, message)
+                self.own_disk.defer(from, message)
             }
             PeerMessage::Prepare { number, ballot } => {
                 self.handle_prepare(from, number, ballot, now)
--- a/system/control/src/own_disk.rs
+++ b/system/control/src/own_disk.rs
@@ -5,8 +5,8 @@
 use crate::durable_state::DurableState;
 use magpiegap_protocol::{DiskProgress, DiskReport, LogPosition, PeerMessage, ReplicaId};
 
-/// So many messages on votes wait until the disk is confirmed; the oldest are dropped, and their senders try again.
-const MAX_HELD_MESSAGES: usize = 8;
+/// So many messages on votes are deferred until the disk is confirmed; the oldest are dropped, and their senders try again.
+const MAX_DEFERRED_MESSAGES: usize = 8;
 
 /// Whether the disk counts for what is on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,43 +25,43 @@
     /// Names this incarnation of the disk.
     pub name: u64,
     /// How many processes have started on it, this one included.
-    pub boot: u64,
+    pub starts: u64,
     at_start: DiskProgress,
     confirmed: DiskProgress,
     trust: DiskTrust,
     /// The owner was told that the disk can be given up.
     pub given_up: bool,
     /// What came before the disk was confirmed.
-    held: Vec<(ReplicaId, PeerMessage)>,
+    deferred: Vec<(ReplicaId, PeerMessage)>,
 }
 
 impl OwnDisk {
     /// The disk of a process that starts now.
     pub(crate) fn new(durable: &DurableState) -> OwnDisk {
-        let boots = durable
+        let starts = durable
             .agreement
             .disks
             .as_ref()
-            .map_or(0, |disks| disks.boot);
+            .map_or(0, |disks| disks.starts);
         let last = durable
             .entries
             .last()
             .map_or(durable.applied, |entry| entry.position);
         OwnDisk {
             name: durable.disk,
-            boot: boots.saturating_add(1),
+            starts: starts.saturating_add(1),
             at_start: durable.agreement.progress(last),
             confirmed: durable.agreement.progress(durable.applied),
             trust: DiskTrust::Unconfirmed,
             given_up: false,
-            held: Vec::new(),
+            deferred: Vec::new(),
         }
     }
 
     /// What is said of the disk in heartbeats.
     pub(crate) fn report(&self) -> DiskReport {
         DiskReport {
-            boot: self.boot,
+            starts: self.starts,
             at_start: self.at_start,
             confirmed: self.confirmed,
         }
@@ -91,23 +91,23 @@
             return Vec::new();
         }
         self.trust = DiskTrust::Confirmed;
-        std::mem::take(&mut self.held)
+        std::mem::take(&mut self.deferred)
     }
 
     /// Records an objection. Returns whether it is the first one.
     pub(crate) fn record_objection(&mut self) -> bool {
-        self.held.clear();
+        self.deferred.clear();
         std::mem::replace(&mut self.trust, DiskTrust::Stale) != DiskTrust::Stale
     }
 
-    /// Holds a message until the disk is confirmed.
-    pub(crate) fn hold(&mut self, from: ReplicaId, message: PeerMessage) {
+    /// Defers a message until the disk is confirmed.
+    pub(crate) fn defer(&mut self, from: ReplicaId, message: PeerMessage) {
         if self.trust != DiskTrust::Unconfirmed {
             return;
         }
-        if self.held.len() >= MAX_HELD_MESSAGES {
-            self.held.remove(0);
+        if self.deferred.len() >= MAX_DEFERRED_MESSAGES {
+            self.deferred.remove(0);
         }
-        self.held.push((from, message));
+        self.deferred.push((from, message));
     }
 }
--- a/system/control/src/replica.rs
+++ b/system/control/src/replica.rs
@@ -89,7 +89,7 @@
             .agreement
             .disks
             .get_or_insert_with(DiskRecords::default);
-        disks.boot = own_disk.boot;
+        disks.starts = own_disk.starts;
         let disk_notes = DiskNotes::new(disks.notes.clone());
         let membership = Membership::new(&settings, &durable.agreement.current);
         let log = Log::new(durable.applied, durable.entries.clone());
@@ -209,14 +209,14 @@
 
     /// Whether this replica can't take part for now.
     pub(crate) fn is_unfit(&self, now: Millis) -> bool {
-        self.fitness.is_unfit(self.tickets.oldest_issued_at(), now)
+        self.own_disk.is_stale() || self.fitness.is_unfit(self.tickets.oldest_issued_at(), now)
     }
 
     /// The state of the agreement as it is kept on disk.
     pub(crate) fn durable_agreement(&self) -> AgreementState {
         AgreementState {
             disks: Some(DiskRecords {
-                boot: self.own_disk.boot,
+                starts: self.own_disk.starts,
                 notes: self.disk_notes.to_vec(),
             }),
             ..self.agreement.state().clone()
--- a/system/control/tests/old_copies.rs
+++ b/system/control/tests/old_copies.rs
@@ -31,7 +31,7 @@
 }
 
 /// All take part again, nothing was replaced, and writes are committed.
-fn expect_whole(group: &mut Group) {
+fn expect_all_serve(group: &mut Group) {
     expect_that!(
         group.chain(),
         unordered_elements_are![eq(&1), eq(&2), eq(&3)]
@@ -51,7 +51,7 @@
         group.run(3000);
         expect_that!(group.superseded, elements_are![eq(&address)]);
         expect_that!(group.replica(address).own().member.disk, not(eq(0)));
-        expect_whole(&mut group);
+        expect_all_serve(&mut group);
     }
 }
 
@@ -78,7 +78,7 @@
         write_some(&mut group);
     }
     expect_that!(group.superseded, is_empty());
-    expect_whole(&mut group);
+    expect_all_serve(&mut group);
 }
 
 #[googletest::test]
@@ -98,11 +98,12 @@
     group.run(4000);
     // Then
     expect_that!(group.superseded, elements_are![eq(&1)]);
-    expect_whole(&mut group);
+    expect_all_serve(&mut group);
 }
 
 #[googletest::test]
-fn given_an_old_copy_when_too_few_serve_without_it_then_it_does_not_vote_and_its_disk_is_kept() {
+fn given_an_old_copy_when_too_few_serve_without_it_then_it_does_not_vote_and_its_disk_is_retained()
+{
     // Given: only one that knows better is up
     let mut group = group_with_copies();
     group.stop_replica(3);
@@ -120,7 +121,7 @@
     group.start_replica(3);
     group.run(4000);
     expect_that!(group.superseded, elements_are![eq(&1)]);
-    expect_whole(&mut group);
+    expect_all_serve(&mut group);
 }
 
 #[googletest::test]
@@ -136,5 +137,5 @@
     group.run(3000);
     // Then
     expect_that!(group.superseded, elements_are![eq(&2)]);
-    expect_whole(&mut group);
+    expect_all_serve(&mut group);
 }
--- a/system/demo/src/cluster.rs
+++ b/system/demo/src/cluster.rs
@@ -127,7 +127,7 @@
                 format!("frontend = \"{ip}:{CLIENT_PORT}\"\nreadiness = \"{ip}:{READINESS_PORT}\"")
             }
         };
-        let data = self.folder.join(format!("{name}-data"));
+        let data = self.data_folder(name);
         let tolerance = (self.coordinators.max(1) - 1) / 2;
         format!(
             "nodeName = \"{name}\"\nrole = \"{role}\"\nip = \"{ip}\"\nzone = \"a\"\n\
@@ -166,6 +166,32 @@
         Ok(())
     }
 
+    /// Copies the data folder of a process that has ended.
+    ///
+    /// # Errors
+    /// When a file can't be copied.
+    pub(crate) fn copy_data(&self, name: &str) -> Result<(), DemoError> {
+        copy_files(&self.data_folder(name), &self.copy_folder(name))
+    }
+
+    /// Puts the data folder of a process that has ended back from the copy.
+    ///
+    /// # Errors
+    /// When a file can't be copied or removed.
+    pub(crate) fn put_back_data(&self, name: &str) -> Result<(), DemoError> {
+        let data = self.data_folder(name);
+        std::fs::remove_dir_all(&data).map_err(DemoError::system(data.display().to_string()))?;
+        copy_files(&self.copy_folder(name), &data)
+    }
+
+    fn data_folder(&self, name: &str) -> PathBuf {
+        self.folder.join(format!("{name}-data"))
+    }
+
+    fn copy_folder(&self, name: &str) -> PathBuf {
+        self.folder.join(format!("{name}-copy"))
+    }
+
     fn find(&mut self, name: &str) -> Result<&mut Process, DemoError> {
         let found = self
             .processes
@@ -185,6 +211,17 @@
     }
 }
 
+/// Copies the files of a folder into another one, which is made if it isn't there.
+fn copy_files(from: &Path, to: &Path) -> Result<(), DemoError> {
+    let fail = |folder: &Path| DemoError::system(folder.display().to_string());
+    std::fs::create_dir_all(to).map_err(fail(to))?;
+    for file in std::fs::read_dir(from).map_err(fail(from))? {
+        let file = file.map_err(fail(from))?;
+        std::fs::copy(file.path(), to.join(file.file_name())).map_err(fail(to))?;
+    }
+    Ok(())
+}
+
 /// The address at which a coordinator serves the operator.
 pub(crate) fn control_address(number: u8) -> SocketAddr {
     SocketAddr::from((ip_address(COORDINATOR_NETWORK, number), CONTROL_PORT))
--- a/system/demo/src/options.rs
+++ b/system/demo/src/options.rs
@@ -24,6 +24,9 @@
     /// Kill nothing
     #[bpaf(long)]
     pub calm: bool,
+    /// Put the killed coordinator's disk back from a copy that was taken a while before
+    #[bpaf(long)]
+    pub old_copy: bool,
     /// Where settings, data, logs and the report go; else a new folder for temporary files
     #[bpaf(long, argument("FOLDER"))]
     pub folder: Option<PathBuf>,
--- a/system/demo/src/scenario.rs
+++ b/system/demo/src/scenario.rs
@@ -24,7 +24,9 @@
 const KILLED: &str = "coordinator-1";
 /// How long it is down.
 const DOWNTIME: Duration = Duration::from_secs(2);
-/// The fraction of the time in which jobs are submitted that passes before the coordinator is killed.
+/// The fraction of the time in which jobs are submitted that passes before the coordinator's disk is copied.
+const COPY_DISK_AFTER: f64 = 0.1;
+/// The fraction that passes before the coordinator is killed.
 const KILL_COORDINATOR_AFTER: f64 = 0.3;
 /// The fraction that passes before a worker crashes.
 const CRASH_WORKER_AFTER: f64 = 0.6;
@@ -201,10 +203,28 @@
     let began = Instant::now();
     let after = |fraction: f64| began + Duration::from_secs_f64(options.seconds as f64 * fraction);
     let mut events = Vec::new();
+    if options.old_copy {
+        tokio::time::sleep_until(after(COPY_DISK_AFTER)).await;
+        // Files that are being written can't be copied as they are at one moment.
+        cluster.kill(KILLED).await?;
+        cluster.copy_data(KILLED)?;
+        cluster.restart(KILLED)?;
+        events.push(announce(
+            workers.began,
+            format!("the disk of {KILLED} is copied"),
+        ));
+    }
     tokio::time::sleep_until(after(KILL_COORDINATOR_AFTER)).await;
     cluster.kill(KILLED).await?;
     events.push(announce(workers.began, format!("{KILLED} is killed")));
     tokio::time::sleep(DOWNTIME).await;
+    if options.old_copy {
+        cluster.put_back_data(KILLED)?;
+        events.push(announce(
+            workers.began,
+            format!("the disk of {KILLED} is put back from the copy"),
+        ));
+    }
     cluster.restart(KILLED)?;
     events.push(announce(workers.began, format!("{KILLED} starts again")));
     tokio::time::sleep_until(after(CRASH_WORKER_AFTER)).await;
--- a/system/magpiegap/src/state_on_disk.rs
+++ b/system/magpiegap/src/state_on_disk.rs
@@ -13,6 +13,8 @@
 pub struct StateOnDisk {
     /// The incarnation of the disk.
     pub disk: String,
+    /// How many processes have started on it; zero: it was written by a build that does not count them.
+    pub starts: u64,
     /// Number of the newest view that it knows.
     pub view: u64,
     /// The chain of that view, head first.
@@ -69,6 +71,11 @@
         let is_later = |entry: &&Entry| entry.position > state.position;
         StateOnDisk {
             disk: format!("{:016x}", snapshot.disk),
+            starts: snapshot
+                .agreement
+                .disks
+                .as_ref()
+                .map_or(0, |disks| disks.starts),
             view: view.number.0,
             chain: view
                 .chain
@@ -129,7 +136,7 @@
 
 impl fmt::Display for StateOnDisk {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(f, "disk           {}", self.disk)?;
+        writeln!(f, "disk           {}, {} starts", self.disk, self.starts)?;
         writeln!(
             f,
             "view           {}: chain {}",
--- a/system/magpiegap/tests/data_folder.rs
+++ b/system/magpiegap/tests/data_folder.rs
@@ -529,6 +529,7 @@
     };
     let meant = StateOnDisk {
         disk: "d15c000000000000".to_owned(),
+        starts: 0,
         view: 9,
         chain: vec!["10.1.0.16#0001".to_owned(), "10.1.0.15#0000".to_owned()],
         voters: vec![
--- a/system/protocol/src/disk.rs
+++ b/system/protocol/src/disk.rs
@@ -49,7 +49,7 @@
 pub struct DiskReport {
     /// How many processes have started on this disk, the sender included.
     #[n(0)]
-    pub boot: u64,
+    pub starts: u64,
     /// What was read from it at the start of the process. Here `committed` is the last entry that was read, committed or
     /// not: an upper bound.
     #[n(1)]
@@ -67,7 +67,7 @@
     pub member: Member,
     /// How many processes had started on the disk.
     #[n(1)]
-    pub boot: u64,
+    pub starts: u64,
     /// The incarnation of the last of them.
     #[n(2)]
     pub incarnation: u64,
--- a/system/protocol/tests/disk_progress.rs
+++ b/system/protocol/tests/disk_progress.rs
@@ -51,7 +51,7 @@
 }
 
 #[googletest::test]
-fn progress_takes_up_what_is_further_and_nothing_else() {
+fn progress_never_goes_back() {
     let cases: [(&str, Progress, Progress, Progress); 3] = [
         (
             "a new view forgets the ballots of the one before",
--- a/system/protocol/tests/golden/samples.rs
+++ b/system/protocol/tests/golden/samples.rs
@@ -211,7 +211,7 @@
 
 pub(crate) fn heartbeat_with_disk() -> Heartbeat {
     let report = DiskReport {
-        boot: 73,
+        starts: 73,
         at_start: DiskProgress::default(),
         confirmed: disk_progress(),
     };
@@ -226,7 +226,7 @@
         replica: replica(11),
         noted: DiskNote {
             member: member(11),
-            boot: 74,
+            starts: 74,
             incarnation: 75,
             progress: disk_progress(),
         },
