Lengthen the times between rounds of agreement after rounds that led to nothing

Cause: a round on the next view takes two syncs and two round trips, and was given up after 500 ms, and the next candidate stepped in after 250. Where a sync takes 250 ms on all disks, rounds cut each other short for ever: a demo beside a busy disk proposed a view 20 times in ten seconds while nothing was served. Change: exponential backoff. A vote that comes before a majority has heard the process is now tested to wait (a deliberate break was not caught).

--- a/system/control/src/view_change.rs
+++ b/system/control/src/view_change.rs
@@ -1,6 +1,6 @@
 //! The change of the view: when the next one is proposed, why, and by whom. The messages of the agreement on it are in
 //! `voting`, the members of the next view in `view_composition`.
-use crate::{peer::Peer, replica::Replica, view_reason::ViewReason, view_timer::ROUND_TIMEOUT_MS};
+use crate::{peer::Peer, replica::Replica, view_reason::ViewReason};
 use magpiegap_protocol::{Millis, PeerMessage, ReplicaId};
 use std::collections::BTreeSet;
 
@@ -17,12 +17,14 @@
             .agreement
             .round
             .as_ref()
-            .is_some_and(|round| now < round.started_at + ROUND_TIMEOUT_MS)
+            .is_some_and(|round| now < round.started_at + self.view_timer.round_timeout())
         {
             self.propose_view(now);
             return;
         }
-        self.agreement.round = None;
+        if self.agreement.round.take().is_some() {
+            self.view_timer.record_failed_round();
+        }
         let available = self.available(now);
         let Some(reason) = self.reason_for_view(&available, now) else {
             self.view_timer.record_not_needed();
--- a/system/control/src/voting.rs
+++ b/system/control/src/voting.rs
@@ -211,6 +211,7 @@
             .is_some_and(|round| round.ballot < promised)
         {
             self.agreement.round = None;
+            self.view_timer.record_failed_round();
             self.view_timer.delay_after_rejection(now);
         }
     }
--- a/system/control/tests/common/group.rs
+++ b/system/control/tests/common/group.rs
@@ -13,6 +13,8 @@
 
 /// Length of one step of time.
 const STEP_MS: Millis = 5;
+/// How long a sync takes, unless a test says otherwise.
+const SYNC_MS: Millis = 9;
 /// How long a message takes, unless it carries much that a replica is missing.
 const DELAY_MS: Millis = 2;
 
@@ -43,6 +45,8 @@
     pub locations: BTreeMap<u32, Location>,
     /// How long it takes to send a replica that has missed much what it is missing.
     pub catch_up_delay_ms: Millis,
+    /// How long a sync takes.
+    pub sync_ms: Millis,
     /// Those that neither send nor receive.
     pub partitioned: BTreeSet<u32>,
     /// Pairs that don't hear each other, the lower address first.
@@ -96,6 +100,7 @@
             tolerance,
             locations,
             catch_up_delay_ms: DELAY_MS,
+            sync_ms: SYNC_MS,
             partitioned: BTreeSet::new(),
             partitioned_links: BTreeSet::new(),
             frozen_until: BTreeMap::new(),
--- a/system/control/tests/common/group/delivery.rs
+++ b/system/control/tests/common/group/delivery.rs
@@ -7,8 +7,6 @@
 
 /// So many missing entries are sent as fast as anything else.
 const FEW_ENTRIES: usize = 5;
-/// How long a sync takes.
-const SYNC_MS: Millis = 9;
 /// Where chance decides, messages and syncs take up to this long.
 const MAX_DELAY_MS: Millis = 30;
 const MAX_SYNC_MS: Millis = 60;
@@ -130,7 +128,7 @@
             change: Box::new(change),
         };
         // A disk does its work in order.
-        let sync = self.some_time(SYNC_MS, MAX_SYNC_MS);
+        let sync = self.some_time(self.sync_ms, MAX_SYNC_MS);
         let done = self.syncs.entry(address).or_default();
         *done = (self.now + sync).max(*done);
         let at = *done;
--- a/system/control/tests/starting.rs
+++ b/system/control/tests/starting.rs
@@ -3,7 +3,7 @@
 
 use common::{heartbeat, no_state, report, settings, started, NoState};
 use googletest::prelude::*;
-use magpiegap_control::{DurableState, Output, Replica};
+use magpiegap_control::{DurableRecord, DurableState, Output, Replica};
 use magpiegap_protocol::{
     Ballot, Heartbeat, Member, PeerMessage, ReplicaId, View, ViewNumber, WallMillis,
 };
@@ -207,3 +207,37 @@
     // Then
     expect_that!(proposed, eq(false));
 }
+
+#[googletest::test]
+fn given_a_voter_that_has_started_when_too_few_have_heard_it_then_its_vote_waits_for_them() {
+    let ballot = Ballot {
+        round: 1,
+        proposer: 7,
+    };
+    let prepare = PeerMessage::Prepare {
+        number: ViewNumber(2),
+        ballot,
+    };
+    // Given: no voter has said that it hears this process
+    let mut replica_1 = restarted();
+    let proposer = new_incarnation(2);
+    replica_1.handle_messages(10, WallMillis(10), proposer, prepare, &mut NoState);
+    expect_that!(writes_a_promise(&replica_1.poll_outputs()), eq(false));
+    // When
+    let heard = heard_heartbeat(1, false);
+    replica_1.handle_messages(20, WallMillis(20), proposer, heard, &mut NoState);
+    // Then: with itself that is a majority of three
+    expect_that!(writes_a_promise(&replica_1.poll_outputs()), eq(true));
+}
+
+/// Whether a promise for the next view goes to disk.
+fn writes_a_promise(outputs: &[Output]) -> bool {
+    let promises = |record: &DurableRecord| match record {
+        DurableRecord::Agreement(agreement) => agreement.promised.is_some(),
+        _ => false,
+    };
+    outputs.iter().any(|output| match output {
+        Output::Persist { records, .. } => records.iter().any(promises),
+        _ => false,
+    })
+}
