Go on objecting to a disk once it was found to be an old copy, whatever view follows

Cause: what a member of the newest chain must hold counts against a copy only until that view ends. After it the one that had objected took the same process for a new one, and the copy, told once, stayed out for ever: it is emptied only when one that objects serves without it. Change: an objection stands while the process runs.

--- a/system/control/src/disk_notes.rs
+++ b/system/control/src/disk_notes.rs
@@ -4,7 +4,10 @@
 //! must be of a later start and must have read at least as much, else its disk is not the one that was noted. Notes are
 //! on this replica's own disk since they were last written with its votes, and in memory up to the last heartbeat.
 use magpiegap_protocol::{DiskNote, DiskReport, Member, ReplicaId, View};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
+
+/// So many processes that were objected to are remembered.
+const MAX_STALE: usize = 64;
 
 /// What became of a heartbeat's report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,8 +24,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct DiskNotes {
     notes: BTreeMap<Member, DiskNote>,
-    /// Processes that were objected to.
-    stale: BTreeSet<ReplicaId>,
+    /// Processes that were objected to, with the reason. It stands while they run, whatever follows.
+    stale: BTreeMap<ReplicaId, DiskNote>,
 }
 
 impl DiskNotes {
@@ -30,7 +33,7 @@
     pub(crate) fn new(notes: Vec<DiskNote>) -> DiskNotes {
         DiskNotes {
             notes: notes.into_iter().map(|note| (note.member, note)).collect(),
-            stale: BTreeSet::new(),
+            stale: BTreeMap::new(),
         }
     }
 
@@ -41,7 +44,7 @@
 
     /// Whether the disk of a process was found to be an old copy.
     pub(crate) fn is_stale(&self, replica: &ReplicaId) -> bool {
-        self.stale.contains(replica)
+        self.stale.contains_key(replica)
     }
 
     /// Compares what a process says of its disk with the note, and with what is `known` of that disk besides, and notes it.
@@ -51,9 +54,11 @@
         report: &DiskReport,
         known: Option<DiskNote>,
     ) -> Reported {
+        if let Some(noted) = self.stale.get(&from) {
+            return Reported::Stale(*noted);
+        }
         if let Some(known) = known.filter(|known| report.at_start.is_behind(&known.progress)) {
-            self.stale.insert(from);
-            return Reported::Stale(known);
+            return self.object_to(from, known);
         }
         match self.notes.get_mut(&from.member) {
             Some(note) if is_same_process(note, from, report) => {
@@ -61,8 +66,8 @@
                 Reported::Known
             }
             Some(note) if !is_later(note, report) => {
-                self.stale.insert(from);
-                Reported::Stale(*note)
+                let noted = *note;
+                self.object_to(from, noted)
             }
             _ => {
                 self.notes.insert(from.member, new_note(from, report));
@@ -71,6 +76,14 @@
         }
     }
 
+    fn object_to(&mut self, replica: ReplicaId, noted: DiskNote) -> Reported {
+        if self.stale.len() >= MAX_STALE {
+            self.stale.pop_first();
+        }
+        self.stale.insert(replica, noted);
+        Reported::Stale(noted)
+    }
+
     /// Drops the notes on disks that are neither voters nor in the chain: whoever comes back after that is sent all that
     /// it is missing, and its votes count for nothing.
     pub(crate) fn retain_members(&mut self, view: &View) {
@@ -79,7 +92,6 @@
                 || view.chain.iter().any(|replica| replica.member == *member)
         };
         self.notes.retain(|member, _| belongs(member));
-        self.stale.retain(|replica| belongs(&replica.member));
     }
 }
 
