Let the voters and the tail hear all of the chain, however many there are

Cause: each replica sent heartbeats to eight successors on a ring of addresses. Change: a member of the chain also sends heartbeats to the voters and the tail, and these to all of the chain.

--- a/system/control/src/inputs.rs
+++ b/system/control/src/inputs.rs
@@ -5,6 +5,7 @@
     snapshot_transfer::Chunk, StateMachine,
 };
 use magpiegap_protocol::{Heartbeat, Millis, PeerMessage, ReplicaId, ViewNumber, WallMillis};
+use std::collections::BTreeSet;
 
 /// Bytes of records after which a checkpoint is written.
 const CHECKPOINT_BYTES: usize = 4 << 20;
@@ -211,13 +212,31 @@
     /// Time until the next heartbeats: longer with many monitors, so that they don't take up the processors of a
     /// large core, and short enough that several fit into the time after which a replica is suspected.
     fn heartbeat_interval(&self, now: Millis) -> Millis {
-        let monitors = self.membership.monitors(now).len() as u64;
+        let monitors = self.heartbeat_targets(now).len() as u64;
         let spread = monitors * 1000 / MAX_HEARTBEATS_PER_S;
         spread
             .min(self.settings.suspicion_timeout_ms / MIN_HEARTBEATS_PER_SUSPICION)
             .max(self.settings.heartbeat_interval_ms)
     }
 
+    /// Who is sent heartbeats: the monitors on the ring; and, however large that is, each of the chain and those whose echoes
+    /// it needs hear each other: the voters, for contact with a majority, and the tail, for what is committed
+    /// (`knows_committed`).
+    fn heartbeat_targets(&self, now: Millis) -> BTreeSet<u32> {
+        let own = self.settings.own;
+        let view = self.view();
+        let mut targets: BTreeSet<u32> = self.membership.monitors(now).into_iter().collect();
+        if view.position(&own).is_some() {
+            targets.extend(view.voters.iter().map(|voter| voter.address));
+            targets.extend(view.tail().map(|tail| tail.member.address));
+        }
+        if view.voters.contains(&own.member) || view.tail() == Some(own) {
+            targets.extend(view.chain.iter().map(|replica| replica.member.address));
+        }
+        targets.remove(&own.member.address);
+        targets
+    }
+
     fn send_heartbeats(&mut self, now: Millis, own_wall: WallMillis) {
         let heartbeat = Heartbeat {
             sent_at: now,
@@ -232,7 +251,7 @@
             complete: self.is_complete(),
             disk: Some(Box::new(self.own_disk.report())),
         };
-        for address in self.membership.monitors(now) {
+        for address in self.heartbeat_targets(now) {
             self.send(address, PeerMessage::Heartbeat(heartbeat.clone()));
         }
     }
--- a/system/control/tests/contact.rs
+++ b/system/control/tests/contact.rs
@@ -1,7 +1,7 @@
 //! What counts as proof that a view is still the newest one.
 mod common;
 
-use common::{heartbeat, no_state, report, settings, started, NoState};
+use common::{group::Group, heartbeat, no_state, report, settings, started, NoState};
 use googletest::prelude::*;
 use magpiegap_control::{DurableState, Replica, QUORUM_CONTACT_TIMEOUT_MS};
 use magpiegap_protocol::{
@@ -134,3 +134,19 @@
     expect_that!(head.has_quorum_contact(910), eq(true));
     expect_that!(head.knows_committed(910), eq(false));
 }
+
+#[googletest::test]
+fn given_a_chain_of_any_length_when_it_serves_then_each_member_knows_what_is_committed() {
+    for size in [3, 9, 10, 11, 13, 16] {
+        let mut group = Group::start(size, 2);
+        for _ in 0..10 {
+            group.write();
+            group.run(200);
+        }
+        expect_that!(group.chain().len() as u32, eq(size));
+        for address in group.chain() {
+            let knows = group.replica(address).knows_committed(group.now);
+            expect_that!(knows, eq(true), "{address} of {size}");
+        }
+    }
+}
