Drop the note on a disk when a process of the build before runs on it

Cause: that build writes a disk's votes without the count of starts. A machine that is brought back to it for a while would come forward again with its first start, and be taken for an old copy. Change: a heartbeat that tells nothing of its disk drops the note. Measured: a story of `tests/old_copies.rs` fails without it.

--- a/system/control/src/disk_confirmation.rs
+++ b/system/control/src/disk_confirmation.rs
@@ -17,6 +17,9 @@
         now: Millis,
     ) -> bool {
         let Some(report) = heartbeat.disk.as_ref() else {
+            if self.disk_notes.forget(&from.member) {
+                self.persist_agreement(Vec::new(), now);
+            }
             return true;
         };
         let known = self.progress_in_chain(from);
--- a/system/control/src/disk_notes.rs
+++ b/system/control/src/disk_notes.rs
@@ -76,6 +76,12 @@
         }
     }
 
+    /// Drops the note on a disk on which a process of an earlier build runs: that keeps no count of starts, and what it
+    /// writes has lost the one of before. Returns whether there was a note.
+    pub(crate) fn forget(&mut self, member: &Member) -> bool {
+        self.notes.remove(member).is_some()
+    }
+
     fn object_to(&mut self, replica: ReplicaId, noted: DiskNote) -> Reported {
         if self.stale.len() >= MAX_STALE {
             self.stale.pop_first();
--- a/system/control/tests/old_copies.rs
+++ b/system/control/tests/old_copies.rs
@@ -228,6 +228,29 @@
     }
 }
 
+#[googletest::test]
+fn a_machine_that_was_at_the_build_before_for_a_while_is_not_objected_to() {
+    // Given: the build before keeps no count of starts, and writes the disk without the one that was on it
+    let mut first = first_replica();
+    let begun = progress(1, 5);
+    let noted = heartbeat_of_disk(4, begun, progress(1, 9));
+    first.handle_messages(10, WallMillis(10), replica(2, 7), noted, &mut NoState);
+    let of_build_before = PeerMessage::Heartbeat(heartbeat(0));
+    first.handle_messages(
+        20,
+        WallMillis(20),
+        replica(2, 8),
+        of_build_before,
+        &mut NoState,
+    );
+    first.poll_outputs();
+    // When
+    let next = heartbeat_of_disk(1, progress(1, 9), progress(1, 9));
+    first.handle_messages(30, WallMillis(30), replica(2, 9), next, &mut NoState);
+    // Then
+    expect_that!(objections(&first.poll_outputs()), is_empty());
+}
+
 #[googletest::test]
 fn a_replica_whose_disk_was_objected_to_leads_no_chain() {
     for (name, objected_to, leads) in [
