Split six large tests into modules, and use the field's word for requests in flight

Change: each of the six is a folder with its harness and its tests by what they are about; no test, assertion or comment was changed (11, 8, 11, 11, 9 and 5 tests, 166 assertions by a plain count, before and after).

--- a/balancer/settings/src/deployment.rs
+++ b/balancer/settings/src/deployment.rs
@@ -33,7 +33,7 @@
     /// Whether balancers may send each other datagrams.
     pub peers: bool,
     /// Column of the simulator's load reports with the requests in flight at an upstream, if there is one.
-    pub held_column: Option<usize>,
+    pub in_flight_column: Option<usize>,
     /// The same for the requests a second that it serves.
     pub served_column: Option<usize>,
 }
@@ -64,7 +64,7 @@
         let column = |name| columns.iter().position(|column| column == name);
         Ok(Deployment {
             policy: settings,
-            held_column: column(IN_FLIGHT_COLUMN),
+            in_flight_column: column(IN_FLIGHT_COLUMN),
             served_column: column(SERVED_COLUMN),
             classes: setup.classes.into_iter().map(|class| class.name).collect(),
             tenants: setup
--- a/balancer/settings/tests/golden.rs
+++ b/balancer/settings/tests/golden.rs
@@ -98,7 +98,7 @@
         dial_timeout: 254.0,
         max_open: 9003,
         peers: true,
-        held_column: Some(2),
+        in_flight_column: Some(2),
         served_column: Some(1),
     };
     assert_eq!(deployment(FULL.as_bytes()), Ok(wanted));
@@ -135,7 +135,7 @@
         dial_timeout: 250.0,
         max_open: 20_000,
         peers: false,
-        held_column: None,
+        in_flight_column: None,
         served_column: None,
     };
     assert_eq!(deployment(MINIMAL.as_bytes()), Ok(wanted));
@@ -143,16 +143,16 @@
 
 /// The leaves of a value, a line for each: the path to it, and what it is.
 fn leaves(path: &str, value: &Value, to: &mut Vec<String>) {
-    let mut further = |key: &str, value| leaves(&format!("{path}/{key}"), value, to);
+    let mut descend = |key: &str, value| leaves(&format!("{path}/{key}"), value, to);
     match value {
         Value::Object(fields) if !fields.is_empty() => {
-            fields.iter().for_each(|(key, value)| further(key, value));
+            fields.iter().for_each(|(key, value)| descend(key, value));
         }
         Value::Array(items) if !items.is_empty() => {
             items
                 .iter()
                 .enumerate()
-                .for_each(|(at, value)| further(&at.to_string(), value));
+                .for_each(|(at, value)| descend(&at.to_string(), value));
         }
         leaf => to.push(format!("{path}: {leaf}")),
     }
--- a/balancer/settings/tests/settings.rs
+++ b/balancer/settings/tests/settings.rs
@@ -42,7 +42,7 @@
 fn the_requests_in_flight_and_served_are_found_among_the_columns_of_load_reports() {
     let column = |stats: &str| {
         deployment(MINIMAL.replace("\"novel\": [1]", stats).as_bytes())
-            .map(|d| (d.held_column, d.served_column))
+            .map(|d| (d.in_flight_column, d.served_column))
     };
     let named = r#""stats": {"columns": ["latency_ms", "inflight", "qps"], "via": "answers"}"#;
     assert_eq!(column(named), Ok((Some(1), Some(2))));
--- a/balancer/simulator/src/host.rs
+++ b/balancer/simulator/src/host.rs
@@ -133,7 +133,7 @@
         })?;
         let instance = Instance {
             balancer: Balancer::new(deployment.policy, seed, now)?,
-            in_flight_column: deployment.held_column,
+            in_flight_column: deployment.in_flight_column,
             served_column: deployment.served_column,
         };
         self.instances.insert(id, instance);
--- /dev/null
+++ b/system/control/tests/joining/entries.rs
@@ -0,0 +1,206 @@
+//! Entries that come, are missing, or are replaced.
+use crate::common::{no_state, settings, started, NoState};
+use crate::middle_replica::*;
+use googletest::prelude::*;
+use magpiegap_control::{DurableRecord, DurableState, Output};
+use magpiegap_protocol::{Entry, LogIndex, LogPosition, PeerMessage, View, ViewNumber, WallMillis};
+
+fn appends(outputs: &[Output]) -> Vec<u64> {
+    let appended = |output: &Output| match output {
+        Output::Send {
+            to: 3,
+            message: PeerMessage::Append { entries, .. },
+        } => entries.iter().map(|entry| entry.position.index.0).collect(),
+        _ => Vec::new(),
+    };
+    outputs.iter().flat_map(appended).collect()
+}
+
+#[googletest::test]
+fn given_a_snapshot_that_comes_twice_when_entries_follow_then_they_are_still_replicated() {
+    // Given
+    let mut middle = middle_replica();
+    // When
+    send_snapshot(&mut middle, 30, 1, vec![entry(1)]);
+    let append = PeerMessage::Append {
+        view: ViewNumber(1),
+        after: LogIndex(1),
+        entries: vec![entry(2)],
+        durable: LogIndex(2),
+    };
+    middle.handle_messages(40, WallMillis(0), replica(1, 0), append, &mut NoState);
+    middle.flush(40, &mut NoState);
+    // Then
+    expect_that!(appends(&middle.poll_outputs()), elements_are![eq(&2)]);
+}
+
+#[googletest::test]
+fn given_an_active_replica_when_its_predecessor_sends_nothing_then_it_requests_what_is_missing() {
+    let mut middle = middle_replica();
+    let is_request = |output: &Output| {
+        matches!(
+            output,
+            Output::Send {
+                to: 1,
+                message: PeerMessage::RequestEntries { .. }
+            }
+        )
+    };
+    let mut requested = 0;
+    for now in (40..2000).step_by(20) {
+        middle.on_timeout(now, WallMillis(now), &mut NoState);
+        requested += middle
+            .poll_outputs()
+            .iter()
+            .filter(|output| is_request(output))
+            .count();
+        expect_that!(requested == 0 || now >= 600, eq(true));
+    }
+    expect_that!(requested, ge(1));
+}
+
+#[googletest::test]
+fn given_a_replica_that_caught_up_slowly_when_it_misses_entries_again_then_its_backoff_is_short() {
+    // Given: it had to send several requests for what it missed
+    let mut middle = middle_replica();
+    let gap = |after: u64| PeerMessage::Append {
+        view: ViewNumber(1),
+        after: LogIndex(after),
+        entries: Vec::new(),
+        durable: LogIndex(after),
+    };
+    for now in (1000..4000).step_by(20) {
+        middle.handle_messages(now, WallMillis(0), replica(1, 0), gap(5), &mut NoState);
+    }
+    let missing = PeerMessage::MissingEntries {
+        view: ViewNumber(1),
+        after: LogIndex(1),
+        entries: (2..=5).map(entry).collect(),
+        more: false,
+    };
+    middle.handle_messages(4000, WallMillis(0), replica(1, 0), missing, &mut NoState);
+    middle.poll_outputs();
+    // When
+    middle.handle_messages(4100, WallMillis(0), replica(1, 0), gap(7), &mut NoState);
+    // Then
+    let is_request = |output: &Output| {
+        matches!(
+            output,
+            Output::Send {
+                to: 1,
+                message: PeerMessage::RequestEntries { .. }
+            }
+        )
+    };
+    expect_that!(middle.poll_outputs().iter().any(is_request), eq(true));
+}
+
+/// The durable index last sent to the successor.
+fn advertised_durable(outputs: &[Output]) -> u64 {
+    let faults = |output: &Output| match output {
+        Output::Send {
+            to: 3,
+            message: PeerMessage::Append { durable, .. },
+        } => Some(*durable),
+        _ => None,
+    };
+    outputs
+        .iter()
+        .filter_map(faults)
+        .next_back()
+        .unwrap_or(LogIndex::default())
+        .0
+}
+
+#[googletest::test]
+fn given_entries_in_flight_to_the_disk_when_a_snapshot_replaces_them_then_they_do_not_count_as_durable(
+) {
+    // Given: entries of view 1 are submitted to the disk, which is slow
+    let mut middle = middle_replica();
+    let append = PeerMessage::Append {
+        view: ViewNumber(1),
+        after: LogIndex(1),
+        entries: vec![entry(2), entry(3)],
+        durable: LogIndex(3),
+    };
+    middle.handle_messages(30, WallMillis(0), replica(1, 0), append, &mut NoState);
+    middle.flush(30, &mut NoState);
+    let outputs = middle.poll_outputs();
+    let ticket = outputs.iter().find_map(|output| match output {
+        Output::Persist { ticket, records }
+            if matches!(records[..], [DurableRecord::Entries(_), ..]) =>
+        {
+            Some(*ticket)
+        }
+        _ => None,
+    });
+    // When: the head of the next view never had them, and others come in their place
+    let (head, own, tail) = (replica(1, 0), replica(2, 7), replica(3, 8));
+    let view = View::initial(vec![head.member])
+        .next(vec![head.member], vec![head, own, tail])
+        .next(vec![head.member], vec![head, own, tail]);
+    middle.handle_messages(
+        40,
+        WallMillis(0),
+        head,
+        PeerMessage::Decided(view),
+        &mut NoState,
+    );
+    send_snapshot(&mut middle, 50, 2, vec![entry(1)]);
+    let request = PeerMessage::RequestEntries {
+        view: ViewNumber(2),
+        last: LogPosition {
+            view: ViewNumber(1),
+            index: LogIndex(1),
+        },
+    };
+    middle.handle_messages(60, WallMillis(0), tail, request, &mut NoState);
+    let other = Entry {
+        position: LogPosition {
+            view: ViewNumber(2),
+            index: LogIndex(2),
+        },
+        ..entry(2)
+    };
+    let append = PeerMessage::Append {
+        view: ViewNumber(2),
+        after: LogIndex(1),
+        entries: vec![other],
+        durable: LogIndex(2),
+    };
+    middle.handle_messages(70, WallMillis(0), head, append, &mut NoState);
+    middle.poll_outputs();
+    middle.handle_persisted(ticket.unwrap_or_default(), 80, &mut NoState);
+    middle.on_timeout(300, WallMillis(300), &mut NoState);
+    // Then
+    expect_that!(advertised_durable(&middle.poll_outputs()), eq(0));
+}
+
+#[googletest::test]
+fn given_a_learner_that_has_caught_up_when_the_tail_tells_what_is_durable_then_only_a_long_enough_chain_commits_it(
+) {
+    let (head, second, own) = (replica(1, 0), replica(2, 7), replica(3, 8));
+    // One machine may be lost: what is on one disk only is not committed.
+    for (chain, committed) in [(vec![head], 0), (vec![second, head], 3)] {
+        let disk = DurableState::empty(8, None, Vec::new(), no_state());
+        let mut learner = started(settings(own, vec![1]), disk);
+        let view = View::initial(vec![head.member]).next(vec![head.member], chain.clone());
+        let decided = PeerMessage::Decided(view);
+        learner.handle_messages(0, WallMillis(0), head, decided, &mut NoState);
+        let missing = PeerMessage::MissingEntries {
+            view: ViewNumber(1),
+            after: LogIndex(0),
+            entries: vec![entry(1)],
+            more: false,
+        };
+        learner.handle_messages(10, WallMillis(0), head, missing, &mut NoState);
+        let append = PeerMessage::Append {
+            view: ViewNumber(1),
+            after: LogIndex(1),
+            entries: vec![entry(2), entry(3)],
+            durable: LogIndex(3),
+        };
+        learner.handle_messages(20, WallMillis(0), head, append, &mut NoState);
+        expect_that!(learner.commit_index().0, eq(committed), "{chain:?}");
+    }
+}
--- /dev/null
+++ b/system/control/tests/joining/snapshots.rs
@@ -0,0 +1,168 @@
+//! Snapshots that are offered, requested, expired or corrupt.
+use crate::common::{no_state, settings, started, NoState};
+use crate::middle_replica::*;
+use googletest::prelude::*;
+use magpiegap_control::{DurableState, Output};
+use magpiegap_protocol::{LogIndex, LogPosition, PeerMessage, View, ViewNumber, WallMillis};
+
+/// What a replica sends to the successor of the middle one.
+fn sent_to_tail(outputs: Vec<Output>) -> Vec<PeerMessage> {
+    let to_tail = |output| match output {
+        Output::Send { to: 3, message } => Some(message),
+        _ => None,
+    };
+    outputs.into_iter().filter_map(to_tail).collect()
+}
+
+#[googletest::test]
+fn given_a_successor_whose_entries_do_not_fit_when_it_retries_then_only_an_offer_is_sent_again() {
+    // Given: a successor whose last entry the middle one does not know
+    let mut middle = middle_replica();
+    let request = PeerMessage::RequestEntries {
+        view: ViewNumber(1),
+        last: LogPosition {
+            view: ViewNumber(0),
+            index: LogIndex(9),
+        },
+    };
+    // When
+    for now in [30, 90, 200, 450] {
+        middle.handle_messages(
+            now,
+            WallMillis(0),
+            replica(3, 8),
+            request.clone(),
+            &mut NoState,
+        );
+        let sent = sent_to_tail(middle.poll_outputs());
+        // Then
+        expect_that!(
+            sent,
+            elements_are![matches_pattern!(PeerMessage::SnapshotOffer {
+                chunks: eq(&1),
+                ..
+            })]
+        );
+    }
+}
+
+#[googletest::test]
+fn given_a_snapshot_that_has_expired_when_a_chunk_of_it_is_requested_then_another_one_is_offered() {
+    let mut middle = middle_replica();
+    let position = LogPosition {
+        view: ViewNumber(0),
+        index: LogIndex(5),
+    };
+    let request = PeerMessage::RequestSnapshotChunk {
+        view: ViewNumber(1),
+        position,
+        number: 3,
+    };
+    middle.handle_messages(30, WallMillis(0), replica(3, 8), request, &mut NoState);
+    let sent = sent_to_tail(middle.poll_outputs());
+    expect_that!(
+        sent,
+        elements_are![matches_pattern!(PeerMessage::SnapshotOffer {
+            chunks: eq(&1),
+            ..
+        })]
+    );
+}
+
+#[googletest::test]
+fn given_a_corrupt_chunk_when_it_arrives_then_the_snapshot_is_requested_anew() {
+    // Given: a replica in the chain that is offered a snapshot of two chunks
+    let (head, own) = (replica(1, 0), replica(2, 7));
+    let mut joining = started(
+        settings(own, vec![1]),
+        DurableState::empty(7, None, Vec::new(), no_state()),
+    );
+    let view = View::initial(vec![head.member]).next(vec![head.member], vec![head, own]);
+    joining.handle_messages(
+        0,
+        WallMillis(0),
+        head,
+        PeerMessage::Decided(view),
+        &mut NoState,
+    );
+    let position = LogPosition {
+        view: ViewNumber(0),
+        index: LogIndex(4),
+    };
+    joining.handle_messages(
+        10,
+        WallMillis(0),
+        head,
+        PeerMessage::SnapshotOffer {
+            view: ViewNumber(1),
+            position,
+            chunks: 2,
+        },
+        &mut NoState,
+    );
+    joining.poll_outputs();
+    // When
+    let chunk = PeerMessage::SnapshotChunk {
+        view: ViewNumber(1),
+        position,
+        number: 0,
+        checksum: 1,
+        bytes: vec![7],
+    };
+    joining.handle_messages(20, WallMillis(0), head, chunk, &mut NoState);
+    joining.on_timeout(400, WallMillis(400), &mut NoState);
+    // Then
+    let is_request = |output: &Output| {
+        matches!(
+            output,
+            Output::Send {
+                to: 1,
+                message: PeerMessage::RequestEntries { .. }
+            }
+        )
+    };
+    expect_that!(joining.poll_outputs().iter().any(is_request), eq(true));
+}
+
+#[googletest::test]
+fn given_a_slow_predecessor_when_a_replica_joins_then_its_requests_back_off() {
+    // Given: a replica with an empty disk, in a chain behind one that does not respond
+    let (head, own) = (replica(1, 0), replica(2, 7));
+    let empty = DurableState::empty(7, None, Vec::new(), no_state());
+    let mut joining = started(settings(own, vec![1]), empty);
+    let view = View::initial(vec![head.member]).next(vec![head.member], vec![head, own]);
+    joining.handle_messages(
+        0,
+        WallMillis(0),
+        head,
+        PeerMessage::Decided(view),
+        &mut NoState,
+    );
+    // When
+    let mut requested_at = Vec::new();
+    for now in (0..6000).step_by(20) {
+        joining.on_timeout(now, WallMillis(now), &mut NoState);
+        let is_request = |output: &Output| {
+            matches!(
+                output,
+                Output::Send {
+                    message: PeerMessage::RequestEntries { .. },
+                    ..
+                }
+            )
+        };
+        if joining.poll_outputs().iter().any(is_request) {
+            requested_at.push(now);
+        }
+    }
+    // Then
+    expect_that!(requested_at.first(), some(eq(&0)));
+    expect_that!(requested_at.len(), le(8));
+    expect_that!(requested_at.len(), ge(4));
+    let intervals: Vec<u64> = requested_at
+        .windows(2)
+        .map(|pair| pair[1] - pair[0])
+        .collect();
+    expect_that!(intervals.is_sorted(), eq(true), "{intervals:?}");
+    expect_that!(intervals.last(), some(le(&2020)));
+}
--- /dev/null
+++ b/system/magpiegap/tests/data_folder/content.rs
@@ -0,0 +1,164 @@
+//! The views, entries and snapshots in the stored folder, and how they came into it.
+use crate::commands::*;
+use magpiegap_control::{DurableRecord, DurableState};
+use magpiegap_coordinator::take_snapshot;
+use magpiegap_jobs::State;
+use magpiegap_protocol::{
+    encode, AcceptedView, Ballot, ChainRecord, Command, Entry, FailureDomainId, FencingToken,
+    Location, LogIndex, LogPosition, Member, MemberLocation, ProposalId, ReplicaId, Role,
+    RoleToken, View, ViewNumber, WallMillis,
+};
+use magpiegap_storage::{FolderDirectory, Store};
+use std::path::Path;
+
+/// Entries in the first snapshot, in the second, and in the head of that; the rest is in its log.
+pub(crate) const FIRST: usize = 6;
+
+pub(crate) const SECOND: usize = 20;
+
+pub(crate) const IN_HEAD: usize = 22;
+
+/// Of the last entries so many are not known to be committed.
+pub(crate) const OPEN: usize = 2;
+
+pub(crate) fn member(number: u32) -> Member {
+    Member {
+        address: 0x0a01_000f + number,
+        disk: 0xd15c_0000_0000_0000 + u64::from(number),
+    }
+}
+
+pub(crate) fn replica(number: u32) -> ReplicaId {
+    ReplicaId {
+        member: member(number),
+        incarnation: 0xb007_0000 + u64::from(number),
+    }
+}
+
+pub(crate) fn view(number: u64) -> View {
+    let place = |zone, region| Location {
+        zone: FailureDomainId::of(zone),
+        region: FailureDomainId::of(region),
+    };
+    View {
+        number: ViewNumber(number),
+        voters: vec![member(0), member(1), member(2)],
+        chain: vec![replica(1), replica(0)],
+        history: vec![
+            ChainRecord {
+                number: ViewNumber(0),
+                chain: Vec::new(),
+            },
+            ChainRecord {
+                number: ViewNumber(number - 1),
+                chain: vec![replica(0), replica(1), replica(2)],
+            },
+        ],
+        locations: vec![
+            MemberLocation {
+                member: member(0),
+                location: place("east-1", "east"),
+            },
+            MemberLocation {
+                member: member(1),
+                location: place("west-1", "west"),
+            },
+        ],
+    }
+}
+
+/// All entries of the log. Commands of schedulers carry the token of their role.
+pub(crate) fn entries() -> Vec<Entry> {
+    let commands = earlier_commands().into_iter().chain(later_commands());
+    let numbered = commands.zip(1_u64..).map(|(command, index)| Entry {
+        position: LogPosition {
+            view: ViewNumber(6 + index / 10),
+            index: LogIndex(index),
+        },
+        proposal: ProposalId {
+            origin: replica((index % 3) as u32),
+            sequence: 100 + index,
+        },
+        role_token: match command {
+            Command::StartRuns { .. }
+            | Command::RecordCompletions { .. }
+            | Command::LoseRuns { .. } => Some(RoleToken {
+                role: desk(),
+                token: FencingToken(1),
+            }),
+            Command::LoseIncarnation { .. } => Some(RoleToken {
+                role: Role::PlatformReader,
+                token: FencingToken(2),
+            }),
+            _ => None,
+        },
+        command,
+        wall_ms: WallMillis(1_700_000_002_000 + index),
+    });
+    numbered.collect()
+}
+
+/// The state after these entries.
+pub(crate) fn state_after(entries: &[Entry]) -> State {
+    let mut state = State::default();
+    for entry in entries {
+        state.apply(entry);
+    }
+    state
+}
+
+/// A snapshot of the state after `applied` entries, in which the entries up to `known` are too.
+pub(crate) fn snapshot(entries: &[Entry], applied: usize, known: usize) -> DurableState {
+    let state = state_after(&entries[..applied]);
+    let mut snapshot = DurableState::empty(
+        member(0).disk,
+        Some(ViewNumber(7)),
+        Vec::new(),
+        take_snapshot(&state),
+    );
+    snapshot.agreement.current = view(8);
+    snapshot.agreement.promised = Some(Ballot {
+        round: 4,
+        proposer: member(1).address,
+    });
+    snapshot.agreement.accepted = Some(AcceptedView {
+        ballot: Ballot {
+            round: 3,
+            proposer: member(2).address,
+        },
+        view: view(9),
+    });
+    snapshot.entries = entries[applied..known].to_vec();
+    snapshot.committed = LogIndex(applied as u64);
+    snapshot
+}
+
+/// Writes a folder as a coordinator does: two snapshots, each with a log after it.
+pub(crate) fn write_folder(folder: &Path) {
+    let entries = entries();
+    let (mut store, _) = Store::open(FolderDirectory::new(folder).unwrap()).unwrap();
+    store
+        .checkpoint(snapshot(&entries, FIRST, FIRST).chunks())
+        .unwrap();
+    let between = DurableRecord::Entries(entries[FIRST..SECOND].to_vec());
+    store
+        .append(&[
+            encode(&between),
+            encode(&DurableRecord::Committed(LogIndex(SECOND as u64))),
+        ])
+        .unwrap();
+    let second = snapshot(&entries, SECOND, IN_HEAD);
+    store.checkpoint(second.chunks()).unwrap();
+    let mut agreement = second.agreement;
+    agreement.current = view(9);
+    agreement.accepted = None;
+    let records = [
+        DurableRecord::Agreement(Box::new(agreement)),
+        DurableRecord::Entries(entries[IN_HEAD..].to_vec()),
+        DurableRecord::Synchronized(ViewNumber(9)),
+        DurableRecord::Committed(LogIndex((entries.len() - OPEN) as u64)),
+    ];
+    store
+        .append(&records.map(|record| encode(&record)))
+        .unwrap();
+}
