Share what a view says of a member, and compute heartbeats' targets once

Three places asked in their own words whether a member is of a view; each heartbeat computed twice to whom it goes; each append to an active member computed whether the chain is long enough to commit, which only a learner needs; two places built what votes on disk release; three faults of the in-memory fleet and two of its stories, and a state of one job in a test, were written out again. Change: `View::in_chain` and `has_member`; targets are passed on; the learner is asked first; `OnDurable::votes_of`; `OwnDisk::give_up`; `replace_disk`, `three_or_five`, and the jobs' harness. Behaviour stays, and every assertion.

--- a/system/control/src/catch_up.rs
+++ b/system/control/src/catch_up.rs
@@ -68,10 +68,11 @@
                 self.chain.log.push(entry);
             }
         }
-        let commits = self.keeps_replica(&self.agreement.current().chain);
-        if self.chain.activity == Activity::Following && commits {
-            // What is on the tail's disk is on all disks of the chain. One that is too short for what may be lost commits
-            // nothing, whatever is on its disks.
+        // What is on the tail's disk is on all disks of the chain. One that is too short for what may be lost commits
+        // nothing, whatever is on its disks.
+        if self.chain.activity == Activity::Following
+            && self.keeps_replica(&self.agreement.current().chain)
+        {
             self.chain.record_committed(durable);
         }
     }
--- a/system/control/src/disk_confirmation.rs
+++ b/system/control/src/disk_confirmation.rs
@@ -41,10 +41,8 @@
     fn progress_in_chain(&self, from: ReplicaId) -> Option<DiskNote> {
         let view = self.view();
         let earlier = view
-            .chain
-            .iter()
-            .find(|replica| replica.member == from.member)
-            .filter(|replica| replica.incarnation != from.incarnation)?;
+            .in_chain(&from.member)
+            .filter(|replica| *replica != from)?;
         let committed = self.chain.log.position(self.chain.committed)?;
         let progress = DiskProgress {
             view: view.number,
@@ -60,9 +58,8 @@
     }
 
     fn object_to_disk(&mut self, from: ReplicaId, noted: DiskNote, now: Millis) {
-        let chain = &self.view().chain;
         // While the disk's member is in the chain, nothing shows that the others can do without it.
-        let goes_on_without = chain.iter().all(|replica| replica.member != from.member);
+        let goes_on_without = self.view().in_chain(&from.member).is_none();
         let objection = StaleDisk {
             replica: from,
             noted,
@@ -116,18 +113,17 @@
         let others_serve = objection.serving
             && objection.view == self.view().number
             && self.own_position().is_none();
-        if others_serve && !self.own_disk.given_up {
-            self.own_disk.given_up = true;
+        if others_serve && self.own_disk.give_up() {
             self.output(Output::DiskSuperseded);
         }
     }
 
     /// Records how far the own log is confirmed on disk, for the next heartbeats.
     pub(crate) fn record_disk_progress(&mut self) {
-        let index = self.chain.committed.min(self.chain.disk.durable);
         if !self.holds_committed() {
             return;
         }
+        let index = self.chain.committed.min(self.chain.disk.durable);
         if let Some(position) = self.chain.log.position(index) {
             self.own_disk.record_committed(position);
         }
--- a/system/control/src/disk_notes.rs
+++ b/system/control/src/disk_notes.rs
@@ -1,8 +1,9 @@
 //! What this replica has noted of the disks of others, so that one that was put back from an old copy is recognised.
 //!
-//! A note names the newest process heard on a disk, by the number of starts on it, and how far the disk had come. Another process on it
-//! must be of a later start and must have read at least as much, else its disk is not the one that was noted. Notes are
-//! on this replica's own disk since they were last written with its votes, and in memory up to the last heartbeat.
+//! A note names the newest process heard on a disk, by the number of starts on it, and how far the disk had come. Another
+//! process on it must be of a later start and must have read at least as much, else its disk is not the one that was
+//! noted. Notes are on this replica's own disk since they were last written with its votes, and in memory up to the last
+//! heartbeat.
 use magpiegap_protocol::{DiskNote, DiskReport, Member, ReplicaId, View};
 use std::collections::BTreeMap;
 
@@ -93,11 +94,7 @@
     /// Drops the notes on disks that are neither voters nor in the chain: whoever comes back after that is sent all that
     /// it is missing, and its votes count for nothing.
     pub(crate) fn retain_members(&mut self, view: &View) {
-        let belongs = |member: &Member| {
-            view.voters.contains(member)
-                || view.chain.iter().any(|replica| replica.member == *member)
-        };
-        self.notes.retain(|member, _| belongs(member));
+        self.notes.retain(|member, _| view.has_member(member));
     }
 }
 
--- a/system/control/src/disk_tickets.rs
+++ b/system/control/src/disk_tickets.rs
@@ -1,6 +1,7 @@
 //! The disk work that a replica waits for. It owns the order of that work and what each piece of it releases; what is
 //! written is up to the replica.
-use magpiegap_protocol::{DiskProgress, LogIndex, Millis, PeerMessage};
+use crate::durable_state::AgreementState;
+use magpiegap_protocol::{DiskProgress, LogIndex, LogPosition, Millis, PeerMessage};
 use std::collections::VecDeque;
 
 /// What disk work releases once it is durable.
@@ -16,6 +17,13 @@
     Started,
 }
 
+impl OnDurable {
+    /// The votes in a state of the agreement are on disk.
+    pub(crate) fn votes_of(state: &AgreementState) -> OnDurable {
+        OnDurable::VotesDurable(state.progress(LogPosition::default()))
+    }
+}
+
 /// Disk work in flight.
 #[derive(Clone, Debug)]
 pub(crate) struct Ticket {
--- a/system/control/src/inputs.rs
+++ b/system/control/src/inputs.rs
@@ -28,9 +28,10 @@
             return;
         }
         if now >= self.next_heartbeat_at {
-            self.next_heartbeat_at = now + self.heartbeat_interval(now);
+            let targets = self.heartbeat_targets(now);
+            self.next_heartbeat_at = now + self.heartbeat_interval(targets.len());
             self.record_disk_progress();
-            self.send_heartbeats(now, own_wall);
+            self.send_heartbeats(&targets, now, own_wall);
             self.record_commit_index(now);
             self.membership.expire_peers(now);
             self.expire_outgoing_snapshot(now);
@@ -209,11 +210,10 @@
         }
     }
 
-    /// Time until the next heartbeats: longer with many monitors, so that they don't take up the processors of a
+    /// Time until the next heartbeats: longer with many that are sent them, so that they don't take up the processors of a
     /// large core, and short enough that several fit into the time after which a replica is suspected.
-    fn heartbeat_interval(&self, now: Millis) -> Millis {
-        let monitors = self.heartbeat_targets(now).len() as u64;
-        let spread = monitors * 1000 / MAX_HEARTBEATS_PER_S;
+    fn heartbeat_interval(&self, targets: usize) -> Millis {
+        let spread = targets as u64 * 1000 / MAX_HEARTBEATS_PER_S;
         spread
             .min(self.settings.suspicion_timeout_ms / MIN_HEARTBEATS_PER_SUSPICION)
             .max(self.settings.heartbeat_interval_ms)
@@ -237,7 +237,7 @@
         targets
     }
 
-    fn send_heartbeats(&mut self, now: Millis, own_wall: WallMillis) {
+    fn send_heartbeats(&mut self, targets: &BTreeSet<u32>, now: Millis, own_wall: WallMillis) {
         let heartbeat = Heartbeat {
             sent_at: now,
             sealed: self.agreement.is_sealed(),
@@ -251,8 +251,8 @@
             complete: self.is_complete(),
             disk: Some(Box::new(self.own_disk.report())),
         };
-        for address in self.heartbeat_targets(now) {
-            self.send(address, PeerMessage::Heartbeat(heartbeat.clone()));
+        for address in targets {
+            self.send(*address, PeerMessage::Heartbeat(heartbeat.clone()));
         }
     }
 }
--- a/system/control/src/own_disk.rs
+++ b/system/control/src/own_disk.rs
@@ -30,7 +30,7 @@
     confirmed: DiskProgress,
     trust: DiskTrust,
     /// The owner was told that the disk can be given up.
-    pub given_up: bool,
+    given_up: bool,
     /// What came before the disk was confirmed.
     deferred: Vec<(ReplicaId, PeerMessage)>,
 }
@@ -100,6 +100,11 @@
         std::mem::replace(&mut self.trust, DiskTrust::Stale) != DiskTrust::Stale
     }
 
+    /// Gives the disk up. Returns whether that is the first time.
+    pub(crate) fn give_up(&mut self) -> bool {
+        !std::mem::replace(&mut self.given_up, true)
+    }
+
     /// Defers a message until the disk is confirmed.
     pub(crate) fn defer(&mut self, from: ReplicaId, message: PeerMessage) {
         if self.trust != DiskTrust::Unconfirmed {
--- a/system/control/src/quorum_contact.rs
+++ b/system/control/src/quorum_contact.rs
@@ -61,8 +61,6 @@
 
     /// Drops what members that are no longer of the view have confirmed.
     pub(crate) fn retain_members(&mut self, view: &View) {
-        let in_chain = |member: &Member| view.chain.iter().any(|replica| replica.member == *member);
-        self.confirmed
-            .retain(|member, _| view.voters.contains(member) || in_chain(member));
+        self.confirmed.retain(|member, _| view.has_member(member));
     }
 }
--- a/system/control/src/replica.rs
+++ b/system/control/src/replica.rs
@@ -16,7 +16,7 @@
     StateMachine,
 };
 use magpiegap_protocol::{
-    Entry, LogIndex, LogPosition, Millis, PeerMessage, ReplicaId, View, ViewNumber, WallMillis,
+    Entry, LogIndex, Millis, PeerMessage, ReplicaId, View, ViewNumber, WallMillis,
 };
 
 /// How long a proof of quorum contact counts, in milliseconds: a majority confirmed by echoed heartbeats, at most this long
@@ -263,10 +263,9 @@
             committed: self.chain.committed.min(last),
         };
         self.chain.disk.submitted = last;
-        let votes = snapshot.agreement.progress(LogPosition::default());
         let on_durable = vec![
             OnDurable::EntriesDurable(last),
-            OnDurable::VotesDurable(votes),
+            OnDurable::votes_of(&snapshot.agreement),
         ];
         self.write_checkpoint(snapshot, on_durable, now);
     }
--- a/system/control/src/voting.rs
+++ b/system/control/src/voting.rs
@@ -5,7 +5,7 @@
     replica::Replica, StateMachine,
 };
 use magpiegap_protocol::{
-    Ballot, LogPosition, Member, Millis, PeerMessage, Promise, ReplicaId, View, ViewNumber,
+    Ballot, Member, Millis, PeerMessage, Promise, ReplicaId, View, ViewNumber,
 };
 use std::collections::BTreeSet;
 
@@ -239,11 +239,8 @@
     /// Writes the state of the agreement to disk, then does what rests on it.
     pub(crate) fn persist_agreement(&mut self, after: Vec<OnDurable>, now: Millis) {
         let state = self.durable_agreement();
-        let votes = state.progress(LogPosition::default());
-        let on_durable = after
-            .into_iter()
-            .chain([OnDurable::VotesDurable(votes)])
-            .collect();
+        let mut on_durable = after;
+        on_durable.push(OnDurable::votes_of(&state));
         let record = DurableRecord::Agreement(Box::new(state));
         self.persist(vec![record], on_durable, now);
     }
--- a/system/fleet/src/fleet/fault_injection.rs
+++ b/system/fleet/src/fleet/fault_injection.rs
@@ -33,14 +33,10 @@
                 self.stop_process(node, for_ms);
             }
             Fault::PowerLoss { node, for_ms } => self.lose_power(node, for_ms),
-            Fault::Wipe { node, for_ms } => {
-                self.nodes[node].disk = Disk::default();
-                self.stop_process(node, for_ms);
-            }
+            Fault::Wipe { node, for_ms } => self.replace_disk(node, Disk::default(), for_ms),
             Fault::PutBack { node, for_ms } => {
                 let copy = self.nodes[node].disk_copy.clone();
-                self.nodes[node].disk = copy.unwrap_or_default();
-                self.stop_process(node, for_ms);
+                self.replace_disk(node, copy.unwrap_or_default(), for_ms);
             }
             Fault::PowerLossOfAll { for_ms } => self.lose_power_of_all(for_ms),
             Fault::Freeze { node, for_ms } => self.nodes[node].frozen_until = self.now + for_ms,
@@ -80,8 +76,13 @@
     /// Empties the disk of a machine whose process has found it to be an old copy that is not needed.
     pub(super) fn empty_disk(&mut self, node: usize) {
         self.emptied_disks += 1;
-        self.nodes[node].disk = Disk::default();
-        self.stop_process(node, EMPTY_DISK_MS);
+        self.replace_disk(node, Disk::default(), EMPTY_DISK_MS);
+    }
+
+    /// Ends a process and puts another disk into its machine.
+    fn replace_disk(&mut self, node: usize, disk: Disk, for_ms: u64) {
+        self.nodes[node].disk = disk;
+        self.stop_process(node, for_ms);
     }
 
     /// How many disks were found to be old copies, and emptied.
@@ -149,9 +150,8 @@
 
     fn replace(&mut self, node: usize, for_ms: u64) {
         self.last_address += 1;
-        self.nodes[node].disk = Disk::default();
         self.nodes[node].address = self.last_address;
-        self.stop_process(node, for_ms);
+        self.replace_disk(node, Disk::default(), for_ms);
     }
 
     fn partition_worker(&mut self, worker: usize, scope: WorkerPartitionScope, for_ms: u64) {
--- a/system/fleet/tests/fault_scenarios.rs
+++ b/system/fleet/tests/fault_scenarios.rs
@@ -29,6 +29,17 @@
     (fleet, random)
 }
 
+/// A fleet of three coordinators, and with every fourth seed of five.
+fn three_or_five(seed: u64) -> FleetSettings {
+    let five = seed.is_multiple_of(4);
+    FleetSettings {
+        nodes: if five { 5 } else { 3 },
+        tolerance: if five { 2 } else { 1 },
+        seed,
+        ..FleetSettings::default()
+    }
+}
+
 /// Lets all jobs end; panics when an invariant was violated, a job is open, or a configuration is not everywhere.
 fn expect_sound_end(mut fleet: Fleet, seed: u64) {
     fleet.run_until(fleet.now() + 3 * CATCH_UP_MS);
@@ -144,13 +155,7 @@
 fn given_a_repair_or_a_drained_member_when_another_one_is_lost_right_after_it_then_nothing_is_lost()
 {
     for seed in seeds(16) {
-        let five = seed % 4 == 0;
-        let settings = FleetSettings {
-            nodes: if five { 5 } else { 3 },
-            tolerance: if five { 2 } else { 1 },
-            seed,
-            ..FleetSettings::default()
-        };
+        let settings = three_or_five(seed);
         let nodes = settings.nodes;
         let (mut fleet, mut random) = fleet_with_jobs(settings, 40);
         for iteration in 0..4 {
@@ -196,13 +201,7 @@
 fn given_an_old_copy_of_a_disk_when_it_is_put_back_and_others_lose_power_then_nothing_is_lost() {
     let mut emptied = 0;
     for seed in seeds(12) {
-        let five = seed % 4 == 0;
-        let settings = FleetSettings {
-            nodes: if five { 5 } else { 3 },
-            tolerance: if five { 2 } else { 1 },
-            seed,
-            ..FleetSettings::default()
-        };
+        let settings = three_or_five(seed);
         let nodes = settings.nodes;
         let (mut fleet, mut random) = fleet_with_jobs(settings, 40);
         for _ in 0..3 {
--- a/system/jobs/tests/consistency.rs
+++ b/system/jobs/tests/consistency.rs
@@ -1,74 +1,29 @@
 //! Inconsistent states are found out, and each contradiction is named.
 mod common;
 
-use common::apply;
+use common::{
+    apply,
+    job::{complete, start, step, submission, task, JOB},
+};
 use googletest::prelude::*;
 use magpiegap_jobs::{Inconsistency, State};
-use magpiegap_protocol::{
-    Command, CompletionKind, JobId, JobSpec, RunCompletion, RunStart, StepSpec, Submission, TaskId,
-    WallMillis,
-};
+use magpiegap_protocol::{Command, CompletionKind};
 
-const JOB: JobId = JobId(7);
 const QUEUE: &str = "h/q/";
 
-fn task(index: u32) -> TaskId {
-    TaskId {
-        job: JOB,
-        occurrence: 0,
-        step: 0,
-        index,
-    }
-}
-
 /// A job of two tasks: one is done, one runs.
 fn half_done_state() -> State {
-    let submission = Submission {
-        job: JOB,
-        queue: QUEUE.to_owned(),
-        service: "s".to_owned(),
-        priority: 1,
-        max_attempts: 2,
-        stretch: 2.0,
-        target_latency_ms: 100,
-        submitted_ms: WallMillis(0),
-        spec: JobSpec {
-            steps: vec![StepSpec {
-                count: 2,
-                ..StepSpec::default()
-            }],
-            ..JobSpec::default()
-        },
-    };
-    let start = |index| RunStart {
-        task: task(index),
-        run: 1,
-        incarnation: "w".to_owned(),
-        checkpoint: String::new(),
-    };
-    let completion = RunCompletion {
-        task: task(0),
-        run: 1,
-        kind: CompletionKind::Done,
-        checkpoint: String::new(),
-    };
+    let runs = vec![start(0, 0, 1, "w"), start(0, 1, 1, "w")];
+    let done = runs[0].clone();
     let mut state = State::default();
-    let runs = vec![start(0), start(1)];
     apply(
         &mut state,
         Command::SubmitJob {
-            submission: Box::new(submission),
+            submission: Box::new(submission(vec![step(2)])),
             runs,
         },
     );
-    apply(
-        &mut state,
-        Command::RecordCompletions {
-            incarnation: "w".to_owned(),
-            acknowledged_completion: 1,
-            completions: vec![completion],
-        },
-    );
+    complete(&mut state, "w", 1, &done, CompletionKind::Done);
     state
 }
 
@@ -83,7 +38,7 @@
     state.workers.get_mut("w").unwrap().runs.clear();
     let unrecorded_run = Inconsistency::RunWithoutWorker {
         incarnation: "w".to_owned(),
-        task: task(1),
+        task: task(0, 1),
         run: 1,
     };
     expect_that!(state.inconsistencies(), elements_are![eq(&unrecorded_run)]);
@@ -96,7 +51,7 @@
     let found = state.inconsistencies();
     let unknown_run = Inconsistency::RunWithoutTask {
         incarnation: "w".to_owned(),
-        task: task(1),
+        task: task(0, 1),
         run: 1,
     };
     expect_that!(found, contains(eq(&unknown_run)));
--- a/system/protocol/src/view.rs
+++ b/system/protocol/src/view.rs
@@ -94,6 +94,17 @@
         self.chain.iter().position(|other| other == replica)
     }
 
+    /// The replica of a member in the chain; `None`: it has none there.
+    pub fn in_chain(&self, member: &Member) -> Option<ReplicaId> {
+        let of_member = |replica: &&ReplicaId| replica.member == *member;
+        self.chain.iter().find(of_member).copied()
+    }
+
+    /// Whether a member votes, or is in the chain.
+    pub fn has_member(&self, member: &Member) -> bool {
+        self.voters.contains(member) || self.in_chain(member).is_some()
+    }
+
     /// Whether a disk that was complete in view `synced` still has all that was committed since: a view commits
     /// only what is on the disks of its entire chain, so a disk that was in every chain since has missed nothing.
     pub fn complete_since(&self, synced: ViewNumber, member: &Member) -> bool {
