Add review case 3: large jobs bring the coordinators to a standstill

Cause: the scheduler's work for one job grows with the square of its tasks and again with each run, between two heartbeats. Change: a script that sends three jobs of 2,520 tasks at once, or the same tasks in jobs of 40; upstreams of 64 cores.

--- a/review/stand-ins/src/cases.rs
+++ b/review/stand-ins/src/cases.rs
@@ -19,8 +19,10 @@
 const FINISH_MS: u64 = 14_000;
 /// The rule gives a job this long without anything running.
 const IDLE_MS: u64 = 3000;
-/// Thousandths of a core that each task of these cases asks for.
-const TASK_CPU: u64 = 2000;
+/// Thousandths of a core that a task asks for.
+const TASK_CPU: u64 = 1000;
+/// Thousandths of a core that an upstream has.
+const WORKER_CPU: u64 = 64_000;
 
 fn cannot_run(text: &str) -> io::Error {
     io::Error::other(text.to_owned())
@@ -56,9 +58,9 @@
     )
 }
 
-/// A step of a job, with one task.
-fn step(rest: &str) -> String {
-    format!("{{\"count\":1,\"cpu\":{TASK_CPU},\"memMb\":256{rest}}}")
+/// A step of a job.
+fn step(count: u32, rest: &str) -> String {
+    format!("{{\"count\":{count},\"cpu\":{TASK_CPU},\"memMb\":256{rest}}}")
 }
 
 fn workers(
@@ -71,7 +73,14 @@
     (1..=count)
         .map(|number| {
             let rack = format!("{name}-r{}", number.div_ceil(3));
-            Worker::start(&format!("i-{name}{number}"), service, &rack, record, spans)
+            Worker::start(
+                &format!("i-{name}{number}"),
+                service,
+                &rack,
+                WORKER_CPU,
+                record,
+                spans,
+            )
         })
         .collect()
 }
@@ -172,8 +181,8 @@
     let path = "/lohu930/5c0e7a21d94b36f8";
     let job = format!(
         "{{\"spec\":\"6000 {TASK_CPU}\\n4000 {TASK_CPU}\",\"steps\":[{},{}]}}",
-        step(",\"estimatedMs\":6000"),
-        step(",\"estimatedMs\":4000,\"dependsOn\":[0]")
+        step(1, ",\"estimatedMs\":6000"),
+        step(1, ",\"estimatedMs\":4000,\"dependsOn\":[0]")
     );
     submit(&cluster, path, &job)?;
     pause(1000);
@@ -210,7 +219,7 @@
     };
     let job = format!(
         "{{\"spec\":\"80000 {TASK_CPU}\",\"steps\":[{}]}}",
-        step(guess)
+        step(1, guess)
     );
     let path = "/lohu930/5c0e7a21d94b36f8";
     submit(&cluster, path, &job)?;
@@ -218,11 +227,16 @@
     Ok(judge(&cluster, record, &spans, &all, path, 80_000))
 }
 
-/// Clients of two queues choose the same ID.
-pub fn same_id(record: &Record, trouble: bool) -> Outcome {
+/// Large jobs come at once, beside small ones of another service. Without the disruption the same tasks come in small jobs.
+pub fn large_jobs(record: &Record, trouble: bool) -> Outcome {
+    /// As many steps and tasks in a step as the largest jobs of `padma-kolkata-large` have.
+    const STEPS: u32 = 6;
+    const WIDTH: u32 = 420;
+    const LARGE_JOBS: u32 = 3;
+    const SMALL_JOB: u32 = 40;
     let spans = Spans::default();
-    let mut all = workers(record, &spans, "anubad-desk", "a", 4)?;
-    all.extend(workers(record, &spans, "shruti-asr", "s", 4)?);
+    let mut all = workers(record, &spans, "anubad-desk", "a", 6)?;
+    all.extend(workers(record, &spans, "shruti-asr", "s", 2)?);
     let routes = [
         route("r-1", "/lohu930/", "anubad-desk"),
         route("r-2", "/pule252/", "shruti-asr"),
@@ -232,17 +246,29 @@
         &all,
         &configuration(1, &routes, &["anubad-desk", "shruti-asr"]),
     )?;
-    let job = format!(
-        "{{\"spec\":\"1000 {TASK_CPU}\",\"steps\":[{}]}}",
-        step(",\"estimatedMs\":1000")
-    );
-    submit(&cluster, "/lohu930/0000000000000001", &job)?;
-    let second = if trouble {
-        "/pule252/0000000000000001"
-    } else {
-        "/pule252/0000000000000002"
+    let (jobs, steps, width) = match trouble {
+        true => (LARGE_JOBS, STEPS, WIDTH),
+        false => (LARGE_JOBS * STEPS * WIDTH / SMALL_JOB, 1, SMALL_JOB),
     };
-    submit(&cluster, second, &job)?;
+    let spec = vec![format!("1000 {TASK_CPU}"); steps as usize].join("\\n");
+    let steps = vec![step(width, ",\"estimatedMs\":1000"); steps as usize].join(",");
+    let body = format!("{{\"spec\":\"{spec}\",\"steps\":[{steps}]}}");
+    let mut accepted = Vec::new();
+    for number in 0..jobs {
+        let path = format!("/lohu930/5c0e7a21d94b{number:04x}");
+        let answer = cluster.client("POST", &path, &body, 4);
+        if answer.is_some_and(|answer| answer.status == 200) {
+            accepted.push(path);
+        }
+    }
+    let Some(last) = accepted.last() else {
+        return Err(cannot_run("no job was accepted"));
+    };
+    let small = format!(
+        "{{\"spec\":\"500 {TASK_CPU}\",\"steps\":[{}]}}",
+        step(1, ",\"estimatedMs\":500")
+    );
+    cluster.client("POST", "/pule252/5c0e7a21d94bffff", &small, 2);
     pause(FINISH_MS);
-    Ok(judge(&cluster, record, &spans, &all[4..], second, 10_000))
+    Ok(judge(&cluster, record, &spans, &all[..6], last, 40_000))
 }
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -38,7 +38,7 @@
     let outcome = match case.as_str() {
         "dropped-service" => cases::dropped_service(&record, trouble),
         "no-estimate" => cases::no_estimate(&record, trouble),
-        "same-id" => cases::same_id(&record, trouble),
+        "large-jobs" => cases::large_jobs(&record, trouble),
         _ => Err(std::io::ErrorKind::InvalidInput.into()),
     };
     let (text, status) = match outcome {
--- a/review/stand-ins/src/worker.rs
+++ b/review/stand-ins/src/worker.rs
@@ -13,8 +13,6 @@
     time::Duration,
 };
 
-/// Thousandths of a core of each worker.
-const CPU: u64 = 8000;
 /// The longest hold (`maxHoldMs`).
 const MAX_HOLD_MS: u64 = 6000;
 const POLL: Duration = Duration::from_millis(2);
@@ -61,6 +59,8 @@
     pub id: String,
     pub service: String,
     pub rack: String,
+    /// Its thousandths of a core.
+    pub cpu: u64,
     pub address: SocketAddr,
     state: Arc<Mutex<State>>,
     record: Record,
@@ -73,6 +73,7 @@
         id: &str,
         service: &str,
         rack: &str,
+        cpu: u64,
         record: &Record,
         spans: &Arc<Mutex<Vec<Span>>>,
     ) -> std::io::Result<Worker> {
@@ -81,6 +82,7 @@
             id: id.to_owned(),
             service: service.to_owned(),
             rack: rack.to_owned(),
+            cpu,
             address: listener.local_addr()?,
             state: Arc::default(),
             record: record.clone(),
@@ -100,9 +102,10 @@
     pub fn entry(&self) -> String {
         format!(
             "{{\"service\":{},\"address\":\"{}\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\
-             \"coldRemainingMs\":0,\"capacity\":{{\"cpu\":{CPU},\"memMb\":16000,\"gpu\":0}},\"labels\":[\"a\",{}],\"id\":{}}}",
+             \"coldRemainingMs\":0,\"capacity\":{{\"cpu\":{},\"memMb\":64000,\"gpu\":0}},\"labels\":[\"a\",{}],\"id\":{}}}",
             quote(&self.service),
             self.address,
+            self.cpu,
             quote(&self.rack),
             quote(&self.id)
         )
@@ -244,7 +247,7 @@
         };
         self.extend_hold(&mut state, deadline);
         let used: u64 = state.running.values().map(|run| run.cpu).sum();
-        if used + cpu > CPU || state.running.contains_key(task) {
+        if used + cpu > self.cpu || state.running.contains_key(task) {
             return self.refused("room");
         }
         state.running.insert(
