Keep a scheduler for every service that has jobs, named by the configuration or not

When the coordinator that scheduled the former service was stopped and started, the accepted jobs of that service never ran again: GET answered "running" without end while all its workers were idle.

Cause: `required_roles` took the services of the newest configuration for all services that need a scheduler. The holder of the role went on after the change, since it looks at the replicated roles, but once it had ended nobody claimed the role again, so that no task was started, no lease renewed and no ended job removed.

A role that stops being required no longer keeps the time since when it was vacant.

--- a/system/coordinator/src/roles.rs
+++ b/system/coordinator/src/roles.rs
@@ -8,7 +8,7 @@
 use magpiegap_jobs::Configuration;
 use magpiegap_protocol::{Command, FencingToken, Millis, Role, RoleToken, Submission};
 use magpiegap_scheduler::{Output as SchedulerOutput, Scheduler, WorkerReply};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Additional delay of each lower-ranked candidate before it claims a vacant role.
 const CLAIM_DELAY_MS: Millis = 200;
@@ -22,16 +22,18 @@
         self.now < self.lease_expiry && self.has_committed_in_view && self.replica.is_active()
     }
 
-    /// Returns all roles that must have a holder, in a fixed order.
+    /// Returns all roles that must have a holder, in a fixed order. A service needs a scheduler while it is configured
+    /// or has jobs: a configuration that drops a service does not end the jobs that were accepted for it.
     fn required_roles(&self) -> Vec<Role> {
-        let services = self
+        let configured = self
             .configurations
             .newest()
-            .map(|configuration| configuration.services.keys());
+            .map(|configuration| configuration.services.keys().map(String::as_str));
+        let with_jobs = self.machine.state.service_jobs.services();
+        let services: BTreeSet<&str> = configured.into_iter().flatten().chain(with_jobs).collect();
         let schedulers = services
             .into_iter()
-            .flatten()
-            .map(|service| Role::Scheduler(service.clone()));
+            .map(|service| Role::Scheduler(service.to_owned()));
         schedulers.chain([Role::PlatformReader]).collect()
     }
 
@@ -46,7 +48,10 @@
         let Some(position) = chain.iter().position(|replica| *replica == own) else {
             return;
         };
-        for (number, role) in self.required_roles().into_iter().enumerate() {
+        let required = self.required_roles();
+        self.roles_vacant_since
+            .retain(|role, _| required.contains(role));
+        for (number, role) in required.into_iter().enumerate() {
             let state = self.machine.state.roles.get(&role).copied();
             let has_active_holder = state.is_some_and(|state| chain.contains(&state.holder));
             if has_active_holder && !self.is_deposed(&role) {
--- a/system/fleet/src/client.rs
+++ b/system/fleet/src/client.rs
@@ -1,9 +1,15 @@
 //! State of clients and operators: their pending requests and the responses received. The fleet chooses the
 //! coordinator that each request is sent to.
+use crate::fleet::ServiceListing;
 use magpiegap_protocol::{
     fnv1a, CoordinatorRequest, CoordinatorResponse, JobId, JobPhase, Submission, TaskId,
 };
 
+/// The service whose jobs the clients submit.
+pub(crate) const JOB_SERVICE: &str = "s";
+/// The service to which the queue goes in configurations that do not list [`JOB_SERVICE`].
+const OTHER_SERVICE: &str = "t";
+
 /// One job as seen by its client.
 #[derive(Clone, Debug)]
 pub(crate) struct ClientJob {
@@ -115,14 +121,18 @@
 impl ConfigurationChange {
     /// Creates an operator's change based on version `base`. If `base` is a multiple of 3, all operators choose the
     /// same new version number, so that their changes conflict.
-    pub(crate) fn new(operator: usize, base: u64, size: ConfigurationSize) -> ConfigurationChange {
+    pub(crate) fn new(
+        operator: usize,
+        base: u64,
+        shape: ConfigurationShape,
+    ) -> ConfigurationChange {
         let version_offset = if base.is_multiple_of(3) {
             0
         } else {
             operator as u64
         };
         let version = base + 1 + version_offset;
-        let body = configuration_body(operator, base, version, size);
+        let body = configuration_body(operator, base, version, shape);
         ConfigurationChange {
             base,
             version,
@@ -139,17 +149,19 @@
     pub next_request_at: u64,
 }
 
-/// The size of the configurations that operators send.
+/// The size and content of the configurations that operators send.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct ConfigurationSize {
+pub(crate) struct ConfigurationShape {
     /// Size of the comment that pads the configuration, in bytes.
     pub padding: usize,
     /// Number of unused routes.
     pub routes: u64,
+    /// Which versions list the service of the jobs.
+    pub service_listing: ServiceListing,
 }
 
 /// Returns an unused route. Every 50th route changes with each version.
-fn unused_route(number: u64, version: u64) -> String {
+fn unused_route(number: u64, version: u64, service: &str) -> String {
     let name = fnv1a(&number.to_le_bytes());
     let timeout_ms = if number.is_multiple_of(50) {
         1000 + version
@@ -157,7 +169,7 @@
         1000
     };
     format!(
-        ",{{\"name\":\"r-{name:x}\",\"hostname\":\"h\",\"pathPrefix\":\"/{name:x}/\",\"timeoutMs\":{timeout_ms},\"service\":\"s\"}}"
+        ",{{\"name\":\"r-{name:x}\",\"hostname\":\"h\",\"pathPrefix\":\"/{name:x}/\",\"timeoutMs\":{timeout_ms},\"service\":\"{service}\"}}"
     )
 }
 
@@ -167,17 +179,22 @@
     operator: usize,
     base: u64,
     version: u64,
-    size: ConfigurationSize,
+    shape: ConfigurationShape,
 ) -> Vec<u8> {
-    let unused: String = (0..size.routes)
-        .map(|number| unused_route(number, version))
+    let service = if shape.service_listing.includes(version) {
+        JOB_SERVICE
+    } else {
+        OTHER_SERVICE
+    };
+    let unused: String = (0..shape.routes)
+        .map(|number| unused_route(number, version, service))
         .collect();
     format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"q\",\"hostname\":\"h\",\"pathPrefix\":\"/q/\",\
-         \"timeoutMs\":{},\"service\":\"s\",\"maxAttempts\":3,\"stretch\":2.0}}{unused}],\
-         \"services\":[{{\"name\":\"s\",\"guards\":true}}],\"comment\":\"on {base} {}\"}}",
+         \"timeoutMs\":{},\"service\":\"{service}\",\"maxAttempts\":3,\"stretch\":2.0}}{unused}],\
+         \"services\":[{{\"name\":\"{service}\",\"guards\":true}}],\"comment\":\"on {base} {}\"}}",
         1000 + version + 100_000 * operator as u64,
-        "x".repeat(size.padding)
+        "x".repeat(shape.padding)
     )
     .into_bytes()
 }
--- a/system/fleet/src/fleet.rs
+++ b/system/fleet/src/fleet.rs
@@ -15,11 +15,11 @@
 mod state_checks;
 mod worker_calls;
 
-pub use settings::FleetSettings;
+pub use settings::{FleetSettings, ServiceListing};
 
 use crate::{
     active_faults::ActiveFaults,
-    client::{ClientJob, Operator},
+    client::{ClientJob, Operator, JOB_SERVICE},
     disk::Disk,
     edge::Edge,
     events::{Event, EventQueue},
@@ -159,7 +159,7 @@
         let submission = Submission {
             job,
             queue: "h/q/".to_owned(),
-            service: "s".to_owned(),
+            service: JOB_SERVICE.to_owned(),
             // Every third job has the highest priority (0), so that it preempts others.
             priority: (job.0 % 3) as u32,
             max_attempts: MAX_ATTEMPTS,
@@ -219,7 +219,7 @@
         self.worker_incarnations += 1;
         let entry = WorkerEntry {
             incarnation: format!("i-{}-{}", number, self.worker_incarnations),
-            service: "s".to_owned(),
+            service: JOB_SERVICE.to_owned(),
             address: format!("w{number}"),
             zone: "z".to_owned(),
             capacity: Resources {
--- a/system/fleet/src/fleet/requests.rs
+++ b/system/fleet/src/fleet/requests.rs
@@ -1,7 +1,7 @@
 //! Sends the requests of clients, operators and observers to coordinators, and handles the responses.
 use super::Fleet;
 use crate::{
-    client::{ConfigurationChange, ConfigurationSize},
+    client::{ConfigurationChange, ConfigurationShape},
     events::ProcessId,
     oracle::{Observation, OperatorCount},
     pending_requests::{OperatorRequest, Requester},
@@ -62,15 +62,16 @@
     fn send_change(&mut self, number: usize) {
         // After a rejection the operator bases its next change on the newest version.
         let base = self.newest_configuration_version();
-        let size = ConfigurationSize {
+        let shape = ConfigurationShape {
             padding: self.settings.configuration_bytes,
             routes: self.settings.configuration_routes,
+            service_listing: self.settings.service_listing,
         };
         let operator = &mut self.operators[number];
         operator.next_request_at = self.now + self.settings.change_interval_ms;
         let change = operator
             .pending_change
-            .get_or_insert_with(|| ConfigurationChange::new(number, base, size))
+            .get_or_insert_with(|| ConfigurationChange::new(number, base, shape))
             .clone();
         let request = CoordinatorRequest::ReplaceConfiguration {
             base: change.base,
--- a/system/fleet/src/fleet/settings.rs
+++ b/system/fleet/src/fleet/settings.rs
@@ -1,5 +1,28 @@
 //! Settings of a fleet.
 
+/// Which versions of the configuration list the service whose jobs the clients submit. The others send its queue to
+/// another service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServiceListing {
+    /// All versions.
+    Always,
+    /// The versions up to this one.
+    UpTo(u64),
+    /// Blocks of this many versions, alternating with equally long blocks without the service.
+    Alternating(u64),
+}
+
+impl ServiceListing {
+    /// Returns whether a version lists the service.
+    pub(crate) fn includes(self, version: u64) -> bool {
+        match self {
+            ServiceListing::Always => true,
+            ServiceListing::UpTo(last) => version <= last,
+            ServiceListing::Alternating(block) => (version / block).is_multiple_of(2),
+        }
+    }
+}
+
 /// Settings of a fleet.
 #[derive(Clone, Debug)]
 pub struct FleetSettings {
@@ -25,6 +48,8 @@
     pub configuration_bytes: usize,
     /// Number of unused routes in a configuration.
     pub configuration_routes: u64,
+    /// Which versions of the configuration list the service of the jobs.
+    pub service_listing: ServiceListing,
     /// Number of edges, each with an agent that follows the configuration.
     pub edges: usize,
     /// Bandwidth of an edge's link, in bytes per second.
@@ -47,6 +72,7 @@
             lost_responses_percent: 0,
             configuration_bytes: 0,
             configuration_routes: 0,
+            service_listing: ServiceListing::Always,
             edges: 0,
             edge_bytes_per_second: 250_000,
             seed: 1,
--- a/system/fleet/src/fleet/state_checks.rs
+++ b/system/fleet/src/fleet/state_checks.rs
@@ -1,9 +1,9 @@
 //! Compares the states of all coordinators, and formats them for failure messages.
 use super::Fleet;
-use crate::node::Node;
+use crate::{client::JOB_SERVICE, node::Node};
 use magpiegap_coordinator::Coordinator;
 use magpiegap_jobs::Configuration;
-use magpiegap_protocol::{encode, JobId, LogPosition, Member};
+use magpiegap_protocol::{encode, JobId, LogPosition, Member, Role};
 use std::collections::BTreeMap;
 
 /// The first state seen at a log position, which the other states at that position must equal.
@@ -20,6 +20,17 @@
             .collect()
     }
 
+    /// The node that holds the scheduler role, according to the most recent state of a running coordinator.
+    pub fn scheduler_node(&self) -> Option<usize> {
+        let role = Role::Scheduler(JOB_SERVICE.to_owned());
+        let newest = self
+            .coordinators()
+            .map(Coordinator::state)
+            .max_by_key(|state| state.position.index)?;
+        let holder = newest.roles.get(&role)?.holder.member.address;
+        self.nodes.iter().position(|node| node.address == holder)
+    }
+
     /// Formats the state of each coordinator.
     pub fn describe(&self) -> Vec<String> {
         let describe_node = |node: &Node| match &node.coordinator {
--- a/system/fleet/src/lib.rs
+++ b/system/fleet/src/lib.rs
@@ -19,6 +19,6 @@
 mod worker;
 
 pub use faults::{Fault, WorkerPartitionScope};
-pub use fleet::{Fleet, FleetSettings};
+pub use fleet::{Fleet, FleetSettings, ServiceListing};
 pub use oracle::Violation;
 pub use worker::{RunCompletion, RunEvent, Work, Worker, WorkerSettings};
--- a/system/jobs/src/apply_jobs.rs
+++ b/system/jobs/src/apply_jobs.rs
@@ -14,6 +14,7 @@
         }
         let queue = submission.queue.clone();
         *self.state.open_jobs.entry(queue).or_default() += 1;
+        self.state.service_jobs.add(&submission.service);
         let job = Job::new(submission.clone());
         self.state.jobs.insert(id, Shared::new(job));
         self.changes.push(Change::JobChanged(id));
@@ -73,7 +74,9 @@
                 .get(id)
                 .is_some_and(|job| job.phase.is_terminal() && !job.has_active_runs());
             if is_removable {
-                self.state.jobs.remove(id);
+                if let Some(job) = self.state.jobs.remove(id) {
+                    self.state.service_jobs.remove(&job.submission.service);
+                }
                 self.changes.push(Change::JobRemoved(*id));
             }
         }
--- a/system/jobs/src/consistency.rs
+++ b/system/jobs/src/consistency.rs
@@ -1,7 +1,7 @@
 //! Consistency checks of the state: denormalized records must agree with the records that they duplicate.
 //!
 //! The checks only report inconsistencies and do not repair them.
-use crate::{Configuration, Job, State, StepState, TaskState};
+use crate::{service_jobs::ServiceJobs, Configuration, Job, State, StepState, TaskState};
 use magpiegap_protocol::{JobId, RunId, TaskId};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -18,6 +18,9 @@
         /// The actual number of unfinished jobs.
         counted: u64,
     },
+    /// The number of jobs of at least one service is wrong.
+    #[error("the counts of jobs by service do not agree with the jobs")]
+    ServiceJobs,
     /// A run is recorded for a worker but not for its task.
     #[error("run {run} of {task} is recorded for worker {incarnation}, but not for the task")]
     RunWithoutTask {
@@ -64,6 +67,9 @@
     pub fn inconsistencies(&self) -> Vec<Inconsistency> {
         let mut found = Vec::new();
         self.check_open_jobs(&mut found);
+        if self.service_jobs != ServiceJobs::of(&self.jobs) {
+            found.push(Inconsistency::ServiceJobs);
+        }
         self.check_workers(&mut found);
         for (id, job) in &self.jobs {
             self.check_job(*id, job, &mut found);
--- a/system/jobs/src/lib.rs
+++ b/system/jobs/src/lib.rs
@@ -20,6 +20,7 @@
 mod readiness;
 mod route;
 mod route_table;
+mod service_jobs;
 mod shared;
 mod snapshot;
 mod state;
@@ -33,6 +34,7 @@
 pub use readiness::{startable_units, StartableUnit};
 pub use route::Route;
 pub use route_table::RouteTable;
+pub use service_jobs::ServiceJobs;
 pub use shared::Shared;
 pub use snapshot::{JobsSnapshot, SnapshotBuilder};
 pub use state::{ConfigurationState, RoleState, State, WorkerRecord};
--- a/system/jobs/src/snapshot.rs
+++ b/system/jobs/src/snapshot.rs
@@ -2,7 +2,7 @@
 //!
 //! Each chunk is an encoded [`State`] that holds a subset of the records: the first chunk holds everything except the
 //! jobs, all others hold only jobs.
-use crate::{Job, Shared, State};
+use crate::{service_jobs::ServiceJobs, Job, Shared, State};
 use magpiegap_protocol::{decode, encode, DecodeError, JobId, LogPosition};
 use std::collections::BTreeMap;
 
@@ -30,6 +30,7 @@
             jobs: BTreeMap::new(),
             workers: self.workers.clone(),
             open_jobs: self.open_jobs.clone(),
+            service_jobs: ServiceJobs::default(),
         };
         let chunk_starts = self.jobs.keys().step_by(JOBS_PER_CHUNK).copied().collect();
         JobsSnapshot {
@@ -90,6 +91,8 @@
 
     /// Returns the rebuilt state, or `None` if no chunk was added.
     pub fn finish(self) -> Option<State> {
-        self.state
+        let mut state = self.state?;
+        state.service_jobs = ServiceJobs::of(&state.jobs);
+        Some(state)
     }
 }
--- a/system/jobs/src/state.rs
+++ b/system/jobs/src/state.rs
@@ -1,5 +1,5 @@
 //! Data types of the replicated state. The `apply` modules implement the changes that log entries make to it.
-use crate::{Job, Shared};
+use crate::{service_jobs::ServiceJobs, Job, Shared};
 use magpiegap_protocol::{FencingToken, JobId, LogPosition, ReplicaId, Role, RunId, TaskId};
 use minicbor::{Decode, Encode};
 use std::collections::BTreeMap;
@@ -84,6 +84,9 @@
     /// Number of unfinished jobs per queue; queues without unfinished jobs are omitted.
     #[n(5)]
     pub open_jobs: BTreeMap<String, u64>,
+    /// Number of jobs per service, including ended jobs that are still retained. Derived from `jobs` and not stored.
+    #[cbor(skip)]
+    pub service_jobs: ServiceJobs,
 }
 
 impl State {
--- a/system/jobs/tests/consistency.rs
+++ b/system/jobs/tests/consistency.rs
@@ -6,7 +6,7 @@
     job::{complete, run_start, step, submission, task, JOB},
 };
 use googletest::prelude::*;
-use magpiegap_jobs::{Inconsistency, State};
+use magpiegap_jobs::{Inconsistency, ServiceJobs, State};
 use magpiegap_protocol::{Command, CompletionKind};
 
 const QUEUE: &str = "h/q/";
@@ -94,3 +94,13 @@
         elements_are![eq(&Inconsistency::Configuration)]
     );
 }
+
+#[googletest::test]
+fn wrong_count_of_the_jobs_of_a_service_is_reported() {
+    let mut state = state_with_half_done_job();
+    state.service_jobs = ServiceJobs::default();
+    expect_that!(
+        state.inconsistencies(),
+        elements_are![eq(&Inconsistency::ServiceJobs)]
+    );
+}
--- a/system/jobs/tests/golden/samples.rs
+++ b/system/jobs/tests/golden/samples.rs
@@ -151,6 +151,17 @@
             ("a.example/b/".to_owned(), 23),
         ]
         .into(),
+        // Not stored.
+        service_jobs: ServiceJobs::default(),
+    }
+}
+
+/// The sample state as it is rebuilt from stored bytes.
+pub(crate) fn rebuilt_state() -> State {
+    let stored = state();
+    State {
+        service_jobs: ServiceJobs::of(&stored.jobs),
+        ..stored
     }
 }
 
--- a/system/jobs/tests/state.rs
+++ b/system/jobs/tests/state.rs
@@ -4,7 +4,7 @@
 use common::job::*;
 use common::{apply, apply_as, replica};
 use googletest::prelude::*;
-use magpiegap_jobs::{startable_units, Change, Outcome, State};
+use magpiegap_jobs::{startable_units, Change, Outcome, SnapshotBuilder, State};
 use magpiegap_protocol::{
     Command, CompletionKind, FencingToken, JobPhase, Role, RoleToken, RunStart, StepSpec,
     WallMillis,
@@ -299,3 +299,27 @@
     }
     expect_that!(state.configuration.version, eq(9));
 }
+
+#[googletest::test]
+fn services_of_jobs_are_known_until_the_last_job_is_removed() {
+    let services = |state: &State| -> Vec<String> {
+        state.service_jobs.services().map(str::to_owned).collect()
+    };
+    let mut state = state_with_job(vec![step(1)]);
+    expect_that!(services(&state), elements_are![eq("s")]);
+    // An entry that is applied twice counts its job once, and a restored snapshot counts it as well.
+    submit(&mut state, submission(vec![step(1)]));
+    let mut builder = SnapshotBuilder::default();
+    let snapshot = state.snapshot();
+    for number in 0..snapshot.chunks() {
+        expect_that!(builder.add(&snapshot.chunk(number)), ok(anything()));
+    }
+    expect_that!(builder.finish(), some(eq(&state)));
+    // An ended job counts until it is removed: its scheduler removes it.
+    apply(&mut state, Command::CancelJob { job: JOB });
+    expect_that!(services(&state), elements_are![eq("s")]);
+    for _ in 0..2 {
+        apply(&mut state, Command::RemoveJobs { jobs: vec![JOB] });
+        expect_that!(services(&state), is_empty());
+    }
+}
--- a/system/jobs/tests/stored_bytes.rs
+++ b/system/jobs/tests/stored_bytes.rs
@@ -102,7 +102,7 @@
     for chunk in stored_chunks() {
         expect_that!(builder.add(&chunk), ok(anything()));
     }
-    expect_that!(builder.finish(), some(eq(&state())));
+    expect_that!(builder.finish(), some(eq(&rebuilt_state())));
     // A complete encoded state is accepted as a single chunk.
     let mut stored = Stored::read(include_str!("golden/state.hex"));
     let mut builder = SnapshotBuilder::default();
@@ -110,7 +110,7 @@
         builder.add(&stored.bytes("state").unwrap_or_default()),
         ok(anything())
     );
-    expect_that!(builder.finish(), some(eq(&state())));
+    expect_that!(builder.finish(), some(eq(&rebuilt_state())));
 }
 
 #[googletest::test]
@@ -198,6 +198,9 @@
             wall_ms: WallMillis(1000 + index),
         });
     }
+    // The counts of jobs are derived and not stored.
+    expect_that!(state.service_jobs, eq(&ServiceJobs::of(&state.jobs)));
+    state.service_jobs = ServiceJobs::default();
     stored.keeps("state", &state);
     expect_that!(stored.faults(), is_empty());
 }
