Take a client's estimate for a guess when a run makes no progress

Cause: a run counted as stuck when its whole percent had not risen for a fifth of the estimate, at least 300 ms. Without an estimate that was 300 ms, less than the time of one percent of the task and than the pause between two listings. Nothing bounded how often a task was moved, and one such stop was enough to eject a worker, though the estimate, not the worker, was at fault.

Change (`scheduler/src/stalls.rs`, split off from `leases.rs`): without an estimate the limit is 10 s; the limit doubles with each run of a task (by the run number of the log, so that it outlives the scheduler), and is at least three times the slowest percent that the run has made itself. A stall counts against a worker as a failed run does: runs of several jobs in a row, which have not stalled elsewhere, and never more than half of the listed workers are ejected that way.

Related paths, where a missing estimate passed for a task that takes no time: the expected end of a run (reservations, runs that a draining worker can't finish) is extrapolated from its progress; backfilling takes such a task for one of 10 s; the list of steps that could not be placed in a round compares durations the same way. Still taken for a fact, and in the issue on what a caller may send: the wait for a rack (`waits_for_locality`); a start answered with 400 ejects its worker.

--- a/system/fleet/src/active_faults.rs
+++ b/system/fleet/src/active_faults.rs
@@ -18,6 +18,8 @@
 pub(crate) struct ActiveFaults {
     partitions: BTreeSet<Link>,
     worker_partitions: BTreeMap<usize, WorkerPartitionScope>,
+    /// Workers whose runs make no progress.
+    stalled_workers: BTreeSet<usize>,
     /// Duration of a sync on each slow disk, in milliseconds, by node.
     slow_disks: BTreeMap<usize, u64>,
     /// Percentage of worker calls that are delayed.
@@ -50,6 +52,18 @@
         self.worker_partitions.get(&worker).copied()
     }
 
+    pub(crate) fn stall_worker(&mut self, worker: usize) {
+        self.stalled_workers.insert(worker);
+    }
+
+    pub(crate) fn restore_worker_progress(&mut self, worker: usize) {
+        self.stalled_workers.remove(&worker);
+    }
+
+    pub(crate) fn is_worker_stalled(&self, worker: usize) -> bool {
+        self.stalled_workers.contains(&worker)
+    }
+
     pub(crate) fn slow_disk(&mut self, node: usize, sync_ms: u64) {
         self.slow_disks.insert(node, sync_ms);
     }
--- a/system/fleet/src/events.rs
+++ b/system/fleet/src/events.rs
@@ -62,6 +62,8 @@
     /// A crashed worker, which restarts as a new incarnation.
     Worker(usize),
     WorkerLink(usize),
+    /// A worker whose runs made no progress.
+    WorkerProgress(usize),
     DiskSpeed(usize),
     OrderDelay,
     /// The drain timeout of a process: it is stopped if it is still running.
--- a/system/fleet/src/faults.rs
+++ b/system/fleet/src/faults.rs
@@ -78,6 +78,13 @@
         /// Time until the worker restarts.
         duration_ms: u64,
     },
+    /// The worker responds, but its runs make no progress.
+    WorkerStall {
+        /// The affected worker.
+        worker: usize,
+        /// Duration of the fault.
+        duration_ms: u64,
+    },
     /// A percentage of the calls to workers is executed late, and the replies are lost.
     DelayedOrders {
         /// Percentage of the calls.
@@ -137,6 +144,7 @@
             | Fault::Partition { duration_ms, .. }
             | Fault::WorkerPartition { duration_ms, .. }
             | Fault::WorkerCrash { duration_ms, .. }
+            | Fault::WorkerStall { duration_ms, .. }
             | Fault::DelayedOrders { duration_ms, .. }
             | Fault::SlowDisk { duration_ms, .. }
             | Fault::Isolate { duration_ms, .. }
--- a/system/fleet/src/fleet.rs
+++ b/system/fleet/src/fleet.rs
@@ -81,6 +81,9 @@
     edges: Vec<Edge>,
     requests: PendingRequests,
     specs: BTreeMap<JobId, JobSpec>,
+    /// True durations of the tasks of jobs whose estimates are wrong, in milliseconds.
+    task_durations: BTreeMap<JobId, u64>,
+    runs_started: BTreeMap<JobId, u32>,
     oracle: Oracle,
 }
 
@@ -107,6 +110,8 @@
                 .collect(),
             requests: PendingRequests::default(),
             specs: BTreeMap::new(),
+            task_durations: BTreeMap::new(),
+            runs_started: BTreeMap::new(),
             oracle: Oracle::default(),
             settings,
         };
@@ -173,6 +178,16 @@
         job
     }
 
+    /// Sets the true duration of the tasks of a job, in milliseconds. Without it, the estimates are true.
+    pub fn set_task_duration(&mut self, job: JobId, duration_ms: u64) {
+        self.task_durations.insert(job, duration_ms);
+    }
+
+    /// Number of runs of a job's tasks that workers have started.
+    pub fn runs_started(&self, job: JobId) -> u32 {
+        self.runs_started.get(&job).copied().unwrap_or(0)
+    }
+
     /// The invariant violations found so far.
     pub fn violations(&self) -> &[Violation] {
         self.oracle.violations()
--- a/system/fleet/src/fleet/fault_injection.rs
+++ b/system/fleet/src/fleet/fault_injection.rs
@@ -62,6 +62,13 @@
                 worker,
                 duration_ms,
             } => self.crash_worker(worker, duration_ms),
+            Fault::WorkerStall {
+                worker,
+                duration_ms,
+            } => {
+                self.active_faults.stall_worker(worker);
+                self.schedule(duration_ms, Event::Restore(Restore::WorkerProgress(worker)));
+            }
             Fault::DelayedOrders {
                 percent,
                 duration_ms,
@@ -110,6 +117,7 @@
             Restore::Link(link) => self.active_faults.restore_link(link),
             Restore::Worker(number) => self.workers[number] = Some(self.new_worker(number)),
             Restore::WorkerLink(worker) => self.active_faults.restore_worker_link(worker),
+            Restore::WorkerProgress(worker) => self.active_faults.restore_worker_progress(worker),
             Restore::DiskSpeed(node) => self.active_faults.restore_disk_speed(node),
             Restore::OrderDelay => self.active_faults.set_delayed_order_percent(0),
             Restore::DrainDeadline(process) => {
--- a/system/fleet/src/fleet/state_checks.rs
+++ b/system/fleet/src/fleet/state_checks.rs
@@ -2,7 +2,7 @@
 use super::Fleet;
 use crate::{client::JOB_SERVICE, node::Node};
 use magpiegap_coordinator::Coordinator;
-use magpiegap_jobs::Configuration;
+use magpiegap_jobs::{Configuration, State};
 use magpiegap_protocol::{encode, JobId, LogPosition, Member, Role};
 use std::collections::BTreeMap;
 
@@ -23,14 +23,17 @@
     /// The node that holds the scheduler role, according to the most recent state of a running coordinator.
     pub fn scheduler_node(&self) -> Option<usize> {
         let role = Role::Scheduler(JOB_SERVICE.to_owned());
-        let newest = self
-            .coordinators()
-            .map(Coordinator::state)
-            .max_by_key(|state| state.position.index)?;
-        let holder = newest.roles.get(&role)?.holder.member.address;
+        let holder = self.newest_state()?.roles.get(&role)?.holder.member.address;
         self.nodes.iter().position(|node| node.address == holder)
     }
 
+    /// The state of the running coordinator that has applied the most entries.
+    pub(super) fn newest_state(&self) -> Option<&State> {
+        self.coordinators()
+            .map(Coordinator::state)
+            .max_by_key(|state| state.position.index)
+    }
+
     /// Formats the state of each coordinator.
     pub fn describe(&self) -> Vec<String> {
         let describe_node = |node: &Node| match &node.coordinator {
--- a/system/fleet/src/fleet/worker_calls.rs
+++ b/system/fleet/src/fleet/worker_calls.rs
@@ -191,11 +191,12 @@
         } else {
             CompletionKind::Done
         };
-        let duration_ms = match step.estimated_ms {
+        let true_ms = self.task_durations.get(&task.job).copied();
+        let duration_ms = match true_ms.unwrap_or(step.estimated_ms) {
             _ if is_long_running && !fails => LONG_RUNNING_MS,
             // In a failing gang only the first member fails. The others run longer, and end because of the failure.
-            estimated if fails && owner != *task => 2 * estimated + 1000,
-            estimated => estimated,
+            duration_ms if fails && owner != *task => 2 * duration_ms + 1000,
+            duration_ms => duration_ms,
         };
         Some(Work {
             resources: step.resources,
@@ -219,7 +220,11 @@
 
     /// Advances all workers to the current time.
     pub(super) fn run_workers(&mut self) {
-        for worker in self.workers.iter_mut().flatten() {
+        for (number, worker) in self.workers.iter_mut().enumerate() {
+            let Some(worker) = worker else { continue };
+            if self.active_faults.is_worker_stalled(number) {
+                worker.delay_runs(STEP_MS);
+            }
             worker.on_timeout(self.now);
         }
         self.run_gangs();
@@ -249,6 +254,7 @@
                     checkpoint,
                     over_capacity,
                 } => {
+                    *self.runs_started.entry(task.job).or_default() += 1;
                     let start = Start {
                         at: self.now,
                         wall,
--- a/system/fleet/src/worker.rs
+++ b/system/fleet/src/worker.rs
@@ -129,6 +129,13 @@
         }
     }
 
+    /// Delays all runs, as if they had made no progress for this time.
+    pub(crate) fn delay_runs(&mut self, by_ms: u64) {
+        for active in self.runs.values_mut() {
+            active.delay(by_ms);
+        }
+    }
+
     /// Ends the runs that have finished, or all runs if the lease has expired.
     pub fn on_timeout(&mut self, now: u64) {
         let finished: Vec<(TaskId, CompletionKind)> = self
--- a/system/fleet/src/worker/active_run.rs
+++ b/system/fleet/src/worker/active_run.rs
@@ -53,6 +53,14 @@
         }
     }
 
+    /// Delays the run, as if it had made no progress for this time.
+    pub(super) fn delay(&mut self, by_ms: u64) {
+        if self.finishes_at != u64::MAX {
+            self.started_at += by_ms;
+            self.finishes_at += by_ms;
+        }
+    }
+
     pub(super) fn run(&self) -> RunId {
         self.run
     }
--- a/system/scheduler/src/applied.rs
+++ b/system/scheduler/src/applied.rs
@@ -5,7 +5,7 @@
     worker::Worker,
 };
 use magpiegap_jobs::{Change, Job, State};
-use magpiegap_protocol::{CompletionKind, LogPosition, Millis, RunId, RunStart, TaskId};
+use magpiegap_protocol::{CompletionKind, JobId, LogPosition, Millis, RunId, RunStart, TaskId};
 
 impl Scheduler {
     /// Handles an applied entry; `own_runs` are the runs in it that this scheduler proposed. Entries up to the position
@@ -163,17 +163,18 @@
     fn handle_failed_run(&mut self, task: TaskId, incarnation: &str, was_known: bool, now: Millis) {
         // The task itself may be at fault if it has failed on other workers too.
         let failed_elsewhere = self.planner.record_failure(task, incarnation);
-        if !was_known || failed_elsewhere {
-            return;
+        if was_known && !failed_elsewhere {
+            self.record_worker_failure(task.job, incarnation, now);
         }
+    }
+
+    /// Counts a failure of a job against a worker, which ejects it if there are enough of them.
+    pub(crate) fn record_worker_failure(&mut self, job: JobId, incarnation: &str, now: Millis) {
         let failures_to_eject = self.failure_rate.failures_to_eject();
         let Some(worker) = self.table.workers.get_mut(incarnation) else {
             return;
         };
-        if worker
-            .health
-            .record_failure(task.job, failures_to_eject, now)
-        {
+        if worker.health.record_failure(job, failures_to_eject, now) {
             self.ejection_report.add(incarnation);
         }
     }
--- a/system/scheduler/src/backfill.rs
+++ b/system/scheduler/src/backfill.rs
@@ -21,6 +21,8 @@
 const EXAMINED_WORKERS_PER_MS: u64 = 100;
 /// Maximum number of tasks with reservations; forecasts for tasks further back in the queue are too inaccurate to help.
 const MAX_RESERVATION_OWNERS: usize = 40;
+/// Assumed duration of a task without an estimate: it must not pass for one that takes no time.
+const UNESTIMATED_DURATION_MS: Millis = 10_000;
 /// A run that exceeds its estimate is expected to run on for its elapsed time divided by this.
 const OVERTIME_DIVISOR: u64 = 8;
 
@@ -72,7 +74,15 @@
             .as_ref()
             .is_some_and(|rack| !worker.has_label(rack));
         let factor = if is_remote { self.remote_factor } else { 1.0 };
-        (self.step.estimated_ms as f64 * factor) as Millis
+        (expected_duration_ms(self.step) as f64 * factor) as Millis
+    }
+}
+
+/// How long a task is expected to take, by the client's estimate if there is one.
+pub(crate) fn expected_duration_ms(step: &StepSpec) -> Millis {
+    match step.estimated_ms {
+        0 => UNESTIMATED_DURATION_MS,
+        estimated_ms => estimated_ms,
     }
 }
 
--- a/system/scheduler/src/leases.rs
+++ b/system/scheduler/src/leases.rs
@@ -1,4 +1,4 @@
-//! Renews worker leases, and stops or marks as lost the runs on workers that are unresponsive, stalled or departing.
+//! Renews worker leases, and stops or marks as lost the runs on workers that are unresponsive or departing.
 //!
 //! Under a lease a worker runs its tasks until a deadline on its own clock; when the lease expires it stops them. On
 //! the wire a renewal is the worker's `hold` request, a long poll that is replied to when a run completes.
@@ -6,20 +6,15 @@
     call_table::CallPurpose,
     calls::{Output, WorkerOrder},
     lease_timing::LeaseTiming,
-    run::{Run, RunPhase},
+    run::RunPhase,
     scheduler::Scheduler,
+    stalls::{lacks_progress, STALLED_LONG_POLL_MS},
 };
 use magpiegap_jobs::State;
-use magpiegap_protocol::{Command, Millis, TaskId};
+use magpiegap_protocol::{Command, Millis};
 
-/// Maximum duration of a long poll to a worker with a run that makes no progress.
-const STALLED_LONG_POLL_MS: u64 = 150;
 /// Retry interval for renewals of a worker that does not reply.
 const RENEWAL_INTERVAL_MS: Millis = 400;
-/// Minimum time without progress after which a run may be considered stuck.
-const MIN_STALL_MS: Millis = 300;
-/// Allowed time without progress for runs with long estimates, in addition to a twentieth of the estimate.
-const LONG_RUN_STALL_MS: Millis = 1600;
 
 impl Scheduler {
     /// Adapts the duration of long polls and leases to the number of workers that have runs.
@@ -158,58 +153,4 @@
             self.table.mark_order_due(incarnation);
         }
     }
-
-    /// Stops runs that make no progress, so that they are restarted elsewhere, and ejects their worker.
-    fn stop_stuck_runs(&mut self, incarnation: &str, now: Millis) {
-        let gang_timeout_ms = self.settings.gang_timeout_ms;
-        let Some(worker) = self.table.workers.get_mut(incarnation) else {
-            return;
-        };
-        let stuck: Vec<TaskId> = worker
-            .runs
-            .iter()
-            .filter(|(_, run)| run.is_started_and_not_stopping() && is_stuck(run, gang_timeout_ms))
-            .map(|(task, _)| *task)
-            .collect();
-        if stuck.is_empty() || worker.unanswered_renewals > 0 {
-            return;
-        }
-        for task in &stuck {
-            if let Some(run) = worker.runs.get_mut(task) {
-                run.next_stop_at = Some(now);
-            }
-        }
-        worker.health.eject(now);
-        self.table.mark_order_due(incarnation);
-        self.outputs.push(Output::Log(format!(
-            "stopping runs that make no progress, ejecting worker runs={} worker={incarnation}",
-            stuck.len()
-        )));
-    }
-}
-
-/// Whether a run has made no progress for longer than expected since it started or last progressed.
-fn lacks_progress(run: &Run, now: Millis) -> bool {
-    let stalled_ms = now.saturating_sub(run.progress.since);
-    run.phase == RunPhase::Started
-        && !run.long_running
-        && !run.gang
-        && stalled_ms > STALLED_LONG_POLL_MS
-        && stalled_ms > run.estimated_ms / 5
-}
-
-/// Whether successive listings have shown a run with the same progress for too long.
-fn is_stuck(run: &Run, gang_timeout_ms: Millis) -> bool {
-    let gang_wait_ms = if run.gang && run.progress.percent == 0 {
-        gang_timeout_ms
-    } else {
-        0
-    };
-    // Even on a worker that is ten times too slow, progress should rise by one percent within a tenth of the estimate.
-    let max_stall_ms = (run.estimated_ms / 5)
-        .min(LONG_RUN_STALL_MS + run.estimated_ms / 20)
-        .max(MIN_STALL_MS);
-    !run.long_running
-        && run.progress.percent < 100
-        && run.progress.stalled_ms() > max_stall_ms + gang_wait_ms
 }
--- a/system/scheduler/src/lib.rs
+++ b/system/scheduler/src/lib.rs
@@ -37,6 +37,7 @@
 mod run_table;
 mod scheduler;
 mod settings;
+mod stalls;
 mod take_over;
 mod worker;
 
--- a/system/scheduler/src/planner.rs
+++ b/system/scheduler/src/planner.rs
@@ -2,7 +2,7 @@
 //!
 //! It combines placement, backfill and preemption, each of which is a separate module.
 use crate::{
-    backfill::{Backfill, Candidate},
+    backfill::{expected_duration_ms, Backfill, Candidate},
     capacity_index::CapacityIndex,
     forecast::DeadlineForecast,
     nominations::Nominations,
@@ -73,37 +73,49 @@
     NoVictims,
 }
 
+/// A step that could not be placed in a round.
+struct FailedPlacement {
+    step: StepSpec,
+    /// Shorter tasks may still be placed.
+    min_duration_ms: Millis,
+}
+
 /// Steps that could not be placed in a round. Steps that need the same or more cannot be placed either and are skipped.
 #[derive(Default)]
 struct FailedPlacements {
-    steps: Vec<StepSpec>,
+    failed: Vec<FailedPlacement>,
 }
 
 impl FailedPlacements {
     /// Whether a step needs at least what a step that failed needs.
     fn covers(&self, step: &StepSpec) -> bool {
-        let is_covered_by = |failed: &StepSpec| {
-            failed.resources.fits_in(&step.resources)
-                && failed.requirements == step.requirements
-                && failed.affinity == step.affinity
-                && failed.estimated_ms <= step.estimated_ms
-                && failed.anti_affinity == 0
-                && !failed.gang
+        let duration_ms = expected_duration_ms(step);
+        let is_covered_by = |failed: &FailedPlacement| {
+            failed.step.resources.fits_in(&step.resources)
+                && failed.step.requirements == step.requirements
+                && failed.step.affinity == step.affinity
+                && failed.min_duration_ms <= duration_ms
+                && failed.step.anti_affinity == 0
+                && !failed.step.gang
         };
-        self.steps.iter().any(is_covered_by)
+        self.failed.iter().any(is_covered_by)
+    }
+
+    fn len(&self) -> usize {
+        self.failed.len()
     }
 
     /// Adds a step that could not be placed. If no worker had enough capacity, shorter tasks cannot be placed either.
     /// Otherwise reservations prevented the placement, and shorter tasks may still fit before these.
     fn add(&mut self, step: &StepSpec, any_has_capacity: bool) {
-        let estimated_ms = if any_has_capacity {
-            step.estimated_ms
+        let min_duration_ms = if any_has_capacity {
+            expected_duration_ms(step)
         } else {
             0
         };
-        self.steps.push(StepSpec {
-            estimated_ms,
-            ..step.clone()
+        self.failed.push(FailedPlacement {
+            step: step.clone(),
+            min_duration_ms,
         });
     }
 }
@@ -237,7 +249,7 @@
         );
         if urgent_end < queued.len() {
             let resumed_start = self.resume_position(&queued, urgent_end);
-            let max_failed = round.failed_placements.steps.len() + MAX_FAILED_RESUMED_PLACEMENTS;
+            let max_failed = round.failed_placements.len() + MAX_FAILED_RESUMED_PLACEMENTS;
             let resumed_end = resumed_start
                 + self.plan_units(
                     table,
@@ -286,7 +298,7 @@
         state: &State,
     ) -> usize {
         for (position, unit) in queued.iter().enumerate() {
-            if round.failed_placements.steps.len() >= max_failed {
+            if round.failed_placements.len() >= max_failed {
                 return position;
             }
             self.plan_unit(table, unit, round, now, state);
--- a/system/scheduler/src/run.rs
+++ b/system/scheduler/src/run.rs
@@ -33,6 +33,8 @@
     pub since: Millis,
     /// When it was last listed with this percentage.
     last_listed_at: Millis,
+    /// The longest time per percent between two listings with different percentages, in milliseconds.
+    pub slowest_percent_ms: Millis,
 }
 
 impl Progress {
@@ -41,12 +43,18 @@
             percent,
             since: now,
             last_listed_at: now,
+            slowest_percent_ms: 0,
         }
     }
 
     fn record(&mut self, percent: u64, now: Millis) {
         if percent != self.percent {
-            *self = Progress::new(percent, now);
+            let rise = percent.saturating_sub(self.percent);
+            let percent_ms = now.saturating_sub(self.since).checked_div(rise);
+            *self = Progress {
+                slowest_percent_ms: self.slowest_percent_ms.max(percent_ms.unwrap_or(0)),
+                ..Progress::new(percent, now)
+            };
         }
         self.last_listed_at = now;
     }
@@ -245,13 +253,14 @@
         StartOutcome::Resolved
     }
 
-    /// Estimated remaining time in milliseconds, extrapolated from its progress or else based on the client's estimate.
+    /// Estimated remaining time in milliseconds, based on the client's estimate if there is one and little progress was
+    /// made, and otherwise extrapolated from the progress.
     pub(crate) fn remaining_ms(&self, now: Millis) -> Millis {
         let elapsed_ms = now.saturating_sub(self.started_at);
-        let percent = self.progress.percent;
-        if percent >= MIN_RELIABLE_PERCENT {
-            return elapsed_ms * (100 - percent.min(100)) / percent;
+        let percent = self.progress.percent.clamp(1, 100);
+        if percent < MIN_RELIABLE_PERCENT && self.estimated_ms > 0 {
+            return self.estimated_ms.saturating_sub(elapsed_ms);
         }
-        self.estimated_ms.saturating_sub(elapsed_ms)
+        elapsed_ms * (100 - percent) / percent
     }
 }
--- a/system/scheduler/src/run_table.rs
+++ b/system/scheduler/src/run_table.rs
@@ -76,6 +76,18 @@
         workers.filter(|worker| worker.is_unresponsive()).count()
     }
 
+    /// Whether one more worker may be ejected on evidence that may lie with the jobs: at most half of the listed workers
+    /// are ejected then.
+    pub(crate) fn allows_ejection(&self, now: Millis) -> bool {
+        let listed = self.workers.values().filter(|worker| worker.listed);
+        let (mut total, mut ejected) = (0, 0);
+        for worker in listed {
+            total += 1;
+            ejected += usize::from(!worker.health.is_schedulable(now));
+        }
+        2 * (ejected + 1) <= total
+    }
+
     /// Number of workers that have runs.
     pub(crate) fn busy_workers(&self) -> usize {
         let workers = self.workers.values();
