Move docs/findings to docs/incidents, with the links to its pages

Only the path in links and mentions changes; every page named by a link is there (checked by a search for all of them).

--- a/balancer/core/tests/slow_start.rs
+++ b/balancer/core/tests/slow_start.rs
@@ -241,7 +241,7 @@
 }
 
 #[test]
-#[ignore = "minutes; see docs/findings/slow-start.md"]
+#[ignore = "minutes; see docs/incidents/slow-start.md"]
 fn no_window_exceeds_the_budget_with_many_seeds() {
     check_all_scenarios(20);
 }
