Bound the scheduler's work for large jobs, and count the coordinator's turns

A round starts 500 runs at most, the acceptance of a job 200, and gives up after four steps that can't be placed. Gangs are counted once for a look at them, listings and reloads compare by sets, `explain` groups units by step.

--- a/system/coordinator/src/coordinator.rs
+++ b/system/coordinator/src/coordinator.rs
@@ -14,6 +14,9 @@
 use magpiegap_scheduler::Scheduler;
 use std::collections::BTreeMap;
 
+/// The longest turn should take at most this part of the suspicion timeout.
+const TURNS_PER_SUSPICION: Millis = 10;
+
 /// A coordinator: a replica of the state, the singleton roles that it holds, and its pending requests.
 ///
 /// It does no I/O. Every input carries the current time, and [`Coordinator::poll_outputs`] returns the effects to
@@ -131,6 +134,16 @@
         self.replica.set_seeds(seeds);
     }
 
+    /// Records how long it took to handle a batch of inputs and to perform the outputs. Returns whether that was too long
+    /// for the heartbeats, which wait for it.
+    pub fn record_turn(&mut self, elapsed_ms: Millis) -> bool {
+        let limit_ms = self.settings.control.suspicion_timeout_ms / TURNS_PER_SUSPICION;
+        let is_long = elapsed_ms > limit_ms;
+        self.counters.long_turns += u64::from(is_long);
+        self.counters.longest_turn_ms = self.counters.longest_turn_ms.max(elapsed_ms);
+        is_long
+    }
+
     /// Returns whether this coordinator is draining and no longer part of the view.
     pub fn has_departed(&self) -> bool {
         self.draining && self.replica.view().position(&self.replica.own()).is_none()
--- a/system/coordinator/src/counters.rs
+++ b/system/coordinator/src/counters.rs
@@ -28,6 +28,12 @@
     /// Total size of these chunks, in bytes.
     #[serde(default)]
     pub configuration_bytes: u64,
+    /// Turns that took longer than a tenth of the suspicion timeout. Heartbeats wait for the end of a turn.
+    #[serde(default)]
+    pub long_turns: u64,
+    /// Duration of the longest turn, in milliseconds.
+    #[serde(default)]
+    pub longest_turn_ms: u64,
 }
 
 impl Counters {
--- a/system/fleet/src/fleet/fault_injection.rs
+++ b/system/fleet/src/fleet/fault_injection.rs
@@ -65,17 +65,11 @@
             Fault::WorkerStall {
                 worker,
                 duration_ms,
-            } => {
-                self.active_faults.stall_worker(worker);
-                self.schedule(duration_ms, Event::Restore(Restore::WorkerProgress(worker)));
-            }
+            } => self.stall_worker(worker, duration_ms),
             Fault::DelayedOrders {
                 percent,
                 duration_ms,
-            } => {
-                self.active_faults.set_delayed_order_percent(percent);
-                self.schedule(duration_ms, Event::Restore(Restore::OrderDelay));
-            }
+            } => self.delay_orders(percent, duration_ms),
             Fault::SlowDisk {
                 node,
                 sync_ms,
@@ -182,6 +176,16 @@
         self.schedule(duration_ms, Event::Restore(Restore::WorkerLink(worker)));
     }
 
+    fn delay_orders(&mut self, percent: u32, duration_ms: u64) {
+        self.active_faults.set_delayed_order_percent(percent);
+        self.schedule(duration_ms, Event::Restore(Restore::OrderDelay));
+    }
+
+    fn stall_worker(&mut self, worker: usize, duration_ms: u64) {
+        self.active_faults.stall_worker(worker);
+        self.schedule(duration_ms, Event::Restore(Restore::WorkerProgress(worker)));
+    }
+
     fn crash_worker(&mut self, number: usize, duration_ms: u64) {
         if let Some(worker) = self.workers[number].take() {
             self.oracle.incarnation_ended(&worker.entry.incarnation);
--- a/system/magpiegap/src/coordinator/driver.rs
+++ b/system/magpiegap/src/coordinator/driver.rs
@@ -8,7 +8,12 @@
 use magpiegap_coordinator::{Coordinator, Output, RequestId};
 use magpiegap_protocol::{CoordinatorResponse, FencingToken, Millis, PeerMessage, ReplicaId};
 use magpiegap_scheduler::WorkerCall;
-use std::{collections::HashMap, net::SocketAddr, path::PathBuf, time::Duration};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    path::PathBuf,
+    time::{Duration, Instant},
+};
 use tokio::sync::{
     mpsc::{UnboundedReceiver, UnboundedSender},
     oneshot,
@@ -18,6 +23,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// Minimum interval between rereads of the settings file.
 const SETTINGS_READ_INTERVAL_MS: Millis = 2000;
+/// Minimum interval between log lines about long turns.
+const LONG_TURN_LOG_INTERVAL_MS: Millis = 1000;
 /// Number of additional queued events that are handled before the outputs are performed.
 const MAX_EVENTS_PER_BATCH: usize = 64;
 
@@ -50,6 +57,7 @@
     /// Reread for the addresses of other coordinators while too few of them are reachable.
     settings_file: PathBuf,
     settings_read_at: Millis,
+    long_turn_logged_at: Millis,
     /// Notified once the other coordinators have formed a view without this one.
     departed: Option<oneshot::Sender<()>>,
     /// Whether the disk was found to be an outdated copy that the other coordinators do not need.
@@ -76,6 +84,7 @@
             loopback_messages: Vec::new(),
             settings_file,
             settings_read_at: 0,
+            long_turn_logged_at: 0,
             departed: Some(departed),
             disk_is_superseded: false,
         }
@@ -93,9 +102,11 @@
         let mut ticks = tokio::time::interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
+            let began;
             tokio::select! {
                 event = inbox.recv() => {
                     let Some(event) = event else { return inbox };
+                    began = Instant::now();
                     self.handle_event(event);
                     for _ in 0..MAX_EVENTS_PER_BATCH {
                         match inbox.try_recv() {
@@ -104,10 +115,17 @@
                         }
                     }
                 }
-                _ = ticks.tick() => self.tick(),
-                Some(()) = drain.recv() => self.coordinator.drain(self.clock.now()),
+                _ = ticks.tick() => {
+                    began = Instant::now();
+                    self.tick();
+                }
+                Some(()) = drain.recv() => {
+                    began = Instant::now();
+                    self.coordinator.drain(self.clock.now());
+                }
             }
             self.perform_outputs(&events);
+            self.record_turn(began.elapsed());
             self.notify_departed();
             if self.disk_is_superseded {
                 self.reject_pending_requests();
@@ -116,6 +134,16 @@
         }
     }
 
+    fn record_turn(&mut self, elapsed: Duration) {
+        let elapsed_ms = elapsed.as_millis() as Millis;
+        let is_long = self.coordinator.record_turn(elapsed_ms);
+        let now = self.clock.now();
+        if is_long && now >= self.long_turn_logged_at + LONG_TURN_LOG_INTERVAL_MS {
+            self.long_turn_logged_at = now;
+            log::warn!("long turn of the coordinator elapsed_ms={elapsed_ms}");
+        }
+    }
+
     fn reject_pending_requests(&mut self) {
         for (_, response) in self.pending_responses.drain() {
             let _ = response.send(CoordinatorResponse::NotServing);
--- a/system/magpiegap/src/coordinator/metrics.rs
+++ b/system/magpiegap/src/coordinator/metrics.rs
@@ -56,7 +56,7 @@
     SchedulerGauge { name, help, value }
 }
 
-fn cluster_gauges(cluster: &ClusterDescription) -> [Metric; 11] {
+fn cluster_gauges(cluster: &ClusterDescription) -> [Metric; 12] {
     [
         metric("view", "Number of the newest view", cluster.view),
         metric(
@@ -105,6 +105,11 @@
             "Agents here without the newest configuration",
             cluster.agents_behind as u64,
         ),
+        metric(
+            "longest_turn_milliseconds",
+            "Longest turn of the coordinator since the start; heartbeats wait for the end of a turn",
+            cluster.counters.longest_turn_ms,
+        ),
     ]
 }
 
@@ -132,7 +137,7 @@
     ]
 }
 
-fn counter_metrics(counters: &Counters) -> [Metric; 9] {
+fn counter_metrics(counters: &Counters) -> [Metric; 10] {
     [
         metric(
             "entries_applied",
@@ -163,6 +168,11 @@
             "Bytes of these parts",
             counters.configuration_bytes,
         ),
+        metric(
+            "long_turns",
+            "Turns that took longer than a tenth of the suspicion timeout",
+            counters.long_turns,
+        ),
     ]
 }
 
--- a/system/magpiegap/tests/metrics.rs
+++ b/system/magpiegap/tests/metrics.rs
@@ -25,6 +25,8 @@
         counters: Counters {
             runs_done: 900,
             configuration_bytes: 70_000,
+            long_turns: 3,
+            longest_turn_ms: 45,
             ..Counters::default()
         },
         ..ClusterDescription::default()
@@ -45,6 +47,11 @@
         lines,
         contains(eq(&"magpiegap_configuration_bytes_total 70000"))
     );
+    expect_that!(lines, contains(eq(&"magpiegap_long_turns_total 3")));
+    expect_that!(
+        lines,
+        contains(eq(&"magpiegap_longest_turn_milliseconds 45"))
+    );
     expect_that!(lines.last(), some(eq(&"# EOF")));
 }
 
--- a/system/protocol/src/job.rs
+++ b/system/protocol/src/job.rs
@@ -175,9 +175,8 @@
         chains.into_iter().max().unwrap_or(0)
     }
 
-    /// The longest chain of estimated durations that starts with a step, in milliseconds; zero if there is no such
-    /// step.
-    pub fn critical_path_from_ms(&self, first: usize) -> u64 {
+    /// The longest chain of estimated durations that starts with each step, in milliseconds, in the order of the steps.
+    pub fn critical_paths_from_steps(&self) -> Vec<u64> {
         let mut chains = vec![0_u64; self.steps.len()];
         // Steps depend on earlier ones only, so in reverse order the chains of all dependents are computed first.
         for (position, step) in self.steps.iter().enumerate().rev() {
@@ -189,6 +188,6 @@
                 }
             }
         }
-        chains.get(first).copied().unwrap_or(0)
+        chains
     }
 }
--- a/system/protocol/tests/messages.rs
+++ b/system/protocol/tests/messages.rs
@@ -146,7 +146,7 @@
         ..JobSpec::default()
     };
     expect_that!(job.critical_path_ms(), eq(u64::MAX));
-    expect_that!(job.critical_path_from_ms(0), eq(u64::MAX));
+    expect_that!(job.critical_paths_from_steps()[0], eq(u64::MAX));
 }
 
 #[googletest::test]
--- a/system/scheduler/src/applied.rs
+++ b/system/scheduler/src/applied.rs
@@ -6,6 +6,7 @@
 };
 use magpiegap_jobs::{Change, Job, State};
 use magpiegap_protocol::{CompletionKind, JobId, LogPosition, Millis, RunId, RunStart, TaskId};
+use std::collections::BTreeSet;
 
 impl Scheduler {
     /// Handles an applied entry; `own_runs` are the runs in it that this scheduler proposed. Entries up to the position
@@ -21,20 +22,37 @@
         if entry.index <= self.snapshot_position.index {
             return;
         }
+        // A job changes with each of its closed runs, which say by themselves whether its queue is affected.
+        let mut jobs_of_closed_runs: BTreeSet<JobId> = BTreeSet::new();
         for change in changes {
-            self.apply_change(change, now, state);
+            if let Change::RunClosed { task, .. } = change {
+                jobs_of_closed_runs.insert(task.job);
+            }
+            match change {
+                Change::JobChanged(id) if jobs_of_closed_runs.contains(id) => {}
+                change => self.apply_change(change, now, state),
+            }
         }
         for start in own_runs {
             self.release_refused_proposal(start);
-        }
-        for id in own_runs.iter().map(|start| start.task.job) {
-            let job = state.jobs.get(&id);
-            if job.is_some_and(|job| !job.phase.is_terminal()) {
-                self.refresh_queue(id, now, state);
+            if !is_recorded(state, start) {
+                self.changed_jobs.mark(start.task.job);
             }
         }
     }
 
+    /// Marks a job for a refresh of its queue; one that has ended leaves the queue at once.
+    fn mark_job_changed(&mut self, id: JobId, state: &State) {
+        if state
+            .jobs
+            .get(&id)
+            .is_some_and(|job| job.phase.is_terminal())
+        {
+            self.changed_jobs.remove(id);
+        }
+        self.changed_jobs.mark(id);
+    }
+
     fn apply_change(&mut self, change: &Change, now: Millis, state: &State) {
         match change {
             Change::RunStarted(start) => self.handle_run_recorded(start, now, state),
@@ -43,10 +61,16 @@
                 run,
                 incarnation,
                 kind,
-            } => self.handle_run_closed(*task, *run, incarnation, *kind, now),
-            Change::JobChanged(id) => self.reconcile_job(*id, now, state),
+            } => {
+                if !is_routine_completion(state, task, *kind) {
+                    self.mark_job_changed(task.job, state);
+                }
+                self.handle_run_closed(*task, *run, incarnation, *kind, now);
+            }
+            Change::JobChanged(id) => self.mark_job_changed(*id, state),
             Change::JobRemoved(id) => {
                 self.planner.remove_job(*id);
+                self.changed_jobs.remove(*id);
                 self.job_timers.remove(*id);
             }
             Change::CompletionsRecorded {
@@ -68,6 +92,7 @@
 
     fn handle_run_recorded(&mut self, start: &RunStart, now: Millis, state: &State) {
         self.table.resolve_proposal(&start.task);
+        self.planner.queue.remove_started(&start.task);
         if let Some(worker) = self.table.workers.get_mut(&start.incarnation) {
             if let Some(run) = worker.run_mut(&start.task, start.run) {
                 // In any other phase this or an earlier scheduler may already have sent the start.
@@ -195,6 +220,34 @@
     }
 }
 
+/// Whether a proposed run is on record as active.
+fn is_recorded(state: &State, start: &RunStart) -> bool {
+    let task = state
+        .jobs
+        .get(&start.task.job)
+        .and_then(|job| job.task(&start.task));
+    task.is_some_and(|task| {
+        task.active_runs
+            .iter()
+            .any(|active| active.run == start.run)
+    })
+}
+
+/// Whether the success of a run makes no task startable and no other run superfluous: its step has further tasks to do.
+fn is_routine_completion(state: &State, task: &TaskId, kind: Option<CompletionKind>) -> bool {
+    let Some(job) = state.jobs.get(&task.job) else {
+        return false;
+    };
+    let spec = job.submission.spec.steps.get(task.step as usize);
+    let occurrence = job.occurrences.get(&task.occurrence);
+    let step = occurrence.and_then(|occurrence| occurrence.steps.get(task.step as usize));
+    kind == Some(CompletionKind::Done)
+        && !job.phase.is_terminal()
+        && spec.is_some_and(|spec| !spec.gang && !spec.allow_duplicate)
+        && step.is_some_and(|step| !step.is_done())
+        && job.task(task).is_some_and(|task| task.done)
+}
+
 /// The checkpoint recorded for an active run; empty if there is none.
 fn recorded_checkpoint(job: &Job, task: &TaskId, run: RunId) -> String {
     let Some(state) = job.task(task) else {
--- a/system/scheduler/src/explanation.rs
+++ b/system/scheduler/src/explanation.rs
@@ -1,10 +1,11 @@
 //! Explains a job to operators: its running and queued tasks, and why no worker accepts the queued ones.
 //!
 //! Read-only. The JSON field names are part of the operator interface and must not change.
-use crate::{queue::urgency, scheduler::Scheduler, worker::Worker};
+use crate::{backfill::Candidate, forecast::JobDeadlines, scheduler::Scheduler, worker::Worker};
 use magpiegap_jobs::{startable_units, Job, StartableUnit, State, StepState, TaskState};
 use magpiegap_protocol::{JobId, StepSpec, TaskId};
 use serde::Serialize;
+use std::collections::BTreeMap;
 
 /// The state of a job as seen by its scheduler.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -100,9 +101,19 @@
             .get(&id)
             .filter(|job| job.submission.service == self.service)?;
         let queued = startable_units(job);
-        let forecast = queued
-            .first()
-            .map(|unit| urgency(job, unit.first_task, self.wall).forecast);
+        let deadlines = JobDeadlines::of(job);
+        let forecast = queued.first().map(|unit| {
+            deadlines
+                .latest_starts(&unit.first_task)
+                .forecast(self.wall)
+        });
+        let mut by_step: BTreeMap<(u32, u32), Vec<StartableUnit>> = BTreeMap::new();
+        for unit in queued {
+            let TaskId {
+                occurrence, step, ..
+            } = unit.first_task;
+            by_step.entry((occurrence, step)).or_default().push(unit);
+        }
         let mut steps = Vec::new();
         for (occurrence, state) in &job.occurrences {
             for (position, step) in state.steps.iter().enumerate() {
@@ -115,7 +126,9 @@
                     step: position as u32,
                     index: 0,
                 };
-                steps.push(self.explain_step(job, first, step, &queued));
+                let units = by_step.get(&(first.occurrence, first.step));
+                let units = units.map_or(&[][..], Vec::as_slice);
+                steps.push(self.explain_step(&deadlines, first, step, units));
             }
         }
         Some(Explanation {
@@ -131,17 +144,13 @@
     /// Explains the step whose first task is `first`.
     fn explain_step(
         &self,
-        job: &Job,
+        deadlines: &JobDeadlines<'_>,
         first: TaskId,
         step: &StepState,
-        queued: &[StartableUnit],
+        units: &[StartableUnit],
     ) -> StepExplanation {
+        let job = deadlines.job;
         let spec = job.submission.spec.steps.get(first.step as usize);
-        let units: Vec<&StartableUnit> = queued
-            .iter()
-            .filter(|unit| unit.first_task.occurrence == first.occurrence)
-            .filter(|unit| unit.first_task.step == first.step)
-            .collect();
         let first_unit = units.first().zip(spec);
         StepExplanation {
             occurrence: first.occurrence,
@@ -151,7 +160,7 @@
             running: self.explain_runs(first, &step.tasks),
             waiting: units.iter().map(|unit| unit.count).sum(),
             waits_for_steps: unfinished_dependencies(job, first.occurrence, spec),
-            workers: first_unit.map(|(unit, spec)| self.count_workers(job, unit, spec)),
+            workers: first_unit.map(|(unit, spec)| self.count_workers(deadlines, unit, spec)),
         }
     }
 
@@ -179,13 +188,20 @@
         runs
     }
 
-    fn count_workers(&self, job: &Job, unit: &StartableUnit, step: &StepSpec) -> WorkerCounts {
+    fn count_workers(
+        &self,
+        deadlines: &JobDeadlines<'_>,
+        unit: &StartableUnit,
+        step: &StepSpec,
+    ) -> WorkerCounts {
+        let urgency = deadlines.urgency(unit.first_task, self.wall);
+        let candidate = self.planner.candidate(deadlines.job, unit, step, &urgency);
         let mut counts = WorkerCounts {
             known: self.table.workers.len(),
             ..WorkerCounts::default()
         };
         for worker in self.table.workers.values() {
-            *self.first_obstacle(&mut counts, worker, job, unit, step) += 1;
+            *self.first_obstacle(&mut counts, worker, unit.first_task, &candidate) += 1;
         }
         counts
     }
@@ -195,12 +211,10 @@
         &self,
         counts: &'a mut WorkerCounts,
         worker: &Worker,
-        job: &Job,
-        unit: &StartableUnit,
-        step: &StepSpec,
+        first: TaskId,
+        candidate: &Candidate<'_>,
     ) -> &'a mut usize {
-        let urgency = urgency(job, unit.first_task, self.wall);
-        let candidate = self.planner.candidate(job, unit, step, &urgency);
+        let step = candidate.step;
         if !worker.listed {
             &mut counts.not_listed
         } else if worker.draining {
@@ -215,10 +229,7 @@
             &mut counts.too_small
         } else if !worker.has_capacity_for(&step.resources) {
             &mut counts.without_capacity
-        } else if !self
-            .planner
-            .allows(worker, unit.first_task, &candidate, self.now)
-        {
+        } else if !self.planner.allows(worker, first, candidate, self.now) {
             &mut counts.reserved_for_others
         } else if step
             .affinity
--- a/system/scheduler/src/job_reconciliation.rs
+++ b/system/scheduler/src/job_reconciliation.rs
@@ -2,6 +2,7 @@
 use crate::{calls::Output, scheduler::Scheduler};
 use magpiegap_jobs::{Job, State, StepState};
 use magpiegap_protocol::{Command, JobId, Millis, RunId, TaskId, WallMillis};
+use std::collections::{BTreeSet, HashMap};
 
 /// Extra time, in milliseconds, for which the status of a completed job is retained beyond the configured retention.
 const STATUS_MARGIN_MS: u64 = 30_000;
@@ -17,6 +18,7 @@
         }
         if job.phase.is_terminal() {
             self.planner.queue.remove(id);
+            self.changed_jobs.remove(id);
             self.job_timers.complete(id, job.completed_ms);
         } else {
             self.job_timers.schedule(job);
@@ -31,9 +33,14 @@
             return;
         };
         let table = &self.table;
-        self.planner
+        let is_being_placed = |task: &TaskId| table.is_proposed(task);
+        let examined = self
+            .planner
             .queue
-            .refresh(job, now, self.wall, |task| table.is_proposed(task));
+            .refresh(job, now, self.wall, is_being_placed);
+        self.planner.examined_units += examined as u64;
+        let queued = self.planner.queue.len_of(id);
+        self.changed_jobs.record_refresh(id, queued, now);
         self.planner.request_round();
     }
 
@@ -62,6 +69,12 @@
     ) {
         let spec = job.submission.spec.steps.get(first.step as usize);
         let is_gang = spec.is_some_and(|spec| spec.gang);
+        let gang_runs = if is_gang {
+            active_runs(step)
+        } else {
+            HashMap::new()
+        };
+        let has_all_members = |run: RunId| gang_runs.get(&run) == Some(&step.tasks.len());
         for (index, task) in step.tasks.iter().enumerate() {
             let id = TaskId {
                 index: index as u32,
@@ -69,7 +82,7 @@
             };
             for active in &task.active_runs {
                 // Members of a gang that is done complete without being stopped.
-                let is_broken = is_gang && !step.is_done() && !has_all_members(step, active.run);
+                let is_broken = is_gang && !step.is_done() && !has_all_members(active.run);
                 let is_superfluous = task.done && !is_gang;
                 if job.phase.is_terminal() || is_broken || is_superfluous {
                     self.request_stop(&active.incarnation, id, active.run, now);
@@ -110,9 +123,14 @@
     }
 }
 
-/// Whether every task of a gang has an active run with this number.
-fn has_all_members(step: &StepState, run: RunId) -> bool {
-    step.tasks
-        .iter()
-        .all(|task| task.active_runs.iter().any(|active| active.run == run))
+/// Number of tasks with an active run, by run number.
+fn active_runs(step: &StepState) -> HashMap<RunId, usize> {
+    let mut counts = HashMap::new();
+    for task in &step.tasks {
+        let runs: BTreeSet<RunId> = task.active_runs.iter().map(|active| active.run).collect();
+        for run in runs {
+            *counts.entry(run).or_default() += 1;
+        }
+    }
+    counts
 }
--- a/system/scheduler/src/lib.rs
+++ b/system/scheduler/src/lib.rs
@@ -14,6 +14,7 @@
 mod call_table;
 mod calls;
 mod capacity_index;
+mod changed_jobs;
 mod discovery;
 mod ejection_report;
 mod explanation;
--- a/system/scheduler/src/nominations.rs
+++ b/system/scheduler/src/nominations.rs
@@ -3,7 +3,7 @@
 //! The term comes from Kubernetes (`nominatedNodeName`). Reservations based on forecasts are in `backfill`.
 use crate::worker::Workers;
 use magpiegap_protocol::{Millis, TaskId};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 /// Nominations expire after this time.
 const NOMINATION_TIMEOUT_MS: Millis = 1200;
@@ -47,12 +47,12 @@
     /// Drops nominations that have expired, or whose task is no longer queued or whose worker is no longer schedulable.
     pub(crate) fn retain_valid(
         &mut self,
-        queued: &HashSet<TaskId>,
+        is_queued: impl Fn(&TaskId) -> bool,
         workers: &Workers,
         now: Millis,
     ) {
         self.by_worker.retain(|incarnation, nomination| {
-            queued.contains(&nomination.owner)
+            is_queued(&nomination.owner)
                 && now < nomination.since + NOMINATION_TIMEOUT_MS
                 && workers
                     .get(incarnation)
--- a/system/scheduler/src/planner.rs
+++ b/system/scheduler/src/planner.rs
@@ -4,12 +4,12 @@
 use crate::{
     backfill::{expected_duration_ms, Backfill, Candidate},
     capacity_index::CapacityIndex,
-    forecast::DeadlineForecast,
+    forecast::{DeadlineForecast, JobDeadlines},
     nominations::Nominations,
     placement::{choose, Demand, Pool},
     planning_schedule::PlanningSchedule,
     preemption::{choose_victims, Preemptor, Victims},
-    queue::{urgency, Queue, Queued, Urgency, URGENT_PRIORITY},
+    queue::{Queue, Queued, Urgency, URGENT_PRIORITY},
     run::{Run, RunPhase},
     run_table::RunTable,
     worker::{Worker, Workers},
@@ -17,7 +17,7 @@
 use magpiegap_jobs::{startable_units, Job, StartableUnit, State};
 use magpiegap_protocol::{JobId, Millis, Resources, RunStart, StepSpec, TaskId};
 use rand::{rngs::StdRng, SeedableRng};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 /// Number of failed placements that ends the part of a round that starts with the most urgent tasks.
 const MAX_FAILED_URGENT_PLACEMENTS: usize = 40;
@@ -30,6 +30,12 @@
 const PREEMPT_AFTER_MS: Millis = 100;
 /// Maximum number of failed searches for preemption victims in one round; each examines all workers.
 const MAX_FAILED_PREEMPTIONS: usize = 3;
+/// Maximum number of runs that a round starts, to bound its duration; another round follows it.
+const MAX_RUNS_PER_ROUND: usize = 500;
+/// Maximum number of runs that start together with the acceptance of their job.
+const MAX_RUNS_AT_SUBMISSION: usize = 200;
+/// Number of failed placements after which no further tasks start together with the acceptance of their job.
+const MAX_FAILED_PLACEMENTS_AT_SUBMISSION: usize = 4;
 /// At most one in this many workers is nominated at a time, to bound preemption.
 const WORKERS_PER_NOMINATION: usize = 12;
 
@@ -134,6 +140,8 @@
     /// Factor by which a task takes longer when it runs away from its data.
     remote_factor: f64,
     random: StdRng,
+    /// Number of queued units examined so far, by rounds and by refreshes of the queue.
+    pub examined_units: u64,
 }
 
 impl Planner {
@@ -149,6 +157,7 @@
             failed_on: HashMap::new(),
             remote_factor,
             random: StdRng::seed_from_u64(seed),
+            examined_units: 0,
         }
     }
 
@@ -169,6 +178,9 @@
         }
         let runs = self.plan(table, now, state);
         self.schedule.end_round(now, self.queue.len());
+        if runs.len() >= MAX_RUNS_PER_ROUND {
+            self.request_round();
+        }
         runs
     }
 
@@ -203,14 +215,21 @@
         now: Millis,
     ) -> Vec<RunStart> {
         let mut runs = Vec::new();
+        let mut failed = FailedPlacements::default();
+        let deadlines = JobDeadlines::of(job);
         for unit in startable_units(job) {
-            let urgency = urgency(job, unit.first_task, job.submission.submitted_ms);
-            if self.queue.first().is_some_and(|first| *first < urgency) {
+            let is_enough = runs.len() >= MAX_RUNS_AT_SUBMISSION
+                || failed.len() >= MAX_FAILED_PLACEMENTS_AT_SUBMISSION;
+            let urgency = deadlines.urgency(unit.first_task, job.submission.submitted_ms);
+            if is_enough || self.queue.first().is_some_and(|first| *first < urgency) {
                 break;
             }
             let Some(step) = step_of(job, &unit) else {
                 continue;
             };
+            if failed.covers(step) {
+                continue;
+            }
             let planned = PlannedUnit {
                 job,
                 unit: &unit,
@@ -218,8 +237,9 @@
                 urgency: &urgency,
                 waited_ms: 0,
             };
-            if let Some(mut placed) = self.place(table, &planned, None, now) {
-                runs.append(&mut placed);
+            match self.place(table, &planned, None, now) {
+                Some(mut placed) => runs.append(&mut placed),
+                None => failed.add(step, false),
             }
         }
         runs
@@ -229,8 +249,10 @@
     /// examine the whole queue; the next one resumes where it ended.
     fn plan(&mut self, table: &mut RunTable, now: Millis, state: &State) -> Vec<RunStart> {
         let queued = self.queued_units();
-        let owners: HashSet<TaskId> = queued.iter().map(|queued| queued.urgency.task).collect();
-        self.nominations.retain_valid(&owners, &table.workers, now);
+        self.examined_units += queued.len() as u64;
+        let is_queued = |task: &TaskId| self.queue.contains(task);
+        self.nominations
+            .retain_valid(is_queued, &table.workers, now);
         self.backfill.begin_planning_round(now);
         if queued.is_empty() {
             return Vec::new();
@@ -298,7 +320,8 @@
         state: &State,
     ) -> usize {
         for (position, unit) in queued.iter().enumerate() {
-            if round.failed_placements.len() >= max_failed {
+            if round.failed_placements.len() >= max_failed || round.runs.len() >= MAX_RUNS_PER_ROUND
+            {
                 return position;
             }
             self.plan_unit(table, unit, round, now, state);
--- a/system/scheduler/src/replies.rs
+++ b/system/scheduler/src/replies.rs
@@ -10,6 +10,7 @@
 };
 use magpiegap_jobs::State;
 use magpiegap_protocol::{Command, Millis, RunCompletion, RunId, RunStart, TaskId};
+use std::collections::HashSet;
 
 /// Maximum number of completions in one listing; a listing with this many may be incomplete.
 const MAX_LISTED_COMPLETIONS: usize = 500;
@@ -288,23 +289,13 @@
             && sent_at > run.last_reply_at
             && clock > run.start_valid_until
     };
+    let running = listing.running.iter().map(|run| (run.task, run.run));
+    let completed = listing.completed.iter().map(|run| (run.task, run.run));
+    let listed: HashSet<(TaskId, RunId)> = running.chain(completed).collect();
     worker
         .runs
         .iter()
-        .filter(|(task, run)| must_be_listed(run) && !includes_run(listing, task, run.id))
+        .filter(|(task, run)| must_be_listed(run) && !listed.contains(&(**task, run.id)))
         .map(|(task, run)| run.to_lost(*task, &worker.entry.incarnation))
         .collect()
 }
-
-/// Whether a listing includes a run, as running or completed.
-fn includes_run(listing: &Listing, task: &TaskId, run: RunId) -> bool {
-    let is_running = listing
-        .running
-        .iter()
-        .any(|listed| listed.task == *task && listed.run == run);
-    is_running
-        || listing
-            .completed
-            .iter()
-            .any(|completion| completion.task == *task && completion.run == run)
-}
--- a/system/scheduler/src/scheduler.rs
+++ b/system/scheduler/src/scheduler.rs
@@ -2,6 +2,7 @@
 use crate::{
     call_table::{CallPurpose, CallTable, InFlightCall},
     calls::{Output, WorkerCall, WorkerOrder},
+    changed_jobs::ChangedJobs,
     ejection_report::EjectionReport,
     health::FailureRate,
     job_timers::JobTimers,
@@ -49,6 +50,7 @@
     pub(crate) table: RunTable,
     pub(crate) ejection_report: EjectionReport,
     pub(crate) job_timers: JobTimers,
+    pub(crate) changed_jobs: ChangedJobs,
     pub(crate) calls: CallTable,
     /// Monotonic time of the last input.
     pub(crate) now: Millis,
@@ -81,6 +83,7 @@
             table: RunTable::new(now),
             ejection_report: EjectionReport::default(),
             job_timers: JobTimers::default(),
+            changed_jobs: ChangedJobs::default(),
             calls: CallTable::default(),
             now,
             wall: WallMillis::default(),
@@ -126,6 +129,12 @@
         self.outputs.push(Output::Log(line));
     }
 
+    /// Number of queued tasks and gangs examined since it was created: a measure of its work that does not depend on the
+    /// machine.
+    pub fn examined_units(&self) -> u64 {
+        self.planner.examined_units
+    }
+
     /// Returns statistics for operators.
     pub fn summary(&self) -> SchedulerSummary {
         SchedulerSummary {
@@ -209,6 +218,9 @@
         }
         self.now = now;
         self.wall = wall;
+        for job in self.changed_jobs.take_due(now) {
+            self.reconcile_job(job, now, state);
+        }
         if now >= self.next_check_at {
             self.next_check_at = now + CHECK_INTERVAL_MS;
             self.check_workers(now, state);
--- a/system/scheduler/src/take_over.rs
+++ b/system/scheduler/src/take_over.rs
@@ -2,7 +2,7 @@
 use crate::{calls::Output, scheduler::Scheduler};
 use magpiegap_jobs::State;
 use magpiegap_protocol::{JobId, Millis, RunId, TaskId};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 impl Scheduler {
     /// Reloads the state after a change of the view or of the role's owner. Earlier proposals that are not in the state
@@ -12,6 +12,7 @@
         self.snapshot_position = state.position;
         self.table.clear_pending();
         self.job_timers.clear();
+        self.changed_jobs.clear();
         let is_own_job = |id: &JobId| {
             state
                 .jobs
@@ -60,9 +61,11 @@
 
     fn drop_unrecorded_runs(&mut self, recorded_runs: &BTreeMap<&str, Vec<(TaskId, RunId)>>) {
         for (incarnation, worker) in &mut self.table.workers {
-            let recorded = recorded_runs
+            let recorded: HashSet<&(TaskId, RunId)> = recorded_runs
                 .get(incarnation.as_str())
-                .map_or(&[][..], Vec::as_slice);
+                .into_iter()
+                .flatten()
+                .collect();
             let unrecorded: Vec<(TaskId, RunId)> = worker
                 .runs
                 .iter()
--- a/system/scheduler/tests/common/mod.rs
+++ b/system/scheduler/tests/common/mod.rs
@@ -202,6 +202,12 @@
         starts
     }
 
+    /// Drops the calls that are not starts.
+    pub(crate) fn take_calls_other_than_starts(&mut self) {
+        self.calls
+            .retain(|call| matches!(call.order, WorkerOrder::Start { .. }));
+    }
+
     pub(crate) fn active(&self, task: TaskId) -> Vec<String> {
         let state = self
             .state
