--- a/system/fleet/src/client.rs
+++ b/system/fleet/src/client.rs
@@ -1,6 +1,5 @@
 //! State of clients and operators: their pending requests and the responses received. The fleet chooses the
 //! coordinator that each request is sent to.
-use crate::fleet::ServiceListing;
 use magpiegap_protocol::{
     fnv1a, CoordinatorRequest, CoordinatorResponse, JobId, JobPhase, Submission, TaskId,
 };
@@ -149,6 +148,29 @@
     pub next_request_at: u64,
 }
 
+/// Which versions of the configuration list the service whose jobs the clients submit. The others send its queue to
+/// another service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServiceListing {
+    /// All versions.
+    Always,
+    /// The versions up to this one.
+    UpTo(u64),
+    /// Blocks of this many versions, alternating with equally long blocks without the service.
+    Alternating(u64),
+}
+
+impl ServiceListing {
+    /// Returns whether a version lists the service.
+    pub(crate) fn includes(self, version: u64) -> bool {
+        match self {
+            ServiceListing::Always => true,
+            ServiceListing::UpTo(last) => version <= last,
+            ServiceListing::Alternating(block) => (version / block).is_multiple_of(2),
+        }
+    }
+}
+
 /// The size and content of the configurations that operators send.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ConfigurationShape {
--- a/system/fleet/src/fleet.rs
+++ b/system/fleet/src/fleet.rs
@@ -15,7 +15,7 @@
 mod state_checks;
 mod worker_calls;
 
-pub use settings::{FleetSettings, ServiceListing};
+pub use settings::FleetSettings;
 
 use crate::{
     active_faults::ActiveFaults,
--- a/system/fleet/src/fleet/settings.rs
+++ b/system/fleet/src/fleet/settings.rs
@@ -1,27 +1,5 @@
 //! Settings of a fleet.
-
-/// Which versions of the configuration list the service whose jobs the clients submit. The others send its queue to
-/// another service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ServiceListing {
-    /// All versions.
-    Always,
-    /// The versions up to this one.
-    UpTo(u64),
-    /// Blocks of this many versions, alternating with equally long blocks without the service.
-    Alternating(u64),
-}
-
-impl ServiceListing {
-    /// Returns whether a version lists the service.
-    pub(crate) fn includes(self, version: u64) -> bool {
-        match self {
-            ServiceListing::Always => true,
-            ServiceListing::UpTo(last) => version <= last,
-            ServiceListing::Alternating(block) => (version / block).is_multiple_of(2),
-        }
-    }
-}
+use crate::client::ServiceListing;
 
 /// Settings of a fleet.
 #[derive(Clone, Debug)]
--- a/system/fleet/src/lib.rs
+++ b/system/fleet/src/lib.rs
@@ -18,7 +18,8 @@
 mod pending_requests;
 mod worker;
 
+pub use client::ServiceListing;
 pub use faults::{Fault, WorkerPartitionScope};
-pub use fleet::{Fleet, FleetSettings, ServiceListing};
+pub use fleet::{Fleet, FleetSettings};
 pub use oracle::Violation;
 pub use worker::{RunCompletion, RunEvent, Work, Worker, WorkerSettings};
