Reject configurations that are nested too deeply before they are parsed

The other JSON from outside goes through a parser that stops at 128 levels by itself; the types of the binary encoding do not recurse.

Test: `deeply_nested_configurations_are_rejected`, up to three million brackets. Not run before the change: it would have ended the test process.

--- a/system/jobs/src/configuration_error.rs
+++ b/system/jobs/src/configuration_error.rs
@@ -1,4 +1,5 @@
 //! Errors in configurations submitted by operators.
+use crate::json_depth::MAX_JSON_DEPTH;
 use std::str::Utf8Error;
 use tinyjson::JsonParseError;
 
@@ -14,6 +15,9 @@
     /// The body is not JSON.
     #[error("not readable as JSON: {0}")]
     NotJson(#[source] JsonParseError),
+    /// Objects and arrays are nested too deeply.
+    #[error("nested more than {MAX_JSON_DEPTH} levels deep")]
+    TooDeep,
     /// A field is missing, has the wrong type or is out of range.
     #[error("{field}: must be {expected}")]
     Field {
--- a/system/jobs/src/configuration_parser.rs
+++ b/system/jobs/src/configuration_parser.rs
@@ -4,6 +4,7 @@
 use crate::{
     configuration::{Configuration, Limits, Service},
     configuration_error::ConfigurationError,
+    json_depth::is_too_deep,
     json_fields::{field_error, JsonFields},
     route::Route,
 };
@@ -25,6 +26,9 @@
     /// Returns the first error found.
     pub fn parse(body: &[u8]) -> Result<Configuration, ConfigurationError> {
         let text = std::str::from_utf8(body).map_err(ConfigurationError::NotUtf8)?;
+        if is_too_deep(text) {
+            return Err(ConfigurationError::TooDeep);
+        }
         let value: JsonValue = text.parse().map_err(ConfigurationError::NotJson)?;
         let fields = JsonFields::new(String::new(), &value)?;
         let version = fields.integer("version", 0)?;
--- a/system/jobs/src/lib.rs
+++ b/system/jobs/src/lib.rs
@@ -16,6 +16,7 @@
 mod configuration_parser;
 mod consistency;
 mod job;
+mod json_depth;
 mod json_fields;
 mod readiness;
 mod route;
--- a/system/jobs/tests/configuration.rs
+++ b/system/jobs/tests/configuration.rs
@@ -82,3 +82,35 @@
     expect_that!(parse_error("[]"), contains_substring("must be an object"));
     expect_that!(parse_error("\u{0}"), starts_with("not readable"));
 }
+
+/// Guards against configurations that end every coordinator that parses them, by an overflow of its stack.
+#[googletest::test]
+fn deeply_nested_configurations_are_rejected() {
+    let too_deep = "nested more than 64 levels deep";
+    let nested = |open: &str, depth: usize| {
+        let text = format!("{{\"version\":1,\"more\":{}", open.repeat(depth));
+        parse_error(&text)
+    };
+    for open in ["[", "{\"a\":", "[{\"a\":"] {
+        for depth in [100, 200_000, 3_000_000] {
+            expect_that!(nested(open, depth), eq(too_deep), "{open} {depth}");
+        }
+    }
+    // Brackets in strings are not nested, also behind escaped quotes; neither are those that follow one another.
+    let text = "[\\\"[".repeat(1000);
+    let pairs = vec!["[]"; 1000].join(",");
+    let valid = route("a", "/x/", r#","timeoutMs":5"#);
+    let flat = configuration("4", &[valid]);
+    let flat = flat.replacen(
+        '{',
+        &format!("{{\"text\":\"{text}\",\"pairs\":[{pairs}],"),
+        1,
+    );
+    expect_that!(parse_error(&flat), eq(""));
+    let within = format!(
+        "{{\"version\":1,\"more\":{}{}}}",
+        "[".repeat(63),
+        "]".repeat(63)
+    );
+    expect_that!(parse_error(&within), not(eq(too_deep)));
+}
