Stop a run instead of repeating its start to a worker that drains

Only the first start of a run looked at whether its worker drains or is still listed (`DueOrder::of`): a start that was not replied to was sent again at any later time, against DRAIN. Such a run is stopped now, since the first start may yet take effect, and started elsewhere once a listing shows that it does not run.

Test: `start_is_not_repeated_to_departing_worker`, for a worker that drains and for one that is no longer listed.

--- a/system/scheduler/src/orders.rs
+++ b/system/scheduler/src/orders.rs
@@ -37,6 +37,11 @@
         if !is_reachable || run.in_flight_orders > 0 || run.phase == RunPhase::LossProposed {
             return DueOrder::Nothing;
         }
+        let is_retry = matches!(run.phase, RunPhase::Recorded { .. });
+        if is_retry && !accepts_starts && run.next_stop_at.is_none() {
+            // An earlier start was not replied to. It must not be repeated, and may still take effect.
+            return DueOrder::Stop;
+        }
         match (run.next_stop_at, run.phase) {
             (Some(stop_at), _) if now >= stop_at => DueOrder::Stop,
             (None, RunPhase::Recorded { not_before }) if now >= not_before => DueOrder::Start,
--- a/system/scheduler/tests/starting.rs
+++ b/system/scheduler/tests/starting.rs
@@ -5,8 +5,8 @@
 use googletest::prelude::*;
 use magpiegap_jobs::Change;
 use magpiegap_protocol::{
-    Command, CompletionKind, FencingToken, JobId, LogIndex, LogPosition, RunStart, StepSpec,
-    ViewNumber, WallMillis,
+    Availability, Command, CompletionKind, FencingToken, JobId, LogIndex, LogPosition, RunStart,
+    StepSpec, ViewNumber, WallMillis, WorkerEntry,
 };
 use magpiegap_scheduler::{
     ListedCompletion, Output, RefusalReason, Scheduler, SchedulerSettings, WorkerOrder, WorkerReply,
@@ -261,3 +261,38 @@
         eq(true)
     );
 }
+
+/// Guards against starts that are sent again to a worker that drains or is no longer listed, because the first one was
+/// not replied to.
+#[googletest::test]
+fn start_is_not_repeated_to_departing_worker() {
+    let draining = WorkerEntry {
+        availability: Availability::Draining,
+        ..worker("w1")
+    };
+    for (name, entries) in [("draining", vec![draining]), ("not listed", vec![])] {
+        let mut harness = Harness::new(&["w1"]);
+        harness.submit(1, vec![step(1, 1000)]);
+        let start = harness.starts().remove(0);
+        harness
+            .scheduler
+            .handle_worker_list(harness.now, &harness.state, &entries);
+        harness.reply(&start, WorkerReply::TimedOut);
+        let mut stops = 0;
+        for _ in 0..100 {
+            harness.advance(20);
+            expect_that!(harness.starts(), is_empty(), "{name}");
+            for call in harness.take_calls() {
+                let reply = match call.order {
+                    WorkerOrder::RenewLease { .. } => harness.listing(vec![], vec![]),
+                    _ => harness.done(),
+                };
+                stops += u32::from(matches!(call.order, WorkerOrder::Stop { .. }));
+                harness.reply(&call, reply);
+            }
+        }
+        // The run is stopped, and known not to be running by the next listing.
+        expect_that!(stops, ge(1), "{name}");
+        expect_that!(harness.active(task(1, 0)), is_empty(), "{name}");
+    }
+}
