Bound the wait of a task for the rack of its data

A task waited for its rack for three fifths of what its client's estimate said that running elsewhere would add, without a bound, and also when the rack had no workers left. It waits 30 s at most now, and not at all for a rack without listed workers that are not draining.

--- a/system/scheduler/src/planner.rs
+++ b/system/scheduler/src/planner.rs
@@ -17,15 +17,18 @@
 use magpiegap_jobs::{startable_units, Job, StartableUnit, State};
 use magpiegap_protocol::{JobId, Millis, Resources, RunStart, StepSpec, TaskId};
 use rand::{rngs::StdRng, SeedableRng};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// Number of failed placements that ends the part of a round that starts with the most urgent tasks.
 const MAX_FAILED_URGENT_PLACEMENTS: usize = 40;
 /// Number of further failed placements that ends the part of a round that resumes where the last round ended; resuming
 /// there keeps infeasible tasks from starving the tasks behind them.
 const MAX_FAILED_RESUMED_PLACEMENTS: usize = 20;
-/// A task waits for the rack of its data at most for this share of the extra time that running elsewhere would take.
+/// A task waits for the rack of its data at most for this share of the extra time that running elsewhere would take, by
+/// its client's estimate.
 const MAX_LOCALITY_WAIT_SHARE: f64 = 0.6;
+/// Maximum time for which a task waits for the rack of its data, whatever the estimate.
+const MAX_LOCALITY_WAIT_MS: Millis = 30_000;
 /// Time in the queue after which an urgent task may preempt less urgent runs.
 const PREEMPT_AFTER_MS: Millis = 100;
 /// Maximum number of failed searches for preemption victims in one round; each examines all workers.
@@ -135,6 +138,8 @@
     schedule: PlanningSchedule,
     /// The incarnations of all workers, as of the last check.
     worker_names: Vec<String>,
+    /// The labels of all listed workers that are not draining, among them their racks.
+    available_labels: HashSet<String>,
     /// The workers on which each task has failed.
     failed_on: HashMap<TaskId, Vec<String>>,
     /// Factor by which a task takes longer when it runs away from its data.
@@ -154,6 +159,7 @@
             backfill: Backfill::default(),
             schedule: PlanningSchedule::new(now),
             worker_names: Vec::new(),
+            available_labels: HashSet::new(),
             failed_on: HashMap::new(),
             remote_factor,
             random: StdRng::seed_from_u64(seed),
@@ -191,6 +197,16 @@
         }
     }
 
+    /// Updates the labels of workers that may take new runs, after the list of workers has changed.
+    pub(crate) fn refresh_available_labels(&mut self, workers: &Workers) {
+        let available = workers
+            .values()
+            .filter(|worker| worker.listed && !worker.draining);
+        self.available_labels = available
+            .flat_map(|worker| worker.entry.labels.iter().cloned())
+            .collect();
+    }
+
     /// Removes the planning state of a job that the log has removed.
     pub(crate) fn remove_job(&mut self, job: JobId) {
         self.queue.remove(job);
@@ -405,10 +421,15 @@
     }
 
     /// Whether a task still waits for the rack that holds its data, or a rack-local gang for a single rack that fits
-    /// all its tasks.
+    /// all its tasks. No task waits for a rack without workers.
     fn waits_for_locality(&self, step: &StepSpec, waited_ms: Millis) -> bool {
+        let is_rack_available = step
+            .affinity
+            .as_ref()
+            .is_none_or(|rack| self.available_labels.contains(rack));
         let slowdown = self.remote_factor - 1.0;
-        (waited_ms as f64) < step.estimated_ms as f64 * slowdown * MAX_LOCALITY_WAIT_SHARE
+        let max_wait_ms = step.estimated_ms as f64 * slowdown * MAX_LOCALITY_WAIT_SHARE;
+        is_rack_available && waited_ms < MAX_LOCALITY_WAIT_MS && (waited_ms as f64) < max_wait_ms
     }
 
     /// Describes a unit for backfill.
