Refuse a job whose ID a job of another queue has

Weighed: that a job is queue and ID would be the other way, but PROTOCOL.md names a task ID.K.STEP.INDEX, without its queue, so that workers could not tell the tasks of two such jobs apart. So the second is refused: 409 and one line. The same ID in the same queue remains one job. Both the coordinator's look at its state and the entry in the log say so, and two such submissions under way are two operations.

A proposed run counts as recorded only on its own worker, since two submissions of one ID may propose runs of the same number.

--- a/system/coordinator/src/operation.rs
+++ b/system/coordinator/src/operation.rs
@@ -34,7 +34,7 @@
     pub(crate) fn has_same_effect(&self, other: &Operation) -> bool {
         match (self, other) {
             (Operation::Submit(submission), Operation::Submit(other)) => {
-                submission.job == other.job
+                submission.job == other.job && submission.queue == other.queue
             }
             (Operation::Cancel(job), Operation::Cancel(other)) => job == other,
             (Operation::ReplaceConfiguration { .. }, _) => self == other,
--- a/system/coordinator/src/requests.rs
+++ b/system/coordinator/src/requests.rs
@@ -97,8 +97,12 @@
     }
 
     fn submit(&mut self, request: RequestId, mut submission: Box<Submission>) {
-        if self.machine.state.jobs.contains_key(&submission.job) {
-            self.respond(request, CoordinatorResponse::Accepted);
+        if let Some(known) = self.machine.state.jobs.get(&submission.job) {
+            let response = match known.submission.queue == submission.queue {
+                true => CoordinatorResponse::Accepted,
+                false => CoordinatorResponse::JobIdTaken,
+            };
+            self.respond(request, response);
             return;
         }
         let has_active_scheduler = self
@@ -155,6 +159,7 @@
         let response = match (&pending.operation, outcome) {
             // The scheduler lost its role. Whether another entry accepts the job is not known here.
             (_, Outcome::Fenced) => CoordinatorResponse::Unknown,
+            (Operation::Submit(_), Outcome::NotApplicable) => CoordinatorResponse::JobIdTaken,
             (Operation::Submit(_), _) => CoordinatorResponse::Accepted,
             (Operation::Cancel(_), Outcome::NotApplicable) => CoordinatorResponse::NoSuchJob,
             (Operation::Cancel(_), _) => CoordinatorResponse::Accepted,
--- a/system/coordinator/tests/common/mod.rs
+++ b/system/coordinator/tests/common/mod.rs
@@ -1,12 +1,13 @@
 //! Test fixture: a single coordinator that forms its own view, with an instantaneous disk and a simulated clock.
+#![allow(dead_code)]
 use magpiegap_control::{ControlSettings, DurableState, Output as ControlOutput, Tolerance};
 use magpiegap_coordinator::{
     take_snapshot, Coordinator, CoordinatorSettings, Machine, Output, PlatformReply,
 };
 use magpiegap_jobs::State;
 use magpiegap_protocol::{
-    CoordinatorRequest, FencingToken, Location, Member, PeerMessage, ReplicaId, Resources, Role,
-    ViewNumber, WallMillis, WorkerEntry,
+    CoordinatorRequest, CoordinatorResponse, FencingToken, Location, Member, PeerMessage,
+    ReplicaId, Resources, Role, ViewNumber, WallMillis, WorkerEntry,
 };
 use magpiegap_scheduler::{SchedulerSettings, WorkerCall, WorkerReply};
 
@@ -31,6 +32,8 @@
     now: u64,
     /// Worker calls without a reply.
     pub calls: Vec<SentCall>,
+    /// Responses to requests, in order.
+    pub responses: Vec<CoordinatorResponse>,
     /// Platform calls without a reply.
     platform_calls: Vec<u64>,
 }
@@ -50,6 +53,7 @@
             coordinator,
             now: 0,
             calls: Vec::new(),
+            responses: Vec::new(),
             platform_calls: Vec::new(),
         };
         fixture.advance(2000);
@@ -81,6 +85,13 @@
         }
     }
 
+    /// Delivers a request; the response follows in `responses`.
+    pub(crate) fn handle_request(&mut self, request: CoordinatorRequest) {
+        let wall = self.wall();
+        self.coordinator.handle_request(self.now, wall, 2, request);
+        self.perform_outputs();
+    }
+
     /// Delivers a message from another coordinator.
     pub(crate) fn handle_message(&mut self, message: PeerMessage) {
         let wall = self.wall();
@@ -158,8 +169,8 @@
             }
             Output::Control(
                 ControlOutput::Send { .. } | ControlOutput::DiskSuperseded | ControlOutput::Log(_),
-            )
-            | Output::Respond { .. } => {}
+            ) => {}
+            Output::Respond { response, .. } => self.responses.push(response),
             Output::CallWorker { token, call, .. } => self.calls.push(SentCall { token, call }),
             Output::ListWorkers { call, .. } => self.platform_calls.push(call),
         }
--- a/system/jobs/src/apply_jobs.rs
+++ b/system/jobs/src/apply_jobs.rs
@@ -9,8 +9,12 @@
 impl Transition<'_> {
     pub(crate) fn submit_job(&mut self, submission: &Submission, runs: &[RunStart]) -> Outcome {
         let id = submission.job;
-        if self.state.jobs.contains_key(&id) {
-            return Outcome::Repeated;
+        if let Some(known) = self.state.jobs.get(&id) {
+            // The names of tasks hold the ID alone, so that no two queues can have a job of one ID.
+            return match known.submission.queue == submission.queue {
+                true => Outcome::Repeated,
+                false => Outcome::NotApplicable,
+            };
         }
         let queue = submission.queue.clone();
         *self.state.open_jobs.entry(queue).or_default() += 1;
--- a/system/magpiegap/src/proxy/calls.rs
+++ b/system/magpiegap/src/proxy/calls.rs
@@ -38,6 +38,8 @@
     NoCapacity,
     /// The job was not accepted: the submission could not be sent to any coordinator.
     NotSent,
+    /// The job was not accepted: a job of another queue has its ID.
+    IdTaken,
     /// The job may or may not have been accepted.
     Unknown,
 }
@@ -112,6 +114,7 @@
                 let call = self.call_scheduler(&service, holder, &request, deadline);
                 match call.await {
                     Ok(CoordinatorResponse::Accepted) => return SubmitOutcome::Accepted,
+                    Ok(CoordinatorResponse::JobIdTaken) => return SubmitOutcome::IdTaken,
                     Ok(CoordinatorResponse::NoCapacity) if !was_sent => {
                         return SubmitOutcome::NoCapacity
                     }
--- a/system/magpiegap/src/proxy/frontend.rs
+++ b/system/magpiegap/src/proxy/frontend.rs
@@ -29,6 +29,8 @@
 /// How long a request waits for the first configuration. A newly started proxy receives one within a fraction of a second,
 /// while a rejected client retries only after a second.
 const CONFIGURATION_TIMEOUT: Duration = Duration::from_millis(900);
+/// Body of the response to a submission whose ID a job of another queue has.
+const ID_TAKEN: &str = "a job of another queue has this ID";
 /// Delay after which a rejected client may retry, in seconds.
 const RETRY_AFTER_S: u32 = 1;
 
@@ -160,6 +162,10 @@
             SubmitOutcome::Accepted => Reply::status(Status::Ok),
             SubmitOutcome::NoCapacity => Reply::unavailable(Status::TooManyRequests),
             SubmitOutcome::NotSent => Reply::unavailable(Status::ServiceUnavailable),
+            SubmitOutcome::IdTaken => Reply {
+                body: ID_TAKEN.to_owned(),
+                ..Reply::status(Status::Conflict)
+            },
             SubmitOutcome::Unknown => Reply::status(Status::GatewayTimeout),
         }
     }
@@ -221,7 +227,7 @@
 /// Converts the outcome of a submission for admission control.
 fn ending(outcome: SubmitOutcome) -> Ending {
     match outcome {
-        SubmitOutcome::Accepted => Ending::Ok,
+        SubmitOutcome::Accepted | SubmitOutcome::IdTaken => Ending::Ok,
         SubmitOutcome::NoCapacity => Ending::Rejected,
         SubmitOutcome::NotSent => Ending::ConnectFailed,
         SubmitOutcome::Unknown => Ending::Timeout,
--- a/system/protocol/src/requests.rs
+++ b/system/protocol/src/requests.rs
@@ -187,4 +187,7 @@
     /// The configuration is invalid; the text describes the first error.
     #[n(15)]
     ConfigurationInvalid(#[n(0)] String),
+    /// The job was rejected, because a job of another queue has its ID.
+    #[n(16)]
+    JobIdTaken,
 }
--- a/system/protocol/tests/stored_bytes.rs
+++ b/system/protocol/tests/stored_bytes.rs
@@ -437,6 +437,7 @@
         ("not-serving", CoordinatorResponse::NotServing),
         ("unknown", CoordinatorResponse::Unknown),
         ("no-such-job", CoordinatorResponse::NoSuchJob),
+        ("job-id-taken", CoordinatorResponse::JobIdTaken),
         (
             "phase-pending",
             CoordinatorResponse::Phase(JobPhase::Pending),
--- a/system/scheduler/src/applied.rs
+++ b/system/scheduler/src/applied.rs
@@ -229,7 +229,7 @@
     task.is_some_and(|task| {
         task.active_runs
             .iter()
-            .any(|active| active.run == start.run)
+            .any(|active| active.run == start.run && active.incarnation == start.incarnation)
     })
 }
 
