review: case 5, jobs with data in a rack wait for an upstream on probation for good

Cause: an independent review of the scheduler. prefer_local keeps the workers of a rack, prefer_healthy drops those on probation that have a run, and nobody is left.

--- a/review/stand-ins-2/src/lasting.rs
+++ b/review/stand-ins-2/src/lasting.rs
@@ -7,13 +7,15 @@
 };
 use std::time::{Duration, Instant};
 
-const JOBS: u64 = 24;
+const JOBS: u64 = 30;
+/// The tasks of the first jobs never fail.
+const STEADY_JOBS: u64 = 6;
 const WORKERS: usize = 3;
 const CAPACITY: Size = Size {
     cpu: 16_000,
     mem_mb: 65_536,
 };
-/// A task takes a thirty-second of an upstream, so that all jobs together take a quarter of the service.
+/// A task takes a thirty-second of an upstream, so that all jobs together take less than a third of the service.
 const SIZE: Size = Size {
     cpu: 500,
     mem_mb: 512,
@@ -48,7 +50,7 @@
     let jobs: Vec<String> = (0..JOBS).map(|number| format!("{:016x}", 0x00a0_0000_0000_0000 + number)).collect();
     for (number, job) in jobs.iter().enumerate() {
         let fails_after = FIRST_FAILURE_MS + FAILURE_GAP_MS * number as u64;
-        let spec = match with_trouble {
+        let spec = match with_trouble && number as u64 >= STEADY_JOBS {
             true => format!("lasts, run 1 fails after {fails_after}"),
             false => "lasts".to_owned(),
         };
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -1,5 +1,6 @@
 //! Scripts of the second review: `review-2 CASE FOLDER`. Exit code 1: the rule was broken, 0: it held, 2: the case could not
 //! run. With `TROUBLE=0` the disruption is left out.
+mod affinity;
 mod cancelled;
 mod cluster;
 mod http;
@@ -29,6 +30,7 @@
     };
     let run = match case.as_str() {
         "lasting" => lasting::run,
+        "affinity" => affinity::run,
         "cancelled" => cancelled::run,
         "gang" => gang::run,
         _ => {
--- a/review/stand-ins-2/src/worker.rs
+++ b/review/stand-ins-2/src/worker.rs
@@ -10,13 +10,18 @@
 use std::{
     collections::{BTreeMap, HashMap},
     net::{SocketAddr, TcpListener},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError,
+    },
     time::{Duration, Instant},
 };
 
 const MAX_HOLD_MS: u64 = 6000;
 /// A stop takes this long; `stop_ms` is 400.
 const STOP_MS: u64 = 60;
+/// A run that begins while the upstream is grey fails after this time.
+const GREY_MS: u64 = 100;
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Size {
@@ -66,6 +71,8 @@
     clock_offset: u64,
     state: Mutex<State>,
     record: Record,
+    /// It fails all that it starts (`srv_grey`).
+    grey: AtomicBool,
     /// The sizes of tasks, by job and step, as the clients sent them: the order to start a run does not carry them.
     sizes: Sizes,
 }
@@ -99,6 +106,7 @@
             clock_offset: 100_000 * (number as u64 + 1),
             state: Mutex::new(State::default()),
             record,
+            grey: AtomicBool::new(false),
             sizes,
         });
         let ticking = worker.clone();
@@ -221,7 +229,10 @@
                 run,
                 size,
                 started_at: now,
-                ends: ends_at(spec, run, now),
+                ends: match self.grey.load(Ordering::Relaxed) {
+                    true => Some((now + GREY_MS, "failed")),
+                    false => ends_at(spec, run, now),
+                },
                 stops_at: None,
             },
         );
@@ -299,6 +310,12 @@
         )
     }
 
+    /// From now on, what is started here fails, or no longer does. What runs goes on.
+    pub fn set_grey(&self, grey: bool) {
+        self.record.line(format!("upstream {} grey: {grey}", self.id));
+        self.grey.store(grey, Ordering::Relaxed);
+    }
+
     /// The tasks that run here now.
     pub fn running(&self) -> Vec<String> {
         self.state().runs.keys().cloned().collect()
--- a/review/stand-ins-2/src/world.rs
+++ b/review/stand-ins-2/src/world.rs
@@ -29,6 +29,8 @@
     pub depends_on: Vec<usize>,
     pub gang: bool,
     pub long_running: bool,
+    /// The rack that holds the data.
+    pub affinity: Option<String>,
 }
 
 impl Step {
@@ -40,6 +42,7 @@
             depends_on: Vec::new(),
             gang: false,
             long_running: false,
+            affinity: None,
         }
     }
 
@@ -58,6 +61,9 @@
         if self.gang {
             fields.push("\"gang\":true".to_owned());
         }
+        if let Some(rack) = &self.affinity {
+            fields.push(format!("\"affinity\":\"{rack}\""));
+        }
         if self.long_running {
             fields.push("\"longRunning\":true".to_owned());
         }
