review: case 4, a job whose starts are answered 400 stops its whole service

Cause: an entry of docs/OPEN.md that was read and never played: a 400 to a start ejects the worker at once and is no attempt of the task.

--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -8,6 +8,7 @@
 mod gang;
 mod lasting;
 mod record;
+mod unreadable;
 mod world;
 mod worker;
 
@@ -33,6 +34,7 @@
         "affinity" => affinity::run,
         "cancelled" => cancelled::run,
         "gang" => gang::run,
+        "unreadable" => unreadable::run,
         _ => {
             eprintln!("no such case");
             return ExitCode::from(2);
--- a/review/stand-ins-2/src/worker.rs
+++ b/review/stand-ins-2/src/worker.rs
@@ -1,7 +1,7 @@
 //! A stand-in for an upstream. It does what PROTOCOL.md, "Running tasks", says, with `guards` true: fencing tokens, holds,
 //! lives, starts, stops and the two lists. What a task does stands in its `spec`:
 //! `work MS` ends `done` after that time; `lasts` runs until it is stopped; `lasts, run 1 fails after MS` does too, but its
-//! first run ends `failed` then, through its own fault.
+//! first run ends `failed` then, through its own fault; a start with `unreadable` is answered 400.
 use crate::{
     http::{serve, Request, Response},
     json::Json,
@@ -58,6 +58,8 @@
     closed: HashMap<String, u64>,
     /// The tasks of all runs that were started.
     started: Vec<String>,
+    /// How many starts were answered 400.
+    unreadable: u64,
 }
 
 pub struct Worker {
@@ -197,6 +199,13 @@
             return Response::new(400, "{}");
         };
         let spec = body.text("spec").unwrap_or("");
+        if spec.starts_with("unreadable") {
+            let mut state = self.state();
+            state.unreadable += 1;
+            self.record.line(format!("upstream {} answered 400 to {task} run {run}", self.id));
+            drop(state);
+            return Response::new(400, format!("{{\"clockMs\":{}}}", self.clock()));
+        }
         let mut state = self.state();
         let now = self.clock();
         if state.runs.get(task).is_some_and(|known| known.run == run) {
@@ -321,6 +330,11 @@
         self.state().runs.keys().cloned().collect()
     }
 
+    /// How many starts were answered 400 here.
+    pub fn unreadable(&self) -> u64 {
+        self.state().unreadable
+    }
+
     /// How many runs of a job have been started here.
     pub fn starts(&self, job: &str) -> usize {
         self.state().started.iter().filter(|task| task.starts_with(job)).count()
