--- a/review/stand-ins-2/src/affinity.rs
+++ b/review/stand-ins-2/src/affinity.rs
@@ -20,8 +20,8 @@
 const WORK_MS: u64 = 1000;
 /// `for_s` of `srv_grey` in the site file.
 const GREY_MS: u64 = 6500;
-/// The last jobs come this long after the upstream is sound again.
-const SOUND_MS: u64 = 10_000;
+/// The last jobs come this long after the upstream is sound again, when no ejection lasts any more (30 s at most).
+const SOUND_MS: u64 = 33_500;
 /// The rack of the first upstream, which is alone in it.
 const RACK: &str = "r1-0";
 /// `finish_s` of the settings.
@@ -29,7 +29,7 @@
 /// The rule speaks of 3 s with nothing running.
 const IDLE_MS: u64 = 3000;
 /// A second look.
-const LATER_S: u64 = 45;
+const LATER_S: u64 = 35;
 
 pub fn run(with_trouble: bool, record: &Record) -> Result<bool, String> {
     let configuration = format!(
--- a/review/stand-ins-2/src/cluster.rs
+++ b/review/stand-ins-2/src/cluster.rs
@@ -61,12 +61,16 @@
         for number in 0..cluster.processes.len() {
             cluster.spawn(number)?;
         }
-        // Only the first start of the whole system has `bootstrap` set.
+        Ok(cluster)
+    }
+
+    /// Only the first start of the whole system has `bootstrap` set. Called once all processes have read their settings.
+    pub fn end_bootstrap(&self) -> std::io::Result<()> {
         for number in 0..CORES {
-            let settings = cluster.settings(&format!("core-{number}"), "coordinator", core_ip(number), number, false);
-            fs::write(&cluster.processes[number].settings, settings)?;
+            let settings = self.settings(&format!("core-{number}"), "coordinator", core_ip(number), number, false);
+            fs::write(&self.processes[number].settings, settings)?;
         }
-        Ok(cluster)
+        Ok(())
     }
 
     fn add(&mut self, machine: &str, role: &'static str, ip: Ipv4Addr, number: usize) -> std::io::Result<()> {
--- a/review/stand-ins-2/src/world.rs
+++ b/review/stand-ins-2/src/world.rs
@@ -114,6 +114,7 @@
         if !world.cluster.wait_until_ready(patience) {
             return Err("the proxies are not ready".to_owned());
         }
+        world.cluster.end_bootstrap().map_err(|error| say("settings", error))?;
         Ok(world)
     }
 
