--- a/review/stand-ins-2/src/cancelled.rs
+++ b/review/stand-ins-2/src/cancelled.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 const WORKERS: usize = 3;
-/// One of nine is the largest share of `node_freeze` in the site files, 0.11.
-const EDGES: usize = 9;
+/// One of ten is within `share = 0.11` of `node_freeze` in the site file.
+const EDGES: usize = 10;
 const CAPACITY: Size = Size {
     cpu: 16_000,
     mem_mb: 65_536,
--- a/review/stand-ins-2/src/cluster.rs
+++ b/review/stand-ins-2/src/cluster.rs
@@ -4,11 +4,17 @@
 use std::{
     fs::{self, File},
     net::{Ipv4Addr, SocketAddr, TcpListener},
-    path::{Path, PathBuf},
+    path::PathBuf,
     process::{Child, Command, Stdio},
+    sync::{Mutex, PoisonError},
     time::{Duration, Instant},
 };
 
+/// The processes that were started, for the watchdog.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+/// A case takes 120 s at most.
+const WATCHDOG: Duration = Duration::from_secs(112);
+
 const CORES: usize = 3;
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
@@ -42,6 +48,7 @@
     pub fn start(edges: usize, platform: SocketAddr, record: Record) -> std::io::Result<Cluster> {
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
+        watch(folder.clone());
         let base_port = free_ports(edges)?;
         let mut cluster = Cluster {
             folder,
@@ -151,6 +158,7 @@
             .stderr(log)
             .spawn()?;
         self.record.line(format!("started {}", process.name));
+        STARTED.lock().unwrap_or_else(PoisonError::into_inner).push(child.id());
         process.child = Some(child);
         Ok(())
     }
@@ -164,14 +172,6 @@
         }
     }
 
-    /// Whether a process has ended.
-    pub fn has_ended(&mut self, number: usize) -> bool {
-        match &mut self.processes[number].child {
-            Some(child) => matches!(child.try_wait(), Ok(Some(_))),
-            None => true,
-        }
-    }
-
     /// Waits until each proxy calls itself ready.
     pub fn wait_until_ready(&self, timeout: Duration) -> bool {
         let until = Instant::now() + timeout;
@@ -210,9 +210,6 @@
         false
     }
 
-    pub fn folder(&self) -> &Path {
-        &self.folder
-    }
 }
 
 impl Drop for Cluster {
@@ -230,6 +227,19 @@
     }
 }
 
+/// Ends everything when a case takes too long.
+fn watch(folder: PathBuf) {
+    std::thread::spawn(move || {
+        std::thread::sleep(WATCHDOG);
+        for process in STARTED.lock().unwrap_or_else(PoisonError::into_inner).iter() {
+            let _ = Command::new("sh").arg("-c").arg(format!("kill -KILL {process}")).status();
+        }
+        let _ = fs::remove_dir_all(folder);
+        eprintln!("the case took too long");
+        std::process::exit(2);
+    });
+}
+
 /// The first of a range of ports that are free on all addresses.
 fn free_ports(edges: usize) -> std::io::Result<u16> {
     let ips: Vec<Ipv4Addr> = (0..CORES).map(core_ip).chain((0..edges).map(edge_ip)).collect();
--- a/review/stand-ins-2/src/lasting.rs
+++ b/review/stand-ins-2/src/lasting.rs
@@ -30,7 +30,7 @@
 /// The rule speaks of 3 s with nothing running.
 const IDLE_MS: u64 = 3000;
 /// A second look, after longer than the program leaves an upstream alone (30 s at most).
-const LATER_S: u64 = 45;
+const LATER_S: u64 = 35;
 
 pub fn run(with_trouble: bool, record: &Record) -> Result<bool, String> {
     let configuration = format!(
--- a/review/stand-ins-2/src/unreadable.rs
+++ b/review/stand-ins-2/src/unreadable.rs
@@ -27,7 +27,7 @@
 /// The rule speaks of 3 s with nothing running.
 const IDLE_MS: u64 = 3000;
 /// A second look.
-const LATER_S: u64 = 75;
+const LATER_S: u64 = 60;
 
 pub fn run(with_trouble: bool, record: &Record) -> Result<bool, String> {
     let configuration = format!(
