--- a/review/stand-ins-2/src/cancelled.rs
+++ b/review/stand-ins-2/src/cancelled.rs
@@ -52,6 +52,15 @@
         ..Step::new(1, SIZE, STEP_MS)
     };
     let steps: Vec<Step> = (0..STEPS).map(step).collect();
+    // Four other clients keep their jobs, so that one of five gives up.
+    for number in 1..5_u64 {
+        let other = format!("/lohu930/{:016x}", 0x00f1_0000_0000_0000 + number);
+        let body = world.job_body(&other, &format!("work {STEP_MS}"), &[Step::new(1, SIZE, STEP_MS)]);
+        let answer = world.call(number as usize, "POST", &other, &body, DEADLINE_MS).map(|answer| answer.status);
+        if answer != Ok(200) {
+            return Err(format!("{other} was not accepted"));
+        }
+    }
     let body = world.job_body(&path, &format!("work {STEP_MS}"), &steps);
     let answer = world.call(0, "POST", &path, &body, DEADLINE_MS).map(|answer| answer.status);
     record.say(format!("the job was handed in, the answer: {answer:?}"));
--- a/review/stand-ins-2/src/gang.rs
+++ b/review/stand-ins-2/src/gang.rs
@@ -56,8 +56,15 @@
         }
     }
     let small: Vec<String> = (0..SMALL_JOBS).map(|number| format!("{:016x}", 0x00e0_0000_0000_0000 + number)).collect();
-    for job in &small {
+    for (number, job) in small.iter().enumerate() {
         std::thread::sleep(Duration::from_millis(GAP_MS));
+        // The gang is one of twenty jobs of its own queue too.
+        for twin in 0..if number == 0 { 2 } else { 1 } {
+            let other = format!("/lohu930/{:016x}", 0x00d1_0000_0000_0000 + 100 * twin + number as u64);
+            if !world.submit(&other, "work 100", &[Step::new(1, SMALL, 100)]) {
+                return Err(format!("{other} was not accepted"));
+            }
+        }
         let path = format!("/pufi791/{job}");
         if !world.submit(&path, &format!("work {SMALL_MS}"), &[Step::new(1, SMALL, SMALL_MS)]) {
             return Err(format!("job {job} was not accepted"));
--- a/review/stand-ins-2/src/unreadable.rs
+++ b/review/stand-ins-2/src/unreadable.rs
@@ -22,12 +22,14 @@
 /// Ordinary jobs, one each 150 ms.
 const JOBS: u64 = 19;
 const GAP_MS: u64 = 150;
+/// The ordinary jobs of the other queue begin this long after the bad one.
+const PAUSE_MS: u64 = 10_000;
 /// `finish_s` of the settings.
 const FINISH_S: u64 = 14;
 /// The rule speaks of 3 s with nothing running.
 const IDLE_MS: u64 = 3000;
 /// A second look.
-const LATER_S: u64 = 60;
+const LATER_S: u64 = 45;
 
 pub fn run(with_trouble: bool, record: &Record) -> Result<bool, String> {
     let configuration = format!(
@@ -48,6 +50,16 @@
         return Err("the bad job was not accepted".to_owned());
     }
     let jobs: Vec<String> = (0..JOBS).map(|number| format!("{:016x}", 0x00b2_0000_0000_0000 + number)).collect();
+    let bad_at = record.now();
+    // The bad job is one of twenty of its own queue, within 3 s.
+    for number in 0..JOBS {
+        std::thread::sleep(Duration::from_millis(GAP_MS));
+        let quick = format!("/lohu930/{:016x}", 0x00b3_0000_0000_0000 + number);
+        if !world.submit(&quick, "work 100", &[Step::new(1, SIZE, 100)]) {
+            return Err(format!("{quick} was not accepted"));
+        }
+    }
+    sleep_until(record, bad_at + PAUSE_MS);
     for job in &jobs {
         std::thread::sleep(Duration::from_millis(GAP_MS));
         let path = format!("/pufi791/{job}");
