Record the cancellation of an unknown job, so that a late submission starts nothing

Cause: a cancel of an unknown job left no trace. It is now recorded in the log as a tombstone, which takes the job's ID, is cancelled like a job, and is retained like one that has ended; only then is it answered, with 200. A late submission finds a cancelled job. Commands are those of earlier builds, so that replicas of both builds agree while a cluster is upgraded.

--- a/system/coordinator/src/describe.rs
+++ b/system/coordinator/src/describe.rs
@@ -46,6 +46,9 @@
     pub jobs: usize,
     /// Number of jobs that have not ended.
     pub open_jobs: u64,
+    /// Number of recorded cancellations of jobs that were not known.
+    #[serde(default)]
+    pub tombstones: u64,
     /// Holders of the singleton roles.
     pub roles: Vec<RoleDescription>,
     /// Schedulers whose roles this coordinator holds.
@@ -115,6 +118,7 @@
             configuration: state.configuration.version,
             jobs: state.jobs.len(),
             open_jobs: state.open_jobs.values().sum(),
+            tombstones: state.service_jobs.tombstones(),
             roles: RoleDescription::of_state(state),
             schedulers: self.describe_schedulers(),
             counters: self.counters,
--- a/system/coordinator/src/event_handlers.rs
+++ b/system/coordinator/src/event_handlers.rs
@@ -199,6 +199,7 @@
             self.reload_schedulers();
             self.repropose_operations();
         }
+        self.cancel_abandoned_tombstone(proposal);
         if let Some(operation) = proposal.draft.operation {
             self.complete_operation_with_outcome(operation, outcome);
         }
--- a/system/coordinator/src/lib.rs
+++ b/system/coordinator/src/lib.rs
@@ -8,6 +8,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod cancellation;
 mod coordinator;
 mod counters;
 mod describe;
--- a/system/coordinator/src/operation.rs
+++ b/system/coordinator/src/operation.rs
@@ -13,6 +13,8 @@
     Submit(Box<Submission>),
     /// Cancel a job.
     Cancel(JobId),
+    /// Record the cancellation of a job that is not known, as a tombstone. The tombstone is cancelled next, like a job.
+    RecordCancellation(Box<Submission>),
     /// Replace the current configuration.
     ReplaceConfiguration {
         /// The base version.
@@ -37,6 +39,7 @@
                 submission.job == other.job && submission.queue == other.queue
             }
             (Operation::Cancel(job), Operation::Cancel(other)) => job == other,
+            (Operation::RecordCancellation(_), Operation::RecordCancellation(_)) => self == other,
             (Operation::ReplaceConfiguration { .. }, _) => self == other,
             _ => false,
         }
--- a/system/coordinator/src/proposals.rs
+++ b/system/coordinator/src/proposals.rs
@@ -103,6 +103,10 @@
         Some(match operation {
             Operation::Submit(submission) => return self.draft_submission(*submission),
             Operation::Cancel(job) => ProposalDraft::new(Command::CancelJob { job }),
+            Operation::RecordCancellation(tombstone) => ProposalDraft::new(Command::SubmitJob {
+                submission: tombstone,
+                runs: Vec::new(),
+            }),
             Operation::ReplaceConfiguration {
                 base,
                 version,
--- a/system/coordinator/src/reads.rs
+++ b/system/coordinator/src/reads.rs
@@ -70,7 +70,12 @@
     fn respond_to_read(&mut self, read: PendingRead) {
         let query = read.query;
         match (self.phase(&query.queue, query.job), query.kind) {
-            (None, _) => self.respond(read.request, CoordinatorResponse::NoSuchJob),
+            (None, QueryKind::Status) => {
+                self.respond(read.request, CoordinatorResponse::NoSuchJob);
+            }
+            (None, QueryKind::Cancel) => {
+                self.cancel_unknown_job(read.request, &query.queue, query.job);
+            }
             (Some(_), QueryKind::Cancel) => {
                 self.start_operation_with_quorum(read.request, Operation::Cancel(query.job));
             }
--- a/system/coordinator/src/requests.rs
+++ b/system/coordinator/src/requests.rs
@@ -113,12 +113,13 @@
             self.respond(request, CoordinatorResponse::NotServing);
             return;
         }
-        submission.submitted_ms = self.median_wall;
+        // Zero is reserved for tombstones.
+        submission.submitted_ms = self.median_wall.max(WallMillis(1));
         self.start_operation(Operation::Submit(submission), request);
     }
 
     /// Cancels a job. If it is an unfinished job known here, the cancellation is proposed immediately; otherwise a
-    /// confirmed read determines whether the job exists.
+    /// confirmed read determines whether the job exists. If it does not, the cancellation is recorded.
     fn cancel(&mut self, request: RequestId, queue: &str, job: JobId) {
         match self.phase(queue, job) {
             Some(phase) if !phase.is_terminal() => {
@@ -161,7 +162,14 @@
             (_, Outcome::Fenced) => CoordinatorResponse::Unknown,
             (Operation::Submit(_), Outcome::NotApplicable) => CoordinatorResponse::JobIdTaken,
             (Operation::Submit(_), _) => CoordinatorResponse::Accepted,
-            (Operation::Cancel(_), Outcome::NotApplicable) => CoordinatorResponse::NoSuchJob,
+            (Operation::Cancel(_) | Operation::RecordCancellation(_), Outcome::NotApplicable) => {
+                CoordinatorResponse::NoSuchJob
+            }
+            (Operation::RecordCancellation(tombstone), _) => {
+                let job = tombstone.job;
+                self.cancel_tombstone(id, job);
+                return;
+            }
             (Operation::Cancel(_), _) => CoordinatorResponse::Accepted,
             (Operation::ReplaceConfiguration { .. }, Outcome::Conflict) => {
                 CoordinatorResponse::ConfigurationConflict
--- a/system/coordinator/tests/common/mod.rs
+++ b/system/coordinator/tests/common/mod.rs
@@ -6,10 +6,11 @@
 };
 use magpiegap_jobs::State;
 use magpiegap_protocol::{
-    CoordinatorRequest, CoordinatorResponse, FencingToken, Location, Member, PeerMessage,
-    ReplicaId, Resources, Role, ViewNumber, WallMillis, WorkerEntry,
+    CoordinatorRequest, CoordinatorResponse, FencingToken, JobId, JobSpec, Location, Member,
+    PeerMessage, ReplicaId, Resources, Role, StepSpec, Submission, ViewNumber, WallMillis,
+    WorkerEntry,
 };
-use magpiegap_scheduler::{SchedulerSettings, WorkerCall, WorkerReply};
+use magpiegap_scheduler::{SchedulerSettings, WorkerCall, WorkerOrder, WorkerReply};
 
 /// Wall-clock time at which the coordinator starts, in milliseconds since the Unix epoch.
 const START_WALL_MS: u64 = 1_700_000_000_000;
@@ -130,6 +131,12 @@
         self.coordinator.state().fencing_token(role)
     }
 
+    /// Returns the number of starts of a job among the worker calls without a reply.
+    pub(crate) fn started_runs(&self, job: JobId) -> usize {
+        let is_start = |sent: &&SentCall| matches!(sent.call.order, WorkerOrder::Start { task, .. } if task.job == job);
+        self.calls.iter().filter(is_start).count()
+    }
+
     /// Returns the number of workers known to the schedulers.
     pub(crate) fn known_workers(&self) -> usize {
         let description = self.coordinator.describe();
@@ -185,6 +192,34 @@
     }
 }
 
+/// Returns a job of one task of a minute.
+pub(crate) fn submission(queue: &str, job: JobId) -> Submission {
+    let step = StepSpec {
+        count: 1,
+        resources: Resources {
+            cpu: 1000,
+            memory_mb: 10,
+            gpu: 0,
+        },
+        estimated_ms: 60_000,
+        ..StepSpec::default()
+    };
+    Submission {
+        job,
+        queue: queue.to_owned(),
+        service: SERVICE.to_owned(),
+        priority: 1,
+        max_attempts: 3,
+        stretch: 2.0,
+        target_latency_ms: 1000,
+        submitted_ms: WallMillis(0),
+        spec: JobSpec {
+            steps: vec![step],
+            ..JobSpec::default()
+        },
+    }
+}
+
 /// Returns a worker entry as listed by the platform.
 pub(crate) fn worker(name: &str) -> WorkerEntry {
     WorkerEntry {
--- a/system/coordinator/tests/job_ids.rs
+++ b/system/coordinator/tests/job_ids.rs
@@ -1,40 +1,14 @@
 //! A job ID belongs to the queue whose job has it.
 mod common;
 
-use common::{CoordinatorFixture, SERVICE};
+use common::{submission, CoordinatorFixture};
 use googletest::prelude::*;
-use magpiegap_protocol::{
-    CoordinatorRequest, CoordinatorResponse, JobId, JobSpec, Resources, StepSpec, Submission,
-    WallMillis,
-};
+use magpiegap_protocol::{CoordinatorRequest, CoordinatorResponse, JobId};
 
 const JOB: JobId = JobId(7);
 
 fn submit(queue: &str) -> CoordinatorRequest {
-    let step = StepSpec {
-        count: 1,
-        resources: Resources {
-            cpu: 1000,
-            memory_mb: 10,
-            gpu: 0,
-        },
-        estimated_ms: 60_000,
-        ..StepSpec::default()
-    };
-    CoordinatorRequest::Submit(Box::new(Submission {
-        job: JOB,
-        queue: queue.to_owned(),
-        service: SERVICE.to_owned(),
-        priority: 1,
-        max_attempts: 3,
-        stretch: 2.0,
-        target_latency_ms: 1000,
-        submitted_ms: WallMillis(0),
-        spec: JobSpec {
-            steps: vec![step],
-            ..JobSpec::default()
-        },
-    }))
+    CoordinatorRequest::Submit(Box::new(submission(queue, JOB)))
 }
 
 /// The responses to submissions of one ID to these queues, with this time between them.
--- a/system/fleet/src/client.rs
+++ b/system/fleet/src/client.rs
@@ -71,18 +71,18 @@
         tasks
     }
 
-    /// Returns the next request to send.
+    /// Returns the next request to send. A client that gives up cancels its job whether or not it was accepted.
     pub(crate) fn next_request(&self, now: u64) -> CoordinatorRequest {
         let queue = self.submission.queue.clone();
-        if !self.accepted {
-            return CoordinatorRequest::Submit(Box::new(self.submission.clone()));
-        }
         if !self.cancelled && self.cancel_at.is_some_and(|at| now >= at) {
             return CoordinatorRequest::Cancel {
                 queue,
                 job: self.id(),
             };
         }
+        if !self.accepted && !self.cancelled {
+            return CoordinatorRequest::Submit(Box::new(self.submission.clone()));
+        }
         CoordinatorRequest::Status {
             queue,
             job: self.id(),
@@ -102,7 +102,9 @@
             (Request::Submit(_), Response::NotServing | Response::NoCapacity) => {
                 self.rejected = self.attempts == 1 && self.gives_up_when_rejected();
             }
-            (Request::Cancel { .. }, Response::Accepted) => self.cancelled = true,
+            (Request::Cancel { .. }, Response::Accepted | Response::NoSuchJob) => {
+                self.cancelled = true;
+            }
             (Request::Status { .. }, Response::Phase(phase)) => self.phase = Some(*phase),
             _ => {}
         }
--- a/system/jobs/src/apply_jobs.rs
+++ b/system/jobs/src/apply_jobs.rs
@@ -18,7 +18,7 @@
         }
         let queue = submission.queue.clone();
         *self.state.open_jobs.entry(queue).or_default() += 1;
-        self.state.service_jobs.add(&submission.service);
+        self.state.service_jobs.add(submission);
         let job = Job::new(submission.clone());
         self.state.jobs.insert(id, Shared::new(job));
         self.changes.push(Change::JobChanged(id));
@@ -79,7 +79,7 @@
                 .is_some_and(|job| job.phase.is_terminal() && !job.has_active_runs());
             if is_removable {
                 if let Some(job) = self.state.jobs.remove(id) {
-                    self.state.service_jobs.remove(&job.submission.service);
+                    self.state.service_jobs.remove(&job.submission);
                 }
                 self.changes.push(Change::JobRemoved(*id));
             }
--- a/system/jobs/src/route_table.rs
+++ b/system/jobs/src/route_table.rs
@@ -46,6 +46,16 @@
     }
 }
 
+impl RouteTable {
+    /// Returns the route of a queue.
+    pub fn of_queue(&self, queue: &str) -> Option<&Route> {
+        let (hostname, _) = queue.split_once('/')?;
+        let path = queue.get(hostname.len()..)?;
+        self.find(hostname, path)
+            .filter(|route| route.queue() == queue)
+    }
+}
+
 impl PartialEq for RouteTable {
     fn eq(&self, other: &RouteTable) -> bool {
         self.by_name == other.by_name
--- a/system/magpiegap/src/coordinator/metrics.rs
+++ b/system/magpiegap/src/coordinator/metrics.rs
@@ -80,6 +80,11 @@
             cluster.configuration,
         ),
         metric("open_jobs", "Jobs that have not ended", cluster.open_jobs),
+        metric(
+            "tombstones",
+            "Recorded cancellations of jobs that were not known",
+            cluster.tombstones,
+        ),
         metric(
             "proposals_under_way",
             "Proposals under way",
--- a/system/magpiegap/src/proxy/frontend.rs
+++ b/system/magpiegap/src/proxy/frontend.rs
@@ -192,6 +192,7 @@
         match self.calls.read(&request, deadline).await {
             Some(CoordinatorResponse::Accepted) => Reply::status(Status::Ok),
             Some(CoordinatorResponse::NoSuchJob) => Reply::status(Status::Gone),
+            Some(CoordinatorResponse::NoCapacity) => Reply::unavailable(Status::TooManyRequests),
             _ => Reply::status(Status::GatewayTimeout),
         }
     }
--- a/system/protocol/src/requests.rs
+++ b/system/protocol/src/requests.rs
@@ -142,7 +142,8 @@
     /// The job or its cancellation is committed.
     #[n(0)]
     Accepted,
-    /// The job was rejected for lack of capacity and will not be accepted through this request.
+    /// The job or the cancellation of an unknown job was rejected for lack of capacity and will not be accepted through
+    /// this request.
     #[n(1)]
     NoCapacity,
     /// This coordinator can't serve the request and has done nothing; another one may be able to serve it.
--- a/system/protocol/src/submission.rs
+++ b/system/protocol/src/submission.rs
@@ -35,6 +35,29 @@
 }
 
 impl Submission {
+    /// Creates a tombstone: the record of a cancellation that came before its job. It takes the job's ID, so that a
+    /// submission that is still on its way does not create the job.
+    ///
+    /// It is a job without steps that was never submitted, so that builds without tombstones can apply it too.
+    pub fn tombstone(job: JobId, queue: &str, service: &str) -> Submission {
+        Submission {
+            job,
+            queue: queue.to_owned(),
+            service: service.to_owned(),
+            priority: 0,
+            max_attempts: 0,
+            stretch: 0.0,
+            target_latency_ms: 0,
+            submitted_ms: WallMillis(0),
+            spec: JobSpec::default(),
+        }
+    }
+
+    /// Whether this is a tombstone: it was never submitted and permits no run. This does not change when a job ends.
+    pub fn is_tombstone(&self) -> bool {
+        self.submitted_ms == WallMillis(0) && self.max_attempts == 0
+    }
+
     /// Estimated size in bytes, encoded or in memory.
     pub fn estimated_bytes(&self) -> usize {
         const STEP_BYTES: usize = 100;
--- a/system/scheduler/src/take_over.rs
+++ b/system/scheduler/src/take_over.rs
@@ -1,7 +1,7 @@
 //! Reloads the full replicated state, when the role is taken over and after a view change.
 use crate::{calls::Output, scheduler::Scheduler};
 use magpiegap_jobs::State;
-use magpiegap_protocol::{JobId, Millis, RunId, TaskId};
+use magpiegap_protocol::{Command, JobId, Millis, RunId, TaskId};
 use std::collections::{BTreeMap, HashSet};
 
 impl Scheduler {
@@ -46,10 +46,26 @@
         for id in ids {
             self.reconcile_job(id, now, state);
         }
+        self.cancel_pending_tombstones(state);
         self.planner.request_round();
         self.table.lease_schedule.scan_at(now);
     }
 
+    /// Proposes to cancel the tombstones that the coordinator which recorded them has not cancelled.
+    fn cancel_pending_tombstones(&mut self, state: &State) {
+        let pending = state.jobs.values().filter(|job| {
+            let submission = &job.submission;
+            submission.is_tombstone()
+                && submission.service == self.service
+                && !job.phase.is_terminal()
+        });
+        let cancellations = pending.map(|job| {
+            let job = job.submission.job;
+            Output::Propose(Command::CancelJob { job })
+        });
+        self.outputs.extend(cancellations);
+    }
+
     /// Drops the outputs that were not polled, because they were based on the previous state.
     pub(crate) fn drop_outputs(&mut self) {
         for output in std::mem::take(&mut self.outputs) {
