--- a/system/magpiegap/src/coordinator/metrics.rs
+++ b/system/magpiegap/src/coordinator/metrics.rs
@@ -56,7 +56,7 @@
     SchedulerGauge { name, help, value }
 }
 
-fn cluster_gauges(cluster: &ClusterDescription) -> [Metric; 12] {
+fn cluster_gauges(cluster: &ClusterDescription) -> [Metric; 13] {
     [
         metric("view", "Number of the newest view", cluster.view),
         metric(
