Forward no submission that may be older than the record of its job

A proxy that stood still for longer could hand on a submission of before, which would be a new job. After a pause of more than 60 s a proxy answers POST with 503 for a second, and a submission whose deadline has passed is not sent to a coordinator.

All tests of the magpiegap crate pass.

--- a/system/magpiegap/src/lib.rs
+++ b/system/magpiegap/src/lib.rs
@@ -30,7 +30,7 @@
 pub use error::ProgramError;
 pub use operator::check_configuration;
 pub use operator_call::OperatorCallError;
-pub use proxy::{admission, cluster_watch, job_body};
+pub use proxy::{admission, cluster_watch, job_body, pause_detector};
 pub use settings::{FieldFault, NodeSettings, SettingsError};
 pub use settings_check::SettingsReport;
 pub use state_on_disk::StateOnDisk;
--- a/system/magpiegap/src/proxy/calls.rs
+++ b/system/magpiegap/src/proxy/calls.rs
@@ -110,7 +110,9 @@
         let mut was_sent = false;
         loop {
             let info = self.cluster.current();
-            if let Some(holder) = info.scheduler(&service) {
+            // After a pause of this process the client may have given up, and cancelled the job elsewhere.
+            let is_in_time = Instant::now() < deadline;
+            if let Some(holder) = info.scheduler(&service).filter(|_| is_in_time) {
                 let call = self.call_scheduler(&service, holder, &request, deadline);
                 match call.await {
                     Ok(CoordinatorResponse::Accepted) => return SubmitOutcome::Accepted,
--- a/system/magpiegap/src/proxy/frontend.rs
+++ b/system/magpiegap/src/proxy/frontend.rs
@@ -4,6 +4,7 @@
     calls::{CoordinatorCalls, SubmitOutcome},
     cluster_watch::ClusterWatch,
     job_body,
+    pause_detector::{PauseDetector, TICK_INTERVAL},
 };
 use crate::serving::read_body;
 use balancer_core::Ending;
@@ -19,8 +20,9 @@
     Request,
 };
 use std::{
+    future::Future,
     io::Cursor,
-    sync::Arc,
+    sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
 };
 
@@ -82,6 +84,7 @@
     calls: CoordinatorCalls,
     cluster: Arc<ClusterWatch>,
     admission: Arc<Admission>,
+    pauses: Arc<Mutex<PauseDetector>>,
 }
 
 impl FrontendHandler {
@@ -91,11 +94,32 @@
             calls,
             cluster,
             admission: Arc::new(Admission::new()),
+            pauses: Arc::new(Mutex::new(PauseDetector::new(Instant::now()))),
         }
     }
 
+    /// Observes at regular intervals that the process runs. Never ends.
+    pub(super) fn watch_for_pauses(&self) -> impl Future<Output = ()> {
+        let handler = self.clone();
+        async move {
+            loop {
+                tokio::time::sleep(TICK_INTERVAL).await;
+                handler.may_be_stale();
+            }
+        }
+    }
+
+    /// Whether requests that are read now may have arrived during a long pause of this process.
+    fn may_be_stale(&self) -> bool {
+        let mut pauses = self.pauses.lock().unwrap_or_else(PoisonError::into_inner);
+        pauses.observe(Instant::now())
+    }
+
     async fn respond(&self, request: &Request<'_>, data: Data<'_>) -> Reply {
         let arrived_at = Instant::now();
+        if self.may_be_stale() && request.method() == Method::Post {
+            return Reply::unavailable(Status::ServiceUnavailable);
+        }
         let info = self
             .cluster
             .wait_for_configuration(CONFIGURATION_TIMEOUT)
--- a/system/magpiegap/src/proxy/mod.rs
+++ b/system/magpiegap/src/proxy/mod.rs
@@ -5,6 +5,7 @@
 mod feed_follower;
 mod frontend;
 pub mod job_body;
+pub mod pause_detector;
 mod readiness;
 mod service_admission;
 
@@ -89,6 +90,7 @@
     };
     let calls = calls::CoordinatorCalls::new(client, settings.request_port(), cluster.clone());
     let handler = frontend::FrontendHandler::new(calls, cluster);
+    tokio::spawn(handler.watch_for_pauses());
     let methods = [
         Method::Get,
         Method::Post,
