End what is held against a worker with time and with long-running work

Causes: only a run that ended done cleared failures and probation; runs from before an ejection blocked the one run that probation permits; failures of lasting tasks at work counted like others, without an age; and failures could eject all workers. Now a long-running run at work for 5 s is a success and its later failure no evidence, probation ends 30 s after the ejection, failures count for two minutes, and at most half of the workers are ejected for them.

ejection.rs ejected all seven workers, which is not possible any more: it has fourteen, of which seven are ejected, and checks five names and the rest's count as before.

--- a/system/scheduler/src/applied.rs
+++ b/system/scheduler/src/applied.rs
@@ -168,20 +168,36 @@
         now: Millis,
     ) {
         self.planner.request_round();
-        if let Some(completed @ (CompletionKind::Done | CompletionKind::Failed)) = kind {
-            self.failure_rate
-                .record(completed == CompletionKind::Failed);
-        }
-        let Some(worker) = self.table.workers.get_mut(incarnation) else {
+        let worker = self.table.workers.get_mut(incarnation);
+        let removed = worker.and_then(|worker| worker.remove_run(&task, run));
+        let Some(completed @ (CompletionKind::Done | CompletionKind::Failed)) = kind else {
             return;
         };
-        let was_known = worker.remove_run(&task, run).is_some();
-        match kind {
-            Some(CompletionKind::Done) => worker.health.record_success(),
-            Some(CompletionKind::Failed) => {
-                self.handle_failed_run(task, incarnation, was_known, now)
-            }
-            _ => {}
+        let has_failed = completed == CompletionKind::Failed;
+        // A failure of a long-running run that was at work says nothing about its worker.
+        if has_failed && removed.as_ref().is_some_and(Run::has_settled) {
+            return;
+        }
+        self.failure_rate.record(has_failed);
+        if has_failed {
+            self.handle_failed_run(task, incarnation, removed.is_some(), now);
+        } else {
+            self.record_worker_success(incarnation);
+        }
+    }
+
+    fn record_worker_success(&mut self, incarnation: &str) {
+        if let Some(worker) = self.table.workers.get_mut(incarnation) {
+            worker.health.record_success();
+        }
+    }
+
+    /// Ends what is held against a worker on which a long-running run works since its last failure.
+    pub(crate) fn check_recovery(&mut self, incarnation: &str) {
+        let worker = self.table.workers.get(incarnation);
+        if worker.is_some_and(Worker::has_recovered) {
+            self.record_worker_success(incarnation);
+            self.planner.request_round();
         }
     }
 
@@ -196,10 +212,14 @@
     /// Counts a failure of a job against a worker, which ejects it if there are enough of them.
     pub(crate) fn record_worker_failure(&mut self, job: JobId, incarnation: &str, now: Millis) {
         let failures_to_eject = self.failure_rate.failures_to_eject();
+        let ejection = self.table.ejection_of(incarnation, now);
         let Some(worker) = self.table.workers.get_mut(incarnation) else {
             return;
         };
-        if worker.health.record_failure(job, failures_to_eject, now) {
+        if worker
+            .health
+            .record_failure(job, failures_to_eject, ejection, now)
+        {
             self.ejection_report.add(incarnation);
         }
     }
--- a/system/scheduler/src/backfill.rs
+++ b/system/scheduler/src/backfill.rs
@@ -158,7 +158,7 @@
         let step = candidate.step;
         let is_eligible = |worker: &Worker| {
             worker.is_schedulable(now)
-                && !worker.health.is_on_probation()
+                && !worker.health.is_on_probation(now)
                 && worker.has_labels(&step.requirements)
                 && step
                     .affinity
--- a/system/scheduler/src/explanation.rs
+++ b/system/scheduler/src/explanation.rs
@@ -225,7 +225,7 @@
             &mut counts.unresponsive
         } else if !worker.health.is_schedulable(self.now) {
             &mut counts.ejected
-        } else if !worker.allows_probation_run() {
+        } else if !worker.allows_probation_run(self.now) {
             &mut counts.on_probation
         } else if !worker.has_labels(&step.requirements) {
             &mut counts.without_label
--- a/system/scheduler/src/health.rs
+++ b/system/scheduler/src/health.rs
@@ -16,6 +16,10 @@
 const BASE_EJECTION_MS: Millis = 4000;
 /// Maximum duration of an ejection.
 const MAX_EJECTION_MS: Millis = 30_000;
+/// Maximum duration of the probation that follows an ejection.
+const MAX_PROBATION_MS: Millis = 30_000;
+/// A failure counts against a worker for this time.
+const FAILURE_MEMORY_MS: Millis = 120_000;
 
 /// Smoothed share of failed runs over all workers of a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -38,11 +42,31 @@
     }
 }
 
+/// The last failure of a job on a worker.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct JobFailure {
+    job: JobId,
+    at: Millis,
+}
+
+/// Whether a worker may be ejected on evidence that may lie with the jobs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Ejection {
+    /// The evidence decides.
+    Allowed,
+    /// Too many workers are ejected already: the evidence is only recorded.
+    TooManyEjected,
+}
+
 /// A worker's health as shown by its runs.
+///
+/// All evidence has an end: a success clears it, failures expire, and ejection and probation are bounded in time.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Health {
-    /// Jobs whose runs have failed on this worker since its last successful run.
-    failed_jobs: Vec<JobId>,
+    /// Recent failures of different jobs on this worker since its last success.
+    failures: Vec<JobFailure>,
+    /// When a run last failed on this worker.
+    last_failure_at: Millis,
     /// End of the current or last ejection; no new runs are placed before it.
     ejected_until: Millis,
     /// Number of consecutive ejections.
@@ -55,13 +79,25 @@
         now >= self.ejected_until
     }
 
-    /// Whether the worker is on probation: it was ejected and has not completed a run successfully since.
-    pub(crate) fn is_on_probation(&self) -> bool {
-        self.ejections > 0
+    /// Whether the worker is ejected or on probation: it was ejected recently and has not succeeded since.
+    pub(crate) fn is_on_probation(&self, now: Millis) -> bool {
+        self.ejections > 0 && now < self.ejected_until + MAX_PROBATION_MS
+    }
+
+    /// End of the current or last ejection.
+    pub(crate) fn ejected_until(&self) -> Millis {
+        self.ejected_until
+    }
+
+    /// Whether a run that started at `started_at` is evidence of recovery if it succeeds: the worker has failed before
+    /// it, and not since.
+    pub(crate) fn would_recover_by_run_since(&self, started_at: Millis) -> bool {
+        let has_evidence = self.ejections > 0 || !self.failures.is_empty();
+        has_evidence && started_at > self.last_failure_at
     }
 
     pub(crate) fn record_success(&mut self) {
-        self.failed_jobs.clear();
+        self.failures.clear();
         self.ejections = 0;
     }
 
@@ -71,12 +107,16 @@
         &mut self,
         job: JobId,
         failures_to_eject: usize,
+        ejection: Ejection,
         now: Millis,
     ) -> bool {
-        if !self.failed_jobs.contains(&job) {
-            self.failed_jobs.push(job);
-        }
-        if self.failed_jobs.len() < failures_to_eject && !self.is_on_probation() {
+        self.last_failure_at = now;
+        self.failures
+            .retain(|failure| failure.job != job && now < failure.at + FAILURE_MEMORY_MS);
+        self.failures.push(JobFailure { job, at: now });
+        let is_evidence_enough =
+            self.failures.len() >= failures_to_eject || self.is_on_probation(now);
+        if !is_evidence_enough || ejection == Ejection::TooManyEjected {
             return false;
         }
         self.eject(now);
@@ -85,9 +125,12 @@
 
     /// Ejects the worker, for longer with each consecutive ejection.
     pub(crate) fn eject(&mut self, now: Millis) {
+        if !self.is_on_probation(now) {
+            self.ejections = 0;
+        }
         let duration_ms = BASE_EJECTION_MS << self.ejections.min(4);
         self.ejected_until = now + duration_ms.min(MAX_EJECTION_MS);
         self.ejections += 1;
-        self.failed_jobs.clear();
+        self.failures.clear();
     }
 }
--- a/system/scheduler/src/leases.rs
+++ b/system/scheduler/src/leases.rs
@@ -116,6 +116,7 @@
         self.stop_runs_outliving_worker(incarnation, now);
         self.send_orders(incarnation, now, state);
         self.stop_stuck_runs(incarnation, now);
+        self.check_recovery(incarnation);
     }
 
     fn remove_worker(&mut self, incarnation: &str, state: &State) {
--- a/system/scheduler/src/placement.rs
+++ b/system/scheduler/src/placement.rs
@@ -295,7 +295,7 @@
     /// Whether a worker is not on probation and the task has not failed there.
     fn is_healthy_for_task(&self, worker: &Worker) -> bool {
         let has_failed_here = self.demand.avoid.contains(&worker.entry.incarnation);
-        !worker.health.is_on_probation() && !has_failed_here
+        !worker.health.is_on_probation(self.now) && !has_failed_here
     }
 
     /// Whether one more task can be placed on a worker.
@@ -328,7 +328,8 @@
     /// preferences among workers, such as the rack of the data, must not leave it as the only one.
     fn allows_probation_run(&self, worker: &Worker, allocated: &Allocations) -> bool {
         let is_first = allocated.tasks_on(worker) == 0;
-        worker.allows_probation_run() && (is_first || !worker.health.is_on_probation())
+        worker.allows_probation_run(self.now)
+            && (is_first || !worker.health.is_on_probation(self.now))
     }
 
     /// Whether the anti-affinity of the step allows one more of its tasks on a worker.
--- a/system/scheduler/src/preemption.rs
+++ b/system/scheduler/src/preemption.rs
@@ -43,7 +43,7 @@
     let step = preemptor.step;
     let is_eligible = |worker: &&Worker| {
         worker.is_schedulable(now)
-            && !worker.health.is_on_probation()
+            && !worker.health.is_on_probation(now)
             && worker.has_labels(&step.requirements)
             && step.resources.fits_in(&worker.entry.capacity)
             && nominations.allow(&worker.entry.incarnation, &preemptor.first)
--- a/system/scheduler/src/run.rs
+++ b/system/scheduler/src/run.rs
@@ -7,6 +7,8 @@
 
 /// Delay before a start that a worker refused as expired is sent again.
 const START_RETRY_MS: Millis = 60;
+/// A long-running run that its worker lists this long after its start is at work: its start has succeeded.
+const SETTLED_AFTER_MS: Millis = 5000;
 /// Minimum progress from which the remaining time is extrapolated instead of taken from the estimate.
 const MIN_RELIABLE_PERCENT: u64 = 10;
 
@@ -143,6 +145,14 @@
         self.phase == RunPhase::Started && self.next_stop_at.is_none()
     }
 
+    /// Whether it is a long-running run that has been at work for some time. If it fails later, this says nothing
+    /// about its worker, since such a run may fail at any time.
+    pub(crate) fn has_settled(&self) -> bool {
+        self.long_running
+            && self.phase == RunPhase::Started
+            && self.progress.last_listed_at >= self.started_at + SETTLED_AFTER_MS
+    }
+
     /// The run as recorded in the log, with the checkpoint that it was started from.
     pub(crate) fn to_start(&self, task: TaskId, incarnation: &str) -> RunStart {
         RunStart {
--- a/system/scheduler/src/run_table.rs
+++ b/system/scheduler/src/run_table.rs
@@ -2,6 +2,7 @@
 //!
 //! Shared by the modules of the scheduler; it sends and proposes nothing itself.
 use crate::{
+    health::Ejection,
     lease_schedule::LeaseSchedule,
     run::Run,
     worker::{Worker, Workers},
@@ -76,16 +77,21 @@
         workers.filter(|worker| worker.is_unresponsive()).count()
     }
 
-    /// Whether one more worker may be ejected on evidence that may lie with the jobs: at most half of the listed workers
-    /// are ejected then.
-    pub(crate) fn allows_ejection(&self, now: Millis) -> bool {
+    /// Whether a worker may be ejected on evidence that may lie with the jobs: at most half of the listed workers are
+    /// ejected then.
+    pub(crate) fn ejection_of(&self, incarnation: &str, now: Millis) -> Ejection {
         let listed = self.workers.values().filter(|worker| worker.listed);
-        let (mut total, mut ejected) = (0, 0);
+        let (mut total, mut others_ejected) = (0, 0);
         for worker in listed {
             total += 1;
-            ejected += usize::from(!worker.health.is_schedulable(now));
+            let is_other = worker.entry.incarnation != incarnation;
+            others_ejected += usize::from(is_other && !worker.health.is_schedulable(now));
+        }
+        if 2 * (others_ejected + 1) <= total {
+            Ejection::Allowed
+        } else {
+            Ejection::TooManyEjected
         }
-        2 * (ejected + 1) <= total
     }
 
     /// Number of workers that have runs.
--- a/system/scheduler/src/worker.rs
+++ b/system/scheduler/src/worker.rs
@@ -129,9 +129,20 @@
         self.is_responsive() && self.listed && !self.draining && self.health.is_schedulable(now)
     }
 
-    /// Whether it may take a run while it is on probation: it gets one run at a time.
-    pub(crate) fn allows_probation_run(&self) -> bool {
-        !self.health.is_on_probation() || self.runs.is_empty()
+    /// Whether it may take a run: on probation it gets one at a time. Runs from before its ejection do not count, since
+    /// they may go on for any time.
+    pub(crate) fn allows_probation_run(&self, now: Millis) -> bool {
+        let ejected_until = self.health.ejected_until();
+        let is_probation_run = |run: &Run| run.started_at >= ejected_until;
+        !self.health.is_on_probation(now) || !self.runs.values().any(is_probation_run)
+    }
+
+    /// Whether a long-running run that works since its last failure shows that it has recovered. Such a run is not
+    /// expected to complete.
+    pub(crate) fn has_recovered(&self) -> bool {
+        let shows_recovery =
+            |run: &Run| run.has_settled() && self.health.would_recover_by_run_since(run.started_at);
+        self.runs.values().any(shows_recovery)
     }
 
     /// Returns the run of a task if it has this id.
--- a/system/scheduler/tests/common/mod.rs
+++ b/system/scheduler/tests/common/mod.rs
@@ -205,40 +205,63 @@
 
     /// Replies to a start that the run has begun, and records that it completed in this way.
     pub(crate) fn complete(&mut self, start: &WorkerCall, kind: CompletionKind) {
-        let WorkerOrder::Start { task, run, .. } = start.order else {
+        let WorkerOrder::Start { task, .. } = start.order else {
             panic!("not a start: {start:?}")
         };
         self.reply(start, self.done());
-        let incarnation = start.incarnation.clone();
-        let acknowledged = self
-            .state
-            .workers
-            .get(&incarnation)
-            .map_or(0, |record| record.acknowledged_completion);
+        self.complete_task(task, kind);
+    }
+
+    /// Records that the active run of a task completed in this way.
+    pub(crate) fn complete_task(&mut self, task: TaskId, kind: CompletionKind) {
+        let state = self.state.jobs[&task.job].task(&task);
+        let Some(active) = state.and_then(|task| task.active_runs.first().cloned()) else {
+            panic!("no run is active: {task}")
+        };
         let completion = RunCompletion {
             task,
-            run,
+            run: active.run,
             kind,
             checkpoint: String::new(),
         };
+        let acknowledged = self.state.workers[&active.incarnation].acknowledged_completion;
         self.commit(Command::RecordCompletions {
-            incarnation,
+            incarnation: active.incarnation,
             acknowledged_completion: acknowledged + 1,
             completions: vec![completion],
         });
     }
 
-    /// Lets time pass while workers carry out every order; started runs go on.
+    /// Lets time pass while workers carry out every order; started runs go on and make no progress.
     pub(crate) fn serve_for(&mut self, ms: u64) {
         let end = self.now + ms;
         while self.now < end {
             for call in self.take_calls() {
-                self.reply(&call, self.done());
+                let reply = match call.order {
+                    WorkerOrder::RenewLease { .. } => {
+                        self.listing(self.running_on(&call.incarnation), vec![])
+                    }
+                    _ => self.done(),
+                };
+                self.reply(&call, reply);
             }
             self.advance(50.min(end - self.now));
         }
     }
 
+    /// The runs that are on record for a worker, as it lists them.
+    fn running_on(&self, incarnation: &str) -> Vec<ListedRun> {
+        let record = self.state.workers.get(incarnation);
+        let runs = record.into_iter().flat_map(|record| &record.runs);
+        let listed = |(task, run): (&TaskId, &u32)| ListedRun {
+            task: *task,
+            run: *run,
+            checkpoint: String::new(),
+            percent: 0,
+        };
+        runs.map(listed).collect()
+    }
+
     /// Drops the calls that are not starts.
     pub(crate) fn take_calls_other_than_starts(&mut self) {
         self.calls
--- a/system/scheduler/tests/ejection.rs
+++ b/system/scheduler/tests/ejection.rs
@@ -6,7 +6,11 @@
 use magpiegap_protocol::{Command, CompletionKind};
 use magpiegap_scheduler::WorkerOrder;
 
-const WORKERS: [&str; 7] = ["w1", "w2", "w3", "w4", "w5", "w6", "w7"];
+/// Twice as many as can be ejected at a time.
+const WORKERS: [&str; 14] = [
+    "w01", "w02", "w03", "w04", "w05", "w06", "w07", "w08", "w09", "w10", "w11", "w12", "w13",
+    "w14",
+];
 
 /// Submits one job per worker; their runs all fail at the same time.
 fn fail_on_all_workers(harness: &mut Harness, round: u64) {
@@ -36,8 +40,7 @@
         .filter(|line| line.contains("ejected workers"))
         .collect();
     expect_that!(lines.len(), eq(1));
-    expect_that!(
-        lines[0],
-        contains_substring("w1, w2, w3, w4, w5 and 2 more")
-    );
+    let (_, workers) = lines[0].split_once("workers=").unwrap_or_default();
+    let named = workers.strip_suffix(" and 2 more").unwrap_or_default();
+    expect_that!(named.split(", ").count(), eq(5), "{workers}");
 }
