Let a job back off whose starts are rejected, instead of ejecting the workers

Cause: a 400 to a start ejected its worker at once and without a bound, and the job was placed again in the next round. A 400 speaks against the job now: it backs off for 1 to 8 s with jitter, one unit at a time, and the rejection counts against the first worker alone, as one failure. cluster explain, a metric and a log line say so. The steps that can't be placed in a round, failed_placements, have left planner.rs for a module of their own.

--- a/system/magpiegap/src/coordinator/metrics.rs
+++ b/system/magpiegap/src/coordinator/metrics.rs
@@ -118,7 +118,7 @@
     ]
 }
 
-fn scheduler_gauges() -> [SchedulerGauge; 5] {
+fn scheduler_gauges() -> [SchedulerGauge; 6] {
     [
         scheduler_gauge("scheduler_workers", "Workers known", |summary| {
             summary.workers
@@ -139,6 +139,11 @@
             "Those of priority 0",
             |summary| summary.queued_urgent,
         ),
+        scheduler_gauge(
+            "scheduler_rejected_jobs",
+            "Jobs whose starts workers reject as invalid",
+            |summary| summary.rejected_jobs,
+        ),
     ]
 }
 
--- a/system/magpiegap/tests/metrics.rs
+++ b/system/magpiegap/tests/metrics.rs
@@ -13,6 +13,7 @@
             runs: 40,
             queued: 3,
             queued_urgent: 2,
+            rejected_jobs: 1,
         },
     };
     ClusterDescription {
--- a/system/scheduler/src/explanation.rs
+++ b/system/scheduler/src/explanation.rs
@@ -3,7 +3,7 @@
 //! Read-only. The JSON field names are part of the operator interface and must not change.
 use crate::{backfill::Candidate, forecast::JobDeadlines, scheduler::Scheduler, worker::Worker};
 use magpiegap_jobs::{startable_units, Job, StartableUnit, State, StepState, TaskState};
-use magpiegap_protocol::{JobId, StepSpec, TaskId};
+use magpiegap_protocol::{JobId, Millis, StepSpec, TaskId};
 use serde::Serialize;
 use std::collections::BTreeMap;
 
@@ -22,10 +22,21 @@
     /// startable.
     #[serde(rename = "outlook")]
     pub forecast: Option<String>,
+    /// The starts of the job that workers reject as invalid; `None` if its last start was not rejected.
+    pub rejected_starts: Option<RejectedStartsExplanation>,
     /// The unfinished steps of the open occurrences.
     pub steps: Vec<StepExplanation>,
 }
 
+/// The starts of a job that workers reject as invalid (400).
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct RejectedStartsExplanation {
+    /// Number of attempts that were rejected since a start has last succeeded.
+    pub attempts: u32,
+    /// Time until the next attempt, in milliseconds.
+    pub retry_in_ms: Millis,
+}
+
 /// A step of one occurrence.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct StepExplanation {
@@ -139,10 +150,19 @@
             queue: job.submission.queue.clone(),
             service: self.service.clone(),
             forecast: forecast.map(|forecast| forecast.to_string()),
+            rejected_starts: self.explain_rejected_starts(id),
             steps,
         })
     }
 
+    fn explain_rejected_starts(&self, job: JobId) -> Option<RejectedStartsExplanation> {
+        let rejected = self.planner.rejected_starts(job)?;
+        Some(RejectedStartsExplanation {
+            attempts: rejected.attempts,
+            retry_in_ms: rejected.retry_at.saturating_sub(self.now),
+        })
+    }
+
     /// Explains the step whose first task is `first`.
     fn explain_step(
         &self,
--- a/system/scheduler/src/lib.rs
+++ b/system/scheduler/src/lib.rs
@@ -18,6 +18,7 @@
 mod discovery;
 mod ejection_report;
 mod explanation;
+mod failed_placements;
 mod forecast;
 mod health;
 mod job_reconciliation;
@@ -39,6 +40,7 @@
 mod scheduler;
 mod settings;
 mod stalls;
+mod start_backoff;
 mod take_over;
 mod worker;
 
@@ -46,7 +48,9 @@
     ListedCompletion, ListedRun, Listing, Output, RefusalReason, WorkerCall, WorkerOrder,
     WorkerReply,
 };
-pub use explanation::{Explanation, RunExplanation, StepExplanation, WorkerCounts};
+pub use explanation::{
+    Explanation, RejectedStartsExplanation, RunExplanation, StepExplanation, WorkerCounts,
+};
 pub use response_times::ResponseTimes;
 pub use scheduler::{Scheduler, SchedulerSummary};
 pub use settings::SchedulerSettings;
--- a/system/scheduler/src/planner.rs
+++ b/system/scheduler/src/planner.rs
@@ -2,8 +2,9 @@
 //!
 //! It combines placement, backfill and preemption, each of which is a separate module.
 use crate::{
-    backfill::{expected_duration_ms, Backfill, Candidate},
+    backfill::{Backfill, Candidate},
     capacity_index::CapacityIndex,
+    failed_placements::FailedPlacements,
     forecast::{DeadlineForecast, JobDeadlines},
     nominations::Nominations,
     placement::{choose, Demand, Pool},
@@ -12,6 +13,7 @@
     queue::{Queue, Queued, Urgency, URGENT_PRIORITY},
     run::{Run, RunPhase},
     run_table::RunTable,
+    start_backoff::{RejectedBy, RejectedStarts, StartBackoff},
     worker::{Worker, Workers},
 };
 use magpiegap_jobs::{startable_units, Job, StartableUnit, State};
@@ -82,53 +84,6 @@
     NoVictims,
 }
 
-/// A step that could not be placed in a round.
-struct FailedPlacement {
-    step: StepSpec,
-    /// Shorter tasks may still be placed.
-    min_duration_ms: Millis,
-}
-
-/// Steps that could not be placed in a round. Steps that need the same or more cannot be placed either and are skipped.
-#[derive(Default)]
-struct FailedPlacements {
-    failed: Vec<FailedPlacement>,
-}
-
-impl FailedPlacements {
-    /// Whether a step needs at least what a step that failed needs.
-    fn covers(&self, step: &StepSpec) -> bool {
-        let duration_ms = expected_duration_ms(step);
-        let is_covered_by = |failed: &FailedPlacement| {
-            failed.step.resources.fits_in(&step.resources)
-                && failed.step.requirements == step.requirements
-                && failed.step.affinity == step.affinity
-                && failed.min_duration_ms <= duration_ms
-                && failed.step.anti_affinity == 0
-                && !failed.step.gang
-        };
-        self.failed.iter().any(is_covered_by)
-    }
-
-    fn len(&self) -> usize {
-        self.failed.len()
-    }
-
-    /// Adds a step that could not be placed. If no worker had enough capacity, shorter tasks cannot be placed either.
-    /// Otherwise reservations prevented the placement, and shorter tasks may still fit before these.
-    fn add(&mut self, step: &StepSpec, any_has_capacity: bool) {
-        let min_duration_ms = if any_has_capacity {
-            expected_duration_ms(step)
-        } else {
-            0
-        };
-        self.failed.push(FailedPlacement {
-            step: step.clone(),
-            min_duration_ms,
-        });
-    }
-}
-
 /// Owns the queue of a service and decides which of its tasks run where.
 #[derive(Clone, Debug)]
 pub(crate) struct Planner {
@@ -140,6 +95,8 @@
     worker_names: Vec<String>,
     /// The labels of all listed workers that are not draining, among them their racks.
     available_labels: HashSet<String>,
+    /// The jobs whose starts workers reject as invalid.
+    start_backoff: StartBackoff,
     /// The workers on which each task has failed.
     failed_on: HashMap<TaskId, Vec<String>>,
     /// Factor by which a task takes longer when it runs away from its data.
@@ -160,6 +117,7 @@
             schedule: PlanningSchedule::new(now),
             worker_names: Vec::new(),
             available_labels: HashSet::new(),
+            start_backoff: StartBackoff::default(),
             failed_on: HashMap::new(),
             remote_factor,
             random: StdRng::seed_from_u64(seed),
@@ -210,6 +168,7 @@
     /// Removes the planning state of a job that the log has removed.
     pub(crate) fn remove_job(&mut self, job: JobId) {
         self.queue.remove(job);
+        self.start_backoff.end(job);
         self.failed_on.retain(|task, _| task.job != job);
     }
 
@@ -223,6 +182,36 @@
         failed_elsewhere
     }
 
+    /// Records that a worker has rejected the start of a task as invalid.
+    pub(crate) fn record_rejected_start(
+        &mut self,
+        task: TaskId,
+        incarnation: &str,
+        now: Millis,
+    ) -> RejectedBy {
+        self.record_failure(task, incarnation);
+        let random = &mut self.random;
+        self.start_backoff
+            .record_rejection(task.job, incarnation, now, random)
+    }
+
+    /// Records that a start of a job has succeeded.
+    pub(crate) fn record_successful_start(&mut self, job: JobId) {
+        if self.start_backoff.end(job) {
+            self.request_round();
+        }
+    }
+
+    /// The rejected starts of a job; `None` if its last start was not rejected.
+    pub(crate) fn rejected_starts(&self, job: JobId) -> Option<&RejectedStarts> {
+        self.start_backoff.of(job)
+    }
+
+    /// Number of jobs whose starts are rejected.
+    pub(crate) fn rejected_jobs(&self) -> usize {
+        self.start_backoff.len()
+    }
+
     /// Places the first tasks of a job that is being submitted, if there is capacity and no more urgent task is queued.
     pub(crate) fn place_submitted(
         &mut self,
@@ -353,7 +342,11 @@
         now: Millis,
         state: &State,
     ) {
-        let Some(job) = state.jobs.get(&queued.urgency.task.job) else {
+        let id = queued.urgency.task.job;
+        if self.start_backoff.is_backing_off(id, now) {
+            return;
+        }
+        let Some(job) = state.jobs.get(&id) else {
             return;
         };
         let Some(step) = step_of(job, &queued.unit) else {
@@ -372,6 +365,7 @@
         }
         if let Some(mut placed) = self.place(table, &planned, Some(&round.capacity), now) {
             self.queue.take(&queued.urgency);
+            self.start_backoff.record_attempt(id, now);
             self.backfill.release(&queued.urgency);
             round.runs.append(&mut placed);
             return;
--- a/system/scheduler/src/replies.rs
+++ b/system/scheduler/src/replies.rs
@@ -6,6 +6,7 @@
     calls::{Listing, Output, RefusalReason, WorkerOrder, WorkerReply},
     run::{Run, RunPhase, StartOutcome},
     scheduler::Scheduler,
+    start_backoff::RejectedBy,
     worker::Worker,
 };
 use magpiegap_jobs::State;
@@ -194,8 +195,11 @@
         run.handle_order_reply(now);
         let outcome = run.handle_start_reply(reply, deadline_ms, now);
         let start = run.to_start(ordered.task, incarnation);
-        if matches!(reply, WorkerReply::Unhealthy | WorkerReply::Malformed) {
-            worker.health.eject(now);
+        match reply {
+            WorkerReply::Unhealthy => worker.health.eject(now),
+            WorkerReply::Malformed => self.handle_rejected_start(ordered.task, incarnation, now),
+            WorkerReply::Done { .. } => self.planner.record_successful_start(ordered.task.job),
+            _ => {}
         }
         match outcome {
             StartOutcome::Resolved => {}
@@ -206,6 +210,26 @@
         }
     }
 
+    /// Handles a start that a worker has rejected as invalid: its job backs off. It counts against the worker only as
+    /// long as no other worker rejects the job.
+    fn handle_rejected_start(&mut self, task: TaskId, incarnation: &str, now: Millis) {
+        let rejected_by = self.planner.record_rejected_start(task, incarnation, now);
+        if rejected_by == RejectedBy::OneWorker {
+            self.record_worker_failure(task.job, incarnation, now);
+        }
+        let Some(rejected) = self.planner.rejected_starts(task.job) else {
+            return;
+        };
+        if rejected.attempts.is_power_of_two() {
+            self.outputs.push(Output::Log(format!(
+                "workers reject the starts of a job job={} worker={incarnation} attempts={} retry_in_ms={}",
+                task.job,
+                rejected.attempts,
+                rejected.retry_at.saturating_sub(now)
+            )));
+        }
+    }
+
     fn handle_stop_reply(
         &mut self,
         incarnation: &str,
--- a/system/scheduler/src/scheduler.rs
+++ b/system/scheduler/src/scheduler.rs
@@ -37,6 +37,9 @@
     /// Queued tasks and gangs of the most urgent priority.
     #[serde(default, rename = "waiting_urgent")]
     pub queued_urgent: usize,
+    /// Jobs whose starts workers reject as invalid.
+    #[serde(default)]
+    pub rejected_jobs: usize,
 }
 
 /// Places and starts the tasks of one service.
@@ -141,6 +144,7 @@
             workers: self.table.workers.len(),
             unresponsive: self.table.unresponsive_workers(),
             runs: self.table.runs(),
+            rejected_jobs: self.planner.rejected_jobs(),
             queued: self.planner.queue.len(),
             queued_urgent: self
                 .planner
--- a/system/scheduler/tests/common/mod.rs
+++ b/system/scheduler/tests/common/mod.rs
@@ -236,19 +236,32 @@
     pub(crate) fn serve_for(&mut self, ms: u64) {
         let end = self.now + ms;
         while self.now < end {
-            for call in self.take_calls() {
-                let reply = match call.order {
-                    WorkerOrder::RenewLease { .. } => {
-                        self.listing(self.running_on(&call.incarnation), vec![])
-                    }
-                    _ => self.done(),
-                };
-                self.reply(&call, reply);
+            for start in self.starts() {
+                self.reply(&start, self.done());
             }
+            self.serve_calls_other_than_starts();
             self.advance(50.min(end - self.now));
         }
     }
 
+    /// Replies to stops and renewals; workers list the runs that are on record for them.
+    pub(crate) fn serve_calls_other_than_starts(&mut self) {
+        let (starts, others) = self
+            .take_calls()
+            .into_iter()
+            .partition(|call| matches!(call.order, WorkerOrder::Start { .. }));
+        self.calls = starts;
+        for call in others {
+            let reply = match call.order {
+                WorkerOrder::RenewLease { .. } => {
+                    self.listing(self.running_on(&call.incarnation), vec![])
+                }
+                _ => self.done(),
+            };
+            self.reply(&call, reply);
+        }
+    }
+
     /// The runs that are on record for a worker, as it lists them.
     fn running_on(&self, incarnation: &str) -> Vec<ListedRun> {
         let record = self.state.workers.get(incarnation);
