Reserve capacity for a gang only as a whole, from when all of it can start

Causes: reservations of members were kept though others fit nowhere; each began when its own worker was free, so that on an idle one any less urgent task was taken for a delay; and anti-affinity was not looked at. A gang now reserves only if all of it fits, from the time at which the last member fits.

Measured: scheduler/tests/backfill.rs, a table of six: 'fits nowhere' and 'short enough' failed before and pass.

--- a/system/scheduler/src/backfill.rs
+++ b/system/scheduler/src/backfill.rs
@@ -31,7 +31,8 @@
 struct Reservation {
     owner: Urgency,
     resources: Resources,
-    /// When the runs that now use this capacity are expected to complete.
+    /// When the owner is expected to start: the runs that now use this capacity, and that of the other tasks of a gang,
+    /// are expected to have completed by then.
     available_at: Millis,
 }
 
@@ -119,19 +120,33 @@
         }
     }
 
-    /// Reserves the earliest available capacity for a task, or for all tasks of a gang. A task that already fits on
-    /// workers is waiting for something other than capacity and keeps no reservation.
+    /// Reserves the earliest available capacity for a task, or for all tasks of a gang from when the last of them fits.
+    /// A gang that does not fit as a whole reserves nothing, nor does a task that already fits on workers: it is waiting
+    /// for something other than capacity.
     pub(crate) fn reserve(&mut self, workers: &Workers, candidate: &Candidate<'_>, now: Millis) {
-        let mut waits_for_capacity = false;
+        match self.reserve_earliest(workers, candidate, now) {
+            Some(available_at) if available_at > now => {
+                self.begin_reservations_at(candidate.urgency, available_at);
+                self.owner_count += 1;
+            }
+            _ => self.drop_reservations_of(candidate.urgency),
+        }
+    }
+
+    /// Reserves capacity for each task of a candidate on the worker where it fits first. Returns the time at which all
+    /// fit; `None` if they never do, with the reservations made until then left in place.
+    fn reserve_earliest(
+        &mut self,
+        workers: &Workers,
+        candidate: &Candidate<'_>,
+        now: Millis,
+    ) -> Option<Millis> {
+        let mut all_available_at = now;
         for _ in 0..candidate.count {
-            let Some((available_at, incarnation)) = self.earliest_fit(workers, candidate, now)
-            else {
-                break;
-            };
-            waits_for_capacity |= available_at > now;
-            let owner = *candidate.urgency;
+            let (available_at, incarnation) = self.earliest_fit(workers, candidate, now)?;
+            all_available_at = all_available_at.max(available_at);
             let reservation = Reservation {
-                owner,
+                owner: *candidate.urgency,
                 resources: candidate.step.resources,
                 available_at,
             };
@@ -140,10 +155,14 @@
                 .or_default()
                 .push(reservation);
         }
-        if waits_for_capacity {
-            self.owner_count += 1;
-        } else {
-            self.drop_reservations_of(candidate.urgency);
+        Some(all_available_at)
+    }
+
+    /// Sets the time from which the reservations of a task or gang are needed.
+    fn begin_reservations_at(&mut self, owner: &Urgency, available_at: Millis) {
+        let reservations = self.reservations.values_mut().flatten();
+        for reservation in reservations.filter(|reservation| reservation.owner == *owner) {
+            reservation.available_at = available_at;
         }
     }
 
@@ -165,13 +184,32 @@
                     .as_ref()
                     .is_none_or(|rack| worker.has_label(rack))
         };
-        workers
-            .iter()
-            .filter(|(_, worker)| is_eligible(worker))
-            .filter_map(|(incarnation, worker)| {
-                Some((self.fits_at(worker, step, now)?, incarnation.as_str()))
-            })
-            .min()
+        let mut earliest: Option<(Millis, &str)> = None;
+        for (incarnation, worker) in workers {
+            if !is_eligible(worker) || !self.allows_sibling(worker, candidate) {
+                continue;
+            }
+            let Some(available_at) = self.fits_at(worker, step, now) else {
+                continue;
+            };
+            let fit = (available_at, incarnation.as_str());
+            if earliest.is_none_or(|earliest| fit < earliest) {
+                earliest = Some(fit);
+            }
+        }
+        earliest
+    }
+
+    /// Whether the anti-affinity of the step allows one more of its tasks on a worker, beside those with reservations.
+    fn allows_sibling(&self, worker: &Worker, candidate: &Candidate<'_>) -> bool {
+        let max_siblings = candidate.step.anti_affinity;
+        if max_siblings == 0 {
+            return true;
+        }
+        let reserved = self.reservations.get(&worker.entry.incarnation);
+        let is_sibling = |reservation: &&Reservation| reservation.owner == *candidate.urgency;
+        let siblings = reserved.into_iter().flatten().filter(is_sibling).count() as u32;
+        siblings + worker.running_siblings(candidate.urgency.task) < max_siblings
     }
 
     /// When a task is expected to fit on a worker in addition to all its reservations; `None` if that takes stopping a
--- a/system/scheduler/src/placement.rs
+++ b/system/scheduler/src/placement.rs
@@ -338,15 +338,7 @@
         if max_siblings == 0 {
             return true;
         }
-        let first = TaskId {
-            index: 0,
-            ..self.demand.first
-        };
-        let last = TaskId {
-            index: u32::MAX,
-            ..self.demand.first
-        };
-        let running = worker.runs.range(first..=last).count() as u32;
+        let running = worker.running_siblings(self.demand.first);
         running + allocated.tasks_on(worker) < max_siblings
     }
 }
--- a/system/scheduler/src/worker.rs
+++ b/system/scheduler/src/worker.rs
@@ -158,6 +158,16 @@
             .collect()
     }
 
+    /// Number of its runs that belong to the same step and occurrence as a task.
+    pub(crate) fn running_siblings(&self, task: TaskId) -> u32 {
+        let first = TaskId { index: 0, ..task };
+        let last = TaskId {
+            index: u32::MAX,
+            ..task
+        };
+        self.runs.range(first..=last).count() as u32
+    }
+
     /// Adds a run and allocates its capacity.
     pub(crate) fn add_run(&mut self, task: TaskId, run: Run) {
         if let Some(old) = self.runs.insert(task, run.clone()) {
--- a/system/scheduler/tests/backfill.rs
+++ b/system/scheduler/tests/backfill.rs
@@ -92,3 +92,64 @@
     harness.advance(100);
     expect_that!(harness.active(task(3, 0)).len(), eq(1));
 }
+
+/// A gang of this many tasks that take 5 s each, with the CPU demand and anti-affinity of each.
+fn gang(count: u32, cpu: u64, anti_affinity: u32) -> StepSpec {
+    StepSpec {
+        gang: true,
+        anti_affinity,
+        estimated_ms: 5000,
+        ..step(count, cpu)
+    }
+}
+
+/// Guards against reservations of a gang that fits nowhere, or that cannot start yet, which keep workers idle.
+#[googletest::test]
+fn gang_keeps_workers_only_from_tasks_that_delay_it() {
+    const LONG_MS: u64 = 9000;
+    // On four workers, one of which is full for 9 s: the gang, the estimate of a less urgent task, and whether it starts.
+    let cases = [
+        ("fits nowhere", gang(5, 4000, 0), LONG_MS, true),
+        (
+            "anti-affinity fits nowhere",
+            gang(5, 1000, 1),
+            LONG_MS,
+            true,
+        ),
+        ("anti-affinity fits", gang(4, 4000, 1), LONG_MS, false),
+        ("short enough", gang(4, 4000, 0), 1000, true),
+        ("delays the gang", gang(4, 4000, 0), 2 * LONG_MS, false),
+        (
+            "narrow gang starts at once",
+            gang(3, 2000, 0),
+            LONG_MS,
+            true,
+        ),
+    ];
+    for (name, gang, estimated_ms, is_started) in cases {
+        let mut harness = Harness::new(&["w1", "w2", "w3", "w4"]);
+        harness.submit(1, vec![timed_step(4000, LONG_MS)]);
+        harness.submit(2, vec![gang]);
+        harness.serve_for(100);
+        harness.submit_with_priority(3, 1, vec![timed_step(1000, estimated_ms)]);
+        harness.serve_for(200);
+        let active = !harness.active(task(3, 0)).is_empty();
+        expect_that!(active, eq(is_started), "{name}");
+    }
+}
+
+#[googletest::test]
+fn gang_that_fits_nowhere_starts_once_there_are_enough_workers() {
+    let mut harness = Harness::new(&["w1", "w2"]);
+    harness.submit(1, vec![gang(3, 4000, 0)]);
+    harness.serve_for(5000);
+    expect_that!(harness.active(task(1, 0)), is_empty());
+    let entries = ["w1", "w2", "w3"].map(worker);
+    harness
+        .scheduler
+        .handle_worker_list(harness.now, &harness.state, &entries);
+    harness.serve_for(500);
+    for index in 0..3 {
+        expect_that!(harness.active(task(1, index)).len(), eq(1));
+    }
+}
