Check in the fleet that no task that could run stays idle

The in-memory fleet does now (fleet/idle_capacity.rs, oracle/idle_checks.rs): for 3 s (a lasting task 9 s) nothing of a job runs, sound workers have room twice over, and less than half of the service is in use. It looks at workers and clients only. New: workers that fail what they start (Fault::WorkerErrors) and jobs that every worker rejects.

--- a/system/fleet/src/active_faults.rs
+++ b/system/fleet/src/active_faults.rs
@@ -20,6 +20,8 @@
     worker_partitions: BTreeMap<usize, WorkerPartitionScope>,
     /// Workers whose runs make no progress.
     stalled_workers: BTreeSet<usize>,
+    /// Workers whose new runs fail.
+    failing_workers: BTreeSet<usize>,
     /// Duration of a sync on each slow disk, in milliseconds, by node.
     slow_disks: BTreeMap<usize, u64>,
     /// Percentage of worker calls that are delayed.
@@ -64,6 +66,18 @@
         self.stalled_workers.contains(&worker)
     }
 
+    pub(crate) fn fail_new_runs(&mut self, worker: usize) {
+        self.failing_workers.insert(worker);
+    }
+
+    pub(crate) fn restore_new_runs(&mut self, worker: usize) {
+        self.failing_workers.remove(&worker);
+    }
+
+    pub(crate) fn is_worker_failing(&self, worker: usize) -> bool {
+        self.failing_workers.contains(&worker)
+    }
+
     pub(crate) fn slow_disk(&mut self, node: usize, sync_ms: u64) {
         self.slow_disks.insert(node, sync_ms);
     }
--- a/system/fleet/src/events.rs
+++ b/system/fleet/src/events.rs
@@ -64,6 +64,8 @@
     WorkerLink(usize),
     /// A worker whose runs made no progress.
     WorkerProgress(usize),
+    /// A worker's new runs no longer fail.
+    WorkerRuns(usize),
     DiskSpeed(usize),
     OrderDelay,
     /// The drain timeout of a process: it is stopped if it is still running.
--- a/system/fleet/src/faults.rs
+++ b/system/fleet/src/faults.rs
@@ -85,6 +85,13 @@
         /// Duration of the fault.
         duration_ms: u64,
     },
+    /// The worker responds, but the runs that it starts fail. Those that it runs already go on.
+    WorkerErrors {
+        /// The affected worker.
+        worker: usize,
+        /// Duration of the fault.
+        duration_ms: u64,
+    },
     /// A percentage of the calls to workers is executed late, and the replies are lost.
     DelayedOrders {
         /// Percentage of the calls.
@@ -145,6 +152,7 @@
             | Fault::WorkerPartition { duration_ms, .. }
             | Fault::WorkerCrash { duration_ms, .. }
             | Fault::WorkerStall { duration_ms, .. }
+            | Fault::WorkerErrors { duration_ms, .. }
             | Fault::DelayedOrders { duration_ms, .. }
             | Fault::SlowDisk { duration_ms, .. }
             | Fault::Isolate { duration_ms, .. }
--- a/system/fleet/src/fleet.rs
+++ b/system/fleet/src/fleet.rs
@@ -3,11 +3,12 @@
 //! This module owns the simulated components and the clock. Each child module implements one kind of interaction:
 //! inputs and outputs of coordinators (`delivery`), process starts and stops (`processes`), faults (`fault_injection`),
 //! requests of clients, operators and observers (`requests`), requests of edges (`edges`), calls to workers
-//! (`worker_calls`) and gang scheduling (`gangs`).
+//! (`worker_calls`) and gang scheduling (`gangs`); or one check over all components (`state_checks`, `idle_capacity`).
 mod delivery;
 mod edges;
 mod fault_injection;
 mod gangs;
+mod idle_capacity;
 mod job_specs;
 mod processes;
 mod requests;
@@ -35,7 +36,7 @@
     WallMillis, WorkerEntry,
 };
 use rand::{rngs::StdRng, Rng, SeedableRng};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Length of one step of simulated time, in milliseconds.
 const STEP_MS: u64 = 5;
@@ -83,6 +84,8 @@
     specs: BTreeMap<JobId, JobSpec>,
     /// True durations of the tasks of jobs whose estimates are wrong, in milliseconds.
     task_durations: BTreeMap<JobId, u64>,
+    /// Jobs whose starts every worker rejects as malformed.
+    malformed_jobs: BTreeSet<JobId>,
     runs_started: BTreeMap<JobId, u32>,
     oracle: Oracle,
 }
@@ -111,6 +114,7 @@
             requests: PendingRequests::default(),
             specs: BTreeMap::new(),
             task_durations: BTreeMap::new(),
+            malformed_jobs: BTreeSet::new(),
             runs_started: BTreeMap::new(),
             oracle: Oracle::default(),
             settings,
@@ -143,6 +147,7 @@
             self.run_workers();
             self.send_requests();
             self.run_edges();
+            self.check_idle_capacity();
             if self.now.is_multiple_of(COMPARE_INTERVAL_MS) {
                 self.compare_states();
                 self.oracle
@@ -183,6 +188,11 @@
         self.task_durations.insert(job, duration_ms);
     }
 
+    /// Makes every worker reject the starts of a job as malformed.
+    pub fn set_malformed(&mut self, job: JobId) {
+        self.malformed_jobs.insert(job);
+    }
+
     /// Number of runs of a job's tasks that workers have started.
     pub fn runs_started(&self, job: JobId) -> u32 {
         self.runs_started.get(&job).copied().unwrap_or(0)
--- a/system/fleet/src/fleet/fault_injection.rs
+++ b/system/fleet/src/fleet/fault_injection.rs
@@ -22,12 +22,7 @@
 impl Fleet {
     /// Injects a fault.
     pub fn inject(&mut self, fault: &Fault) {
-        let drain_ms = match fault {
-            Fault::Drain { .. } => MAX_DRAIN_MS,
-            _ => 0,
-        };
-        let fault_free_at = self.now + drain_ms + fault.duration_ms() + RECOVERY_MS;
-        self.fault_free_since = self.fault_free_since.max(fault_free_at);
+        self.extend_fault_effects(fault);
         match *fault {
             Fault::Kill { node, duration_ms } => {
                 self.nodes[node].disk.kill_process();
@@ -66,6 +61,10 @@
                 worker,
                 duration_ms,
             } => self.stall_worker(worker, duration_ms),
+            Fault::WorkerErrors {
+                worker,
+                duration_ms,
+            } => self.fail_new_runs(worker, duration_ms),
             Fault::DelayedOrders {
                 percent,
                 duration_ms,
@@ -82,6 +81,18 @@
         }
     }
 
+    /// Extends the time for which the effects of faults last.
+    fn extend_fault_effects(&mut self, fault: &Fault) {
+        let drain_ms = match fault {
+            // What other workers and the coordinators do is not affected by a worker whose runs fail.
+            Fault::WorkerErrors { .. } => return,
+            Fault::Drain { .. } => MAX_DRAIN_MS,
+            _ => 0,
+        };
+        let fault_free_at = self.now + drain_ms + fault.duration_ms() + RECOVERY_MS;
+        self.fault_free_since = self.fault_free_since.max(fault_free_at);
+    }
+
     /// Backs up the synced state of each node's disk.
     pub fn back_up_disks(&mut self) {
         for node in &mut self.nodes {
@@ -112,6 +123,7 @@
             Restore::Worker(number) => self.workers[number] = Some(self.new_worker(number)),
             Restore::WorkerLink(worker) => self.active_faults.restore_worker_link(worker),
             Restore::WorkerProgress(worker) => self.active_faults.restore_worker_progress(worker),
+            Restore::WorkerRuns(worker) => self.active_faults.restore_new_runs(worker),
             Restore::DiskSpeed(node) => self.active_faults.restore_disk_speed(node),
             Restore::OrderDelay => self.active_faults.set_delayed_order_percent(0),
             Restore::DrainDeadline(process) => {
@@ -186,6 +198,11 @@
         self.schedule(duration_ms, Event::Restore(Restore::WorkerProgress(worker)));
     }
 
+    fn fail_new_runs(&mut self, worker: usize, duration_ms: u64) {
+        self.active_faults.fail_new_runs(worker);
+        self.schedule(duration_ms, Event::Restore(Restore::WorkerRuns(worker)));
+    }
+
     fn crash_worker(&mut self, number: usize, duration_ms: u64) {
         if let Some(worker) = self.workers[number].take() {
             self.oracle.incarnation_ended(&worker.entry.incarnation);
--- a/system/fleet/src/fleet/worker_calls.rs
+++ b/system/fleet/src/fleet/worker_calls.rs
@@ -92,7 +92,7 @@
         if partition == Some(WorkerPartitionScope::Calls) {
             return;
         }
-        let work = self.find_work(&call);
+        let work = self.find_work(number, &call);
         let now = self.now;
         let Some(worker) = self.workers[number].as_mut() else {
             return;
@@ -174,18 +174,21 @@
         }
     }
 
-    /// Returns the work of a start order: its duration and how it ends.
-    fn find_work(&self, call: &WorkerCall) -> Option<Work> {
+    /// Returns the work of a start order on a worker: its duration and how it ends. `None` if the worker cannot parse it.
+    fn find_work(&self, number: usize, call: &WorkerCall) -> Option<Work> {
         let WorkerOrder::Start { task, run, .. } = &call.order else {
             return None;
         };
+        if self.malformed_jobs.contains(&task.job) {
+            return None;
+        }
         let step = find_step(&self.specs, task)?;
         let is_long_running = self
             .specs
             .get(&task.job)
             .is_some_and(|spec| spec.long_running);
         let owner = checkpoint_owner(*task, step);
-        let fails = self.run_fails(owner, *run);
+        let fails = self.active_faults.is_worker_failing(number) || self.run_fails(owner, *run);
         let kind = if fails {
             CompletionKind::Failed
         } else {
--- a/system/fleet/src/oracle.rs
+++ b/system/fleet/src/oracle.rs
@@ -1,10 +1,12 @@
 //! The test oracle: checks the runs on workers and the responses to clients against invariants that hold under all
 //! faults. It does not influence the simulation; it only records violations.
 mod history;
+mod idle_checks;
 mod response_checks;
 mod start_checks;
 mod stop_checks;
 
+pub(crate) use idle_checks::IdleTask;
 pub(crate) use response_checks::{Observation, OperatorCount};
 pub(crate) use start_checks::Start;
 
@@ -55,6 +57,10 @@
     cancel_requested: BTreeSet<JobId>,
     /// Cancelled jobs for which a remaining run has already been reported.
     reported_cancelled: BTreeSet<JobId>,
+    /// Since when tasks that could run have been idle.
+    idle_since: BTreeMap<TaskId, u64>,
+    /// Jobs with a task for which idleness has already been reported.
+    reported_idle: BTreeSet<JobId>,
     /// Number of gang members that timed out while waiting for the other members.
     gang_timeouts: u64,
     history: ResponseHistory,
--- a/system/fleet/src/oracle/start_checks.rs
+++ b/system/fleet/src/oracle/start_checks.rs
@@ -47,7 +47,10 @@
             return;
         };
         self.check_requested(start);
-        self.check_attempts(start, step, max_attempts);
+        // A long-running task is to be started again however its runs end.
+        if !spec.long_running {
+            self.check_attempts(start, step, max_attempts);
+        }
         self.check_checkpoint(start, step);
         self.check_dependencies(start, spec, step);
         self.check_placement(start, step);
--- a/system/fleet/src/worker.rs
+++ b/system/fleet/src/worker.rs
@@ -221,7 +221,8 @@
         }
     }
 
-    fn free_capacity(&self) -> Resources {
+    /// Capacity that no run occupies.
+    pub(crate) fn free_capacity(&self) -> Resources {
         let used = self
             .runs
             .values()
--- /dev/null
+++ b/system/fleet/tests/idle_capacity.rs
@@ -0,0 +1,193 @@
+//! No task that could run stays idle beside idle workers, also long after failures, rejected starts and infeasible jobs.
+//!
+//! The fleet checks it at all times; the days here are longer than any ejection or backoff.
+use magpiegap_fleet::{Fault, Fleet, FleetSettings};
+use magpiegap_protocol::{JobId, JobSpec, StepSpec};
+use rand::{rngs::StdRng, Rng, SeedableRng};
+
+/// When the first jobs are submitted, in milliseconds.
+const SUBMIT_MS: u64 = 3000;
+/// End of a day, in milliseconds: twice the longest ejection after the last fault, and before the first jobs are removed.
+const END_MS: u64 = 150_000;
+/// The last faults begin before this time, in milliseconds.
+const LAST_FAULT_MS: u64 = 80_000;
+/// Number of days of each kind.
+const SEEDS: u64 = 6;
+
+/// A fleet of which a share of the runs fails.
+fn fleet(seed: u64, workers: usize, run_failure_percent: u64) -> Fleet {
+    Fleet::new(FleetSettings {
+        workers,
+        run_failure_percent,
+        seed,
+        ..FleetSettings::default()
+    })
+}
+
+fn seeds() -> impl Iterator<Item = u64> {
+    let from_environment = |name: &str, default: u64| {
+        let value = std::env::var(name).ok();
+        value
+            .and_then(|value| value.parse().ok())
+            .unwrap_or(default)
+    };
+    let first = from_environment("FLEET_FIRST", 0);
+    first..first + from_environment("FLEET_SEEDS", SEEDS)
+}
+
+fn job(step: StepSpec) -> JobSpec {
+    Fleet::chain_of_steps(vec![step])
+}
+
+/// A long-running job, whose failing runs end after the given time.
+fn long_running(cpu: u64, failing_after_ms: u64) -> JobSpec {
+    JobSpec {
+        long_running: true,
+        ..job(Fleet::step(1, cpu, failing_after_ms))
+    }
+}
+
+/// Submits small jobs of every third of a second to every few seconds until the end of the day.
+fn submit_small_jobs(fleet: &mut Fleet, random: &mut StdRng) {
+    let mut at = SUBMIT_MS;
+    while at < END_MS - 20_000 {
+        let duration_ms = random.gen_range(100..1500);
+        fleet.submit_at(at, job(Fleet::step(1, 500, duration_ms)), None);
+        at += random.gen_range(300..4000);
+    }
+}
+
+fn assert_no_violations(fleet: &Fleet, day: &str) {
+    let violations = fleet.violations();
+    assert!(violations.is_empty(), "{day}: {violations:#?}");
+}
+
+fn is_finished(fleet: &Fleet, job: JobId) -> bool {
+    !fleet.unfinished_jobs().contains(&job)
+}
+
+/// Guards against workers that failures of long-running tasks take out of use for good (review/5).
+#[googletest::test]
+fn failing_long_running_tasks_leave_workers_in_use() {
+    for seed in seeds() {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut fleet = fleet(seed, 3, 60);
+        for number in 0..30 {
+            let failing_after_ms = 6000 + number * random.gen_range(300..1500);
+            let spec = long_running(250, failing_after_ms);
+            fleet.submit_at(SUBMIT_MS + number * 50, spec, None);
+        }
+        fleet.run_until(END_MS);
+        assert_no_violations(&fleet, &format!("seed {seed}"));
+    }
+}
+
+/// Guards against jobs that wait for a rack whose only worker has failed and holds a long run (review/6).
+#[googletest::test]
+fn jobs_with_data_on_worker_that_failed_run() {
+    for seed in seeds() {
+        let mut random = StdRng::seed_from_u64(seed);
+        // Three workers are in two racks, of which the second has one.
+        let mut fleet = fleet(seed, 3, 0);
+        let local = |spec: JobSpec| JobSpec {
+            steps: spec
+                .steps
+                .into_iter()
+                .map(|step| StepSpec {
+                    affinity: Some("r1".to_owned()),
+                    ..step
+                })
+                .collect(),
+            ..spec
+        };
+        fleet.submit_at(SUBMIT_MS, local(long_running(500, 1000)), None);
+        let mut at = SUBMIT_MS + 1000;
+        while at < END_MS - 20_000 {
+            let duration_ms = random.gen_range(100..1500);
+            fleet.submit_at(at, local(job(Fleet::step(1, 500, duration_ms))), None);
+            at += random.gen_range(300..4000);
+        }
+        while fleet.now() < LAST_FAULT_MS {
+            fleet.run_until(fleet.now() + random.gen_range(4000..20_000));
+            fleet.inject(&Fault::WorkerErrors {
+                worker: 1,
+                duration_ms: random.gen_range(500..8000),
+            });
+        }
+        fleet.run_until(END_MS);
+        assert_no_violations(&fleet, &format!("seed {seed}"));
+    }
+}
+
+/// Guards against a job that no worker can start and that takes all workers out of use (review/4).
+#[googletest::test]
+fn jobs_beside_malformed_job_run() {
+    for seed in seeds() {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut fleet = fleet(seed, 6, 2);
+        let malformed = fleet.submit_at(SUBMIT_MS, job(Fleet::step(12, 1000, 1000)), None);
+        fleet.set_malformed(malformed);
+        submit_small_jobs(&mut fleet, &mut random);
+        fleet.run_until(END_MS);
+        assert_no_violations(&fleet, &format!("seed {seed}"));
+        assert!(!is_finished(&fleet, malformed), "seed {seed}");
+        // One attempt in 8 s and more, after the first ones.
+        assert!(fleet.runs_started(malformed) == 0, "seed {seed}");
+    }
+}
+
+/// Guards against a gang that fits nowhere and keeps idle workers from other jobs (review/8).
+#[googletest::test]
+fn jobs_beside_infeasible_gang_run() {
+    for seed in seeds() {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut fleet = fleet(seed, 4, 2);
+        fleet.submit_at(SUBMIT_MS, job(Fleet::step(1, 8000, 100_000)), None);
+        fleet.submit_at(SUBMIT_MS, job(Fleet::step(1, 500, 1000)), None);
+        // Every third job, and so the gang, is of the most urgent priority.
+        let gang = StepSpec {
+            gang: true,
+            ..Fleet::step(5, 8000, 30_000)
+        };
+        let gang = fleet.submit_at(SUBMIT_MS + 500, job(gang), None);
+        submit_small_jobs(&mut fleet, &mut random);
+        fleet.run_until(END_MS);
+        assert_no_violations(&fleet, &format!("seed {seed}"));
+        assert!(!is_finished(&fleet, gang), "seed {seed}");
+    }
+}
+
+/// All of it at once, with faults of the coordinators and workers.
+#[googletest::test]
+fn mixed_jobs_run_beside_faults() {
+    for seed in seeds() {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut fleet = fleet(seed, 6, 10);
+        for number in 0..3 {
+            let spec = long_running(500, random.gen_range(300..15_000));
+            fleet.submit_at(SUBMIT_MS + number * 5000, spec, None);
+        }
+        let malformed = fleet.submit_at(SUBMIT_MS, job(Fleet::step(4, 1000, 1000)), None);
+        fleet.set_malformed(malformed);
+        let gang = StepSpec {
+            gang: true,
+            ..Fleet::step(7, 7000, 5000)
+        };
+        fleet.submit_at(SUBMIT_MS + 4000, job(gang), None);
+        submit_small_jobs(&mut fleet, &mut random);
+        fleet.run_until(SUBMIT_MS);
+        while fleet.now() < LAST_FAULT_MS {
+            fleet.run_until(fleet.now() + random.gen_range(2000..15_000));
+            let fault = match random.gen_bool(0.5) {
+                true => Fault::WorkerErrors {
+                    worker: random.gen_range(0..6),
+                    duration_ms: random.gen_range(500..8000),
+                },
+                false => Fault::random(&mut random, 3, 6),
+            };
+            fleet.inject(&fault);
+        }
+        fleet.run_until(END_MS);
+        assert_no_violations(&fleet, &format!("seed {seed}"));
+    }
+}
--- a/system/scheduler/src/applied.rs
+++ b/system/scheduler/src/applied.rs
@@ -175,7 +175,7 @@
         };
         let has_failed = completed == CompletionKind::Failed;
         // A failure of a long-running run that was at work says nothing about its worker.
-        if has_failed && removed.as_ref().is_some_and(Run::has_settled) {
+        if has_failed && removed.as_ref().is_some_and(Run::is_established) {
             return;
         }
         self.failure_rate.record(has_failed);
--- a/system/scheduler/src/run.rs
+++ b/system/scheduler/src/run.rs
@@ -8,7 +8,7 @@
 /// Delay before a start that a worker refused as expired is sent again.
 const START_RETRY_MS: Millis = 60;
 /// A long-running run that its worker lists this long after its start is at work: its start has succeeded.
-const SETTLED_AFTER_MS: Millis = 5000;
+const ESTABLISHED_AFTER_MS: Millis = 5000;
 /// Minimum progress from which the remaining time is extrapolated instead of taken from the estimate.
 const MIN_RELIABLE_PERCENT: u64 = 10;
 
@@ -147,10 +147,10 @@
 
     /// Whether it is a long-running run that has been at work for some time. If it fails later, this says nothing
     /// about its worker, since such a run may fail at any time.
-    pub(crate) fn has_settled(&self) -> bool {
+    pub(crate) fn is_established(&self) -> bool {
         self.long_running
             && self.phase == RunPhase::Started
-            && self.progress.last_listed_at >= self.started_at + SETTLED_AFTER_MS
+            && self.progress.last_listed_at >= self.started_at + ESTABLISHED_AFTER_MS
     }
 
     /// The run as recorded in the log, with the checkpoint that it was started from.
