Accept job IDs in upper case

Both forms name one job now; names of tasks stay in lower case, as we give them to workers.

Measured: job_id_is_parsed_in_either_case; the protocol's other tests pass.

--- a/system/protocol/src/ids.rs
+++ b/system/protocol/src/ids.rs
@@ -43,9 +43,9 @@
 pub struct JobId(#[n(0)] pub u64);
 
 impl JobId {
-    /// Parses 16 lower-case hexadecimal digits; `None` for other text.
+    /// Parses 16 hexadecimal digits; `None` for other text. Both cases of a digit name the same job.
     pub fn parse(text: &str) -> Option<JobId> {
-        let is_digit = |byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f');
+        let is_digit = |byte: u8| byte.is_ascii_hexdigit();
         if text.len() != 16 || !text.bytes().all(is_digit) {
             return None;
         }
@@ -80,10 +80,11 @@
 }
 
 impl TaskId {
-    /// Parses the form `JOB.OCCURRENCE.STEP.INDEX`; `None` for other text.
+    /// Parses the form `JOB.OCCURRENCE.STEP.INDEX` as it is displayed; `None` for other text.
     pub fn parse(text: &str) -> Option<TaskId> {
         let mut fields = text.split('.');
-        let job = JobId::parse(fields.next()?)?;
+        let name = fields.next()?;
+        let job = JobId::parse(name).filter(|job| job.to_string() == name)?;
         let mut number = || fields.next()?.parse::<u32>().ok();
         let task = TaskId {
             job,
--- a/system/protocol/tests/messages.rs
+++ b/system/protocol/tests/messages.rs
@@ -33,6 +33,25 @@
     }
 }
 
+/// Guards against a job that is unknown since its client writes the digits of the ID in upper case.
+#[googletest::test]
+fn job_id_is_parsed_in_either_case() {
+    let job = JobId(0x5c0e_7a21_d94b_36f8);
+    let cases = [
+        ("5c0e7a21d94b36f8", Some(job)),
+        ("5C0E7A21D94B36F8", Some(job)),
+        ("5C0e7A21d94b36f8", Some(job)),
+        ("5c0e7a21d94b36f", None),
+        ("5c0e7a21d94b36f8a", None),
+        ("5c0e7a21d94b36g8", None),
+        ("+c0e7a21d94b36f8", None),
+        ("", None),
+    ];
+    for (text, expected) in cases {
+        expect_that!(JobId::parse(text), eq(expected), "{text}");
+    }
+}
+
 #[googletest::test]
 fn truncated_message_is_rejected() {
     let request = CoordinatorRequest::Status {
