Look at a worker's runs only if something is held against it

The checks of recovery and the reservations of single tasks cost the planning rounds up to 14% in the benchmark of the core. What is held against a worker is looked at first now, and only gangs set the begin of their reservations anew.

--- a/system/scheduler/src/backfill.rs
+++ b/system/scheduler/src/backfill.rs
@@ -126,7 +126,9 @@
     pub(crate) fn reserve(&mut self, workers: &Workers, candidate: &Candidate<'_>, now: Millis) {
         match self.reserve_earliest(workers, candidate, now) {
             Some(available_at) if available_at > now => {
-                self.begin_reservations_at(candidate.urgency, available_at);
+                if candidate.count > 1 {
+                    self.begin_reservations_at(candidate.urgency, available_at);
+                }
                 self.owner_count += 1;
             }
             _ => self.drop_reservations_of(candidate.urgency),
--- a/system/scheduler/src/health.rs
+++ b/system/scheduler/src/health.rs
@@ -89,11 +89,14 @@
         self.ejected_until
     }
 
-    /// Whether a run that started at `started_at` is evidence of recovery if it succeeds: the worker has failed before
-    /// it, and not since.
-    pub(crate) fn would_recover_by_run_since(&self, started_at: Millis) -> bool {
-        let has_evidence = self.ejections > 0 || !self.failures.is_empty();
-        has_evidence && started_at > self.last_failure_at
+    /// Whether anything is held against the worker.
+    pub(crate) fn has_failures(&self) -> bool {
+        self.ejections > 0 || !self.failures.is_empty()
+    }
+
+    /// When a run last failed on this worker.
+    pub(crate) fn last_failure_at(&self) -> Millis {
+        self.last_failure_at
     }
 
     pub(crate) fn record_success(&mut self) {
--- a/system/scheduler/src/worker.rs
+++ b/system/scheduler/src/worker.rs
@@ -140,10 +140,9 @@
     /// Whether a long-running run that works since its last failure shows that it has recovered. Such a run is not
     /// expected to complete.
     pub(crate) fn has_recovered(&self) -> bool {
-        let shows_recovery = |run: &Run| {
-            run.is_established() && self.health.would_recover_by_run_since(run.started_at)
-        };
-        self.runs.values().any(shows_recovery)
+        let last_failure_at = self.health.last_failure_at();
+        let shows_recovery = |run: &Run| run.started_at > last_failure_at && run.is_established();
+        self.health.has_failures() && self.runs.values().any(shows_recovery)
     }
 
     /// Returns the run of a task if it has this id.
