Keep the ports of refusing addresses bound in the proxy's tests

Cause: refusing() gave away a port that it had freed, and the upstream of the other test, in the same process, got it. Its one connection was taken by the wrong balancer, whose client read 'the answer' of the other. The socket stays bound without listening now, which refuses connections as before; no assertion changes.

The collision is by chance and was not forced.

--- a/balancer/proxy/tests/common/upstream.rs
+++ b/balancer/proxy/tests/common/upstream.rs
@@ -1,11 +1,12 @@
 //! A fake upstream, and addresses at which no upstream responds.
 use super::{read, Message, TEST_TIMEOUT};
 use balancer_lab::net::{Port, PortMode};
+use socket2::{Domain, Socket, Type};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use tokio::runtime::Runtime;
 use tokio::sync::watch;
@@ -134,11 +135,16 @@
     let _ = events_tx.send(UpstreamEvent::Closed);
 }
 
-/// An address that refuses connections.
+/// An address that refuses connections. Its socket is bound without listening until the test process ends, so that no
+/// other test's upstream gets the same port.
 pub(crate) fn refusing() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .and_then(|listener| listener.local_addr())
-        .expect("socket address")
+    static BOUND: Mutex<Vec<Socket>> = Mutex::new(Vec::new());
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&any_port.into()).expect("a free port");
+    let address = socket.local_addr().expect("socket address");
+    BOUND.lock().expect("no panic while locked").push(socket);
+    address.as_socket().expect("an IP address")
 }
 
 /// An address at which no connection is established until [`Unreachable::start_accepting`].
