Cancel a tombstone only where its own queue has the ID

A caller whose cancel of an unknown job was given up (504: the commit took over 2 s) could cancel a job of another queue that has the same ID: the tombstone was refused when it was applied, and its ID was cancelled all the same, since nobody waited for the operation any more.

One function now handles an applied tombstone, with its outcome, whether or not requests still wait; there were two, and only one looked at the outcome.

Measured: abandoned_cancellation_ends_its_own_job_only fails before (Cancelled where Pending is expected) and passes, with the other tests of the crate. The fixture of the coordinator's tests can stall its disk for it.

--- a/system/coordinator/src/cancellation.rs
+++ b/system/coordinator/src/cancellation.rs
@@ -5,10 +5,11 @@
 //! which takes the job's ID and is retained like a job that has ended.
 use crate::{
     coordinator::Coordinator,
-    operation::{Operation, OperationId},
+    operation::Operation,
     outputs::RequestId,
     proposal::{Proposal, ProposalDraft},
 };
+use magpiegap_jobs::Outcome;
 use magpiegap_protocol::{Command, CoordinatorResponse, JobId, Submission};
 
 /// Maximum number of tombstones; further cancellations of unknown jobs are rejected until some are removed.
@@ -33,28 +34,28 @@
         self.start_operation_with_quorum(request, operation);
     }
 
-    /// Cancels the tombstone, or the job that was accepted before it, for the requests that wait for the operation.
-    pub(crate) fn cancel_tombstone(&mut self, id: OperationId, job: JobId) {
-        let Some(pending) = self.operations.remove(id) else {
-            return;
-        };
-        for request in pending.requests {
-            self.start_operation(Operation::Cancel(job), request);
-        }
-    }
-
-    /// Cancels a tombstone whose requests have been answered before it was applied.
-    pub(crate) fn cancel_abandoned_tombstone(&mut self, proposal: &Proposal) {
+    /// Handles an applied proposal. If it was a tombstone, cancels it, or the job of its queue that was accepted before
+    /// it; the requests that still wait are answered by the outcome of that.
+    pub(crate) fn cancel_applied_tombstone(&mut self, proposal: &Proposal, outcome: Outcome) {
         let Command::SubmitJob { submission, .. } = &proposal.draft.command else {
             return;
         };
-        let is_pending = proposal
-            .draft
-            .operation
-            .is_some_and(|id| self.operations.get(id).is_some());
-        if submission.is_tombstone() && !is_pending {
-            let job = submission.job;
-            self.propose(ProposalDraft::new(Command::CancelJob { job }));
+        // Otherwise the ID belongs to a job of another queue, which must not be cancelled.
+        let is_own_job = matches!(outcome, Outcome::Done | Outcome::Repeated);
+        if !submission.is_tombstone() || !is_own_job {
+            return;
+        }
+        let job = submission.job;
+        let operation = proposal.draft.operation;
+        match operation.and_then(|id| self.operations.remove(id)) {
+            Some(pending) => {
+                for request in pending.requests {
+                    self.start_operation(Operation::Cancel(job), request);
+                }
+            }
+            None => {
+                self.propose(ProposalDraft::new(Command::CancelJob { job }));
+            }
         }
     }
 }
--- a/system/coordinator/src/event_handlers.rs
+++ b/system/coordinator/src/event_handlers.rs
@@ -199,7 +199,7 @@
             self.reload_schedulers();
             self.repropose_operations();
         }
-        self.cancel_abandoned_tombstone(proposal);
+        self.cancel_applied_tombstone(proposal, outcome);
         if let Some(operation) = proposal.draft.operation {
             self.complete_operation_with_outcome(operation, outcome);
         }
--- a/system/coordinator/src/requests.rs
+++ b/system/coordinator/src/requests.rs
@@ -165,12 +165,9 @@
             (Operation::Cancel(_) | Operation::RecordCancellation(_), Outcome::NotApplicable) => {
                 CoordinatorResponse::NoSuchJob
             }
-            (Operation::RecordCancellation(tombstone), _) => {
-                let job = tombstone.job;
-                self.cancel_tombstone(id, job);
-                return;
+            (Operation::Cancel(_) | Operation::RecordCancellation(_), _) => {
+                CoordinatorResponse::Accepted
             }
-            (Operation::Cancel(_), _) => CoordinatorResponse::Accepted,
             (Operation::ReplaceConfiguration { .. }, Outcome::Conflict) => {
                 CoordinatorResponse::ConfigurationConflict
             }
--- a/system/coordinator/tests/cancellation.rs
+++ b/system/coordinator/tests/cancellation.rs
@@ -88,6 +88,29 @@
     expect_that!(fixture.coordinator.state().service_jobs.tombstones(), eq(0));
 }
 
+/// Guards against the cancellation of a job of another queue, and against a tombstone that stays pending, when the
+/// request is given up before the tombstone is recorded.
+#[googletest::test]
+fn abandoned_cancellation_ends_its_own_job_only() {
+    let other_queue = CoordinatorRequest::Submit(Box::new(submission("h/r/", JOB)));
+    let cases = [
+        ("unknown", None, JobPhase::Cancelled),
+        ("other queue", Some(other_queue), JobPhase::Pending),
+    ];
+    for (name, earlier, expected) in cases {
+        let mut fixture = CoordinatorFixture::new();
+        responses(&mut fixture, earlier.into_iter().collect(), 500);
+        // The cancellation is read while the view is confirmed, and then waits for the disk for too long.
+        fixture.is_disk_stalled = true;
+        let given_up = responses(&mut fixture, vec![cancel(QUEUE, JOB)], 2500);
+        expect_that!(given_up, eq(&[CoordinatorResponse::Unknown]), "{name}");
+        fixture.is_disk_stalled = false;
+        fixture.advance(1000);
+        let phase = fixture.coordinator.state().jobs[&JOB].phase;
+        expect_that!(phase, eq(expected), "{name}");
+    }
+}
+
 /// Guards against cancellations of unknown jobs that fill the memory.
 #[googletest::test]
 fn cancellations_of_unknown_jobs_are_bounded() {
--- a/system/coordinator/tests/common/mod.rs
+++ b/system/coordinator/tests/common/mod.rs
@@ -37,6 +37,10 @@
     pub responses: Vec<CoordinatorResponse>,
     /// Platform calls without a reply.
     platform_calls: Vec<u64>,
+    /// Whether disk writes complete only once this is unset.
+    pub is_disk_stalled: bool,
+    /// The last disk write that has not completed.
+    stalled_ticket: Option<u64>,
 }
 
 impl CoordinatorFixture {
@@ -56,6 +60,8 @@
             calls: Vec::new(),
             responses: Vec::new(),
             platform_calls: Vec::new(),
+            is_disk_stalled: false,
+            stalled_ticket: None,
         };
         fixture.advance(2000);
         let replace = CoordinatorRequest::ReplaceConfiguration {
@@ -81,11 +87,23 @@
         let until = self.now + for_ms;
         while self.now < until {
             self.now += STEP_MS;
+            self.complete_stalled_writes();
             self.coordinator.on_timeout(self.now, self.wall());
             self.perform_outputs();
         }
     }
 
+    /// Completes all disk writes, unless the disk is stalled.
+    fn complete_stalled_writes(&mut self) {
+        if self.is_disk_stalled {
+            return;
+        }
+        if let Some(ticket) = self.stalled_ticket.take() {
+            let wall = self.wall();
+            self.coordinator.handle_persisted(self.now, wall, ticket);
+        }
+    }
+
     /// Delivers a request; the response follows in `responses`.
     pub(crate) fn handle_request(&mut self, request: CoordinatorRequest) {
         let wall = self.wall();
@@ -161,8 +179,8 @@
             Output::Control(
                 ControlOutput::Persist { ticket, .. } | ControlOutput::Checkpoint { ticket, .. },
             ) => {
-                let wall = self.wall();
-                self.coordinator.handle_persisted(self.now, wall, ticket);
+                self.stalled_ticket = Some(ticket);
+                self.complete_stalled_writes();
             }
             // The coordinator is the only voter, so it receives its own vote.
             Output::Control(ControlOutput::Send { to, message }) if to == OWN_ADDRESS => {
