--- a/system/fleet/src/oracle/idle_checks.rs
+++ b/system/fleet/src/oracle/idle_checks.rs
@@ -88,12 +88,8 @@
 
     /// Number of tasks of a task's step that run on a worker.
     pub(crate) fn running_siblings(&self, task: TaskId, incarnation: &str) -> u64 {
-        let first = TaskId { index: 0, ..task };
-        let last = TaskId {
-            index: u32::MAX,
-            ..task
-        };
-        let runs = self.running.range(first..=last).flat_map(|(_, runs)| runs);
+        let siblings = self.running.range(task.siblings());
+        let runs = siblings.flat_map(|(_, runs)| runs);
         runs.filter(|run| run.incarnation == incarnation).count() as u64
     }
 }
--- a/system/fleet/tests/fault_scenarios.rs
+++ b/system/fleet/tests/fault_scenarios.rs
@@ -1,5 +1,8 @@
 //! Specific fault scenarios: an isolated node, concurrent configuration changes, a disk loss right after a repair,
 //! disks rolled back to a stale copy, hundreds of changes, delayed orders, and worker crashes during repeated gangs.
+mod common;
+
+use common::seeds;
 use magpiegap_fleet::{Fault, Fleet, FleetSettings, WorkerPartitionScope};
 use rand::{rngs::StdRng, Rng, SeedableRng};
 
@@ -75,16 +78,9 @@
     assert!(failures.is_empty(), "seed {seed}: {}", failures.join("\n"));
 }
 
-/// The seeds to run; the environment variables `FLEET_FIRST` and `FLEET_SEEDS` override the start and the count.
-fn seeds(count: u64) -> std::ops::Range<u64> {
-    let number = |name| std::env::var(name).ok().and_then(|text| text.parse().ok());
-    let first = number("FLEET_FIRST").unwrap_or(0);
-    first..first + number("FLEET_SEEDS").unwrap_or(count)
-}
-
 #[googletest::test]
 fn isolated_node_does_not_send_stale_responses() {
-    for seed in seeds(12) {
+    for seed in seeds(0, 12) {
         let settings = FleetSettings {
             nodes: if seed % 3 == 0 { 5 } else { 3 },
             tolerance: if seed % 3 == 0 { 2 } else { 1 },
@@ -124,7 +120,7 @@
 
 #[googletest::test]
 fn each_version_accepts_one_change_despite_faults() {
-    for seed in seeds(12) {
+    for seed in seeds(0, 12) {
         let settings = FleetSettings {
             operators: 3,
             change_interval_ms: 120,
@@ -153,7 +149,7 @@
 
 #[googletest::test]
 fn disk_loss_right_after_repair_loses_nothing() {
-    for seed in seeds(16) {
+    for seed in seeds(0, 16) {
         let settings = three_or_five_nodes(seed);
         let nodes = settings.nodes;
         let (mut fleet, mut random) = fleet_with_jobs(settings, 40);
@@ -199,7 +195,7 @@
 #[googletest::test]
 fn rolling_back_a_disk_loses_nothing() {
     let mut wiped = 0;
-    for seed in seeds(12) {
+    for seed in seeds(0, 12) {
         let settings = three_or_five_nodes(seed);
         let nodes = settings.nodes;
         let (mut fleet, mut random) = fleet_with_jobs(settings, 40);
@@ -226,7 +222,7 @@
 
 #[googletest::test]
 fn restarted_nodes_catch_up_with_hundreds_of_configurations() {
-    for seed in seeds(3) {
+    for seed in seeds(0, 3) {
         let settings = FleetSettings {
             change_interval_ms: 50,
             configuration_bytes: 60_000,
@@ -267,7 +263,7 @@
 
 #[googletest::test]
 fn delayed_orders_never_run_a_task_twice() {
-    for seed in seeds(12) {
+    for seed in seeds(0, 12) {
         let settings = FleetSettings {
             run_failure_percent: 5,
             enforces_capacity: seed % 2 == 0,
@@ -306,7 +302,7 @@
 
 #[googletest::test]
 fn worker_crashes_do_not_stop_complete_gangs() {
-    for seed in seeds(12) {
+    for seed in seeds(0, 12) {
         // Given: workers run the same member of several occurrences
         let mut fleet = Fleet::new(FleetSettings {
             seed,
--- a/system/fleet/tests/faults.rs
+++ b/system/fleet/tests/faults.rs
@@ -1,4 +1,7 @@
 //! Under random faults, no accepted job is lost, run twice or reported as unknown.
+mod common;
+
+use common::seeds;
 use magpiegap_fleet::{Fault, Fleet, FleetSettings};
 use rand::{rngs::StdRng, Rng, SeedableRng};
 
@@ -127,11 +130,9 @@
     failures
 }
 
-/// Runs a range of seeds; the environment variables `FLEET_FIRST` and `FLEET_SEEDS` override its start and length.
+/// Runs a range of seeds.
 fn run_seeds(first: u64, count: u64, nodes: usize, tolerance: usize, load: Load) {
-    let number = |name| std::env::var(name).ok().and_then(|text| text.parse().ok());
-    let first = number("FLEET_FIRST").unwrap_or(first);
-    for seed in first..first + number("FLEET_SEEDS").unwrap_or(count) {
+    for seed in seeds(first, count) {
         let failures = run_seed(seed, nodes, tolerance, load);
         assert!(failures.is_empty(), "{}", failures.join("\n"));
     }
--- a/system/fleet/tests/idle_capacity.rs
+++ b/system/fleet/tests/idle_capacity.rs
@@ -1,6 +1,9 @@
 //! No task that could run stays idle beside idle workers, also long after failures, rejected starts and infeasible jobs.
 //!
 //! The fleet checks it at all times; the days here are longer than any ejection or backoff.
+mod common;
+
+use common::seeds;
 use magpiegap_fleet::{Fault, Fleet, FleetSettings};
 use magpiegap_protocol::{JobId, JobSpec, StepSpec};
 use rand::{rngs::StdRng, Rng, SeedableRng};
@@ -16,25 +19,28 @@
 /// Number of days of each kind.
 const SEEDS: u64 = 6;
 
-/// A fleet of which a share of the runs fails.
-fn fleet(seed: u64, workers: usize, run_failure_percent: u64) -> Fleet {
-    Fleet::new(FleetSettings {
-        workers,
-        run_failure_percent,
-        seed,
-        ..FleetSettings::default()
-    })
-}
-
-fn seeds() -> impl Iterator<Item = u64> {
-    let from_environment = |name: &str, default: u64| {
-        let value = std::env::var(name).ok();
-        value
-            .and_then(|value| value.parse().ok())
-            .unwrap_or(default)
-    };
-    let first = from_environment("FLEET_FIRST", 0);
-    first..first + from_environment("FLEET_SEEDS", SEEDS)
+/// Runs days with a number of workers, of which a share of the runs fails; `play` submits the jobs and injects the faults
+/// of one. `holds` judges the fleet at the end of the day, beside its own checks.
+fn run_days<T>(
+    workers: usize,
+    run_failure_percent: u64,
+    play: impl Fn(&mut Fleet, &mut StdRng) -> T,
+    holds: impl Fn(&Fleet, T) -> bool,
+) {
+    for seed in seeds(0, SEEDS) {
+        let mut fleet = Fleet::new(FleetSettings {
+            workers,
+            run_failure_percent,
+            seed,
+            ..FleetSettings::default()
+        });
+        let mut random = StdRng::seed_from_u64(seed);
+        let played = play(&mut fleet, &mut random);
+        fleet.run_until(END_MS);
+        let violations = fleet.violations();
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+        assert!(holds(&fleet, played), "seed {seed}");
+    }
 }
 
 fn job(step: StepSpec) -> JobSpec {
@@ -49,6 +55,14 @@
     }
 }
 
+/// A job of one gang.
+fn gang(count: u32, cpu: u64, duration_ms: u64) -> JobSpec {
+    job(StepSpec {
+        gang: true,
+        ..Fleet::step(count, cpu, duration_ms)
+    })
+}
+
 /// Sets the rack that holds the data of a job.
 fn with_data_in(rack: Option<&str>, mut spec: JobSpec) -> JobSpec {
     for step in &mut spec.steps {
@@ -81,11 +95,6 @@
     }
 }
 
-fn assert_no_violations(fleet: &Fleet, day: &str) {
-    let violations = fleet.violations();
-    assert!(violations.is_empty(), "{day}: {violations:#?}");
-}
-
 fn is_finished(fleet: &Fleet, job: JobId) -> bool {
     !fleet.unfinished_jobs().contains(&job)
 }
@@ -93,29 +102,23 @@
 /// Guards against workers that failures of long-running tasks take out of use for good (review/5).
 #[googletest::test]
 fn failing_long_running_tasks_leave_workers_in_use() {
-    for seed in seeds() {
-        let mut random = StdRng::seed_from_u64(seed);
-        let mut fleet = fleet(seed, 3, 60);
+    let play = |fleet: &mut Fleet, random: &mut StdRng| {
         for number in 0..30 {
             let failing_after_ms = 6000 + number * random.gen_range(300..1500);
             let spec = long_running(250, failing_after_ms);
             fleet.submit_at(SUBMIT_MS + number * 50, spec, None);
         }
-        fleet.run_until(END_MS);
-        assert_no_violations(&fleet, &format!("seed {seed}"));
-    }
+    };
+    run_days(3, 60, play, |_, ()| true);
 }
 
 /// Guards against jobs that wait for a rack whose only worker has failed and holds a long run (review/6).
 #[googletest::test]
 fn jobs_with_data_on_worker_that_failed_run() {
-    for seed in seeds() {
-        let mut random = StdRng::seed_from_u64(seed);
-        // Three workers are in two racks, of which the second has one.
-        let mut fleet = fleet(seed, 3, 0);
+    let play = |fleet: &mut Fleet, random: &mut StdRng| {
         let lasting = with_data_in(Some("r1"), long_running(500, 1000));
         fleet.submit_at(SUBMIT_MS, lasting, None);
-        submit_small_jobs(&mut fleet, &mut random, Some("r1"));
+        submit_small_jobs(fleet, random, Some("r1"));
         while fleet.now() < LAST_FAULT_MS {
             fleet.run_until(fleet.now() + random.gen_range(4000..20_000));
             fleet.inject(&Fault::WorkerErrors {
@@ -123,66 +126,51 @@
                 duration_ms: random.gen_range(500..8000),
             });
         }
-        fleet.run_until(END_MS);
-        assert_no_violations(&fleet, &format!("seed {seed}"));
-    }
+    };
+    // Three workers are in two racks, of which the second has one.
+    run_days(3, 0, play, |_, ()| true);
 }
 
 /// Guards against a job that no worker can start and that takes all workers out of use (review/4).
 #[googletest::test]
 fn jobs_beside_malformed_job_run() {
-    for seed in seeds() {
-        let mut random = StdRng::seed_from_u64(seed);
-        let mut fleet = fleet(seed, 6, 2);
+    let play = |fleet: &mut Fleet, random: &mut StdRng| {
         let malformed = fleet.submit_at(SUBMIT_MS, job(Fleet::step(12, 1000, 1000)), None);
         fleet.set_malformed(malformed);
-        submit_small_jobs(&mut fleet, &mut random, None);
-        fleet.run_until(END_MS);
-        assert_no_violations(&fleet, &format!("seed {seed}"));
-        assert!(!is_finished(&fleet, malformed), "seed {seed}");
-        assert!(fleet.runs_started(malformed) == 0, "seed {seed}");
-    }
+        submit_small_jobs(fleet, random, None);
+        malformed
+    };
+    run_days(6, 2, play, |fleet, malformed| {
+        !is_finished(fleet, malformed) && fleet.runs_started(malformed) == 0
+    });
 }
 
 /// Guards against a gang that fits nowhere and keeps idle workers from other jobs (review/8).
 #[googletest::test]
 fn jobs_beside_infeasible_gang_run() {
-    for seed in seeds() {
-        let mut random = StdRng::seed_from_u64(seed);
-        let mut fleet = fleet(seed, 4, 2);
+    let play = |fleet: &mut Fleet, random: &mut StdRng| {
         fleet.submit_at(SUBMIT_MS, job(Fleet::step(1, 8000, 100_000)), None);
         fleet.submit_at(SUBMIT_MS, job(Fleet::step(1, 500, 1000)), None);
         // Every third job, and so the gang, is of the most urgent priority.
-        let gang = StepSpec {
-            gang: true,
-            ..Fleet::step(5, 8000, 30_000)
-        };
-        let gang = fleet.submit_at(SUBMIT_MS + 500, job(gang), None);
-        submit_small_jobs(&mut fleet, &mut random, None);
-        fleet.run_until(END_MS);
-        assert_no_violations(&fleet, &format!("seed {seed}"));
-        assert!(!is_finished(&fleet, gang), "seed {seed}");
-    }
+        let gang = fleet.submit_at(SUBMIT_MS + 500, gang(5, 8000, 30_000), None);
+        submit_small_jobs(fleet, random, None);
+        gang
+    };
+    run_days(4, 2, play, |fleet, gang| !is_finished(fleet, gang));
 }
 
 /// All of it at once, with faults of the coordinators and workers.
 #[googletest::test]
 fn mixed_jobs_run_beside_faults() {
-    for seed in seeds() {
-        let mut random = StdRng::seed_from_u64(seed);
-        let mut fleet = fleet(seed, 6, 10);
+    let play = |fleet: &mut Fleet, random: &mut StdRng| {
         for number in 0..3 {
             let spec = long_running(500, random.gen_range(300..15_000));
             fleet.submit_at(SUBMIT_MS + number * 5000, spec, None);
         }
         let malformed = fleet.submit_at(SUBMIT_MS, job(Fleet::step(4, 1000, 1000)), None);
         fleet.set_malformed(malformed);
-        let gang = StepSpec {
-            gang: true,
-            ..Fleet::step(7, 7000, 5000)
-        };
-        fleet.submit_at(SUBMIT_MS + 4000, job(gang), None);
-        submit_small_jobs(&mut fleet, &mut random, None);
+        fleet.submit_at(SUBMIT_MS + 4000, gang(7, 7000, 5000), None);
+        submit_small_jobs(fleet, random, None);
         fleet.run_until(SUBMIT_MS);
         while fleet.now() < LAST_FAULT_MS {
             fleet.run_until(fleet.now() + random.gen_range(2000..15_000));
@@ -191,11 +179,10 @@
                     worker: random.gen_range(0..6),
                     duration_ms: random.gen_range(500..8000),
                 },
-                false => Fault::random(&mut random, 3, 6),
+                false => Fault::random(random, 3, 6),
             };
-            inject(&mut fleet, &fault);
+            inject(fleet, &fault);
         }
-        fleet.run_until(END_MS);
-        assert_no_violations(&fleet, &format!("seed {seed}"));
-    }
+    };
+    run_days(6, 10, play, |_, ()| true);
 }
--- a/system/jobs/src/route_table.rs
+++ b/system/jobs/src/route_table.rs
@@ -44,9 +44,7 @@
             .max_by_key(|route| route.path_prefix.len())
             .map(Arc::as_ref)
     }
-}
 
-impl RouteTable {
     /// Returns the route of a queue.
     pub fn of_queue(&self, queue: &str) -> Option<&Route> {
         let (hostname, _) = queue.split_once('/')?;
--- a/system/magpiegap/src/proxy/frontend.rs
+++ b/system/magpiegap/src/proxy/frontend.rs
@@ -4,7 +4,7 @@
     calls::{CoordinatorCalls, SubmitOutcome},
     cluster_watch::ClusterWatch,
     job_body,
-    pause_detector::{PauseDetector, TICK_INTERVAL},
+    pause_detector::PauseDetector,
 };
 use crate::serving::read_body;
 use balancer_core::Ending;
@@ -20,9 +20,8 @@
     Request,
 };
 use std::{
-    future::Future,
     io::Cursor,
-    sync::{Arc, Mutex, PoisonError},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -84,40 +83,27 @@
     calls: CoordinatorCalls,
     cluster: Arc<ClusterWatch>,
     admission: Arc<Admission>,
-    pauses: Arc<Mutex<PauseDetector>>,
+    pauses: Arc<PauseDetector>,
 }
 
 impl FrontendHandler {
     /// Creates a handler that routes by the current configuration of `cluster`.
-    pub(super) fn new(calls: CoordinatorCalls, cluster: Arc<ClusterWatch>) -> FrontendHandler {
+    pub(super) fn new(
+        calls: CoordinatorCalls,
+        cluster: Arc<ClusterWatch>,
+        pauses: Arc<PauseDetector>,
+    ) -> FrontendHandler {
         FrontendHandler {
             calls,
             cluster,
             admission: Arc::new(Admission::new()),
-            pauses: Arc::new(Mutex::new(PauseDetector::new(Instant::now()))),
+            pauses,
         }
     }
 
-    /// Observes at regular intervals that the process runs. Never ends.
-    pub(super) fn watch_for_pauses(&self) -> impl Future<Output = ()> {
-        let handler = self.clone();
-        async move {
-            loop {
-                tokio::time::sleep(TICK_INTERVAL).await;
-                handler.may_be_stale();
-            }
-        }
-    }
-
-    /// Whether requests that are read now may have arrived during a long pause of this process.
-    fn may_be_stale(&self) -> bool {
-        let mut pauses = self.pauses.lock().unwrap_or_else(PoisonError::into_inner);
-        pauses.observe(Instant::now())
-    }
-
     async fn respond(&self, request: &Request<'_>, data: Data<'_>) -> Reply {
         let arrived_at = Instant::now();
-        if self.may_be_stale() && request.method() == Method::Post {
+        if request.method() == Method::Post && self.pauses.observe(arrived_at) {
             return Reply::unavailable(Status::ServiceUnavailable);
         }
         let info = self
--- a/system/magpiegap/src/proxy/mod.rs
+++ b/system/magpiegap/src/proxy/mod.rs
@@ -17,8 +17,13 @@
     signals::Signals,
 };
 use cluster_watch::ClusterWatch;
+use pause_detector::PauseDetector;
 use rocket::http::Method;
-use std::{path::PathBuf, sync::Arc, time::Duration};
+use std::{
+    path::PathBuf,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 /// Time after SIGTERM for the platform to route clients to other proxies, in seconds.
 const DRAIN_S: f64 = 2.3;
@@ -89,8 +94,9 @@
         grace_s: SHUTDOWN_GRACE_S,
     };
     let calls = calls::CoordinatorCalls::new(client, settings.request_port(), cluster.clone());
-    let handler = frontend::FrontendHandler::new(calls, cluster);
-    tokio::spawn(handler.watch_for_pauses());
+    let pauses = Arc::new(PauseDetector::new(Instant::now()));
+    tokio::spawn(pauses.clone().run());
+    let handler = frontend::FrontendHandler::new(calls, cluster, pauses);
     let methods = [
         Method::Get,
         Method::Post,
--- a/system/magpiegap/tests/pause_detector.rs
+++ b/system/magpiegap/tests/pause_detector.rs
@@ -21,7 +21,7 @@
     ];
     for (name, observed_at, expected) in cases {
         let start = Instant::now();
-        let mut detector = PauseDetector::new(start);
+        let detector = PauseDetector::new(start);
         let mut is_stale = false;
         for at in observed_at {
             is_stale = detector.observe(start + Duration::from_millis(*at));
--- a/system/protocol/src/ids.rs
+++ b/system/protocol/src/ids.rs
@@ -1,6 +1,6 @@
 //! Identifiers of machines, processes, jobs, tasks and runs, and the text forms of job and task identifiers.
 use minicbor::{Decode, Encode};
-use std::{fmt, net::Ipv4Addr};
+use std::{fmt, net::Ipv4Addr, ops::RangeInclusive};
 
 /// A core machine with one incarnation of its disk. A machine whose disk was lost rejoins as a new member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
@@ -45,8 +45,7 @@
 impl JobId {
     /// Parses 16 hexadecimal digits; `None` for other text. Both cases of a digit name the same job.
     pub fn parse(text: &str) -> Option<JobId> {
-        let is_digit = |byte: u8| byte.is_ascii_hexdigit();
-        if text.len() != 16 || !text.bytes().all(is_digit) {
+        if text.len() != 16 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
             return None;
         }
         u64::from_str_radix(text, 16).ok().map(JobId)
@@ -80,6 +79,15 @@
 }
 
 impl TaskId {
+    /// The range of the tasks of its step and occurrence, itself included.
+    pub fn siblings(self) -> RangeInclusive<TaskId> {
+        let last = TaskId {
+            index: u32::MAX,
+            ..self
+        };
+        TaskId { index: 0, ..self }..=last
+    }
+
     /// Parses the form `JOB.OCCURRENCE.STEP.INDEX` as it is displayed; `None` for other text.
     pub fn parse(text: &str) -> Option<TaskId> {
         let mut fields = text.split('.');
