Split the planner into small modules, and merge twins of the scheduler

Behaviour is unchanged. planner.rs (569 lines) becomes planner (state), planning_round, submission_placement, unit_placement, planned_unit and locality; what requests a preemption stands beside what chooses its victims. Placement and backfill ask one function about anti-affinity (Worker::allows_sibling) and one about probation (Worker::is_limited_by_probation). Health says whether the evidence suffices, and the bound on ejections is looked at only then: before, every failed run looked at all workers. The enum for it and two pass-through functions are gone.

--- a/system/scheduler/src/applied.rs
+++ b/system/scheduler/src/applied.rs
@@ -209,17 +209,22 @@
         }
     }
 
-    /// Counts a failure of a job against a worker, which ejects it if there are enough of them.
+    /// Counts a failure of a job against a worker, which ejects it if there are enough of them and not too many workers
+    /// are ejected.
     pub(crate) fn record_worker_failure(&mut self, job: JobId, incarnation: &str, now: Millis) {
         let failures_to_eject = self.failure_rate.failures_to_eject();
-        let ejection = self.table.ejection_of(incarnation, now);
         let Some(worker) = self.table.workers.get_mut(incarnation) else {
             return;
         };
-        if worker
-            .health
-            .record_failure(job, failures_to_eject, ejection, now)
-        {
+        let is_enough = worker.health.record_failure(job, failures_to_eject, now);
+        if is_enough && self.table.allows_ejection(incarnation, now) {
+            self.eject(incarnation, now);
+        }
+    }
+
+    fn eject(&mut self, incarnation: &str, now: Millis) {
+        if let Some(worker) = self.table.workers.get_mut(incarnation) {
+            worker.health.eject(now);
             self.ejection_report.add(incarnation);
         }
     }
--- a/system/scheduler/src/backfill.rs
+++ b/system/scheduler/src/backfill.rs
@@ -188,7 +188,10 @@
         };
         let mut earliest: Option<(Millis, &str)> = None;
         for (incarnation, worker) in workers {
-            if !is_eligible(worker) || !self.allows_sibling(worker, candidate) {
+            let reserved = || self.reserved_siblings(worker, candidate.urgency);
+            if !is_eligible(worker)
+                || !worker.allows_sibling(candidate.urgency.task, step, reserved)
+            {
                 continue;
             }
             let Some(available_at) = self.fits_at(worker, step, now) else {
@@ -202,16 +205,11 @@
         earliest
     }
 
-    /// Whether the anti-affinity of the step allows one more of its tasks on a worker, beside those with reservations.
-    fn allows_sibling(&self, worker: &Worker, candidate: &Candidate<'_>) -> bool {
-        let max_siblings = candidate.step.anti_affinity;
-        if max_siblings == 0 {
-            return true;
-        }
+    /// Number of a task's reservations on a worker.
+    fn reserved_siblings(&self, worker: &Worker, owner: &Urgency) -> u32 {
         let reserved = self.reservations.get(&worker.entry.incarnation);
-        let is_sibling = |reservation: &&Reservation| reservation.owner == *candidate.urgency;
-        let siblings = reserved.into_iter().flatten().filter(is_sibling).count() as u32;
-        siblings + worker.running_siblings(candidate.urgency.task) < max_siblings
+        let is_own = |reservation: &&Reservation| reservation.owner == *owner;
+        reserved.into_iter().flatten().filter(is_own).count() as u32
     }
 
     /// When a task is expected to fit on a worker in addition to all its reservations; `None` if that takes stopping a
--- a/system/scheduler/src/discovery.rs
+++ b/system/scheduler/src/discovery.rs
@@ -36,7 +36,7 @@
         for entry in own_entries {
             self.refresh_worker(entry, now, state);
         }
-        self.planner.refresh_available_labels(&self.table.workers);
+        self.planner.locality.refresh(&self.table.workers);
     }
 
     fn refresh_worker(&mut self, entry: &WorkerEntry, now: Millis, state: &State) {
--- a/system/scheduler/src/explanation.rs
+++ b/system/scheduler/src/explanation.rs
@@ -156,7 +156,7 @@
     }
 
     fn explain_rejected_starts(&self, job: JobId) -> Option<RejectedStartsExplanation> {
-        let rejected = self.planner.rejected_starts(job)?;
+        let rejected = self.planner.start_backoff.of(job)?;
         Some(RejectedStartsExplanation {
             attempts: rejected.attempts,
             retry_in_ms: rejected.retry_at.saturating_sub(self.now),
@@ -245,7 +245,7 @@
             &mut counts.unresponsive
         } else if !worker.health.is_schedulable(self.now) {
             &mut counts.ejected
-        } else if !worker.allows_probation_run(self.now) {
+        } else if worker.is_limited_by_probation(0, self.now) {
             &mut counts.on_probation
         } else if !worker.has_labels(&step.requirements) {
             &mut counts.without_label
--- a/system/scheduler/src/health.rs
+++ b/system/scheduler/src/health.rs
@@ -49,15 +49,6 @@
     at: Millis,
 }
 
-/// Whether a worker may be ejected on evidence that may lie with the jobs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Ejection {
-    /// The evidence decides.
-    Allowed,
-    /// Too many workers are ejected already: the evidence is only recorded.
-    TooManyEjected,
-}
-
 /// A worker's health as shown by its runs.
 ///
 /// All evidence has an end: a success clears it, failures expire, and ejection and probation are bounded in time.
@@ -104,26 +95,19 @@
         self.ejections = 0;
     }
 
-    /// Records a failed run and returns whether it ejects the worker: either `failures_to_eject` different jobs have
-    /// failed in a row, or the worker is on probation.
+    /// Records a failed run and returns whether there is enough evidence to eject the worker: either
+    /// `failures_to_eject` different jobs have failed in a row, or the worker is on probation.
     pub(crate) fn record_failure(
         &mut self,
         job: JobId,
         failures_to_eject: usize,
-        ejection: Ejection,
         now: Millis,
     ) -> bool {
         self.last_failure_at = now;
         self.failures
             .retain(|failure| failure.job != job && now < failure.at + FAILURE_MEMORY_MS);
         self.failures.push(JobFailure { job, at: now });
-        let is_evidence_enough =
-            self.failures.len() >= failures_to_eject || self.is_on_probation(now);
-        if !is_evidence_enough || ejection == Ejection::TooManyEjected {
-            return false;
-        }
-        self.eject(now);
-        true
+        self.failures.len() >= failures_to_eject || self.is_on_probation(now)
     }
 
     /// Ejects the worker, for longer with each consecutive ejection.
--- a/system/scheduler/src/lib.rs
+++ b/system/scheduler/src/lib.rs
@@ -26,10 +26,13 @@
 mod lease_schedule;
 mod lease_timing;
 mod leases;
+mod locality;
 mod nominations;
 mod orders;
 mod placement;
+mod planned_unit;
 mod planner;
+mod planning_round;
 mod planning_schedule;
 mod preemption;
 mod queue;
@@ -41,7 +44,9 @@
 mod settings;
 mod stalls;
 mod start_backoff;
+mod submission_placement;
 mod take_over;
+mod unit_placement;
 mod worker;
 
 pub use calls::{
--- a/system/scheduler/src/placement.rs
+++ b/system/scheduler/src/placement.rs
@@ -310,10 +310,12 @@
         let more = allocated.resources_on(worker);
         self.has_capacity(worker, &more)
             && worker.has_labels(&candidate.step.requirements)
-            && self.allows_sibling(worker, allocated)
+            && worker.allows_sibling(*first, candidate.step, || allocated.tasks_on(worker))
             && !worker.runs.contains_key(first)
             && worker.is_schedulable(self.now)
-            && self.allows_probation_run(worker, allocated)
+            // Preferences among workers, such as the rack of the data, must not leave one as the only candidate that may
+            // not take the task.
+            && !worker.is_limited_by_probation(allocated.tasks_on(worker), self.now)
             && nominations.allow(&worker.entry.incarnation, first)
             && backfill.allows_backfill(worker, candidate, &more, self.now)
     }
@@ -323,22 +325,4 @@
         let free = worker.free_capacity();
         resources.fits_in(&free.saturating_sub(more)) && free.cpu >= more.cpu + resources.cpu
     }
-
-    /// Whether a worker, if it is on probation, may take one more task. One that may not is no candidate at all:
-    /// preferences among workers, such as the rack of the data, must not leave it as the only one.
-    fn allows_probation_run(&self, worker: &Worker, allocated: &Allocations) -> bool {
-        let is_first = allocated.tasks_on(worker) == 0;
-        worker.allows_probation_run(self.now)
-            && (is_first || !worker.health.is_on_probation(self.now))
-    }
-
-    /// Whether the anti-affinity of the step allows one more of its tasks on a worker.
-    fn allows_sibling(&self, worker: &Worker, allocated: &Allocations) -> bool {
-        let max_siblings = self.demand.candidate.step.anti_affinity;
-        if max_siblings == 0 {
-            return true;
-        }
-        let running = worker.running_siblings(self.demand.first);
-        running + allocated.tasks_on(worker) < max_siblings
-    }
 }
--- a/system/scheduler/src/replies.rs
+++ b/system/scheduler/src/replies.rs
@@ -217,7 +217,7 @@
         if rejected_by == RejectedBy::OneWorker {
             self.record_worker_failure(task.job, incarnation, now);
         }
-        let Some(rejected) = self.planner.rejected_starts(task.job) else {
+        let Some(rejected) = self.planner.start_backoff.of(task.job) else {
             return;
         };
         if rejected.attempts.is_power_of_two() {
--- a/system/scheduler/src/run_table.rs
+++ b/system/scheduler/src/run_table.rs
@@ -2,7 +2,6 @@
 //!
 //! Shared by the modules of the scheduler; it sends and proposes nothing itself.
 use crate::{
-    health::Ejection,
     lease_schedule::LeaseSchedule,
     run::Run,
     worker::{Worker, Workers},
@@ -79,7 +78,7 @@
 
     /// Whether a worker may be ejected on evidence that may lie with the jobs: at most half of the listed workers are
     /// ejected then.
-    pub(crate) fn ejection_of(&self, incarnation: &str, now: Millis) -> Ejection {
+    pub(crate) fn allows_ejection(&self, incarnation: &str, now: Millis) -> bool {
         let listed = self.workers.values().filter(|worker| worker.listed);
         let (mut total, mut others_ejected) = (0, 0);
         for worker in listed {
@@ -87,11 +86,7 @@
             let is_other = worker.entry.incarnation != incarnation;
             others_ejected += usize::from(is_other && !worker.health.is_schedulable(now));
         }
-        if 2 * (others_ejected + 1) <= total {
-            Ejection::Allowed
-        } else {
-            Ejection::TooManyEjected
-        }
+        2 * (others_ejected + 1) <= total
     }
 
     /// Number of workers that have runs.
--- a/system/scheduler/src/scheduler.rs
+++ b/system/scheduler/src/scheduler.rs
@@ -144,7 +144,7 @@
             workers: self.table.workers.len(),
             unresponsive: self.table.unresponsive_workers(),
             runs: self.table.runs(),
-            rejected_jobs: self.planner.rejected_jobs(),
+            rejected_jobs: self.planner.start_backoff.len(),
             queued: self.planner.queue.len(),
             queued_urgent: self
                 .planner
--- a/system/scheduler/src/stalls.rs
+++ b/system/scheduler/src/stalls.rs
@@ -6,7 +6,6 @@
 //! after runs of several jobs that have not stalled elsewhere, and while most workers are not ejected.
 use crate::{
     calls::Output,
-    health::Ejection,
     run::{Run, RunPhase},
     scheduler::Scheduler,
 };
@@ -58,8 +57,7 @@
     /// Counts a stall against the worker, unless the task has stalled elsewhere too or too many workers are ejected.
     fn suspect_worker(&mut self, task: TaskId, incarnation: &str, now: Millis) {
         let failed_elsewhere = self.planner.record_failure(task, incarnation);
-        let ejection = self.table.ejection_of(incarnation, now);
-        if !failed_elsewhere && ejection == Ejection::Allowed {
+        if !failed_elsewhere && self.table.allows_ejection(incarnation, now) {
             self.record_worker_failure(task.job, incarnation, now);
         }
     }
--- a/system/scheduler/src/worker.rs
+++ b/system/scheduler/src/worker.rs
@@ -1,6 +1,8 @@
 //! The scheduler's view of one incarnation of a worker: its capacity, runs, clock and lease.
 use crate::{health::Health, run::Run};
-use magpiegap_protocol::{Availability, Millis, Resources, RunId, RunStart, TaskId, WorkerEntry};
+use magpiegap_protocol::{
+    Availability, Millis, Resources, RunId, RunStart, StepSpec, TaskId, WorkerEntry,
+};
 use std::collections::BTreeMap;
 
 /// Minimum rate of a worker's clock relative to the scheduler's clock.
@@ -129,12 +131,13 @@
         self.is_responsive() && self.listed && !self.draining && self.health.is_schedulable(now)
     }
 
-    /// Whether it may take a run: on probation it gets one at a time. Runs from before its ejection do not count, since
-    /// they may go on for any time.
-    pub(crate) fn allows_probation_run(&self, now: Millis) -> bool {
+    /// Whether it is on probation and may take no more runs, beside `planned` ones: it gets one at a time. Runs from
+    /// before its ejection do not count, since they may go on for any time.
+    pub(crate) fn is_limited_by_probation(&self, planned: u32, now: Millis) -> bool {
         let ejected_until = self.health.ejected_until();
         let is_probation_run = |run: &Run| run.started_at >= ejected_until;
-        !self.health.is_on_probation(now) || !self.runs.values().any(is_probation_run)
+        self.health.is_on_probation(now)
+            && (planned > 0 || self.runs.values().any(is_probation_run))
     }
 
     /// Whether a long-running run that works since its last failure shows that it has recovered. Such a run is not
@@ -158,14 +161,19 @@
             .collect()
     }
 
-    /// Number of its runs that belong to the same step and occurrence as a task.
-    pub(crate) fn running_siblings(&self, task: TaskId) -> u32 {
-        let first = TaskId { index: 0, ..task };
-        let last = TaskId {
-            index: u32::MAX,
-            ..task
-        };
-        self.runs.range(first..=last).count() as u32
+    /// Whether the anti-affinity of a task's step allows one more of its tasks here, beside the runs and `planned` ones.
+    pub(crate) fn allows_sibling(
+        &self,
+        task: TaskId,
+        step: &StepSpec,
+        planned: impl FnOnce() -> u32,
+    ) -> bool {
+        let max_siblings = step.anti_affinity;
+        if max_siblings == 0 {
+            return true;
+        }
+        let running = self.runs.range(task.siblings()).count() as u32;
+        running + planned() < max_siblings
     }
 
     /// Adds a run and allocates its capacity.
--- a/system/scheduler/tests/common/mod.rs
+++ b/system/scheduler/tests/common/mod.rs
@@ -246,11 +246,8 @@
 
     /// Replies to stops and renewals; workers list the runs that are on record for them.
     pub(crate) fn serve_calls_other_than_starts(&mut self) {
-        let (starts, others) = self
-            .take_calls()
-            .into_iter()
-            .partition(|call| matches!(call.order, WorkerOrder::Start { .. }));
-        self.calls = starts;
+        let starts = self.starts();
+        let others = std::mem::replace(&mut self.calls, starts);
         for call in others {
             let reply = match call.order {
                 WorkerOrder::RenewLease { .. } => {
