--- a/system/demo/src/timeline.rs
+++ b/system/demo/src/timeline.rs
@@ -11,7 +11,7 @@
 const SECOND_PX: u64 = 40;
 /// Height of a worker's row, in pixels.
 const ROW_PX: u64 = 18;
-/// Gap between the bars of adjacent rows, in pixels.
+/// Gap between the spans of adjacent rows, in pixels.
 const ROW_GAP_PX: u64 = 3;
 /// Width of the column of worker names, in pixels.
 const NAME_COLUMN_PX: u64 = 60;
@@ -24,20 +24,20 @@
 /// Number of text lines in the footer.
 const FOOTER_LINES: u64 = 3;
 
-/// The style of a run's bar, which selects its CSS class.
+/// The style of a run's span, which selects its CSS class.
 #[derive(Clone, Copy)]
-enum BarStyle {
+enum SpanStyle {
     Done,
     Other,
     Lost,
 }
 
-impl BarStyle {
+impl SpanStyle {
     fn class(self) -> &'static str {
         match self {
-            BarStyle::Done => "done",
-            BarStyle::Other => "other",
-            BarStyle::Lost => "lost",
+            SpanStyle::Done => "done",
+            SpanStyle::Other => "other",
+            SpanStyle::Lost => "lost",
         }
     }
 }
@@ -60,19 +60,19 @@
     }
 }
 
-/// The bar of a run on the timeline; times are in milliseconds since the demo started.
-struct Bar {
+/// The span of a run on the timeline; times are in milliseconds since the demo started.
+struct RunSpan {
     incarnation: String,
     start_ms: u64,
     end_ms: u64,
-    style: BarStyle,
+    style: SpanStyle,
 }
 
 /// Renders the HTML page.
 pub(crate) fn to_page(results: &Results, table: &str) -> String {
-    let bars = bars(&results.worker_events);
-    let rows = rows(&bars);
-    let last = bars.iter().map(|bar| bar.end_ms).max().unwrap_or(0);
+    let spans = spans(&results.worker_events);
+    let rows = rows(&spans);
+    let last = spans.iter().map(|span| span.end_ms).max().unwrap_or(0);
     let width = to_px(last) + MARGIN_PX;
     let height = ROW_PX * rows.len() as u64 + FOOTER_PX;
     let mut page = String::from(
@@ -83,8 +83,8 @@
     for (name, row) in &rows {
         let _ = write!(page, "<text x=0 y={}>{name}</text>", 13 + row * ROW_PX);
     }
-    for bar in &bars {
-        write_bar(&mut page, bar, rows[bar.incarnation.as_str()]);
+    for span in &spans {
+        write_span(&mut page, span, rows[span.incarnation.as_str()]);
     }
     for (number, event) in results.cluster_events.iter().enumerate() {
         let line = number as u64 % FOOTER_LINES;
@@ -94,22 +94,22 @@
     page
 }
 
-/// Assigns a row to each worker, in the order of their first bars.
-fn rows(bars: &[Bar]) -> BTreeMap<&str, u64> {
+/// Assigns a row to each worker, in the order of their first spans.
+fn rows(spans: &[RunSpan]) -> BTreeMap<&str, u64> {
     let mut rows = BTreeMap::new();
-    for bar in bars {
+    for span in spans {
         let next = rows.len() as u64;
-        rows.entry(bar.incarnation.as_str()).or_insert(next);
+        rows.entry(span.incarnation.as_str()).or_insert(next);
     }
     rows
 }
 
-/// Returns the bars of the runs: the completed runs first, then the runs without a completion, which are drawn up to
+/// Returns the spans of the runs: the completed runs first, then the runs without a completion, which are drawn up to
 /// the last event.
-fn bars(worker_events: &[WorkerEvent]) -> Vec<Bar> {
+fn spans(worker_events: &[WorkerEvent]) -> Vec<RunSpan> {
     let last = worker_events.iter().map(|event| event.at).max();
     let mut started: BTreeMap<RunKey, u64> = BTreeMap::new();
-    let mut bars = Vec::new();
+    let mut spans = Vec::new();
     for event in worker_events {
         match &event.run_event {
             RunEvent::Started { task, run, .. } => {
@@ -118,13 +118,13 @@
             RunEvent::Completed(completion) => {
                 let key = RunKey::new(event, &completion.task, completion.run);
                 if let Some(start_ms) = started.remove(&key) {
-                    bars.push(Bar {
+                    spans.push(RunSpan {
                         incarnation: key.incarnation,
                         start_ms,
                         end_ms: event.at,
                         style: match completion.kind {
-                            CompletionKind::Done => BarStyle::Done,
-                            _ => BarStyle::Other,
+                            CompletionKind::Done => SpanStyle::Done,
+                            _ => SpanStyle::Other,
                         },
                     });
                 }
@@ -132,27 +132,27 @@
             RunEvent::Acknowledged(_) => {}
         }
     }
-    bars.extend(started.into_iter().map(|(key, start_ms)| Bar {
+    spans.extend(started.into_iter().map(|(key, start_ms)| RunSpan {
         incarnation: key.incarnation,
         start_ms,
         end_ms: last.unwrap_or(0),
-        style: BarStyle::Lost,
+        style: SpanStyle::Lost,
     }));
-    bars
+    spans
 }
 
 fn to_px(ms: u64) -> u64 {
     ms * SECOND_PX / 1000
 }
 
-fn write_bar(page: &mut String, bar: &Bar, row: u64) {
-    let x = NAME_COLUMN_PX + to_px(bar.start_ms);
+fn write_span(page: &mut String, span: &RunSpan, row: u64) {
+    let x = NAME_COLUMN_PX + to_px(span.start_ms);
     let y = row * ROW_PX;
-    let width = to_px(bar.end_ms.saturating_sub(bar.start_ms)).max(1);
+    let width = to_px(span.end_ms.saturating_sub(span.start_ms)).max(1);
     let _ = write!(
         page,
         "<rect class={} x={x} y={y} width={width} height={}></rect>",
-        bar.style.class(),
+        span.style.class(),
         ROW_PX - ROW_GAP_PX
     );
 }
