--- a/system/scheduler/src/applied.rs
+++ b/system/scheduler/src/applied.rs
@@ -192,13 +192,10 @@
         }
     }
 
-    /// Ends what is held against a worker on which a long-running run works since its last failure.
-    pub(crate) fn check_recovery(&mut self, incarnation: &str) {
-        let worker = self.table.workers.get(incarnation);
-        if worker.is_some_and(Worker::has_recovered) {
-            self.record_worker_success(incarnation);
-            self.planner.request_round();
-        }
+    /// Ends what is held against a worker that has recovered without a run that completed.
+    pub(crate) fn record_recovery(&mut self, incarnation: &str) {
+        self.record_worker_success(incarnation);
+        self.planner.request_round();
     }
 
     fn handle_failed_run(&mut self, task: TaskId, incarnation: &str, was_known: bool, now: Millis) {
--- a/system/scheduler/src/leases.rs
+++ b/system/scheduler/src/leases.rs
@@ -113,10 +113,13 @@
             self.propose_loss_of_expired_runs(incarnation);
             return;
         }
+        let has_recovered = worker.has_recovered();
         self.stop_runs_outliving_worker(incarnation, now);
         self.send_orders(incarnation, now, state);
         self.stop_stuck_runs(incarnation, now);
-        self.check_recovery(incarnation);
+        if has_recovered {
+            self.record_recovery(incarnation);
+        }
     }
 
     fn remove_worker(&mut self, incarnation: &str, state: &State) {
